--- /dev/null
+++ b/internal/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks the YAML settings of the system's processes.
+package settings
