--- /dev/null
+++ b/internal/strictyaml/errors.go
@@ -0,0 +1,79 @@
+package strictyaml
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	// ErrSyntax means that the text is not YAML.
+	ErrSyntax = errors.New("not valid YAML")
+	// ErrUnknownField means that no setting has this name.
+	ErrUnknownField = errors.New("unknown field")
+	// ErrDuplicateField means that a field is given twice.
+	ErrDuplicateField = errors.New("field given twice")
+	// ErrBadValue means that a value has the wrong kind or unit.
+	ErrBadValue = errors.New("bad value")
+)
+
+// FieldError is one mistake with its place.
+type FieldError struct {
+	// File is the name that the text was read from.
+	File string
+	// Line counts from 1. It is 0 where no line is known.
+	Line int
+	// Path leads to the field, for example "teams[2].rate".
+	Path string
+	// Err is the mistake.
+	Err error
+}
+
+// Error returns "file:line: path: mistake".
+func (e *FieldError) Error() string {
+	var b strings.Builder
+	b.WriteString(e.File)
+	if e.Line > 0 {
+		fmt.Fprintf(&b, ":%d", e.Line)
+	}
+	b.WriteString(": ")
+	if e.Path != "" {
+		b.WriteString(e.Path + ": ")
+	}
+	b.WriteString(e.Err.Error())
+	return b.String()
+}
+
+// Unwrap returns the mistake, for errors.Is.
+func (e *FieldError) Unwrap() error { return e.Err }
+
+// Errors is every mistake that was found, in the order of the text.
+type Errors []*FieldError
+
+// Error returns one mistake a line.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, err := range e {
+		lines[i] = err.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the mistakes, for errors.Is and errors.As.
+func (e Errors) Unwrap() []error {
+	all := make([]error, len(e))
+	for i, err := range e {
+		all[i] = err
+	}
+	return all
+}
+
+// OrNil returns nil if there are no mistakes, so that an empty list does not
+// become an error that is not nil.
+func (e Errors) OrNil() error {
+	if len(e) == 0 {
+		return nil
+	}
+	return e
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,29 @@
+package telemetry
+
+import (
+	"net/http"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// The sample that a timer keeps: about the last five minutes, weighted towards
+// the newest.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// NewTimer registers a timer of durations under name and returns it.
+func NewTimer(r metrics.Registry, name string) metrics.Timer {
+	timer := metrics.NewCustomTimer(metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha)), metrics.NewMeter())
+	return r.GetOrRegister(name, timer).(metrics.Timer)
+}
+
+// MetricsHandler serves every metric of r as one JSON object: counters with
+// "count", timers with percentiles in nanoseconds.
+func MetricsHandler(r metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(r, w)
+	})
+}
