--- /dev/null
+++ b/internal/kv/http.go
@@ -0,0 +1,228 @@
+package kv
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Options configures a client of the etcd v3 JSON gateway.
+type Options struct {
+	// URLs are the service's base addresses, "http://IP:port" or
+	// "https://IP:port". At least one is needed. They name one service.
+	URLs []string
+	// Client makes the calls. Its transport carries the TLS settings. Its
+	// Timeout must be zero, since a watch has no end. The default is a client
+	// with its own transport.
+	Client *http.Client
+	// CallTimeout bounds every call but a watch. The default is 2s.
+	CallTimeout time.Duration
+	// Budget bounds the calls of this process.
+	Budget Budget
+	// Metrics receives the counters kv.calls.KIND. The default is a registry
+	// of its own.
+	Metrics metrics.Registry
+}
+
+// DefaultCallTimeout bounds a call if Options does not say otherwise.
+const DefaultCallTimeout = 2 * time.Second
+
+// maxAnswerBytes bounds what is read of one answer: a value in base64 with
+// room for the message around it.
+const maxAnswerBytes = 2*MaxValueBytes + 1<<16
+
+// maxErrorText bounds how much of the service's error text is kept.
+const maxErrorText = 200
+
+// HTTP is a Store over the etcd v3 JSON gateway.
+type HTTP struct {
+	urls      []string
+	preferred atomic.Int64
+	client    *http.Client
+	timeout   time.Duration
+	budget    *budget
+	metrics   metrics.Registry
+}
+
+var _ Store = (*HTTP)(nil)
+
+// NewHTTP returns a client. It makes no call yet. It returns ErrOptions for
+// addresses that are no URLs.
+func NewHTTP(o Options) (*HTTP, error) {
+	if len(o.URLs) == 0 {
+		return nil, errors.Wrap(ErrOptions, "no URL")
+	}
+	for _, raw := range o.URLs {
+		u, err := url.Parse(raw)
+		if err != nil || u.Host == "" {
+			return nil, errors.Wrapf(ErrOptions, "URL %q", raw)
+		}
+	}
+	if o.CallTimeout <= 0 {
+		o.CallTimeout = DefaultCallTimeout
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewRegistry()
+	}
+	if o.Client == nil {
+		o.Client = &http.Client{Transport: defaultTransport()}
+	}
+	client := *o.Client
+	// A redirect would send a write a second time, to an address that nobody
+	// configured.
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &HTTP{
+		urls:    o.URLs,
+		client:  &client,
+		timeout: o.CallTimeout,
+		budget:  newBudget(o.Budget),
+		metrics: o.Metrics,
+	}, nil
+}
+
+func defaultTransport() *http.Transport {
+	const (
+		dialTimeout = time.Second
+		keepAlive   = 5 * time.Second
+		idleLimit   = 30 * time.Second
+		idlePerHost = 16
+	)
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleLimit,
+	}
+}
+
+// call is one kind of call, as the platform counts them.
+type call struct {
+	kind string
+	path string
+}
+
+var (
+	callGet       = call{kind: "get", path: "/v3/kv/range"}
+	callRevision  = call{kind: "revision", path: "/v3/kv/range"}
+	callCAS       = call{kind: "cas", path: "/v3/kv/txn"}
+	callGrant     = call{kind: "grant", path: "/v3/lease/grant"}
+	callKeepAlive = call{kind: "keepalive", path: "/v3/lease/keepalive"}
+	callRevoke    = call{kind: "revoke", path: "/v3/lease/revoke"}
+	callWatch     = call{kind: "watch", path: "/v3/watch"}
+)
+
+// notSentError wraps a failure that happened before any byte of the request
+// could reach the service.
+type notSentError struct{ cause error }
+
+// Error gives the cause.
+func (e *notSentError) Error() string { return "kv: not sent: " + e.cause.Error() }
+
+// Unwrap returns ErrUnavailable.
+func (e *notSentError) Unwrap() error { return ErrUnavailable }
+
+// lostError wraps a failure after which the request may have been carried out.
+type lostError struct{ cause error }
+
+// Error gives the cause.
+func (e *lostError) Error() string { return "kv: no answer: " + e.cause.Error() }
+
+// Unwrap returns ErrUnavailable.
+func (e *lostError) Unwrap() error { return ErrUnavailable }
+
+// do makes one bounded call and decodes its answer.
+func (h *HTTP) do(ctx context.Context, c call, request, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, h.timeout)
+	defer cancel()
+	response, err := h.send(ctx, c, request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return &lostError{cause: err}
+	}
+	if response.StatusCode != http.StatusOK {
+		return statusError(response.StatusCode, body)
+	}
+	if err := json.Unmarshal(body, answer); err != nil {
+		return &lostError{cause: err}
+	}
+	return nil
+}
+
+// send makes one call at the first address that can be connected to. It never
+// sends a request a second time once a byte of it may have left.
+func (h *HTTP) send(ctx context.Context, c call, request any) (*http.Response, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, &notSentError{cause: err}
+	}
+	first := h.preferred.Load()
+	var last error
+	for i := range int64(len(h.urls)) {
+		at := (first + i) % int64(len(h.urls))
+		if err := h.budget.wait(ctx, PriorityOf(ctx)); err != nil {
+			return nil, err
+		}
+		metrics.GetOrRegisterCounter("kv.calls."+c.kind, h.metrics).Inc(1)
+		response, err := h.post(ctx, h.urls[at]+c.path, body)
+		if err == nil {
+			h.preferred.Store(at)
+			return response, nil
+		}
+		last = err
+		var unsent *notSentError
+		if !errors.As(err, &unsent) {
+			h.preferred.Store((at + 1) % int64(len(h.urls)))
+			return nil, err
+		}
+	}
+	return nil, last
+}
+
+func (h *HTTP) post(ctx context.Context, address string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
+	if err != nil {
+		return nil, &notSentError{cause: err}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := h.client.Do(request)
+	if err == nil {
+		return response, nil
+	}
+	if isDialError(err) {
+		return nil, &notSentError{cause: err}
+	}
+	return nil, &lostError{cause: err}
+}
+
+// isDialError reports whether no connection came about, so that the service
+// cannot have read anything.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func statusError(status int, body []byte) error {
+	var w wireError
+	text := strings.TrimSpace(string(body))
+	if json.Unmarshal(body, &w) == nil && w.Message != "" {
+		text = w.Message
+	}
+	if len(text) > maxErrorText {
+		text = text[:maxErrorText]
+	}
+	return &StatusError{Status: status, Message: text}
+}
--- /dev/null
+++ b/internal/kv/kvtest/memory.go
@@ -0,0 +1,234 @@
+package kvtest
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutarch/chestnutarch/internal/kv"
+)
+
+// Faults switches what goes wrong. Counters are used up by one call each.
+type Faults struct {
+	// Outage makes every call fail as never sent.
+	Outage bool
+	// LoseRequests is the number of next writes that never arrive, but whose
+	// senders cannot know it.
+	LoseRequests int
+	// LoseAnswers is the number of next writes that take effect but whose
+	// answers are lost.
+	LoseAnswers int
+	// HoldRequests is the number of next writes that are held back. Their
+	// senders learn nothing. Release lets them arrive.
+	HoldRequests int
+	// SilentWatch stops watches from delivering without closing them.
+	SilentWatch bool
+}
+
+// Calls counts calls as the platform does: each call, a waiting watch as one.
+type Calls struct {
+	Reads   int
+	Writes  int
+	Leases  int
+	Watches int
+}
+
+type record struct {
+	entry kv.Entry
+	lease kv.LeaseID
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+type watcher struct {
+	ctx context.Context
+	key string
+	out chan kv.Entry
+}
+
+type heldWrite struct {
+	key      string
+	expected int64
+	value    []byte
+	lease    kv.LeaseID
+}
+
+// watchBuffer is how many entries a watcher may leave unread before its watch
+// breaks.
+const watchBuffer = 64
+
+// Memory is a kv.Store in memory. It is safe for concurrent use.
+type Memory struct {
+	mu       sync.Mutex
+	now      func() time.Time
+	revision int64
+	records  map[string]record
+	leases   map[kv.LeaseID]lease
+	lastID   kv.LeaseID
+	watchers []*watcher
+	held     []heldWrite
+	faults   Faults
+	calls    Calls
+}
+
+var _ kv.Store = (*Memory)(nil)
+
+// NewMemory returns an empty store. Leases lapse by the supplied clock; nil
+// means time.Now.
+func NewMemory(now func() time.Time) *Memory {
+	if now == nil {
+		now = time.Now
+	}
+	return &Memory{
+		now:     now,
+		records: make(map[string]record),
+		leases:  make(map[kv.LeaseID]lease),
+	}
+}
+
+// Change edits the faults under the store's lock.
+func (m *Memory) Change(edit func(*Faults)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	edit(&m.faults)
+}
+
+// Calls returns the calls counted so far.
+func (m *Memory) Calls() Calls {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls
+}
+
+// Release lets every held write arrive, in the order given by pick, which
+// chooses an index below n; nil takes the oldest first.
+func (m *Memory) Release(pick func(n int) int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for len(m.held) > 0 {
+		i := 0
+		if pick != nil {
+			i = pick(len(m.held))
+		}
+		w := m.held[i]
+		m.held = append(m.held[:i:i], m.held[i+1:]...)
+		m.write(w)
+	}
+}
+
+// Held returns the number of writes that are held back.
+func (m *Memory) Held() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.held)
+}
+
+// Step lets leases lapse by the clock and drops watches whose context ended.
+func (m *Memory) Step() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+}
+
+// BreakWatches closes every open watch.
+func (m *Memory) BreakWatches() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, w := range m.watchers {
+		close(w.out)
+	}
+	m.watchers = nil
+}
+
+// Get reads one key.
+func (m *Memory) Get(_ context.Context, key string) (kv.Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls.Reads++
+	if err := m.ready(); err != nil {
+		return kv.Entry{}, err
+	}
+	r, ok := m.records[key]
+	if !ok {
+		return kv.Entry{}, errors.Wrap(kv.ErrNotFound, key)
+	}
+	return copyEntry(r.entry), nil
+}
+
+// Revision reads the key's revision.
+func (m *Memory) Revision(_ context.Context, key string) (int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls.Reads++
+	if err := m.ready(); err != nil {
+		return 0, err
+	}
+	return m.records[key].entry.Revision, nil
+}
+
+// CompareAndSwap writes value if the key's revision is expected.
+func (m *Memory) CompareAndSwap(_ context.Context, key string, expected int64, value []byte, id kv.LeaseID) (kv.Result, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls.Writes++
+	if len(value) > kv.MaxValueBytes {
+		return kv.Result{Outcome: kv.DidNot}, errors.Wrap(kv.ErrTooLarge, key)
+	}
+	if err := m.ready(); err != nil {
+		return kv.Result{Outcome: kv.DidNot}, err
+	}
+	w := heldWrite{key: key, expected: expected, value: append([]byte{}, value...), lease: id}
+	switch {
+	case m.faults.LoseRequests > 0:
+		m.faults.LoseRequests--
+		return kv.Result{Outcome: kv.Unknown}, nil
+	case m.faults.HoldRequests > 0:
+		m.faults.HoldRequests--
+		m.held = append(m.held, w)
+		return kv.Result{Outcome: kv.Unknown}, nil
+	case m.faults.LoseAnswers > 0:
+		m.faults.LoseAnswers--
+		m.write(w)
+		return kv.Result{Outcome: kv.Unknown}, nil
+	}
+	return m.write(w), nil
+}
+
+func (m *Memory) write(w heldWrite) kv.Result {
+	r, ok := m.records[w.key]
+	if r.entry.Revision != w.expected {
+		result := kv.Result{Outcome: kv.DidNot}
+		if ok {
+			current := copyEntry(r.entry)
+			result.Current = &current
+		}
+		return result
+	}
+	if _, live := m.leases[w.lease]; w.lease != kv.NoLease && !live {
+		return kv.Result{Outcome: kv.DidNot}
+	}
+	m.revision++
+	entry := kv.Entry{Key: w.key, Value: w.value, Revision: m.revision}
+	m.records[w.key] = record{entry: entry, lease: w.lease}
+	m.notify(entry)
+	return kv.Result{Outcome: kv.TookEffect, Revision: m.revision}
+}
+
+// ready lets leases lapse and reports an outage.
+func (m *Memory) ready() error {
+	m.expire()
+	if m.faults.Outage {
+		return errors.Wrap(kv.ErrUnavailable, "outage")
+	}
+	return nil
+}
+
+func copyEntry(e kv.Entry) kv.Entry {
+	e.Value = append([]byte{}, e.Value...)
+	return e
+}
--- a/internal/kv/store.go
+++ b/internal/kv/store.go
@@ -65,7 +65,12 @@
 type Store interface {
 	// Get reads one key. It returns ErrNotFound if there is none.
 	Get(ctx context.Context, key string) (Entry, error)
-	// CompareAndSwap writes value if the key's revision is expected.
+	// Revision reads the key's revision without its value, RevisionAbsent if
+	// there is none. A poll for changes costs the same small answer whatever
+	// the size of the value.
+	Revision(ctx context.Context, key string) (int64, error)
+	// CompareAndSwap writes value if the key's revision is expected. An error
+	// means that nothing was sent: the write did not and will not take effect.
 	CompareAndSwap(ctx context.Context, key string, expected int64, value []byte, lease LeaseID) (Result, error)
 	// Grant makes a lease that lapses unless kept alive.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
--- /dev/null
+++ b/internal/kv/watch.go
@@ -0,0 +1,67 @@
+package kv
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// watchBuffer is the number of entries that a slow reader may leave waiting
+// before the watch stops reading the connection.
+const watchBuffer = 16
+
+// Watch delivers the key's entries after a revision. The platform counts the
+// waiting watch as one call. Nothing tells a silent watch from a quiet one:
+// callers poll Revision beside it.
+func (h *HTTP) Watch(ctx context.Context, key string, after int64) (<-chan Entry, error) {
+	request := watchRequest{CreateRequest: watchCreate{Key: []byte(key), StartRevision: after + 1}}
+	ctx, cancel := context.WithCancel(ctx)
+	response, err := h.send(ctx, callWatch, request)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorText))
+		response.Body.Close()
+		cancel()
+		return nil, statusError(response.StatusCode, body)
+	}
+	entries := make(chan Entry, watchBuffer)
+	go func() {
+		defer close(entries)
+		defer cancel()
+		defer response.Body.Close()
+		readWatch(ctx, response.Body, entries)
+	}()
+	return entries, nil
+}
+
+// readWatch delivers events until the stream breaks. Compaction and a server's
+// cancel end it like a broken connection; the caller reads again.
+func readWatch(ctx context.Context, body io.Reader, entries chan<- Entry) error {
+	decoder := json.NewDecoder(body)
+	for {
+		var message watchResponse
+		if err := decoder.Decode(&message); err != nil {
+			return errors.Wrap(ErrUnavailable, err.Error())
+		}
+		if message.Result.Canceled {
+			return errors.Wrap(ErrUnavailable, "watch cancelled by the service")
+		}
+		for _, event := range message.Result.Events {
+			entry := entryOf(event.KV)
+			if event.Type == "DELETE" {
+				entry.Value = nil
+			}
+			select {
+			case entries <- entry:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+}
