Add the clients of model engines and plain services

Cause: nothing could reach an upstream yet. Change: dialers that notice silent peers, HTTP/1.1 transports, the engine client with streams that refuse holes, truncation and crossed answers, the service client with three outcomes, and a poller that publishes the fleet. A call that must not run twice gets a connection of its own, because net/http resends by itself on reused ones. The service's tests count one execution in all 16 combinations of method, body and earlier calls; the engine tests pass. Conclusion: the handlers can be built on these.

--- /dev/null
+++ b/internal/engine/stream.go
@@ -0,0 +1,166 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// doneData is the data of the event that ends a whole stream.
+const doneData = "[DONE]"
+
+// Event is one event of a stream.
+type Event struct {
+	// ID counts the stream's events from 1, without gaps. It is 0 for an end
+	// that the engine did not number.
+	ID int64
+	// Data is the event's JSON.
+	Data []byte
+	// Done means that the stream is whole and that this is its end.
+	Done bool
+}
+
+// Stream is a completion's events in order. One goroutine reads and closes it.
+type Stream struct {
+	requestID string
+	resp      *http.Response
+	x         *exchange
+	events    *eventReader
+	cancel    context.CancelFunc
+	silence   *time.Timer
+	idleLimit time.Duration
+	last      int64
+	done      bool
+}
+
+// open starts an exchange whose answer is a stream.
+func (c *Client) open(ctx context.Context, method, target string, header http.Header, body []byte, requestID string, afterID int64) (*Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	silence := time.AfterFunc(c.idleLimit, cancel)
+	resp, x, err := c.exchange(ctx, method, target, header, body)
+	if err != nil {
+		silence.Stop()
+		cancel()
+		return nil, err
+	}
+	s := &Stream{
+		requestID: requestID,
+		resp:      resp,
+		x:         x,
+		events:    newEventReader(resp.Body),
+		cancel:    cancel,
+		silence:   silence,
+		idleLimit: c.idleLimit,
+		last:      afterID,
+	}
+	if err := s.checkHeader(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Stream) checkHeader() error {
+	failed := s.resp.StatusCode != http.StatusOK
+	echo := s.resp.Header.Get(headerRequestID)
+	if failed && echo == "" {
+		return statusError(s.resp)
+	}
+	if echo != s.requestID {
+		return errors.Wrap(ErrMismatch, s.requestID)
+	}
+	if failed {
+		return statusError(s.resp)
+	}
+	return nil
+}
+
+// Next returns the next event. After the one with Done it returns io.EOF. A
+// stream that ends in any other way returns an error that wraps ErrBroken or
+// ErrMismatch: what came so far is not the whole answer. It may then be resumed
+// after Last.
+func (s *Stream) Next() (Event, error) {
+	if s.done {
+		return Event{}, io.EOF
+	}
+	for {
+		s.silence.Reset(s.idleLimit)
+		raw, err := s.events.next()
+		if err != nil {
+			return Event{}, broken(err)
+		}
+		event, fresh, err := s.accept(raw)
+		if err != nil {
+			return Event{}, err
+		}
+		if fresh {
+			return event, nil
+		}
+	}
+}
+
+// accept checks that an event is this stream's next one. An event that came
+// before is dropped, and one that skips others is refused: passing it on would
+// leave a hole in the answer that nobody downstream could see.
+func (s *Stream) accept(raw rawEvent) (Event, bool, error) {
+	if raw.name == "error" {
+		return Event{}, false, errors.Wrap(ErrBroken, "the engine reported an error")
+	}
+	if string(raw.data) == doneData {
+		if raw.hasID && raw.id != s.last+1 {
+			return Event{}, false, errors.Wrap(ErrBroken, "events are missing before the end")
+		}
+		s.done = true
+		return Event{ID: raw.id, Data: raw.data, Done: true}, true, nil
+	}
+	if err := s.checkChunk(raw); err != nil {
+		return Event{}, false, err
+	}
+	if raw.id <= s.last {
+		return Event{}, false, nil
+	}
+	if raw.id != s.last+1 {
+		return Event{}, false, errors.Wrap(ErrBroken, "events are missing")
+	}
+	s.last = raw.id
+	return Event{ID: raw.id, Data: raw.data}, true, nil
+}
+
+func (s *Stream) checkChunk(raw rawEvent) error {
+	if !raw.hasID {
+		return errors.Wrap(ErrBroken, "event without an ID")
+	}
+	var chunk struct {
+		ID string `json:"id"`
+	}
+	if err := json.Unmarshal(bytes.TrimSpace(raw.data), &chunk); err != nil {
+		return broken(err)
+	}
+	if chunk.ID != s.requestID {
+		return errors.Wrap(ErrMismatch, s.requestID)
+	}
+	return nil
+}
+
+// Last returns the ID of the last event that Next has returned.
+func (s *Stream) Last() int64 {
+	return s.last
+}
+
+// Close ends the exchange. Unless the stream was whole, its connection is closed
+// too. It does not cancel the generation: see Client.Cancel.
+func (s *Stream) Close() {
+	s.silence.Stop()
+	if s.done {
+		s.x.end(s.resp)
+	} else {
+		s.x.abandon()
+		_ = s.resp.Body.Close()
+	}
+	s.cancel()
+}
--- /dev/null
+++ b/internal/transport/dialer.go
@@ -0,0 +1,83 @@
+package transport
+
+import (
+	"net"
+	"time"
+)
+
+// Limits says how soon a connection that has gone silent is given up.
+type Limits struct {
+	// Connect bounds the TCP handshake. The default is 2s.
+	Connect time.Duration
+	// KeepAliveIdle is how long a connection may be idle before the kernel
+	// probes it. The default is 5s.
+	KeepAliveIdle time.Duration
+	// KeepAliveInterval is the time between probes. The default is 2s.
+	KeepAliveInterval time.Duration
+	// KeepAliveCount is how many probes may go unanswered. The default is 3.
+	KeepAliveCount int
+	// UserTimeout bounds how long sent bytes may stay unacknowledged
+	// (TCP_USER_TIMEOUT, RFC 5482). The default is 6s.
+	UserTimeout time.Duration
+}
+
+// The defaults of Limits.
+const (
+	DefaultConnect           = 2 * time.Second
+	DefaultKeepAliveIdle     = 5 * time.Second
+	DefaultKeepAliveInterval = 2 * time.Second
+	DefaultKeepAliveCount    = 3
+	DefaultUserTimeout       = 6 * time.Second
+)
+
+// withDefaults fills in what is zero.
+func (l Limits) withDefaults() Limits {
+	if l.Connect == 0 {
+		l.Connect = DefaultConnect
+	}
+	if l.KeepAliveIdle == 0 {
+		l.KeepAliveIdle = DefaultKeepAliveIdle
+	}
+	if l.KeepAliveInterval == 0 {
+		l.KeepAliveInterval = DefaultKeepAliveInterval
+	}
+	if l.KeepAliveCount == 0 {
+		l.KeepAliveCount = DefaultKeepAliveCount
+	}
+	if l.UserTimeout == 0 {
+		l.UserTimeout = DefaultUserTimeout
+	}
+	return l
+}
+
+// keepAlive returns the probes that the limits ask for.
+func (l Limits) keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     l.KeepAliveIdle,
+		Interval: l.KeepAliveInterval,
+		Count:    l.KeepAliveCount,
+	}
+}
+
+// NewDialer returns a dialer whose connections notice a peer that vanished
+// without a reset. Without it a write into such a connection succeeds until the
+// kernel gives up a quarter of an hour later, and a read waits for ever.
+func NewDialer(l Limits) *net.Dialer {
+	l = l.withDefaults()
+	return &net.Dialer{
+		Timeout:         l.Connect,
+		KeepAliveConfig: l.keepAlive(),
+		Control:         control(l.UserTimeout),
+	}
+}
+
+// NewListenConfig returns a listen configuration whose accepted connections
+// have the same limits.
+func NewListenConfig(l Limits) *net.ListenConfig {
+	l = l.withDefaults()
+	return &net.ListenConfig{
+		KeepAliveConfig: l.keepAlive(),
+		Control:         control(l.UserTimeout),
+	}
+}
