document: strict parsing, checks with the arithmetic shown, typed differences

Cause: nothing stood between an operator's slip and every VM. Change: Parse decodes through strictyaml, applies the defaults and reports every mistake with file, line and path; a set of models for which no placement is found is refused with its sums; Digest and Diff.

--- /dev/null
+++ b/internal/document/document_test.go
@@ -0,0 +1,143 @@
+package document
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/strictyaml"
+)
+
+const digestA = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+
+const small = `environment: test
+failure_domains: [a, b]
+teams:
+- name: drafting
+  rate: 1000
+  burst: 4000
+  keys:
+  - id: first
+    sha256: ` + digestA + `
+models:
+- name: m
+  version: v1
+  memory: 10GiB
+  adapters:
+  - {name: x, version: v1, memory: 1GiB, max_in_flight: 60}
+engines:
+- {name: e1, url: "http://127.0.0.1:9001", failure_domain: a, memory: 16GiB, kv_cache_reserve: 4GiB, fencing: enforced}
+services:
+- name: registry
+  replicas:
+  - {name: r1, url: "http://127.0.0.1:9101", failure_domain: b}
+routes:
+- {path: /registry/filings, service: registry}
+weight_store: {loads_per_second: 2, concurrent_loads: 8}
+`
+
+func TestParseAppliesDefaults(t *testing.T) {
+	doc, err := Parse([]byte(small), "env.yaml")
+	require.NoError(t, err)
+	require.EqualValues(t, DefaultWeight, doc.Teams[0].Weight)
+	require.Equal(t, DefaultReplicas, doc.Models[0].Replicas)
+	require.Equal(t, RepeatNever, doc.Routes[0].Repeat)
+	require.Equal(t, DefaultTimeout, doc.Routes[0].Timeout)
+	require.Equal(t, 10*GiB, doc.Models[0].Memory)
+}
+
+// An operator's slip reaches no VM: each mistake is refused by its type, with
+// the place to mend, before anything is written.
+func TestParseRefusesMistakes(t *testing.T) {
+	cases := []struct {
+		name, from, to, place string
+		is                    error
+	}{
+		{"unknown field", "rate: 1000", "rtae: 1000", "env.yaml:5: teams[0].rtae", strictyaml.ErrUnknownField},
+		{"field twice", "burst: 4000", "rate: 4000", "teams[0].rate", strictyaml.ErrDuplicateField},
+		{"memory without unit", "10GiB", "10", "env.yaml:13: models[0].memory", strictyaml.ErrBadValue},
+		{"decimal unit", "10GiB", "10GB", "models[0].memory", strictyaml.ErrBadValue},
+		{"no base model", "  memory: 10GiB\n", "", "models[0].memory", ErrNoBaseModel},
+		{"adapter named like its model", "name: x", "name: m", "models[0].adapters[0].name", ErrDuplicateName},
+		{"unknown failure domain", "failure_domain: b", "failure_domain: c", "env.yaml:21: services[0].replicas[0].failure_domain", ErrUnknownFailureDomain},
+		{"host name", "127.0.0.1:9001", "engine:9001", "engines[0].url", ErrBadURL},
+		{"path in a URL", "127.0.0.1:9001", "127.0.0.1:9001/v1", "engines[0].url", ErrBadURL},
+		{"same address twice", "127.0.0.1:9101", "127.0.0.1:9001", "services[0].replicas[0].url", ErrDuplicateName},
+		{"short digest", digestA, "2bb8", "teams[0].keys[0].sha256", ErrBadDigest},
+		{"upper-case digest", digestA, strings.ToUpper(digestA), "teams[0].keys[0].sha256", ErrBadDigest},
+		{"unstated fencing", ", fencing: enforced", "", "engines[0].fencing", ErrUnknownChoice},
+		{"unknown service", "service: registry", "service: files", "routes[0].service", ErrUnknownService},
+		{"unclean path", "/registry/filings", "/registry/../filings", "routes[0].path", ErrBadPath},
+		{"no rate", "rate: 1000", "rate: 0", "teams[0].rate", ErrOutOfRange},
+		{"no store rate", "loads_per_second: 2", "loads_per_second: .nan", "weight_store.loads_per_second", ErrOutOfRange},
+		{"model too large", "10GiB", "12GiB", "models", ErrDoesNotFit},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			require.Contains(t, small, c.from)
+			_, err := Parse([]byte(strings.Replace(small, c.from, c.to, 1)), "env.yaml")
+			require.ErrorIs(t, err, c.is)
+			require.Contains(t, err.Error(), c.place)
+		})
+	}
+}
+
+// Two teams list one key by a copied line. Whose rate is used would depend on
+// the order of the document.
+func TestParseRefusesKeyOfTwoTeams(t *testing.T) {
+	text := strings.Replace(small, "models:", `- name: other
+  rate: 1
+  burst: 1
+  keys: [{id: k, sha256: `+digestA+`}]
+models:`, 1)
+	_, err := Parse([]byte(text), "env.yaml")
+	require.ErrorIs(t, err, ErrSharedKey)
+	require.ErrorContains(t, err, "teams[0].keys[0]")
+}
+
+func TestParseReportsAllMistakes(t *testing.T) {
+	text := strings.NewReplacer("rate: 1000", "rate: -1", "failure_domain: b", "failure_domain: c").Replace(small)
+	_, err := Parse([]byte(text), "env.yaml")
+	require.ErrorIs(t, err, ErrOutOfRange)
+	require.ErrorIs(t, err, ErrUnknownFailureDomain)
+}
+
+// The sum of the memory is enough, but no engine holds the largest model. The
+// operator sees the sums and the model that found no room.
+func TestParseShowsArithmeticOfMisfit(t *testing.T) {
+	text := strings.Replace(small, "services:", `- {name: e2, url: "http://127.0.0.1:9002", failure_domain: b, memory: 16GiB, kv_cache_reserve: 4GiB, fencing: ignored}
+services:`, 1)
+	text = strings.Replace(text, "10GiB", "13GiB", 1)
+	_, err := Parse([]byte(text), "env.yaml")
+	require.ErrorIs(t, err, ErrDoesNotFit)
+	require.ErrorContains(t, err, "m: 0 of 1 copies of 13.00GiB each found room")
+	require.ErrorContains(t, err, "models 13.00GiB + adapters 1.00GiB = 14.00GiB; there is: engines 32.00GiB - KV cache reserve 8.00GiB = 24.00GiB")
+}
+
+func TestDiffNamesWhatChanges(t *testing.T) {
+	a, err := Parse([]byte(small), "a")
+	require.NoError(t, err)
+	text := strings.NewReplacer("rate: 1000", "rate: 1500", "name: x, version: v1", "name: y, version: v1").Replace(small)
+	b, err := Parse([]byte(text), "b")
+	require.NoError(t, err)
+	changes := Diff(a, b)
+	require.Len(t, changes, 3)
+	require.Equal(t, Change{Kind: Changed, Path: "teams[drafting].rate", Before: "1000", After: "1500"}, changes[0])
+	require.Equal(t, Removed, changes[1].Kind)
+	require.Equal(t, "models[m].adapters[x]", changes[1].Path)
+	require.Equal(t, Added, changes[2].Kind)
+	require.Empty(t, Diff(a, a))
+}
+
+func TestBytesRoundTrip(t *testing.T) {
+	for _, text := range []string{"0", "1KiB", "200MiB", "14GiB", "1025KiB"} {
+		b, err := ParseBytes(text)
+		require.NoError(t, err)
+		require.Equal(t, text, b.String())
+	}
+	for _, text := range []string{"", "5", "5GB", "-1GiB", "1.5GiB", "9999999999GiB"} {
+		_, err := ParseBytes(text)
+		require.ErrorIs(t, err, ErrBadUnit, text)
+	}
+}
--- /dev/null
+++ b/internal/document/errors.go
@@ -0,0 +1,35 @@
+package document
+
+import "github.com/pkg/errors"
+
+var (
+	// ErrBadUnit means that an amount of memory has no binary unit.
+	ErrBadUnit = errors.New("bad unit")
+	// ErrMissing means that a field that has no default is empty.
+	ErrMissing = errors.New("missing")
+	// ErrOutOfRange means that a number is outside what the field allows.
+	ErrOutOfRange = errors.New("out of range")
+	// ErrUnknownChoice means that a field names none of its choices.
+	ErrUnknownChoice = errors.New("unknown choice")
+	// ErrDuplicateName means that two things share a name.
+	ErrDuplicateName = errors.New("name given twice")
+	// ErrNoBaseModel means that an adapter hangs on an entry that is no base
+	// model, because the entry has no weights of its own.
+	ErrNoBaseModel = errors.New("adapter without base model")
+	// ErrUnknownFailureDomain means that a failure domain is not listed.
+	ErrUnknownFailureDomain = errors.New("unknown failure domain")
+	// ErrUnknownService means that a route leads to no service pool.
+	ErrUnknownService = errors.New("unknown service")
+	// ErrBadURL means that a URL is not "http://IP:port" or "https://IP:port".
+	ErrBadURL = errors.New("bad URL")
+	// ErrBadPath means that a route's path is not a clean absolute path.
+	ErrBadPath = errors.New("bad path")
+	// ErrBadDigest means that a key's digest is not a lower-case SHA-256.
+	ErrBadDigest = errors.New("bad digest")
+	// ErrSharedKey means that a key's digest is listed more than once.
+	ErrSharedKey = errors.New("key listed twice")
+	// ErrDoesNotFit means that the models and adapters cannot all be resident.
+	ErrDoesNotFit = errors.New("does not fit")
+	// ErrNoTeam means that a command names a team that the document lacks.
+	ErrNoTeam = errors.New("no such team")
+)
