--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,248 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	maxBodyBytes       = 8 << 20
+	maxRecordedCalls   = 50_000
+	requestIDHeader    = "X-Request-Id"
+	otherRequestID     = "00000000-0000-0000-0000-000000000000"
+	defaultServiceName = "service"
+)
+
+// ServiceOptions are the parameters of a plain service.
+type ServiceOptions struct {
+	// Name is echoed in answers. The default is "service".
+	Name string `yaml:"name"`
+	// Latency is how long a call takes. The default is none.
+	Latency time.Duration `yaml:"latency"`
+}
+
+// ServiceFaults are the faults of a plain service. A count says how many of
+// the next calls it hits; each call is hit by one counted fault at most.
+type ServiceFaults struct {
+	// CloseBeforeRun resets that many calls before they are executed.
+	CloseBeforeRun int `json:"close_before_run"`
+	// CloseAfterRun executes that many calls and resets the connection
+	// without an answer.
+	CloseAfterRun int `json:"close_after_run"`
+	// SilentBeforeRun makes the connection silent without executing.
+	SilentBeforeRun int `json:"silent_before_run"`
+	// SilentAfterRun executes that many calls; the connection is silent.
+	SilentAfterRun int `json:"silent_after_run"`
+	// Truncate executes that many calls and breaks the answer in the middle.
+	Truncate int `json:"truncate"`
+	// Crossed answers that many calls with another call's request ID and body.
+	Crossed int `json:"crossed"`
+	// ServerErrors answers that many calls with status 500 after execution.
+	ServerErrors int `json:"server_errors"`
+	// SlowMS delays the execution of every call.
+	SlowMS int64 `json:"slow_ms"`
+	// LateMS delays the answer of every call after its execution.
+	LateMS int64 `json:"late_ms"`
+}
+
+// ServiceCall is one execution, or one call that was lost before it.
+type ServiceCall struct {
+	Time       time.Time   `json:"time"`
+	RequestID  string      `json:"request_id"`
+	Method     string      `json:"method"`
+	Path       string      `json:"path"`
+	Header     http.Header `json:"header"`
+	BodySHA256 string      `json:"body_sha256"`
+	Executed   bool        `json:"executed"`
+}
+
+// ServiceRecords is what a plain service saw.
+type ServiceRecords struct {
+	// Received counts the calls whose headers arrived.
+	Received int `json:"received"`
+	// Executed counts executions.
+	Executed int `json:"executed"`
+	// ByRequestID counts executions per X-Request-Id.
+	ByRequestID map[string]int `json:"by_request_id"`
+	// ByBody counts executions per SHA-256 digest of the body.
+	ByBody map[string]int `json:"by_body"`
+	// MostPerBody is the largest count of ByBody.
+	MostPerBody int `json:"most_per_body"`
+	// Calls lists the calls, up to 50,000.
+	Calls []ServiceCall `json:"calls"`
+}
+
+// ServiceAnswer is the body of a plain service's answer.
+type ServiceAnswer struct {
+	Service    string `json:"service"`
+	RequestID  string `json:"request_id"`
+	Method     string `json:"method"`
+	Path       string `json:"path"`
+	BodySHA256 string `json:"body_sha256"`
+	Execution  int    `json:"execution"`
+}
+
+// Service is the stand-in of a plain service: it executes each call that
+// reaches it, however often, and counts.
+type Service struct {
+	options ServiceOptions
+
+	mu      sync.Mutex
+	faults  ServiceFaults
+	records ServiceRecords
+}
+
+// NewService makes a plain service.
+func NewService(o ServiceOptions) *Service {
+	if o.Name == "" {
+		o.Name = defaultServiceName
+	}
+	s := &Service{options: o}
+	s.records.ByRequestID = make(map[string]int)
+	s.records.ByBody = make(map[string]int)
+	return s
+}
+
+// Faults returns a copy of the *ServiceFaults in force.
+func (s *Service) Faults() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults
+	return &f
+}
+
+// SetFaults puts a *ServiceFaults in force; nil clears them.
+func (s *Service) SetFaults(v any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = ServiceFaults{}
+	if f, ok := v.(*ServiceFaults); ok && f != nil {
+		s.faults = *f
+	}
+}
+
+// Records returns a copy of the ServiceRecords.
+func (s *Service) Records() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records
+	r.ByRequestID = copyCounts(r.ByRequestID)
+	r.ByBody = copyCounts(r.ByBody)
+	r.Calls = append([]ServiceCall(nil), r.Calls...)
+	return r
+}
+
+// Close does nothing: a plain service has no background work.
+func (s *Service) Close() {}
+
+// ServeHTTP executes one call.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		return
+	}
+	fault := s.takeFault()
+	pause(r, time.Duration(fault.SlowMS)*time.Millisecond+s.options.Latency)
+	sum := sha256.Sum256(body)
+	answer := s.run(r, hex.EncodeToString(sum[:]), fault.CloseBeforeRun+fault.SilentBeforeRun == 0)
+	pause(r, time.Duration(fault.LateMS)*time.Millisecond)
+	switch {
+	case fault.CloseBeforeRun+fault.CloseAfterRun > 0:
+		abort(r)
+	case fault.SilentBeforeRun+fault.SilentAfterRun > 0:
+		silence(r)
+		<-r.Context().Done()
+	case fault.Truncate > 0:
+		s.truncate(w, r, answer)
+	case fault.ServerErrors > 0:
+		w.Header().Set(requestIDHeader, answer.RequestID)
+		writeJSON(w, http.StatusInternalServerError, answer)
+	default:
+		if fault.Crossed > 0 {
+			answer.RequestID, answer.BodySHA256 = otherRequestID, otherRequestID
+		}
+		w.Header().Set(requestIDHeader, answer.RequestID)
+		writeJSON(w, http.StatusOK, answer)
+	}
+}
+
+func (s *Service) truncate(w http.ResponseWriter, r *http.Request, answer ServiceAnswer) {
+	w.Header().Set(requestIDHeader, answer.RequestID)
+	w.Header().Set("Content-Length", "1000")
+	_, _ = io.WriteString(w, `{"service":"`+answer.Service)
+	_ = http.NewResponseController(w).Flush()
+	abort(r)
+}
+
+// takeFault returns the faults that hit this call: the delays, and at most one
+// counted fault, whose count it lowers.
+func (s *Service) takeFault() ServiceFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records.Received++
+	hit := ServiceFaults{SlowMS: s.faults.SlowMS, LateMS: s.faults.LateMS}
+	from := []*int{
+		&s.faults.CloseBeforeRun, &s.faults.CloseAfterRun, &s.faults.SilentBeforeRun,
+		&s.faults.SilentAfterRun, &s.faults.Truncate, &s.faults.Crossed, &s.faults.ServerErrors,
+	}
+	into := []*int{
+		&hit.CloseBeforeRun, &hit.CloseAfterRun, &hit.SilentBeforeRun,
+		&hit.SilentAfterRun, &hit.Truncate, &hit.Crossed, &hit.ServerErrors,
+	}
+	for i := range from {
+		if *from[i] > 0 {
+			*from[i]--
+			*into[i] = 1
+			return hit
+		}
+	}
+	return hit
+}
+
+func (s *Service) run(r *http.Request, digest string, execute bool) ServiceAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := r.Header.Get(requestIDHeader)
+	call := ServiceCall{
+		Time: time.Now(), RequestID: id, Method: r.Method, Path: r.URL.Path,
+		Header: r.Header.Clone(), BodySHA256: digest, Executed: execute,
+	}
+	if len(s.records.Calls) < maxRecordedCalls {
+		s.records.Calls = append(s.records.Calls, call)
+	}
+	if execute {
+		s.records.Executed++
+		s.records.ByRequestID[id]++
+		s.records.ByBody[digest]++
+		s.records.MostPerBody = max(s.records.MostPerBody, s.records.ByBody[digest])
+	}
+	return ServiceAnswer{
+		Service: s.options.Name, RequestID: id, Method: r.Method, Path: r.URL.Path,
+		BodySHA256: digest, Execution: s.records.ByBody[digest],
+	}
+}
+
+// pause waits, or less if the request ends.
+func pause(r *http.Request, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.Context().Done():
+	}
+}
+
+func copyCounts(m map[string]int) map[string]int {
+	c := make(map[string]int, len(m))
+	for k, v := range m {
+		c[k] = v
+	}
+	return c
+}
