configstate, configsync: a configuration that never goes back, withdrawals that only add up

Cause: every process needs the configuration in force, and keys have to stop within seconds with the service up, silent or gone. Conclusion: entry and planner can hold a Keeper; operators' commands come next.

--- a/internal/configstate/snapshot.go
+++ b/internal/configstate/snapshot.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/chestnutarch/chestnutarch/internal/document"
@@ -35,8 +36,9 @@
 	// Document is the checked document.
 	Document *document.Document
 
-	holders   map[string]Holder
-	withdrawn map[string]struct{}
+	holders      map[string]Holder
+	withdrawn    map[string]struct{}
+	withdrawnSum uint64
 }
 
 // NewSnapshot indexes a checked document. The withdrawn digests are hexadecimal.
@@ -51,6 +53,7 @@
 	}
 	for _, d := range withdrawn {
 		s.withdrawn[d] = struct{}{}
+		s.withdrawnSum ^= xxhash.Sum64String(d)
 	}
 	for _, team := range doc.Teams {
 		for _, key := range team.Keys {
@@ -60,6 +63,11 @@
 	return s
 }
 
+// WithdrawnSum returns a number that differs between snapshots that know of
+// different withdrawals. Peers compare it: a withdrawal that was pushed while
+// the service is down does not change the version.
+func (s *Snapshot) WithdrawnSum() uint64 { return s.withdrawnSum }
+
 // DigestKey returns the hexadecimal SHA-256 digest of a caller's key.
 func DigestKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- /dev/null
+++ b/internal/configstate/state_test.go
@@ -0,0 +1,163 @@
+package configstate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/clock"
+	"github.com/chestnutarch/chestnutarch/internal/document"
+)
+
+func textWithKeys(rate int, digests ...string) string {
+	text := fmt.Sprintf("environment: test\nfailure_domains: [a]\nteams:\n- name: t\n  rate: %d\n  burst: 10\n  keys:\n", rate)
+	for i, digest := range digests {
+		text += fmt.Sprintf("  - {id: k%d, sha256: %s}\n", i, digest)
+	}
+	return text
+}
+
+func envelope(version int64, text string, withdrawn ...string) *Envelope {
+	return &Envelope{
+		Version:   version,
+		ChangeID:  fmt.Sprintf("change-%d", version),
+		Nonce:     fmt.Sprintf("nonce-%d", version),
+		Digest:    document.Digest([]byte(text)),
+		Document:  text,
+		Withdrawn: Union(withdrawn),
+	}
+}
+
+// A watch delivers late what a peer has brought already. Going back to it would
+// put a configuration in force that operators have replaced.
+func TestStateNeverGoesBack(t *testing.T) {
+	var s State
+	changed, err := s.Offer(envelope(2, textWithKeys(2)))
+	require.NoError(t, err)
+	require.True(t, changed)
+	changed, err = s.Offer(envelope(1, textWithKeys(1)))
+	require.NoError(t, err)
+	require.False(t, changed)
+	require.EqualValues(t, 2, s.Snapshot().Version)
+	require.EqualValues(t, 2, s.Snapshot().Document.Teams[0].Rate)
+}
+
+// An operator applies a document from before a withdrawal, and its envelope
+// reaches a VM that holds the withdrawal. The key stays refused there.
+func TestWithdrawnKeyNeverComesBack(t *testing.T) {
+	key := DigestKey("secret")
+	var s State
+	_, err := s.Offer(envelope(1, textWithKeys(1, key)))
+	require.NoError(t, err)
+	holder, err := s.Snapshot().Authenticate(key)
+	require.NoError(t, err)
+	require.Equal(t, Holder{Team: "t", KeyID: "k0"}, holder)
+
+	before := s.Snapshot().WithdrawnSum()
+	changed, err := s.Withdraw([]string{key})
+	require.NoError(t, err)
+	require.True(t, changed)
+	require.NotEqual(t, before, s.Snapshot().WithdrawnSum())
+	require.Equal(t, []string{key}, s.Pending(envelope(1, textWithKeys(1, key))))
+
+	_, err = s.Offer(envelope(2, textWithKeys(2, key)))
+	require.NoError(t, err)
+	_, err = s.Snapshot().Authenticate(key)
+	require.ErrorIs(t, err, ErrKeyWithdrawn)
+	require.Equal(t, []string{key}, s.Envelope().Withdrawn)
+	require.ErrorIs(t, ListedWithdrawn(s.Snapshot().Document, s.Envelope().Withdrawn), ErrWithdrawnListed)
+}
+
+// A peer that is behind was told of a withdrawal that this VM missed.
+func TestLateEnvelopeStillBringsItsWithdrawals(t *testing.T) {
+	key := DigestKey("secret")
+	var s State
+	_, err := s.Offer(envelope(2, textWithKeys(2, key)))
+	require.NoError(t, err)
+	changed, err := s.Offer(envelope(1, textWithKeys(1, key), key))
+	require.NoError(t, err)
+	require.True(t, changed)
+	_, err = s.Snapshot().Authenticate(key)
+	require.ErrorIs(t, err, ErrKeyWithdrawn)
+}
+
+func TestStateRefusesWhatItCannotUse(t *testing.T) {
+	var s State
+	_, err := s.Offer(envelope(1, "environment: [\n"))
+	require.Error(t, err)
+	require.Nil(t, s.Snapshot())
+	_, err = s.Offer(envelope(1, textWithKeys(1)))
+	require.NoError(t, err)
+	_, err = s.Offer(envelope(1, textWithKeys(2)))
+	require.ErrorIs(t, err, ErrDivergent)
+	_, err = s.Withdraw([]string{"short"})
+	require.ErrorIs(t, err, ErrEnvelope)
+}
+
+func TestEnvelopeRoundTrip(t *testing.T) {
+	e := envelope(3, textWithKeys(1), DigestKey("x"))
+	data, err := e.Encode()
+	require.NoError(t, err)
+	got, err := Decode(data)
+	require.NoError(t, err)
+	require.Equal(t, e, got)
+	for _, bad := range []string{"", "{}", `{"version":1,"digest":"x","document":""}`, string(data[:len(data)/2])} {
+		_, err = Decode([]byte(bad))
+		require.ErrorIs(t, err, ErrEnvelope)
+	}
+}
+
+func at(mono, wall time.Duration) clock.Reading {
+	return clock.Reading{Mono: mono, Wall: time.Unix(1000, 0).Add(wall)}
+}
+
+// A VM is paused for a minute. Its monotonic clock stood still, so that alone it
+// would go on to serve keys that were withdrawn meanwhile.
+func TestFreshnessEndsWithThePauseOfEitherClock(t *testing.T) {
+	heard := Heard{ServiceKnown: true, Service: at(0, 0), Known: 7}
+	f := NewFreshness(heard, at(0, 0), 3*time.Second)
+	require.True(t, f.Fresh(at(3*time.Second, 3*time.Second)))
+	require.False(t, f.Fresh(at(0, time.Minute)), "monotonic clock stood still")
+	require.False(t, f.Fresh(at(time.Minute, -time.Hour)), "wall clock set back")
+	require.False(t, Freshness{}.Fresh(at(0, 0)))
+}
+
+// The service is down. Three of seven VMs are cut off together: they hear only
+// each other and may miss a withdrawal that the other four were told of.
+func TestFreshnessNeedsMoreThanHalf(t *testing.T) {
+	now := at(0, 0)
+	for _, c := range []struct {
+		known, peers int
+		fresh        bool
+	}{{7, 2, false}, {7, 3, true}, {6, 2, false}, {6, 3, true}, {2, 0, false}, {2, 1, true}, {1, 0, true}, {0, 0, false}} {
+		f := NewFreshness(Heard{Peers: make([]clock.Reading, c.peers), Known: c.known}, clock.Reading{}, time.Second)
+		require.Equal(t, c.fresh, f.Fresh(clock.Reading{}), "%+v", c)
+	}
+	peers := []clock.Reading{at(0, 0), at(-2*time.Second, -2*time.Second), at(-9*time.Second, -9*time.Second)}
+	f := NewFreshness(Heard{Peers: peers, Known: 5}, now, 3*time.Second)
+	require.True(t, f.Fresh(now))
+	require.False(t, f.Fresh(at(2*time.Second, 2*time.Second)), "the second of two needed is too old")
+}
+
+func TestProveNamesTheThresholdThatIsMissed(t *testing.T) {
+	p := document.Promotion{MinTimeInForce: time.Hour, MinRequests: 100, MinAttainment: 0.95, MaxErrorShare: 0.01}
+	good := Evidence{Digest: "d", InForce: time.Hour, Requests: 100, Attained: 95, Failed: 1}
+	require.NoError(t, Prove(p, "d", &good))
+	for threshold, spoil := range map[string]func(*Evidence){
+		"digest":            func(e *Evidence) { e.Digest = "other" },
+		"min_time_in_force": func(e *Evidence) { e.InForce-- },
+		"min_requests":      func(e *Evidence) { e.Requests-- },
+		"min_attainment":    func(e *Evidence) { e.Attained-- },
+		"max_error_share":   func(e *Evidence) { e.Failed++ },
+	} {
+		e := good
+		spoil(&e)
+		var missed *ProofError
+		require.ErrorAs(t, Prove(p, "d", &e), &missed)
+		require.Equal(t, threshold, missed.Threshold)
+	}
+	require.ErrorIs(t, Prove(p, "d", nil), ErrNotProven)
+	require.ErrorIs(t, Prove(document.Promotion{}, "d", &Evidence{Digest: "d"}), ErrNotProven, "no request proves nothing")
+}
--- /dev/null
+++ b/internal/configsync/keeper.go
@@ -0,0 +1,236 @@
+package configsync
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chestnutarch/chestnutarch/internal/clock"
+	"github.com/chestnutarch/chestnutarch/internal/configstate"
+)
+
+// ErrStopped means that the keeper's Run has ended.
+var ErrStopped = errors.New("configsync: keeper stopped")
+
+// Keeper keeps one VM's configuration. Run's goroutine owns the state; all
+// methods are safe for concurrent use. Offer, Withdraw and HeardPeers wait for
+// Run to take what they bring.
+type Keeper struct {
+	options Options
+	key     string
+	work    chan func()
+	stopped chan struct{}
+
+	snapshot  atomic.Pointer[configstate.Snapshot]
+	freshness atomic.Pointer[configstate.Freshness]
+	envelope  atomic.Pointer[[]byte]
+	pending   atomic.Int64
+
+	// Owned by Run's goroutine.
+	state    configstate.State
+	stored   *configstate.Envelope
+	revision int64
+	heard    configstate.Heard
+
+	reopen chan struct{}
+	merge  chan struct{}
+}
+
+// NewKeeper returns a keeper that knows no configuration yet.
+func NewKeeper(o Options) *Keeper {
+	o.provision()
+	k := &Keeper{
+		options: o,
+		key:     Key(o.Environment),
+		work:    make(chan func()),
+		stopped: make(chan struct{}),
+		reopen:  make(chan struct{}, 1),
+		merge:   make(chan struct{}, 1),
+	}
+	k.freshness.Store(new(configstate.Freshness))
+	return k
+}
+
+// Run keeps the configuration until ctx ends. It returns nil then.
+func (k *Keeper) Run(ctx context.Context) error {
+	defer close(k.stopped)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return k.own(ctx) })
+	group.Go(func() error { return k.poll(ctx) })
+	group.Go(func() error { return k.watch(ctx) })
+	group.Go(func() error { return k.mergeLoop(ctx) })
+	return group.Wait()
+}
+
+// own is the one goroutine that touches the state.
+func (k *Keeper) own(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case f := <-k.work:
+			f()
+		}
+	}
+}
+
+// do runs f on the owner and waits for it.
+func (k *Keeper) do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	work := func() {
+		defer close(done)
+		f()
+	}
+	select {
+	case k.work <- work:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-k.stopped:
+		return ErrStopped
+	}
+	<-done
+	return nil
+}
+
+// Snapshot returns the configuration in force, nil until one is known.
+func (k *Keeper) Snapshot() *configstate.Snapshot { return k.snapshot.Load() }
+
+// Fresh reports whether this VM may take new work: it would have heard of a
+// withdrawal. It reads the clocks, so it holds for the moment of the call; ask
+// again at dispatch.
+func (k *Keeper) Fresh() bool { return k.freshness.Load().Fresh(k.options.Clock()) }
+
+// Envelope returns the encoded envelope in force for peers that are behind, with
+// every withdrawal known here. It is nil until one is known, and must not be
+// changed.
+func (k *Keeper) Envelope() []byte {
+	data := k.envelope.Load()
+	if data == nil {
+		return nil
+	}
+	return *data
+}
+
+// PendingWithdrawals returns the number of withdrawals that hold at this VM and
+// that the service does not hold yet.
+func (k *Keeper) PendingWithdrawals() int { return int(k.pending.Load()) }
+
+// Offer takes an encoded envelope from a peer. It returns when the envelope is
+// in force or was found to be behind, and configstate.ErrEnvelope or
+// configstate.ErrDivergent if it cannot be used.
+func (k *Keeper) Offer(ctx context.Context, data []byte) error {
+	e, err := configstate.Decode(data)
+	if err != nil {
+		return err
+	}
+	var offered error
+	if err := k.do(ctx, func() { offered = k.take(e, "peer") }); err != nil {
+		return err
+	}
+	return offered
+}
+
+// Withdraw makes digests of keys refused at this VM at once. They stay pending
+// until the service holds them, and then go there by themselves.
+func (k *Keeper) Withdraw(ctx context.Context, digests []string) error {
+	var failed error
+	err := k.do(ctx, func() {
+		changed, err := k.state.Withdraw(digests)
+		failed = err
+		if changed {
+			k.publish("withdrawal")
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// HeardPeers says when each of the other VMs was last heard, and how many VMs,
+// with this one, were last known.
+func (k *Keeper) HeardPeers(ctx context.Context, peers []clock.Reading, known int) error {
+	return k.do(ctx, func() {
+		k.heard.Peers = peers
+		k.heard.Known = known
+		k.refresh()
+	})
+}
+
+// take puts an envelope into the state. It runs on the owner.
+func (k *Keeper) take(e *configstate.Envelope, source string) error {
+	changed, err := k.state.Offer(e)
+	if err != nil {
+		k.count("config.refused")
+		k.options.Log.Error().Err(err).Str("source", source).Int64("version", e.Version).Msg("envelope refused")
+		return err
+	}
+	if changed {
+		k.publish(source)
+	}
+	return nil
+}
+
+// takeStored takes an envelope that was read from the service.
+func (k *Keeper) takeStored(e *configstate.Envelope, revision int64, source string) {
+	if revision < k.revision {
+		return
+	}
+	k.revision = revision
+	k.stored = e
+	// A refused envelope stays in the service until an operator replaces it;
+	// what is in force goes on.
+	_ = k.take(e, source)
+	k.countPending()
+}
+
+func (k *Keeper) publish(source string) {
+	snapshot := k.state.Snapshot()
+	if snapshot == nil {
+		k.countPending()
+		return
+	}
+	data, err := k.state.Envelope().Encode()
+	if err != nil {
+		k.options.Log.Error().Err(err).Msg("envelope not encoded")
+		return
+	}
+	k.envelope.Store(&data)
+	k.snapshot.Store(snapshot)
+	k.count("config.changes." + source)
+	metrics.GetOrRegisterGauge("config.version", k.options.Metrics).Update(snapshot.Version)
+	k.options.Log.Info().Str("source", source).Int64("version", snapshot.Version).
+		Str("change_id", snapshot.ChangeID).Str("digest", snapshot.Digest).Msg("configuration in force")
+	k.options.OnChange(snapshot)
+	k.countPending()
+}
+
+// countPending asks for a merge if the service lacks withdrawals that hold here.
+func (k *Keeper) countPending() {
+	missing := len(k.state.Pending(k.stored))
+	k.pending.Store(int64(missing))
+	metrics.GetOrRegisterGauge("config.pending_withdrawals", k.options.Metrics).Update(int64(missing))
+	if missing > 0 {
+		signal(k.merge)
+	}
+}
+
+func (k *Keeper) refresh() {
+	f := configstate.NewFreshness(k.heard, k.options.Clock(), k.options.FreshFor)
+	k.freshness.Store(&f)
+}
+
+func (k *Keeper) count(name string) {
+	metrics.GetOrRegisterCounter(name, k.options.Metrics).Inc(1)
+}
+
+// signal wakes a loop without waiting for it.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/configsync/keeper_test.go
@@ -0,0 +1,181 @@
+package configsync
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/clock"
+	"github.com/chestnutarch/chestnutarch/internal/configstate"
+	"github.com/chestnutarch/chestnutarch/internal/kv"
+	"github.com/chestnutarch/chestnutarch/internal/kv/kvtest"
+)
+
+var (
+	keyA = configstate.DigestKey("a")
+	keyB = configstate.DigestKey("b")
+)
+
+func text(rate int, digests ...string) string {
+	doc := fmt.Sprintf("environment: test\nfailure_domains: [a]\nteams:\n- name: t\n  rate: %d\n  burst: 10\n  keys:\n", rate)
+	for i, digest := range digests {
+		doc += fmt.Sprintf("  - {id: k%d, sha256: %s}\n", i, digest)
+	}
+	return doc
+}
+
+// start runs n keepers over one store inside a synctest bubble.
+func start(t *testing.T, store kv.Store, n int) []*Keeper {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, n)
+	keepers := make([]*Keeper, n)
+	for i := range keepers {
+		keepers[i] = NewKeeper(Options{Store: store, Environment: "test"})
+		go func() { ended <- keepers[i].Run(ctx) }()
+	}
+	t.Cleanup(func() {
+		cancel()
+		for range n {
+			require.NoError(t, <-ended)
+		}
+	})
+	return keepers
+}
+
+func writer(store kv.Store) *Writer { return &Writer{Store: store, Environment: "test"} }
+
+func apply(t *testing.T, store kv.Store, base int64, doc string) *Accepted {
+	accepted, err := writer(store).Apply(context.Background(), Change{ID: fmt.Sprint("change-", base+1)}, base, doc)
+	require.NoError(t, err)
+	return accepted
+}
+
+func requireVersion(t *testing.T, keepers []*Keeper, version int64) {
+	t.Helper()
+	for _, k := range keepers {
+		require.NotNil(t, k.Snapshot())
+		require.Equal(t, version, k.Snapshot().Version)
+	}
+}
+
+func TestAcceptedConfigurationIsInForceEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.NewMemory(nil)
+		keepers := start(t, store, 7)
+		synctest.Wait()
+		require.Nil(t, keepers[0].Snapshot())
+		apply(t, store, 0, text(1))
+		time.Sleep(time.Second)
+		requireVersion(t, keepers, 1)
+		apply(t, store, 1, text(2))
+		synctest.Wait()
+		requireVersion(t, keepers, 2)
+		require.True(t, keepers[0].Fresh())
+	})
+}
+
+// Something between a VM and the service forgets the watch's connection. No
+// error comes, and a configuration or withdrawal would never arrive.
+func TestSilentWatchIsFoundByThePoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.NewMemory(nil)
+		apply(t, store, 0, text(1))
+		keepers := start(t, store, 7)
+		time.Sleep(time.Second)
+		requireVersion(t, keepers, 1)
+		store.Change(func(f *kvtest.Faults) { f.SilentWatch = true })
+		apply(t, store, 1, text(2))
+		time.Sleep(2 * DefaultPollInterval)
+		requireVersion(t, keepers, 2)
+	})
+}
+
+// The service is out for a long time. The configuration in force goes on, but a
+// VM that hears nobody refuses work, since a key may have been withdrawn.
+func TestOutageKeepsConfigurationAndEndsFreshness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.NewMemory(nil)
+		apply(t, store, 0, text(1))
+		k := start(t, store, 1)[0]
+		time.Sleep(time.Second)
+		store.Change(func(f *kvtest.Faults) { f.Outage = true })
+		store.BreakWatches()
+		time.Sleep(time.Hour)
+		require.EqualValues(t, 1, k.Snapshot().Version)
+		require.False(t, k.Fresh())
+		require.NoError(t, k.HeardPeers(context.Background(), make([]clock.Reading, 3), 7))
+		require.False(t, k.Fresh(), "heard an hour ago")
+		now := k.options.Clock()
+		require.NoError(t, k.HeardPeers(context.Background(), []clock.Reading{now, now, now}, 7))
+		require.True(t, k.Fresh())
+		store.Change(func(f *kvtest.Faults) { f.Outage = false })
+		apply(t, store, 1, text(2))
+		time.Sleep(2*DefaultMaxBackoff + DefaultPollInterval)
+		require.EqualValues(t, 2, k.Snapshot().Version)
+		require.True(t, k.Fresh())
+	})
+}
+
+// A key leaks while the service is down. The withdrawal is pushed to the VMs
+// and holds at once; when the service is back, it becomes durable by itself,
+// although every VM tries to write it.
+func TestHeldWithdrawalBecomesDurable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		store := kvtest.NewMemory(nil)
+		apply(t, store, 0, text(1, keyA, keyB))
+		keepers := start(t, store, 7)
+		time.Sleep(time.Second)
+		store.Change(func(f *kvtest.Faults) { f.Outage = true })
+		for _, k := range keepers[:6] {
+			require.NoError(t, k.Withdraw(ctx, []string{keyA}))
+			_, err := k.Snapshot().Authenticate(keyA)
+			require.ErrorIs(t, err, configstate.ErrKeyWithdrawn)
+			require.Equal(t, 1, k.PendingWithdrawals())
+		}
+		// The one that the operator could not reach learns it from a peer.
+		require.NotEqual(t, keepers[0].Snapshot().WithdrawnSum(), keepers[6].Snapshot().WithdrawnSum())
+		require.NoError(t, keepers[6].Offer(ctx, keepers[0].Envelope()))
+		_, err := keepers[6].Snapshot().Authenticate(keyA)
+		require.ErrorIs(t, err, configstate.ErrKeyWithdrawn)
+
+		time.Sleep(time.Minute)
+		store.Change(func(f *kvtest.Faults) { f.Outage = false })
+		time.Sleep(10 * time.Second)
+		e, err := writer(store).Current(ctx)
+		require.NoError(t, err)
+		require.Equal(t, []string{keyA}, e.Withdrawn)
+		require.EqualValues(t, 2, e.Version, "one of seven writes, the others find it done")
+		requireVersion(t, keepers, 2)
+		require.Zero(t, keepers[3].PendingWithdrawals())
+	})
+}
+
+// The service came back from an old backup. Its lower version is not taken, and
+// the next change goes above what is in force rather than below it.
+func TestServiceSetBackIsNotFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		old := kvtest.NewMemory(nil)
+		apply(t, old, 0, text(1))
+		store := kvtest.NewMemory(nil)
+		apply(t, store, 0, text(1))
+		apply(t, store, 1, text(2, keyA))
+		apply(t, store, 2, text(3, keyA))
+		k := start(t, store, 1)[0]
+		time.Sleep(time.Second)
+		restored := k.Writer()
+		restored.Store = old
+		_, err := restored.Apply(ctx, Change{ID: "x"}, 1, text(4))
+		var lost *ConflictError
+		require.ErrorAs(t, err, &lost)
+		require.EqualValues(t, 3, lost.Version)
+		accepted, err := restored.Apply(ctx, Change{ID: "x"}, 3, text(4))
+		require.NoError(t, err)
+		require.EqualValues(t, 4, accepted.Envelope.Version)
+	})
+}
--- /dev/null
+++ b/internal/configsync/loops.go
@@ -0,0 +1,214 @@
+package configsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutarch/chestnutarch/internal/configstate"
+	"github.com/chestnutarch/chestnutarch/internal/kv"
+)
+
+// firstBackoff is the first pause after a failed call.
+const firstBackoff = 50 * time.Millisecond
+
+// mergeCalls is how many calls' time one merge may take.
+const mergeCalls = 5
+
+// poll reads the revision again and again. A watch that went silent looks like
+// a quiet one; this is what finds it. The answers also prove that the service
+// is heard.
+func (k *Keeper) poll(ctx context.Context) error {
+	failures := 0
+	behind := int64(0)
+	for {
+		var ok bool
+		behind, ok = k.pollOnce(ctx, behind)
+		pause := k.options.PollInterval
+		if !ok {
+			pause = k.backoff(failures)
+			failures++
+		} else {
+			failures = 0
+		}
+		if !sleep(ctx, kv.Jitter(pause)) {
+			return nil
+		}
+	}
+}
+
+// pollOnce returns the revision that the watch has yet to deliver, or zero. A
+// watch that still lacks it one poll later is silent.
+func (k *Keeper) pollOnce(ctx context.Context, behind int64) (int64, bool) {
+	sent := k.options.Clock()
+	call, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+	defer cancel()
+	revision, err := k.options.Store.Revision(call, k.key)
+	if err != nil {
+		k.count("config.poll_failures")
+		return behind, false
+	}
+	var known int64
+	err = k.do(ctx, func() {
+		k.heard.Service = sent
+		k.heard.ServiceKnown = true
+		k.refresh()
+		known = k.revision
+	})
+	switch {
+	case err != nil || revision <= known:
+		return 0, err == nil
+	case known == 0:
+		// With nothing known yet there is nothing to wait for.
+		return 0, k.read(ctx, "poll") == nil
+	case known < behind:
+		k.count("config.silent_watches")
+		signal(k.reopen)
+		return 0, k.read(ctx, "poll") == nil
+	}
+	return revision, true
+}
+
+// read takes the stored envelope.
+func (k *Keeper) read(ctx context.Context, source string) error {
+	call, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+	defer cancel()
+	entry, err := k.options.Store.Get(call, k.key)
+	if errors.Is(err, kv.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return k.takeEntry(ctx, entry, source)
+}
+
+func (k *Keeper) takeEntry(ctx context.Context, entry kv.Entry, source string) error {
+	if entry.Value == nil {
+		k.options.Log.Error().Str("key", k.key).Msg("configuration deleted from the service; what is in force goes on")
+		return nil
+	}
+	e, err := configstate.Decode(entry.Value)
+	if err != nil {
+		k.count("config.refused")
+		k.options.Log.Error().Err(err).Msg("the service holds no usable envelope")
+		return k.do(ctx, func() { k.revision = max(k.revision, entry.Revision) })
+	}
+	return k.do(ctx, func() { k.takeStored(e, entry.Revision, source) })
+}
+
+// watch keeps one watch open and takes what it delivers.
+func (k *Keeper) watch(ctx context.Context) error {
+	failures := 0
+	for ctx.Err() == nil {
+		delivered, err := k.watchOnce(ctx)
+		if err == nil || delivered {
+			failures = 0
+		}
+		if !sleep(ctx, kv.Jitter(k.backoff(failures))) {
+			return nil
+		}
+		failures++
+	}
+	return nil
+}
+
+// watchOnce returns when the watch breaks or was found silent. It reports
+// whether anything was delivered.
+func (k *Keeper) watchOnce(ctx context.Context) (delivered bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var after int64
+	if err := k.do(ctx, func() { after = k.revision }); err != nil {
+		return false, err
+	}
+	entries, err := k.options.Store.Watch(ctx, k.key, after)
+	if err != nil {
+		return false, err
+	}
+	for {
+		select {
+		case entry, open := <-entries:
+			if !open {
+				return delivered, kv.ErrUnavailable
+			}
+			delivered = true
+			if err := k.takeEntry(ctx, entry, "watch"); err != nil {
+				return delivered, err
+			}
+		case <-k.reopen:
+			return true, nil
+		}
+	}
+}
+
+// backoff returns the pause after a number of failures in a row.
+func (k *Keeper) backoff(failures int) time.Duration {
+	pause := firstBackoff
+	for range failures {
+		pause = min(2*pause, k.options.MaxBackoff)
+	}
+	return min(pause, k.options.MaxBackoff)
+}
+
+// mergeLoop makes pending withdrawals durable as soon as the service lets it.
+func (k *Keeper) mergeLoop(ctx context.Context) error {
+	failures := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-k.merge:
+		}
+		// Every VM that holds the withdrawal tries; the pause lets one be first
+		// and spares the others a lost race.
+		if !sleep(ctx, kv.Jitter(k.backoff(failures))) {
+			return nil
+		}
+		failures++
+		if k.mergeOnce(ctx) {
+			failures = 0
+			continue
+		}
+		signal(k.merge)
+	}
+}
+
+// mergeOnce reports whether the service holds every withdrawal that this VM
+// knows of.
+func (k *Keeper) mergeOnce(ctx context.Context) bool {
+	var digests []string
+	err := k.do(ctx, func() {
+		if e := k.state.Envelope(); e != nil {
+			digests = k.state.Pending(k.stored)
+		}
+	})
+	if err != nil {
+		return false
+	}
+	if len(digests) == 0 {
+		return true
+	}
+	call, cancel := context.WithTimeout(kv.WithPriority(ctx, kv.PriorityClaim), mergeCalls*k.options.CallTimeout)
+	defer cancel()
+	accepted, err := k.Writer().Withdraw(call, Change{ID: "merge-" + newID(), Author: "chestnut-entry"}, digests)
+	if err != nil {
+		k.count("config.merge_failures")
+		return false
+	}
+	k.count("config.merges")
+	return k.do(ctx, func() { k.takeStored(accepted.Envelope, accepted.Revision, "merge") }) == nil
+}
+
+// sleep waits and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/configsync/options.go
@@ -0,0 +1,72 @@
+package configsync
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/chestnutarch/chestnutarch/internal/clock"
+	"github.com/chestnutarch/chestnutarch/internal/configstate"
+	"github.com/chestnutarch/chestnutarch/internal/kv"
+)
+
+// Defaults of Options.
+const (
+	DefaultPollInterval = 500 * time.Millisecond
+	DefaultCallTimeout  = time.Second
+	DefaultMaxBackoff   = 2 * time.Second
+)
+
+// Options configures a Keeper.
+type Options struct {
+	// Store is the key-value service.
+	Store kv.Store
+	// Environment names the configuration to keep.
+	Environment string
+	// Clock reads both clocks. The default is clock.System.
+	Clock clock.Func
+	// PollInterval is the time between two polls of the revision. A watch
+	// that went silent is found within two of them. The default is 500ms.
+	PollInterval time.Duration
+	// CallTimeout bounds one call. The default is 1s.
+	CallTimeout time.Duration
+	// MaxBackoff bounds the pause between calls during an outage, and with it
+	// how soon the end of the outage is noticed. The default is 2s.
+	MaxBackoff time.Duration
+	// FreshFor is how long the VM takes work after it last heard the service
+	// or enough peers. The default is configstate.DefaultFreshFor.
+	FreshFor time.Duration
+	// OnChange is called from the keeper's own goroutine with every new
+	// snapshot. It must not block.
+	OnChange func(*configstate.Snapshot)
+	// Log receives one event per change and per fault.
+	Log zerolog.Logger
+	// Metrics receives the counters config.*. The default is a registry of
+	// its own.
+	Metrics metrics.Registry
+}
+
+func (o *Options) provision() {
+	if o.Clock == nil {
+		o.Clock = clock.System()
+	}
+	if o.PollInterval <= 0 {
+		o.PollInterval = DefaultPollInterval
+	}
+	if o.CallTimeout <= 0 {
+		o.CallTimeout = DefaultCallTimeout
+	}
+	if o.MaxBackoff <= 0 {
+		o.MaxBackoff = DefaultMaxBackoff
+	}
+	if o.FreshFor <= 0 {
+		o.FreshFor = configstate.DefaultFreshFor
+	}
+	if o.OnChange == nil {
+		o.OnChange = func(*configstate.Snapshot) {}
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewRegistry()
+	}
+}
