load: open-loop load with an oracle for whole answers and the four measures

Cause: nothing could say what callers feel, nor hold an answer against what it should have been. Change: internal/load makes a schedule from a seed (steady, audience, moving, surge), sends each arrival at its time whatever became of those before, asks an entry for an address and keeps it for its lifetime, takes up broken streams, and compares the digest of each text with the stand-in engines' own. The report gives attainment per accelerator, moves, the worst team and what was refused inside the rate, judged by an ideal single bucket; as table, JSON and HTML plots. chestnut-load is the command. Conclusion: ready to measure the path as soon as it stands.

--- /dev/null
+++ b/cmd/chestnut-load/main.go
@@ -0,0 +1,111 @@
+// Command chestnut-load drives the entry VMs with open-loop load and reports
+// what callers felt.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/chestnutarch/chestnutarch/internal/load"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	if err := command().ExecuteContext(ctx); err != nil {
+		log.Error().Err(err).Msg("load ended")
+		return 1
+	}
+	return 0
+}
+
+// flags are the command line.
+type flags struct {
+	workload string
+	output   string
+	plots    string
+	duration time.Duration
+	seed     uint64
+	entries  []string
+	check    bool
+}
+
+func command() *cobra.Command {
+	var f flags
+	c := &cobra.Command{
+		Use:           "chestnut-load",
+		Short:         "Drive chestnutarch with open-loop load and report what callers felt",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(c *cobra.Command, _ []string) error { return drive(c.Context(), &f) },
+	}
+	c.Flags().StringVar(&f.workload, "workload", "", "YAML file that describes the load")
+	c.Flags().StringVarP(&f.output, "output", "o", "table", "form of the report: table or json")
+	c.Flags().StringVar(&f.plots, "plots", "", "file for an HTML page of plots")
+	c.Flags().DurationVar(&f.duration, "duration", 0, "replaces the workload's duration")
+	c.Flags().Uint64Var(&f.seed, "seed", 0, "replaces the workload's seed")
+	c.Flags().StringSliceVar(&f.entries, "entry", nil, "replaces the workload's entries")
+	c.Flags().BoolVar(&f.check, "check", false, "only check the workload")
+	_ = c.MarkFlagRequired("workload")
+	return c
+}
+
+func drive(ctx context.Context, f *flags) error {
+	w, err := load.ReadWorkload(f.workload)
+	if err != nil || f.check {
+		return err
+	}
+	if f.duration > 0 {
+		w.Duration = f.duration
+	}
+	if f.seed > 0 {
+		w.Seed = f.seed
+	}
+	if len(f.entries) > 0 {
+		w.Entries = f.entries
+	}
+	report, err := load.Run(ctx, w)
+	if err != nil {
+		return err
+	}
+	if err := write(f.output, report); err != nil {
+		return err
+	}
+	if f.plots == "" {
+		return nil
+	}
+	return plot(f.plots, report)
+}
+
+func write(form string, r *load.Report) error {
+	if form != "json" {
+		return r.WriteTable(os.Stdout)
+	}
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return errors.WithStack(e.Encode(r))
+}
+
+func plot(path string, r *load.Report) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if err := r.WritePlots(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return errors.WithStack(file.Close())
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,156 @@
+package load
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/document"
+	"github.com/chestnutarch/chestnutarch/internal/standin"
+)
+
+// directEntry answers address questions with itself and hands every call to
+// one engine or service, so that the load tool can be tested alone.
+func directEntry(t *testing.T, engine, service http.Handler) string {
+	t.Helper()
+	var srv *httptest.Server
+	var calls atomic.Int64
+	srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/v1/addresses":
+			fmt.Fprintf(w, `{"addresses":[{"url":%q}],"ttl_ms":1000}`, srv.URL)
+		case r.Header.Get("Authorization") != "Bearer k":
+			w.WriteHeader(http.StatusTooManyRequests)
+			_, _ = w.Write([]byte(`{"error":{"type":"rate_limited","outcome":"not_run"}}`))
+		case strings.HasPrefix(r.URL.Path, "/services/"):
+			service.ServeHTTP(w, r)
+		default:
+			r.Header.Set("X-Request-Id", fmt.Sprint(calls.Add(1)))
+			engine.ServeHTTP(w, r)
+		}
+	}))
+	t.Cleanup(srv.Close)
+	return srv.URL
+}
+
+func testEngine(t *testing.T) *standin.Engine {
+	t.Helper()
+	e := standin.NewEngine(standin.EngineOptions{
+		TimeScale: 100, Resident: []standin.ResidentOption{{Model: "m", Version: "v1", Memory: document.GiB}},
+	})
+	t.Cleanup(e.Close)
+	return e
+}
+
+func testWorkload(t *testing.T, entry string) *Workload {
+	t.Helper()
+	w, err := ParseWorkload("w.yaml", []byte(`
+name: test
+entries: [`+entry+`]
+duration: 1s
+teams:
+- name: studios
+  key: k
+  calls:
+  - {kind: chat, rate: 50, models: [m], max_tokens: 20, prefixes: 2, prefix_tokens: 100}
+  - {kind: completion, shape: audience, window: 500ms, callers: 10, models: [m], max_tokens: 20}
+  - {kind: action, rate: 20, path: /deposits}
+- name: refused
+  key: wrong
+  rate: 1
+  burst: 1
+  calls:
+  - {kind: action, rate: 20, path: /deposits}
+`))
+	require.NoError(t, err)
+	return w
+}
+
+// Every answer that the engine gives in full is recognised as whole, and the
+// report and its plots can be written.
+func TestRunJudgesWholeAnswers(t *testing.T) {
+	w := testWorkload(t, directEntry(t, testEngine(t), standin.NewService(standin.ServiceOptions{})))
+	report, err := Run(t.Context(), w)
+	require.NoError(t, err)
+	studios := report.Teams[0]
+	require.Equal(t, studios.Requests, studios.Outcomes[Whole], "%v", report.Reasons)
+	refused := report.Teams[1]
+	require.Equal(t, refused.Requests, refused.Outcomes[Refused])
+	require.Equal(t, refused.Requests, report.RefusedInside+report.RefusedOutside)
+	require.Positive(t, report.RefusedInside)
+	require.Equal(t, "refused", report.WorstTeam)
+	var table, plots bytes.Buffer
+	require.NoError(t, report.WriteTable(&table))
+	require.Contains(t, table.String(), "refused inside the rate")
+	require.NoError(t, report.WritePlots(&plots))
+	_, err = json.Marshal(report)
+	require.NoError(t, err)
+}
+
+// An engine ends some answers early, breaks others and sends one that belongs
+// to another prompt. None of them may count as whole.
+func TestRunJudgesBrokenAnswers(t *testing.T) {
+	e := testEngine(t)
+	e.SetFaults(&standin.EngineFaults{TruncateStreams: 5, AfterEvents: 3})
+	w := testWorkload(t, directEntry(t, e, standin.NewService(standin.ServiceOptions{})))
+	w.Resumes = 0
+	report, err := Run(t.Context(), w)
+	require.NoError(t, err)
+	require.Equal(t, 5, report.Total.Outcomes[Cut])
+
+	x := exchange{call: &Call{Kind: KindCompletion, MaxTokens: 20}, arrival: Arrival{Model: "m", Prompt: "mine"}}
+	x.text.WriteString(standin.Generate("m", "another's", 20, false).Text())
+	x.judge()
+	require.Equal(t, Damaged, x.result.Outcome)
+}
+
+// A schedule that changed between runs would make two measurements differ for
+// a reason that nobody sees.
+func TestScheduleFollowsFromSeed(t *testing.T) {
+	w := testWorkload(t, "http://127.0.0.1:1")
+	require.Equal(t, Schedule(w), Schedule(w))
+	w.Teams[0].Calls[0].Shape = ShapeSurge
+	w.Teams[0].Calls[0].fill(w.Duration)
+	w.Teams[0].Calls[0].Rate = 1000
+	counts := make([]int, 3)
+	for _, a := range Schedule(w) {
+		counts[a.At*3/w.Duration]++
+	}
+	require.Greater(t, counts[1], 3*counts[0])
+}
+
+// The ideal bucket gives burst at once and rate after it.
+func TestBucket(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := newBucket(10, 20, now)
+	require.True(t, b.take(20, now))
+	require.False(t, b.take(1, now))
+	require.True(t, b.take(10, now.Add(time.Second)))
+	b.refund(5, now.Add(time.Second))
+	require.True(t, b.take(5, now.Add(time.Second)))
+}
+
+// A mistake in a workload names its place.
+func TestWorkloadIsStrict(t *testing.T) {
+	_, err := ParseWorkload("w.yaml", []byte("entries: ['http://127.0.0.1:1']\nteams:\n- calls:\n  - {kind: chat}\n"))
+	require.ErrorIs(t, err, ErrNothingToDo)
+	require.ErrorContains(t, err, "w.yaml:4: teams[0].calls[0].models")
+	_, err = ParseWorkload("w.yaml", []byte("entries: ['http://localhost:1']\n"))
+	require.ErrorIs(t, err, ErrBadSetting)
+}
+
+// The examples that readers start from can be read.
+func TestExamplesAreValid(t *testing.T) {
+	_, err := ReadWorkload("../../examples/workloads/audience.yaml")
+	require.NoError(t, err)
+	_, err = standin.ReadConfig("../../examples/standins.yaml")
+	require.NoError(t, err)
+}
