order, engine: memory accounts and orders that cannot hurt late

Cause: an order that is lost, late or repeated could fill memory that is counted free, and two leaders could each unload the copy that the other counts on. Change: one record per engine with everything it could hold, written by compare-and-swap before an order is sent; a new leader marks every record before it decides; an order is bound to the engine's incarnation by the connection that named it; loads are counted against the weight store until they have a definite answer. Conclusion: the safety argument is in code; the fuzzing has to bear it out.

--- /dev/null
+++ b/internal/engine/orders.go
@@ -0,0 +1,202 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	// ErrIncarnation means that the engine is not in the incarnation that the
+	// order was made for. The order was not sent.
+	ErrIncarnation = errors.New("engine: another incarnation")
+	// ErrNoAnswer means that it is not known whether the engine has the order.
+	ErrNoAnswer = errors.New("engine: no answer")
+	// ErrUnknownOrder means that the engine has not seen the order so far. It
+	// may still come.
+	ErrUnknownOrder = errors.New("engine: unknown order")
+)
+
+// Limits of one exchange about an order.
+const (
+	// DefaultOrderTimeout bounds one exchange.
+	DefaultOrderTimeout = 2 * time.Second
+	// maxOrderAnswer bounds an answer's size in bytes.
+	maxOrderAnswer = 4 << 20
+)
+
+// OrderClient sends orders to engines. The zero value is ready for use.
+type OrderClient struct {
+	// Timeout bounds one exchange. The default is DefaultOrderTimeout.
+	Timeout time.Duration
+}
+
+// Send sends an order to the engine at base if it is in the given incarnation.
+//
+// An engine forgets the orders it has seen when it restarts. An order that a
+// paused planner sends after the restart would be carried out a second time and
+// fill memory that is counted free. So the order goes out on a connection on
+// which the engine has just named its incarnation: a connection ends with the
+// process at its other end, so the order reaches this incarnation or none.
+//
+// Errors wrap ErrIncarnation, when the order was not sent, or ErrNoAnswer.
+func (c *OrderClient) Send(ctx context.Context, base, incarnation string, order Order) (OrderStatus, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	conn, err := dialOnce(ctx, base)
+	if err != nil {
+		return OrderStatus{}, errors.Wrap(ErrNoAnswer, err.Error())
+	}
+	defer conn.close()
+	var load Load
+	if _, err := conn.get(ctx, base+"/v1/load", &load); err != nil {
+		return OrderStatus{}, err
+	}
+	if load.Incarnation != incarnation {
+		return OrderStatus{}, errors.Wrapf(ErrIncarnation, "%s is in %q", order.OrderID, load.Incarnation)
+	}
+	body, err := json.Marshal(order)
+	if err != nil {
+		return OrderStatus{}, errors.Wrap(ErrNoAnswer, err.Error())
+	}
+	return conn.post(ctx, base+"/v1/orders", body, order.OrderID)
+}
+
+// Status asks for the state of an order. Errors wrap ErrUnknownOrder or
+// ErrNoAnswer.
+func (c *OrderClient) Status(ctx context.Context, base, orderID string) (OrderStatus, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	conn, err := dialOnce(ctx, base)
+	if err != nil {
+		return OrderStatus{}, errors.Wrap(ErrNoAnswer, err.Error())
+	}
+	defer conn.close()
+	var status OrderStatus
+	code, err := conn.get(ctx, base+"/v1/orders/"+url.PathEscape(orderID), &status)
+	if code == http.StatusNotFound {
+		return OrderStatus{}, errors.Wrap(ErrUnknownOrder, orderID)
+	}
+	return status, err
+}
+
+// Report reads the engine's load report on a connection of its own.
+func (c *OrderClient) Report(ctx context.Context, base string) (Load, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	conn, err := dialOnce(ctx, base)
+	if err != nil {
+		return Load{}, errors.Wrap(ErrNoAnswer, err.Error())
+	}
+	defer conn.close()
+	var load Load
+	_, err = conn.get(ctx, base+"/v1/load", &load)
+	return load, err
+}
+
+func (c *OrderClient) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	timeout := c.Timeout
+	if timeout <= 0 {
+		timeout = DefaultOrderTimeout
+	}
+	return context.WithTimeout(ctx, timeout)
+}
+
+// connection is an HTTP client that has exactly one connection. http.Transport
+// by itself dials again when a kept connection turns out to be closed, which
+// would carry an order to the engine's next incarnation.
+type connection struct {
+	client    *http.Client
+	transport *http.Transport
+	conn      net.Conn
+}
+
+// errDialedTwice stops the transport from opening a second connection.
+var errDialedTwice = errors.New("engine: one connection only")
+
+func dialOnce(ctx context.Context, base string) (*connection, error) {
+	target, err := url.Parse(base)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", target.Host)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	var used atomic.Bool
+	transport := &http.Transport{
+		DialContext: func(context.Context, string, string) (net.Conn, error) {
+			if used.Swap(true) {
+				return nil, errDialedTwice
+			}
+			return conn, nil
+		},
+	}
+	client := &http.Client{Transport: transport}
+	return &connection{client: client, transport: transport, conn: conn}, nil
+}
+
+func (c *connection) close() {
+	c.transport.CloseIdleConnections()
+	_ = c.conn.Close()
+}
+
+func (c *connection) get(ctx context.Context, target string, into any) (int, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return 0, errors.Wrap(ErrNoAnswer, err.Error())
+	}
+	return c.exchange(request, into)
+}
+
+func (c *connection) post(ctx context.Context, target string, body []byte, orderID string) (OrderStatus, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+	if err != nil {
+		return OrderStatus{}, errors.Wrap(ErrNoAnswer, err.Error())
+	}
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	var status OrderStatus
+	code, err := c.exchange(request, &status)
+	if err != nil && code != http.StatusConflict {
+		return OrderStatus{}, err
+	}
+	if code == http.StatusConflict && status.State == "" {
+		status = OrderStatus{OrderID: orderID, State: OrderRefused, Reason: "old fencing number"}
+	}
+	if status.OrderID != orderID {
+		return OrderStatus{}, errors.Wrapf(ErrNoAnswer, "asked about %q, answered about %q", orderID, status.OrderID)
+	}
+	return status, nil
+}
+
+// exchange runs a request and decodes its answer. The status code is returned
+// even when the answer is an error.
+func (c *connection) exchange(request *http.Request, into any) (int, error) {
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0, errors.Wrap(ErrNoAnswer, err.Error())
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxOrderAnswer))
+	if err != nil {
+		return 0, errors.Wrap(ErrNoAnswer, err.Error())
+	}
+	decodeErr := json.Unmarshal(data, into)
+	if response.StatusCode != http.StatusOK {
+		return response.StatusCode, errors.Wrapf(ErrNoAnswer, "status %d", response.StatusCode)
+	}
+	if decodeErr != nil {
+		return response.StatusCode, errors.Wrap(ErrNoAnswer, decodeErr.Error())
+	}
+	return response.StatusCode, nil
+}
--- /dev/null
+++ b/internal/order/account.go
@@ -0,0 +1,187 @@
+package order
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutarch/chestnutarch/internal/placement"
+)
+
+var (
+	// ErrNoRoom means that an item does not fit beside everything that the
+	// engine could hold.
+	ErrNoRoom = errors.New("order: no room in the allowed set")
+	// ErrBusy means that an order for the item has no definite answer yet.
+	ErrBusy = errors.New("order: an order for the item is unsettled")
+	// ErrCorrupt means that a record cannot be read.
+	ErrCorrupt = errors.New("order: corrupt record")
+)
+
+// Account is the memory account of one engine, as kept in the key-value
+// service. Values are replaced, never changed in place.
+type Account struct {
+	// Engine is the engine's name.
+	Engine string `json:"engine"`
+	// Incarnation is the engine's incarnation that the entries are about.
+	Incarnation string `json:"incarnation"`
+	// Fence is the fencing number of the leader that wrote the record last.
+	Fence int64 `json:"fence"`
+	// Nonce is different in every write, so that a writer that lost the answer
+	// knows its own write again.
+	Nonce string `json:"nonce"`
+	// Entries is the allowed set.
+	Entries []Entry `json:"entries"`
+}
+
+// Entry is an item that the engine could hold.
+type Entry struct {
+	// Item is what the engine could hold.
+	Item placement.Item `json:"item"`
+	// Memory is in bytes.
+	Memory int64 `json:"memory"`
+	// Load is the ID of a load order without a definite answer, or empty.
+	Load string `json:"load,omitempty"`
+	// Unload is the ID of an unload order without a definite answer, or empty.
+	Unload string `json:"unload,omitempty"`
+}
+
+// Settled says whether every order for the item has a definite answer.
+func (e Entry) Settled() bool {
+	return e.Load == "" && e.Unload == ""
+}
+
+// Used is the memory of everything that the engine could hold, in bytes.
+func (a Account) Used() int64 {
+	var used int64
+	for _, e := range a.Entries {
+		used += e.Memory
+	}
+	return used
+}
+
+// Find returns the index of an item's entry, or -1.
+func (a Account) Find(item placement.Item) int {
+	return slices.IndexFunc(a.Entries, func(e Entry) bool { return e.Item == item })
+}
+
+// WithLoad adds an item with an unsettled load order. The whole must fit into
+// capacity bytes; ErrNoRoom or ErrBusy says why it may not be added.
+func (a Account) WithLoad(item placement.Item, memory, capacity int64, orderID string) (Account, error) {
+	if a.Find(item) >= 0 {
+		return a, errors.WithStack(ErrBusy)
+	}
+	if a.Used()+memory > capacity {
+		return a, errors.WithStack(ErrNoRoom)
+	}
+	a.Entries = append(slices.Clone(a.Entries), Entry{Item: item, Memory: memory, Load: orderID})
+	return a, nil
+}
+
+// WithUnload records an unload order for an item. While a load order is
+// unsettled it returns ErrBusy: the load could arrive after the unload was
+// confirmed, and fill memory that is counted free.
+func (a Account) WithUnload(item placement.Item, orderID string) (Account, error) {
+	at := a.Find(item)
+	if at < 0 || !a.Entries[at].Settled() {
+		return a, errors.WithStack(ErrBusy)
+	}
+	a.Entries = slices.Clone(a.Entries)
+	a.Entries[at].Unload = orderID
+	return a, nil
+}
+
+// Answer is how an engine answered an order.
+type Answer int
+
+// Answers. Only Running is not definite.
+const (
+	Running Answer = iota
+	Done
+	Failed
+	Refused
+)
+
+// Settle applies a definite answer from the account's incarnation. A load that
+// failed holds nothing; an unload that failed leaves the item where it is.
+func (a Account) Settle(orderID string, answer Answer) Account {
+	at := slices.IndexFunc(a.Entries, func(e Entry) bool { return e.Load == orderID || e.Unload == orderID })
+	if at < 0 || answer == Running {
+		return a
+	}
+	a.Entries = slices.Clone(a.Entries)
+	load := a.Entries[at].Load == orderID
+	switch {
+	case load && answer == Done:
+		a.Entries[at].Load = ""
+	case load != (answer == Done):
+		a.Entries = slices.Delete(a.Entries, at, at+1)
+	default:
+		a.Entries[at].Unload = ""
+	}
+	return a
+}
+
+// Reset starts the account of a new incarnation with what the engine brought
+// along by itself. Entries whose orders have no definite answer stay: such an
+// order is repeated to the new incarnation under the same ID, so that a copy of
+// it that comes late finds it already answered.
+func (a Account) Reset(incarnation string, resident []Entry) Account {
+	entries := slices.Clone(resident)
+	for _, e := range a.Entries {
+		if e.Settled() {
+			continue
+		}
+		at := slices.IndexFunc(entries, func(r Entry) bool { return r.Item == e.Item })
+		if at >= 0 {
+			entries[at] = e
+			continue
+		}
+		entries = append(entries, e)
+	}
+	a.Incarnation = incarnation
+	a.Entries = entries
+	return a
+}
+
+// Encode returns the stored form.
+func (a Account) Encode() []byte {
+	// A struct of strings and integers always marshals.
+	data, _ := json.Marshal(a)
+	return data
+}
+
+// DecodeAccount reads the stored form. Errors wrap ErrCorrupt.
+func DecodeAccount(data []byte) (Account, error) {
+	var a Account
+	if err := json.Unmarshal(data, &a); err != nil {
+		return Account{}, errors.Wrap(ErrCorrupt, err.Error())
+	}
+	return a, nil
+}
+
+// Index lists every engine that has an account. The service has no reads by
+// prefix, so this is how a new leader finds accounts of engines that its own
+// document does not name.
+type Index struct {
+	Fence   int64    `json:"fence"`
+	Nonce   string   `json:"nonce"`
+	Engines []string `json:"engines"`
+}
+
+// Encode returns the stored form.
+func (i Index) Encode() []byte {
+	// A struct of strings and integers always marshals.
+	data, _ := json.Marshal(i)
+	return data
+}
+
+// DecodeIndex reads the stored form. Errors wrap ErrCorrupt.
+func DecodeIndex(data []byte) (Index, error) {
+	var i Index
+	if err := json.Unmarshal(data, &i); err != nil {
+		return Index{}, errors.Wrap(ErrCorrupt, err.Error())
+	}
+	return i, nil
+}
