kv: the client tested over the stand-in; configsync: hooks after building

Cause: the client had no test of its own; the entry builds parts that follow the configuration after the keeper, and reads version and envelope as one pair. Change: tests of outcomes, leases, watches, budget and addresses; Keeper.OnChange and Keeper.Envelope returning both.

--- a/internal/configsync/keeper.go
+++ b/internal/configsync/keeper.go
@@ -24,10 +24,10 @@
 	work    chan func()
 	stopped chan struct{}
 
-	snapshot  atomic.Pointer[configstate.Snapshot]
+	published atomic.Pointer[published]
 	freshness atomic.Pointer[configstate.Freshness]
-	envelope  atomic.Pointer[[]byte]
 	pending   atomic.Int64
+	onChange  []func(*configstate.Snapshot)
 
 	// Owned by Run's goroutine.
 	state    configstate.State
@@ -39,6 +39,12 @@
 	merge  chan struct{}
 }
 
+// published is what other goroutines may read. Its parts belong together.
+type published struct {
+	snapshot *configstate.Snapshot
+	envelope []byte
+}
+
 // NewKeeper returns a keeper that knows no configuration yet.
 func NewKeeper(o Options) *Keeper {
 	o.provision()
@@ -50,10 +56,16 @@
 		reopen:  make(chan struct{}, 1),
 		merge:   make(chan struct{}, 1),
 	}
+	k.published.Store(new(published))
 	k.freshness.Store(new(configstate.Freshness))
 	return k
 }
 
+// OnChange adds a function that is called with every new snapshot, from the
+// keeper's own goroutine. It must not block, nor call the keeper's waiting
+// methods. It has to be added before Run.
+func (k *Keeper) OnChange(f func(*configstate.Snapshot)) { k.onChange = append(k.onChange, f) }
+
 // Run keeps the configuration until ctx ends. It returns nil then.
 func (k *Keeper) Run(ctx context.Context) error {
 	defer close(k.stopped)
@@ -96,22 +108,22 @@
 }
 
 // Snapshot returns the configuration in force, nil until one is known.
-func (k *Keeper) Snapshot() *configstate.Snapshot { return k.snapshot.Load() }
+func (k *Keeper) Snapshot() *configstate.Snapshot { return k.published.Load().snapshot }
 
 // Fresh reports whether this VM may take new work: it would have heard of a
 // withdrawal. It reads the clocks, so it holds for the moment of the call; ask
 // again at dispatch.
 func (k *Keeper) Fresh() bool { return k.freshness.Load().Fresh(k.options.Clock()) }
 
-// Envelope returns the encoded envelope in force for peers that are behind, with
-// every withdrawal known here. It is nil until one is known, and must not be
-// changed.
-func (k *Keeper) Envelope() []byte {
-	data := k.envelope.Load()
-	if data == nil {
-		return nil
+// Envelope returns the version in force and its encoded envelope, with every
+// withdrawal known here, for peers that are behind. They are zero and nil until
+// one is known. The envelope must not be changed.
+func (k *Keeper) Envelope() (version int64, envelope []byte) {
+	p := k.published.Load()
+	if p.snapshot == nil {
+		return 0, nil
 	}
-	return *data
+	return p.snapshot.Version, p.envelope
 }
 
 // PendingWithdrawals returns the number of withdrawals that hold at this VM and
@@ -198,13 +210,14 @@
 		k.options.Log.Error().Err(err).Msg("envelope not encoded")
 		return
 	}
-	k.envelope.Store(&data)
-	k.snapshot.Store(snapshot)
+	k.published.Store(&published{snapshot: snapshot, envelope: data})
 	k.count("config.changes." + source)
 	metrics.GetOrRegisterGauge("config.version", k.options.Metrics).Update(snapshot.Version)
 	k.options.Log.Info().Str("source", source).Int64("version", snapshot.Version).
 		Str("change_id", snapshot.ChangeID).Str("digest", snapshot.Digest).Msg("configuration in force")
-	k.options.OnChange(snapshot)
+	for _, f := range k.onChange {
+		f(snapshot)
+	}
 	k.countPending()
 }
 
--- a/internal/configsync/keeper_test.go
+++ b/internal/configsync/keeper_test.go
@@ -139,7 +139,9 @@
 		}
 		// The one that the operator could not reach learns it from a peer.
 		require.NotEqual(t, keepers[0].Snapshot().WithdrawnSum(), keepers[6].Snapshot().WithdrawnSum())
-		require.NoError(t, keepers[6].Offer(ctx, keepers[0].Envelope()))
+		version, ahead := keepers[0].Envelope()
+		require.EqualValues(t, 1, version)
+		require.NoError(t, keepers[6].Offer(ctx, ahead))
 		_, err := keepers[6].Snapshot().Authenticate(keyA)
 		require.ErrorIs(t, err, configstate.ErrKeyWithdrawn)
 
--- a/internal/configsync/options.go
+++ b/internal/configsync/options.go
@@ -37,9 +37,6 @@
 	// FreshFor is how long the VM takes work after it last heard the service
 	// or enough peers. The default is configstate.DefaultFreshFor.
 	FreshFor time.Duration
-	// OnChange is called from the keeper's own goroutine with every new
-	// snapshot. It must not block.
-	OnChange func(*configstate.Snapshot)
 	// Log receives one event per change and per fault.
 	Log zerolog.Logger
 	// Metrics receives the counters config.*. The default is a registry of
@@ -63,9 +60,6 @@
 	if o.FreshFor <= 0 {
 		o.FreshFor = configstate.DefaultFreshFor
 	}
-	if o.OnChange == nil {
-		o.OnChange = func(*configstate.Snapshot) {}
-	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
--- a/internal/configsync/writer.go
+++ b/internal/configsync/writer.go
@@ -58,7 +58,7 @@
 }
 
 func (k *Keeper) known() *configstate.Envelope {
-	data := k.Envelope()
+	_, data := k.Envelope()
 	if data == nil {
 		return nil
 	}
--- /dev/null
+++ b/internal/kv/http_test.go
@@ -0,0 +1,160 @@
+package kv_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/kv"
+	"github.com/chestnutarch/chestnutarch/internal/standin"
+)
+
+// serve returns a client of a stand-in of the key-value service.
+func serve(t *testing.T, o kv.Options) (*kv.HTTP, *standin.KV) {
+	service := standin.NewKV(standin.KVOptions{})
+	server := httptest.NewServer(service)
+	t.Cleanup(server.Close)
+	t.Cleanup(service.Close)
+	o.URLs = append(o.URLs, server.URL)
+	client, err := kv.NewHTTP(o)
+	require.NoError(t, err)
+	return client, service
+}
+
+func TestHTTPReadsAndSwaps(t *testing.T) {
+	ctx := context.Background()
+	registry := metrics.NewRegistry()
+	s, _ := serve(t, kv.Options{Metrics: registry})
+	_, err := s.Get(ctx, "/k")
+	require.ErrorIs(t, err, kv.ErrNotFound)
+	first, err := s.CompareAndSwap(ctx, "/k", kv.RevisionAbsent, []byte("one"), kv.NoLease)
+	require.NoError(t, err)
+	require.Equal(t, kv.TookEffect, first.Outcome)
+	refused, err := s.CompareAndSwap(ctx, "/k", kv.RevisionAbsent, []byte("two"), kv.NoLease)
+	require.NoError(t, err)
+	require.Equal(t, kv.DidNot, refused.Outcome)
+	require.Equal(t, "one", string(refused.Current.Value))
+	require.Equal(t, first.Revision, refused.Current.Revision)
+	entry, err := s.Get(ctx, "/k")
+	require.NoError(t, err)
+	require.Equal(t, kv.Entry{Key: "/k", Value: []byte("one"), Revision: first.Revision}, entry)
+	revision, err := s.Revision(ctx, "/k")
+	require.NoError(t, err)
+	require.Equal(t, first.Revision, revision)
+	_, err = s.CompareAndSwap(ctx, "/k", revision, make([]byte, kv.MaxValueBytes+1), kv.NoLease)
+	require.ErrorIs(t, err, kv.ErrTooLarge)
+	require.EqualValues(t, 2, registry.Get("kv.calls.cas").(metrics.Counter).Count())
+	require.EqualValues(t, 2, registry.Get("kv.calls.get").(metrics.Counter).Count())
+}
+
+func TestHTTPLeaseDeletesItsKeys(t *testing.T) {
+	ctx := context.Background()
+	s, _ := serve(t, kv.Options{})
+	lease, err := s.Grant(ctx, time.Minute)
+	require.NoError(t, err)
+	require.NoError(t, s.KeepAlive(ctx, lease))
+	put, err := s.CompareAndSwap(ctx, "/leader", kv.RevisionAbsent, []byte("me"), lease)
+	require.NoError(t, err)
+	entries, err := s.Watch(ctx, "/leader", put.Revision)
+	require.NoError(t, err)
+	require.NoError(t, s.Revoke(ctx, lease))
+	gone := <-entries
+	require.Nil(t, gone.Value)
+	require.ErrorIs(t, s.KeepAlive(ctx, lease), kv.ErrLeaseGone)
+	require.NoError(t, s.Revoke(ctx, lease))
+}
+
+func TestHTTPWatchDeliversFromARevision(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s, _ := serve(t, kv.Options{})
+	one, err := s.CompareAndSwap(ctx, "/k", kv.RevisionAbsent, []byte("1"), kv.NoLease)
+	require.NoError(t, err)
+	two, err := s.CompareAndSwap(ctx, "/k", one.Revision, []byte("2"), kv.NoLease)
+	require.NoError(t, err)
+	entries, err := s.Watch(ctx, "/k", one.Revision)
+	require.NoError(t, err)
+	require.Equal(t, two.Revision, (<-entries).Revision)
+	_, err = s.CompareAndSwap(ctx, "/k", two.Revision, []byte("3"), kv.NoLease)
+	require.NoError(t, err)
+	require.Equal(t, "3", string((<-entries).Value))
+	cancel()
+	_, open := <-entries
+	require.False(t, open)
+}
+
+// The service carries a write out and the answer is lost with the connection.
+// Taking that for a failure would make a caller do it a second time.
+func TestHTTPTellsLostFromNotSent(t *testing.T) {
+	ctx := context.Background()
+	s, service := serve(t, kv.Options{CallTimeout: 200 * time.Millisecond})
+	for name, faults := range map[string]standin.KVFaults{
+		"answer lost":         {LoseAnswers: 1},
+		"request lost":        {LoseRequests: 1},
+		"no answer":           {HangAnswers: 1},
+		"service says 503":    {Outage: standin.OutageError},
+		"connection reset":    {Outage: standin.OutageReset},
+		"service cut off":     {Outage: standin.OutageHang},
+		"answer comes late":   {LateMS: 1_000},
+		"service much slower": {SlowMS: 1_000},
+	} {
+		service.SetFaults(&faults)
+		result, err := s.CompareAndSwap(ctx, "/"+name, kv.RevisionAbsent, []byte("x"), kv.NoLease)
+		require.NoError(t, err, name)
+		require.Equal(t, kv.Unknown, result.Outcome, name)
+		service.SetFaults(nil)
+	}
+	unreachable, err := kv.NewHTTP(kv.Options{URLs: []string{"http://127.0.0.1:1"}})
+	require.NoError(t, err)
+	result, err := unreachable.CompareAndSwap(ctx, "/k", kv.RevisionAbsent, []byte("x"), kv.NoLease)
+	require.ErrorIs(t, err, kv.ErrUnavailable)
+	require.Equal(t, kv.DidNot, result.Outcome)
+}
+
+// One of the service's addresses is gone. Nobody should have to notice.
+func TestHTTPUsesAnotherAddress(t *testing.T) {
+	s, _ := serve(t, kv.Options{URLs: []string{"http://127.0.0.1:1"}})
+	result, err := s.CompareAndSwap(context.Background(), "/k", kv.RevisionAbsent, []byte("x"), kv.NoLease)
+	require.NoError(t, err)
+	require.Equal(t, kv.TookEffect, result.Outcome)
+}
+
+// A gateway in the way answers 200 with an empty object. That is no transaction's
+// answer, so it must not pass for "did not".
+func TestHTTPDoesNotTrustAnEmptyAnswer(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("{}")) }))
+	defer server.Close()
+	s, err := kv.NewHTTP(kv.Options{URLs: []string{server.URL}})
+	require.NoError(t, err)
+	result, err := s.CompareAndSwap(context.Background(), "/k", 1, []byte("x"), kv.NoLease)
+	require.NoError(t, err)
+	require.Equal(t, kv.Unknown, result.Outcome)
+}
+
+// A status page asks without pause. The calls that withdraw a key or claim an
+// action still go through.
+func TestHTTPBudgetLeavesRoomForClaims(t *testing.T) {
+	s, _ := serve(t, kv.Options{Budget: kv.Budget{CallsPerSecond: 0.001, Burst: 8}})
+	status, cancel := context.WithTimeout(kv.WithPriority(context.Background(), kv.PriorityStatus), 20*time.Millisecond)
+	defer cancel()
+	var err error
+	served := 0
+	for ; err == nil; served++ {
+		_, err = s.Revision(status, "/k")
+	}
+	var budget *kv.BudgetError
+	require.ErrorAs(t, err, &budget)
+	require.ErrorIs(t, err, kv.ErrUnavailable)
+	require.Equal(t, 4, served-1, "half of the burst is kept for others")
+	claim := kv.WithPriority(context.Background(), kv.PriorityClaim)
+	for range 4 {
+		result, err := s.CompareAndSwap(claim, "/k", kv.RevisionAbsent, []byte("x"), kv.NoLease)
+		require.NoError(t, err)
+		require.NotEqual(t, kv.Unknown, result.Outcome)
+	}
+}
