test: scenarios over real processes; the planner under each of its faults

Cause: a promise that holds in a package may still be broken between processes, when orders are lost, a leader is paused or an engine comes back empty. Change: test/ builds the daemons, lays out an environment on loopback and runs testscript scenarios with commands for starting, killing and pausing daemons, switching faults, reading the stand-ins' records, and calls and streams whose text is compared with what the engines must generate.

--- /dev/null
+++ b/test/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package test
+
+var buildFlags []string
--- /dev/null
+++ b/test/scenarios_test.go
@@ -0,0 +1,64 @@
+package test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// binaries is the directory that the daemons are built into.
+var binaries string
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "chestnut-scenarios-")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binaries = dir
+	args := append([]string{"build", "-o", dir + string(filepath.Separator)}, buildFlags...)
+	build := exec.Command("go", append(args, "../cmd/...")...)
+	build.Stdout, build.Stderr = os.Stderr, os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
+
+// atOnce bounds how many scenarios run at the same time, each with half a
+// dozen processes.
+var atOnce = make(chan struct{}, 4)
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "scenarios",
+		RequireExplicitExec: true,
+		Setup: func(e *testscript.Env) error {
+			e.Setenv("PATH", binaries+string(os.PathListSeparator)+e.Getenv("PATH"))
+			e.Values[stateKey{}] = newState(e)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"world":   cmdWorld,
+			"apply":   cmdApply,
+			"daemon":  cmdDaemon,
+			"ready":   cmdReady,
+			"fault":   cmdFault,
+			"check":   cmdCheck,
+			"await":   cmdAwait,
+			"call":    cmdCall,
+			"join":    cmdJoin,
+			"stream":  cmdStream,
+			"events":  cmdEvents,
+			"whole":   cmdWhole,
+			"broken":  cmdBroken,
+			"reopen":  cmdReopen,
+			"replace": cmdReplace,
+		},
+	})
+}
