operator, chestnutctl: changes, withdrawals and promotions through any VM

Cause: operators had no way in, and a race, a lost answer or an outage must not look like something else. Change: the operators' API with its typed client (keys by digest from the VM's settings, or client certificates); chestnutctl with config, key, team, status, plan, drain and tls; exit codes for refused, conflict, unknown, unreachable and not everywhere; promotion of models and routes by release digest with the evidence of every VM kept.

--- a/internal/configstate/evidence.go
+++ b/internal/configstate/evidence.go
@@ -76,3 +76,25 @@
 }
 
 func share(part, whole int64) float64 { return float64(part) / float64(whole) }
+
+// Combine adds up what the VMs of an environment observed. A document is in
+// force as long as it is at the VM that has had it longest, since all others
+// follow within seconds and none goes back. It returns a ProofError if the VMs
+// have different documents in force.
+func Combine(parts []Evidence) (*Evidence, error) {
+	if len(parts) == 0 {
+		return nil, &ProofError{Threshold: "evidence", Want: "evidence of every VM", Have: "none"}
+	}
+	sum := parts[0]
+	for _, p := range parts[1:] {
+		if p.Digest != sum.Digest {
+			return nil, &ProofError{Threshold: "digest", Want: sum.Digest + " at every VM", Have: p.Digest}
+		}
+		sum.InForce = max(sum.InForce, p.InForce)
+		sum.Version = max(sum.Version, p.Version)
+		sum.Requests += p.Requests
+		sum.Attained += p.Attained
+		sum.Failed += p.Failed
+	}
+	return &sum, nil
+}
--- a/internal/configstate/snapshot.go
+++ b/internal/configstate/snapshot.go
@@ -68,6 +68,9 @@
 // the service is down does not change the version.
 func (s *Snapshot) WithdrawnSum() uint64 { return s.withdrawnSum }
 
+// Withdrawn returns the number of withdrawn keys that are known.
+func (s *Snapshot) Withdrawn() int { return len(s.withdrawn) }
+
 // DigestKey returns the hexadecimal SHA-256 digest of a caller's key.
 func DigestKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- a/internal/configsync/loops.go
+++ b/internal/configsync/loops.go
@@ -161,9 +161,10 @@
 			return nil
 		case <-k.merge:
 		}
-		// Every VM that holds the withdrawal tries; the pause lets one be first
-		// and spares the others a lost race.
-		if !sleep(ctx, kv.Jitter(k.backoff(failures))) {
+		// Every VM that holds the withdrawal tries. The pause gives the VM that
+		// the operator asked the time to write it, and the others the time to
+		// see that it is done.
+		if !sleep(ctx, kv.Jitter(k.options.PollInterval+k.backoff(failures))) {
 			return nil
 		}
 		failures++
--- /dev/null
+++ b/internal/ctl/config.go
@@ -0,0 +1,251 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/chestnutarch/chestnutarch/internal/document"
+	"github.com/chestnutarch/chestnutarch/internal/operator"
+)
+
+func configCommand(o *options) *cobra.Command {
+	return group("config", "Check, change and look at the environment document",
+		validateCommand(o), diffCommand(o), applyCommand(o), getCommand(o), historyCommand(o), promoteCommand(o), outcomeCommand(o))
+}
+
+func validateCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "validate FILE",
+		Short: "Check a document without asking any VM",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			doc, err := parseFile(args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(o.out, "%s: valid: %d teams, %d models, %d engines, release %s\n",
+				args[0], len(doc.Teams), len(doc.Models), len(doc.Engines), doc.ReleaseDigest())
+			return nil
+		},
+	}
+}
+
+func parseFile(name string) (*document.Document, error) {
+	data, err := readFile(name)
+	if err != nil {
+		return nil, err
+	}
+	return document.Parse(data, name)
+}
+
+func diffCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff FILE",
+		Short: "Show what a document would change in the accepted one",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			wanted, err := parseFile(args[0])
+			if err != nil {
+				return err
+			}
+			accepted, err := ask(c.Context(), o, getConfig)
+			if err != nil {
+				return err
+			}
+			doc, err := document.Parse([]byte(accepted.Document), "accepted document")
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(o.errOut, "from version %d%s\n", accepted.Version, fromVM(accepted))
+			return o.printChanges(document.Diff(doc, wanted))
+		},
+	}
+}
+
+func (o *options) printChanges(changes []document.Change) error {
+	t := &table{header: []string{"KIND", "PATH", "BEFORE", "AFTER"}}
+	for _, c := range changes {
+		t.add(c.Kind, c.Path, c.Before, c.After)
+	}
+	return o.print(changes, t)
+}
+
+func getConfig(ctx context.Context, c *operator.Client) (*operator.Config, error) {
+	return c.Config(ctx)
+}
+
+// fromVM warns that the service could not be read.
+func fromVM(c *operator.Config) string {
+	if c.FromVM == "" {
+		return ""
+	}
+	return " (the key-value service cannot be read; this is in force at " + c.FromVM + ")"
+}
+
+func applyCommand(o *options) *cobra.Command {
+	var base int64
+	var wait time.Duration
+	c := &cobra.Command{
+		Use:   "apply FILE --base VERSION",
+		Short: "Offer a document that was made from an accepted version",
+		Long: "Offer a document that was made from an accepted version (0 for the first).\n" +
+			"If another version was accepted since, nothing is changed and the difference is shown.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if _, err := parseFile(args[0]); err != nil {
+				return err
+			}
+			text, err := readFile(args[0])
+			if err != nil {
+				return err
+			}
+			return o.apply(c.Context(), base, string(text), wait)
+		},
+	}
+	c.Flags().Int64Var(&base, "base", 0, "`version` that the document was made from")
+	c.Flags().DurationVar(&wait, "wait", defaultWait, "how long to wait until it is in force at every VM")
+	_ = c.MarkFlagRequired("base")
+	return c
+}
+
+func (o *options) apply(ctx context.Context, base int64, text string, wait time.Duration) error {
+	clients, err := o.clients()
+	if err != nil {
+		return err
+	}
+	request := &operator.ApplyRequest{ChangeRequest: newChange(base), Document: text}
+	bounded, cancel := context.WithTimeout(ctx, o.timeout)
+	defer cancel()
+	answer, err := o.change(bounded, clients, request.ChangeRequest, func(ctx context.Context, c *operator.Client) (*operator.ChangeAnswer, error) {
+		return c.Apply(ctx, request)
+	})
+	if err != nil {
+		return err
+	}
+	return o.report(ctx, clients, answer, wait)
+}
+
+func getCommand(o *options) *cobra.Command {
+	var version int64
+	var file string
+	c := &cobra.Command{
+		Use:   "get",
+		Short: "Print the accepted document, or an earlier version of it",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			config, err := ask(c.Context(), o, func(ctx context.Context, c *operator.Client) (*operator.Config, error) {
+				if version > 0 {
+					return c.Version(ctx, version)
+				}
+				return c.Config(ctx)
+			})
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(o.errOut, "version %d, digest %s%s\n", config.Version, config.Digest, fromVM(config))
+			return o.printDocument(config, file)
+		},
+	}
+	c.Flags().Int64Var(&version, "version", 0, "an earlier `version`; 0 is the accepted one")
+	c.Flags().StringVar(&file, "file", "", "write the document to a `file`")
+	return c
+}
+
+func (o *options) printDocument(config *operator.Config, file string) error {
+	if file != "" {
+		const mode = 0o600
+		return errors.Wrap(fileError(os.WriteFile(file, []byte(config.Document), mode)), file)
+	}
+	if o.output != outputTable {
+		return o.print(config, nil)
+	}
+	_, err := fmt.Fprint(o.out, config.Document)
+	return fileError(err)
+}
+
+func fileError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Wrap(ErrFile, err.Error())
+}
+
+func historyCommand(o *options) *cobra.Command {
+	var limit int
+	c := &cobra.Command{
+		Use:   "history",
+		Short: "List accepted versions, newest first",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			list, err := ask(c.Context(), o, func(ctx context.Context, c *operator.Client) ([]*operator.Config, error) {
+				return c.History(ctx, limit)
+			})
+			if err != nil {
+				return err
+			}
+			t := &table{header: []string{"VERSION", "ACCEPTED", "AUTHOR", "DIGEST", "WITHDRAWN", "PROMOTED FROM", "CHANGE"}}
+			for _, v := range list {
+				from := ""
+				if v.Promotion != nil {
+					from = v.Promotion.Environment
+				}
+				t.add(v.Version, v.AcceptedAt.Format(time.RFC3339), v.Author, short(v.Digest), len(v.Withdrawn), from, v.ChangeID)
+			}
+			return o.print(list, t)
+		},
+	}
+	const defaultLimit = 20
+	c.Flags().IntVar(&limit, "limit", defaultLimit, "most `versions` to list")
+	return c
+}
+
+// short cuts a digest for tables.
+func short(digest string) string {
+	const length = 12
+	return digest[:min(length, len(digest))]
+}
+
+func outcomeCommand(o *options) *cobra.Command {
+	var nonce string
+	var base int64
+	c := &cobra.Command{
+		Use:   "outcome CHANGE_ID --nonce NONCE --base VERSION",
+		Short: "Ask what became of a change whose outcome was unknown",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			request := operator.ChangeRequest{ChangeID: args[0], Nonce: nonce, BaseVersion: base}
+			answer, err := ask(c.Context(), o, func(ctx context.Context, c *operator.Client) (*operator.ChangeAnswer, error) {
+				return c.Change(ctx, request)
+			})
+			if err != nil {
+				return err
+			}
+			t := &table{header: []string{"OUTCOME", "VERSION", "DIGEST"}}
+			t.add(answer.Outcome, answer.Version, short(answer.Digest))
+			if err := o.print(answer, t); err != nil {
+				return err
+			}
+			return outcomeError(request, answer)
+		},
+	}
+	c.Flags().StringVar(&nonce, "nonce", "", "the change's nonce")
+	c.Flags().Int64Var(&base, "base", 0, "`version` that the change was made from")
+	_ = c.MarkFlagRequired("nonce")
+	_ = c.MarkFlagRequired("base")
+	return c
+}
+
+func outcomeError(request operator.ChangeRequest, answer *operator.ChangeAnswer) error {
+	switch answer.Outcome {
+	case operator.OutcomeTookEffect:
+		return nil
+	case operator.OutcomeDidNot:
+		return &operator.APIError{Type: operator.TypeConflict, Message: "the change did not take effect and will not", ChangeID: request.ChangeID}
+	}
+	return unknown(request, operator.ErrUnknown)
+}
--- /dev/null
+++ b/internal/ctl/exit.go
@@ -0,0 +1,88 @@
+package ctl
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutarch/chestnutarch/internal/operator"
+	"github.com/chestnutarch/chestnutarch/internal/strictyaml"
+)
+
+// Exit codes of chestnutctl. Scripts tell by them what to do next.
+const (
+	// ExitOK means that everything asked for is done.
+	ExitOK = 0
+	// ExitError means a local failure, such as a file that can't be read.
+	ExitError = 1
+	// ExitUsage means that the command line itself is wrong.
+	ExitUsage = 2
+	// ExitRefused means that a rule was broken. Nothing was changed.
+	ExitRefused = 3
+	// ExitConflict means that another change came first. Nothing was changed.
+	ExitConflict = 4
+	// ExitUnknown means that the change may or may not take effect.
+	ExitUnknown = 5
+	// ExitUnreachable means that no VM could be asked or none can reach the
+	// key-value service. Nothing was changed.
+	ExitUnreachable = 6
+	// ExitPartial means that the change is accepted or holds, but is not in
+	// force at every VM or not durable yet.
+	ExitPartial = 7
+)
+
+var (
+	// ErrUsage means that the command line is wrong.
+	ErrUsage = errors.New("chestnutctl: usage")
+	// ErrPartial means that a change is not in force everywhere or not durable.
+	ErrPartial = errors.New("chestnutctl: not in force everywhere or not durable yet")
+	// ErrFile means that a file can't be read or written.
+	ErrFile = errors.New("chestnutctl: file")
+	// ErrNoSuchKey means that no team has a key of that name.
+	ErrNoSuchKey = errors.New("chestnutctl: no such key")
+)
+
+// ExitCode returns the exit code that tells of err.
+func ExitCode(err error) int {
+	var mistakes strictyaml.Errors
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, ErrUsage):
+		return ExitUsage
+	case errors.Is(err, ErrPartial):
+		return ExitPartial
+	case errors.Is(err, operator.ErrUnknown):
+		return ExitUnknown
+	case errors.Is(err, operator.ErrConflict):
+		return ExitConflict
+	case errors.Is(err, operator.ErrUnreachable), errors.Is(err, operator.ErrUnavailable):
+		return ExitUnreachable
+	case errors.Is(err, operator.ErrRefused), errors.Is(err, operator.ErrUnauthorized),
+		errors.Is(err, operator.ErrNotFound), errors.Is(err, ErrNoSuchKey), errors.As(err, &mistakes):
+		return ExitRefused
+	}
+	return ExitError
+}
+
+// Explain returns what an operator is told of err.
+func Explain(err error) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "error: %v\n", err)
+	var api *operator.APIError
+	if !errors.As(err, &api) {
+		return b.String()
+	}
+	for _, mistake := range api.Mistakes {
+		fmt.Fprintf(&b, "  %s\n", mistake)
+	}
+	if api.Type == operator.TypeConflict {
+		fmt.Fprintf(&b, "accepted now: version %d, change %s by %s\n", api.Version, api.ChangeID, api.Author)
+		fmt.Fprintf(&b, "yours would change it so:\n")
+		for _, c := range api.Changes {
+			fmt.Fprintf(&b, "  %-8s %s: %q -> %q\n", c.Kind, c.Path, c.Before, c.After)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,150 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/chestnutarch/chestnutarch/internal/document"
+	"github.com/chestnutarch/chestnutarch/internal/operator"
+)
+
+// teamLine is one team of the accepted document.
+type teamLine struct {
+	Team   string   `json:"team" yaml:"team"`
+	Weight int64    `json:"weight" yaml:"weight"`
+	Rate   int64    `json:"rate" yaml:"rate"`
+	Burst  int64    `json:"burst" yaml:"burst"`
+	Keys   []string `json:"keys" yaml:"keys"`
+}
+
+func teamCommand(o *options) *cobra.Command {
+	list := &cobra.Command{
+		Use:   "list",
+		Short: "List the teams of the accepted document",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			accepted, err := ask(c.Context(), o, getConfig)
+			if err != nil {
+				return err
+			}
+			doc, err := document.Parse([]byte(accepted.Document), "accepted document")
+			if err != nil {
+				return err
+			}
+			return o.printTeams(doc, accepted.Withdrawn)
+		},
+	}
+	return group("team", "Look at the teams", list)
+}
+
+func (o *options) printTeams(doc *document.Document, withdrawn []string) error {
+	gone := make(map[string]bool)
+	for _, digest := range withdrawn {
+		gone[digest] = true
+	}
+	var lines []teamLine
+	t := &table{header: []string{"TEAM", "WEIGHT", "RATE", "BURST", "KEYS"}}
+	for _, team := range doc.Teams {
+		line := teamLine{Team: team.Name, Weight: team.Weight, Rate: team.Rate, Burst: team.Burst}
+		for _, key := range team.Keys {
+			id := key.ID
+			if gone[key.SHA256] {
+				id += " (withdrawn)"
+			}
+			line.Keys = append(line.Keys, id)
+		}
+		lines = append(lines, line)
+		t.add(line.Team, line.Weight, line.Rate, line.Burst, strings.Join(line.Keys, ", "))
+	}
+	return o.print(lines, t)
+}
+
+func statusCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show VMs, upstreams, teams and what is in force, as one VM sees them",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			status, err := ask(c.Context(), o, func(ctx context.Context, c *operator.Client) (*operator.Status, error) {
+				return c.Status(ctx)
+			})
+			if err != nil {
+				return err
+			}
+			return o.printStatus(status)
+		},
+	}
+}
+
+func (o *options) printStatus(s *operator.Status) error {
+	t := &table{header: []string{"WHAT", "NAME", "FAILURE DOMAIN", "STATE", "DETAILS"}}
+	in := s.InForce
+	t.add("config", s.VM, "", fmt.Sprintf("version %d", in.Version),
+		fmt.Sprintf("digest %s, %d keys withdrawn, %d not durable, fresh %t", short(in.Digest), in.Withdrawn, in.Pending, in.Fresh))
+	for _, v := range s.VMs {
+		t.add("vm", v.VM, v.FailureDomain, v.State, fmt.Sprintf("version %d, %d in flight", v.ConfigVersion, v.InFlight))
+	}
+	for _, u := range s.Upstreams {
+		t.add(u.Kind, u.Name, u.FailureDomain, u.State,
+			fmt.Sprintf("%d running, %d waiting, resident: %s", u.Running, u.Waiting, strings.Join(u.Resident, " ")))
+	}
+	for _, team := range s.Teams {
+		t.add("team", team.Team, "", "", fmt.Sprintf("part of rate %.0f, balance %.0f, lent %.0f, %d queued", team.Rate, team.Balance, team.Loans, team.Queued))
+	}
+	return o.print(s, t)
+}
+
+func planCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "plan",
+		Short: "Show what the planner wants and why",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			plan, err := ask(c.Context(), o, func(ctx context.Context, c *operator.Client) (*operator.Plan, error) {
+				return c.Plan(ctx)
+			})
+			if err != nil {
+				return err
+			}
+			return o.printPlan(plan)
+		},
+	}
+}
+
+func (o *options) printPlan(p *operator.Plan) error {
+	fmt.Fprintf(o.errOut, "leader %s, fence %d, made at %s\n", p.Leader, p.Fence, p.MadeAt)
+	t := &table{header: []string{"WHAT", "ENGINE", "ITEM", "STATE", "WHY"}}
+	for _, e := range p.Engines {
+		t.add("engine", e.Engine, strings.Join(e.Resident, " "),
+			fmt.Sprintf("%s of %s", document.Bytes(e.Allowed), document.Bytes(e.Memory)), "")
+	}
+	for _, s := range p.Steps {
+		t.add(s.Kind, s.Engine, s.Item+"@"+s.Version, s.State, s.Reason)
+	}
+	return o.print(p, t)
+}
+
+func drainCommand(o *options) *cobra.Command {
+	var undo bool
+	c := &cobra.Command{
+		Use:   "drain NAME",
+		Short: "Give an upstream or VM no new work and let what runs finish",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			answer, err := ask(c.Context(), o, func(ctx context.Context, c *operator.Client) (*operator.DrainAnswer, error) {
+				return c.Drain(ctx, &operator.DrainRequest{Target: args[0], Undo: undo})
+			})
+			if err != nil {
+				return err
+			}
+			t := &table{header: []string{"TARGET", "STILL RUNNING"}}
+			t.add(answer.Target, answer.InFlight)
+			return o.print(answer, t)
+		},
+	}
+	c.Flags().BoolVar(&undo, "undo", false, "give it work again")
+	return c
+}
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -141,3 +141,35 @@
 		require.ErrorIs(t, err, ErrBadUnit, text)
 	}
 }
+
+// A key is added by command to a text that operators have commented. Their
+// comments, and everything else, stay.
+func TestWithKeyKeepsTheText(t *testing.T) {
+	commented := strings.Replace(small, "teams:", "# Drafting pays for two accelerators.\nteams:", 1)
+	key := Key{ID: "second", SHA256: Digest([]byte("second"))}
+	text, err := WithKey([]byte(commented), "drafting", key)
+	require.NoError(t, err)
+	require.Contains(t, string(text), "# Drafting pays")
+	doc, err := Parse(text, "env.yaml")
+	require.NoError(t, err)
+	require.Equal(t, key, doc.Teams[0].Keys[1])
+	before, err := Parse([]byte(small), "env.yaml")
+	require.NoError(t, err)
+	require.Len(t, Diff(before, doc), 1)
+	_, err = WithKey([]byte(small), "nobody", key)
+	require.ErrorIs(t, err, ErrNoTeam)
+}
+
+func TestWithReleaseTakesOnlyWhatIsServed(t *testing.T) {
+	trial := strings.NewReplacer("environment: test", "environment: trial", "version: v1", "version: v2", "rate: 1000", "rate: 1").Replace(small)
+	text, err := WithRelease([]byte(small), []byte(trial))
+	require.NoError(t, err)
+	got, err := Parse(text, "env.yaml")
+	require.NoError(t, err)
+	source, err := Parse([]byte(trial), "trial.yaml")
+	require.NoError(t, err)
+	require.Equal(t, source.ReleaseDigest(), got.ReleaseDigest())
+	require.Equal(t, "test", got.Environment)
+	require.EqualValues(t, 1000, got.Teams[0].Rate)
+	require.Equal(t, "v2", got.Models[0].Version)
+}
--- /dev/null
+++ b/internal/document/edit.go
@@ -0,0 +1,132 @@
+package document
+
+import (
+	"bytes"
+
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/chestnutarch/chestnutarch/internal/strictyaml"
+)
+
+// releaseSections are the parts of a document that a promotion carries: what is
+// served and how calls are routed. Teams, upstreams and their addresses belong
+// to one environment.
+var releaseSections = []string{"models", "routes"}
+
+// ReleaseDigest returns the digest of the parts that a promotion carries, after
+// the defaults. Two environments with the same one serve the same.
+func (d *Document) ReleaseDigest() string {
+	release := struct {
+		Models []Model `yaml:"models"`
+		Routes []Route `yaml:"routes"`
+	}{d.Models, d.Routes}
+	text, err := yaml.Marshal(release)
+	if err != nil {
+		// Plain structs of strings and numbers always marshal.
+		return ""
+	}
+	return Digest(text)
+}
+
+// WithRelease returns target's text with the release sections of source in
+// place of its own. Comments outside of them are kept.
+func WithRelease(target, source []byte) ([]byte, error) {
+	into, err := mapping(target, "target")
+	if err != nil {
+		return nil, err
+	}
+	from, err := mapping(source, "source")
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range releaseSections {
+		setField(into.Content[0], name, field(from.Content[0], name))
+	}
+	return marshal(into)
+}
+
+// WithKey returns the text with a key added to a team. It returns ErrNoTeam if
+// the document lacks the team.
+func WithKey(text []byte, team string, key Key) ([]byte, error) {
+	root, err := mapping(text, "document")
+	if err != nil {
+		return nil, err
+	}
+	teams := field(root.Content[0], "teams")
+	if teams == nil {
+		return nil, errors.Wrap(ErrNoTeam, team)
+	}
+	for _, t := range teams.Content {
+		if name := field(t, "name"); name == nil || name.Value != team {
+			continue
+		}
+		var added yaml.Node
+		if err := added.Encode(key); err != nil {
+			return nil, errors.Wrap(strictyaml.ErrBadValue, err.Error())
+		}
+		keys := field(t, "keys")
+		if keys == nil || keys.Kind != yaml.SequenceNode {
+			keys = &yaml.Node{Kind: yaml.SequenceNode, Tag: "!!seq"}
+			setField(t, "keys", keys)
+		}
+		keys.Content = append(keys.Content, &added)
+		return marshal(root)
+	}
+	return nil, errors.Wrap(ErrNoTeam, team)
+}
+
+// mapping parses a text whose top is a mapping.
+func mapping(text []byte, file string) (*yaml.Node, error) {
+	root := new(yaml.Node)
+	err := yaml.Unmarshal(text, root)
+	if err != nil {
+		return nil, errors.Wrapf(strictyaml.ErrSyntax, "%s: %v", file, err)
+	}
+	if len(root.Content) != 1 || root.Content[0].Kind != yaml.MappingNode {
+		return nil, errors.Wrapf(strictyaml.ErrSyntax, "%s: expected fields", file)
+	}
+	return root, nil
+}
+
+// field returns the value of a mapping's field, nil if it has none.
+func field(m *yaml.Node, name string) *yaml.Node {
+	for i := 0; i+1 < len(m.Content); i += 2 {
+		if m.Content[i].Value == name {
+			return m.Content[i+1]
+		}
+	}
+	return nil
+}
+
+// setField replaces, adds or, with nil, removes a mapping's field.
+func setField(m *yaml.Node, name string, value *yaml.Node) {
+	for i := 0; i+1 < len(m.Content); i += 2 {
+		if m.Content[i].Value != name {
+			continue
+		}
+		if value == nil {
+			m.Content = append(m.Content[:i], m.Content[i+2:]...)
+			return
+		}
+		m.Content[i+1] = value
+		return
+	}
+	if value != nil {
+		key := &yaml.Node{Kind: yaml.ScalarNode, Tag: "!!str", Value: name}
+		m.Content = append(m.Content, key, value)
+	}
+}
+
+// yamlIndent is the indentation of texts that are written back.
+const yamlIndent = 2
+
+func marshal(root *yaml.Node) ([]byte, error) {
+	var b bytes.Buffer
+	encoder := yaml.NewEncoder(&b)
+	encoder.SetIndent(yamlIndent)
+	if err := encoder.Encode(root); err != nil {
+		return nil, errors.Wrap(strictyaml.ErrSyntax, err.Error())
+	}
+	return b.Bytes(), nil
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,146 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// Client calls the operators' API of one VM.
+type Client struct {
+	// Server is the base address, "http://IP:port" or "https://IP:port".
+	Server string
+	// Key is the operator's key, empty with a client certificate.
+	Key string
+	// HTTP makes the calls.
+	HTTP *http.Client
+}
+
+// Config returns the accepted configuration.
+func (c *Client) Config(ctx context.Context) (*Config, error) {
+	return get[*Config](ctx, c, pathConfig)
+}
+
+// Apply offers a document.
+func (c *Client) Apply(ctx context.Context, request *ApplyRequest) (*ChangeAnswer, error) {
+	return post[*ChangeAnswer](ctx, c, pathConfig, request)
+}
+
+// History returns accepted versions without their documents, newest first.
+func (c *Client) History(ctx context.Context, limit int) ([]*Config, error) {
+	return get[[]*Config](ctx, c, pathHistory+"?limit="+strconv.Itoa(limit))
+}
+
+// Version returns one accepted version.
+func (c *Client) Version(ctx context.Context, version int64) (*Config, error) {
+	return get[*Config](ctx, c, pathHistory+"/"+strconv.FormatInt(version, 10))
+}
+
+// Change asks what became of a change.
+func (c *Client) Change(ctx context.Context, change ChangeRequest) (*ChangeAnswer, error) {
+	query := url.Values{"nonce": {change.Nonce}, "base_version": {strconv.FormatInt(change.BaseVersion, 10)}}
+	return get[*ChangeAnswer](ctx, c, pathChanges+"/"+url.PathEscape(change.ChangeID)+"?"+query.Encode())
+}
+
+// InForce returns what the VM has in force.
+func (c *Client) InForce(ctx context.Context) (*InForce, error) {
+	return get[*InForce](ctx, c, pathInForce)
+}
+
+// Withdraw withdraws keys.
+func (c *Client) Withdraw(ctx context.Context, request *WithdrawRequest) (*WithdrawAnswer, error) {
+	return post[*WithdrawAnswer](ctx, c, pathWithdrawals, request)
+}
+
+// Proof returns the document in force with this VM's part of the evidence.
+func (c *Client) Proof(ctx context.Context) (*Proof, error) {
+	return get[*Proof](ctx, c, pathProof)
+}
+
+// Promote offers a proven release.
+func (c *Client) Promote(ctx context.Context, request *PromoteRequest) (*ChangeAnswer, error) {
+	return post[*ChangeAnswer](ctx, c, pathPromotions, request)
+}
+
+// Status returns how the environment looks from the VM.
+func (c *Client) Status(ctx context.Context) (*Status, error) {
+	return get[*Status](ctx, c, pathStatus)
+}
+
+// Plan returns what the planner wants.
+func (c *Client) Plan(ctx context.Context) (*Plan, error) {
+	return get[*Plan](ctx, c, pathPlan)
+}
+
+// Drain takes an upstream or the VM out of service.
+func (c *Client) Drain(ctx context.Context, request *DrainRequest) (*DrainAnswer, error) {
+	return post[*DrainAnswer](ctx, c, pathDrain, request)
+}
+
+func get[T any](ctx context.Context, c *Client, path string) (T, error) {
+	var answer T
+	err := c.do(ctx, http.MethodGet, path, nil, &answer)
+	return answer, err
+}
+
+func post[T any](ctx context.Context, c *Client, path string, request any) (T, error) {
+	var answer T
+	body, err := json.Marshal(request)
+	if err != nil {
+		return answer, &ReachError{Server: c.Server, Cause: err}
+	}
+	err = c.do(ctx, http.MethodPost, path, body, &answer)
+	return answer, err
+}
+
+// do makes one call. A change that may have reached the VM and got no answer is
+// unknown and not failed.
+func (c *Client) do(ctx context.Context, method, path string, body []byte, answer any) error {
+	request, err := http.NewRequestWithContext(ctx, method, c.Server+path, bytes.NewReader(body))
+	if err != nil {
+		return &ReachError{Server: c.Server, Cause: err}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if c.Key != "" {
+		request.Header.Set("Authorization", "Bearer "+c.Key)
+	}
+	change := method == http.MethodPost
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return &ReachError{Server: c.Server, Cause: err, MayHaveChanged: change && !neverConnected(err)}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxRequestBytes))
+	if err != nil {
+		return &ReachError{Server: c.Server, Cause: err, MayHaveChanged: change}
+	}
+	if response.StatusCode == http.StatusOK {
+		if err := json.Unmarshal(data, answer); err != nil {
+			return &ReachError{Server: c.Server, Cause: err, MayHaveChanged: change}
+		}
+		return nil
+	}
+	var failure errorBody
+	if json.Unmarshal(data, &failure) == nil && failure.Error != nil {
+		return failure.Error
+	}
+	return &ReachError{Server: c.Server, Cause: statusError(response.StatusCode), MayHaveChanged: change && response.StatusCode >= http.StatusInternalServerError}
+}
+
+// statusError is an HTTP status that the API does not use.
+type statusError int
+
+// Error gives the status.
+func (e statusError) Error() string { return "status " + strconv.Itoa(int(e)) }
+
+func neverConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
