configsync: accept only what placement finds room for; document keeps the sums

Cause: whether a set of models fits was decided twice, by document's own packing and by package placement, and the packing ran at every VM that reads a document. Change: document checks sums and the largest model; Writer and config validate ask placement.Fits, and FitsChange where models or engines change. The test of the packing in document is replaced by one of the sums and of the largest model there, and one of a set that adds up but finds no place where it is now decided. Conclusion: one rule for what fits, applied once, before acceptance.

--- a/examples/generate/main_test.go
+++ b/examples/generate/main_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chestnutarch/chestnutarch/internal/document"
+	"github.com/chestnutarch/chestnutarch/internal/placement"
 )
 
 // An example that no longer parses, or that differs from what the generator
@@ -26,6 +27,7 @@
 		require.Equal(t, string(want), string(got), "run go run ./examples/generate")
 		doc, err := document.Parse(got, file)
 		require.NoError(t, err)
+		require.NoError(t, placement.Fits(doc))
 		adapters := 0
 		for _, m := range doc.Models {
 			adapters += len(m.Adapters)
--- a/internal/configsync/promote.go
+++ b/internal/configsync/promote.go
@@ -50,6 +50,9 @@
 		if doc.ReleaseDigest() != source.ReleaseDigest() {
 			return nil, ErrTampered
 		}
+		if err := checkMove(base, doc); err != nil {
+			return nil, err
+		}
 		return &configstate.Envelope{Document: string(promoted), Withdrawn: base.Withdrawn, Promotion: evidence}, nil
 	})
 }
--- a/internal/configsync/writer.go
+++ b/internal/configsync/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"reflect"
 	"time"
 
 	"github.com/google/uuid"
@@ -11,6 +12,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/configstate"
 	"github.com/chestnutarch/chestnutarch/internal/document"
 	"github.com/chestnutarch/chestnutarch/internal/kv"
+	"github.com/chestnutarch/chestnutarch/internal/placement"
 )
 
 // Change says who asks for a change and which one.
@@ -144,11 +146,15 @@
 		if err := configstate.ListedWithdrawn(doc, base.Withdrawn); err != nil {
 			return nil, err
 		}
+		if err := checkMove(base, doc); err != nil {
+			return nil, err
+		}
 		return &configstate.Envelope{Document: text, Withdrawn: base.Withdrawn}, nil
 	})
 }
 
-// Check parses a document and refuses one of another environment.
+// Check parses a document, refuses one of another environment and looks for a
+// placement of everything in it.
 func (w *Writer) Check(text string) (*document.Document, error) {
 	doc, err := document.Parse([]byte(text), "document")
 	if err != nil {
@@ -157,9 +163,29 @@
 	if doc.Environment != w.Environment {
 		return nil, &EnvironmentError{Want: w.Environment, Have: doc.Environment}
 	}
+	if err := placement.Fits(doc); err != nil {
+		return nil, err
+	}
 	return doc, nil
 }
 
+// checkMove looks for room to load what a document replaces beside what is in
+// force. Without it a change could be accepted that no order of loads reaches
+// without a model missing meanwhile. Changes of keys and rates move nothing.
+func checkMove(base *configstate.Envelope, next *document.Document) error {
+	if base.Version == 0 {
+		return nil
+	}
+	current, err := document.Parse([]byte(base.Document), "accepted document")
+	if err != nil {
+		return err
+	}
+	if reflect.DeepEqual(current.Models, next.Models) && reflect.DeepEqual(current.Engines, next.Engines) {
+		return nil
+	}
+	return placement.FitsChange(current, next)
+}
+
 // Withdraw accepts withdrawals on top of whatever is accepted. It writes nothing
 // if they are all there already. Losing a race is no conflict here: withdrawals
 // only ever add up.
--- a/internal/configsync/writer_test.go
+++ b/internal/configsync/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/document"
 	"github.com/chestnutarch/chestnutarch/internal/kv"
 	"github.com/chestnutarch/chestnutarch/internal/kv/kvtest"
+	"github.com/chestnutarch/chestnutarch/internal/placement"
 )
 
 // Two operators change version 1 at once. The second is told what the first
@@ -126,3 +128,19 @@
 	_, err = w.Withdraw(context.Background(), Change{ID: "x"}, []string{keyA})
 	require.ErrorIs(t, err, ErrNothingAccepted)
 }
+
+// Three models of 8GiB add up to what two engines of 12GiB have, but only two of
+// them find a place. Accepted, one of them would be unreachable.
+func TestApplyRefusesWhatNoPlacementHolds(t *testing.T) {
+	doc := text(1) + "weight_store: {loads_per_second: 1, concurrent_loads: 1}\nmodels:\n"
+	for _, name := range []string{"x", "y", "z"} {
+		doc += fmt.Sprintf("- {name: %s, version: v1, memory: 8GiB}\n", name)
+	}
+	doc += "engines:\n"
+	for i := range 2 {
+		doc += fmt.Sprintf("- {name: e%d, url: \"http://127.0.0.1:%d\", failure_domain: a, memory: 13GiB, kv_cache_reserve: 1GiB, fencing: ignored}\n", i, i+1)
+	}
+	_, err := writer(kvtest.NewMemory(nil)).Apply(context.Background(), Change{ID: "x"}, 0, doc)
+	require.ErrorIs(t, err, placement.ErrDoesNotFit)
+	require.ErrorContains(t, err, "models 24.00GiB + adapters 0.00GiB = 24.00GiB; engines 26.00GiB - KV-cache reserve 2.00GiB = 24.00GiB")
+}
--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -11,6 +11,7 @@
 
 	"github.com/chestnutarch/chestnutarch/internal/document"
 	"github.com/chestnutarch/chestnutarch/internal/operator"
+	"github.com/chestnutarch/chestnutarch/internal/placement"
 )
 
 func configCommand(o *options) *cobra.Command {
@@ -40,7 +41,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return document.Parse(data, name)
+	doc, err := document.Parse(data, name)
+	if err != nil {
+		return nil, err
+	}
+	return doc, placement.Fits(doc)
 }
 
 func diffCommand(o *options) *cobra.Command {
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutarch/chestnutarch/internal/operator"
+	"github.com/chestnutarch/chestnutarch/internal/placement"
 	"github.com/chestnutarch/chestnutarch/internal/strictyaml"
 )
 
@@ -60,7 +61,8 @@
 	case errors.Is(err, operator.ErrUnreachable), errors.Is(err, operator.ErrUnavailable):
 		return ExitUnreachable
 	case errors.Is(err, operator.ErrRefused), errors.Is(err, operator.ErrUnauthorized),
-		errors.Is(err, operator.ErrNotFound), errors.Is(err, ErrNoSuchKey), errors.As(err, &mistakes):
+		errors.Is(err, operator.ErrNotFound), errors.Is(err, ErrNoSuchKey),
+		errors.Is(err, placement.ErrDoesNotFit), errors.As(err, &mistakes):
 		return ExitRefused
 	}
 	return ExitError
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -103,16 +103,13 @@
 	require.ErrorIs(t, err, ErrUnknownFailureDomain)
 }
 
-// The sum of the memory is enough, but no engine holds the largest model. The
-// operator sees the sums and the model that found no room.
+// A model is added that the engines have no memory for. The operator sees the
+// sums, and the model that no engine can hold.
 func TestParseShowsArithmeticOfMisfit(t *testing.T) {
-	text := strings.Replace(small, "services:", `- {name: e2, url: "http://127.0.0.1:9002", failure_domain: b, memory: 16GiB, kv_cache_reserve: 4GiB, fencing: ignored}
-services:`, 1)
-	text = strings.Replace(text, "10GiB", "13GiB", 1)
-	_, err := Parse([]byte(text), "env.yaml")
+	_, err := Parse([]byte(strings.Replace(small, "10GiB", "13GiB", 1)), "env.yaml")
 	require.ErrorIs(t, err, ErrDoesNotFit)
-	require.ErrorContains(t, err, "m: 0 of 1 copies of 13.00GiB each found room")
-	require.ErrorContains(t, err, "models 13.00GiB + adapters 1.00GiB = 14.00GiB; there is: engines 32.00GiB - KV cache reserve 8.00GiB = 24.00GiB")
+	require.ErrorContains(t, err, "needed: models 13.00GiB + adapters 1.00GiB = 14.00GiB; there is: engines 16.00GiB - KV cache reserve 4.00GiB = 12.00GiB")
+	require.ErrorContains(t, err, "models[0].memory: 13.00GiB in one engine: the largest holds 12.00GiB")
 }
 
 func TestDiffNamesWhatChanges(t *testing.T) {
