configsync: freshness asks the fleet; a VM that a push missed pulls from a peer

Cause: membership already knows whether more than half of the VMs are heard, and a second count of it here could disagree; a withdrawal pushed in an outage changes no version, so a VM that missed it never asked.

--- a/internal/configsync/keeper.go
+++ b/internal/configsync/keeper.go
@@ -8,7 +8,6 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/chestnutarch/chestnutarch/internal/clock"
 	"github.com/chestnutarch/chestnutarch/internal/configstate"
 )
 
@@ -16,8 +15,8 @@
 var ErrStopped = errors.New("configsync: keeper stopped")
 
 // Keeper keeps one VM's configuration. Run's goroutine owns the state; all
-// methods are safe for concurrent use. Offer, Withdraw and HeardPeers wait for
-// Run to take what they bring.
+// methods are safe for concurrent use. Offer and Withdraw wait for Run to take
+// what they bring.
 type Keeper struct {
 	options Options
 	key     string
@@ -33,7 +32,6 @@
 	state    configstate.State
 	stored   *configstate.Envelope
 	revision int64
-	heard    configstate.Heard
 
 	reopen chan struct{}
 	merge  chan struct{}
@@ -74,6 +72,7 @@
 	group.Go(func() error { return k.poll(ctx) })
 	group.Go(func() error { return k.watch(ctx) })
 	group.Go(func() error { return k.mergeLoop(ctx) })
+	group.Go(func() error { return k.pull(ctx) })
 	return group.Wait()
 }
 
@@ -111,9 +110,14 @@
 func (k *Keeper) Snapshot() *configstate.Snapshot { return k.published.Load().snapshot }
 
 // Fresh reports whether this VM may take new work: it would have heard of a
-// withdrawal. It reads the clocks, so it holds for the moment of the call; ask
-// again at dispatch.
-func (k *Keeper) Fresh() bool { return k.freshness.Load().Fresh(k.options.Clock()) }
+// withdrawal, from the service or from more than half of the VMs. It reads the
+// clocks, so it holds for the moment of the call; ask again at dispatch.
+func (k *Keeper) Fresh() bool {
+	return k.HearsService() || k.options.HearsPeers()
+}
+
+// HearsService reports whether the service was heard within FreshFor.
+func (k *Keeper) HearsService() bool { return k.freshness.Load().Fresh(k.options.Clock()) }
 
 // Envelope returns the version in force and its encoded envelope, with every
 // withdrawal known here, for peers that are behind. They are zero and nil until
@@ -162,16 +166,6 @@
 	return failed
 }
 
-// HeardPeers says when each of the other VMs was last heard, and how many VMs,
-// with this one, were last known.
-func (k *Keeper) HeardPeers(ctx context.Context, peers []clock.Reading, known int) error {
-	return k.do(ctx, func() {
-		k.heard.Peers = peers
-		k.heard.Known = known
-		k.refresh()
-	})
-}
-
 // take puts an envelope into the state. It runs on the owner.
 func (k *Keeper) take(e *configstate.Envelope, source string) error {
 	changed, err := k.state.Offer(e)
@@ -231,11 +225,6 @@
 	}
 }
 
-func (k *Keeper) refresh() {
-	f := configstate.NewFreshness(k.heard, k.options.Clock(), k.options.FreshFor)
-	k.freshness.Store(&f)
-}
-
 func (k *Keeper) count(name string) {
 	metrics.GetOrRegisterCounter(name, k.options.Metrics).Inc(1)
 }
--- a/internal/configsync/options.go
+++ b/internal/configsync/options.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"context"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -16,6 +17,7 @@
 	DefaultPollInterval = 500 * time.Millisecond
 	DefaultCallTimeout  = time.Second
 	DefaultMaxBackoff   = 2 * time.Second
+	DefaultPullInterval = 3 * time.Second
 )
 
 // Options configures a Keeper.
@@ -34,9 +36,20 @@
 	// MaxBackoff bounds the pause between calls during an outage, and with it
 	// how soon the end of the outage is noticed. The default is 2s.
 	MaxBackoff time.Duration
-	// FreshFor is how long the VM takes work after it last heard the service
-	// or enough peers. The default is configstate.DefaultFreshFor.
+	// FreshFor is how long the VM takes work after it last heard the service.
+	// The default is configstate.DefaultFreshFor.
 	FreshFor time.Duration
+	// HearsPeers reports whether this VM hears more than half of the VMs that
+	// it last knew. With the service down, work goes on as long as it does. The
+	// default is never.
+	HearsPeers func() bool
+	// PullPeer fetches the envelope of some other VM, whatever its version. It
+	// is called while the service is not heard: a withdrawal that was pushed
+	// to the others in an outage does not change the version, so a VM that the
+	// push missed has no other way to learn of it. It may be nil.
+	PullPeer func(ctx context.Context) (envelope []byte, err error)
+	// PullInterval is the time between two pulls. The default is 3s.
+	PullInterval time.Duration
 	// Log receives one event per change and per fault.
 	Log zerolog.Logger
 	// Metrics receives the counters config.*. The default is a registry of
@@ -60,6 +73,12 @@
 	if o.FreshFor <= 0 {
 		o.FreshFor = configstate.DefaultFreshFor
 	}
+	if o.HearsPeers == nil {
+		o.HearsPeers = func() bool { return false }
+	}
+	if o.PullInterval <= 0 {
+		o.PullInterval = DefaultPullInterval
+	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
