Add the dispatcher that owns the queue and the choice of engines

Cause: the queue and the router are state machines; something has to own them and to answer the goroutines that serve callers. Change: internal/dispatch: one goroutine, keys checked again in the moment of dispatch, callers that go away while they wait or in the moment of the grant. Conclusion: the handlers can wait for their engines here.

--- /dev/null
+++ b/internal/dispatch/dispatcher_test.go
@@ -0,0 +1,163 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/admit"
+	"github.com/chestnutarch/chestnutarch/internal/document"
+	"github.com/chestnutarch/chestnutarch/internal/route"
+)
+
+var item = route.Item{Model: "m"}
+
+// start runs a dispatcher before engines that take one request each.
+func start(t testing.TB, engines int, limit int) *Dispatcher {
+	fleet := &route.Fleet{}
+	for i := range engines {
+		fleet.Engines = append(fleet.Engines, route.Engine{
+			Name: string(rune('a' + i)), Reachable: true, ReportedAt: time.Now(),
+			Ready: map[route.Item][]string{item: {"v1"}},
+		})
+	}
+	d := New(Options{
+		Route: route.Options{MaxInFlight: limit},
+		Admit: admit.Options{MaxRequests: 8},
+		Fleet: func() *route.Fleet { return fleet },
+		Teams: func() []document.Team { return []document.Team{{Name: "x", Weight: 1}, {Name: "y", Weight: 1}} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = d.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return d
+}
+
+func request(team string, wait time.Duration) Request {
+	return Request{Team: team, Item: item, Version: "v1", Tokens: 10, Bytes: 1, Deadline: time.Now().Add(wait)}
+}
+
+// A request waits for an engine while its key is withdrawn. It must not reach the
+// engine any more, and its caller must be told so.
+func TestKeyWithdrawnInTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, 1, 1)
+		first, err := d.Acquire(t.Context(), request("x", time.Minute))
+		require.NoError(t, err)
+		withdrawn := errors.New("withdrawn")
+		var refused error
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			r := request("x", time.Minute)
+			r.Check = func() error { return withdrawn }
+			_, refused = d.Acquire(t.Context(), r)
+		})
+		synctest.Wait()
+		time.Sleep(2 * tick)
+		require.Equal(t, 1, d.Stats().Queued["x"])
+		first.Finish(true, 12)
+		wg.Wait()
+		require.ErrorIs(t, refused, withdrawn)
+		time.Sleep(2 * tick)
+		require.Equal(t, 0, d.Stats().InFlight)
+		require.Equal(t, int64(12), d.Stats().Served["x"])
+	})
+}
+
+// The engines are busy for longer than a caller can wait. He learns it when it
+// becomes certain and not when his own timeout strikes.
+func TestRefusedWhenTheDeadlineCannotBeMet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, 1, 1)
+		_, err := d.Acquire(t.Context(), request("x", time.Minute))
+		require.NoError(t, err)
+		r := request("x", 5*time.Second)
+		r.Run = 2 * time.Second
+		began := time.Now()
+		_, err = d.Acquire(t.Context(), r)
+		require.ErrorIs(t, err, admit.ErrDeadline)
+		require.InDelta(t, 3.0, time.Since(began).Seconds(), 0.1)
+	})
+}
+
+// Callers go away while they wait, some of them in the very moment of the grant.
+// An engine's place that nobody gives back would be lost for ever.
+func TestCallersThatGoAwayLeaveNothingBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, 1, 1)
+		for i := range 50 {
+			holder, err := d.Acquire(t.Context(), request("x", time.Minute))
+			require.NoError(t, err)
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				if g, err := d.Acquire(ctx, request("y", time.Minute)); err == nil {
+					g.Finish(true, 0)
+				}
+			})
+			synctest.Wait()
+			if i%2 == 0 {
+				cancel()
+				holder.Finish(true, 1)
+			} else {
+				holder.Finish(true, 1)
+				cancel()
+			}
+			wg.Wait()
+			cancel()
+		}
+		time.Sleep(2 * tick)
+		require.Equal(t, 0, d.Stats().InFlight)
+		require.Empty(t, d.Stats().Queued)
+	})
+}
+
+// No engine has the model. The caller is told after a short wait, since it may be
+// moving, and not at his deadline.
+func TestNoReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, 1, 1)
+		r := request("x", time.Hour)
+		r.Item = route.Item{Model: "elsewhere"}
+		_, err := d.Acquire(t.Context(), r)
+		require.ErrorIs(t, err, ErrNoReplica)
+	})
+}
+
+func TestStoppedDispatcherRefuses(t *testing.T) {
+	d := New(Options{Fleet: func() *route.Fleet { return &route.Fleet{} }, Teams: func() []document.Team { return nil }})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.Error(t, d.Run(ctx))
+	_, err := d.Acquire(context.Background(), request("x", time.Second))
+	require.ErrorIs(t, err, ErrStopped)
+}
+
+func BenchmarkAcquireFinish(b *testing.B) {
+	d := start(b, 20, 1<<20)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r := request("x", time.Minute)
+			r.Prefix = 7
+			g, err := d.Acquire(context.Background(), r)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			g.Finish(true, 10)
+		}
+	})
+}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -97,21 +97,37 @@
 	Avoid []string
 }
 
+// Available returns nil if an engine can be picked for a request now, and
+// otherwise ErrNoReplica or ErrBusy. It draws no random number.
+func (r *Router) Available(q Request, now time.Time) error {
+	_, err := r.free(q, now)
+	return err
+}
+
 // Pick returns the engine for a request, which must then be told to Started. It
 // returns ErrNoReplica or ErrBusy. Equal random numbers give equal choices.
 func (r *Router) Pick(q Request, now time.Time, rng *rand.Rand) (Engine, error) {
-	if q.MaxInFlight > 0 && r.adapter[q.Item] >= q.MaxInFlight && !r.faults.ignorePart {
-		return Engine{}, ErrBusy
+	free, err := r.free(q, now)
+	if err != nil {
+		return Engine{}, err
 	}
+	return *r.choose(free, q, rng), nil
+}
+
+// free returns the engines that can take a request now.
+func (r *Router) free(q Request, now time.Time) ([]*Engine, error) {
 	candidates := r.candidates(q, now)
 	if len(candidates) == 0 {
-		return Engine{}, ErrNoReplica
+		return nil, ErrNoReplica
+	}
+	if q.MaxInFlight > 0 && r.adapter[q.Item] >= q.MaxInFlight && !r.faults.ignorePart {
+		return nil, ErrBusy
 	}
 	free := slices.DeleteFunc(candidates, r.full)
 	if len(free) == 0 {
-		return Engine{}, ErrBusy
+		return nil, ErrBusy
 	}
-	return *r.choose(free, q, rng), nil
+	return free, nil
 }
 
 // candidates returns the engines that may serve a request: those with the
