kv, configstate, configsync: fuzzed against a register and a set; two faults found and mended

Cause: outcomes, versions and withdrawals cross every VM under faults that no list of examples covers. While writing them: a poll that showed this VM to be behind counted as freshness, so a VM that could poll but not read would have served withdrawn keys; a service restored from a backup was never followed again, since its revisions were lower. Both are mended, the second by giving the service back what is in force. Idle connections to the service are dropped when one of them gives no answer.

--- a/internal/configstate/freshness.go
+++ b/internal/configstate/freshness.go
@@ -22,10 +22,12 @@
 	limit time.Duration
 }
 
-// Heard returns the freshness after a read of the service was answered. It
-// counts from when the read was sent: counting from the answer would add the
-// time on the way, in which a key may have been withdrawn.
-func Heard(sent clock.Reading, limit time.Duration) Freshness {
+// UpToDate returns the freshness after a read of the service showed that nothing
+// newer is accepted than what is in force here. It counts from when the read was
+// sent: counting from the answer would add the time on the way, in which a key
+// may have been withdrawn. While Fresh holds, whatever was accepted longer than
+// the limit ago is in force.
+func UpToDate(sent clock.Reading, limit time.Duration) Freshness {
 	return Freshness{heard: true, at: sent, limit: limit}
 }
 
--- a/internal/configstate/state.go
+++ b/internal/configstate/state.go
@@ -22,15 +22,20 @@
 type faults struct {
 	acceptLower       bool
 	forgetWithdrawals bool
+	ignoreLate        bool
 }
 
 // Offer takes an envelope from any source. It reports whether the snapshot
 // changed. An envelope that is behind changes nothing, but its withdrawals
-// count: a withdrawal holds from whichever source it is heard first.
+// count: a withdrawal holds from whichever source it is heard first. The same
+// is true with an error, which means that the document cannot be used.
 func (s *State) Offer(e *Envelope) (changed bool, err error) {
 	if s.envelope != nil && e.Version == s.envelope.Version && e.Digest != s.envelope.Digest {
 		return false, errors.Wrapf(ErrDivergent, "version %d: %s and %s", e.Version, s.envelope.Digest, e.Digest)
 	}
+	if s.faults.ignoreLate && s.envelope != nil && !s.newer(e) {
+		return false, nil
+	}
 	grew := s.merge(e.Withdrawn)
 	if s.envelope != nil && !s.newer(e) {
 		if grew {
@@ -40,7 +45,12 @@
 	}
 	doc, err := s.read(e)
 	if err != nil {
-		return false, err
+		// A document that this build cannot read, for example one of a newer
+		// release, must not hide the withdrawals that came with it.
+		if grew && s.envelope != nil {
+			s.publish(s.snapshot.Document)
+		}
+		return grew, err
 	}
 	s.envelope = e
 	s.publish(doc)
--- a/internal/configsync/keeper.go
+++ b/internal/configsync/keeper.go
@@ -18,11 +18,10 @@
 // methods are safe for concurrent use. Offer and Withdraw wait for Run to take
 // what they bring.
 type Keeper struct {
-	options Options
-	key     string
-	work    chan func()
-	stopped chan struct{}
-
+	options   Options
+	key       string
+	work      chan func()
+	stopped   chan struct{}
 	published atomic.Pointer[published]
 	freshness atomic.Pointer[configstate.Freshness]
 	pending   atomic.Int64
@@ -35,6 +34,13 @@
 
 	reopen chan struct{}
 	merge  chan struct{}
+	faults faults
+}
+
+// faults switch off single rules in tests, which show that the oracles notice.
+type faults struct {
+	freshWhileBehind bool
+	freshFromAnswer  bool
 }
 
 // published is what other goroutines may read. Its parts belong together.
@@ -172,12 +178,11 @@
 	if err != nil {
 		k.count("config.refused")
 		k.options.Log.Error().Err(err).Str("source", source).Int64("version", e.Version).Msg("envelope refused")
-		return err
 	}
 	if changed {
 		k.publish(source)
 	}
-	return nil
+	return err
 }
 
 // takeStored takes an envelope that was read from the service.
--- a/internal/configsync/loops.go
+++ b/internal/configsync/loops.go
@@ -41,6 +41,10 @@
 // pollOnce returns the revision that the watch has yet to deliver, or zero. A
 // watch that still lacks it one poll later is silent.
 func (k *Keeper) pollOnce(ctx context.Context, behind int64) (int64, bool) {
+	var before int64
+	if err := k.do(ctx, func() { before = k.revision }); err != nil {
+		return behind, false
+	}
 	sent := k.options.Clock()
 	call, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
 	defer cancel()
@@ -49,15 +53,27 @@
 		k.count("config.poll_failures")
 		return behind, false
 	}
+	if k.faults.freshFromAnswer {
+		sent = k.options.Clock()
+	}
 	var known int64
 	err = k.do(ctx, func() {
-		heard := configstate.Heard(sent, k.options.FreshFor)
-		k.freshness.Store(&heard)
 		known = k.revision
+		// An answer that shows this VM to be behind proves the opposite of
+		// freshness. Counted as freshness, a VM that can poll but cannot read
+		// the value would serve withdrawn keys for ever.
+		if before <= revision && revision <= known || k.faults.freshWhileBehind {
+			fresh := configstate.UpToDate(sent, k.options.FreshFor)
+			k.freshness.Store(&fresh)
+		}
 	})
 	switch {
-	case err != nil || revision <= known:
-		return 0, err == nil
+	case err != nil:
+		return behind, false
+	case revision < before:
+		return 0, k.setBack(ctx) == nil
+	case revision <= known:
+		return 0, true
 	case known == 0:
 		// With nothing known yet there is nothing to wait for.
 		return 0, k.read(ctx, "poll") == nil
@@ -69,6 +85,29 @@
 	return revision, true
 }
 
+// setBack starts anew with a service whose revisions have gone back, because it
+// was restored from an older copy. Compared with what was read before, all that
+// is accepted from now on would look old. What is in force here is offered to
+// the service again: without that, a VM that starts would revert to the copy.
+func (k *Keeper) setBack(ctx context.Context) error {
+	k.count("config.service_set_back")
+	k.options.Log.Error().Msg("the key-value service was set back to an older state")
+	err := k.do(ctx, func() {
+		k.revision = kv.RevisionAbsent
+		k.stored = nil
+	})
+	if err != nil {
+		return err
+	}
+	call, cancel := context.WithTimeout(kv.WithPriority(ctx, kv.PriorityClaim), mergeCalls*k.options.CallTimeout)
+	defer cancel()
+	if err := k.Writer().Restore(call); err != nil {
+		return err
+	}
+	signal(k.reopen)
+	return k.read(ctx, "poll")
+}
+
 // read takes the stored envelope.
 func (k *Keeper) read(ctx context.Context, source string) error {
 	call, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
--- a/internal/configsync/options.go
+++ b/internal/configsync/options.go
@@ -50,6 +50,9 @@
 	PullPeer func(ctx context.Context) (envelope []byte, err error)
 	// PullInterval is the time between two pulls. The default is 3s.
 	PullInterval time.Duration
+	// Sleep waits between two looks at a write whose outcome is unknown, as in
+	// kv.Attempt. The default waits for real.
+	Sleep func(ctx context.Context, d time.Duration) bool
 	// Log receives one event per change and per fault.
 	Log zerolog.Logger
 	// Metrics receives the counters config.*. The default is a registry of
--- a/internal/configsync/writer.go
+++ b/internal/configsync/writer.go
@@ -51,12 +51,24 @@
 	Known func() *configstate.Envelope
 	// Now is the wall clock for AcceptedAt. The default is time.Now.
 	Now func() time.Time
+	// Sleep is kv.Attempt's.
+	Sleep func(ctx context.Context, d time.Duration) bool
+
+	faults writerFaults
+}
+
+// writerFaults switch off single rules in tests, which show that the oracle
+// notices.
+type writerFaults struct {
+	forgetWithdrawals bool
+	unknownIsFailure  bool
+	takeAnyBase       bool
 }
 
 // Writer returns a writer that never falls behind what this keeper has in force
 // and carries the withdrawals known here.
 func (k *Keeper) Writer() *Writer {
-	return &Writer{Store: k.options.Store, Environment: k.options.Environment, Known: k.known}
+	return &Writer{Store: k.options.Store, Environment: k.options.Environment, Known: k.known, Sleep: k.options.Sleep}
 }
 
 func (k *Keeper) known() *configstate.Envelope {
@@ -110,10 +122,7 @@
 // by every VM.
 func (w *Writer) base(s stored) *configstate.Envelope {
 	base := s.envelope
-	var here *configstate.Envelope
-	if w.Known != nil {
-		here = w.Known()
-	}
+	here := w.known()
 	switch {
 	case base == nil && here == nil:
 		return &configstate.Envelope{}
@@ -130,6 +139,13 @@
 	return &merged
 }
 
+func (w *Writer) known() *configstate.Envelope {
+	if w.Known == nil {
+		return nil
+	}
+	return w.Known()
+}
+
 // Apply accepts a document if the accepted version is still baseVersion. It
 // returns the check's strictyaml.Errors, configstate.ErrWithdrawnListed,
 // a ConflictError, an UnknownError, or a kv error if nothing was written.
@@ -140,9 +156,12 @@
 	}
 	c.provision()
 	return w.write(ctx, c, baseVersion, func(base *configstate.Envelope) (*configstate.Envelope, error) {
-		if base.Version != baseVersion {
+		if base.Version != baseVersion && !w.faults.takeAnyBase {
 			return nil, conflict(base, baseVersion, doc)
 		}
+		if w.faults.forgetWithdrawals {
+			return &configstate.Envelope{Document: text}, nil
+		}
 		if err := configstate.ListedWithdrawn(doc, base.Withdrawn); err != nil {
 			return nil, err
 		}
@@ -256,6 +275,7 @@
 		Value:    data,
 		Mine:     mine(next),
 		Resend:   true,
+		Sleep:    w.Sleep,
 	})
 	if err != nil {
 		return nil, err
@@ -264,6 +284,9 @@
 	case kv.TookEffect:
 		return &Accepted{Envelope: next, Revision: result.Revision}, nil
 	case kv.Unknown:
+		if w.faults.unknownIsFailure {
+			return nil, w.lost(result, next)
+		}
 		return w.settleLater(ctx, next)
 	}
 	return nil, w.lost(result, next)
--- a/internal/kv/http.go
+++ b/internal/kv/http.go
@@ -151,6 +151,7 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
+		h.suspect()
 		return &lostError{cause: err}
 	}
 	if response.StatusCode != http.StatusOK {
@@ -205,9 +206,18 @@
 	if isDialError(err) {
 		return nil, &notSentError{cause: err}
 	}
+	h.suspect()
 	return nil, &lostError{cause: err}
 }
 
+// suspect drops the idle connections after one of them gave no answer. What lost
+// track of one has often lost track of its siblings, and each of them would cost
+// a call its whole timeout.
+func (h *HTTP) suspect() {
+	metrics.GetOrRegisterCounter("kv.lost_answers", h.metrics).Inc(1)
+	h.client.CloseIdleConnections()
+}
+
 // isDialError reports whether no connection came about, so that the service
 // cannot have read anything.
 func isDialError(err error) bool {
--- a/internal/kv/http_test.go
+++ b/internal/kv/http_test.go
@@ -158,3 +158,25 @@
 		require.NotEqual(t, kv.Unknown, result.Outcome)
 	}
 }
+
+// forgetful is a transport whose connections something has lost track of.
+type forgetful struct {
+	dropped int
+}
+
+func (f *forgetful) RoundTrip(*http.Request) (*http.Response, error) {
+	return nil, context.DeadlineExceeded
+}
+
+func (f *forgetful) CloseIdleConnections() { f.dropped++ }
+
+// A firewall forgets the connections to the service all at once. Calls would
+// time out one after another, one for each idle connection.
+func TestHTTPDropsTheSiblingsOfASilentConnection(t *testing.T) {
+	transport := new(forgetful)
+	s, err := kv.NewHTTP(kv.Options{URLs: []string{"http://127.0.0.1:1"}, Client: &http.Client{Transport: transport}})
+	require.NoError(t, err)
+	_, err = s.Get(context.Background(), "/k")
+	require.ErrorIs(t, err, kv.ErrUnavailable)
+	require.Equal(t, 1, transport.dropped)
+}
--- a/internal/kv/kvtest/memory.go
+++ b/internal/kv/kvtest/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -74,6 +75,7 @@
 	held     []heldWrite
 	faults   Faults
 	calls    Calls
+	observe  func(kv.Entry)
 }
 
 var _ kv.Store = (*Memory)(nil)
@@ -91,6 +93,14 @@
 	}
 }
 
+// Observe calls f with every write that takes effect, in order and whatever the
+// faults, for an oracle. It is called under the store's lock.
+func (m *Memory) Observe(f func(kv.Entry)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.observe = f
+}
+
 // Change edits the faults under the store's lock.
 func (m *Memory) Change(edit func(*Faults)) {
 	m.mu.Lock()
@@ -145,6 +155,29 @@
 	m.watchers = nil
 }
 
+// Image is a copy of a store's contents.
+type Image struct {
+	revision int64
+	records  map[string]record
+}
+
+// Image returns a copy of the contents, as a backup holds it.
+func (m *Memory) Image() Image {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Image{revision: m.revision, records: maps.Clone(m.records)}
+}
+
+// SetBack puts an earlier copy in place of the contents and breaks every watch,
+// as when the service is restored from a backup. Revisions go back with it.
+func (m *Memory) SetBack(to Image) {
+	m.BreakWatches()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision = to.revision
+	m.records = maps.Clone(to.records)
+}
+
 // Get reads one key.
 func (m *Memory) Get(_ context.Context, key string) (kv.Entry, error) {
 	m.mu.Lock()
@@ -216,6 +249,9 @@
 	entry := kv.Entry{Key: w.key, Value: w.value, Revision: m.revision}
 	m.records[w.key] = record{entry: entry, lease: w.lease}
 	m.notify(entry)
+	if m.observe != nil {
+		m.observe(copyEntry(entry))
+	}
 	return kv.Result{Outcome: kv.TookEffect, Revision: m.revision}
 }
 
--- a/internal/kv/settle.go
+++ b/internal/kv/settle.go
@@ -38,6 +38,19 @@
 	// with the first. Without it, an outcome stays Unknown while the key has
 	// not moved, since the request may still be on its way.
 	Resend bool
+	// Sleep waits between two looks and reports whether ctx is still alive. The
+	// default waits for real; a harness that steps time supplies its own.
+	Sleep func(ctx context.Context, d time.Duration) bool
+
+	faults settleFaults
+}
+
+// settleFaults switch off single rules in tests, which show that the oracle
+// notices.
+type settleFaults struct {
+	unknownIsFailure bool
+	unmovedIsFailure bool
+	refusalIsFailure bool
 }
 
 // Pauses between two looks at an unknown outcome.
@@ -54,10 +67,17 @@
 	if err != nil {
 		return result, err
 	}
+	if a.faults.unknownIsFailure && result.Outcome == Unknown {
+		return Result{Outcome: DidNot}, nil
+	}
 	if result.Outcome != Unknown {
 		return judge(a, result), nil
 	}
-	for pause := settleFirstPause; sleep(ctx, Jitter(pause)); pause = min(2*pause, settleMaxPause) {
+	wait := a.Sleep
+	if wait == nil {
+		wait = sleep
+	}
+	for pause := settleFirstPause; wait(ctx, Jitter(pause)); pause = min(2*pause, settleMaxPause) {
 		result, settled := readBack(ctx, s, a)
 		if settled {
 			return judge(a, result), nil
@@ -79,6 +99,8 @@
 		return Result{}, false
 	case entry.Revision != a.Expected:
 		return Result{Outcome: DidNot, Current: &entry}, true
+	case a.faults.unmovedIsFailure:
+		return Result{Outcome: DidNot}, true
 	case !a.Resend:
 		return Result{}, false
 	}
@@ -96,7 +118,7 @@
 // judge looks for our own value behind a refusal: after a lost answer, the
 // value that stands in the way may be the one that we wrote.
 func judge(a Attempt, r Result) Result {
-	if r.Outcome != DidNot || r.Current == nil {
+	if r.Outcome != DidNot || r.Current == nil || a.faults.refusalIsFailure {
 		return r
 	}
 	switch a.Mine(r.Current.Value) {
--- a/internal/kv/watch.go
+++ b/internal/kv/watch.go
@@ -6,7 +6,7 @@
 	"io"
 	"net/http"
 
-	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 )
 
 // watchBuffer is the number of entries that a slow reader may leave waiting
@@ -35,6 +35,9 @@
 		defer close(entries)
 		defer cancel()
 		defer response.Body.Close()
+		waiting := metrics.GetOrRegisterCounter("kv.watches_waiting", h.metrics)
+		waiting.Inc(1)
+		defer waiting.Dec(1)
 		readWatch(ctx, response.Body, entries)
 	}()
 	return entries, nil
@@ -42,15 +45,15 @@
 
 // readWatch delivers events until the stream breaks. Compaction and a server's
 // cancel end it like a broken connection; the caller reads again.
-func readWatch(ctx context.Context, body io.Reader, entries chan<- Entry) error {
+func readWatch(ctx context.Context, body io.Reader, entries chan<- Entry) {
 	decoder := json.NewDecoder(body)
 	for {
 		var message watchResponse
 		if err := decoder.Decode(&message); err != nil {
-			return errors.Wrap(ErrUnavailable, err.Error())
+			return
 		}
 		if message.Result.Canceled {
-			return errors.Wrap(ErrUnavailable, "watch cancelled by the service")
+			return
 		}
 		for _, event := range message.Result.Events {
 			entry := entryOf(event.KV)
@@ -60,7 +63,7 @@
 			select {
 			case entries <- entry:
 			case <-ctx.Done():
-				return ctx.Err()
+				return
 			}
 		}
 	}
