Assemble chestnut-entry: settings, certificates, callers' API, graceful stop

Cause: keys, membership, routing and the engine client were there, and nothing served a caller. Conclusion: the thin path can be run on processes.

--- /dev/null
+++ b/internal/caller/tokens.go
@@ -0,0 +1,42 @@
+package caller
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutarch/chestnutarch/internal/ratelimit"
+)
+
+const (
+	// bytesPerToken is how many bytes of JSON text make a token on average. A
+	// wrong estimate becomes a refund or debt when the request is settled.
+	bytesPerToken = 4
+	// defaultMaxTokens is charged for the answer if the caller names no limit.
+	defaultMaxTokens = 256
+)
+
+func promptTokens(c *completionRequest) int64 {
+	return int64(len(c.prompt())/bytesPerToken) + 1
+}
+
+func estimateTokens(c *completionRequest) int64 {
+	answer := c.MaxTokens
+	if answer == 0 {
+		answer = defaultMaxTokens
+	}
+	return promptTokens(c) + answer
+}
+
+// limitProblem says what a refusal by the limiter means to the caller.
+func limitProblem(err error) *Problem {
+	limited := new(ratelimit.LimitedError)
+	if errors.As(err, &limited) {
+		return newProblem(http.StatusTooManyRequests, TypeRateLimited, NotRun, limited.Error()).retryAfter(limited.RetryAfter)
+	}
+	if errors.Is(err, ratelimit.ErrLargerThanBurst) {
+		return newProblem(http.StatusRequestEntityTooLarge, TypeExceedsBurst, NotRun, err.Error())
+	}
+	return newProblem(http.StatusServiceUnavailable, TypeOverloaded, NotRun, err.Error()).retryAfter(time.Second)
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,261 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chestnutarch/chestnutarch/internal/caller"
+	"github.com/chestnutarch/chestnutarch/internal/configstate"
+	"github.com/chestnutarch/chestnutarch/internal/configsync"
+	"github.com/chestnutarch/chestnutarch/internal/engine"
+	"github.com/chestnutarch/chestnutarch/internal/engine/poller"
+	"github.com/chestnutarch/chestnutarch/internal/fleet"
+	"github.com/chestnutarch/chestnutarch/internal/kv"
+	"github.com/chestnutarch/chestnutarch/internal/membership"
+	"github.com/chestnutarch/chestnutarch/internal/peer"
+	"github.com/chestnutarch/chestnutarch/internal/ratelimit"
+	"github.com/chestnutarch/chestnutarch/internal/service"
+	"github.com/chestnutarch/chestnutarch/internal/settings"
+)
+
+// Process is one chestnut-entry.
+type Process struct {
+	settings *settings.Entry
+	log      zerolog.Logger
+	metrics  metrics.Registry
+
+	security  security
+	listeners *listeners
+	store     *kv.HTTP
+	config    *configsync.Keeper
+	tally     *configsync.Tally
+	fleet     *fleet.Fleet
+	peers     *peer.Pool
+	peerCalls *peer.Server
+	limiter   ratelimit.Limiter
+	poller    *poller.Poller
+	engines   *engine.Client
+	services  *service.Client
+	handler   *caller.Handler
+	leaving   atomic.Bool
+}
+
+// New builds the process and opens its listeners, so that an address that is
+// taken is reported before anything has started.
+func New(ctx context.Context, s *settings.Entry, log zerolog.Logger) (*Process, error) {
+	p := &Process{settings: s, log: log, metrics: metrics.NewRegistry()}
+	steps := []func() error{p.buildSecurity, p.buildStore, p.buildPeers, p.buildUpstreams, p.buildCallers}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	opened, err := openListeners(ctx, s, &p.security)
+	if err != nil {
+		return nil, err
+	}
+	p.listeners = opened
+	return p, nil
+}
+
+func (p *Process) buildStore() error {
+	store, err := kv.NewHTTP(kv.Options{
+		URLs:        p.settings.KV.URLs,
+		Client:      p.security.kvClient(),
+		CallTimeout: p.settings.KV.Timeout,
+		Metrics:     p.metrics,
+	})
+	if err != nil {
+		return err
+	}
+	p.store = store
+	p.config = configsync.NewKeeper(configsync.Options{
+		Store:       store,
+		Environment: p.settings.Environment,
+		HearsPeers:  func() bool { return p.fleet.HearsMajority(time.Now()) },
+		Log:         p.log,
+		Metrics:     p.metrics,
+	})
+	p.tally = configsync.NewTally(p.config)
+	return nil
+}
+
+func (p *Process) buildPeers() error {
+	pool, err := peer.NewPool(p.security.peers)
+	if err != nil {
+		return err
+	}
+	server, err := peer.NewServer(p.security.peers)
+	if err != nil {
+		return err
+	}
+	p.peers, p.peerCalls = pool, server
+	p.fleet = fleet.New(fleet.Options{
+		Self: membership.Node{
+			VM:            p.settings.VM,
+			Incarnation:   uint64(time.Now().UnixNano()),
+			FailureDomain: p.settings.FailureDomain,
+			CallerURL:     p.settings.Advertise.Callers,
+			PeerAddress:   p.settings.Advertise.Peers,
+		},
+		Pool:     pool,
+		Log:      p.log,
+		Local:    p.local,
+		Seeds:    func() []string { return p.settings.Peers },
+		Envelope: p.config.Envelope,
+		Offer:    p.offer,
+	})
+	server.RegisterMembership(p.fleet)
+	return nil
+}
+
+func (p *Process) buildUpstreams() error {
+	p.engines = engine.NewClient(engine.ClientOptions{TLS: p.security.upstreams()})
+	p.services = service.NewClient(service.ClientOptions{TLS: p.security.upstreams()})
+	p.poller = poller.New(poller.Options{Source: p.engines, Config: p.config.Snapshot})
+	static := ratelimit.NewStatic(p.settings.FleetSize, nil)
+	p.limiter = static
+	p.config.OnChange(func(s *configstate.Snapshot) { static.SetLimits(limitsOf(s)) })
+	return nil
+}
+
+func (p *Process) buildCallers() error {
+	p.handler = caller.NewHandler(caller.Options{
+		Configuration: p.config,
+		Limiter:       p.limiter,
+		Router:        &router{config: p.config.Snapshot, fleet: p.poller.Fleet},
+		Addresses:     &addresses{view: p.fleet.View, lifetime: p.settings.Limits.AddressLifetime},
+		Readiness:     p,
+		Engines:       p.engines,
+		Services:      p.services,
+		Limits: caller.Limits{
+			MaxBodyBytes:   p.settings.Limits.MaxBodyBytes,
+			MaxInFlight:    p.settings.Limits.MaxInFlight,
+			RequestTimeout: p.settings.Limits.RequestTimeout,
+		},
+		Log:     p.log,
+		Metrics: p.metrics,
+	})
+	return nil
+}
+
+// offer hands a peer's configuration to the keeper.
+func (p *Process) offer(envelope []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.KV.Timeout)
+	defer cancel()
+	if err := p.config.Offer(ctx, envelope); err != nil {
+		p.log.Warn().Err(err).Msg("a peer's configuration cannot be used")
+	}
+}
+
+// local is what this VM tells others of itself.
+func (p *Process) local() fleet.Local {
+	local := fleet.Local{
+		Leaving:  p.leaving.Load(),
+		Ready:    p.Ready() == nil,
+		InFlight: int64(p.handler.InFlight()),
+	}
+	if s := p.config.Snapshot(); s != nil {
+		local.ConfigVersion = s.Version
+	}
+	return local
+}
+
+// ErrNoConfiguration means that no configuration is known yet.
+var ErrNoConfiguration = errors.New("entry: no configuration is known yet")
+
+// ErrStale means that this VM hears neither the key-value service nor more than
+// half of the other VMs. A key may have been withdrawn without its knowledge.
+var ErrStale = errors.New("entry: hears neither the key-value service nor most other VMs")
+
+// Ready returns nil if this VM may take new work.
+func (p *Process) Ready() error {
+	if p.config.Snapshot() == nil {
+		return ErrNoConfiguration
+	}
+	if !p.config.Fresh() {
+		return ErrStale
+	}
+	return nil
+}
+
+// Run serves until ctx ends, then stops gracefully: the VM leaves the address
+// answers, waits until callers' answers have run out, finishes what runs, and
+// only then stops the parts that running requests depend on.
+func (p *Process) Run(ctx context.Context) error {
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	group, background := errgroup.WithContext(background)
+	group.Go(func() error { return ignoreStop(p.config.Run(background)) })
+	group.Go(func() error { return ignoreStop(p.fleet.Run(background)) })
+	group.Go(func() error { return ignoreStop(p.poller.Run(background)) })
+	group.Go(func() error { return p.peerCalls.Serve(background, p.listeners.peers, peerGrace) })
+	servers := p.servers()
+	for _, s := range servers {
+		group.Go(s.serve)
+	}
+	p.log.Info().Str("callers", p.listeners.callers.Addr().String()).Msg("serving")
+
+	select {
+	case <-ctx.Done():
+	case <-background.Done():
+	}
+	p.drain(background, servers)
+	stopBackground()
+	err := group.Wait()
+	p.close()
+	return err
+}
+
+// peerGrace bounds the wait for running calls of peers at the end.
+const peerGrace = time.Second
+
+func ignoreStop(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// drain takes the VM out of the address answers and finishes what runs. If it
+// closed the listeners at once, callers that still hold this VM's address
+// would be refused, and streams that run would be cut.
+func (p *Process) drain(background context.Context, servers []*server) {
+	p.leaving.Store(true)
+	lifetime := longestAnswer(p.settings.Limits.AddressLifetime)
+	p.log.Info().Dur("wait_ms", lifetime).Msg("leaving the address answers")
+	select {
+	case <-time.After(lifetime):
+	case <-background.Done():
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(background), p.settings.Limits.DrainTimeout)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.http.Shutdown(ctx); err != nil {
+			p.log.Warn().Err(err).Str("server", s.name).Msg("requests were cut at the drain timeout")
+			s.http.Close()
+		}
+	}
+	p.log.Info().Msg("drained")
+}
+
+func (p *Process) close() {
+	p.peers.Close()
+	p.engines.Close()
+	p.services.Close()
+}
+
+// Addresses returns where the process listens, for callers and operators.
+func (p *Process) Addresses() (callers, operators string) {
+	return p.listeners.callers.Addr().String(), p.listeners.operators.Addr().String()
+}
+
+// Handler returns the callers' API, for tests in one process.
+func (p *Process) Handler() http.Handler { return p.handler }
