--- /dev/null
+++ b/internal/demo/system.go
@@ -0,0 +1,183 @@
+package demo
+
+import (
+	"context"
+	"crypto/rand"
+	_ "embed"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chestnutarch/chestnutarch/internal/configstate"
+	"github.com/chestnutarch/chestnutarch/internal/configsync"
+	"github.com/chestnutarch/chestnutarch/internal/entry"
+	"github.com/chestnutarch/chestnutarch/internal/kv"
+	"github.com/chestnutarch/chestnutarch/internal/operator"
+	"github.com/chestnutarch/chestnutarch/internal/planner"
+	"github.com/chestnutarch/chestnutarch/internal/settings"
+	"github.com/chestnutarch/chestnutarch/internal/standin"
+)
+
+var (
+	// ErrNotReady means that the system did not become ready in time.
+	ErrNotReady = errors.New("demo: not ready in time")
+	// ErrAnswer means that an answer was not what it should have been.
+	ErrAnswer = errors.New("demo: unexpected answer")
+	// ErrNotAccepted means that the environment document was not accepted.
+	ErrNotAccepted = errors.New("demo: document not accepted")
+)
+
+// Keys of the demonstration. They are public: never use them elsewhere.
+const (
+	StudioKey   = "studio-demo-key"
+	VisitorKey  = "visitor-demo-key"
+	OperatorKey = "operator-demo-key"
+)
+
+const (
+	environment = "demo"
+	kvURL       = "http://127.0.0.1:7379"
+	plannerAddr = "127.0.0.1:7021"
+)
+
+// entryPorts are the first ports of the two entry VMs; operators and peers
+// follow.
+var entryPorts = []int{7001, 7011}
+
+//go:embed standins.yaml
+var standinsYAML []byte
+
+//go:embed document.yaml
+var documentYAML string
+
+// secretBytes is the length of the secret that signs resume tokens.
+const secretBytes = 32
+
+// System is the running demonstration.
+type System struct {
+	log      zerolog.Logger
+	standins *standin.Group
+}
+
+// Start serves the stand-ins.
+func Start(log zerolog.Logger) (*System, error) {
+	config, err := standin.ParseConfig("standins.yaml", standinsYAML)
+	if err != nil {
+		return nil, err
+	}
+	group, err := standin.StartAll(config)
+	if err != nil {
+		return nil, err
+	}
+	return &System{log: log, standins: group}, nil
+}
+
+// Close ends the stand-ins.
+func (s *System) Close() { s.standins.Close() }
+
+// Run runs the entry VMs and the planner until ctx ends.
+func (s *System) Run(ctx context.Context) error {
+	secret := make([]byte, secretBytes)
+	rand.Read(secret)
+	group, ctx := errgroup.WithContext(ctx)
+	for i, port := range entryPorts {
+		process, err := entry.New(ctx, entrySettings(i, port, hex.EncodeToString(secret)), s.log.With().Str("vm", vmName(i)).Logger())
+		if err != nil {
+			return err
+		}
+		group.Go(func() error { return process.Run(ctx) })
+	}
+	group.Go(func() error { return s.runPlanner(ctx) })
+	return group.Wait()
+}
+
+func vmName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
+func entrySettings(i, port int, secret string) *settings.Entry {
+	e := &settings.Entry{
+		VM:            vmName(i),
+		Environment:   environment,
+		FailureDomain: string(rune('a' + i)),
+		Listen:        settings.EntryListen{Callers: loopback(port), Operators: loopback(port + 1), Peers: loopback(port + 2)},
+		FleetSize:     len(entryPorts),
+		KV:            settings.KV{URLs: []string{kvURL}},
+		VMList:        settings.VMList{URL: "http://127.0.0.1:7381"},
+		Operators:     []settings.OperatorKey{{ID: "demo", SHA256: configstate.DigestKey(OperatorKey)}},
+		ResumeSecrets: []string{secret},
+		Limits:        settings.Limits{AddressLifetime: time.Second, DrainTimeout: 5 * time.Second},
+	}
+	for _, other := range entryPorts {
+		if other != port {
+			e.Peers = append(e.Peers, loopback(other+2))
+		}
+	}
+	e.Provision()
+	return e
+}
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+func (s *System) runPlanner(ctx context.Context) error {
+	store, err := kv.NewHTTP(kv.Options{URLs: []string{kvURL}})
+	if err != nil {
+		return err
+	}
+	keeper := configsync.NewKeeper(configsync.Options{Store: store, Environment: environment, Log: s.log})
+	p, err := planner.New(planner.Options{
+		Environment: environment, VM: vmName(0), URL: "http://" + plannerAddr,
+		Store: store, Config: keeper.Snapshot, Log: s.log,
+	})
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", plannerAddr)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	server := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: time.Second}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return keeper.Run(ctx) })
+	group.Go(func() error { return p.Run(ctx) })
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.WithStack(err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		return errors.WithStack(server.Close())
+	})
+	return group.Wait()
+}
+
+// Document returns the environment document of the demonstration.
+func Document() string {
+	return strings.NewReplacer(
+		"DIGEST_STUDIO", configstate.DigestKey(StudioKey),
+		"DIGEST_VISITOR", configstate.DigestKey(VisitorKey),
+	).Replace(documentYAML)
+}
+
+// Apply has the document accepted through the first entry VM.
+func (s *System) Apply(ctx context.Context) error {
+	client := &operator.Client{Server: "http://" + loopback(entryPorts[0]+1), Key: OperatorKey, HTTP: http.DefaultClient}
+	answer, err := client.Apply(ctx, &operator.ApplyRequest{
+		ChangeRequest: operator.ChangeRequest{ChangeID: "demo-1", Nonce: "demo-1"},
+		Document:      Document(),
+	})
+	if err != nil {
+		return err
+	}
+	if answer.Outcome != operator.OutcomeTookEffect {
+		return errors.Wrap(ErrNotAccepted, answer.Outcome)
+	}
+	return nil
+}
