test: the callers' path in scenarios: whole, refused, limited, at most once, in an outage

Cause: with the entry process on main, what callers are promised can be held against the stand-ins' records over real processes. Change: five scenarios. One stream and one action end to end, with no key in what upstreams received; refusals that say not run and whose requests no upstream saw; a team at several times its burst over two VMs at once; filings without an Idempotency-Key whose service closes, breaks off, answers another request or goes silent; serving on while the key-value service hangs and resets.

--- a/test/scenarios_test.go
+++ b/test/scenarios_test.go
@@ -53,6 +53,8 @@
 			"await":   cmdAwait,
 			"call":    cmdCall,
 			"join":    cmdJoin,
+			"warm":    cmdWarm,
+			"burst":   cmdBurst,
 			"stream":  cmdStream,
 			"events":  cmdEvents,
 			"whole":   cmdWhole,
--- a/test/traffic_test.go
+++ b/test/traffic_test.go
@@ -121,6 +121,25 @@
 	}
 }
 
+// cmdWarm: warm URL... waits until each entry VM is ready and has answered for
+// every model, so that a scenario does not also test how soon that is.
+func cmdWarm(ts *testscript.TestScript, neg bool, args []string) {
+	for _, url := range args {
+		cmdReady(ts, neg, []string{url + "/readyz"})
+		for _, model := range []string{"draft", "deeds", "chat"} {
+			body := fmt.Sprintf(`{"model":%q,"prompt":"warm","max_tokens":1}`, model)
+			ts.Check(poll(func() error {
+				c := &call{done: make(chan struct{})}
+				c.run(http.MethodPost, url+"/v1/completions", options{"key": "studios-key"}, body)
+				if c.err != nil || c.status != http.StatusOK {
+					return fmt.Errorf("%s: %s answered %d: %s (%v)", url, model, c.status, c.body, c.err)
+				}
+				return nil
+			}))
+		}
+	}
+}
+
 // cmdJoin: join NAME [want=STATUS]
 func cmdJoin(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) == 0 || stateOf(ts).calls[args[0]] == nil {
@@ -308,3 +327,39 @@
 	}
 	s.open(http.MethodGet, args[1]+"/v1/streams", "")
 }
+
+// cmdBurst: burst KEY N RATE BURST URL... makes N calls at once, spread over the
+// URLs. Each may be executed, or refused as not run for its rate; in all, no more
+// may be executed than the burst and what the rate adds meanwhile.
+func cmdBurst(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 5 {
+		ts.Fatalf("usage: burst KEY N RATE BURST URL...")
+	}
+	var numbers [3]int
+	for i := range numbers {
+		n, err := strconv.Atoi(args[1+i])
+		ts.Check(err)
+		numbers[i] = n
+	}
+	urls := args[4:]
+	start := time.Now()
+	calls := make([]*call, numbers[0])
+	for i := range calls {
+		calls[i] = &call{done: make(chan struct{})}
+		go calls[i].run(http.MethodPost, urls[i%len(urls)], options{"key": args[0]}, fmt.Sprint("burst ", i))
+	}
+	executed := 0
+	for i, c := range calls {
+		<-c.done
+		refused := c.status == http.StatusTooManyRequests && strings.Contains(string(c.body), `"outcome":"not_run"`)
+		if c.status == http.StatusOK {
+			executed++
+		} else if !refused {
+			ts.Fatalf("call %d: %d %s (%v)", i, c.status, c.body, c.err)
+		}
+	}
+	most := numbers[2] + int(float64(numbers[1])*time.Since(start).Seconds()) + 1
+	if executed == 0 || executed > most {
+		ts.Fatalf("%d calls were executed, the rate allows %d", executed, most)
+	}
+}
