--- a/internal/engine/poller/poller.go
+++ b/internal/engine/poller/poller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,10 @@
 	Source Source
 	// Config returns the configuration in force, or nil.
 	Config func() *configstate.Snapshot
+	// Leaving reports whether something else than the engine's report says that
+	// the engine at an address "IP:port" is leaving, such as the VM list. It may
+	// be nil and must not block.
+	Leaving func(address string) bool
 	// Interval is the time between two reports of an engine. The default is
 	// 500ms.
 	Interval time.Duration
@@ -66,6 +71,9 @@
 
 // New returns a poller. Run makes it work.
 func New(o Options) *Poller {
+	if o.Leaving == nil {
+		o.Leaving = func(string) bool { return false }
+	}
 	if o.Interval == 0 {
 		o.Interval = DefaultInterval
 	}
@@ -167,12 +175,23 @@
 	for _, e := range engines {
 		s := p.state(e)
 		kept[e.Name] = s
-		fleet.Engines = append(fleet.Engines, snapshot(e, s, now, p.options.MaxAge))
+		out := snapshot(e, s, now, p.options.MaxAge)
+		out.Leaving = out.Leaving || p.options.Leaving(addressOf(e.URL))
+		fleet.Engines = append(fleet.Engines, out)
 	}
 	p.states = kept
 	p.fleet.Store(fleet)
 }
 
+// addressOf returns the "IP:port" of a base address.
+func addressOf(base string) string {
+	u, err := url.Parse(base)
+	if err != nil {
+		return ""
+	}
+	return u.Host
+}
+
 func snapshot(e document.Engine, s *state, now time.Time, maxAge time.Duration) route.Engine {
 	out := route.Engine{Name: e.Name, URL: e.URL, FailureDomain: e.FailureDomain}
 	if !s.arrived {
--- a/internal/route/fleet.go
+++ b/internal/route/fleet.go
@@ -1,6 +1,11 @@
 package route
 
-import "time"
+import (
+	"net/url"
+	"time"
+
+	"github.com/chestnutarch/chestnutarch/internal/document"
+)
 
 // Item names what a request asks for: a base model if Adapter is empty.
 type Item struct {
@@ -43,3 +48,33 @@
 	// Engines are in the document's order.
 	Engines []Engine
 }
+
+// PoolItem is the item that stands for a pool of plain services.
+func PoolItem(name string) Item {
+	return Item{Model: name}
+}
+
+// PoolFleet returns the replicas of plain services as a fleet, one item a pool.
+// Services make no load reports: they are chosen by this VM's own requests and by
+// how those ended. Leaving reports whether the VM at an address "IP:port" is
+// leaving.
+func PoolFleet(services []document.Service, leaving func(address string) bool) *Fleet {
+	f := &Fleet{}
+	for _, s := range services {
+		for _, r := range s.Replicas {
+			f.Engines = append(f.Engines, Engine{
+				Name: r.Name, URL: r.URL, FailureDomain: r.FailureDomain, Reachable: true,
+				Leaving: leaving(hostOf(r.URL)), Ready: map[Item][]string{PoolItem(s.Name): {""}},
+			})
+		}
+	}
+	return f
+}
+
+func hostOf(base string) string {
+	u, err := url.Parse(base)
+	if err != nil {
+		return ""
+	}
+	return u.Host
+}
