--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -20,9 +20,9 @@
 	DefaultTimeout = 3 * time.Second
 	// storeTimeout is how long an answer is tried to be stored.
 	storeTimeout = 5 * time.Minute
-	// maxHandOvers bounds how often one request tries to take a claim over that
-	// other requests want too.
-	maxHandOvers = 3
+	// maxHandOvers bounds how often one request looks at a claim that other
+	// requests want to take over too.
+	maxHandOvers = 4
 )
 
 // Asker asks a VM about an attempt that it has made.
@@ -111,6 +111,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
 	defer cancel()
 	op := claim.Op{Kind: claim.Claim}
+	checkedAgain := false
 	for range maxHandOvers {
 		op.Record = claim.Record{
 			Key: claim.KeyOf(team, idempotencyKey), Body: body, VM: c.options.VM,
@@ -124,10 +125,18 @@
 			return nil, errors.Wrap(ErrUnavailable, verdict.Err.Error())
 		}
 		from, err := c.judge(ctx, verdict.Found, body)
-		if err != nil {
+		switch {
+		case errors.Is(err, ErrOutcomeUnknown) && !checkedAgain:
+			// Between the reading of the claim and the question, the claimant may
+			// have stored the answer and forgotten the attempt. The claim as it
+			// stands now says so.
+			checkedAgain = true
+			op.Kind, op.From = claim.Claim, ""
+		case err != nil:
 			return nil, err
+		default:
+			op.Kind, op.From = claim.TakeOver, from
 		}
-		op.Kind, op.From = claim.TakeOver, from
 	}
 	return nil, errors.WithStack(ErrInProgress)
 }
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -123,6 +123,36 @@
 	}
 }
 
+// stale asks after the claimant has stored the answer and forgotten the attempt.
+type stale struct {
+	*fleet
+	then func()
+}
+
+// Ask implements Asker.
+func (s stale) Ask(ctx context.Context, vm, attempt string) (claim.State, *claim.Answer, error) {
+	s.then()
+	return s.fleet.Ask(ctx, vm, attempt)
+}
+
+// A retry reads the claim, and before it has asked the claimant the answer is
+// stored. The clerk must get the receipt and not "outcome unknown"; one of 15 runs
+// of the test above showed this.
+func TestAnswerStoredBetweenReadAndQuestion(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	attempt, err := f.vms["a"].Claim(t.Context(), "team", "k", "body")
+	require.NoError(t, err)
+	require.True(t, attempt.Dispatch())
+	f.vms["b"].options.Asker = stale{fleet: f, then: sync.OnceFunc(func() {
+		attempt.Answered(200, "text/plain", []byte("receipt"))
+		require.NoError(t, f.vms["a"].Flush(t.Context()))
+	})}
+	_, err = f.vms["b"].Claim(t.Context(), "team", "k", "body")
+	var answered *AnsweredError
+	require.ErrorAs(t, err, &answered)
+	require.Equal(t, "receipt", string(answered.Answer.Body))
+}
+
 // The VM dies between dispatch and answer. Nobody knows whether the deposit was
 // charged, and a retry must say so instead of charging again.
 func TestClaimantThatDiedLeavesTheOutcomeUnknown(t *testing.T) {
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -28,6 +28,11 @@
 	m.id <- id
 	class := m.request.class()
 	w := &waiter{request: m.request, class: class, since: now, reply: m.reply}
+	if len(m.request.Avoid) > 0 && errors.Is(d.router.Available(m.request.query(0), now), route.ErrNoReplica) {
+		// Waiting would not help: the others have failed the request.
+		d.refuse(w, errors.WithStack(ErrNoReplica))
+		return
+	}
 	evicted, err := d.queue.Offer(admit.Request{
 		ID: id, Team: m.request.Team, Class: class, Tokens: m.request.Tokens,
 		Bytes: m.request.Bytes, Deadline: m.request.Deadline, Run: m.request.Run,
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -30,6 +30,8 @@
 const (
 	// DefaultIdleLimit is the default of ClientOptions.IdleLimit.
 	DefaultIdleLimit = 5 * time.Second
+	// DefaultResumeLimit is the default of ClientOptions.ResumeLimit.
+	DefaultResumeLimit = 2 * time.Second
 	// DefaultCallTimeout is the default of ClientOptions.CallTimeout.
 	DefaultCallTimeout = 2 * time.Second
 	// maxErrorBody bounds how much of a failed answer is kept.
@@ -49,6 +51,10 @@
 	// IdleLimit is how long a stream may bring nothing, and how long its
 	// answer's header may take, before it counts as silent. The default is 5s.
 	IdleLimit time.Duration
+	// ResumeLimit is how long the answer's header may take when a stream is
+	// resumed. It is shorter than IdleLimit, since an engine that has the stream
+	// answers at once. The default is 2s.
+	ResumeLimit time.Duration
 	// CallTimeout bounds the short calls: load reports and cancels. The default
 	// is 2s.
 	CallTimeout time.Duration
@@ -57,8 +63,10 @@
 // Client talks to model engines. It is safe for concurrent use.
 type Client struct {
 	rt          http.RoundTripper
-	pool        *http.Transport
+	hosts       *transport.Hosts
+	streams     *streams
 	idleLimit   time.Duration
+	resumeLimit time.Duration
 	callTimeout time.Duration
 }
 
@@ -67,21 +75,26 @@
 	if o.IdleLimit == 0 {
 		o.IdleLimit = DefaultIdleLimit
 	}
+	if o.ResumeLimit == 0 {
+		o.ResumeLimit = DefaultResumeLimit
+	}
 	if o.CallTimeout == 0 {
 		o.CallTimeout = DefaultCallTimeout
 	}
-	pool := transport.New(o.Limits, o.Pool, o.TLS)
+	hosts := transport.NewHosts(o.Limits, o.Pool, o.TLS)
 	return &Client{
-		rt:          otelhttp.NewTransport(pool),
-		pool:        pool,
+		rt:          otelhttp.NewTransport(hosts),
+		hosts:       hosts,
+		streams:     newStreams(),
 		idleLimit:   o.IdleLimit,
+		resumeLimit: o.ResumeLimit,
 		callTimeout: o.CallTimeout,
 	}
 }
 
 // Close closes the idle connections.
 func (c *Client) Close() {
-	c.pool.CloseIdleConnections()
+	c.hosts.Close()
 }
 
 // Request is one completion.
@@ -97,6 +110,9 @@
 	Priority int
 	// Body is the JSON body. Its "stream" field must be true.
 	Body []byte
+	// AfterID is the last event that is already known, of a generation that
+	// another engine began. It is 0 for a new one.
+	AfterID int64
 }
 
 // Complete starts a completion and returns its stream, which the caller must
@@ -107,7 +123,13 @@
 	header.Set("Accept", "text/event-stream")
 	header.Set(headerRequestID, r.RequestID)
 	header.Set(headerPriority, strconv.Itoa(r.Priority))
-	return c.open(ctx, http.MethodPost, r.BaseURL+r.Path, header, r.Body, r.RequestID, 0)
+	if r.AfterID > 0 {
+		header.Set(headerLastEventID, strconv.FormatInt(r.AfterID, 10))
+	}
+	return c.open(ctx, opening{
+		method: http.MethodPost, target: r.BaseURL + r.Path, header: header, body: r.Body,
+		requestID: r.RequestID, afterID: r.AfterID, limit: c.idleLimit,
+	})
 }
 
 // Resume returns the rest of a stream, after the event afterID, on whatever
@@ -117,7 +139,10 @@
 	header.Set("Accept", "text/event-stream")
 	header.Set(headerRequestID, requestID)
 	header.Set(headerLastEventID, strconv.FormatInt(afterID, 10))
-	s, err := c.open(ctx, http.MethodGet, streamURL(baseURL, requestID), header, nil, requestID, afterID)
+	s, err := c.open(ctx, opening{
+		method: http.MethodGet, target: streamURL(baseURL, requestID), header: header,
+		requestID: requestID, afterID: afterID, limit: c.resumeLimit,
+	})
 	var status *StatusError
 	if errors.As(err, &status) && status.Status == http.StatusNotFound {
 		return nil, errors.Wrap(ErrUnknownStream, requestID)
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,37 +28,42 @@
 
 // Stream is a completion's events in order. One goroutine reads and closes it.
 type Stream struct {
+	marks
+	client    *Client
+	host      string
 	requestID string
 	resp      *http.Response
 	x         *exchange
 	events    *eventReader
 	cancel    context.CancelFunc
 	silence   *time.Timer
-	idleLimit time.Duration
 	last      int64
 	done      bool
 }
 
-// open starts an exchange whose answer is a stream.
-func (c *Client) open(ctx context.Context, method, target string, header http.Header, body []byte, requestID string, afterID int64) (*Stream, error) {
+// opening describes an exchange whose answer is a stream.
+type opening struct {
+	method, target string
+	header         http.Header
+	body           []byte
+	requestID      string
+	afterID        int64
+	// limit is how long the answer's header may take.
+	limit time.Duration
+}
+
+func (c *Client) open(ctx context.Context, o opening) (*Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	silence := time.AfterFunc(c.idleLimit, cancel)
-	resp, x, err := c.exchange(ctx, method, target, header, body)
+	s := &Stream{client: c, host: hostOf(o.target), requestID: o.requestID, cancel: cancel, last: o.afterID}
+	s.heard()
+	s.silence = time.AfterFunc(o.limit, func() { c.silent(s) })
+	c.streams.add(s)
+	resp, x, err := c.exchange(ctx, o.method, o.target, o.header, o.body)
 	if err != nil {
-		silence.Stop()
-		cancel()
+		s.release()
 		return nil, err
 	}
-	s := &Stream{
-		requestID: requestID,
-		resp:      resp,
-		x:         x,
-		events:    newEventReader(resp.Body),
-		cancel:    cancel,
-		silence:   silence,
-		idleLimit: c.idleLimit,
-		last:      afterID,
-	}
+	s.resp, s.x, s.events = resp, x, newEventReader(resp.Body)
 	if err := s.checkHeader(); err != nil {
 		s.Close()
 		return nil, err
@@ -65,6 +71,14 @@
 	return s, nil
 }
 
+func hostOf(target string) string {
+	u, err := url.Parse(target)
+	if err != nil {
+		return ""
+	}
+	return u.Host
+}
+
 func (s *Stream) checkHeader() error {
 	failed := s.resp.StatusCode != http.StatusOK
 	echo := s.resp.Header.Get(headerRequestID)
@@ -89,11 +103,14 @@
 		return Event{}, io.EOF
 	}
 	for {
-		s.silence.Reset(s.idleLimit)
+		s.silence.Reset(s.client.idleLimit)
 		raw, err := s.events.next()
 		if err != nil {
 			return Event{}, broken(err)
 		}
+		// A reader that takes its time is not the engine's silence.
+		s.silence.Stop()
+		s.heard()
 		event, fresh, err := s.accept(raw)
 		if err != nil {
 			return Event{}, err
@@ -155,12 +172,23 @@
 // Close ends the exchange. Unless the stream was whole, its connection is closed
 // too. It does not cancel the generation: see Client.Cancel.
 func (s *Stream) Close() {
-	s.silence.Stop()
 	if s.done {
 		s.x.end(s.resp)
 	} else {
 		s.x.abandon()
 		_ = s.resp.Body.Close()
 	}
+	s.release()
+}
+
+// Silenced reports whether the stream was broken because it, or another one of
+// the same engine, went silent.
+func (s *Stream) Silenced() bool {
+	return s.silenced.Load()
+}
+
+func (s *Stream) release() {
+	s.silence.Stop()
+	s.client.streams.remove(s)
 	s.cancel()
 }
--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -133,3 +133,34 @@
 	require.ErrorIs(t, err, ErrUnknownStream)
 	require.ErrorIs(t, c.Cancel(context.Background(), server.URL, testID), ErrUnknownStream)
 }
+
+// The way to an engine has forgotten all connections. One stream finds it out;
+// the others must not wait for their own limits, nor may a request be given an
+// idle connection that is as dead.
+func TestSiblingsOfASilentStreamAreBroken(t *testing.T) {
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerRequestID, testID)
+		_, _ = io.WriteString(w, chunk(1, testID))
+		_ = http.NewResponseController(w).Flush()
+		<-release
+	}))
+	defer server.Close()
+	defer close(release)
+	c := NewClient(ClientOptions{IdleLimit: time.Minute})
+	var open []*Stream
+	for range 3 {
+		s, err := c.Complete(context.Background(), Request{BaseURL: server.URL, Path: "/", RequestID: testID})
+		require.NoError(t, err)
+		defer s.Close()
+		_, err = s.Next()
+		require.NoError(t, err)
+		open = append(open, s)
+	}
+	open[1].lastByte.Store(time.Now().Add(-30 * time.Second).UnixNano())
+	c.silent(open[0])
+	_, err := open[1].Next()
+	require.ErrorIs(t, err, ErrBroken)
+	require.True(t, open[1].Silenced())
+	require.False(t, open[2].Silenced())
+}
--- a/internal/resume/token.go
+++ b/internal/resume/token.go
@@ -40,6 +40,8 @@
 type Token struct {
 	// Team is whose stream it is.
 	Team string
+	// VM is the name of the entry VM that passes it on.
+	VM string
 	// Engine is the name of the engine that makes it.
 	Engine string
 	// Stream is the stream's request ID at the engine.
@@ -76,11 +78,11 @@
 	buffer []byte
 }
 
-// Signer returns a signer for a stream. Names longer than 200 bytes are refused
-// with ErrMalformed.
-func (r *Ring) Signer(team, engine, stream string) (*Signer, error) {
+// Signer returns a signer for the stream of a token; its offset does not matter.
+// Names longer than 200 bytes are refused with ErrMalformed.
+func (r *Ring) Signer(t Token) (*Signer, error) {
 	prefix := []byte{format}
-	for _, field := range []string{team, engine, stream} {
+	for _, field := range []string{t.Team, t.VM, t.Engine, t.Stream} {
 		if len(field) > maxFieldBytes {
 			return nil, errors.Wrap(ErrMalformed, "name too long")
 		}
@@ -143,7 +145,7 @@
 		return Token{}, ErrMalformed
 	}
 	b = b[1:]
-	var fields [3]string
+	var fields [4]string
 	for i := range fields {
 		n, used := binary.Uvarint(b)
 		if used <= 0 || n > maxFieldBytes || uint64(len(b)-used) < n {
@@ -156,5 +158,5 @@
 	if used <= 0 || used != len(b) || int64(offset) < 0 {
 		return Token{}, ErrMalformed
 	}
-	return Token{Team: fields[0], Engine: fields[1], Stream: fields[2], Offset: int64(offset)}, nil
+	return Token{Team: fields[0], VM: fields[1], Engine: fields[2], Stream: fields[3], Offset: int64(offset)}, nil
 }
--- a/internal/resume/token_test.go
+++ b/internal/resume/token_test.go
@@ -31,7 +31,7 @@
 }
 
 func sign(t require.TestingT, r *Ring, token Token) string {
-	s, err := r.Signer(token.Team, token.Engine, token.Stream)
+	s, err := r.Signer(token)
 	require.NoError(t, err)
 	_ = s.Append(nil, 1)
 	return string(s.Append(nil, token.Offset))
@@ -42,6 +42,7 @@
 	return rapid.Custom(func(t *rapid.T) Token {
 		return Token{
 			Team:   name.Draw(t, "team"),
+			VM:     name.Draw(t, "VM"),
 			Engine: name.Draw(t, "engine"),
 			Stream: name.Draw(t, "stream"),
 			Offset: rapid.Int64Range(0, math.MaxInt64).Draw(t, "offset"),
@@ -94,7 +95,7 @@
 // signer would have made.
 func FuzzOpen(f *testing.F) {
 	r := ring(f, 'a')
-	f.Add(sign(f, r, Token{Team: "t", Engine: "e", Stream: "s", Offset: 3}))
+	f.Add(sign(f, r, Token{Team: "t", VM: "v", Engine: "e", Stream: "s", Offset: 3}))
 	f.Add("")
 	f.Add("AQ")
 	f.Fuzz(func(t *testing.T, id string) {
@@ -108,7 +109,7 @@
 
 // FuzzParse feeds what stands under a valid signature.
 func FuzzParse(f *testing.F) {
-	f.Add([]byte{format, 1, 't', 1, 'e', 1, 's', 3})
+	f.Add([]byte{format, 1, 't', 1, 'v', 1, 'e', 1, 's', 3})
 	f.Add([]byte{format, 255, 255, 255, 255, 255, 255, 255, 255, 255, 1})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if len(b) == 0 {
@@ -123,7 +124,7 @@
 }
 
 func BenchmarkAppend(b *testing.B) {
-	s, err := ring(b, 'a').Signer("team-one", "engine-07", "0195f5a4-0000-7000-8000-000000000000")
+	s, err := ring(b, 'a').Signer(Token{Team: "team-one", VM: "vm-1", Engine: "engine-07", Stream: "0195f5a4-0000-7000-8000-000000000000"})
 	require.NoError(b, err)
 	var buffer []byte
 	b.ReportAllocs()
