Serve callers through the queue, the relay and the claims

Cause: the thin handlers took a random engine, ended a stream with its connection and let keyed actions through as they came. Change: completions wait in the fair queue and go through the relay, with resume tokens as event IDs, heartbeats, a time limit for slow callers and a bound on the memory of all bodies; GET /v1/streams resumes at any VM, and a request sent again with Last-Event-ID goes on; service calls go through claims and a retry budget, and are carried to their end when the caller goes away; upstreams get our own exchange ID, since two callers may choose the same request ID; a leaving VM tells its callers to connect elsewhere.

--- a/internal/caller/auth.go
+++ b/internal/caller/auth.go
@@ -44,6 +44,18 @@
 	return nil
 }
 
+// mayRun is asked in the moment of dispatch, after any time in a queue: a key that
+// was withdrawn meanwhile, or a VM that could not know of it, sends nothing on.
+func (h *Handler) mayRun(req *request) error {
+	if !h.Configuration.Fresh() {
+		return newProblem(http.StatusServiceUnavailable, TypeNotReady, NotRun, "this VM may not know of withdrawn keys").retryAfter(busyRetry)
+	}
+	if problem := h.checkKey(req); problem != nil {
+		return problem
+	}
+	return nil
+}
+
 func (h *Handler) timeout(r *http.Request) time.Duration {
 	ms, err := strconv.ParseInt(r.Header.Get(HeaderTimeout), 10, 32)
 	if err != nil || ms <= 0 {
--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -3,17 +3,16 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
-	"time"
 
-	"github.com/pkg/errors"
-
-	"github.com/chestnutarch/chestnutarch/internal/engine"
+	"github.com/chestnutarch/chestnutarch/internal/dispatch"
+	"github.com/chestnutarch/chestnutarch/internal/relay"
+	"github.com/chestnutarch/chestnutarch/internal/resume"
+	"github.com/chestnutarch/chestnutarch/internal/route"
 )
 
-// maxPrefixBytes is how much of the prompt the routing decision looks at.
-const maxPrefixBytes = 16 << 10
+// headerLastEventID carries the last event that a caller has.
+const headerLastEventID = "Last-Event-ID"
 
 // completionRequest is the part of an OpenAI-style request that is looked at.
 // The rest is passed on as it came.
@@ -33,66 +32,92 @@
 	return c.Prompt
 }
 
+// completion is one completion under way.
+type completion struct {
+	*completionRequest
+	served
+	body []byte
+	cost int64
+	path string
+	// stream names the stream at the engines. It is our own: two callers may
+	// choose the same request ID, and must not be given each other's stream.
+	stream string
+	// afterID and vm say how far a caller got who sends his request again to go
+	// on with a broken answer, and through which VM.
+	afterID int64
+	vm      string
+}
+
 // completions serves both OpenAI-style completion calls.
 func (h *Handler) completions(w http.ResponseWriter, r *http.Request, req *request) *Problem {
-	completion, body, problem := readCompletion(r)
+	body, release, problem := h.readBody(w, r)
+	if problem != nil {
+		return problem
+	}
+	defer release()
+	c, problem := h.newCompletion(r, req, body)
 	if problem != nil {
 		return problem
 	}
-	cost := estimateTokens(completion)
-	grant, err := h.Limiter.Acquire(r.Context(), req.holder.Team, cost)
+	grant, err := h.Limiter.Acquire(r.Context(), req.holder.Team, c.cost)
 	if err != nil {
 		return limitProblem(err)
 	}
 	used := int64(0)
 	defer func() { grant.Settle(used) }()
-	target, problem := h.pick(completion)
-	if problem != nil {
-		return problem
-	}
-	defer target.Release()
-	if problem := h.checkKey(req); problem != nil {
+	job := h.job(req, c)
+	if c.Stream {
+		return h.streamJob(w, r, req, job, func(x relay.Result, err error) { used = c.used(x, err) })
+	}
+	sink := newCollector(req.id, c.path)
+	result, err := h.Relay.Run(r.Context(), job, sink)
+	used = c.used(result, err)
+	if problem := relayProblem(err, sink.err, result); problem != nil {
 		return problem
 	}
-	stream, err := h.Engines.Complete(r.Context(), engine.Request{
-		BaseURL:   target.URL,
-		Path:      r.URL.Path,
-		RequestID: req.id,
-		Body:      body,
-	})
-	if err != nil {
-		return upstreamProblem(err)
-	}
-	defer stream.Close()
-	used = promptTokens(completion)
-	if completion.Stream {
-		return h.passStream(w, req, stream, &used)
-	}
-	return collect(w, req, stream, r.URL.Path, &used)
+	sink.write(w)
+	return nil
 }
 
-func readCompletion(r *http.Request) (*completionRequest, []byte, *Problem) {
-	body, err := io.ReadAll(r.Body)
-	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-		return nil, nil, newProblem(http.StatusRequestEntityTooLarge, TypeTooLarge, NotRun, tooLarge.Error())
+func (h *Handler) newCompletion(r *http.Request, req *request, body []byte) (*completion, *Problem) {
+	parsed, problem := parseCompletion(body)
+	if problem != nil {
+		return nil, problem
 	}
-	if err != nil {
-		return nil, nil, newProblem(http.StatusBadRequest, TypeMalformed, NotRun, "the body could not be read: "+err.Error())
+	what, ok := findServed(req.snapshot.Document, parsed.Model)
+	if !ok {
+		return nil, newProblem(http.StatusNotFound, TypeUnknownModel, NotRun, "no model or adapter is called "+parsed.Model)
+	}
+	c := &completion{
+		completionRequest: parsed, served: what, body: body, cost: estimateTokens(parsed),
+		path: r.URL.Path, stream: req.stream,
 	}
-	completion := &completionRequest{}
-	if err := json.Unmarshal(body, completion); err != nil {
-		return nil, nil, newProblem(http.StatusBadRequest, TypeMalformed, NotRun, "the body is not valid JSON: "+err.Error())
+	if !parsed.Stream {
+		c.body = asStream(body)
 	}
-	if completion.Model == "" || len(completion.prompt()) == 0 {
-		return nil, nil, newProblem(http.StatusBadRequest, TypeMalformed, NotRun, `"model" and "messages" or "prompt" are required`)
+	if id := r.Header.Get(headerLastEventID); id != "" {
+		token, problem := h.openToken(id, req)
+		if problem != nil {
+			return nil, problem
+		}
+		c.stream, c.afterID, c.vm = token.Stream, token.Offset, token.VM
+		h.takeOver(token)
+	}
+	return c, nil
+}
+
+func parseCompletion(body []byte) (*completionRequest, *Problem) {
+	c := &completionRequest{}
+	if err := json.Unmarshal(body, c); err != nil {
+		return nil, newProblem(http.StatusBadRequest, TypeMalformed, NotRun, "the body is not valid JSON: "+err.Error())
 	}
-	if completion.MaxTokens < 0 {
-		return nil, nil, newProblem(http.StatusBadRequest, TypeMalformed, NotRun, `"max_tokens" is negative`)
+	if c.Model == "" || len(c.prompt()) == 0 {
+		return nil, newProblem(http.StatusBadRequest, TypeMalformed, NotRun, `"model" and "messages" or "prompt" are required`)
 	}
-	if !completion.Stream {
-		body = asStream(body)
+	if c.MaxTokens < 0 {
+		return nil, newProblem(http.StatusBadRequest, TypeMalformed, NotRun, `"max_tokens" is negative`)
 	}
-	return completion, body, nil
+	return c, nil
 }
 
 // asStream sets "stream" in a body that is known to be a JSON object. Engines
@@ -111,26 +136,51 @@
 	return changed
 }
 
-func (h *Handler) pick(c *completionRequest) (Target, *Problem) {
-	prefix := c.prompt()
-	target, err := h.Router.Pick(c.Model, prefix[:min(len(prefix), maxPrefixBytes)])
-	switch {
-	case errors.Is(err, ErrUnknownModel):
-		return Target{}, newProblem(http.StatusNotFound, TypeUnknownModel, NotRun, "no model or adapter is called "+c.Model)
-	case err != nil:
-		return Target{}, newProblem(http.StatusServiceUnavailable, TypeNoReplica, NotRun, "no replica of "+c.Model+" is ready").retryAfter(time.Second)
+// job describes a completion to the relay. Each time it needs an engine, the key
+// is checked again in the moment of dispatch.
+func (h *Handler) job(req *request, c *completion) relay.Job {
+	prefix := route.PrefixOf(c.item, string(c.prompt()[:min(len(c.prompt()), route.PrefixBytes)]))
+	return relay.Job{
+		StreamID: c.stream,
+		Path:     c.path,
+		Body:     c.body,
+		AfterID:  c.afterID,
+		Acquire: func(ctx context.Context, avoid []string) (*dispatch.Grant, error) {
+			return h.Models.Acquire(ctx, dispatch.Request{
+				Team: req.holder.Team, Item: c.item, Version: c.version, Prefix: prefix,
+				MaxInFlight: c.maxInFlight, Tokens: c.cost, Bytes: int64(len(c.body)),
+				Deadline: req.deadline, Avoid: avoid, Check: func() error { return h.mayRun(req) },
+			})
+		},
 	}
-	return target, nil
 }
 
-// upstreamProblem says what a failed call to an upstream means to the caller.
-func upstreamProblem(err error) *Problem {
-	outcome := Unknown
-	if errors.Is(err, engine.ErrNotSent) {
-		outcome = NotRun
+// used returns the tokens that a completion has taken from its team's rate. What
+// another VM goes on with is charged here, in full: that VM charges nothing.
+func (c *completion) used(x relay.Result, err error) int64 {
+	switch {
+	case isTakenOver(err):
+		return c.cost
+	case !x.Sent:
+		return 0
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
-		return newProblem(http.StatusGatewayTimeout, TypeDeadline, outcome, "the deadline passed before the answer was complete")
+	return promptTokens(c.completionRequest) + x.Events
+}
+
+// streamJob passes a stream on to a caller.
+func (h *Handler) streamJob(w http.ResponseWriter, r *http.Request, req *request, job relay.Job, ended func(relay.Result, error)) *Problem {
+	sink := newSSE(w, h.Ring, resume.Token{Team: req.holder.Team, VM: h.VM, Stream: job.StreamID})
+	defer sink.close()
+	result, err := h.Relay.Run(r.Context(), job, sink)
+	if ended != nil {
+		ended(result, err)
+	}
+	problem := relayProblem(err, nil, result)
+	if problem == nil || !sink.started {
+		return problem
 	}
-	return newProblem(http.StatusBadGateway, TypeUpstream, outcome, "the upstream gave no complete answer")
+	sink.fail(problem, req.id)
+	// The status line has been sent: the problem is only logged.
+	problem.Status = 0
+	return problem
 }
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -6,26 +6,20 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/chestnutarch/chestnutarch/internal/configstate"
-	"github.com/chestnutarch/chestnutarch/internal/engine"
 	"github.com/chestnutarch/chestnutarch/internal/ratelimit"
+	"github.com/chestnutarch/chestnutarch/internal/relay"
+	"github.com/chestnutarch/chestnutarch/internal/resume"
+	"github.com/chestnutarch/chestnutarch/internal/route"
 	"github.com/chestnutarch/chestnutarch/internal/service"
 	"github.com/chestnutarch/chestnutarch/internal/telemetry"
 )
 
-var (
-	// ErrUnknownModel means that the configuration has no such model or adapter.
-	ErrUnknownModel = errors.New("caller: unknown model")
-	// ErrNoReplica means that no engine has the model or adapter ready.
-	ErrNoReplica = errors.New("caller: no ready replica")
-)
-
 // Limits bounds what one VM takes on.
 type Limits struct {
 	// MaxBodyBytes bounds a request's body.
@@ -40,14 +34,23 @@
 type Options struct {
 	Configuration Configuration
 	Limiter       ratelimit.Limiter
-	Router        Router
-	Addresses     Addresses
-	Readiness     Readiness
-	Engines       *engine.Client
-	Services      *service.Client
-	Limits        Limits
-	Log           zerolog.Logger
-	Metrics       metrics.Registry
+	// VM is this VM's name, which stands in resume tokens.
+	VM string
+	// Models gives engines, Pools gives replicas of plain services.
+	Models    Upstreams
+	Pools     Upstreams
+	Relay     *relay.Relay
+	Ring      *resume.Ring
+	Releaser  Releaser
+	Claims    Claims
+	Addresses Addresses
+	Readiness Readiness
+	// Leaving reports whether this VM is stopping.
+	Leaving  func() bool
+	Services *service.Client
+	Limits   Limits
+	Log      zerolog.Logger
+	Metrics  metrics.Registry
 }
 
 // Handler serves the callers' API.
@@ -55,6 +58,8 @@
 	Options
 	slots    chan struct{}
 	requests metrics.Timer
+	memory   memory
+	retries  retries
 	mux      http.Handler
 }
 
@@ -65,6 +70,7 @@
 		slots:    make(chan struct{}, o.Limits.MaxInFlight),
 		requests: telemetry.NewTimer(o.Metrics, "caller.requests"),
 	}
+	h.retries.budget = route.NewBudget(time.Now())
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", h.health)
 	mux.HandleFunc("GET /readyz", h.ready)
@@ -72,6 +78,7 @@
 	mux.Handle("GET /v1/models", h.authenticated(h.models))
 	mux.Handle("POST /v1/completions", h.work(h.completions))
 	mux.Handle("POST /v1/chat/completions", h.work(h.completions))
+	mux.Handle("GET /v1/streams", h.work(h.streams))
 	mux.Handle("/services/", h.work(h.services))
 	h.mux = otelhttp.NewHandler(mux, "caller", otelhttp.WithSpanNameFormatter(spanName))
 	return h
@@ -87,7 +94,10 @@
 
 // request is what is known of one authenticated request.
 type request struct {
-	id       string
+	// id is the caller's, or one of ours. It is echoed.
+	id string
+	// stream is our own ID of the exchange with upstreams.
+	stream   string
 	holder   configstate.Holder
 	digest   string
 	snapshot *configstate.Snapshot
@@ -116,8 +126,13 @@
 func (h *Handler) authenticated(serve handlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		start := time.Now()
-		req := &request{id: requestID(r)}
+		req := &request{id: requestID(r), stream: uuid.NewString()}
 		w.Header().Set(HeaderRequestID, req.id)
+		if h.Leaving() {
+			// The caller then connects to a VM that stays. One that kept this
+			// connection could be sending its next request when it is closed.
+			w.Header().Set("Connection", "close")
+		}
 		problem := h.authenticate(r, req)
 		if problem == nil {
 			problem = h.serveBounded(serve, w, r, req)
--- a/internal/caller/info.go
+++ b/internal/caller/info.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"net/netip"
 	"time"
 )
 
@@ -25,11 +24,7 @@
 }
 
 func (h *Handler) addresses(w http.ResponseWriter, r *http.Request) {
-	client, err := netip.ParseAddrPort(r.RemoteAddr)
-	if err != nil {
-		client = netip.AddrPort{}
-	}
-	addresses, lifetime := h.Addresses.Answer(client.Addr())
+	addresses, lifetime := h.Addresses.Answer(r.URL.Query().Get("failure_domain"))
 	writeJSON(w, http.StatusOK, addressesBody{Addresses: addresses, TTLMS: int64(lifetime / time.Millisecond)})
 }
 
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -39,6 +39,21 @@
 	TypeUpstream      ProblemType = "upstream_failed"
 	TypeUpstreamError ProblemType = "upstream_error"
 	TypeDeadline      ProblemType = "deadline_exceeded"
+	// TypeTooLate refuses early what cannot be finished by its deadline.
+	TypeTooLate       ProblemType = "deadline_unattainable"
+	TypeQueueFull     ProblemType = "queue_full"
+	TypeBadEventID    ProblemType = "bad_event_id"
+	TypeUnknownStream ProblemType = "unknown_stream"
+	TypeKeyReused     ProblemType = "idempotency_key_reused"
+	TypeBadKey        ProblemType = "bad_idempotency_key"
+	TypeInProgress    ProblemType = "action_in_progress"
+	// TypeOutcomeUnknown answers a retry of an action that may have run.
+	TypeOutcomeUnknown ProblemType = "outcome_unknown"
+	// TypeAnswerNotKept answers a retry of an action whose answer was too large
+	// to keep.
+	TypeAnswerNotKept    ProblemType = "answer_not_kept"
+	TypeClaimUnavailable ProblemType = "claim_unavailable"
+	TypeCallerGone       ProblemType = "caller_gone"
 )
 
 // Problem is a refusal or failure as the caller sees it.
--- a/internal/caller/services.go
+++ b/internal/caller/services.go
@@ -2,79 +2,204 @@
 
 import (
 	"context"
-	"io"
-	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutarch/chestnutarch/internal/claim"
+	"github.com/chestnutarch/chestnutarch/internal/claims"
+	"github.com/chestnutarch/chestnutarch/internal/dispatch"
 	"github.com/chestnutarch/chestnutarch/internal/document"
+	"github.com/chestnutarch/chestnutarch/internal/route"
 	"github.com/chestnutarch/chestnutarch/internal/service"
 )
 
+const (
+	// HeaderIdempotencyKey names an action, so that it can be tried again.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderReplayed marks an answer that an earlier request got.
+	HeaderReplayed = "Idempotent-Replayed"
+	// maxIdempotencyKeyBytes bounds an idempotency key.
+	maxIdempotencyKeyBytes = 255
+	// maxTries is how many replicas one call is offered to.
+	maxTries = 3
+)
+
+// action is one call of a plain service under way.
+type action struct {
+	*document.Route
+	req     *request
+	call    service.Call
+	attempt *claims.Attempt
+	avoid   []string
+}
+
 // services serves the routed calls to plain services.
 func (h *Handler) services(w http.ResponseWriter, r *http.Request, req *request) *Problem {
 	path := strings.TrimPrefix(r.URL.Path, "/services")
-	route, pool := findRoute(req.snapshot.Document, path)
-	if route == nil || len(pool) == 0 {
+	found := findRoute(req.snapshot.Document, path)
+	if found == nil {
 		return newProblem(http.StatusNotFound, TypeUnknownRoute, NotRun, "no route has the path "+path)
 	}
-	body, err := io.ReadAll(r.Body)
-	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-		return newProblem(http.StatusRequestEntityTooLarge, TypeTooLarge, NotRun, tooLarge.Error())
+	key := r.Header.Get(HeaderIdempotencyKey)
+	if len(key) > maxIdempotencyKeyBytes {
+		return newProblem(http.StatusBadRequest, TypeBadKey, NotRun, "the idempotency key is too long")
 	}
-	if err != nil {
-		return newProblem(http.StatusBadRequest, TypeMalformed, NotRun, "the body could not be read: "+err.Error())
+	body, release, problem := h.readBody(w, r)
+	if problem != nil {
+		return problem
 	}
-	grant, err := h.Limiter.Acquire(r.Context(), req.holder.Team, route.Cost)
+	defer release()
+	grant, err := h.Limiter.Acquire(r.Context(), req.holder.Team, found.Cost)
 	if err != nil {
 		return limitProblem(err)
 	}
 	used := int64(0)
 	defer func() { grant.Settle(used) }()
-	if problem := h.checkKey(req); problem != nil {
-		return problem
+	a := &action{Route: found, req: req, call: service.Call{
+		Method: r.Method, Path: path, RawQuery: r.URL.RawQuery, Header: r.Header, Body: body,
+		RequestID: req.stream, Repeat: found.Repeat, Timeout: found.Timeout,
+	}}
+	if key != "" && found.Repeat != document.RepeatSafe {
+		replayed, problem := h.claim(w, r, a, key)
+		if replayed || problem != nil {
+			return problem
+		}
 	}
-	answer, err := h.Services.Call(r.Context(), service.Call{
-		BaseURL:   pool[rand.IntN(len(pool))].URL,
-		Method:    r.Method,
-		Path:      path,
-		RawQuery:  r.URL.RawQuery,
-		Header:    r.Header,
-		Body:      body,
-		RequestID: req.id,
-		Repeat:    route.Repeat,
-		Timeout:   route.Timeout,
-	})
-	if err != nil {
-		return serviceProblem(err)
+	answer, sent, problem := h.act(r.Context(), a)
+	if sent {
+		used = found.Cost
+	}
+	if problem != nil {
+		return problem
 	}
-	used = route.Cost
 	writeAnswer(w, answer)
 	return nil
 }
 
-func findRoute(doc *document.Document, path string) (*document.Route, []document.ServiceReplica) {
+func findRoute(doc *document.Document, path string) *document.Route {
 	for i := range doc.Routes {
-		if doc.Routes[i].Path != path {
-			continue
+		if doc.Routes[i].Path == path {
+			return &doc.Routes[i]
 		}
-		for _, s := range doc.Services {
-			if s.Name == doc.Routes[i].Service {
-				return &doc.Routes[i], s.Replicas
-			}
+	}
+	return nil
+}
+
+// claim makes sure that a keyed action runs once. If an earlier request was
+// answered, its answer is written.
+func (h *Handler) claim(w http.ResponseWriter, r *http.Request, a *action, key string) (replayed bool, problem *Problem) {
+	digest := claim.DigestBody(r.Method, r.URL.RequestURI(), a.call.Body)
+	attempt, err := h.Claims.Claim(r.Context(), a.req.holder.Team, key, digest)
+	var answered *claims.AnsweredError
+	if errors.As(err, &answered) {
+		return true, writeReplay(w, answered.Answer)
+	}
+	if err != nil {
+		return false, claimProblem(err)
+	}
+	a.attempt = attempt
+	return false, nil
+}
+
+func writeReplay(w http.ResponseWriter, stored *claim.Answer) *Problem {
+	if stored.Omitted {
+		return newProblem(http.StatusConflict, TypeAnswerNotKept, Answered, "the action was answered; the answer was too large to keep")
+	}
+	w.Header().Set(HeaderReplayed, "true")
+	if stored.ContentType != "" {
+		w.Header().Set("Content-Type", stored.ContentType)
+	}
+	w.WriteHeader(stored.Status)
+	w.Write(stored.Body)
+	return nil
+}
+
+// act offers a call to replicas until one has taken it. A call that may not be
+// repeated is offered to another replica only if no byte of it can have reached
+// the one before. Sent means that a replica may have run it.
+func (h *Handler) act(ctx context.Context, a *action) (answer *service.Answer, sent bool, problem *Problem) {
+	h.retries.deposit()
+	for try := 1; ; try++ {
+		answer, err := h.actOnce(ctx, a)
+		if err == nil {
+			h.answered(a, answer)
+			return answer, true, nil
+		}
+		outcome := service.OutcomeOf(err)
+		sent = sent || outcome == service.Unknown
+		var call *service.CallError
+		again := errors.As(err, &call) && (outcome == service.NotRun || a.Repeat == document.RepeatSafe)
+		if again && try < maxTries && ctx.Err() == nil && h.retries.withdraw() {
+			continue
 		}
+		return nil, sent, h.failed(a, err, sent)
+	}
+}
+
+// actOnce sends the call to one replica.
+func (h *Handler) actOnce(ctx context.Context, a *action) (*service.Answer, error) {
+	grant, err := h.Pools.Acquire(ctx, dispatch.Request{
+		Team: a.req.holder.Team, Item: route.PoolItem(a.Service), Tokens: a.Cost, Bytes: int64(len(a.call.Body)),
+		Deadline: a.req.deadline, Avoid: a.avoid, Check: func() error { return h.mayRun(a.req) },
+	})
+	if err != nil {
+		return nil, &acquireError{err}
+	}
+	if a.attempt != nil && !a.attempt.Dispatch() {
+		grant.Finish(true, 0)
+		return nil, &acquireError{claims.ErrUnavailable}
+	}
+	a.call.BaseURL = grant.Upstream.URL
+	// The caller may go away, but the call has been sent: its answer is wanted for
+	// whoever tries the key again.
+	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), a.req.deadline)
+	defer cancel()
+	answer, err := h.Services.Call(detached, a.call)
+	if err == nil {
+		grant.Finish(true, a.Cost)
+		return answer, nil
+	}
+	grant.Finish(false, 0)
+	a.avoid = append(a.avoid, grant.Upstream.Name)
+	if a.attempt != nil && service.OutcomeOf(err) == service.NotRun {
+		a.attempt.Unsent()
 	}
-	return nil, nil
+	return nil, err
 }
 
-func serviceProblem(err error) *Problem {
-	if errors.Is(err, service.ErrNotRun) {
-		return newProblem(http.StatusServiceUnavailable, TypeUpstream, NotRun, "the service could not be reached").retryAfter(time.Second)
+// acquireError is the lack of a replica. Nothing was sent.
+type acquireError struct{ error }
+
+// Unwrap returns the error, and that the call was not run.
+func (e *acquireError) Unwrap() []error { return []error{e.error, service.ErrNotRun} }
+
+// answered keeps the answer for retries with the same key.
+func (h *Handler) answered(a *action, answer *service.Answer) {
+	if a.attempt != nil {
+		a.attempt.Answered(answer.Status, answer.Header.Get("Content-Type"), answer.Body)
+	}
+}
+
+// failed ends the attempt and says what the failure means to the caller.
+func (h *Handler) failed(a *action, err error, sent bool) *Problem {
+	if a.attempt != nil {
+		if sent {
+			a.attempt.Lost()
+		} else {
+			a.attempt.Abandon()
+		}
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
+	var acquire *acquireError
+	switch {
+	case errors.As(err, &acquire) && !sent:
+		return acquireProblem(acquire.error)
+	case !sent:
+		return newProblem(http.StatusServiceUnavailable, TypeUpstream, NotRun, "the service could not be reached").retryAfter(busyRetry)
+	case errors.Is(err, context.DeadlineExceeded):
 		return newProblem(http.StatusGatewayTimeout, TypeDeadline, Unknown, "the service did not answer in time")
 	}
 	return newProblem(http.StatusBadGateway, TypeUpstream, Unknown, "the service gave no complete answer")
@@ -87,3 +212,21 @@
 	w.WriteHeader(a.Status)
 	w.Write(a.Body)
 }
+
+// retries is the budget that all service calls share.
+type retries struct {
+	mu     sync.Mutex
+	budget *route.Budget
+}
+
+func (r *retries) deposit() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget.Deposit(time.Now())
+}
+
+func (r *retries) withdraw() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget.Withdraw(time.Now())
+}
--- /dev/null
+++ b/internal/caller/sse.go
@@ -0,0 +1,128 @@
+package caller
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/chestnutarch/chestnutarch/internal/engine"
+	"github.com/chestnutarch/chestnutarch/internal/relay"
+	"github.com/chestnutarch/chestnutarch/internal/resume"
+)
+
+const (
+	// heartbeat is how often a caller hears a comment while there is no event. It
+	// tells him that the connection is alive, and us if it is not.
+	heartbeat = 5 * time.Second
+	// writeTimeout bounds how long a caller may take to read an event. Without it
+	// one who stops reading would hold his stream, and the engine's, for ever.
+	writeTimeout = 10 * time.Second
+)
+
+// sse writes server-sent events to a caller. It implements relay.Sink. Event and
+// Attach are called from one goroutine; heartbeats come from another.
+type sse struct {
+	w          http.ResponseWriter
+	controller *http.ResponseController
+	ring       *resume.Ring
+	token      resume.Token
+
+	mu      sync.Mutex
+	signer  *resume.Signer
+	buffer  []byte
+	timer   *time.Timer
+	started bool
+	err     error
+}
+
+func newSSE(w http.ResponseWriter, ring *resume.Ring, token resume.Token) *sse {
+	return &sse{w: w, controller: http.NewResponseController(w), ring: ring, token: token}
+}
+
+// Attach sends the header, once an engine has taken the request, and signs the
+// events that follow for that engine.
+func (s *sse) Attach(p relay.Place) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.token.Engine = p.Engine
+	signer, err := s.ring.Signer(s.token)
+	if err != nil {
+		return err
+	}
+	s.signer = signer
+	if s.started {
+		return nil
+	}
+	s.started = true
+	header := s.w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	s.w.WriteHeader(http.StatusOK)
+	s.flush()
+	s.timer = time.AfterFunc(heartbeat, s.beat)
+	return nil
+}
+
+// Event writes one event with its resume token, at once.
+func (s *sse) Event(e engine.Event) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.buffer = s.buffer[:0]
+	if !e.Done {
+		s.buffer = append(s.buffer, "id: "...)
+		s.buffer = s.signer.Append(s.buffer, e.ID)
+		s.buffer = append(s.buffer, '\n')
+	}
+	s.buffer = append(s.buffer, "data: "...)
+	s.buffer = append(s.buffer, e.Data...)
+	s.buffer = append(s.buffer, "\n\n"...)
+	s.write()
+	s.timer.Reset(heartbeat)
+	return s.err
+}
+
+// fail ends a stream that will not become whole. It never writes [DONE].
+func (s *sse) fail(p *Problem, requestID string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.buffer = append(s.buffer[:0], "event: error\ndata: "...)
+	s.buffer = append(s.buffer, p.event(requestID)...)
+	s.buffer = append(s.buffer, "\n\n"...)
+	s.write()
+}
+
+// close stops the heartbeats. Nothing is written after it returns.
+func (s *sse) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	s.err = http.ErrHandlerTimeout
+}
+
+func (s *sse) beat() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil {
+		return
+	}
+	s.buffer = append(s.buffer[:0], ": heartbeat\n\n"...)
+	s.write()
+	s.timer.Reset(heartbeat)
+}
+
+// write sends the buffer. After an error nothing more is sent.
+func (s *sse) write() {
+	if s.err != nil {
+		return
+	}
+	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, s.err = s.w.Write(s.buffer); s.err == nil {
+		s.flush()
+	}
+}
+
+func (s *sse) flush() {
+	s.err = s.controller.Flush()
+}
--- a/internal/caller/tokens.go
+++ b/internal/caller/tokens.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -38,5 +39,8 @@
 	if errors.Is(err, ratelimit.ErrLargerThanBurst) {
 		return newProblem(http.StatusRequestEntityTooLarge, TypeExceedsBurst, NotRun, err.Error())
 	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return newProblem(http.StatusGatewayTimeout, TypeDeadline, NotRun, "the deadline passed before the team's rate allowed the request")
+	}
 	return newProblem(http.StatusServiceUnavailable, TypeOverloaded, NotRun, err.Error()).retryAfter(time.Second)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,7 @@
 	poller    *poller.Poller
 	engines   *engine.Client
 	services  *service.Client
+	traffic   *traffic
 	handler   *caller.Handler
 	leaving   atomic.Bool
 }
@@ -51,7 +52,7 @@
 // taken is reported before anything has started.
 func New(ctx context.Context, s *settings.Entry, log zerolog.Logger) (*Process, error) {
 	p := &Process{settings: s, log: log, metrics: metrics.NewRegistry()}
-	steps := []func() error{p.buildSecurity, p.buildStore, p.buildPeers, p.buildUpstreams, p.buildCallers}
+	steps := []func() error{p.buildSecurity, p.buildStore, p.buildPeers, p.buildUpstreams, p.buildTraffic, p.buildCallers}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -130,10 +131,16 @@
 	p.handler = caller.NewHandler(caller.Options{
 		Configuration: p.config,
 		Limiter:       p.limiter,
-		Router:        &router{config: p.config.Snapshot, fleet: p.poller.Fleet},
+		VM:            p.settings.VM,
+		Models:        p.traffic.models,
+		Pools:         p.traffic.pools,
+		Relay:         p.traffic.relay,
+		Ring:          p.traffic.ring,
+		Releaser:      p.traffic.release,
+		Claims:        p.traffic.claims,
 		Addresses:     &addresses{view: p.fleet.View, lifetime: p.settings.Limits.AddressLifetime},
 		Readiness:     p,
-		Engines:       p.engines,
+		Leaving:       p.leaving.Load,
 		Services:      p.services,
 		Limits: caller.Limits{
 			MaxBodyBytes:   p.settings.Limits.MaxBodyBytes,
@@ -161,6 +168,8 @@
 		Leaving:  p.leaving.Load(),
 		Ready:    p.Ready() == nil,
 		InFlight: int64(p.handler.InFlight()),
+
+		ServedTokens: p.traffic.models.Stats().Served,
 	}
 	if s := p.config.Snapshot(); s != nil {
 		local.ConfigVersion = s.Version
@@ -197,6 +206,7 @@
 	group.Go(func() error { return ignoreStop(p.fleet.Run(background)) })
 	group.Go(func() error { return ignoreStop(p.poller.Run(background)) })
 	group.Go(func() error { return p.peerCalls.Serve(background, p.listeners.peers, peerGrace) })
+	p.traffic.run(background, group)
 	servers := p.servers()
 	for _, s := range servers {
 		group.Go(s.serve)
@@ -243,6 +253,9 @@
 			s.http.Close()
 		}
 	}
+	if err := p.traffic.flush(ctx); err != nil {
+		p.log.Warn().Err(err).Msg("answers of actions were not stored")
+	}
 	p.log.Info().Msg("drained")
 }
 
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -6,53 +6,10 @@
 
 	"github.com/chestnutarch/chestnutarch/internal/caller"
 	"github.com/chestnutarch/chestnutarch/internal/configstate"
-	"github.com/chestnutarch/chestnutarch/internal/document"
 	"github.com/chestnutarch/chestnutarch/internal/membership"
 	"github.com/chestnutarch/chestnutarch/internal/ratelimit"
-	"github.com/chestnutarch/chestnutarch/internal/route"
-
-	"net/netip"
 )
 
-// router sends a request to any engine that has the item ready.
-type router struct {
-	config func() *configstate.Snapshot
-	fleet  func() *route.Fleet
-}
-
-// Pick returns an engine at random among those that serve the item.
-func (r *router) Pick(name string, _ []byte) (caller.Target, error) {
-	item, ok := findItem(r.config().Document, name)
-	if !ok {
-		return caller.Target{}, caller.ErrUnknownModel
-	}
-	var able []route.Engine
-	for _, e := range r.fleet().Engines {
-		if e.Reachable && !e.Leaving && e.Serves(item) {
-			able = append(able, e)
-		}
-	}
-	if len(able) == 0 {
-		return caller.Target{}, caller.ErrNoReplica
-	}
-	chosen := able[rand.IntN(len(able))]
-	return caller.Target{Engine: chosen.Name, URL: chosen.URL, Release: func() {}}, nil
-}
-
-func findItem(doc *document.Document, name string) (route.Item, bool) {
-	for _, m := range doc.Models {
-		if m.Name == name {
-			return route.Item{Model: name}, true
-		}
-		for _, a := range m.Adapters {
-			if a.Name == name {
-				return route.Item{Model: m.Name, Adapter: name}, true
-			}
-		}
-	}
-	return route.Item{}, false
-}
-
 // answerJitter is the share by which an address answer's lifetime varies, so
 // that an audience that arrived together does not come back together.
 const answerJitter = 0.2
@@ -69,7 +26,7 @@
 }
 
 // Answer returns the VMs that callers may use and how long to keep the answer.
-func (a *addresses) Answer(netip.Addr) ([]caller.Address, time.Duration) {
+func (a *addresses) Answer(string) ([]caller.Address, time.Duration) {
 	healthy := a.view().Healthy()
 	answer := make([]caller.Address, 0, len(healthy))
 	for _, i := range rand.Perm(len(healthy)) {
@@ -87,3 +44,6 @@
 	}
 	return s.Version, limits
 }
+
+// leavingUpstream reports whether the VM at an address is known to be leaving.
+func (p *Process) leavingUpstream(string) bool { return false }
--- /dev/null
+++ b/internal/entry/traffic.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chestnutarch/chestnutarch/internal/claims"
+	"github.com/chestnutarch/chestnutarch/internal/configstate"
+	"github.com/chestnutarch/chestnutarch/internal/dispatch"
+	"github.com/chestnutarch/chestnutarch/internal/document"
+	"github.com/chestnutarch/chestnutarch/internal/membership"
+	"github.com/chestnutarch/chestnutarch/internal/relay"
+	"github.com/chestnutarch/chestnutarch/internal/resume"
+	"github.com/chestnutarch/chestnutarch/internal/route"
+)
+
+// poolMaxInFlight bounds the requests of this VM at one replica of a plain service.
+const poolMaxInFlight = 64
+
+// flushTimeout bounds the wait for answers of actions that are being stored when
+// the process stops.
+const flushTimeout = 10 * time.Second
+
+// traffic is what stands between callers and upstreams.
+type traffic struct {
+	models *dispatch.Dispatcher
+	pools  *dispatch.Dispatcher
+	relay  *relay.Relay
+	ring   *resume.Ring
+	claims *claims.Claims
+	// release tells other VMs of streams that are read here.
+	release relay.Releaser
+}
+
+// buildTraffic makes the queues, the relay and the claims.
+func (p *Process) buildTraffic() error {
+	ring, err := p.resumeRing()
+	if err != nil {
+		return err
+	}
+	address := func(vm string) string {
+		m, _ := p.fleet.View().Lookup(vm)
+		return m.PeerAddress
+	}
+	pools := &poolFleet{config: p.config.Snapshot, leaving: p.leavingUpstream}
+	t := &traffic{
+		ring:  ring,
+		relay: relay.New(relay.Options{Engines: p.engines}),
+		models: dispatch.New(dispatch.Options{
+			Fleet: p.poller.Fleet, Teams: p.teams, Seed: seed(),
+			Peers: func() dispatch.Peers { return peersOf(p.fleet.View()) },
+		}),
+		pools: dispatch.New(dispatch.Options{
+			Route: route.Options{MaxInFlight: poolMaxInFlight},
+			Fleet: pools.fleet, Teams: p.teams, Seed: seed(),
+		}),
+		claims: claims.New(claims.Options{
+			Store: p.store, Environment: p.settings.Environment, VM: p.settings.VM,
+			Asker: claims.PeerAsker{Pool: p.peers, Address: address},
+		}),
+		release: relay.Releaser{Pool: p.peers, Address: address, For: relay.DefaultGrace},
+	}
+	t.claims.Register(p.peerCalls.Registrar())
+	t.relay.Register(p.peerCalls.Registrar())
+	p.traffic = t
+	return nil
+}
+
+// run starts the goroutines that own the queues and the claims.
+func (t *traffic) run(ctx context.Context, group *errgroup.Group) {
+	for _, owner := range []func(context.Context) error{t.models.Run, t.pools.Run, t.claims.Run} {
+		group.Go(func() error { return ignoreStop(owner(ctx)) })
+	}
+}
+
+// flush waits until the answers of actions are stored.
+func (t *traffic) flush(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	return t.claims.Flush(ctx)
+}
+
+// resumeRing makes the secrets that sign resume tokens. Without any in the
+// settings a stream can be resumed at this VM only, and not after a restart.
+func (p *Process) resumeRing() (*resume.Ring, error) {
+	var secrets [][]byte
+	for _, s := range p.settings.ResumeSecrets {
+		secrets = append(secrets, []byte(s))
+	}
+	if len(secrets) == 0 {
+		p.log.Warn().Msg("no resume_secrets in the settings: streams can be resumed at this VM only")
+		own := make([]byte, resume.MinSecretBytes)
+		// crypto/rand never returns an error.
+		_, _ = rand.Read(own)
+		secrets = append(secrets, own)
+	}
+	return resume.NewRing(secrets...)
+}
+
+// seed starts the random draws of a decision.
+func seed() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+func (p *Process) teams() []document.Team {
+	s := p.config.Snapshot()
+	if s == nil {
+		return nil
+	}
+	return s.Document.Teams
+}
+
+// peersOf sums up what the heartbeats tell of the other VMs.
+func peersOf(v *membership.View) dispatch.Peers {
+	peers := dispatch.Peers{VMs: 1, Served: make(map[string]int64)}
+	for _, m := range v.Members {
+		if m.Status != membership.Heard {
+			continue
+		}
+		peers.VMs++
+		peers.InFlight += int(m.InFlight)
+		for team, n := range m.ServedTokens {
+			peers.Served[team] += n
+		}
+	}
+	return peers
+}
+
+// poolFleet makes the fleet of plain services, anew when the configuration or the
+// list of leaving VMs has changed.
+type poolFleet struct {
+	config  func() *configstate.Snapshot
+	leaving func(address string) bool
+	made    atomic.Pointer[madeFleet]
+}
+
+type madeFleet struct {
+	from  *configstate.Snapshot
+	at    time.Time
+	fleet *route.Fleet
+}
+
+// poolRefresh is how often the list of leaving VMs is looked at.
+const poolRefresh = 500 * time.Millisecond
+
+func (f *poolFleet) fleet() *route.Fleet {
+	config := f.config()
+	made := f.made.Load()
+	if made != nil && made.from == config && time.Since(made.at) < poolRefresh {
+		return made.fleet
+	}
+	made = &madeFleet{from: config, at: time.Now(), fleet: &route.Fleet{}}
+	if config != nil {
+		made.fleet = route.PoolFleet(config.Document.Services, f.leaving)
+	}
+	f.made.Store(made)
+	return made.fleet
+}
