--- a/internal/configsync/loops.go
+++ b/internal/configsync/loops.go
@@ -25,7 +25,7 @@
 	for {
 		var ok bool
 		behind, ok = k.pollOnce(ctx, behind)
-		pause := k.options.PollInterval
+		pause := k.pollInterval()
 		if !ok {
 			pause = k.backoff(failures)
 			failures++
@@ -38,6 +38,13 @@
 	}
 }
 
+// pollInterval grows with the fleet, since the service's reads do not. The mean
+// pause is three quarters of the interval, because of the jitter.
+func (k *Keeper) pollInterval() time.Duration {
+	share := time.Duration(k.options.FleetSize()) * time.Second / time.Duration(k.options.FleetPolls)
+	return max(k.options.PollInterval, share*4/3)
+}
+
 // pollOnce returns the revision that the watch has yet to deliver, or zero. A
 // watch that still lacks it one poll later is silent.
 func (k *Keeper) pollOnce(ctx context.Context, behind int64) (int64, bool) {
--- a/internal/configsync/measure/main.go
+++ b/internal/configsync/measure/main.go
@@ -117,6 +117,7 @@
 		b.registry = append(b.registry, registry)
 		b.keepers = append(b.keepers, configsync.NewKeeper(configsync.Options{
 			Store: store, Environment: environment, PollInterval: b.poll, Metrics: registry,
+			FleetSize: func() int { return b.vms },
 		}))
 	}
 	return nil
--- a/internal/configsync/options.go
+++ b/internal/configsync/options.go
@@ -15,6 +15,7 @@
 // Defaults of Options.
 const (
 	DefaultPollInterval = 500 * time.Millisecond
+	DefaultFleetPolls   = 200
 	DefaultCallTimeout  = time.Second
 	DefaultMaxBackoff   = 2 * time.Second
 	DefaultPullInterval = 3 * time.Second
@@ -31,6 +32,13 @@
 	// PollInterval is the time between two polls of the revision. A watch
 	// that went silent is found within two of them. The default is 500ms.
 	PollInterval time.Duration
+	// FleetSize returns the number of VMs that poll the same service. Each polls
+	// less often as they become more, so that together they stay below
+	// FleetPolls a second. The default is one.
+	FleetSize func() int
+	// FleetPolls is the number of polls a second of all VMs together, a tenth
+	// of the reads that the platform gives. The default is 200.
+	FleetPolls int
 	// CallTimeout bounds one call. The default is 1s.
 	CallTimeout time.Duration
 	// MaxBackoff bounds the pause between calls during an outage, and with it
@@ -67,6 +75,12 @@
 	if o.PollInterval <= 0 {
 		o.PollInterval = DefaultPollInterval
 	}
+	if o.FleetSize == nil {
+		o.FleetSize = func() int { return 1 }
+	}
+	if o.FleetPolls <= 0 {
+		o.FleetPolls = DefaultFleetPolls
+	}
 	if o.CallTimeout <= 0 {
 		o.CallTimeout = DefaultCallTimeout
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -246,3 +246,11 @@
 	require.Zero(t, run(append(base, "--certificate", at("ana.pem"), "--certificate-key", at("ana.key"), "status")...))
 	require.Equal(t, ExitRefused, run(append(base, "status")...))
 }
+
+func TestReferenceIsCurrent(t *testing.T) {
+	var out bytes.Buffer
+	require.Zero(t, Run(context.Background(), []string{"reference"}, &out, &out))
+	page, err := os.ReadFile("../../docs/operators/chestnutctl.md")
+	require.NoError(t, err)
+	require.Equal(t, out.String(), string(page), "run: go run ./cmd/chestnutctl reference > docs/operators/chestnutctl.md")
+}
