--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -17,9 +17,6 @@
 		Operators:     operators,
 		Configuration: p.config,
 		Evidence:      p.tally,
-		Status:        p,
-		Plan:          p,
-		Drainer:       p,
 		Log:           p.log,
 	})
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -74,11 +74,7 @@
 	if x.grant == nil {
 		return
 	}
-	tokens := x.result.Events
-	if x.result.Sent {
-		tokens += x.job.PromptTokens
-	}
-	x.grant.Finish(healthy, tokens)
+	x.grant.Finish(healthy, x.result.Events)
 	x.grant = nil
 }
 
