--- a/cmd/chestnut-load/main.go
+++ b/cmd/chestnut-load/main.go
@@ -38,6 +38,8 @@
 	duration time.Duration
 	seed     uint64
 	entries  []string
+	engines  []string
+	services []string
 	check    bool
 }
 
@@ -57,6 +59,8 @@
 	c.Flags().DurationVar(&f.duration, "duration", 0, "replaces the workload's duration")
 	c.Flags().Uint64Var(&f.seed, "seed", 0, "replaces the workload's seed")
 	c.Flags().StringSliceVar(&f.entries, "entry", nil, "replaces the workload's entries")
+	c.Flags().StringSliceVar(&f.engines, "engine", nil, "replaces the workload's engines")
+	c.Flags().StringSliceVar(&f.services, "service", nil, "replaces the workload's services")
 	c.Flags().BoolVar(&f.check, "check", false, "only check the workload")
 	_ = c.MarkFlagRequired("workload")
 	return c
@@ -67,15 +71,7 @@
 	if err != nil || f.check {
 		return err
 	}
-	if f.duration > 0 {
-		w.Duration = f.duration
-	}
-	if f.seed > 0 {
-		w.Seed = f.seed
-	}
-	if len(f.entries) > 0 {
-		w.Entries = f.entries
-	}
+	f.replace(w)
 	report, err := load.Run(ctx, w)
 	if err != nil {
 		return err
@@ -89,6 +85,26 @@
 	return plot(f.plots, report)
 }
 
+// replace puts what the command line gives in the place of the workload's.
+func (f *flags) replace(w *load.Workload) {
+	if f.duration > 0 {
+		w.Duration = f.duration
+	}
+	if f.seed > 0 {
+		w.Seed = f.seed
+	}
+	if len(f.entries) > 0 {
+		w.Entries = f.entries
+	}
+	if len(f.engines) > 0 {
+		w.Engines = f.engines
+		w.Accelerators = len(f.engines)
+	}
+	if len(f.services) > 0 {
+		w.Services = f.services
+	}
+}
+
 func write(form string, r *load.Report) error {
 	if form != "json" {
 		return r.WriteTable(os.Stdout)
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -81,7 +81,7 @@
 		last = err
 		c.asked++
 	}
-	return errors.Wrap(ErrNoAddress, last.Error())
+	return errors.WithMessage(last, ErrNoAddress.Error())
 }
 
 func (c *caller) askOne(ctx context.Context, entry string) (addresses, error) {
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -58,7 +58,7 @@
 	x.result = Result{Arrival: x.arrival, Outcome: Failed}
 	base, err := x.caller.base(ctx)
 	if err != nil {
-		x.result.Reason = "no address"
+		x.result.Reason = "no address: " + reason(err)
 		return x.result
 	}
 	if x.call.Kind == KindAction {
@@ -124,8 +124,10 @@
 	x.result.Reason = reason(err)
 }
 
+// reason is the last part of an error's text, which has no addresses in it, so
+// that equal causes are counted together.
 func reason(err error) string {
-	text := errors.Cause(err).Error()
+	text := err.Error()
 	if i := strings.LastIndex(text, ": "); i >= 0 {
 		text = text[i+2:]
 	}
--- a/test/scenarios_test.go
+++ b/test/scenarios_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"flag"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -34,9 +35,22 @@
 // dozen processes.
 var atOnce = make(chan struct{}, 4)
 
-func TestScenarios(t *testing.T) {
-	testscript.Run(t, testscript.Params{
-		Dir:                 "scenarios",
+// measure lets TestMeasurements run: its scripts take minutes, and what they
+// print is only worth something on a quiet machine.
+var measure = flag.Bool("measure", false, "run the measurements")
+
+func TestScenarios(t *testing.T) { testscript.Run(t, params("scenarios")) }
+
+func TestMeasurements(t *testing.T) {
+	if !*measure {
+		t.Skip("measurements run only with -measure")
+	}
+	testscript.Run(t, params("measurements"))
+}
+
+func params(dir string) testscript.Params {
+	return testscript.Params{
+		Dir:                 dir,
 		RequireExplicitExec: true,
 		Setup: func(e *testscript.Env) error {
 			e.Setenv("PATH", binaries+string(os.PathListSeparator)+e.Getenv("PATH"))
@@ -62,5 +76,5 @@
 			"reopen":  cmdReopen,
 			"replace": cmdReplace,
 		},
-	})
+	}
 }
--- a/test/world_test.go
+++ b/test/world_test.go
@@ -95,11 +95,23 @@
 			set(strings.ToUpper(a.Name), a.Listen)
 		}
 	}
+	ts.Setenv("ENTRIES", urls(w.Entries))
+	ts.Setenv("ENGINES", urls(w.Engines))
+	ts.Setenv("SERVICES", urls(w.Services))
 	for i, e := range w.Entries {
 		set("OPS"+strconv.Itoa(i+1), e.Ops)
 	}
 }
 
+// urls joins addresses as a command line takes them.
+func urls(all []address) string {
+	var list []string
+	for _, a := range all {
+		list = append(list, "http://"+a.Listen)
+	}
+	return strings.Join(list, ",")
+}
+
 var functions = template.FuncMap{"digest": configstate.DigestKey}
 
 // write fills the templates of testdata.
