configsync: a change is in force at the VM it was made through before it is answered

Cause: the VM that wrote a change learned of it by its own watch, later than the operator. Change: Writer.Accepted; measure -servers times changes at running processes. Conclusion: peers can be ahead of their watches.

--- a/internal/configsync/fuzz_test.go
+++ b/internal/configsync/fuzz_test.go
@@ -415,7 +415,7 @@
 		{"forgets withdrawals on apply", planned{writer: writerFaults{forgetWithdrawals: true}}, 1},
 		{"unknown told as a conflict", planned{writer: writerFaults{unknownIsFailure: true}}, 154},
 		{"takes a document from any version", planned{writer: writerFaults{takeAnyBase: true}}, 1},
-		{"reads the monotonic clock only", planned{monoOnly: true}, 574},
+		{"reads the monotonic clock only", planned{monoOnly: true}, 218},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			planted.Found(t, c.seed, func(rt *rapid.T) error { return fleetTrial(rt, c.faults) })
--- a/internal/configsync/loops.go
+++ b/internal/configsync/loops.go
@@ -238,13 +238,14 @@
 	}
 	call, cancel := context.WithTimeout(kv.WithPriority(ctx, kv.PriorityClaim), mergeCalls*k.options.CallTimeout)
 	defer cancel()
-	accepted, err := k.Writer().Withdraw(call, Change{ID: "merge-" + newID(), Author: "chestnut-entry"}, digests)
-	if err != nil {
+	if _, err := k.Writer().Withdraw(call, Change{ID: "merge-" + newID(), Author: "chestnut-entry"}, digests); err != nil {
 		k.count("config.merge_failures")
 		return false
 	}
 	k.count("config.merges")
-	return k.do(ctx, func() { k.takeStored(accepted.Envelope, accepted.Revision, "merge") }) == nil
+	// Another VM may have been first. Nothing was written through this one
+	// then, and the pending count falls only with what the service holds.
+	return k.read(ctx, "merge") == nil
 }
 
 // pull asks some other VM for its envelope while the service is not heard.
--- a/internal/configsync/measure/main.go
+++ b/internal/configsync/measure/main.go
@@ -53,8 +53,13 @@
 	flag.DurationVar(&o.poll, "poll", configsync.DefaultPollInterval, "poll interval")
 	flag.IntVar(&o.keys, "keys", 150, "number of keys in the document, about 100 bytes each")
 	flag.DurationVar(&o.latency, "latency", 2*time.Millisecond, "the service's latency")
+	servers := flag.String("servers", "", "operators' addresses of running entry VMs, to measure those instead; the key is in CHESTNUT_OPERATOR_KEY")
 	flag.Parse()
-	if err := run(context.Background(), o); err != nil {
+	measured := func(ctx context.Context) error { return run(ctx, o) }
+	if *servers != "" {
+		measured = newProcesses(*servers, o).run
+	}
+	if err := measured(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/internal/configsync/writer.go
+++ b/internal/configsync/writer.go
@@ -51,6 +51,9 @@
 	Known func() *configstate.Envelope
 	// Now is the wall clock for AcceptedAt. The default is time.Now.
 	Now func() time.Time
+	// Accepted, if set, is called with each change that this writer is known to
+	// have made, before the operator is told.
+	Accepted func(ctx context.Context, accepted *Accepted)
 	// Sleep is kv.Attempt's.
 	Sleep func(ctx context.Context, d time.Duration) bool
 
@@ -68,7 +71,19 @@
 // Writer returns a writer that never falls behind what this keeper has in force
 // and carries the withdrawals known here.
 func (k *Keeper) Writer() *Writer {
-	return &Writer{Store: k.options.Store, Environment: k.options.Environment, Known: k.known, Sleep: k.options.Sleep}
+	return &Writer{
+		Store:       k.options.Store,
+		Environment: k.options.Environment,
+		Known:       k.known,
+		Accepted:    k.accepted,
+		Sleep:       k.options.Sleep,
+	}
+}
+
+// accepted puts a change that was made through this VM in force here, so that
+// peers can have it from this VM before any watch has delivered it.
+func (k *Keeper) accepted(ctx context.Context, a *Accepted) {
+	_ = k.do(ctx, func() { k.takeStored(a.Envelope, a.Revision, "writer") })
 }
 
 func (k *Keeper) known() *configstate.Envelope { return k.published.Load().envelope }
@@ -272,7 +287,11 @@
 	}
 	switch result.Outcome {
 	case kv.TookEffect:
-		return &Accepted{Envelope: next, Revision: result.Revision}, nil
+		accepted := &Accepted{Envelope: next, Revision: result.Revision}
+		if w.Accepted != nil {
+			w.Accepted(ctx, accepted)
+		}
+		return accepted, nil
 	case kv.Unknown:
 		if w.faults.unknownIsFailure {
 			return nil, w.lost(result, next)
