entry, fleet: peers send deltas; polls follow the fleet's size; a missed withdrawal is learned

Cause: FetchConfig sent the whole envelope for each change; a VM that a push misses in an outage has to learn of the withdrawal from the others. Change: fleet asks for what leads from its own version (Keeper.UpdateSince) and takes the whole envelope where deltas do not connect; entry passes FleetSize; scenario withdrawal-missed; call gets until=STATUS. Conclusion: configuration and withdrawals travel over peers as well as over the service.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -93,6 +93,7 @@
 		Environment: p.settings.Environment,
 		HearsPeers:  func() bool { return p.fleet.HearsMajority(time.Now()) },
 		PullPeer:    p.pullPeer,
+		FleetSize:   func() int { return 1 + len(p.fleet.View().Members) },
 		Log:         p.log,
 		Metrics:     p.metrics,
 	})
@@ -118,12 +119,12 @@
 			CallerURL:     p.settings.Advertise.Callers,
 			PeerAddress:   p.settings.Advertise.Peers,
 		},
-		Pool:     pool,
-		Log:      p.log,
-		Local:    p.local,
-		Seeds:    func() []string { return p.settings.Peers },
-		Envelope: p.config.Envelope,
-		Offer:    p.offer,
+		Pool:   pool,
+		Log:    p.log,
+		Local:  p.local,
+		Seeds:  func() []string { return p.settings.Peers },
+		Update: p.config.UpdateSince,
+		Offer:  p.offer,
 	})
 	server.RegisterMembership(p.fleet)
 	p.buildLimiter()
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,17 +6,26 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutarch/chestnutarch/internal/configstate"
 	"github.com/chestnutarch/chestnutarch/internal/membership"
 )
 
 // ErrNoPeer means that no other VM is heard.
 var ErrNoPeer = errors.New("entry: no other VM is heard")
 
-// offer hands a peer's configuration to the keeper.
-func (p *Process) offer(envelope []byte) {
+// offer hands a peer's configuration to the keeper. Deltas that do not connect
+// with what is in force here are replaced by some VM's whole envelope.
+func (p *Process) offer(update []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.KV.Timeout)
 	defer cancel()
-	if err := p.config.Offer(ctx, envelope); err != nil {
+	err := p.config.Offer(ctx, update)
+	if errors.Is(err, configstate.ErrGap) {
+		update, err = p.pullPeer(ctx)
+		if err == nil {
+			err = p.config.Offer(ctx, update)
+		}
+	}
+	if err != nil {
 		p.log.Warn().Err(err).Msg("a peer's configuration cannot be used")
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -64,11 +64,12 @@
 	// Seeds is asked in every period for addresses at which other VMs may be
 	// found, from the settings and the VM list. It must not block.
 	Seeds func() []string
-	// Envelope returns the configuration in force, for peers that are behind.
-	// It may be nil.
-	Envelope func() (version int64, envelope []byte)
-	// Offer is given the envelope of a peer that is ahead. It may be nil.
-	Offer func(envelope []byte)
+	// Update returns the configuration version in force and what leads there
+	// from the version that a peer has. The update is empty if the peer is not
+	// behind. It may be nil.
+	Update func(have int64) (version int64, update []byte)
+	// Offer is given the update of a peer that is ahead. It may be nil.
+	Offer func(update []byte)
 }
 
 // Fleet runs the heartbeats of one VM. It implements peerpb.MembershipServer.
@@ -267,12 +268,9 @@
 
 // FetchConfig gives the configuration in force to a VM that is behind.
 func (f *Fleet) FetchConfig(_ context.Context, request *peerpb.FetchConfigRequest) (*peerpb.FetchConfigResponse, error) {
-	if f.options.Envelope == nil {
+	if f.options.Update == nil {
 		return &peerpb.FetchConfigResponse{}, nil
 	}
-	version, envelope := f.options.Envelope()
-	if version <= request.GetHaveVersion() {
-		return &peerpb.FetchConfigResponse{Version: version}, nil
-	}
-	return &peerpb.FetchConfigResponse{Version: version, Envelope: envelope}, nil
+	version, update := f.options.Update(request.GetHaveVersion())
+	return &peerpb.FetchConfigResponse{Version: version, Envelope: update}, nil
 }
--- a/test/traffic_test.go
+++ b/test/traffic_test.go
@@ -80,6 +80,17 @@
 	if body != "" {
 		method = http.MethodPost
 	}
+	if until := o.get("until", ""); until != "" {
+		ts.Check(poll(func() error {
+			again := &call{done: make(chan struct{})}
+			again.run(o.get("method", method), args[0], o, body)
+			if strconv.Itoa(again.status) != until {
+				return fmt.Errorf("%s answered %d (%v), not %s", args[0], again.status, again.err, until)
+			}
+			return nil
+		}))
+		return
+	}
 	go c.run(o.get("method", method), args[0], o, body)
 	if name := o.get("bg", ""); name != "" {
 		stateOf(ts).calls[name] = c
