Hold adapters' limits over all VMs by parts that are lent

Cause: a VM guessed its part of an adapter's limit from the other VMs' whole load; with all callers of one adapter at one VM it used about a seventh of the limit. Change: equal parts, and loans of 2 s of what another VM neither uses nor wants (shares.proto); the borrower counts from before he asked, the lender from when he gave, so that the parts sum up to no more than the limit. Figures before and after: with 7 VMs and a limit of 60, one VM's part was 8 or 9 whatever the demand; it comes to 54 or more after asking each of the others four times (TestOneVMCanUseNearlyAll). Conclusion: the limit is kept while the VMs agree on who is in the fleet; while a VM comes or goes it can be exceeded for some seconds, which only slows an adapter down.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -33,6 +33,8 @@
 	// Peers returns what the heartbeats tell. It must not block. Nil means that
 	// there are no other VMs.
 	Peers func() Peers
+	// Borrower asks other VMs for parts of limits. It may be nil.
+	Borrower Borrower
 	// Seed starts the random draws.
 	Seed uint64
 }
@@ -47,12 +49,17 @@
 	waiting map[uint64]*waiter
 	classes map[string]*Request
 	pace    map[route.Item]time.Duration
-	nextID  uint64
-	peers   Peers
-	stats   Stats
-	events  chan any
-	done    chan struct{}
-	public  atomic.Pointer[Stats]
+	parts   *route.Parts
+	// short holds the limits of the items of which this VM has too small a part.
+	short map[route.Item]int
+	// asked holds when other VMs were last asked for a part of an item's limit.
+	asked  map[route.Item]time.Time
+	nextID uint64
+	peers  Peers
+	stats  Stats
+	events chan any
+	done   chan struct{}
+	public atomic.Pointer[Stats]
 }
 
 // waiter is a request in the queue.
@@ -100,6 +107,9 @@
 		waiting: make(map[uint64]*waiter),
 		classes: make(map[string]*Request),
 		pace:    make(map[route.Item]time.Duration),
+		parts:   route.NewParts(),
+		short:   make(map[route.Item]int),
+		asked:   make(map[route.Item]time.Time),
 		events:  make(chan any, events),
 		done:    make(chan struct{}),
 		stats:   Stats{Served: make(map[string]int64), Refused: make(map[string]int64)},
@@ -178,13 +188,13 @@
 	defer close(d.done)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	d.refresh()
+	d.refresh(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			d.refresh()
+			d.refresh(ctx)
 		case message := <-d.events:
 			d.handle(message, time.Now())
 		}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"maps"
 	"time"
 
@@ -19,6 +20,10 @@
 		m.removed <- d.remove(m.id)
 	case finish:
 		d.finish(m, now)
+	case lend:
+		d.lendPart(m, now)
+	case borrowed:
+		d.parts.Took(m.item, m.n, m.asked)
 	}
 }
 
@@ -148,14 +153,19 @@
 // canRun reports whether some upstream could take a request of a class.
 func (d *Dispatcher) canRun(class string, now time.Time) bool {
 	r := d.classes[class]
-	return d.router.Available(r.query(d.part(r)), now) == nil
+	err := d.router.Available(r.query(d.part(r, now)), now)
+	if errors.Is(err, route.ErrPartUsed) {
+		d.short[r.Item] = r.MaxInFlight
+	}
+	return err == nil
 }
 
 // part returns this VM's part of an item's limit.
-func (d *Dispatcher) part(r *Request) int {
-	own := d.router.AdapterInFlight(r.Item)
-	all := own + d.peers.InFlight*own/max(1, d.stats.InFlight)
-	return route.AdapterPart(r.MaxInFlight, d.peers.VMs, own, all)
+func (d *Dispatcher) part(r *Request, now time.Time) int {
+	if r.MaxInFlight <= 0 {
+		return 0
+	}
+	return d.parts.Part(r.Item, r.MaxInFlight, now)
 }
 
 // dispatch gives a request to an upstream. Its key is checked now: one that was
@@ -169,7 +179,7 @@
 			return
 		}
 	}
-	upstream, err := d.router.Pick(r.query(d.part(r)), now, d.rng)
+	upstream, err := d.router.Pick(r.query(d.part(r, now)), now, d.rng)
 	if err != nil {
 		d.queue.Served(r.Team, -r.Tokens)
 		d.refuse(w, errors.Wrap(ErrNoReplica, err.Error()))
@@ -180,9 +190,9 @@
 	w.reply <- result{grant: &Grant{Upstream: upstream, dispatcher: d, request: r, since: now}}
 }
 
-// refresh takes in what other parts of the process have published, and gives up
-// on requests whose item no upstream has had for a while.
-func (d *Dispatcher) refresh() {
+// refresh takes in what other parts of the process have published, gives up on
+// requests whose item no upstream has had for a while, and borrows what is short.
+func (d *Dispatcher) refresh(ctx context.Context) {
 	now := time.Now()
 	if f := d.options.Fleet(); f != d.fleet {
 		d.fleet = f
@@ -193,6 +203,7 @@
 	}
 	d.heartbeats()
 	d.giveUpMissing(now)
+	d.borrow(ctx, now)
 	d.publish()
 }
 
@@ -210,6 +221,7 @@
 		d.queue.ServedElsewhere(served)
 	}
 	d.peers = peers
+	d.parts.SetFleet(peers.VMs, peers.Rank)
 	own := max(1, d.stats.InFlight)
 	d.router.SetSpread(min(float64(peers.VMs), float64(own+peers.InFlight)/float64(own)))
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -54,7 +54,7 @@
 }
 
 func (r *Request) query(part int) route.Request {
-	return route.Request{Item: r.Item, Version: r.Version, Prefix: r.Prefix, MaxInFlight: part, Avoid: r.Avoid}
+	return route.Request{Item: r.Item, Version: r.Version, Prefix: r.Prefix, Limited: r.MaxInFlight > 0, MaxInFlight: part, Avoid: r.Avoid}
 }
 
 // Grant is leave to send one request to one upstream.
@@ -82,6 +82,8 @@
 type Peers struct {
 	// VMs is the number of VMs that serve, this one included.
 	VMs int
+	// Rank is this VM's place in the order of their names, from 0.
+	Rank int
 	// InFlight is the number of requests in flight at the other VMs.
 	InFlight int
 	// Served counts the tokens by team that the other VMs have served, since
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -53,7 +53,8 @@
 		relay: relay.New(relay.Options{Engines: p.engines}),
 		models: dispatch.New(dispatch.Options{
 			Fleet: p.poller.Fleet, Teams: p.teams, Seed: seed(),
-			Peers: func() dispatch.Peers { return peersOf(p.fleet.View()) },
+			Peers:    func() dispatch.Peers { return peersOf(p.fleet.View()) },
+			Borrower: dispatch.PeerBorrower{Pool: p.peers, Address: p.addressAt},
 		}),
 		pools: dispatch.New(dispatch.Options{
 			Route: route.Options{MaxInFlight: poolMaxInFlight},
@@ -65,6 +66,7 @@
 		}),
 		release: relay.Releaser{Pool: p.peers, Address: address, For: relay.DefaultGrace},
 	}
+	t.models.Register(p.peerCalls.Registrar())
 	t.claims.Register(p.peerCalls.Registrar())
 	t.relay.Register(p.peerCalls.Registrar())
 	p.traffic = t
@@ -125,6 +127,9 @@
 			continue
 		}
 		peers.VMs++
+		if m.VM < v.Self.VM {
+			peers.Rank++
+		}
 		peers.InFlight += int(m.InFlight)
 		for team, n := range m.ServedTokens {
 			peers.Served[team] += n
@@ -133,6 +138,29 @@
 	return peers
 }
 
+// addressAt returns the address for peers of the VM at a place in the order of the
+// names of the VMs that are heard, or "" for this VM.
+func (p *Process) addressAt(rank int) string {
+	view := p.fleet.View()
+	own := peersOf(view).Rank
+	if rank == own {
+		return ""
+	}
+	if rank > own {
+		rank--
+	}
+	for _, m := range view.Members {
+		if m.Status != membership.Heard {
+			continue
+		}
+		if rank == 0 {
+			return m.PeerAddress
+		}
+		rank--
+	}
+	return ""
+}
+
 // poolFleet makes the fleet of plain services, anew when the configuration or the
 // list of leaving VMs has changed.
 type poolFleet struct {
--- a/internal/route/outcome.go
+++ b/internal/route/outcome.go
@@ -67,16 +67,3 @@
 func (r *Router) AdapterInFlight(i Item) int {
 	return r.adapter[i]
 }
-
-// AdapterPart returns the number of requests for an adapter that this VM may
-// have in flight, of a limit that holds over all VMs: its share of the demand,
-// at least one, and no more than the whole. own and all are requests in flight.
-func AdapterPart(limit, vms, own, all int) int {
-	if limit <= 0 {
-		return 0
-	}
-	vms = max(1, vms)
-	all = max(own, all)
-	part := limit * (own + 1) / (all + vms)
-	return min(limit, max(1, part))
-}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -12,9 +12,10 @@
 var (
 	// ErrNoReplica means that no engine that may take new work has the item.
 	ErrNoReplica = errors.New("route: no engine serves the item")
-	// ErrBusy means that every engine with the item has all it can take, or that
-	// this VM's part of the adapter's limit is used up.
+	// ErrBusy means that every engine with the item has all it can take.
 	ErrBusy = errors.New("route: every engine with the item is busy")
+	// ErrPartUsed means that this VM's part of the item's limit is used up.
+	ErrPartUsed = errors.New("route: this VM's part of the item's limit is used up")
 )
 
 // Router chooses engines. It belongs to one goroutine.
@@ -91,21 +92,23 @@
 	Version string
 	// Prefix is the prompt's, or NoPrefix.
 	Prefix Prefix
-	// MaxInFlight is this VM's part of the adapter's limit. 0 means no limit.
+	// Limited means that the item has a limit over all VMs, of which MaxInFlight
+	// is this VM's part.
+	Limited     bool
 	MaxInFlight int
 	// Avoid names engines that have failed this request already.
 	Avoid []string
 }
 
 // Available returns nil if an engine can be picked for a request now, and
-// otherwise ErrNoReplica or ErrBusy. It draws no random number.
+// otherwise ErrNoReplica, ErrBusy or ErrPartUsed. It draws no random number.
 func (r *Router) Available(q Request, now time.Time) error {
 	_, err := r.free(q, now)
 	return err
 }
 
 // Pick returns the engine for a request, which must then be told to Started. It
-// returns ErrNoReplica or ErrBusy. Equal random numbers give equal choices.
+// returns ErrNoReplica, ErrBusy or ErrPartUsed. Equal random numbers give equal choices.
 func (r *Router) Pick(q Request, now time.Time, rng *rand.Rand) (Engine, error) {
 	free, err := r.free(q, now)
 	if err != nil {
@@ -120,8 +123,8 @@
 	if len(candidates) == 0 {
 		return nil, ErrNoReplica
 	}
-	if q.MaxInFlight > 0 && r.adapter[q.Item] >= q.MaxInFlight && !r.faults.ignorePart {
-		return nil, ErrBusy
+	if q.Limited && r.adapter[q.Item] >= q.MaxInFlight && !r.faults.ignorePart {
+		return nil, ErrPartUsed
 	}
 	free := slices.DeleteFunc(candidates, r.full)
 	if len(free) == 0 {
