demo, status: the operator's line as the command takes it; sorted items

Cause: the demonstration printed a flag that chestnutctl lacks, and status listed items in another order each time. Change: the key goes by its environment variable; items are sorted.

--- a/internal/demo/show.go
+++ b/internal/demo/show.go
@@ -197,6 +197,6 @@
   # a malformed body: 400
   curl -si %[1]s/v1/completions -H 'Authorization: Bearer %[2]s' -d '{'
   # what operators see
-  go run ./cmd/chestnutctl --server http://127.0.0.1:%[6]d --key %[7]s status
+  CHESTNUT_OPERATOR_KEY=%[7]s go run ./cmd/chestnutctl --server http://127.0.0.1:%[6]d status
 `, address, StudioKey, chatBody, filingBody, VisitorKey, entryPorts[0]+1, OperatorKey)
 }
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -86,6 +87,7 @@
 		}
 		status.Resident = append(status.Resident, name)
 	}
+	slices.Sort(status.Resident)
 	return status
 }
 
