--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -260,6 +260,12 @@
 // plannerTimeout bounds a question to the leading planner.
 const plannerTimeout = 3 * time.Second
 
+// leaveSpread is how long other VMs may go on naming this one after it has said
+// that it leaves: a heartbeat that was just sent, one that is lost, and the
+// next. A VM that did not wait for them would refuse callers that another VM
+// has sent a moment ago.
+const leaveSpread = 3 * fleet.DefaultPeriod
+
 // peerGrace bounds the wait for running calls of peers at the end.
 const peerGrace = time.Second
 
@@ -276,7 +282,7 @@
 func (p *Process) drain(background context.Context, servers []*server) {
 	p.leaving.Store(true)
 	p.leases.Leave()
-	lifetime := p.addresses.book.MaxLifetime() + fleet.DefaultPeriod
+	lifetime := p.addresses.book.MaxLifetime() + leaveSpread
 	p.log.Info().Dur("wait_ms", lifetime).Msg("leaving the address answers")
 	select {
 	case <-time.After(lifetime):
