--- a/internal/quota/quotaloop/store.go
+++ b/internal/quota/quotaloop/store.go
@@ -88,13 +88,18 @@
 
 // Acquire lets a request arrive at a VM. It reports false if no process runs there.
 func (w *World) Acquire(vm string, tokens int64) bool {
+	return w.AcquireTagged(vm, tokens, false)
+}
+
+// AcquireTagged is Acquire with a mark that OnVerdict is given back.
+func (w *World) AcquireTagged(vm string, tokens int64, tag bool) bool {
 	n := w.current[vm]
 	if !n.alive || n.paused {
 		return false
 	}
 	w.numbers++
 	number := w.numbers
-	w.requests[number] = request{vm: vm, tokens: tokens, at: w.Now}
+	w.requests[number] = request{tokens: tokens, at: w.Now, tag: tag}
 	w.on(n, func() { n.machine.Acquire(w.reading(n), number, Team, tokens) })
 	return true
 }
--- a/internal/quota/quotaloop/world.go
+++ b/internal/quota/quotaloop/world.go
@@ -114,15 +114,15 @@
 	Verdicts map[quota.Cause]int64
 	Tokens   map[quota.Cause]int64
 	// OnVerdict is called with every verdict. It may be nil.
-	OnVerdict func(vm string, tokens int64, v quota.Verdict, waited time.Duration)
+	OnVerdict func(vm string, tokens int64, v quota.Verdict, waited time.Duration, tag bool)
 	// OnSend is called with every message. It may be nil.
 	OnSend func(from, to string, message quota.Message)
 }
 
 type request struct {
-	vm     string
 	tokens int64
 	at     time.Duration
+	tag    bool
 }
 
 type event struct {
@@ -331,6 +331,6 @@
 		}
 	}
 	if w.OnVerdict != nil {
-		w.OnVerdict(n.vm, r.tokens, v, w.Now-r.at)
+		w.OnVerdict(n.vm, r.tokens, v, w.Now-r.at, r.tag)
 	}
 }
