quota: lend on what is borrowed, say where tokens went, ask only when the balance runs down

Cause: demand that moved to another VM found the lenders' units lent to the first one; small requests under several times the rate asked every VM; fluctuations set off loans that nobody needed. Change: borrowed units may be lent on for no longer than they last; an answer names the VM that holds the lender's units; a lender with a queue of its own lends to collectors only; estimates count idle rate alone; borrowing ahead waits until half the balance is gone.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -33,6 +33,8 @@
 	lenders  map[string]*lenderView
 	queue    []waiting
 	collect  *collection
+	// nextCollection is when the next one may start.
+	nextCollection time.Duration
 
 	// ownUnits is what the VM's slots give now, zero without authority.
 	ownUnits int64
@@ -57,14 +59,10 @@
 	}
 }
 
-// freeUnits is what the VM could lend: its own units that are not lent.
-func (a *account) freeUnits() int64 {
-	return max(a.ownUnits-a.lent.units, 0)
-}
-
-// units is the part of the team's rate and burst that the VM may use.
+// units is the part of the team's rate and burst that the VM may use: its own
+// and what it borrowed, less what it lent.
 func (a *account) units() int64 {
-	return a.freeUnits() + a.borrowed.units
+	return max(a.ownUnits+a.borrowed.units-a.lent.units, 0)
 }
 
 // capOf returns the share of the burst, in nano-tokens, of a number of units.
@@ -132,5 +130,14 @@
 
 // spareUnits is what the VM could lend without missing it.
 func (a *account) spareUnits() int64 {
-	return max(min(a.units()-a.needUnits(), a.freeUnits()), 0)
+	return max(a.units()-a.needUnits(), 0)
+}
+
+// idleUnits is the part of the rate that the demand leaves over, without
+// headroom. It is negative when the demand exceeds the VM's part.
+func (a *account) idleUnits() int64 {
+	if a.limit.Rate == 0 {
+		return 0
+	}
+	return a.units() - mulDiv(a.demand, Units, a.limit.Rate)
 }
--- a/internal/quota/borrowing.go
+++ b/internal/quota/borrowing.go
@@ -17,6 +17,10 @@
 	// asked again.
 	firstBackoff = 10 * time.Millisecond
 	lastBackoff  = 320 * time.Millisecond
+	// answerLasts is how long a lender's answer says something of its demand.
+	answerLasts = 400 * time.Millisecond
+	// hintEvery is how often a VM is asked only because another lent to it.
+	hintEvery = 100 * time.Millisecond
 	// asksPerTick bounds the asks ahead of demand in one tick and team.
 	asksPerTick = 3
 	// aheadTime is the demand, in time, that is asked for beyond a shortage, so
@@ -29,31 +33,55 @@
 	surplusTime = 150 * time.Millisecond
 )
 
-// updateLenders takes over the holders of the assignment.
-func (m *Machine) updateLenders(a *account) {
-	for vm := range a.lenders {
-		if m.shares.slotsOn(vm) == 0 {
+// updateLenders takes over the holders of the assignment. VMs that hold no slots
+// but were named as borrowers stay for a while.
+func (m *Machine) updateLenders(now clock.Reading, a *account) {
+	for vm, view := range a.lenders {
+		view.slots = m.shares.slotsOn(vm)
+		if view.slots == 0 && now.Mono-view.hinted >= m.cfg.LoanTTL {
 			delete(a.lenders, vm)
 		}
 	}
 	for _, s := range m.shares.current.Shares {
-		if s.VM == m.cfg.Self.VM {
+		if _, known := a.lenders[s.VM]; known || s.VM == m.cfg.Self.VM {
 			continue
 		}
-		view, known := a.lenders[s.VM]
-		if !known {
-			view = &lenderView{left: a.capOf(s.Slots * UnitsPerSlot), spare: s.Slots * UnitsPerSlot}
-			a.lenders[s.VM] = view
-		}
-		view.slots = s.Slots
+		units := s.Slots * UnitsPerSlot
+		a.lenders[s.VM] = &lenderView{slots: s.Slots, left: a.capOf(units), idle: units, at: now.Mono}
 	}
 }
 
-// estimate is the most that a lender can have now, going by its last answer.
+// noteHint remembers that a VM has borrowed from a lender, and so has tokens
+// beyond its slots.
+func (m *Machine) noteHint(now clock.Reading, a *account, vm string) {
+	if vm == "" || vm == m.cfg.Self.VM {
+		return
+	}
+	view, known := a.lenders[vm]
+	if !known {
+		view = &lenderView{}
+		a.lenders[vm] = view
+	}
+	if now.Mono-view.hinted < hintEvery {
+		return
+	}
+	view.hinted = now.Mono
+	view.left = a.capOf(Units)
+	view.nextAsk = now.Mono
+}
+
+// estimate is the most that a lender is likely to have now, going by its last
+// answer and by what its demand left over then. An old answer says nothing of
+// the demand any more.
 func (m *Machine) estimate(now clock.Reading, a *account, view *lenderView) int64 {
-	units := view.slots * UnitsPerSlot
-	rate := mulDiv(a.limit.Rate*NanoPerToken, units, Units)
-	return min(view.left+mulDiv(rate, int64(now.Mono-view.at), int64(time.Second)), a.capOf(units))
+	units := view.idle
+	age := now.Mono - view.at
+	if age >= answerLasts {
+		units = max(units, view.slots*UnitsPerSlot)
+	}
+	rate := mulDiv(a.limit.Rate*NanoPerToken, max(units, 0), Units)
+	accrued := mulDiv(rate, int64(age), int64(time.Second))
+	return max(view.left, min(view.left+accrued, a.capOf(max(view.slots*UnitsPerSlot, units))))
 }
 
 // estimateElsewhere is the most that all lenders that are heard can have now.
@@ -109,7 +137,7 @@
 	if m.asksUnderWay(now, a) {
 		return true
 	}
-	return m.startCollection(now, a, head)
+	return m.startCollection(now, a, head, missing)
 }
 
 func (m *Machine) asksUnderWay(now clock.Reading, a *account) bool {
@@ -151,6 +179,7 @@
 	}
 	delete(a.borrowed.asks, msg.Loan.Number)
 	m.noteLender(now, a, under.lender, msg)
+	m.noteHint(now, a, msg.LentTo)
 	if msg.Units > 0 && clock.Elapsed(under.sent, now) < msg.TTL {
 		m.stats.Loans++
 		a.borrowed.add(msg.Loan.Number, &borrowed{
@@ -172,7 +201,7 @@
 	if !known {
 		return
 	}
-	view.left, view.spare, view.at = msg.Left, msg.Spare, now.Mono
+	view.left, view.idle, view.at = msg.Left, msg.Idle, now.Mono
 	if view.asking == msg.Loan.Number {
 		view.asking = 0
 	}
@@ -186,7 +215,7 @@
 
 // lendTick borrows ahead of demand, and renews or returns what is borrowed.
 func (m *Machine) lendTick(now clock.Reading, a *account) {
-	m.updateLenders(a)
+	m.updateLenders(now, a)
 	for number, under := range a.borrowed.asks {
 		if clock.Elapsed(under.sent, now) >= m.cfg.LoanTTL {
 			delete(a.borrowed.asks, number)
@@ -203,9 +232,13 @@
 	if lack <= Units/200 || a.collect != nil {
 		return
 	}
+	// A fluctuation that the balance covers is no reason to ask.
+	if a.bucket.Level(now.Mono) > a.capOf(a.units())/2 {
+		return
+	}
 	names := slices.Collect(maps.Keys(a.lenders))
 	slices.SortFunc(names, func(x, y string) int {
-		return cmp.Or(cmp.Compare(a.lenders[y].spare, a.lenders[x].spare), cmp.Compare(x, y))
+		return cmp.Or(cmp.Compare(a.lenders[y].idle, a.lenders[x].idle), cmp.Compare(x, y))
 	})
 	asks := 0
 	for _, vm := range names {
@@ -213,14 +246,14 @@
 			return
 		}
 		view := a.lenders[vm]
-		// A lender that was last seen without spare units is asked again once
+		// A lender that was last seen without idle units is asked again once
 		// its answer is old.
-		stale := now.Mono-view.at >= lastBackoff
-		if (view.spare <= 0 && !stale) || !m.askable(now, a, vm, view) {
+		stale := now.Mono-view.at >= answerLasts
+		if (view.idle <= 0 && !stale) || !m.askable(now, a, vm, view) {
 			continue
 		}
 		m.ask(now, a, vm, lack, 0, false)
-		lack -= max(view.spare, 0)
+		lack -= max(view.idle, 0)
 		asks++
 	}
 }
@@ -293,7 +326,8 @@
 // before the message goes out.
 func (m *Machine) giveBack(now clock.Reading, a *account, number uint64) {
 	loan, open := a.borrowed.loans[number]
-	if !open {
+	// What was lent on must come back first.
+	if !open || loan.units > a.units() {
 		return
 	}
 	level := max(a.bucket.Level(now.Mono), 0)
--- a/internal/quota/collection.go
+++ b/internal/quota/collection.go
@@ -14,6 +14,12 @@
 	// again and again.
 	collectRetry = 5 * time.Millisecond
 	retrySpread  = 8
+	// plenty is how many times the missing amount the others must seem to have
+	// for a small request to be collected for.
+	plenty = 4
+	// collectPause is the least time between a collection that found too little
+	// and the next one.
+	collectPause = 100 * time.Millisecond
 )
 
 // collection gathers the tokens for one request from several lenders. All VMs
@@ -30,8 +36,14 @@
 	complete bool
 }
 
-// startCollection asks the first lender, and gives the request more time.
-func (m *Machine) startCollection(now clock.Reading, a *account, head waiting) bool {
+// startCollection asks the first lender, and gives the request more time. It
+// returns false if the request is not worth it: a small one is soon sent again,
+// and under several times the rate every one of them would ask every VM.
+func (m *Machine) startCollection(now clock.Reading, a *account, head waiting, missing int64) bool {
+	small := head.amount < a.capOf(UnitsPerSlot) && m.estimateElsewhere(now, a) < plenty*missing
+	if small || now.Mono < a.nextCollection {
+		return false
+	}
 	m.stats.Collections++
 	a.queue[0].deadline = head.since + m.cfg.MaxCollect
 	a.collect = &collection{request: head.request}
@@ -104,6 +116,7 @@
 	if wait, possible := a.bucket.Wait(now.Mono, head.amount); possible && now.Mono+wait < head.deadline {
 		return
 	}
+	a.nextCollection = now.Mono + collectPause
 	cause := m.shortageCause(now, a, head.amount)
 	retryAfter := m.retryAfter(now, a, head.amount)
 	m.popHead(now, a)
--- a/internal/quota/lending.go
+++ b/internal/quota/lending.go
@@ -21,13 +21,16 @@
 	}
 	m.refresh(now, a)
 	answer.Busy = m.heldByOther(a, msg)
-	ttl := min(m.cfg.LoanTTL, m.authority.remaining(now))
+	_, repeated := a.lent.loans[msg.Loan]
+	if !answer.Busy && !repeated {
+		answer.Units, answer.Balance = m.offer(now, a, msg)
+	}
+	ttl := m.loanTTL(now, a, answer.Units)
 	if msg.Collect {
 		ttl = min(ttl, m.cfg.MaxCollect)
 	}
-	_, repeated := a.lent.loans[msg.Loan]
-	if !answer.Busy && !repeated && ttl >= minLoanTTL {
-		answer.Units, answer.Balance = m.offer(now, a, msg)
+	if ttl < minLoanTTL {
+		answer.Units, answer.Balance = 0, 0
 	}
 	if answer.Units > 0 {
 		answer.TTL = ttl
@@ -38,10 +41,28 @@
 		a.reshape(now)
 	}
 	answer.Left = max(a.bucket.Level(now.Mono), 0)
-	answer.Spare = a.spareUnits()
+	answer.Idle = a.idleUnits()
+	answer.LentTo = a.lent.largest()
 	m.send(from, answer)
 }
 
+// loanTTL returns how long a number of further units may be lent: no longer than
+// the authority lasts that they come from, nor, where they are borrowed
+// themselves, than any loan that they may be part of.
+func (m *Machine) loanTTL(now clock.Reading, a *account, units int64) time.Duration {
+	ttl := m.cfg.LoanTTL
+	if a.ownUnits > 0 {
+		ttl = min(ttl, m.authority.remaining(now))
+	}
+	if a.lent.units+units <= a.ownUnits {
+		return ttl
+	}
+	for _, loan := range a.borrowed.loans {
+		ttl = min(ttl, loan.remaining(now))
+	}
+	return ttl
+}
+
 // heldByOther reports whether the lender's tokens are being collected by another
 // VM, or by itself, so that a second collector must not take the rest.
 func (m *Machine) heldByOther(a *account, msg Ask) bool {
@@ -57,9 +78,9 @@
 
 // offer decides how many units and how much balance to lend.
 func (m *Machine) offer(now clock.Reading, a *account, msg Ask) (units, balance int64) {
-	free := a.freeUnits()
+	free := a.units()
 	level := max(a.bucket.Level(now.Mono), 0)
-	if free == 0 {
+	if free == 0 || (!msg.Collect && len(a.queue) > 0) {
 		return 0, 0
 	}
 	keep := int64(0)
@@ -100,7 +121,7 @@
 	}
 	m.refresh(now, a)
 	loan, lentOut := a.lent.loans[msg.Loan]
-	ttl := min(m.cfg.LoanTTL, m.authority.remaining(now))
+	ttl := m.loanTTL(now, a, 0)
 	if lentOut && !loan.collect && ttl >= minLoanTTL && a.needUnits() <= a.units() && !m.leaving {
 		// The new term may end before the old one if the authority is about to.
 		if ttl > loan.ttl-elapsedAtLeast(loan.since, now) {
--- a/internal/quota/loans.go
+++ b/internal/quota/loans.go
@@ -111,12 +111,31 @@
 	return any
 }
 
+// remaining returns how long the loan lasts.
+func (l *borrowed) remaining(now clock.Reading) time.Duration {
+	return max(l.ttl-clock.Elapsed(l.asked, now), 0)
+}
+
+// largest returns the borrower of the largest loan, if any.
+func (l *lentLedger) largest() string {
+	vm, most := "", int64(0)
+	for id, loan := range l.loans {
+		if loan.units > most || (loan.units == most && id.Borrower.VM < vm) {
+			vm, most = id.Borrower.VM, loan.units
+		}
+	}
+	return vm
+}
+
 // lenderView is what a VM remembers of a lender of one team.
 type lenderView struct {
 	slots int64
 	left  int64
-	spare int64
-	at    time.Duration
+	// idle is what the demand at the lender leaves over of its rate, in units.
+	idle int64
+	at   time.Duration
+	// hinted is when another lender last said that it had lent to this one.
+	hinted time.Duration
 	// asking is the number of the Ask under way, zero if none.
 	asking  uint64
 	nextAsk time.Duration
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -33,10 +33,13 @@
 	Units   int64
 	Balance int64
 	TTL     time.Duration
-	// Left is the lender's own balance after the loan.
+	// Left is the lender's balance after the loan.
 	Left int64
-	// Spare is how many more units the lender could do without.
-	Spare int64
+	// Idle is how many units the demand at the lender leaves over, negative if
+	// the lender lacks some itself.
+	Idle int64
+	// LentTo is the VM that has the largest part of what the lender lent.
+	LentTo string
 	// Busy means that another collector has the lender's tokens.
 	Busy bool
 }
--- a/internal/ratelimit/convert.go
+++ b/internal/ratelimit/convert.go
@@ -33,7 +33,7 @@
 	case quota.Answer:
 		return &peerpb.QuotaMessage{Body: &peerpb.QuotaMessage_Answer{Answer: &peerpb.LoanAnswer{
 			Loan: encodeLoan(m.Loan), Team: m.Team, Units: m.Units, Balance: m.Balance,
-			Ttl: int64(m.TTL), Left: m.Left, Spare: m.Spare, Busy: m.Busy,
+			Ttl: int64(m.TTL), Left: m.Left, Idle: m.Idle, LentTo: m.LentTo, Busy: m.Busy,
 		}}}
 	case quota.Return:
 		return &peerpb.QuotaMessage{Body: &peerpb.QuotaMessage_Return{Return: &peerpb.LoanReturn{
@@ -71,7 +71,7 @@
 		m := b.Answer
 		return quota.Answer{
 			Loan: decodeLoan(m.GetLoan()), Team: m.GetTeam(), Units: max(m.GetUnits(), 0), Balance: max(m.GetBalance(), 0),
-			TTL: time.Duration(m.GetTtl()), Left: m.GetLeft(), Spare: m.GetSpare(), Busy: m.GetBusy(),
+			TTL: time.Duration(m.GetTtl()), Left: m.GetLeft(), Idle: m.GetIdle(), LentTo: m.GetLentTo(), Busy: m.GetBusy(),
 		}
 	case *peerpb.QuotaMessage_Return:
 		m := b.Return
