quota: even balances out ahead, ask before waiting, longer waits

Change: a VM that runs low asks a fuller one for balance; a return leaves half of the own part filled; a request waits 200 ms at most instead of 50; lenders that give less than half of what was asked are asked less often; holders are chosen when the view changes and not at each tick.

--- a/internal/quota/borrowing.go
+++ b/internal/quota/borrowing.go
@@ -29,6 +29,8 @@
 	// roundingSlack is more nano-tokens than the rounding of all parts can lose.
 	// Without it a request as large as the burst would seem never to fit.
 	roundingSlack = 2 * Slots
+	// shortWait is the wait for the own accrual that is not worth asking for.
+	shortWait = 2 * time.Millisecond
 	// surplusTime is how long units must be surplus before they are returned.
 	surplusTime = 150 * time.Millisecond
 )
@@ -113,11 +115,13 @@
 	}
 	level := a.bucket.Level(now.Mono)
 	missing := head.amount - level
-	if wait, possible := a.bucket.Wait(now.Mono, head.amount); possible && now.Mono+wait <= head.deadline {
+	wait, possible := a.bucket.Wait(now.Mono, head.amount)
+	soon := possible && now.Mono+wait <= head.deadline
+	if soon && wait <= shortWait {
 		return true
 	}
 	if m.estimateElsewhere(now, a) < missing {
-		return m.asksUnderWay(now, a)
+		return soon || m.asksUnderWay(now, a)
 	}
 	best, most := "", int64(0)
 	for _, vm := range slices.Sorted(maps.Keys(a.lenders)) {
@@ -131,10 +135,10 @@
 	}
 	if most >= missing {
 		ahead := mulDiv(a.demand*NanoPerToken, int64(aheadTime), int64(time.Second))
-		m.ask(now, a, best, max(a.needUnits()-a.units(), 0), missing+ahead, false)
+		m.ask(now, a, best, Ask{Units: max(a.needUnits()-a.units(), 0), Balance: missing + ahead})
 		return true
 	}
-	if m.asksUnderWay(now, a) {
+	if soon || m.asksUnderWay(now, a) {
 		return true
 	}
 	return m.startCollection(now, a, head, missing)
@@ -149,17 +153,14 @@
 	return false
 }
 
-func (m *Machine) ask(now clock.Reading, a *account, lender string, units, balance int64, collect bool) {
+// ask sends an Ask under a new number.
+func (m *Machine) ask(now clock.Reading, a *account, lender string, msg Ask) {
 	number := m.nextNumber()
-	a.borrowed.asks[number] = ask{lender: lender, sent: now, collect: collect}
+	a.borrowed.asks[number] = ask{lender: lender, sent: now, units: msg.Units, balance: msg.Balance, collect: msg.Collect}
 	a.lenders[lender].asking = number
-	m.send(lender, Ask{
-		Loan:    LoanID{Borrower: m.cfg.Self, Number: number},
-		Team:    a.limit.Team,
-		Units:   units,
-		Balance: balance,
-		Collect: collect,
-	})
+	msg.Loan = LoanID{Borrower: m.cfg.Self, Number: number}
+	msg.Team = a.limit.Team
+	m.send(lender, msg)
 }
 
 // onAnswer takes a loan in. Its time runs from the sending of the Ask, and each
@@ -178,7 +179,7 @@
 		return
 	}
 	delete(a.borrowed.asks, msg.Loan.Number)
-	m.noteLender(now, a, under.lender, msg)
+	m.noteLender(now, a, under, msg)
 	m.noteHint(now, a, msg.LentTo)
 	if msg.Units > 0 && clock.Elapsed(under.sent, now) < msg.TTL {
 		m.stats.Loans++
@@ -196,8 +197,8 @@
 }
 
 // noteLender remembers what a lender has left and when to ask it again.
-func (m *Machine) noteLender(now clock.Reading, a *account, vm string, msg Answer) {
-	view, known := a.lenders[vm]
+func (m *Machine) noteLender(now clock.Reading, a *account, under ask, msg Answer) {
+	view, known := a.lenders[under.lender]
 	if !known {
 		return
 	}
@@ -205,7 +206,7 @@
 	if view.asking == msg.Loan.Number {
 		view.asking = 0
 	}
-	if msg.Units > 0 {
+	if under.fruitful(msg) {
 		view.backoff = 0
 		return
 	}
@@ -227,15 +228,25 @@
 	m.borrowAhead(now, a)
 }
 
+// borrowAhead asks for units when the demand exceeds the VM's part, and for
+// balance when it runs low, so that fewer requests have to wait. A fluctuation
+// that the balance covers is no reason to ask.
 func (m *Machine) borrowAhead(now clock.Reading, a *account) {
-	lack := a.needUnits() - a.units()
-	if lack <= Units/200 || a.collect != nil {
+	level, limit := a.bucket.Level(now.Mono), a.capOf(a.units())
+	if a.collect != nil || level > limit/2 || a.demand == 0 {
 		return
 	}
-	// A fluctuation that the balance covers is no reason to ask.
-	if a.bucket.Level(now.Mono) > a.capOf(a.units())/2 {
+	lack := a.needUnits() - a.units()
+	if lack > Units/200 {
+		m.askForUnits(now, a, lack)
 		return
 	}
+	if level < limit/3 {
+		m.askForBalance(now, a, limit/2-level)
+	}
+}
+
+func (m *Machine) askForUnits(now clock.Reading, a *account, lack int64) {
 	names := slices.Collect(maps.Keys(a.lenders))
 	slices.SortFunc(names, func(x, y string) int {
 		return cmp.Or(cmp.Compare(a.lenders[y].idle, a.lenders[x].idle), cmp.Compare(x, y))
@@ -252,12 +263,28 @@
 		if (view.idle <= 0 && !stale) || !m.askable(now, a, vm, view) {
 			continue
 		}
-		m.ask(now, a, vm, lack, 0, false)
+		m.ask(now, a, vm, Ask{Units: lack, Ahead: true})
 		lack -= max(view.idle, 0)
 		asks++
 	}
 }
 
+// askForBalance evens balances out between a VM that runs low and one that is
+// more than half full, whose further accrual would soon be lost.
+func (m *Machine) askForBalance(now clock.Reading, a *account, amount int64) {
+	best, most := "", int64(0)
+	for _, vm := range slices.Sorted(maps.Keys(a.lenders)) {
+		view := a.lenders[vm]
+		over := m.estimate(now, a, view) - a.capOf(view.slots*UnitsPerSlot)/2
+		if over > most && m.askable(now, a, vm, view) {
+			best, most = vm, over
+		}
+	}
+	if best != "" && !m.asksUnderWay(now, a) {
+		m.ask(now, a, best, Ask{Balance: min(amount, most), Ahead: true})
+	}
+}
+
 // sortedLoans returns the numbers of the loans, oldest first.
 func (b *borrowedLedger) sortedLoans() []uint64 {
 	return slices.Sorted(maps.Keys(b.loans))
@@ -322,6 +349,20 @@
 	}
 }
 
+// balanceToReturn is the balance that goes back with a loan: its part of what
+// there is, but a VM with demand of its own first keeps half of its own part
+// filled.
+func (a *account) balanceToReturn(now clock.Reading, loan *borrowed) int64 {
+	level := max(a.bucket.Level(now.Mono), 0)
+	units := a.units()
+	own := a.capOf(units - loan.units)
+	balance := mulDiv(level, loan.units, max(units, 1))
+	if a.demand > 0 && !loan.collect {
+		balance = min(balance, max(level-own/2, 0))
+	}
+	return min(max(balance, level-own), a.capOf(loan.units))
+}
+
 // giveBack returns a loan with its part of the balance. Both are taken away
 // before the message goes out.
 func (m *Machine) giveBack(now clock.Reading, a *account, number uint64) {
@@ -330,8 +371,7 @@
 	if !open || loan.units > a.units() {
 		return
 	}
-	level := max(a.bucket.Level(now.Mono), 0)
-	balance := min(mulDiv(level, loan.units, max(a.units(), 1)), a.capOf(loan.units))
+	balance := a.balanceToReturn(now, loan)
 	a.borrowed.end(number)
 	a.bucket.Adjust(now.Mono, -balance)
 	a.reshape(now)
--- a/internal/quota/collection.go
+++ b/internal/quota/collection.go
@@ -41,9 +41,12 @@
 // and under several times the rate every one of them would ask every VM.
 func (m *Machine) startCollection(now clock.Reading, a *account, head waiting, missing int64) bool {
 	small := head.amount < a.capOf(UnitsPerSlot) && m.estimateElsewhere(now, a) < plenty*missing
-	if small || now.Mono < a.nextCollection {
+	if small {
 		return false
 	}
+	if now.Mono < a.nextCollection {
+		return a.nextCollection < head.deadline
+	}
 	m.stats.Collections++
 	a.queue[0].deadline = head.since + m.cfg.MaxCollect
 	a.collect = &collection{request: head.request}
@@ -60,7 +63,7 @@
 		}
 		c.order = vm
 		missing := a.queue[0].amount - a.bucket.Level(now.Mono)
-		m.ask(now, a, vm, a.unitsFor(missing), missing, true)
+		m.ask(now, a, vm, Ask{Units: a.unitsFor(missing), Balance: missing, Collect: true})
 		return
 	}
 	c.complete = true
--- a/internal/quota/lending.go
+++ b/internal/quota/lending.go
@@ -84,7 +84,10 @@
 		return 0, 0
 	}
 	keep := int64(0)
-	if !msg.Collect {
+	switch {
+	case msg.Ahead:
+		keep = a.capOf(free) / 2
+	case !msg.Collect:
 		keep = mulDiv(a.demand*NanoPerToken, int64(reserveTime), int64(time.Second))
 	}
 	balance = min(msg.Balance, max(level-keep, 0), a.capOf(free))
--- a/internal/quota/loans.go
+++ b/internal/quota/loans.go
@@ -73,11 +73,19 @@
 
 // ask is an Ask without an answer.
 type ask struct {
-	lender  string
-	sent    clock.Reading
+	lender string
+	sent   clock.Reading
+	// units and balance are what was asked for.
+	units   int64
+	balance int64
 	collect bool
 }
 
+// fruitful reports whether an answer brought at least half of what was asked for.
+func (a ask) fruitful(msg Answer) bool {
+	return msg.Units > 0 && 2*msg.Units >= a.units && 2*msg.Balance >= a.balance
+}
+
 // borrowedLedger holds what a VM has borrowed of one team. Each number is
 // accepted once: were a repeated Answer taken in again, its tokens would be
 // used twice.
--- a/internal/quota/machine.go
+++ b/internal/quota/machine.go
@@ -15,8 +15,8 @@
 	DefaultMaxSilence = 12 * time.Hour
 	DefaultMaxHolders = 24
 	DefaultLoanTTL    = 2 * time.Second
-	DefaultMaxWait    = 50 * time.Millisecond
-	DefaultCollect    = 300 * time.Millisecond
+	DefaultMaxWait    = 200 * time.Millisecond
+	DefaultCollect    = 400 * time.Millisecond
 
 	// driftDivisor gives the margin for clocks that run at different speeds: a
 	// fiftieth of the time in question.
@@ -114,12 +114,15 @@
 	ops       map[uint64]operation
 	leaving   bool
 	stats     Stats
+	// holders lists the processes that should hold slots, holding their VMs.
+	holders []Holder
+	holding map[string]bool
 }
 
 // New returns the machine of a process that has just started and may use nothing.
 func New(now clock.Reading, cfg Config) *Machine {
 	cfg = cfg.withDefaults()
-	return &Machine{
+	m := &Machine{
 		cfg:       cfg,
 		started:   now,
 		teams:     make(map[string]*account),
@@ -131,7 +134,10 @@
 		duties:    make(map[string]*duty),
 		ops:       make(map[uint64]operation),
 		stats:     newStats(),
+		holding:   make(map[string]bool),
 	}
+	m.chooseHolders()
+	return m
 }
 
 // Actions returns what is to be done since the last call, in order.
@@ -170,18 +176,21 @@
 	m.teams = next
 }
 
-// SetPeers gives the present view of the other VMs.
+// SetPeers gives the present view of the other VMs. It costs time in proportion
+// to the fleet, so it is to be called when the view changes.
 func (m *Machine) SetPeers(peers []Peer) {
 	clear(m.peers)
 	for _, p := range peers {
 		m.peers[p.VM] = p
 	}
+	m.chooseHolders()
 }
 
 // Leave makes the process give its slots away and close its record. Left reports
 // when that is done.
 func (m *Machine) Leave() {
 	m.leaving = true
+	m.chooseHolders()
 }
 
 // Left reports whether the process holds nothing any more.
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -23,6 +23,9 @@
 	// Collect means that a request waits which is larger than any one part. The
 	// lender gives all it needs, and lends to no other collector meanwhile.
 	Collect bool
+	// Ahead means that no request waits yet. The lender keeps half of its own
+	// balance then.
+	Ahead bool
 }
 
 // Answer is the reply to Ask. Units is zero if nothing was lent.
--- a/internal/quota/ownrecord.go
+++ b/internal/quota/ownrecord.go
@@ -222,6 +222,7 @@
 	}
 	m.observer.noteClosed(now, m.cfg.Self)
 	m.cfg.Self.Incarnation++
+	m.chooseHolders()
 	m.started = now
 	m.own = newOwnRecord()
 	m.promises = newPromises()
--- /dev/null
+++ b/internal/quota/quotaloop/quotameasure/cost.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"syscall"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chestnutarch/chestnutarch/internal/membership"
+	"github.com/chestnutarch/chestnutarch/internal/peer"
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+	"github.com/chestnutarch/chestnutarch/internal/quota"
+	"github.com/chestnutarch/chestnutarch/internal/quota/quotaloop"
+	"github.com/chestnutarch/chestnutarch/internal/ratelimit"
+)
+
+const (
+	costTeams   = 5
+	costLoad    = 80
+	costTime    = 30 * time.Second
+	costRounds  = 120
+	costDomains = 38
+)
+
+// cpu returns the processor time that this process has used.
+func cpu() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// quotaCost steps a fleet at four fifths of the rate with the demand spread over
+// all VMs. Requests and tokens per VM are the same at each size, those of the
+// target's 420 VMs.
+func quotaCost(vms int) error {
+	const tokensPerVM, requestsPerVM = 2_200_000 / 420, 5_200.0 / 420
+	rate := int64(tokensPerVM * vms / costTeams)
+	before := heap()
+	w := quotaloop.New(quotaloop.Options{
+		VMs: vms, Domains: min(vms, costDomains), Teams: costTeams, Rate: rate, Burst: 2 * rate, Seed: 1,
+		Network: quotaloop.NetworkFaults{Delay: 250 * time.Microsecond, Jitter: 200 * time.Microsecond},
+		Store:   quotaloop.StoreFaults{Delay: time.Millisecond, Jitter: 2 * time.Millisecond},
+		Tick:    20 * time.Millisecond,
+	})
+	var bytes, refused, requests int64
+	causes := make(map[quota.Cause]int64)
+	w.OnSend = func(_, _ string, m quota.Message) { bytes += int64(ratelimit.MessageBytes(m)) }
+	w.OnVerdict = func(_ string, _ int64, v quota.Verdict, _ time.Duration, ideal bool) {
+		requests++
+		if !v.Admitted && ideal {
+			refused++
+			causes[v.Cause]++
+		}
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	var ideal []*quotaloop.Ideal
+	for range costTeams {
+		ideal = append(ideal, quotaloop.NewIdeal(rate, 2*rate))
+	}
+	var arrive func()
+	arrive = func() {
+		tokens := 1 + int64(rng.ExpFloat64()*tokensPerVM/requestsPerVM)
+		team := rng.IntN(costTeams)
+		w.AcquireTagged(quotaloop.VM(rng.IntN(vms)), team, tokens, ideal[team].Take(w.Now, tokens))
+		gap := rng.ExpFloat64() * float64(time.Second) * 100 / costLoad / (requestsPerVM * float64(vms))
+		w.At(w.Now+time.Duration(gap), arrive)
+	}
+	if err := w.Run(warmUp); err != nil {
+		return err
+	}
+	w.At(w.Now, arrive)
+	sent, calls, used := w.Sent, w.Calls, cpu()
+	bytes = 0
+	if err := w.Run(warmUp + costTime); err != nil {
+		return err
+	}
+	used = cpu() - used
+	perVM := float64(vms) * costTime.Seconds()
+	memory := float64(heap()-before) / float64(vms) / 1024
+	fmt.Printf("| %d | %.1f | %.2f KB/s | %.3f%% | %.0f KB | %.1f | %s | %v |\n", vms,
+		float64(w.Sent-sent)/perVM, float64(bytes)/perVM/1000, 100*used.Seconds()/perVM, memory,
+		float64(w.Calls-calls)/costTime.Seconds(), percent(refused, requests), causes)
+	runtime.KeepAlive(w)
+	return nil
+}
+
+// membershipCost steps the membership machines of a fleet.
+func membershipCost(vms int) {
+	now := time.Unix(0, 0)
+	states := make(map[string]*membership.State, vms)
+	var all []*membership.State
+	var addresses []string
+	before := heap()
+	for i := range vms {
+		address := fmt.Sprintf("10.%d.%d.1:7000", i/256, i%256)
+		s := membership.New(membership.Config{}, membership.Node{
+			VM: quotaloop.VM(i), Incarnation: 1_780_000_000_000_000_000, Ready: true, PeerAddress: address,
+			CallerURL: "https://" + address, FailureDomain: fmt.Sprintf("gt-central-%d", i%min(vms, costDomains)),
+			ServedTokens: map[string]int64{"a": 1 << 30, "b": 1 << 30, "c": 1 << 30, "d": 1 << 30, "e": 1 << 30},
+		})
+		states[address] = s
+		all = append(all, s)
+		addresses = append(addresses, address)
+	}
+	var messages, bytes int64
+	count := func(m proto.Message) { messages++; bytes += int64(proto.Size(m)) }
+	round := func() {
+		now = now.Add(time.Second)
+		for _, s := range all {
+			s.UpdateSelf(func(*membership.Node) {})
+			s.SetSeeds(addresses[:min(vms, 3)])
+			s.Tick(now)
+			for _, target := range s.Targets(now) {
+				other := states[target]
+				rumors := s.Rumors()
+				count(&peerpb.HeartbeatRequest{Sender: peer.EncodeNode(s.Self()), Heard: peer.EncodeNodes(rumors)})
+				other.Receive(now, s.Self(), rumors)
+				other.UpdateSelf(func(*membership.Node) {})
+				rumors = other.Rumors()
+				count(&peerpb.HeartbeatResponse{Receiver: peer.EncodeNode(other.Self()), Heard: peer.EncodeNodes(rumors)})
+				s.Receive(now, other.Self(), rumors)
+			}
+			s.View(now)
+		}
+	}
+	for range costRounds {
+		round()
+	}
+	messages, bytes = 0, 0
+	used := cpu()
+	for range costRounds {
+		round()
+	}
+	used = cpu() - used
+	perVM := float64(vms) * costRounds
+	known := len(all[0].View(now).Healthy())
+	fmt.Printf("| %d | %.1f | %.2f KB/s | %.3f%% | %.0f KB | %d |\n", vms, float64(messages)/perVM,
+		float64(bytes)/perVM/1000, 100*used.Seconds()/perVM, float64(heap()-before)/float64(vms)/1024, known)
+}
+
+func cost(sizes []int) error {
+	fmt.Println("quota, per VM and second: messages sent, payload sent, share of a core with the loop's own work, heap; key-value calls a second of the whole fleet; refused requests")
+	fmt.Println("| VMs | messages | payload | core | heap | kv calls/s | refused |")
+	fmt.Println("|---|---|---|---|---|---|---|")
+	for _, vms := range sizes {
+		if err := quotaCost(vms); err != nil {
+			return err
+		}
+	}
+	fmt.Println("\nmembership, per VM and second: messages sent, payload sent, share of a core, heap; VMs known to one")
+	fmt.Println("| VMs | messages | payload | core | heap | known |")
+	fmt.Println("|---|---|---|---|---|---|")
+	for _, vms := range sizes {
+		membershipCost(vms)
+	}
+	return nil
+}
--- a/internal/quota/quotaloop/quotameasure/main.go
+++ b/internal/quota/quotaloop/quotameasure/main.go
@@ -7,6 +7,7 @@
 )
 
 func main() {
+	var sizes []int
 	root := &cobra.Command{Use: "quotameasure", SilenceUsage: true}
 	root.AddCommand(
 		&cobra.Command{
@@ -14,7 +15,13 @@
 			Short: "Measure what is refused although an ideal single bucket admits it",
 			RunE:  func(*cobra.Command, []string) error { return refusals() },
 		},
+		&cobra.Command{
+			Use:   "cost",
+			Short: "Measure messages, bytes, processor time, memory and calls by fleet size",
+			RunE:  func(*cobra.Command, []string) error { return cost(sizes) },
+		},
 	)
+	root.PersistentFlags().IntSliceVar(&sizes, "sizes", []int{7, 42, 420}, "fleet sizes for cost")
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
--- a/internal/quota/quotaloop/quotameasure/refusals.go
+++ b/internal/quota/quotaloop/quotameasure/refusals.go
@@ -15,7 +15,7 @@
 	fleetSize = 7
 	domains   = 4
 	rate      = 100_000
-	burst     = 200_000
+	smallRate = 7_000
 	warmUp    = 20 * time.Second
 	measured  = 120 * time.Second
 )
@@ -46,7 +46,10 @@
 	demand demand
 	// large is the share in a thousand of requests between a tenth of the burst
 	// and all of it.
-	large  int
+	large int
+	// small makes it a team with a small rate, of which one VM's part holds a few
+	// requests only.
+	small  bool
 	mishap func(w *quotaloop.World)
 }
 
@@ -82,27 +85,30 @@
 }
 
 var scenarios = []scenario{
-	{"even, 80%", 80, even, 0, none},
-	{"even, 95%", 95, even, 0, none},
-	{"even, 80%, one in 200 large", 80, even, 5, none},
-	{"skewed, 80%", 80, skewed, 0, none},
-	{"skewed, 95%", 95, skewed, 0, none},
-	{"moving, 80%", 80, moving, 0, none},
-	{"moving, 95%", 95, moving, 0, none},
-	{"even, four times over", 400, even, 0, none},
-	{"skewed, four times over", 400, skewed, 0, none},
-	{"moving, four times over", 400, moving, 0, none},
-	{"1% of messages lost and repeated, even, 80%", 80, even, 0, loss},
-	{"1% of messages lost and repeated, skewed, 80%", 80, skewed, 0, loss},
-	{"service out, even, 80%", 80, even, 0, outage},
-	{"service out, moving, 80%", 80, moving, 0, outage},
-	{"one VM dead, even, 80%", 80, even, 0, deadVM},
-	{"one VM dead, even, 100%", 100, even, 0, deadVM},
-	{"one VM dead, service out, even, 80%", 80, even, 0, deadVMAndOutage},
-	{"one VM dead, service out, moving, 80%", 80, moving, 0, deadVMAndOutage},
-	{"one VM dead, service out, even, 100%", 100, even, 0, deadVMAndOutage},
-	{"five restarts, even, 80%", 80, even, 0, restarts},
-	{"one VM leaves, even, 80%", 80, even, 0, gracefulLeave},
+	{"even, 80%", 80, even, 0, false, none},
+	{"even, 95%", 95, even, 0, false, none},
+	{"even, 80%, one in 200 large", 80, even, 5, false, none},
+	{"small team, even, 80%", 80, even, 0, true, none},
+	{"small team, even, 95%", 95, even, 0, true, none},
+	{"small team, skewed, 80%", 80, skewed, 0, true, none},
+	{"skewed, 80%", 80, skewed, 0, false, none},
+	{"skewed, 95%", 95, skewed, 0, false, none},
+	{"moving, 80%", 80, moving, 0, false, none},
+	{"moving, 95%", 95, moving, 0, false, none},
+	{"even, four times over", 400, even, 0, false, none},
+	{"skewed, four times over", 400, skewed, 0, false, none},
+	{"moving, four times over", 400, moving, 0, false, none},
+	{"1% of messages lost and repeated, even, 80%", 80, even, 0, false, loss},
+	{"1% of messages lost and repeated, skewed, 80%", 80, skewed, 0, false, loss},
+	{"service out, even, 80%", 80, even, 0, false, outage},
+	{"service out, moving, 80%", 80, moving, 0, false, outage},
+	{"one VM dead, even, 80%", 80, even, 0, false, deadVM},
+	{"one VM dead, even, 100%", 100, even, 0, false, deadVM},
+	{"one VM dead, service out, even, 80%", 80, even, 0, false, deadVMAndOutage},
+	{"one VM dead, service out, moving, 80%", 80, moving, 0, false, deadVMAndOutage},
+	{"one VM dead, service out, even, 100%", 100, even, 0, false, deadVMAndOutage},
+	{"five restarts, even, 80%", 80, even, 0, false, restarts},
+	{"one VM leaves, even, 80%", 80, even, 0, false, gracefulLeave},
 }
 
 // tally is what one run gave, in tokens unless said otherwise.
@@ -120,6 +126,7 @@
 
 // run plays a scenario against the leases, the ideal bucket and static parts.
 func (s scenario) run(seed uint64) tally {
+	rate, burst := s.limits()
 	w := quotaloop.New(quotaloop.Options{
 		VMs: fleetSize, Domains: domains, Rate: rate, Burst: burst, Seed: seed,
 		Network: quotaloop.NetworkFaults{Delay: 250 * time.Microsecond, Jitter: 200 * time.Microsecond},
@@ -130,7 +137,7 @@
 	r := &runner{scenario: s, world: w, tally: &t, rng: rand.New(rand.NewPCG(seed, 9))}
 	r.ideal = quotaloop.NewIdeal(rate, burst)
 	for range fleetSize {
-		full := int64(burst) * quota.NanoPerToken / fleetSize
+		full := burst * quota.NanoPerToken / fleetSize
 		r.static = append(r.static, quota.NewBucket(0, rate*quota.NanoPerToken/fleetSize, full, full))
 	}
 	s.mishap(w)
@@ -141,6 +148,14 @@
 	return t
 }
 
+// limits returns the team's rate and a burst of two seconds' worth.
+func (s scenario) limits() (tokens, burst int64) {
+	if s.small {
+		return smallRate, 2 * smallRate
+	}
+	return rate, 2 * rate
+}
+
 type runner struct {
 	scenario scenario
 	world    *quotaloop.World
@@ -152,6 +167,7 @@
 
 // size draws a request's tokens: most are a few hundred to a few thousand.
 func (r *runner) size() int64 {
+	_, burst := r.scenario.limits()
 	if r.rng.IntN(1000) < r.scenario.large {
 		return burst/10 + r.rng.Int64N(burst*9/10)
 	}
@@ -180,13 +196,15 @@
 	} else if ideal {
 		r.tally.staticInside++
 	}
-	w.AcquireTagged(quotaloop.VM(vm), tokens, ideal)
-	mean := float64(r.meanSize()) * 100 / float64(rate*r.scenario.load) * float64(time.Second)
+	w.AcquireTagged(quotaloop.VM(vm), 0, tokens, ideal)
+	rate, _ := r.scenario.limits()
+	mean := float64(r.meanSize()) * 100 / float64(rate*int64(r.scenario.load)) * float64(time.Second)
 	w.At(w.Now+time.Duration(r.rng.ExpFloat64()*mean), r.arrive)
 }
 
 // meanSize is the mean of size.
 func (r *runner) meanSize() int64 {
+	_, burst := r.scenario.limits()
 	return (int64(1000-r.scenario.large)*1000 + int64(r.scenario.large)*burst*11/20) / 1000
 }
 
--- a/internal/quota/quotaloop/store.go
+++ b/internal/quota/quotaloop/store.go
@@ -88,19 +88,20 @@
 
 // Acquire lets a request arrive at a VM. It reports false if no process runs there.
 func (w *World) Acquire(vm string, tokens int64) bool {
-	return w.AcquireTagged(vm, tokens, false)
+	return w.AcquireTagged(vm, 0, tokens, false)
 }
 
-// AcquireTagged is Acquire with a mark that OnVerdict is given back.
-func (w *World) AcquireTagged(vm string, tokens int64, tag bool) bool {
+// AcquireTagged is Acquire for one of the teams, with a mark that OnVerdict is
+// given back.
+func (w *World) AcquireTagged(vm string, team int, tokens int64, tag bool) bool {
 	n := w.current[vm]
 	if !n.alive || n.paused {
 		return false
 	}
 	w.numbers++
 	number := w.numbers
-	w.requests[number] = request{tokens: tokens, at: w.Now, tag: tag}
-	w.on(n, func() { n.machine.Acquire(w.reading(n), number, Team, tokens) })
+	w.requests[number] = request{team: team, tokens: tokens, at: w.Now, tag: tag}
+	w.on(n, func() { n.machine.Acquire(w.reading(n), number, Team(team), tokens) })
 	return true
 }
 
@@ -111,9 +112,9 @@
 		return
 	}
 	if tokens > 0 {
-		w.ideal.Refund(w.Now, tokens)
+		w.ideal[0].Refund(w.Now, tokens)
 	}
-	w.on(n, func() { n.machine.Settle(w.reading(n), Team, tokens) })
+	w.on(n, func() { n.machine.Settle(w.reading(n), Team(0), tokens) })
 }
 
 // Kill ends a VM's process.
@@ -214,13 +215,13 @@
 	old := w.limits[0]
 	w.version++
 	version := w.version
-	w.limits = []quota.Limit{{Team: Team, Rate: rate, Burst: burst}}
-	limits := w.limits
-	w.ideal.Reshape(w.Now, max(rate, old.Rate), max(burst, old.Burst))
+	next := limits(len(w.limits), rate, burst)
+	w.limits = next
+	w.reshape(max(rate, old.Rate), max(burst, old.Burst))
 	left := len(w.nodes)
 	done := func() {
 		if left--; left == 0 && version == w.version {
-			w.ideal.Reshape(w.Now, rate, burst)
+			w.reshape(rate, burst)
 		}
 	}
 	for _, n := range w.nodes {
@@ -230,13 +231,19 @@
 				return
 			}
 			w.on(n, func() {
-				n.machine.SetLimits(w.reading(n), version, limits)
+				n.machine.SetLimits(w.reading(n), version, next)
 				done()
 			})
 		})
 	}
 }
 
+func (w *World) reshape(rate, burst int64) {
+	for _, ideal := range w.ideal {
+		ideal.Reshape(w.Now, rate, burst)
+	}
+}
+
 // Stats returns the counters of a VM's present machine.
 func (w *World) Stats(vm string) quota.Stats {
 	return w.current[vm].machine.Stats()
--- a/internal/quota/quotaloop/world.go
+++ b/internal/quota/quotaloop/world.go
@@ -13,14 +13,18 @@
 	"github.com/chestnutarch/chestnutarch/internal/quota"
 )
 
-// Team is the name of the only team in a world.
-const Team = "team"
+// Team returns the name of the team with an index.
+func Team(i int) string {
+	return fmt.Sprintf("team%d", i)
+}
 
 // Options configure a world.
 type Options struct {
 	// VMs and Domains are the sizes of the fleet.
 	VMs, Domains int
-	// Rate and Burst are the team's.
+	// Teams is the number of teams. The default is 1.
+	Teams int
+	// Rate and Burst are each team's.
 	Rate, Burst int64
 	// Seed fixes every random choice.
 	Seed uint64
@@ -63,6 +67,9 @@
 // storeTimeout is when a caller of the key-value service gives up.
 const storeTimeout = 400 * time.Millisecond
 
+// viewEvery is how often a VM's picture of the fleet changes.
+const viewEvery = 200 * time.Millisecond
+
 // heardFor is how long the membership takes to notice a silent VM.
 const heardFor = 3 * time.Second
 
@@ -83,6 +90,7 @@
 	stopMono bool
 	backlog  []func()
 	lastSeen time.Duration
+	viewed   time.Duration
 }
 
 // World is a fleet with its network and key-value service.
@@ -95,10 +103,11 @@
 	stamp   int64
 	nodes   []*node
 	current map[string]*node
+	names   []string
 	queue   events
 	order   uint64
 	rng     *rand.Rand
-	ideal   *Ideal
+	ideal   []*Ideal
 	limits  []quota.Limit
 	version int64
 	// cut holds pairs of VMs that do not hear each other.
@@ -120,6 +129,7 @@
 }
 
 type request struct {
+	team   int
 	tokens int64
 	at     time.Duration
 	tag    bool
@@ -157,8 +167,6 @@
 		store:    make(map[string]quota.Entry),
 		current:  make(map[string]*node),
 		rng:      rand.New(rand.NewPCG(options.Seed, 1)),
-		ideal:    NewIdeal(options.Rate, options.Burst),
-		limits:   []quota.Limit{{Team: Team, Rate: options.Rate, Burst: options.Burst}},
 		version:  1,
 		cut:      make(map[[2]string]bool),
 		storeCut: make(map[string]bool),
@@ -166,12 +174,25 @@
 		Verdicts: make(map[quota.Cause]int64),
 		Tokens:   make(map[quota.Cause]int64),
 	}
+	w.limits = limits(max(options.Teams, 1), options.Rate, options.Burst)
+	for range w.limits {
+		w.ideal = append(w.ideal, NewIdeal(options.Rate, options.Burst))
+	}
 	for i := range options.VMs {
 		w.start(VM(i), fmt.Sprintf("d%d", i%max(options.Domains, 1)))
 	}
+	w.names = slices.Sorted(maps.Keys(w.current))
 	return w
 }
 
+func limits(teams int, rate, burst int64) []quota.Limit {
+	var all []quota.Limit
+	for i := range teams {
+		all = append(all, quota.Limit{Team: Team(i), Rate: rate, Burst: burst})
+	}
+	return all
+}
+
 // VM returns the ID of the VM with an index.
 func VM(i int) string {
 	return fmt.Sprintf("vm%03d", i)
@@ -245,7 +266,10 @@
 	}
 	w.on(n, func() {
 		n.lastSeen = w.Now
-		n.machine.SetPeers(w.peersOf(n))
+		if w.Now-n.viewed >= viewEvery || n.viewed == 0 {
+			n.viewed = w.Now
+			n.machine.SetPeers(w.peersOf(n))
+		}
 		n.machine.Tick(w.reading(n))
 	})
 	w.after(w.Tick, func() { w.tick(n) })
@@ -254,7 +278,7 @@
 // peersOf is what a membership would know.
 func (w *World) peersOf(n *node) []quota.Peer {
 	peers := make([]quota.Peer, 0, len(w.current))
-	for _, vm := range slices.Sorted(maps.Keys(w.current)) {
+	for _, vm := range w.names {
 		p := w.current[vm]
 		if vm == n.vm {
 			continue
@@ -326,7 +350,7 @@
 	w.Verdicts[v.Cause]++
 	w.Tokens[v.Cause] += r.tokens
 	if v.Admitted {
-		if err := w.ideal.Charge(w.Now, r.tokens); err != nil {
+		if err := w.ideal[r.team].Charge(w.Now, r.tokens); err != nil {
 			w.errors = append(w.errors, err)
 		}
 	}
--- a/internal/quota/sharing.go
+++ b/internal/quota/sharing.go
@@ -135,7 +135,7 @@
 
 // chooseMove picks the VM with the fewest slots, if this one has more than its part.
 func (m *Machine) chooseMove(mine int64) (move, bool) {
-	holders := m.holders()
+	holders := m.holders
 	others := slices.DeleteFunc(slices.Clone(holders), func(h Holder) bool { return h == m.cfg.Self })
 	if len(others) == 0 {
 		return move{}, false
@@ -203,25 +203,34 @@
 	m.shares.again = true
 }
 
-// holders lists the processes that should hold slots: all VMs that are heard, or
-// in a large fleet a fixed number of them in the order of a hash.
-func (m *Machine) holders() []Holder {
-	var all []Holder
+// chooseHolders lists the processes that should hold slots: all VMs that are
+// heard, or in a large fleet a fixed number of them in the order of a hash.
+func (m *Machine) chooseHolders() {
+	type ranked struct {
+		Holder
+		hash uint64
+	}
+	var all []ranked
 	if !m.leaving {
-		all = append(all, m.cfg.Self)
+		all = append(all, ranked{m.cfg.Self, xxhash.Sum64String(m.cfg.Self.VM)})
 	}
 	for _, p := range m.peers {
 		if p.Heard && !p.Leaving {
-			all = append(all, p.Holder)
+			all = append(all, ranked{p.Holder, xxhash.Sum64String(p.VM)})
 		}
 	}
-	slices.SortFunc(all, func(a, b Holder) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.VM), xxhash.Sum64String(b.VM)), cmp.Compare(a.VM, b.VM))
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.VM, b.VM))
 	})
-	return all[:min(len(all), m.cfg.MaxHolders)]
+	m.holders = m.holders[:0]
+	clear(m.holding)
+	for _, r := range all[:min(len(all), m.cfg.MaxHolders)] {
+		m.holders = append(m.holders, r.Holder)
+		m.holding[r.VM] = true
+	}
 }
 
 // eligible reports whether a VM is among the holders.
 func (m *Machine) eligible(vm string) bool {
-	return slices.ContainsFunc(m.holders(), func(h Holder) bool { return h.VM == vm })
+	return m.holding[vm]
 }
--- a/internal/ratelimit/convert.go
+++ b/internal/ratelimit/convert.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/quota"
 )
@@ -28,7 +30,7 @@
 	switch m := message.(type) {
 	case quota.Ask:
 		return &peerpb.QuotaMessage{Body: &peerpb.QuotaMessage_Ask{Ask: &peerpb.LoanAsk{
-			Loan: encodeLoan(m.Loan), Team: m.Team, Units: m.Units, Balance: m.Balance, Collect: m.Collect,
+			Loan: encodeLoan(m.Loan), Team: m.Team, Units: m.Units, Balance: m.Balance, Collect: m.Collect, Ahead: m.Ahead,
 		}}}
 	case quota.Answer:
 		return &peerpb.QuotaMessage{Body: &peerpb.QuotaMessage_Answer{Answer: &peerpb.LoanAnswer{
@@ -66,7 +68,7 @@
 	switch b := message.GetBody().(type) {
 	case *peerpb.QuotaMessage_Ask:
 		m := b.Ask
-		return quota.Ask{Loan: decodeLoan(m.GetLoan()), Team: m.GetTeam(), Units: max(m.GetUnits(), 0), Balance: max(m.GetBalance(), 0), Collect: m.GetCollect()}
+		return quota.Ask{Loan: decodeLoan(m.GetLoan()), Team: m.GetTeam(), Units: max(m.GetUnits(), 0), Balance: max(m.GetBalance(), 0), Collect: m.GetCollect(), Ahead: m.GetAhead()}
 	case *peerpb.QuotaMessage_Answer:
 		m := b.Answer
 		return quota.Answer{
@@ -92,3 +94,8 @@
 		return nil
 	}
 }
+
+// MessageBytes returns the size of a message's payload on the wire.
+func MessageBytes(message quota.Message) int {
+	return proto.Size(encodeMessage(message))
+}
--- a/internal/ratelimit/leases.go
+++ b/internal/ratelimit/leases.go
@@ -75,6 +75,7 @@
 	waiting map[uint64]chan quota.Verdict
 	numbers uint64
 	lookup  map[string]string
+	seen    *membership.View
 	replies *replies
 }
 
--- a/internal/ratelimit/run.go
+++ b/internal/ratelimit/run.go
@@ -58,7 +58,10 @@
 
 // tick lets time pass in the state machine. The timer is set by what waits.
 func (l *Leases) tick() {
-	l.machine.SetPeers(l.peersNow())
+	if view := l.options.View(); view != l.seen {
+		l.seen = view
+		l.machine.SetPeers(l.peersOf(view))
+	}
 	l.machine.Tick(l.options.Clock())
 	l.perform()
 	l.incarnation.Store(l.machine.Self().Incarnation)
@@ -66,9 +69,8 @@
 	l.meters.update(l.machine.Stats())
 }
 
-// peersNow converts the membership's view.
-func (l *Leases) peersNow() []quota.Peer {
-	view := l.options.View()
+// peersOf converts the membership's view.
+func (l *Leases) peersOf(view *membership.View) []quota.Peer {
 	peers := make([]quota.Peer, 0, len(view.Members))
 	clear(l.lookup)
 	for _, m := range view.Members {
