--- a/internal/caller/auth.go
+++ b/internal/caller/auth.go
@@ -25,6 +25,10 @@
 	if !ok || key == "" {
 		return newProblem(http.StatusUnauthorized, TypeMissingKey, NotRun, "send the team's key as Authorization: Bearer KEY")
 	}
+	if strings.Contains(r.URL.RawQuery, key) {
+		// The query is passed on to services, which must not see the key.
+		return newProblem(http.StatusBadRequest, TypeMalformed, NotRun, "the key must not stand in the query")
+	}
 	req.digest = configstate.DigestKey(key)
 	return h.checkKey(req)
 }
--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -174,7 +174,7 @@
 
 // streamJob passes a stream on to a caller.
 func (h *Handler) streamJob(w http.ResponseWriter, r *http.Request, req *request, job relay.Job, ended func(relay.Result, error)) *Problem {
-	sink := newSSE(w, h.Ring, resume.Token{Team: req.holder.Team, VM: h.VM, Stream: job.StreamID})
+	sink := newSSE(w, h.Ring, resume.Token{Team: req.holder.Team, VM: h.VM, Stream: job.StreamID}, h.pacing)
 	defer sink.close()
 	result, err := h.Relay.Run(r.Context(), job, sink)
 	if ended != nil {
--- a/internal/caller/completions_test.go
+++ b/internal/caller/completions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -131,3 +132,30 @@
 	m.release(maxBufferedBytes)
 	require.True(t, m.reserve(1))
 }
+
+// A caller asks for a stream and stops reading. His engine's place must not be held
+// until his deadline; the engine is told to stop after the grace time.
+func TestCallerWhoDoesNotReadIsLeft(t *testing.T) {
+	u := newUpstream(t)
+	u.events, u.padding = 4000, strings.Repeat("x", 8<<10)
+	f := newPacedFleet(t, 1, 64, pacing{heartbeat: time.Second, writeTimeout: 50 * time.Millisecond}, u.URL)
+	conn, err := net.Dial("tcp", f.vms[0].Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	body := fmt.Sprintf(completionBody, true, "x")
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-one\r\nContent-Length: %d\r\n\r\n%s", completionPath, len(body), body)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return u.cancels.Load() == 1 }, 10*time.Second, 5*time.Millisecond)
+}
+
+// Nothing happens for a while, since the engine thinks. The caller hears that his
+// connection is alive.
+func TestQuietStreamsCarryHeartbeats(t *testing.T) {
+	u := newUpstream(t)
+	u.hold = make(chan struct{})
+	f := newPacedFleet(t, 1, 64, pacing{heartbeat: 5 * time.Millisecond, writeTimeout: time.Second}, u.URL)
+	time.AfterFunc(100*time.Millisecond, func() { close(u.hold) })
+	a := f.call(t, 0, "POST", completionPath, "key-one", fmt.Sprintf(completionBody, true, "x"))
+	require.Contains(t, a.body, ": heartbeat\n\n")
+	require.Equal(t, "[DONE]", a.texts[5])
+}
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -60,6 +60,7 @@
 	requests metrics.Timer
 	memory   memory
 	retries  retries
+	pacing   pacing
 	mux      http.Handler
 }
 
@@ -69,6 +70,7 @@
 		Options:  o,
 		slots:    make(chan struct{}, o.Limits.MaxInFlight),
 		requests: telemetry.NewTimer(o.Metrics, "caller.requests"),
+		pacing:   pacing{heartbeat: defaultHeartbeat, writeTimeout: defaultWriteTimeout},
 	}
 	h.retries.budget = route.NewBudget(time.Now())
 	mux := http.NewServeMux()
--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -49,6 +49,10 @@
 	hold chan struct{}
 	// drop closes a service's connection after it has run.
 	drop bool
+	// padding is added to every event.
+	padding string
+	// cancels counts the streams that were told to stop.
+	cancels atomic.Int64
 }
 
 func newUpstream(t testing.TB) *upstream {
@@ -56,7 +60,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", u.complete)
 	mux.HandleFunc("GET /v1/streams/{id}", u.resume)
-	mux.HandleFunc("POST /v1/streams/{id}/cancel", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("POST /v1/streams/{id}/cancel", func(http.ResponseWriter, *http.Request) { u.cancels.Add(1) })
 	mux.HandleFunc("/filings", u.file)
 	u.Server = httptest.NewServer(mux)
 	t.Cleanup(u.Close)
@@ -86,7 +90,7 @@
 	w.Header().Set("X-Request-Id", id)
 	controller := http.NewResponseController(w)
 	for n := after + 1; n <= u.events; n++ {
-		fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"choices\":[{\"text\":\"%s.%d \"}]}\n\n", n, id, id, n)
+		fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"choices\":[{\"text\":\"%s.%d %s\"}]}\n\n", n, id, id, n, u.padding)
 		_ = controller.Flush()
 		if u.hold != nil {
 			select {
@@ -179,13 +183,19 @@
 	vms    []*httptest.Server
 	// maxInFlight bounds an engine.
 	maxInFlight int
+	// pacing replaces the defaults.
+	pacing pacing
 }
 
 func newFleet(t testing.TB, vms, maxInFlight int, urls ...string) *fleet {
+	return newPacedFleet(t, vms, maxInFlight, pacing{}, urls...)
+}
+
+func newPacedFleet(t testing.TB, vms, maxInFlight int, p pacing, urls ...string) *fleet {
 	ring, err := resume.NewRing([]byte(strings.Repeat("s", resume.MinSecretBytes)))
 	require.NoError(t, err)
 	f := &fleet{
-		urls: urls, store: kvtest.NewMemory(nil), ring: ring, maxInFlight: maxInFlight,
+		urls: urls, store: kvtest.NewMemory(nil), ring: ring, maxInFlight: maxInFlight, pacing: p,
 		claims: make(map[string]*claims.Claims), relays: make(map[string]*relay.Relay),
 	}
 	f.config.set(urls)
@@ -234,7 +244,11 @@
 	f.mu.Lock()
 	f.claims[name], f.relays[name] = o.Claims.(*claims.Claims), o.Relay
 	f.mu.Unlock()
-	server := httptest.NewServer(NewHandler(o))
+	handler := NewHandler(o)
+	if f.pacing != (pacing{}) {
+		handler.pacing = f.pacing
+	}
+	server := httptest.NewServer(handler)
 	t.Cleanup(func() {
 		server.Close()
 		cancel()
--- a/internal/caller/services_test.go
+++ b/internal/caller/services_test.go
@@ -79,3 +79,13 @@
 	a := g.call(t, 0, "POST", filings, "key-one", "filing", HeaderIdempotencyKey, "k")
 	require.Equal(t, NotRun, a.problem(t).Outcome)
 }
+
+// A caller puts his key into the query as well. The query goes to the service, which
+// must never see a key.
+func TestKeyInTheQueryIsRefused(t *testing.T) {
+	u := newUpstream(t)
+	f := newFleet(t, 1, 64, u.URL)
+	a := f.call(t, 0, "POST", filings+"?key=key-one", "key-one", "filing")
+	require.Equal(t, TypeMalformed, a.problem(t).Type)
+	require.Zero(t, u.count("filing"))
+}
--- a/internal/caller/sse.go
+++ b/internal/caller/sse.go
@@ -11,14 +11,19 @@
 )
 
 const (
-	// heartbeat is how often a caller hears a comment while there is no event. It
+	// defaultHeartbeat is how often a caller hears a comment while there is no event. It
 	// tells him that the connection is alive, and us if it is not.
-	heartbeat = 5 * time.Second
-	// writeTimeout bounds how long a caller may take to read an event. Without it
+	defaultHeartbeat = 5 * time.Second
+	// defaultWriteTimeout bounds how long a caller may take to read an event. Without it
 	// one who stops reading would hold his stream, and the engine's, for ever.
-	writeTimeout = 10 * time.Second
+	defaultWriteTimeout = 10 * time.Second
 )
 
+// pacing is how a stream to a caller is timed.
+type pacing struct {
+	heartbeat, writeTimeout time.Duration
+}
+
 // sse writes server-sent events to a caller. It implements relay.Sink. Event and
 // Attach are called from one goroutine; heartbeats come from another.
 type sse struct {
@@ -26,6 +31,7 @@
 	controller *http.ResponseController
 	ring       *resume.Ring
 	token      resume.Token
+	pacing     pacing
 
 	mu      sync.Mutex
 	signer  *resume.Signer
@@ -35,8 +41,8 @@
 	err     error
 }
 
-func newSSE(w http.ResponseWriter, ring *resume.Ring, token resume.Token) *sse {
-	return &sse{w: w, ring: ring, token: token}
+func newSSE(w http.ResponseWriter, ring *resume.Ring, token resume.Token, p pacing) *sse {
+	return &sse{w: w, ring: ring, token: token, pacing: p}
 }
 
 // innermost returns the server's own writer. The wrappers around it, which watch
@@ -73,7 +79,7 @@
 	s.w = innermost(s.w)
 	s.controller = http.NewResponseController(s.w)
 	s.flush()
-	s.timer = time.AfterFunc(heartbeat, s.beat)
+	s.timer = time.AfterFunc(s.pacing.heartbeat, s.beat)
 	return nil
 }
 
@@ -91,7 +97,7 @@
 	s.buffer = append(s.buffer, e.Data...)
 	s.buffer = append(s.buffer, "\n\n"...)
 	s.write()
-	s.timer.Reset(heartbeat)
+	s.timer.Reset(s.pacing.heartbeat)
 	return s.err
 }
 
@@ -123,7 +129,7 @@
 	}
 	s.buffer = append(s.buffer[:0], ": heartbeat\n\n"...)
 	s.write()
-	s.timer.Reset(heartbeat)
+	s.timer.Reset(s.pacing.heartbeat)
 }
 
 // write sends the buffer. After an error nothing more is sent.
@@ -131,7 +137,7 @@
 	if s.err != nil {
 		return
 	}
-	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = s.controller.SetWriteDeadline(time.Now().Add(s.pacing.writeTimeout))
 	if _, s.err = s.w.Write(s.buffer); s.err == nil {
 		s.flush()
 	}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -124,13 +124,13 @@
 func cause(err error) string {
 	switch {
 	case errors.Is(err, admit.ErrDeadline):
-		return "deadline"
+		return causeDeadline
 	case errors.Is(err, admit.ErrFull):
-		return "full"
+		return causeFull
 	case errors.Is(err, ErrNoReplica):
-		return "no_replica"
+		return causeNoReplica
 	}
-	return "check"
+	return causeCheck
 }
 
 // pump dispatches all that can be dispatched now.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -99,6 +99,27 @@
 	InFlight int
 	// Served counts the tokens by team since the start.
 	Served map[string]int64
-	// Refused counts the refused requests by cause.
+	// Refused counts the refused requests by cause, one of Causes.
 	Refused map[string]int64
 }
+
+// Waiting returns the number of queued requests.
+func (s *Stats) Waiting() int {
+	n := 0
+	for _, queued := range s.Queued {
+		n += queued
+	}
+	return n
+}
+
+// The causes of a refusal in the statistics.
+const (
+	causeDeadline  = "deadline"
+	causeFull      = "full"
+	causeNoReplica = "no_replica"
+	causeCheck     = "check"
+)
+
+// Causes lists the causes of a refusal. "check" stands for what Request.Check said,
+// such as a key that was withdrawn.
+var Causes = []string{causeDeadline, causeFull, causeNoReplica, causeCheck}
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chestnutarch/chestnutarch/internal/claims"
@@ -70,9 +71,26 @@
 	t.claims.Register(p.peerCalls.Registrar())
 	t.relay.Register(p.peerCalls.Registrar())
 	p.traffic = t
+	t.measure(p.metrics)
 	return nil
 }
 
+// measure registers what the queues hold and refuse.
+func (t *traffic) measure(r metrics.Registry) {
+	for name, d := range map[string]*dispatch.Dispatcher{"models": t.models, "pools": t.pools} {
+		gauges := map[string]func() int64{
+			"queued":    func() int64 { return int64(d.Stats().Waiting()) },
+			"in_flight": func() int64 { return int64(d.Stats().InFlight) },
+		}
+		for _, cause := range dispatch.Causes {
+			gauges["refused."+cause] = func() int64 { return d.Stats().Refused[cause] }
+		}
+		for what, read := range gauges {
+			metrics.NewRegisteredFunctionalGauge("dispatch."+name+"."+what, r, read)
+		}
+	}
+}
+
 // run starts the goroutines that own the queues and the claims.
 func (t *traffic) run(ctx context.Context, group *errgroup.Group) {
 	for _, owner := range []func(context.Context) error{t.models.Run, t.pools.Run, t.claims.Run} {
