configsync: in a large fleet a few VMs of each failure domain watch

Cause: a waiting watch counts as a call, and 420 of them would each be sent every value. Change: Options.Watches; entry lets two VMs of a failure domain watch once there are more than 16 VMs, the others have changes as deltas with the heartbeats and poll ten times less often; measure -loop steps the state machines of a whole fleet.

--- a/internal/configsync/keeper_test.go
+++ b/internal/configsync/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -205,3 +206,39 @@
 		require.ErrorIs(t, err, configstate.ErrKeyWithdrawn)
 	})
 }
+
+// In a large fleet most VMs keep no watch. They have changes from their peers,
+// and one that hears no peer of a change still finds it by its own poll. When
+// the watchers of its failure domain die, a VM becomes one.
+func TestVMWithoutWatchFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.NewMemory(nil)
+		apply(t, store, 0, text(1))
+		var watches atomic.Bool
+		k := NewKeeper(Options{Store: store, Environment: "test", Watches: watches.Load})
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- k.Run(ctx) }()
+		time.Sleep(time.Second)
+		requireVersion(t, []*Keeper{k}, 1)
+		require.Zero(t, store.Calls().Watches)
+		before := store.Calls().Reads
+		time.Sleep(time.Minute)
+		require.Less(t, store.Calls().Reads-before, int(time.Minute/DefaultPollInterval)/4)
+		apply(t, store, 1, text(2))
+		time.Sleep(2 * IdlePollFactor * DefaultPollInterval)
+		requireVersion(t, []*Keeper{k}, 2)
+		watches.Store(true)
+		time.Sleep(time.Second)
+		apply(t, store, 2, text(3))
+		synctest.Wait()
+		requireVersion(t, []*Keeper{k}, 3)
+		watches.Store(false)
+		time.Sleep(time.Second)
+		apply(t, store, 3, text(4))
+		synctest.Wait()
+		requireVersion(t, []*Keeper{k}, 3)
+		cancel()
+		require.NoError(t, <-ended)
+	})
+}
--- a/internal/configsync/loops.go
+++ b/internal/configsync/loops.go
@@ -42,7 +42,11 @@
 // pause is three quarters of the interval, because of the jitter.
 func (k *Keeper) pollInterval() time.Duration {
 	share := time.Duration(k.options.FleetSize()) * time.Second / time.Duration(k.options.FleetPolls)
-	return max(k.options.PollInterval, share*4/3)
+	interval := max(k.options.PollInterval, share*4/3)
+	if !k.options.Watches() {
+		interval *= IdlePollFactor
+	}
+	return interval
 }
 
 // pollOnce returns the revision that the watch has yet to deliver, or zero. A
@@ -147,6 +151,12 @@
 func (k *Keeper) watch(ctx context.Context) error {
 	failures := 0
 	for ctx.Err() == nil {
+		if !k.options.Watches() {
+			if !sleep(ctx, kv.Jitter(k.options.PollInterval)) {
+				return nil
+			}
+			continue
+		}
 		delivered, err := k.watchOnce(ctx)
 		if err == nil || delivered {
 			failures = 0
@@ -172,8 +182,14 @@
 	if err != nil {
 		return false, err
 	}
+	still := time.NewTicker(k.options.PollInterval)
+	defer still.Stop()
 	for {
 		select {
+		case <-still.C:
+			if !k.options.Watches() {
+				return true, nil
+			}
 		case entry, open := <-entries:
 			if !open {
 				return delivered, kv.ErrUnavailable
--- a/internal/configsync/measure/main.go
+++ b/internal/configsync/measure/main.go
@@ -54,8 +54,12 @@
 	flag.IntVar(&o.keys, "keys", 150, "number of keys in the document, about 100 bytes each")
 	flag.DurationVar(&o.latency, "latency", 2*time.Millisecond, "the service's latency")
 	servers := flag.String("servers", "", "operators' addresses of running entry VMs, to measure those instead; the key is in CHESTNUT_OPERATOR_KEY")
+	plain := flag.Bool("loop", false, "step state machines by a plain loop, with changes spread over peers")
 	flag.Parse()
 	measured := func(ctx context.Context) error { return run(ctx, o) }
+	if *plain {
+		measured = func(ctx context.Context) error { return runLoop(ctx, o) }
+	}
 	if *servers != "" {
 		measured = newProcesses(*servers, o).run
 	}
--- a/internal/configsync/options.go
+++ b/internal/configsync/options.go
@@ -19,6 +19,8 @@
 	DefaultCallTimeout  = time.Second
 	DefaultMaxBackoff   = 2 * time.Second
 	DefaultPullInterval = 3 * time.Second
+	// IdlePollFactor is how much less often a VM polls that keeps no watch.
+	IdlePollFactor = 10
 )
 
 // Options configures a Keeper.
@@ -39,6 +41,10 @@
 	// FleetPolls is the number of polls a second of all VMs together, a tenth
 	// of the reads that the platform gives. The default is 200.
 	FleetPolls int
+	// Watches reports whether this VM keeps a watch open. In a large fleet a
+	// few do in each failure domain, and the others have changes from their
+	// peers and poll IdlePollFactor times less often. The default is always.
+	Watches func() bool
 	// CallTimeout bounds one call. The default is 1s.
 	CallTimeout time.Duration
 	// MaxBackoff bounds the pause between calls during an outage, and with it
@@ -78,6 +84,9 @@
 	if o.FleetSize == nil {
 		o.FleetSize = func() int { return 1 }
 	}
+	if o.Watches == nil {
+		o.Watches = func() bool { return true }
+	}
 	if o.FleetPolls <= 0 {
 		o.FleetPolls = DefaultFleetPolls
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,6 +94,7 @@
 		HearsPeers:  func() bool { return p.fleet.HearsMajority(time.Now()) },
 		PullPeer:    p.pullPeer,
 		FleetSize:   func() int { return 1 + len(p.fleet.View().Members) },
+		Watches:     p.watches,
 		Log:         p.log,
 		Metrics:     p.metrics,
 	})
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/chestnutarch/chestnutarch/internal/configstate"
@@ -48,3 +49,27 @@
 	}
 	return answer.GetEnvelope(), nil
 }
+
+// watchersPerDomain is how many VMs of a failure domain keep a watch on the
+// configuration open in a large fleet: one, and one for when that one is silent.
+const watchersPerDomain = 2
+
+// smallFleet is the number of VMs up to which each keeps a watch.
+const smallFleet = 16
+
+// watches reports whether this VM keeps a watch. In a large fleet those of a
+// failure domain are the first by a hash of their names among the VMs that are
+// heard, so that every VM comes to the same choice without a word about it.
+func (p *Process) watches() bool {
+	if len(p.fleet.View().Members) < smallFleet {
+		return true
+	}
+	mine := xxhash.Sum64String(p.settings.VM)
+	before := 0
+	for _, n := range p.fleet.View().Healthy() {
+		if n.VM != p.settings.VM && n.FailureDomain == p.settings.FailureDomain && xxhash.Sum64String(n.VM) < mine {
+			before++
+		}
+	}
+	return before < watchersPerDomain
+}
