--- a/internal/order/action.go
+++ b/internal/order/action.go
@@ -125,9 +125,15 @@
 	// AbsentAfter is how long after its last report an engine still counts as
 	// there when copies are planned. The default is 5s.
 	AbsentAfter time.Duration
+	// ReduceAfter is how long an engine must be silent until other names give
+	// up their second failure domain for what it alone held. The default is 30s.
+	ReduceAfter time.Duration
 	// MissingAfter is how long a copy may be missing from reports, which lag,
 	// before it is unloaded for certain and loaded anew. The default is 10s.
 	MissingAfter time.Duration
+	// RetryFailed is the time until an item whose load or unload failed is
+	// ordered anew. The default is 5s.
+	RetryFailed time.Duration
 	// LoadTimeout is the longest that a load can take. A load order on an
 	// engine that has not answered for this long no longer counts against the
 	// weight store; it still counts against the engine's memory. The default
@@ -145,7 +151,9 @@
 	DefaultPollEvery    = time.Second
 	DefaultReportFresh  = 3 * time.Second
 	DefaultAbsentAfter  = 5 * time.Second
+	DefaultReduceAfter  = 30 * time.Second
 	DefaultMissingAfter = 10 * time.Second
+	DefaultRetryFailed  = 5 * time.Second
 	DefaultLoadTimeout  = 5 * time.Minute
 	DefaultRemovalGrace = 10 * time.Second
 )
@@ -159,7 +167,9 @@
 		{&o.PollEvery, DefaultPollEvery},
 		{&o.ReportFresh, DefaultReportFresh},
 		{&o.AbsentAfter, DefaultAbsentAfter},
+		{&o.ReduceAfter, DefaultReduceAfter},
 		{&o.MissingAfter, DefaultMissingAfter},
+		{&o.RetryFailed, DefaultRetryFailed},
 		{&o.LoadTimeout, DefaultLoadTimeout},
 		{&o.RemovalGrace, DefaultRemovalGrace},
 	} {
@@ -180,4 +190,6 @@
 	Memory map[placement.Item]int64
 	// Assignments are the wanted copies, the most urgent first.
 	Assignments []placement.Assignment
+	// Reduced lists the names whose second failure domain is given up.
+	Reduced []placement.Name
 }
--- a/internal/order/book.go
+++ b/internal/order/book.go
@@ -16,6 +16,8 @@
 	wanted  map[wantedKey]struct{}
 	// planned counts, for each item, the wanted copies by failure domain.
 	planned map[placement.Item]map[string]int
+	// reduced lists the names whose second failure domain is given up.
+	reduced map[placement.Name]struct{}
 	index   register
 	// listed is the index as last known, decoded.
 	listed Index
@@ -44,6 +46,8 @@
 	skipTakeover       bool
 	trustOldReport     bool
 	forgetUnknownWrite bool
+	anyIncarnation     bool
+	blindToPending     bool
 }
 
 type wantedKey struct {
@@ -61,6 +65,8 @@
 	// listed says that the index names the engine under this leader's mark.
 	listed bool
 	owned  bool
+	// proposed is the account that the pending write holds.
+	proposed Account
 	// draft is the account that the present step wants to write.
 	draft   Account
 	changed bool
@@ -76,6 +82,8 @@
 	lastHeard      time.Time
 	// missing is when a settled item was first not reported.
 	missing map[placement.Item]time.Time
+	// holds is until when no order goes out for an item whose last one failed.
+	holds map[placement.Item]time.Time
 }
 
 // sending is the state of one order on its way.
@@ -108,6 +116,10 @@
 	b.goal = g
 	b.wanted = make(map[wantedKey]struct{}, len(g.Assignments))
 	b.planned = make(map[placement.Item]map[string]int)
+	b.reduced = make(map[placement.Name]struct{}, len(g.Reduced))
+	for _, name := range g.Reduced {
+		b.reduced[name] = struct{}{}
+	}
 	for _, l := range b.lines {
 		l.spec = nil
 	}
@@ -133,6 +145,7 @@
 	}
 	l = &line{name: name, answers: make(map[string]Answer), sends: make(map[string]*sending)}
 	l.missing = make(map[placement.Item]time.Time)
+	l.holds = make(map[placement.Item]time.Time)
 	l.key = b.options.Prefix + "engines/" + name
 	b.lines[name] = l
 	b.byKey[l.key] = l
--- a/internal/order/budget.go
+++ b/internal/order/budget.go
@@ -92,11 +92,7 @@
 
 // chargePending charges the loads of a write whose outcome is not known.
 func (b *Book) chargePending(out *budget, l *line) {
-	next, err := DecodeAccount(l.pending.Value)
-	if err != nil {
-		return
-	}
-	for _, e := range next.Entries {
+	for _, e := range l.proposed.Entries {
 		if at := l.draft.Find(e.Item); at < 0 || l.draft.Entries[at].Load != e.Load {
 			b.charge(out, e)
 		}
--- a/internal/order/decide.go
+++ b/internal/order/decide.go
@@ -19,7 +19,7 @@
 			continue
 		}
 		l, known := b.lines[a.Engine]
-		if !known || !b.mayChange(l, now) || l.draft.Find(a.Item) >= 0 {
+		if !known || !b.mayChange(l, now) || l.draft.Find(a.Item) >= 0 || now.Before(l.holds[a.Item]) {
 			continue
 		}
 		if !a.Item.IsBase() && !b.baseServes(l, a.Item.Model, now) {
@@ -50,6 +50,9 @@
 			continue
 		}
 		for _, e := range l.draft.Entries {
+			if now.Before(l.holds[e.Item]) {
+				continue
+			}
 			if b.lost(l, e, now) {
 				b.recordUnload(l, e.Item)
 				continue
@@ -114,11 +117,29 @@
 	}
 	current := item
 	current.Version = version
-	need := min(2, len(b.planned[current]))
-	if need == 0 {
+	if len(b.planned[current]) == 0 || b.readyDomains(current, wantedKey{l.name, item}, now) == 0 {
 		return false
 	}
-	return b.readyDomains(current, l, now) >= need
+	return b.readyDomains(anyVersion(item), wantedKey{l.name, item}, now) >= b.needed(item, current, now)
+}
+
+// needed is the number of failure domains in which a name must stay ready when
+// a copy goes: two, unless memory never let the name into a second one, or the
+// plan gives the second one up for a name that has none. What the plan has
+// reached for so far is not enough to go by: while a base model is replaced,
+// the plan has its adapters beside the new version in one domain only.
+func (b *Book) needed(item, current placement.Item, now time.Time) int {
+	if _, reduced := b.reduced[item.Name()]; reduced {
+		return 1
+	}
+	have := b.readyDomains(item, wantedKey{}, now)
+	return min(2, max(have, len(b.planned[current])))
+}
+
+// anyVersion stands for every version of an item's name.
+func anyVersion(item placement.Item) placement.Item {
+	item.Version = ""
+	return item
 }
 
 // carriesAdapters says whether adapters on the engine still need this base.
@@ -136,28 +157,23 @@
 	return carries
 }
 
-// readyDomains counts the failure domains with a ready copy on an engine other
-// than one.
-func (b *Book) readyDomains(item placement.Item, except *line, now time.Time) int {
+// readyDomains counts the failure domains with a ready copy of an item, or of
+// any version of its name if the item's is empty, leaving out one copy.
+func (b *Book) readyDomains(item placement.Item, except wantedKey, now time.Time) int {
 	domains := make(map[string]struct{})
-	for engine := range b.holders(item) {
-		l := b.lines[engine]
-		if l != except && l.owned && b.serves(l, item, now) {
-			domains[l.spec.FailureDomain] = struct{}{}
-		}
-	}
-	return len(domains)
-}
-
-// holders lists the engines whose accounts have the item.
-func (b *Book) holders(item placement.Item) map[string]struct{} {
-	out := make(map[string]struct{})
 	for _, name := range b.names {
-		if b.lines[name].draft.Find(item) >= 0 {
-			out[name] = struct{}{}
+		l := b.lines[name]
+		if !l.owned || !b.current(l, now) {
+			continue
+		}
+		for _, e := range l.draft.Entries {
+			same := e.Item == item || (item.Version == "" && e.Item.Name() == item.Name())
+			if same && (wantedKey{name, e.Item}) != except && b.serves(l, e.Item, now) {
+				domains[l.spec.FailureDomain] = struct{}{}
+			}
 		}
 	}
-	return out
+	return len(domains)
 }
 
 // serves says whether an item's copy on an engine can be counted on: it is
@@ -184,6 +200,14 @@
 	if at < 0 || !l.draft.Entries[at].Settled() {
 		return false
 	}
+	if l.pending != nil && !b.faults.blindToPending {
+		// An unload that is being written may be on its way before the answer
+		// to the write is here.
+		at = l.proposed.Find(item)
+		if at < 0 || !l.proposed.Entries[at].Settled() {
+			return false
+		}
+	}
 	for _, r := range l.report.Resident {
 		if r.Item == item {
 			return r.Ready
--- a/internal/order/next.go
+++ b/internal/order/next.go
@@ -71,6 +71,7 @@
 			mark.Engine = name
 			mark.Fence = b.options.Fence
 			mark.Nonce = b.unique()
+			l.proposed = mark
 			actions = append(actions, l.write(mark.Encode()))
 		}
 	}
@@ -119,6 +120,7 @@
 			continue
 		}
 		for _, id := range sortedKeys(l.answers) {
+			b.holdFailed(l, id, now)
 			l.draft = l.draft.Settle(id, l.answers[id])
 			l.changed = true
 		}
@@ -126,6 +128,19 @@
 	b.noteRemoved(now)
 }
 
+// holdFailed puts off the next order for an item whose last one failed. An
+// engine that cannot do it now would otherwise be asked in every step.
+func (b *Book) holdFailed(l *line, id string, now time.Time) {
+	if l.answers[id] != Failed && l.answers[id] != Refused {
+		return
+	}
+	for _, e := range l.draft.Entries {
+		if e.Load == id || e.Unload == id {
+			l.holds[e.Item] = now.Add(b.options.RetryFailed)
+		}
+	}
+}
+
 // newIncarnation says whether the engine is in a later incarnation than the
 // account. A report is believed only if its poll began after the account was
 // read: an older one may name the incarnation before the account's.
@@ -166,6 +181,7 @@
 		}
 		l.draft.Fence = b.options.Fence
 		l.draft.Nonce = b.unique()
+		l.proposed = l.draft
 		actions = append(actions, l.write(l.draft.Encode()))
 	}
 	return actions
@@ -255,6 +271,19 @@
 		l.report.Incarnation == l.account.Incarnation && !l.report.Draining
 }
 
+// uncertain says whether an engine that is not present may be in a moment: it is
+// out of hearing, or has restarted and its account is not written anew yet.
+func (b *Book) uncertain(l *line, now time.Time) bool {
+	if b.present(l, now) || (l.report != nil && l.report.Draining) {
+		return false
+	}
+	last := l.lastHeard
+	if last.Before(b.inControl) {
+		last = b.inControl
+	}
+	return now.Sub(last) <= b.options.ReduceAfter
+}
+
 // Surveyed says whether every engine has been heard since this leader began, or
 // has had the time for it. A plan made before would take the engines that have
 // not answered yet for lost, and load copies of what they hold.
@@ -283,6 +312,7 @@
 			FailureDomain: spec.FailureDomain,
 			Capacity:      spec.Capacity,
 			Available:     b.present(l, now),
+			Uncertain:     b.uncertain(l, now),
 		}
 		for _, entry := range l.account.Entries {
 			e.Holds = append(e.Holds, placement.Held{
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -62,7 +62,7 @@
 		}
 		return ok
 	}
-	e, ok := f.pick(i, f.items[i].memory, false)
+	e, ok := f.pick(i, f.items[i].memory, anywhere)
 	if ok {
 		f.addWithAdapters(e, i)
 	}
@@ -127,7 +127,7 @@
 			}
 			members, memory, ok := f.spareGroup(e, v, needTwoDomains)
 			if ok && f.engines[e].free+memory >= f.items[i].memory {
-				return eviction{engine: e, items: members, worth: f.worth(v)}, true
+				return eviction{engine: e, items: members, worth: f.worth(v), keep: needTwoDomains}, true
 			}
 		}
 	}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -40,7 +40,10 @@
 	// blocked lists items that the engine holds but that are on their way out;
 	// they cannot be wanted there before they are gone.
 	blocked []int
-	// stale lists base items whose other version the engine holds.
+	// dormant lists adapters that the engine holds on another version of their
+	// base model. They count again once the wanted version is there.
+	dormant []int
+	// stale lists items of which the engine holds another version.
 	stale []int
 }
 
@@ -61,6 +64,10 @@
 	reasons map[assignmentKey]Reason
 	// sequence lists new copies in the order in which they were decided.
 	sequence []assignmentKey
+	// uncertain says that some engine may be back in a moment.
+	uncertain bool
+	// reduced lists the items that gave up copies for another's first.
+	reduced map[int]struct{}
 }
 
 type assignmentKey struct {
@@ -72,6 +79,7 @@
 		options: withDefaults(in.Options, len(in.Engines)),
 		held:    make(map[assignmentKey]struct{}),
 		reasons: make(map[assignmentKey]Reason),
+		reduced: make(map[int]struct{}),
 	}
 	byItem, byName := f.indexItems(in.Models, in.Demand)
 	f.indexEngines(in.Engines)
@@ -188,6 +196,7 @@
 	}
 	for e := range f.engines {
 		f.engines[e].load = f.loadOf(e)
+		f.uncertain = f.uncertain || f.engines[e].spec.Uncertain
 	}
 }
 
@@ -196,16 +205,20 @@
 	state.free -= h.Memory
 	index, current := byItem[h.Item]
 	if !current {
-		if other, named := byName[h.Item.Name()]; named && h.Item.IsBase() {
+		if other, named := byName[h.Item.Name()]; named {
 			state.stale = append(state.stale, other)
 		}
 		return
 	}
 	f.held[assignmentKey{e, index}] = struct{}{}
 	base := f.items[index].base
-	if h.Leaving || (base != noBase && !slices.Contains(state.wants, base)) {
+	switch {
+	case h.Leaving:
 		state.blocked = append(state.blocked, index)
 		return
+	case base != noBase && !slices.Contains(state.wants, base):
+		state.dormant = append(state.dormant, index)
+		return
 	}
 	f.reasons[assignmentKey{e, index}] = ReasonStays
 	f.link(e, index)
@@ -225,6 +238,23 @@
 	f.reasons[assignmentKey{e, i}] = reason
 	f.sequence = append(f.sequence, assignmentKey{e, i})
 	f.link(e, i)
+	f.revive(e, i)
+}
+
+// revive wants the adapters that an engine holds already for a base model that
+// it is to get.
+func (f *fleet) revive(e, base int) {
+	state := &f.engines[e]
+	var rest []int
+	for _, a := range state.dormant {
+		if f.items[a].base != base {
+			rest = append(rest, a)
+			continue
+		}
+		f.reasons[assignmentKey{e, a}] = ReasonStays
+		f.link(e, a)
+	}
+	state.dormant = rest
 }
 
 // drop no longer wants a copy and counts its memory as room.
@@ -239,6 +269,12 @@
 	delete(f.reasons, assignmentKey{e, i})
 }
 
+// wanted says whether a copy is part of the plan.
+func (f *fleet) wanted(e, i int) bool {
+	_, wanted := f.reasons[assignmentKey{e, i}]
+	return wanted
+}
+
 func without(list []int, value int) []int {
 	at := slices.Index(list, value)
 	return slices.Delete(list, at, at+1)
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -16,8 +16,12 @@
 	stalePenalty      = 1e14
 )
 
-// pick finds the engine for a new copy of item i that has room for need bytes.
-func (f *fleet) pick(i int, need int64, newDomain bool) (int, bool) {
+// anywhere lets pick choose any failure domain.
+const anywhere = -1
+
+// pick finds the engine for a new copy of item i that has room for need bytes,
+// in a failure domain without a copy of item apart unless that is anywhere.
+func (f *fleet) pick(i int, need int64, apart int) (int, bool) {
 	best, bestScore := -1, 0.0
 	seen := 0
 	for k := range f.order {
@@ -29,7 +33,7 @@
 		if f.engines[e].free < need || !f.mayHold(e, i) {
 			continue
 		}
-		if newDomain && f.items[i].domains[f.engines[e].domain] > 0 {
+		if apart != anywhere && f.items[apart].domains[f.engines[e].domain] > 0 {
 			continue
 		}
 		score := f.score(e, i)
@@ -151,6 +155,7 @@
 	engine int
 	items  []int
 	worth  float64
+	keep   need
 }
 
 // evictFor finds the least valuable copies whose memory makes room for need
@@ -171,7 +176,7 @@
 }
 
 func (f *fleet) evictOn(e, i int, needed int64, keep need) (eviction, bool) {
-	out := eviction{engine: e}
+	out := eviction{engine: e, keep: keep}
 	room := f.engines[e].free
 	for _, unit := range f.spareUnits(e, i, keep) {
 		if room >= needed {
@@ -224,5 +229,8 @@
 func (f *fleet) evict(ev eviction) {
 	for _, i := range ev.items {
 		f.drop(ev.engine, i)
+		if ev.keep == needOneCopy {
+			f.reduced[i] = struct{}{}
+		}
 	}
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -28,16 +28,16 @@
 
 // firstBase places a base model, where its adapters fit too if that is possible.
 func (f *fleet) firstBase(b int) {
-	e, ok := f.pick(b, f.groupMemory(b), false)
+	e, ok := f.pick(b, f.groupMemory(b), anywhere)
 	if !ok {
-		e, ok = f.pick(b, f.items[b].memory, false)
+		e, ok = f.pick(b, f.items[b].memory, anywhere)
 	}
 	if ok {
 		f.add(e, b, ReasonFirstCopy)
 		return
 	}
 	for _, memory := range []int64{f.groupMemory(b), f.items[b].memory} {
-		if ev, found := f.evictFor(b, memory, needOneCopy, anyEngine); found {
+		if ev, found := f.evictFor(b, memory, f.sacrifice(), anyEngine); found {
 			f.evict(ev)
 			f.add(ev.engine, b, ReasonFirstCopy)
 			return
@@ -48,13 +48,24 @@
 
 func anyEngine(int) bool { return true }
 
+// sacrifice says what other items give up for an item's first copy. While an
+// engine may be back in a moment, nobody gives up a second failure domain: a few
+// lost reports and the loss of a domain together would else leave the giver
+// without a copy.
+func (f *fleet) sacrifice() need {
+	if f.uncertain {
+		return needTwoDomains
+	}
+	return needOneCopy
+}
+
 func (f *fleet) firstAdapter(a int) {
 	if e, ok := f.pickAdapter(a, false); ok {
 		f.add(e, a, ReasonFirstCopy)
 		return
 	}
 	memory := f.items[a].memory
-	if ev, found := f.evictFor(a, memory, needOneCopy, anyEngine); found {
+	if ev, found := f.evictFor(a, memory, f.sacrifice(), anyEngine); found {
 		f.evict(ev)
 		f.add(ev.engine, a, ReasonFirstCopy)
 		return
@@ -63,9 +74,8 @@
 	if len(f.items[base].copies) == 0 {
 		return
 	}
-	if e, ok := f.pick(base, f.items[base].memory+memory, false); ok {
-		f.add(e, base, ReasonFirstCopy)
-		f.add(e, a, ReasonFirstCopy)
+	if e, ok := f.pick(base, f.items[base].memory+memory, anywhere); ok {
+		f.addPair(e, base, a, ReasonFirstCopy)
 	}
 }
 
@@ -101,12 +111,14 @@
 }
 
 func (f *fleet) copyGroup(members []int) bool {
-	target, ok := f.pick(members[0], f.memoryOf(members), false)
+	target, ok := f.pick(members[0], f.memoryOf(members), anywhere)
 	if !ok {
 		return false
 	}
 	for _, i := range members {
-		f.add(target, i, ReasonRelocation)
+		if !f.wanted(target, i) {
+			f.add(target, i, ReasonRelocation)
+		}
 	}
 	return true
 }
@@ -129,9 +141,9 @@
 	if len(f.items[b].copies) == 0 || f.domainsOf(b) >= 2 {
 		return
 	}
-	e, ok := f.pick(b, f.groupMemory(b), true)
+	e, ok := f.pick(b, f.groupMemory(b), b)
 	if !ok {
-		e, ok = f.pick(b, f.items[b].memory, true)
+		e, ok = f.pick(b, f.items[b].memory, b)
 	}
 	if ok {
 		f.add(e, b, ReasonSecondDomain)
@@ -153,19 +165,25 @@
 	}
 	base := f.items[a].base
 	if e, ok := f.pickPair(base, a); ok {
-		f.add(e, base, ReasonSecondDomain)
-		f.add(e, a, ReasonSecondDomain)
+		f.addPair(e, base, a, ReasonSecondDomain)
+	}
+}
+
+func (f *fleet) addPair(e, base, a int, reason Reason) {
+	f.add(e, base, reason)
+	if !f.wanted(e, a) {
+		f.add(e, a, reason)
 	}
 }
 
 // pickPair finds an engine for a further copy of a base model that lets its
 // adapter into another failure domain.
 func (f *fleet) pickPair(base, a int) (int, bool) {
-	e, ok := f.pick(base, f.items[base].memory+f.items[a].memory, false)
-	if !ok || f.items[a].domains[f.engines[e].domain] > 0 {
+	e, ok := f.pick(base, f.items[base].memory+f.items[a].memory, a)
+	if !ok || slices.Contains(f.engines[e].blocked, a) {
 		return -1, false
 	}
-	return e, !slices.Contains(f.engines[e].blocked, a)
+	return e, true
 }
 
 func (f *fleet) evictInNewDomain(i int) bool {
@@ -184,7 +202,7 @@
 func (f *fleet) replicas() {
 	for _, b := range f.bases() {
 		for len(f.items[b].copies) > 0 && len(f.items[b].copies) < f.items[b].replicas {
-			e, ok := f.pick(b, f.items[b].memory, false)
+			e, ok := f.pick(b, f.items[b].memory, anywhere)
 			if !ok {
 				break
 			}
@@ -215,6 +233,9 @@
 		}
 	}
 	for i := range f.items {
+		if _, reduced := f.reduced[i]; reduced {
+			p.Reduced = append(p.Reduced, f.items[i].item.Name())
+		}
 		switch f.domainsOf(i) {
 		case 0:
 			p.Unplaced = append(p.Unplaced, f.items[i].item.Name())
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -57,6 +57,9 @@
 	// Available means that the engine answers and is not draining. Copies on
 	// an engine that is not available do not count.
 	Available bool
+	// Uncertain means that the engine is not available but may be in a moment:
+	// its copies do not count, but nothing is given up for them yet.
+	Uncertain bool
 	// Holds lists every item that could be resident.
 	Holds []Held
 }
@@ -129,6 +132,9 @@
 	Unplaced []Name `json:"unplaced,omitempty"`
 	// OneDomain lists names with copies in a single failure domain only.
 	OneDomain []Name `json:"one_domain,omitempty"`
+	// Reduced lists names that give up copies, down to one, so that another
+	// name gets its first.
+	Reduced []Name `json:"reduced,omitempty"`
 	// Moves is the number of copies that are not held yet.
 	Moves int `json:"moves"`
 }
--- a/internal/planner/leadership.go
+++ b/internal/planner/leadership.go
@@ -177,7 +177,7 @@
 			Engines: l.book.View(now.Wall),
 			Options: l.planner.options.Placement,
 		})
-		goal.Assignments = l.plan.Assignments
+		goal.Assignments, goal.Reduced = l.plan.Assignments, l.plan.Reduced
 		l.book.SetGoal(goal)
 	}
 	l.publish(now)
