fleet: heartbeats tell of missed withdrawals

Cause: a VM that missed a push in an outage pulled a peer's whole envelope every 3 s to find out, which is too much for a long document. Change: heartbeats carry the number and a sum of known withdrawals; a VM whose sum differs from one that knows of no fewer fetches its whole envelope. Conclusion: a missed withdrawal is learned with the next heartbeat.

--- a/internal/configsync/keeper.go
+++ b/internal/configsync/keeper.go
@@ -84,7 +84,6 @@
 	group.Go(func() error { return k.poll(ctx) })
 	group.Go(func() error { return k.watch(ctx) })
 	group.Go(func() error { return k.mergeLoop(ctx) })
-	group.Go(func() error { return k.pull(ctx) })
 	return group.Wait()
 }
 
--- a/internal/configsync/loops.go
+++ b/internal/configsync/loops.go
@@ -264,29 +264,6 @@
 	return k.read(ctx, "merge") == nil
 }
 
-// pull asks some other VM for its envelope while the service is not heard.
-func (k *Keeper) pull(ctx context.Context) error {
-	if k.options.PullPeer == nil {
-		return nil
-	}
-	for sleep(ctx, kv.Jitter(k.options.PullInterval)) {
-		if k.HearsService() {
-			continue
-		}
-		call, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
-		data, err := k.options.PullPeer(call)
-		cancel()
-		if err != nil || len(data) == 0 {
-			k.count("config.pull_failures")
-			continue
-		}
-		k.count("config.pulls")
-		// What cannot be used was counted and logged by take.
-		_ = k.Offer(ctx, data)
-	}
-	return nil
-}
-
 // sleep waits and reports whether ctx is still alive.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/configsync/options.go
+++ b/internal/configsync/options.go
@@ -18,7 +18,6 @@
 	DefaultFleetPolls   = 200
 	DefaultCallTimeout  = time.Second
 	DefaultMaxBackoff   = 2 * time.Second
-	DefaultPullInterval = 3 * time.Second
 	// IdlePollFactor is how much less often a VM polls that keeps no watch.
 	IdlePollFactor = 10
 )
@@ -57,13 +56,6 @@
 	// it last knew. With the service down, work goes on as long as it does. The
 	// default is never.
 	HearsPeers func() bool
-	// PullPeer fetches the envelope of some other VM, whatever its version. It
-	// is called while the service is not heard: a withdrawal that was pushed
-	// to the others in an outage does not change the version, so a VM that the
-	// push missed has no other way to learn of it. It may be nil.
-	PullPeer func(ctx context.Context) (envelope []byte, err error)
-	// PullInterval is the time between two pulls. The default is 3s.
-	PullInterval time.Duration
 	// Sleep waits between two looks at a write whose outcome is unknown, as in
 	// kv.Attempt. The default waits for real.
 	Sleep func(ctx context.Context, d time.Duration) bool
@@ -102,9 +94,6 @@
 	if o.HearsPeers == nil {
 		o.HearsPeers = func() bool { return false }
 	}
-	if o.PullInterval <= 0 {
-		o.PullInterval = DefaultPullInterval
-	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -92,7 +92,6 @@
 		Store:       store,
 		Environment: p.settings.Environment,
 		HearsPeers:  func() bool { return p.fleet.HearsMajority(time.Now()) },
-		PullPeer:    p.pullPeer,
 		FleetSize:   func() int { return 1 + len(p.fleet.View().Members) },
 		Watches:     p.watches,
 		Log:         p.log,
@@ -203,6 +202,8 @@
 	}
 	if s := p.config.Snapshot(); s != nil {
 		local.ConfigVersion = s.Version
+		local.Withdrawn = int64(s.Withdrawn())
+		local.WithdrawnSum = s.WithdrawnSum()
 	}
 	return local
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,6 +39,9 @@
 	// ServedTokens counts tokens served by team since the start. The map must
 	// not be changed afterwards.
 	ServedTokens map[string]int64
+	// Withdrawn and WithdrawnSum tell which withdrawn keys the VM knows of.
+	Withdrawn    int64
+	WithdrawnSum uint64
 	// QuotaIncarnation is the incarnation in the VM's quota record.
 	QuotaIncarnation uint64
 }
@@ -176,6 +179,8 @@
 		n.InFlight = local.InFlight
 		n.ServedTokens = local.ServedTokens
 		n.QuotaIncarnation = local.QuotaIncarnation
+		n.Withdrawn = local.Withdrawn
+		n.WithdrawnSum = local.WithdrawnSum
 	})
 }
 
@@ -219,18 +224,23 @@
 	}
 }
 
-// pullConfig fetches the configuration from a VM that reports a newer one. One
+// pullConfig fetches the configuration from a VM that reports a newer one, or
+// else all that another knows from one that knows of other withdrawn keys. One
 // fetch runs at a time.
 func (f *Fleet) pullConfig(ctx context.Context, group *errgroup.Group) {
 	view := f.View()
+	have := view.Self.ConfigVersion
 	version, vm := view.NewestConfigVersion()
+	if vm == "" {
+		have, vm = 0, view.MissedWithdrawals()
+	}
 	if vm == "" || f.options.Offer == nil || !f.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	member, _ := view.Lookup(vm)
 	group.Go(func() error {
 		defer f.fetching.Store(false)
-		response, err := f.options.Pool.FetchConfig(ctx, member.PeerAddress, f.options.Timeout, view.Self.ConfigVersion)
+		response, err := f.options.Pool.FetchConfig(ctx, member.PeerAddress, f.options.Timeout, have)
 		if err != nil {
 			f.options.Log.Warn().Err(err).Str("vm", vm).Int64("version", version).Msg("configuration not fetched")
 			return nil
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -22,6 +22,10 @@
 	PeerAddress string
 	// ConfigVersion is the configuration version in force at the VM.
 	ConfigVersion int64
+	// Withdrawn is how many withdrawn keys the VM knows of. WithdrawnSum differs
+	// between VMs that know of different ones.
+	Withdrawn    int64
+	WithdrawnSum uint64
 	// Leaving means that the VM is shutting down and takes no new callers.
 	Leaving bool
 	// Ready means that the VM is ready for callers.
--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -130,3 +130,25 @@
 		require.NotEqual(t, domains[vm], domains[ring[(i+1)%len(ring)]])
 	}
 }
+
+// A withdrawal is pushed past the key-value service and misses a VM. Its version
+// is no lower than the others', so that only the sums tell.
+func TestMissedWithdrawalsAreNoticed(t *testing.T) {
+	view := &View{Self: Node{VM: "self", ConfigVersion: 5, Withdrawn: 2, WithdrawnSum: 7}}
+	for _, c := range []struct {
+		name  string
+		other Node
+		want  string
+	}{
+		{"the same", Node{ConfigVersion: 5, Withdrawn: 2, WithdrawnSum: 7}, ""},
+		{"one more", Node{ConfigVersion: 5, Withdrawn: 3, WithdrawnSum: 8}, "other"},
+		{"as many, but others", Node{ConfigVersion: 5, Withdrawn: 2, WithdrawnSum: 8}, "other"},
+		{"fewer", Node{ConfigVersion: 5, Withdrawn: 1, WithdrawnSum: 8}, ""},
+		{"one more, and behind", Node{ConfigVersion: 4, Withdrawn: 3, WithdrawnSum: 8}, "other"},
+		{"ahead, which brings them anyway", Node{ConfigVersion: 6, Withdrawn: 3, WithdrawnSum: 8}, ""},
+	} {
+		c.other.VM = "other"
+		view.Members = []Member{{Node: c.other}}
+		require.Equal(t, c.want, view.MissedWithdrawals(), c.name)
+	}
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -54,6 +54,19 @@
 	return version, vm
 }
 
+// MissedWithdrawals returns a VM that knows of withdrawn keys that the local one
+// may not know of although its configuration version is no lower. It is empty if
+// there is none.
+func (v *View) MissedWithdrawals() (vm string) {
+	for _, m := range v.Members {
+		missed := m.Withdrawn >= v.Self.Withdrawn && m.WithdrawnSum != v.Self.WithdrawnSum
+		if m.Status != Gone && missed && m.ConfigVersion <= v.Self.ConfigVersion {
+			return m.VM
+		}
+	}
+	return ""
+}
+
 // HearsMajority reports whether more than half of the partners were heard of
 // late. A VM without partners hears no majority.
 func (v *View) HearsMajority() bool {
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -22,6 +22,8 @@
 		Silent:        n.Silent,
 
 		QuotaIncarnation: n.QuotaIncarnation,
+		Withdrawn:        n.Withdrawn,
+		WithdrawnSum:     n.WithdrawnSum,
 	}
 }
 
@@ -43,6 +45,8 @@
 		Silent:        m.GetSilent(),
 
 		QuotaIncarnation: m.GetQuotaIncarnation(),
+		Withdrawn:        m.GetWithdrawn(),
+		WithdrawnSum:     m.GetWithdrawnSum(),
 	}
 }
 
