demand, planner, entry: bounded demand reports and copies that follow them

Cause: the planner knew what has to be resident but not what callers ask for. Tests on stand-ins: a leader that wakes after its lease, lost answers and an outage, a draining engine, a version replaced while an engine restarts, demand that brings copies. Conclusion: demand is closed from entry VM to plan; the policy is measured next.

--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -59,6 +59,7 @@
 	if problem != nil {
 		return problem
 	}
+	h.Offered(c.item.Model, c.item.Adapter, c.cost)
 	grant, err := h.Limiter.Acquire(r.Context(), req.holder.Team, c.cost)
 	if err != nil {
 		return limitProblem(err)
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -30,10 +30,12 @@
 	RequestTimeout time.Duration
 }
 
-// Options is what a Handler works with. Every field is required.
+// Options is what a Handler works with. Every field but Offered is required.
 type Options struct {
 	Configuration Configuration
 	Limiter       ratelimit.Limiter
+	// Offered is told of what callers ask for, admitted or not, in tokens.
+	Offered func(model, adapter string, tokens int64)
 	// VM is this VM's name, which stands in resume tokens.
 	VM string
 	// Models gives engines, Pools gives replicas of plain services.
@@ -66,6 +68,9 @@
 
 // NewHandler returns the callers' API.
 func NewHandler(o Options) *Handler {
+	if o.Offered == nil {
+		o.Offered = func(string, string, int64) {}
+	}
 	h := &Handler{
 		Options:  o,
 		slots:    make(chan struct{}, o.Limits.MaxInFlight),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/kv"
 	"github.com/chestnutarch/chestnutarch/internal/membership"
 	"github.com/chestnutarch/chestnutarch/internal/peer"
+	"github.com/chestnutarch/chestnutarch/internal/planner"
 	"github.com/chestnutarch/chestnutarch/internal/process"
 	"github.com/chestnutarch/chestnutarch/internal/quota"
 	"github.com/chestnutarch/chestnutarch/internal/ratelimit"
@@ -49,6 +50,7 @@
 	vms         *vmlist.Poller
 	addresses   *addresses
 	plannerHTTP *http.Client
+	demand      *planner.Reporter
 	engines     *engine.Client
 	services    *service.Client
 	traffic     *traffic
@@ -160,6 +162,9 @@
 		Transport: transport.New(transport.Limits{}, transport.Pool{}, process.ClientTLS(p.security.PeerFiles)),
 		Timeout:   plannerTimeout,
 	}
+	p.demand = planner.NewReporter(planner.ReporterOptions{
+		VM: p.settings.VM, Environment: p.settings.Environment, Store: p.store, Client: p.plannerHTTP,
+	})
 	p.poller = poller.New(poller.Options{Source: p.engines, Config: p.config.Snapshot, Leaving: p.vms.Leaving})
 	return nil
 }
@@ -169,6 +174,7 @@
 	p.handler = caller.NewHandler(caller.Options{
 		Configuration: p.config,
 		Limiter:       p.leases,
+		Offered:       p.demand.Add,
 		VM:            p.settings.VM,
 		Models:        p.traffic.models,
 		Pools:         p.traffic.pools,
@@ -236,6 +242,7 @@
 	group.Go(func() error { return ignoreStop(p.config.Run(background)) })
 	group.Go(func() error { return ignoreStop(p.fleet.Run(background)) })
 	group.Go(func() error { return ignoreStop(p.poller.Run(background)) })
+	group.Go(func() error { return p.demand.Run(background) })
 	group.Go(func() error { return ignoreStop(p.leases.Run(background)) })
 	if p.settings.VMList.URL != "" {
 		group.Go(func() error { return ignoreStop(p.vms.Run(background)) })
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/kv"
 	"github.com/chestnutarch/chestnutarch/internal/membership"
 	"github.com/chestnutarch/chestnutarch/internal/operator"
+	"github.com/chestnutarch/chestnutarch/internal/placement"
 	"github.com/chestnutarch/chestnutarch/internal/planner"
 	"github.com/chestnutarch/chestnutarch/internal/route"
 )
@@ -151,9 +152,36 @@
 		plan.Engines = append(plan.Engines, line)
 		plan.Steps = append(plan.Steps, underWay(e)...)
 	}
+	plan.Steps = append(plan.Steps, waiting(s)...)
 	return plan
 }
 
+// waiting lists the wanted copies that no order is under way for, with the
+// reason that the plan gives.
+func waiting(s *planner.Status) []operator.PlanStep {
+	type copyOf struct {
+		engine string
+		item   placement.Item
+	}
+	held := make(map[copyOf]struct{})
+	for _, e := range s.Engines {
+		for _, h := range e.Holds {
+			held[copyOf{e.Name, h.Item}] = struct{}{}
+		}
+	}
+	var steps []operator.PlanStep
+	for _, a := range s.Plan.Assignments {
+		if _, done := held[copyOf{a.Engine, a.Item}]; done {
+			continue
+		}
+		steps = append(steps, operator.PlanStep{
+			Engine: a.Engine, Item: a.Item.Name().String(), Version: a.Item.Version,
+			Kind: "load", State: "waiting", Reason: string(a.Reason),
+		})
+	}
+	return steps
+}
+
 // underWay lists what an engine's memory account still has open.
 func underWay(e planner.EngineStatus) []operator.PlanStep {
 	var steps []operator.PlanStep
--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -17,7 +17,7 @@
 
 // decisions are the packages that hold policy and no I/O.
 var decisions = []string{
-	"address", "admit", "claim", "configstate", "document", "membership",
+	"address", "admit", "claim", "configstate", "demand", "document", "membership",
 	"order", "placement", "quota", "resume", "route",
 }
 
--- a/internal/planner/leadership.go
+++ b/internal/planner/leadership.go
@@ -10,6 +10,7 @@
 
 	"github.com/chestnutarch/chestnutarch/internal/clock"
 	"github.com/chestnutarch/chestnutarch/internal/configstate"
+	"github.com/chestnutarch/chestnutarch/internal/demand"
 	"github.com/chestnutarch/chestnutarch/internal/document"
 	"github.com/chestnutarch/chestnutarch/internal/kv"
 	"github.com/chestnutarch/chestnutarch/internal/order"
@@ -47,6 +48,8 @@
 	snapshot *configstate.Snapshot
 	planned  time.Time
 	plan     placement.Plan
+	demand   *demand.Estimator
+	rates    map[placement.Name]float64
 	renewing bool
 	lost     error
 }
@@ -61,6 +64,7 @@
 		log:     log,
 		book:    order.NewBook(o),
 		events:  make(chan func(), eventBuffer),
+		demand:  demand.NewEstimator(p.options.Demand),
 
 		storeSlots:  make(chan struct{}, maxStoreCalls),
 		engineSlots: make(chan struct{}, maxEngineCalls),
@@ -161,6 +165,8 @@
 		return
 	}
 	l.planned = now.Wall
+	l.hearDemand(now.Wall)
+	l.rates = l.demand.Rates(now.Wall)
 	l.snapshot = snapshot
 	goal := goalOf(snapshot.Document)
 	l.urls = urlsOf(snapshot.Document)
@@ -175,6 +181,7 @@
 		l.plan = placement.Make(placement.Input{
 			Models:  snapshot.Document.Models,
 			Engines: l.book.View(now.Wall),
+			Demand:  l.rates,
 			Options: l.planner.options.Placement,
 		})
 		goal.Assignments, goal.Reduced = l.plan.Assignments, l.plan.Reduced
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -9,6 +9,7 @@
 
 	"github.com/chestnutarch/chestnutarch/internal/clock"
 	"github.com/chestnutarch/chestnutarch/internal/configstate"
+	"github.com/chestnutarch/chestnutarch/internal/demand"
 	"github.com/chestnutarch/chestnutarch/internal/kv"
 	"github.com/chestnutarch/chestnutarch/internal/order"
 	"github.com/chestnutarch/chestnutarch/internal/placement"
@@ -43,6 +44,8 @@
 	OrderTimeout time.Duration
 	// Placement tunes the policy.
 	Placement placement.Options
+	// Demand tunes the estimate of what callers ask for.
+	Demand demand.Options
 	// Order tunes the sending of orders. Its Prefix, Fence and budget are set
 	// by the planner.
 	Order order.Options
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/chestnutarch/chestnutarch/internal/demand"
 	"github.com/chestnutarch/chestnutarch/internal/engine"
 )
 
@@ -18,6 +19,8 @@
 	reports *engine.Client
 	leader  atomic.Pointer[Leader]
 	status  atomic.Pointer[Status]
+	// demand carries the entry VMs' reports to the leader's goroutine.
+	demand chan demand.Report
 }
 
 // New returns a planner. Errors wrap ErrOptions.
@@ -28,6 +31,7 @@
 	o.provision()
 	return &Planner{
 		options: o,
+		demand:  make(chan demand.Report, reportBuffer),
 		orders:  engine.OrderClient{Timeout: o.OrderTimeout},
 		reports: engine.NewClient(engine.ClientOptions{CallTimeout: o.OrderTimeout}),
 	}, nil
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +30,17 @@
 	engines []*standin.Server
 	kinds   []*standin.Engine
 	weights *standin.WeightStore
+	// snapshot is the configuration in force.
+	snapshot atomic.Pointer[configstate.Snapshot]
+}
+
+// put puts a document in force.
+func (s *site) put(doc *document.Document) {
+	version := int64(1)
+	if now := s.snapshot.Load(); now != nil {
+		version = now.Version + 1
+	}
+	s.snapshot.Store(configstate.NewSnapshot(version, "change", "digest", doc, nil))
 }
 
 func newSite(t *testing.T, engines, models, adapters int) *site {
@@ -52,6 +65,7 @@
 		}
 		s.doc.Models = append(s.doc.Models, model)
 	}
+	s.put(s.doc)
 	return s
 }
 
@@ -75,10 +89,9 @@
 }
 
 func (s *site) start(vm string) (*Planner, func()) {
-	snapshot := configstate.NewSnapshot(1, "change", "digest", s.doc, nil)
 	p, err := New(Options{
 		Environment: "trial", VM: vm, Store: s.store, LeaseTTL: 2 * time.Second, PlanEvery: 100 * time.Millisecond,
-		Config: func() *configstate.Snapshot { return snapshot },
+		Config: s.snapshot.Load,
 	})
 	require.NoError(s.t, err)
 	ctx, cancel := context.WithCancel(s.t.Context())
@@ -98,9 +111,15 @@
 
 // readyDomains counts the failure domains with a ready copy by what the engines
 // themselves hold.
-func (s *site) readyDomains() map[string]map[string]struct{} {
+func (s *site) readyDomains() map[string]map[string]struct{} { return s.readyDomainsBut() }
+
+// readyDomainsBut leaves out some engines.
+func (s *site) readyDomainsBut(but ...int) map[string]map[string]struct{} {
 	out := make(map[string]map[string]struct{})
 	for i, e := range s.doc.Engines {
+		if slices.Contains(but, i) {
+			continue
+		}
 		load, err := (&engine.OrderClient{}).Report(s.t.Context(), e.URL)
 		if err != nil {
 			continue
--- a/internal/planner/status.go
+++ b/internal/planner/status.go
@@ -1,13 +1,16 @@
 package planner
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/chestnutarch/chestnutarch/internal/clock"
+	"github.com/chestnutarch/chestnutarch/internal/demand"
 	"github.com/chestnutarch/chestnutarch/internal/placement"
 )
 
@@ -29,10 +32,19 @@
 	InControl bool `json:"in_control"`
 	// Plan is what every engine should hold.
 	Plan placement.Plan `json:"plan"`
+	// Demand is the estimate behind the plan, the largest first, at most
+	// demand.MaxTop names.
+	Demand []NameDemand `json:"demand,omitempty"`
 	// Engines is what every engine could hold and holds.
 	Engines []EngineStatus `json:"engines"`
 }
 
+// NameDemand is the estimated demand for a name in tokens per second.
+type NameDemand struct {
+	placement.Name
+	TokensPerSecond float64 `json:"tokens_per_second"`
+}
+
 // EngineStatus is one engine's part of a Status. Memory is in bytes.
 type EngineStatus struct {
 	Name          string     `json:"name"`
@@ -75,12 +87,24 @@
 		InControl: l.book.InControl(),
 		Plan:      l.plan,
 	}
+	s.Demand = largest(l.rates)
 	for _, e := range l.book.View(now.Wall) {
 		s.Engines = append(s.Engines, engineStatus(e))
 	}
 	l.planner.status.Store(s)
 }
 
+func largest(rates map[placement.Name]float64) []NameDemand {
+	out := make([]NameDemand, 0, len(rates))
+	for name, rate := range rates {
+		out = append(out, NameDemand{Name: name, TokensPerSecond: rate})
+	}
+	slices.SortFunc(out, func(a, b NameDemand) int {
+		return cmp.Or(cmp.Compare(b.TokensPerSecond, a.TokensPerSecond), cmp.Compare(a.String(), b.String()))
+	})
+	return out[:min(len(out), demand.MaxTop)]
+}
+
 func engineStatus(e placement.Engine) EngineStatus {
 	s := EngineStatus{
 		Name:          e.Name,
@@ -95,11 +119,13 @@
 	return s
 }
 
-// Handler serves GET /v1/plan: the Status as JSON, or 421 with the Leader to
-// ask instead.
+// Handler serves GET /v1/plan, the Status as JSON, and takes POST /v1/demand, an
+// entry VM's demand.Report. A planner that does not lead answers 421 with the
+// Leader to ask instead.
 func (p *Planner) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/plan", p.servePlan)
+	mux.HandleFunc("POST /v1/demand", p.serveDemand)
 	return mux
 }
 
