claims: one VM writes each shard, and gathers what comes

Cause: VMs that wrote one shard cost each other a write and a read for each conflict, and a VM read 32 segments one after the other when its first action came. Change: operations go to a preferred VM for each shard (SubmitClaim); whoever gets no answer carries the same operation out himself, which is harmless because he finds his own attempt. A shard is written at most every 20 ms. VMs read their shards when they start.

--- a/internal/claim/log.go
+++ b/internal/claim/log.go
@@ -119,6 +119,17 @@
 	return call, verdicts
 }
 
+// Load returns the next read that is needed before an operation can be decided, or
+// nil if none is. Like Next, it begins a call.
+func (l *Log) Load() *Call {
+	if l.calling {
+		return nil
+	}
+	call := l.load()
+	l.calling = call != nil
+	return call
+}
+
 // Failed says that a read brought nothing. The next call tries again.
 func (l *Log) Failed() {
 	l.calling = false
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -42,6 +42,11 @@
 	VM string
 	// Asker asks other VMs.
 	Asker Asker
+	// Forwarder has other VMs carry operations out. It may be nil.
+	Forwarder Forwarder
+	// Preferred returns the VM that should write a shard, or "". It is needed
+	// with a Forwarder and must not block.
+	Preferred func(shard int) string
 	// Timeout bounds how long a claim may take to be settled. The default is 3s.
 	Timeout time.Duration
 }
@@ -148,7 +153,7 @@
 	c.with(func(a *claim.Attempts) { a.Begin(id, op.Record.ClaimedAt) })
 	op.ID = c.nextID.Add(1)
 	op.Deadline, _ = ctx.Deadline()
-	verdict := c.shard(op.Record.Key).do(ctx, op)
+	verdict := c.do(ctx, op)
 	c.with(func(a *claim.Attempts) {
 		if verdict.Granted {
 			a.Grant(id)
@@ -203,10 +208,6 @@
 	f(c.attempts)
 }
 
-func (c *Claims) shard(k claim.Key) *shard {
-	return c.shards[k.Shard()]
-}
-
 // Dispatch reports whether the action may be sent now. It is true once, until
 // Unsent.
 func (t *Attempt) Dispatch() (may bool) {
@@ -253,6 +254,6 @@
 	r.Answer = answer
 	op := claim.Op{ID: c.nextID.Add(1), Kind: claim.Store, Record: r}
 	op.Deadline, _ = ctx.Deadline()
-	c.shard(r.Key).do(ctx, op)
+	c.do(ctx, op)
 	c.with(func(a *claim.Attempts) { a.Forget(r.Attempt) })
 }
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +26,8 @@
 	store *kvtest.Memory
 	mu    sync.Mutex
 	vms   map[string]*Claims
+	// forwards counts the operations that were carried out for another VM.
+	forwards atomic.Int64
 }
 
 func newFleet(t *testing.T, names ...string) *fleet {
@@ -35,7 +40,7 @@
 
 // start starts a VM's process, or replaces it.
 func (f *fleet) start(t *testing.T, name string) *Claims {
-	c := New(Options{Store: f.store, Environment: "test", VM: name, Asker: f, Timeout: time.Second})
+	c := New(Options{Store: f.store, Environment: "test", VM: name, Asker: f, Timeout: time.Second, Forwarder: f, Preferred: f.preferred})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -52,6 +57,24 @@
 	return c
 }
 
+func (f *fleet) preferred(shard int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return claim.Preferred(shard, slices.Sorted(maps.Keys(f.vms)))
+}
+
+// Submit implements Forwarder. Every third answer is lost.
+func (f *fleet) Submit(ctx context.Context, vm string, op claim.Op) (claim.Verdict, error) {
+	f.mu.Lock()
+	c := f.vms[vm]
+	f.mu.Unlock()
+	v := c.Carry(ctx, op)
+	if f.forwards.Add(1)%3 == 0 {
+		return claim.Verdict{}, peer.ErrUnreachable
+	}
+	return v, nil
+}
+
 // Ask implements Asker.
 func (f *fleet) Ask(_ context.Context, vm, attempt string) (claim.State, *claim.Answer, error) {
 	f.mu.Lock()
@@ -79,7 +102,8 @@
 }
 
 // Callers send the same filing to three VMs at once, again and again, while the
-// key-value service loses requests and answers and carries writes out late. The
+// key-value service loses requests and answers and carries writes out late, and
+// answers between the VMs are lost too. The
 // registry must see each filing once, and nobody may be left with a key that can
 // never run.
 func TestConcurrentRetriesRunOnce(t *testing.T) {
@@ -230,6 +254,15 @@
 	state, _, err = asker.Ask(t.Context(), "a", id)
 	require.NoError(t, err)
 	require.Equal(t, claim.Abandoned, state)
+	taken := attempt.record
+	taken.Attempt = "another"
+	v, err := asker.Submit(t.Context(), "a", claim.Op{Kind: claim.TakeOver, Record: taken, From: id})
+	require.NoError(t, err)
+	require.True(t, v.Granted)
+	v, err = asker.Submit(t.Context(), "a", claim.Op{Kind: claim.Claim, Record: attempt.record})
+	require.NoError(t, err)
+	require.Equal(t, "another", v.Found.Attempt)
+	require.WithinDuration(t, taken.ClaimedAt, v.Found.ClaimedAt, 0)
 	_, _, err = asker.Ask(t.Context(), "gone", id)
 	require.ErrorIs(t, err, ErrUnknownVM)
 	cancel()
--- /dev/null
+++ b/internal/claims/forward.go
@@ -0,0 +1,113 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/chestnutarch/chestnutarch/internal/claim"
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+)
+
+// forwardTimeout bounds one operation at another VM. After that it is carried out
+// here.
+const forwardTimeout = 500 * time.Millisecond
+
+// Forwarder has another VM carry out an operation.
+type Forwarder interface {
+	// Submit returns the verdict, or an error if the VM did not give one. The
+	// operation may then still be carried out there.
+	Submit(ctx context.Context, vm string, op claim.Op) (claim.Verdict, error)
+}
+
+// do has an operation carried out, by the VM that writes the shard if it answers.
+// Carrying it out twice is harmless: the second finds its own attempt.
+func (c *Claims) do(ctx context.Context, op claim.Op) claim.Verdict {
+	shard := op.Record.Key.Shard()
+	vm := c.options.VM
+	if c.options.Forwarder != nil {
+		vm = c.options.Preferred(shard)
+	}
+	if vm != "" && vm != c.options.VM {
+		v, err := c.options.Forwarder.Submit(ctx, vm, op)
+		if err == nil && (v.Granted || v.Found != nil) {
+			return v
+		}
+	}
+	return c.shards[shard].do(ctx, op)
+}
+
+// Submit implements Forwarder.
+func (p PeerAsker) Submit(ctx context.Context, vm string, op claim.Op) (claim.Verdict, error) {
+	address := p.Address(vm)
+	if address == "" {
+		return claim.Verdict{}, ErrUnknownVM
+	}
+	in := &peerpb.SubmitClaimRequest{Kind: encodeKind(op.Kind), Record: encodeRecord(&op.Record), From: op.From}
+	var out *peerpb.SubmitClaimResponse
+	err := p.Pool.Call(ctx, address, forwardTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
+		out, err = peerpb.NewClaimsClient(conn).SubmitClaim(ctx, in)
+		return err
+	})
+	if err != nil {
+		return claim.Verdict{}, err
+	}
+	return claim.Verdict{ID: op.ID, Granted: out.GetGranted(), Found: decodeRecord(out.GetFound())}, nil
+}
+
+// SubmitClaim carries out another VM's operation.
+func (s *Server) SubmitClaim(ctx context.Context, in *peerpb.SubmitClaimRequest) (*peerpb.SubmitClaimResponse, error) {
+	record := decodeRecord(in.GetRecord())
+	if record == nil || record.Key == "" || record.Attempt == "" {
+		return &peerpb.SubmitClaimResponse{}, nil
+	}
+	v := s.claims.Carry(ctx, claim.Op{Kind: decodeKind(in.GetKind()), Record: *record, From: in.GetFrom()})
+	return &peerpb.SubmitClaimResponse{Granted: v.Granted, Found: encodeRecord(v.Found)}, nil
+}
+
+// Carry carries out another VM's operation here.
+func (c *Claims) Carry(ctx context.Context, op claim.Op) claim.Verdict {
+	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	defer cancel()
+	op.ID = c.nextID.Add(1)
+	op.Deadline, _ = ctx.Deadline()
+	return c.shards[op.Record.Key.Shard()].do(ctx, op)
+}
+
+var kinds = map[claim.Kind]peerpb.ClaimKind{
+	claim.Claim:    peerpb.ClaimKind_CLAIM_KIND_CLAIM,
+	claim.TakeOver: peerpb.ClaimKind_CLAIM_KIND_TAKE_OVER,
+	claim.Store:    peerpb.ClaimKind_CLAIM_KIND_STORE,
+}
+
+func encodeKind(k claim.Kind) peerpb.ClaimKind { return kinds[k] }
+
+func decodeKind(m peerpb.ClaimKind) claim.Kind {
+	for kind, message := range kinds {
+		if message == m {
+			return kind
+		}
+	}
+	return claim.Claim
+}
+
+func encodeRecord(r *claim.Record) *peerpb.ClaimRecord {
+	if r == nil {
+		return nil
+	}
+	return &peerpb.ClaimRecord{
+		Key: string(r.Key), Body: r.Body, Vm: r.VM, Attempt: r.Attempt,
+		ClaimedAt: r.ClaimedAt.UnixNano(), Answer: encodeAnswer(r.Answer),
+	}
+}
+
+func decodeRecord(m *peerpb.ClaimRecord) *claim.Record {
+	if m == nil {
+		return nil
+	}
+	return &claim.Record{
+		Key: claim.Key(m.GetKey()), Body: m.GetBody(), VM: m.GetVm(), Attempt: m.GetAttempt(),
+		ClaimedAt: time.Unix(0, m.GetClaimedAt()), Answer: decodeAnswer(m.GetAnswer()),
+	}
+}
--- a/internal/claims/shard.go
+++ b/internal/claims/shard.go
@@ -16,6 +16,14 @@
 	callTimeout = time.Second
 	// retryPause is the time between calls that brought nothing.
 	retryPause = 50 * time.Millisecond
+	// groupWindow is the least time between two writes of a shard. It bounds the
+	// writes of all shards together to 800 a second, however many actions come:
+	// what comes meanwhile is written together.
+	groupWindow = 20 * time.Millisecond
+	// warmPause is the time between two reads while a shard is read for the first
+	// time and nobody waits for it. All shards of a VM make 160 reads a second
+	// then, so that a whole fleet can start at once.
+	warmPause = 100 * time.Millisecond
 	// submitted is the length of the channel into a shard.
 	submitted = 256
 )
@@ -29,6 +37,8 @@
 	waiting map[uint64]chan claim.Verdict
 	ops     chan submission
 	done    chan struct{}
+	// wrote is when the last write began.
+	wrote time.Time
 }
 
 type submission struct {
@@ -69,11 +79,17 @@
 
 func (s *shard) run(ctx context.Context) error {
 	defer close(s.done)
+	if err := s.warm(ctx); err != nil {
+		return err
+	}
 	for {
 		if err := s.collect(ctx); err != nil {
 			return err
 		}
 		s.answer(s.log.Expire(time.Now()))
+		if s.gather(ctx) {
+			continue
+		}
 		call, verdicts := s.log.Next(time.Now())
 		s.answer(verdicts)
 		if call == nil {
@@ -85,6 +101,47 @@
 	}
 }
 
+// gather waits until the next write may begin, or until more comes that goes with
+// it. It reports whether it waited.
+func (s *shard) gather(ctx context.Context) bool {
+	left := groupWindow - time.Since(s.wrote)
+	if left <= 0 {
+		return false
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case m := <-s.ops:
+		s.submit(m)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return true
+}
+
+// warm reads the shard before anybody asks for it, so that the first action does
+// not wait for all its segments to be read. It ends early if one comes.
+func (s *shard) warm(ctx context.Context) error {
+	for {
+		call := s.log.Load()
+		if call == nil {
+			return nil
+		}
+		s.call(ctx, *call)
+		timer := time.NewTimer(warmPause)
+		select {
+		case m := <-s.ops:
+			timer.Stop()
+			s.submit(m)
+			return nil
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
 // collect takes all submissions that are there. It waits for one if nothing else
 // is to be done.
 func (s *shard) collect(ctx context.Context) error {
@@ -142,6 +199,7 @@
 }
 
 func (s *shard) swap(ctx context.Context, key string, c claim.Call) bool {
+	s.wrote = time.Now()
 	result, err := s.store.CompareAndSwap(ctx, key, c.Expected, c.Value, kv.NoLease)
 	if err != nil {
 		// Whatever the error is, the write may still be on its way.
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -10,6 +10,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chestnutarch/chestnutarch/internal/claim"
 	"github.com/chestnutarch/chestnutarch/internal/claims"
 	"github.com/chestnutarch/chestnutarch/internal/configstate"
 	"github.com/chestnutarch/chestnutarch/internal/dispatch"
@@ -48,6 +49,7 @@
 		m, _ := p.fleet.View().Lookup(vm)
 		return m.PeerAddress
 	}
+	asker := claims.PeerAsker{Pool: p.peers, Address: address}
 	pools := &poolFleet{config: p.config.Snapshot, leaving: p.vms.Leaving}
 	t := &traffic{
 		ring:  ring,
@@ -63,7 +65,7 @@
 		}),
 		claims: claims.New(claims.Options{
 			Store: p.store, Environment: p.settings.Environment, VM: p.settings.VM,
-			Asker: claims.PeerAsker{Pool: p.peers, Address: address},
+			Asker: asker, Forwarder: asker, Preferred: p.preferred,
 		}),
 		release: relay.Releaser{Pool: p.peers, Address: address, For: relay.DefaultGrace},
 	}
@@ -156,6 +158,18 @@
 	return peers
 }
 
+// preferred returns the VM that should write a shard of claims.
+func (p *Process) preferred(shard int) string {
+	view := p.fleet.View()
+	vms := []string{view.Self.VM}
+	for _, m := range view.Members {
+		if m.Status == membership.Heard && !m.Leaving {
+			vms = append(vms, m.VM)
+		}
+	}
+	return claim.Preferred(shard, vms)
+}
+
 // addressAt returns the address for peers of the VM at a place in the order of the
 // names of the VMs that are heard, or "" for this VM.
 func (p *Process) addressAt(rank int) string {
--- a/internal/trafficmeasure/main.go
+++ b/internal/trafficmeasure/main.go
@@ -23,6 +23,7 @@
 	measureRouting(w)
 	measureFairness(w)
 	measureAudience(w)
+	measureClaims(w)
 	if err := w.Flush(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
