operator: the wire contract, durations in milliseconds

Cause: the operators' API stood in no page, and evidence carried nanoseconds where the rule is whole milliseconds in fields that end in _ms.

--- a/internal/configstate/evidence.go
+++ b/internal/configstate/evidence.go
@@ -17,23 +17,26 @@
 // promotion.
 type Evidence struct {
 	// Environment is where the document was in force.
-	Environment string `json:"environment"`
+	Environment string `json:"environment" yaml:"environment"`
 	// Digest is the document's.
-	Digest string `json:"digest"`
+	Digest string `json:"digest" yaml:"digest"`
 	// Version is the configuration version that put it in force.
-	Version int64 `json:"version"`
-	// InForce is how long it has been in force at every VM, in nanoseconds.
-	InForce time.Duration `json:"in_force"`
+	Version int64 `json:"version" yaml:"version"`
+	// InForceMS is how long it has been in force, in milliseconds.
+	InForceMS int64 `json:"in_force_ms" yaml:"in_force_ms"`
 	// Requests is the number of requests judged.
-	Requests int64 `json:"requests"`
+	Requests int64 `json:"requests" yaml:"requests"`
 	// Attained is the number of them within the latency objectives.
-	Attained int64 `json:"attained"`
+	Attained int64 `json:"attained" yaml:"attained"`
 	// Failed is the number of them that failed.
-	Failed int64 `json:"failed"`
+	Failed int64 `json:"failed" yaml:"failed"`
 	// ObservedAt is when it was collected.
-	ObservedAt time.Time `json:"observed_at"`
+	ObservedAt time.Time `json:"observed_at" yaml:"observed_at"`
 }
 
+// InForce returns how long the document has been in force.
+func (e *Evidence) InForce() time.Duration { return time.Duration(e.InForceMS) * time.Millisecond }
+
 // ProofError is one threshold that was missed. It unwraps to ErrNotProven.
 type ProofError struct {
 	// Threshold names the field of the document's promotion section.
@@ -59,8 +62,8 @@
 	if e.Digest != digest {
 		return &ProofError{Threshold: "digest", Want: digest, Have: e.Digest}
 	}
-	if e.InForce < p.MinTimeInForce {
-		return &ProofError{Threshold: "min_time_in_force", Want: p.MinTimeInForce.String(), Have: e.InForce.String()}
+	if e.InForce() < p.MinTimeInForce {
+		return &ProofError{Threshold: "min_time_in_force", Want: p.MinTimeInForce.String(), Have: e.InForce().String()}
 	}
 	// With no request there is no share to judge by, whatever the document asks.
 	if least := max(p.MinRequests, 1); e.Requests < least {
@@ -90,7 +93,7 @@
 		if p.Digest != sum.Digest {
 			return nil, &ProofError{Threshold: "digest", Want: sum.Digest + " at every VM", Have: p.Digest}
 		}
-		sum.InForce = max(sum.InForce, p.InForce)
+		sum.InForceMS = max(sum.InForceMS, p.InForceMS)
 		sum.Version = max(sum.Version, p.Version)
 		sum.Requests += p.Requests
 		sum.Attained += p.Attained
--- a/internal/configstate/state_test.go
+++ b/internal/configstate/state_test.go
@@ -125,11 +125,11 @@
 
 func TestProveNamesTheThresholdThatIsMissed(t *testing.T) {
 	p := document.Promotion{MinTimeInForce: time.Hour, MinRequests: 100, MinAttainment: 0.95, MaxErrorShare: 0.01}
-	good := Evidence{Digest: "d", InForce: time.Hour, Requests: 100, Attained: 95, Failed: 1}
+	good := Evidence{Digest: "d", InForceMS: time.Hour.Milliseconds(), Requests: 100, Attained: 95, Failed: 1}
 	require.NoError(t, Prove(p, "d", &good))
 	for threshold, spoil := range map[string]func(*Evidence){
 		"digest":            func(e *Evidence) { e.Digest = "other" },
-		"min_time_in_force": func(e *Evidence) { e.InForce-- },
+		"min_time_in_force": func(e *Evidence) { e.InForceMS-- },
 		"min_requests":      func(e *Evidence) { e.Requests-- },
 		"min_attainment":    func(e *Evidence) { e.Attained-- },
 		"max_error_share":   func(e *Evidence) { e.Failed++ },
--- a/internal/configsync/tally.go
+++ b/internal/configsync/tally.go
@@ -69,7 +69,7 @@
 		ObservedAt:  t.clock().Wall,
 	}
 	if c.digest != "" {
-		e.InForce = inForce(c.since, t.clock())
+		e.InForceMS = inForce(c.since, t.clock()).Milliseconds()
 	}
 	return e
 }
--- a/internal/ctl/promote.go
+++ b/internal/ctl/promote.go
@@ -52,7 +52,7 @@
 		return err
 	}
 	fmt.Fprintf(o.errOut, "evidence of %s: digest %s, in force %s, %d requests, %d attained, %d failed\n",
-		evidence.Environment, evidence.Digest, evidence.InForce.Round(time.Second), evidence.Requests, evidence.Attained, evidence.Failed)
+		evidence.Environment, evidence.Digest, evidence.InForce().Round(time.Second), evidence.Requests, evidence.Attained, evidence.Failed)
 	accepted, err := askAny(bounded, clients, getConfig)
 	if err != nil {
 		return err
