--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -30,6 +30,7 @@
 type apiError struct {
 	Error struct {
 		Type    string `json:"type"`
+		Message string `json:"message"`
 		Outcome string `json:"outcome"`
 	} `json:"error"`
 }
@@ -138,6 +139,9 @@
 	var e apiError
 	_ = json.Unmarshal(data, &e)
 	x.result.Reason = strconv.Itoa(status) + " " + e.Error.Type
+	if status != http.StatusTooManyRequests {
+		x.result.Reason += ": " + e.Error.Message
+	}
 	switch {
 	case e.Error.Outcome == "not_run" && status == http.StatusTooManyRequests:
 		x.result.Outcome = Refused
--- a/test/records_test.go
+++ b/test/records_test.go
@@ -44,21 +44,40 @@
 }
 
 func compare(ts *testscript.TestScript, args []string) error {
-	data, err := read(ts, args[0])
+	v, err := field(ts, args[0], args[1])
 	if err != nil {
 		return err
 	}
+	if !holds(v, args[2], args[3]) {
+		return fmt.Errorf("%s: %s is %v, not %s %s", args[0], args[1], v, args[2], args[3])
+	}
+	return nil
+}
+
+// field reads a field, or the sum of it over several places with commas between.
+func field(ts *testscript.TestScript, from, path string) (any, error) {
+	if first, rest, several := strings.Cut(from, ","); several {
+		a, err := field(ts, first, path)
+		if err != nil {
+			return nil, err
+		}
+		b, err := field(ts, rest, path)
+		x, _ := a.(float64)
+		y, _ := b.(float64)
+		return x + y, err
+	}
+	data, err := read(ts, from)
+	if err != nil {
+		return nil, err
+	}
 	var v any
 	if err := json.Unmarshal(data, &v); err != nil {
-		return fmt.Errorf("%s: %w in %.200s", args[0], err, data)
+		return nil, fmt.Errorf("%s: %w in %.200s", from, err, data)
 	}
-	for part := range strings.SplitSeq(args[1], ".") {
+	for part := range strings.SplitSeq(path, ".") {
 		v = member(v, part)
 	}
-	if !holds(v, args[2], args[3]) {
-		return fmt.Errorf("%s: %s is %v, not %s %s", args[0], args[1], v, args[2], args[3])
-	}
-	return nil
+	return v, nil
 }
 
 // read gets the records of a stand-in by its URL, any other URL as it is, or
@@ -144,8 +163,9 @@
 		ts.Fatalf("usage: replace FILE OLD NEW")
 	}
 	text := ts.ReadFile(args[0])
-	if !strings.Contains(text, args[1]) {
+	old := strings.ReplaceAll(args[1], "%n", "\n")
+	if !strings.Contains(text, old) {
 		ts.Fatalf("%s does not contain %q", args[0], args[1])
 	}
-	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(strings.ReplaceAll(text, args[1], args[2])), 0o644))
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(strings.ReplaceAll(text, old, strings.ReplaceAll(args[2], "%n", "\n"))), 0o644))
 }
--- a/test/scenarios_test.go
+++ b/test/scenarios_test.go
@@ -68,6 +68,8 @@
 			"call":    cmdCall,
 			"join":    cmdJoin,
 			"warm":    cmdWarm,
+			"abandon": cmdAbandon,
+			"sleep":   cmdSleep,
 			"burst":   cmdBurst,
 			"stream":  cmdStream,
 			"events":  cmdEvents,
--- a/test/state_test.go
+++ b/test/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -54,7 +56,7 @@
 	for name, d := range s.daemons {
 		d.kill()
 		if log, err := os.ReadFile(d.log); failed && err == nil {
-			const shown = 3000
+			const shown = 12000
 			s.env.T().Log(fmt.Sprintf("== log of %s\n%s", name, log[max(0, len(log)-shown):]))
 		}
 	}
@@ -99,6 +101,30 @@
 	<-d.exited
 }
 
+// errRuns means that a thread of a paused process has not stopped yet.
+var errRuns = errors.New("the process has not stopped yet")
+
+// stopped returns nil once every thread of the process has stopped. The signal
+// is only on its way when it has been sent: a request that came right after it
+// could still be answered.
+func (d *daemon) stopped() error {
+	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", d.cmd.Process.Pid))
+	if err != nil {
+		return err
+	}
+	for _, task := range tasks {
+		stat, err := os.ReadFile(task)
+		if err != nil {
+			continue
+		}
+		_, rest, _ := strings.Cut(string(stat), ") ")
+		if !strings.HasPrefix(rest, "T") {
+			return errRuns
+		}
+	}
+	return nil
+}
+
 // cmdDaemon: daemon start NAME BINARY ARGS... | restart|kill|pause|cont|term|exited NAME
 func cmdDaemon(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
@@ -121,6 +147,7 @@
 		d.kill()
 	case "pause":
 		d.signal(syscall.SIGSTOP)
+		ts.Check(poll(d.stopped))
 	case "cont":
 		d.signal(syscall.SIGCONT)
 	case "term":
--- a/test/traffic_test.go
+++ b/test/traffic_test.go
@@ -66,15 +66,14 @@
 	err    error
 }
 
-// cmdCall: call URL [method=] [key=] [idem=] [timeout=] [id=] [body=] [want=STATUS] [bg=NAME]
+// cmdCall: call URL [method=] [key=] [idem=] [timeout=] [id=] [body=] [want=STATUS] [until=STATUS] [bg=NAME]
 // prints the answer's body. With want=any every status is taken, and no answer
-// prints the error.
+// prints the error; until= repeats the call until it is answered so.
 func cmdCall(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) == 0 {
 		ts.Fatalf("usage: call URL [name=value...]")
 	}
 	o := parse(args[1:])
-	c := &call{done: make(chan struct{})}
 	body := o.get("body", "")
 	method := http.MethodGet
 	if body != "" {
@@ -85,12 +84,13 @@
 			again := &call{done: make(chan struct{})}
 			again.run(o.get("method", method), args[0], o, body)
 			if strconv.Itoa(again.status) != until {
-				return fmt.Errorf("%s answered %d (%v), not %s", args[0], again.status, again.err, until)
+				return fmt.Errorf("%s answered %d (%v), not %s: %s", args[0], again.status, again.err, until, again.body)
 			}
 			return nil
 		}))
 		return
 	}
+	c := &call{done: make(chan struct{})}
 	go c.run(o.get("method", method), args[0], o, body)
 	if name := o.get("bg", ""); name != "" {
 		stateOf(ts).calls[name] = c
@@ -328,6 +328,18 @@
 	}
 }
 
+// cmdAbandon: abandon NAME drops the stream's connection.
+func cmdAbandon(ts *testscript.TestScript, neg bool, args []string) {
+	streamOf(ts, neg, args, 1).stop()
+}
+
+// cmdSleep: sleep SECONDS, where a scenario is about the passing of time.
+func cmdSleep(ts *testscript.TestScript, neg bool, args []string) {
+	seconds, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	time.Sleep(time.Duration(seconds) * time.Second)
+}
+
 // cmdReopen: reopen NAME URL [key=] drops the connection and takes the stream
 // up again at another address, perhaps with another key.
 func cmdReopen(ts *testscript.TestScript, neg bool, args []string) {
--- a/test/world_test.go
+++ b/test/world_test.go
@@ -40,7 +40,7 @@
 
 func newAddress(name string, number int) address {
 	at := func() string { return fmt.Sprintf("127.0.0.1:%d", freePort()) }
-	return address{Name: name, Domain: string(rune('a' + number%2)), Listen: at(), Ops: at(), Peers: at()}
+	return address{Name: name, Domain: string(rune('a' + number%3)), Listen: at(), Ops: at(), Peers: at()}
 }
 
 func (w *world) list(name string, otherwise string) []address {
