membership: share reports' maps in views, keep the members' order

Cause: a view copied every member's map of served tokens and sorted all members anew, at each of the 16 heartbeats that a VM of the target's size takes in a second. Change: maps are not changed once received, so that views share them; the order is kept with the ring.

--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -53,6 +54,7 @@
 			domains[vm] = m.node.FailureDomain
 		}
 		s.ring = ringOrder(domains)
+		s.names = slices.Sorted(maps.Keys(s.members))
 		s.ringStale = false
 	}
 	return s.ring
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -75,7 +75,9 @@
 	rotation []string
 	urgent   []pass
 	// ring caches ringOrder until a VM joins, goes or changes its domain.
-	ring      []string
+	ring []string
+	// names holds the members in order, made with the ring.
+	names     []string
 	ringStale bool
 }
 
@@ -86,7 +88,7 @@
 
 // Self returns the local VM's latest report.
 func (s *State) Self() Node {
-	return s.self.clone()
+	return s.self
 }
 
 // UpdateSelf changes the local VM's report and counts a new sequence number.
@@ -261,14 +263,16 @@
 	}
 }
 
-// View returns the picture of the fleet at this time.
+// View returns the picture of the fleet at this time. It shares the maps of the
+// reports, which nobody changes after they were received.
 func (s *State) View(now time.Time) *View {
-	v := &View{At: now, Self: s.self.clone(), Members: make([]Member, 0, len(s.members))}
+	v := &View{At: now, Self: s.self, Members: make([]Member, 0, len(s.members))}
 	partners := s.partnerSet()
-	for vm, m := range s.members {
+	for _, vm := range s.names {
+		m := s.members[vm]
 		_, partner := partners[vm]
 		v.Members = append(v.Members, Member{
-			Node:      m.node.clone(),
+			Node:      m.node,
 			Status:    s.status(now, m, partner),
 			Partner:   partner,
 			LastHeard: m.lastHeard,
@@ -281,6 +285,5 @@
 			v.PartnersHeard++
 		}
 	}
-	slices.SortFunc(v.Members, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
 	return v
 }
