--- /dev/null
+++ b/internal/order/bench_test.go
@@ -0,0 +1,84 @@
+package order
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/chestnutarch/chestnutarch/internal/placement"
+)
+
+// steadyBook is a leader's book in control of engines that hold what is wanted.
+func steadyBook(engines int) (*Book, time.Time) {
+	now := time.Unix(1_000_000, 0)
+	b := NewBook(Options{Prefix: "/p/", Fence: 1})
+	goal := Goal{Versions: make(map[placement.Name]string), Memory: make(map[placement.Item]int64)}
+	for i := range engines {
+		name := fmt.Sprintf("e%d", i)
+		goal.Engines = append(goal.Engines, EngineSpec{Name: name, FailureDomain: fmt.Sprint(i % 4), Capacity: 100})
+		for j := range 6 {
+			item := placement.Item{Model: fmt.Sprintf("m%d", (i+j)%360), Version: "v1"}
+			goal.Versions[item.Name()] = "v1"
+			goal.Memory[item] = 10
+			goal.Assignments = append(goal.Assignments, placement.Assignment{Engine: name, Item: item, Memory: 10, Reason: placement.ReasonStays})
+		}
+	}
+	b.SetGoal(goal)
+	revision := int64(1)
+	for range 6 {
+		for _, a := range b.Next(now) {
+			switch a := a.(type) {
+			case Read:
+				b.ReadDone(a.Key, Stored{}, true)
+			case Write:
+				revision++
+				b.Written(a.Key, TookEffect, revision, nil)
+			case Poll:
+				b.Reported(a, reportOf(goal, a.Engine), true, now)
+			}
+		}
+		now = now.Add(time.Second)
+	}
+	return b, now
+}
+
+func reportOf(goal Goal, engine string) Report {
+	r := Report{Incarnation: engine + "/1"}
+	for _, a := range goal.Assignments {
+		if a.Engine == engine {
+			r.Resident = append(r.Resident, ReportItem{Item: a.Item, Ready: true})
+			r.MemoryUsed += a.Memory
+		}
+	}
+	return r
+}
+
+// BenchmarkNext is one decision when nothing has to be done.
+func BenchmarkNext(b *testing.B) {
+	for _, engines := range []int{20, 275, 1100} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			book, now := steadyBook(engines)
+			if !book.InControl() {
+				b.Fatal("not in control")
+			}
+			for _, l := range book.lines {
+				l.polling = true
+			}
+			for b.Loop() {
+				book.Next(now)
+			}
+		})
+	}
+}
+
+// BenchmarkView is what a plan costs besides the plan itself.
+func BenchmarkView(b *testing.B) {
+	for _, engines := range []int{20, 275, 1100} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			book, now := steadyBook(engines)
+			for b.Loop() {
+				book.View(now)
+			}
+		})
+	}
+}
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -121,19 +121,36 @@
 		if v == i || gain <= (1+f.options.Hysteresis)*f.worth(v)+f.options.MoveCost {
 			continue
 		}
-		for _, e := range f.items[v].copies {
-			if !f.mayHold(e, i) {
-				continue
-			}
-			members, memory, ok := f.spareGroup(e, v, needTwoDomains)
-			if ok && f.engines[e].free+memory >= f.items[i].memory {
-				return eviction{engine: e, items: members, worth: f.worth(v), keep: needTwoDomains}, true
-			}
+		if ev, found := f.victimOn(v, i); found {
+			return ev, true
 		}
 	}
 	return eviction{}, false
 }
 
+// victimOn finds the copy of v whose engine has the least load without it, among
+// those that can go and leave room for item i.
+func (f *fleet) victimOn(v, i int) (eviction, bool) {
+	var best eviction
+	var bestLoad float64
+	found := false
+	for _, e := range f.items[v].copies {
+		if !f.mayHold(e, i) {
+			continue
+		}
+		members, memory, ok := f.spareGroup(e, v, needTwoDomains)
+		if !ok || f.engines[e].free+memory < f.items[i].memory {
+			continue
+		}
+		load := f.engines[e].load - f.items[v].total/float64(len(f.items[v].copies))
+		if !found || load < bestLoad {
+			best = eviction{engine: e, items: members, worth: f.worth(v), keep: needTwoDomains}
+			bestLoad, found = load, true
+		}
+	}
+	return best, found
+}
+
 // demandQueue is a heap of items, the most demand per copy first.
 type demandQueue struct {
 	fleet *fleet
--- a/internal/planner/leadership.go
+++ b/internal/planner/leadership.go
@@ -15,6 +15,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/kv"
 	"github.com/chestnutarch/chestnutarch/internal/order"
 	"github.com/chestnutarch/chestnutarch/internal/placement"
+	"github.com/chestnutarch/chestnutarch/internal/telemetry"
 )
 
 // Bounds on what is under way at once.
@@ -23,8 +24,13 @@
 	maxEngineCalls = 64
 	eventBuffer    = 256
 	// stepGap is the shortest time between two decisions, so that a burst of
-	// answers from many engines costs one decision.
-	stepGap = 10 * time.Millisecond
+	// answers from many engines costs one decision. A decision looks at every
+	// engine, so in a large fleet the gap is stepGapPerEngine for each.
+	stepGap          = 10 * time.Millisecond
+	stepGapPerEngine = 250 * time.Microsecond
+	// planShare bounds the share of time that planning takes: after a plan it
+	// pauses for as many times the plan's own time.
+	planShare = 100
 	// failurePause delays the result of a failed call to the key-value
 	// service, which bounds how often an outage is probed.
 	failurePause = 250 * time.Millisecond
@@ -47,6 +53,8 @@
 
 	snapshot *configstate.Snapshot
 	planned  time.Time
+	// planTook is how long the last plan took.
+	planTook time.Duration
 	plan     placement.Plan
 	demand   *demand.Estimator
 	rates    map[placement.Name]float64
@@ -94,7 +102,7 @@
 		if err := l.step(ctx); err != nil {
 			return err
 		}
-		if !pause(ctx, stepGap) {
+		if !pause(ctx, max(stepGap, time.Duration(len(l.urls))*stepGapPerEngine)) {
 			return ctx.Err()
 		}
 	}
@@ -161,7 +169,8 @@
 func (l *leadership) replan(now clock.Reading) {
 	snapshot := l.planner.options.Config()
 	changed := snapshot != l.snapshot
-	if !changed && now.Wall.Sub(l.planned) < l.planner.options.PlanEvery {
+	every := max(l.planner.options.PlanEvery, planShare*l.planTook)
+	if !changed && now.Wall.Sub(l.planned) < every {
 		return
 	}
 	l.planned = now.Wall
@@ -188,6 +197,8 @@
 		l.book.SetGoal(goal)
 	}
 	l.publish(now)
+	l.planTook = clock.Elapsed(now, l.planner.options.Clock())
+	telemetry.NewTimer(l.planner.options.Metrics, "planner.plan").Update(l.planTook)
 }
 
 func urlsOf(doc *document.Document) map[string]string {
