--- a/internal/quota/lending.go
+++ b/internal/quota/lending.go
@@ -72,8 +72,7 @@
 	if c := a.collect; c != nil && (c.complete || c.order >= m.cfg.Self.VM) {
 		return true
 	}
-	collector, collecting := a.lent.collector()
-	return collecting && collector != msg.Loan.Borrower
+	return a.lent.heldByOther(msg.Loan.Borrower)
 }
 
 // offer decides how many units and how much balance to lend.
--- a/internal/quota/loans.go
+++ b/internal/quota/loans.go
@@ -48,14 +48,14 @@
 	}
 }
 
-// collector returns the process whose collection holds the tokens, if any.
-func (l *lentLedger) collector() (Holder, bool) {
+// heldByOther reports whether the collection of another process has tokens.
+func (l *lentLedger) heldByOther(borrower Holder) bool {
 	for id, loan := range l.loans {
-		if loan.collect {
-			return id.Borrower, true
+		if loan.collect && id.Borrower != borrower {
+			return true
 		}
 	}
-	return Holder{}, false
+	return false
 }
 
 // borrowed is a loan as its borrower sees it.
--- a/internal/quota/machine.go
+++ b/internal/quota/machine.go
@@ -168,9 +168,9 @@
 		a.reshape(now)
 		next[limit.Team] = a
 	}
-	for name, a := range m.teams {
+	for _, name := range slices.Sorted(maps.Keys(m.teams)) {
 		if _, stays := next[name]; !stays {
-			m.refuseAll(a, CauseUnknownTeam)
+			m.refuseAll(m.teams[name], CauseUnknownTeam)
 		}
 	}
 	m.teams = next
--- a/internal/quota/quotaloop/store.go
+++ b/internal/quota/quotaloop/store.go
@@ -50,11 +50,25 @@
 		w.stamp++
 		revision := w.stamp
 		w.store[c.Key] = quota.Entry{Value: c.Value, Revision: revision}
+		w.notify(c.Key)
 		w.fromStore(func() { answer(quota.TookEffect, revision, nil) })
 	})
 	w.after(storeTimeout, func() { answer(quota.Unknown, 0, nil) })
 }
 
+// notify lets every VM's watch deliver a change, unless the answer is lost.
+func (w *World) notify(key string) {
+	entry := w.store[key]
+	for _, n := range w.nodes {
+		if !n.alive || key != n.machine.AssignmentKey() || w.storeCut[n.vm] {
+			continue
+		}
+		w.fromStore(func() {
+			w.on(n, func() { n.machine.Observe(key, entry) })
+		})
+	}
+}
+
 // toStore carries a call to the service, where it may be lost.
 func (w *World) toStore(n *node, run func()) {
 	if w.Store.Down || w.storeCut[n.vm] {
--- a/internal/quota/succession.go
+++ b/internal/quota/succession.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -52,7 +53,8 @@
 	if m.own.phase == recordForeign {
 		m.dutyOf(m.cfg.Self.VM).wanted = now.Mono
 	}
-	for vm, d := range m.duties {
+	for _, vm := range slices.Sorted(maps.Keys(m.duties)) {
+		d := m.duties[vm]
 		if now.Mono-d.wanted > dutyLasts && !d.busy {
 			delete(m.duties, vm)
 			continue
