quota: fewer loans for fluctuations, probes before a refusal without hope

Cause: at the target's requests per VM (10 a second over 5 teams) a VM sent 75.9 messages a second at 7 VMs and 109.4 at 42; small teams were refused on estimates that were out of date.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -43,6 +43,10 @@
 	demand   int64
 	offered  int64
 	demandAt time.Duration
+	// frequency is the smoothed number of requests in frequencyScale seconds,
+	// arrivals their number since demandAt.
+	frequency int64
+	arrivals  int64
 	// surplusSince is when the VM last held no more units than it needs.
 	surplusSince time.Duration
 }
@@ -115,19 +119,43 @@
 	return min(need, Units)
 }
 
-// measureDemand updates the smoothed demand.
+// measureDemand updates the smoothed demand. The memory spans several requests:
+// with a shorter one, each request of a team that sends few of them would look
+// like a demand far beyond the VM's part, and set off loans that nobody needs.
 func (a *account) measureDemand(now time.Duration) {
 	elapsed := now - a.demandAt
 	if elapsed < demandInterval {
 		return
 	}
+	a.frequency += smooth(a.arrivals*int64(time.Second)/int64(elapsed)*frequencyScale-a.frequency, elapsed, time.Second)
+	memory := maxDemandMemory
+	if a.frequency > 0 {
+		memory = time.Duration(demandRequests * int64(time.Second) * frequencyScale / a.frequency)
+	}
+	memory = min(max(memory, minDemandMemory), maxDemandMemory)
 	current := mulDiv(a.offered, int64(time.Second), int64(elapsed))
-	weight := int64(elapsed) * 1000 / int64(elapsed+demandMemory)
-	a.demand += (min(current, 4*a.limit.Rate) - a.demand) * weight / 1000
-	a.offered = 0
+	a.demand += smooth(min(current, 4*a.limit.Rate)-a.demand, elapsed, memory)
+	a.offered, a.arrivals = 0, 0
 	a.demandAt = now
 }
 
+// aheadBalance is what is asked for beyond a shortage.
+func (a *account) aheadBalance() int64 {
+	ahead := mulDiv(a.demand*NanoPerToken, int64(aheadTime), int64(time.Second))
+	if a.frequency == 0 {
+		return ahead
+	}
+	meanSize := mulDiv(a.demand*NanoPerToken, frequencyScale, a.frequency)
+	return max(ahead, aheadRequests*meanSize)
+}
+
+// smooth returns the part of a difference that an average with a memory takes
+// over in a time.
+func smooth(difference int64, elapsed, memory time.Duration) int64 {
+	weight := int64(elapsed) * 1000 / int64(elapsed+memory)
+	return difference * weight / 1000
+}
+
 // spareUnits is what the VM could lend without missing it.
 func (a *account) spareUnits() int64 {
 	return max(a.units()-a.needUnits(), 0)
--- a/internal/quota/admission.go
+++ b/internal/quota/admission.go
@@ -20,6 +20,7 @@
 	}
 	m.refresh(now, a)
 	a.offered += tokens
+	a.arrivals++
 	amount := tokens * NanoPerToken
 	if len(a.queue) == 0 && a.bucket.Take(now.Mono, amount) {
 		m.admit(request, tokens)
--- a/internal/quota/borrowing.go
+++ b/internal/quota/borrowing.go
@@ -23,16 +23,19 @@
 	hintEvery = 100 * time.Millisecond
 	// asksPerTick bounds the asks ahead of demand in one tick and team.
 	asksPerTick = 3
-	// aheadTime is the demand, in time, that is asked for beyond a shortage, so
-	// that the next request need not ask again.
-	aheadTime = 50 * time.Millisecond
+	// aheadTime is the demand, in time, and aheadRequests in requests, that is
+	// asked for beyond a shortage, so that the next request need not ask again.
+	aheadTime     = 50 * time.Millisecond
+	aheadRequests = 3
 	// roundingSlack is more nano-tokens than the rounding of all parts can lose.
 	// Without it a request as large as the burst would seem never to fit.
 	roundingSlack = 2 * Slots
+	// smallLoan is the part of a VM's units below which a loan is not renewed.
+	smallLoan = 12
 	// shortWait is the wait for the own accrual that is not worth asking for.
 	shortWait = 2 * time.Millisecond
 	// surplusTime is how long units must be surplus before they are returned.
-	surplusTime = 150 * time.Millisecond
+	surplusTime = 300 * time.Millisecond
 )
 
 // updateLenders takes over the holders of the assignment. VMs that hold no slots
@@ -121,7 +124,7 @@
 		return true
 	}
 	if m.estimateElsewhere(now, a) < missing {
-		return soon || m.asksUnderWay(now, a)
+		return soon || m.asksUnderWay(now, a) || m.probe(now, a, head, missing)
 	}
 	best, most := "", int64(0)
 	for _, vm := range slices.Sorted(maps.Keys(a.lenders)) {
@@ -134,8 +137,7 @@
 		}
 	}
 	if most >= missing {
-		ahead := mulDiv(a.demand*NanoPerToken, int64(aheadTime), int64(time.Second))
-		m.ask(now, a, best, Ask{Units: max(a.needUnits()-a.units(), 0), Balance: missing + ahead})
+		m.ask(now, a, best, Ask{Units: max(a.needUnits()-a.units(), 0), Balance: missing + a.aheadBalance()})
 		return true
 	}
 	if soon || m.asksUnderWay(now, a) {
@@ -144,6 +146,7 @@
 	return m.startCollection(now, a, head, missing)
 }
 
+// asksUnderWay reports whether an answer may still come.
 func (m *Machine) asksUnderWay(now clock.Reading, a *account) bool {
 	for _, under := range a.borrowed.asks {
 		if now.Mono-under.sent.Mono < askTimeout {
@@ -233,17 +236,15 @@
 // that the balance covers is no reason to ask.
 func (m *Machine) borrowAhead(now clock.Reading, a *account) {
 	level, limit := a.bucket.Level(now.Mono), a.capOf(a.units())
-	if a.collect != nil || level > limit/2 || a.demand == 0 {
+	if a.collect != nil || level > limit/3 || a.demand == 0 {
 		return
 	}
 	lack := a.needUnits() - a.units()
-	if lack > Units/200 {
+	if lack > a.units()/4 {
 		m.askForUnits(now, a, lack)
 		return
 	}
-	if level < limit/3 {
-		m.askForBalance(now, a, limit/2-level)
-	}
+	m.askForBalance(now, a, limit/2-level)
 }
 
 func (m *Machine) askForUnits(now clock.Reading, a *account, lack int64) {
@@ -302,8 +303,8 @@
 			continue
 		}
 		// Close to its end the loan goes back with its balance, which would
-		// otherwise be lost.
-		if age >= loan.ttl-loan.ttl/8 {
+		// otherwise be lost. A small one is not worth the messages.
+		if age >= loan.ttl-loan.ttl/8 || loan.units < a.units()/smallLoan {
 			m.giveBack(now, a, number)
 			continue
 		}
--- a/internal/quota/collection.go
+++ b/internal/quota/collection.go
@@ -40,18 +40,29 @@
 // returns false if the request is not worth it: a small one is soon sent again,
 // and under several times the rate every one of them would ask every VM.
 func (m *Machine) startCollection(now clock.Reading, a *account, head waiting, missing int64) bool {
-	small := head.amount < a.capOf(UnitsPerSlot) && m.estimateElsewhere(now, a) < plenty*missing
-	if small {
+	if a.isSmall(head.amount) && m.estimateElsewhere(now, a) < plenty*missing {
 		return false
 	}
 	if now.Mono < a.nextCollection {
 		return a.nextCollection < head.deadline
 	}
+	m.collectFor(now, a, head)
+	return true
+}
+
+// isSmall reports whether an amount fits one slot's part of the burst.
+func (a *account) isSmall(amount int64) bool {
+	return amount <= a.capOf(UnitsPerSlot)
+}
+
+// collectFor begins a collection for the first request in the queue.
+func (m *Machine) collectFor(now clock.Reading, a *account, head waiting) {
 	m.stats.Collections++
-	a.queue[0].deadline = head.since + m.cfg.MaxCollect
+	if !a.isSmall(head.amount) {
+		a.queue[0].deadline = head.since + m.cfg.MaxCollect
+	}
 	a.collect = &collection{request: head.request}
 	m.collectNext(now, a)
-	return true
 }
 
 // collectNext asks the next lender in the order.
@@ -143,3 +154,27 @@
 		}
 	}
 }
+
+// probe collects although the last answers leave no hope, if they are old enough
+// for the lenders to have what is missing by now. It does so seldom, because
+// under several times the rate there is never any hope.
+func (m *Machine) probe(now clock.Reading, a *account, head waiting, missing int64) bool {
+	if now.Mono < a.nextCollection {
+		return false
+	}
+	most := int64(0)
+	for vm, view := range a.lenders {
+		if !m.peers[vm].Heard {
+			continue
+		}
+		units := view.slots * UnitsPerSlot
+		rate := mulDiv(a.limit.Rate*NanoPerToken, units, Units)
+		accrued := mulDiv(rate, int64(now.Mono-view.at), int64(time.Second))
+		most += min(view.left+accrued, a.capOf(units))
+	}
+	if most < missing {
+		return false
+	}
+	m.collectFor(now, a, head)
+	return true
+}
--- a/internal/quota/machine.go
+++ b/internal/quota/machine.go
@@ -14,7 +14,7 @@
 	DefaultTerm       = 5 * time.Second
 	DefaultMaxSilence = 12 * time.Hour
 	DefaultMaxHolders = 24
-	DefaultLoanTTL    = 2 * time.Second
+	DefaultLoanTTL    = 3 * time.Second
 	DefaultMaxWait    = 200 * time.Millisecond
 	DefaultCollect    = 400 * time.Millisecond
 
@@ -29,8 +29,11 @@
 	maxQueue = 64
 
 	demandInterval        = 50 * time.Millisecond
-	demandMemory          = 250 * time.Millisecond
-	demandHeadroomPercent = 125
+	minDemandMemory       = 250 * time.Millisecond
+	maxDemandMemory       = 4 * time.Second
+	demandRequests        = 8
+	frequencyScale        = 1000
+	demandHeadroomPercent = 105
 )
 
 // Config holds the settings of the state machine. Zero values take defaults.
--- a/internal/ratelimit/convert.go
+++ b/internal/ratelimit/convert.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/quota"
 )
@@ -25,8 +23,8 @@
 	return quota.LoanID{Borrower: decodeHolder(id.GetBorrower()), Number: id.GetNumber()}
 }
 
-// encodeMessage turns a message into its wire form.
-func encodeMessage(message quota.Message) *peerpb.QuotaMessage {
+// Encode turns a message into its wire form.
+func Encode(message quota.Message) *peerpb.QuotaMessage {
 	switch m := message.(type) {
 	case quota.Ask:
 		return &peerpb.QuotaMessage{Body: &peerpb.QuotaMessage_Ask{Ask: &peerpb.LoanAsk{
@@ -94,8 +92,3 @@
 		return nil
 	}
 }
-
-// MessageBytes returns the size of a message's payload on the wire.
-func MessageBytes(message quota.Message) int {
-	return proto.Size(encodeMessage(message))
-}
--- a/internal/ratelimit/run.go
+++ b/internal/ratelimit/run.go
@@ -121,7 +121,7 @@
 // collect puts a message with the others to the same VM, or with the replies if
 // it answers the batch being taken in.
 func (l *Leases) collect(batches map[string]*peerpb.QuotaBatch, s quota.Send) {
-	message := encodeMessage(s.Message)
+	message := Encode(s.Message)
 	if l.replies != nil && l.replies.to == s.To {
 		l.replies.batch.Messages = append(l.replies.batch.Messages, message)
 		return
