--- a/internal/quota/quotaloop/quotameasure/cost.go
+++ b/internal/quota/quotaloop/quotameasure/cost.go
@@ -67,7 +67,7 @@
 			batches++
 		}
 		kinds[kindOf(m)]++
-		bytes += int64(proto.Size(ratelimit.Encode(m)))
+		bytes += int64(ratelimit.MessageBytes(m))
 	}
 	w.OnVerdict = func(_ string, _ int64, v quota.Verdict, _ time.Duration, ideal bool) {
 		requests++
--- a/internal/ratelimit/convert.go
+++ b/internal/ratelimit/convert.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/quota"
 )
@@ -92,3 +94,8 @@
 		return nil
 	}
 }
+
+// MessageBytes returns the size of a message's payload on the wire.
+func MessageBytes(message quota.Message) int {
+	return proto.Size(Encode(message))
+}
