--- a/internal/engine/poller/poller.go
+++ b/internal/engine/poller/poller.go
@@ -15,6 +15,9 @@
 const (
 	// DefaultInterval is the default of Options.Interval.
 	DefaultInterval = 500 * time.Millisecond
+	// publishEvery is the least time between two snapshots. With one for each
+	// report, the work would grow with the square of the number of engines.
+	publishEvery = 25 * time.Millisecond
 	// DefaultMaxAge is the default of Options.MaxAge.
 	DefaultMaxAge = 2 * time.Second
 )
@@ -94,6 +97,9 @@
 func (p *Poller) Run(ctx context.Context) error {
 	ticker := time.NewTicker(p.options.Interval)
 	defer ticker.Stop()
+	publisher := time.NewTicker(publishEvery)
+	defer publisher.Stop()
+	changed := false
 	p.ask(ctx)
 	for {
 		select {
@@ -101,10 +107,15 @@
 			return ctx.Err()
 		case <-ticker.C:
 			p.ask(ctx)
-			p.publish(time.Now())
+			changed = true
 		case r := <-p.reports:
 			p.take(r, time.Now())
-			p.publish(time.Now())
+			changed = true
+		case <-publisher.C:
+			if changed {
+				p.publish(time.Now())
+			}
+			changed = false
 		}
 	}
 }
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -4,6 +4,8 @@
 
 // tracked is what a Router knows of one engine beyond its report.
 type tracked struct {
+	// hash is the hash of the engine's name.
+	hash uint64
 	// inFlight is the number of this VM's requests at the engine.
 	inFlight int
 	// changes are this VM's dispatches (+1) and ends (-1) that the newest
@@ -66,8 +68,8 @@
 // and what this VM did since, multiplied for the VMs that do likewise. A report
 // lags; by itself it would send a whole burst to the engine that was idle a
 // moment ago.
-func (r *Router) load(e *Engine) float64 {
-	t := r.tracked(e.Name)
+func (r *Router) load(e *candidate) float64 {
+	t := e.state
 	if r.faults.trustReports {
 		return float64(e.Running + e.Waiting)
 	}
@@ -77,13 +79,13 @@
 }
 
 // full reports whether an engine should get no more for now.
-func (r *Router) full(e *Engine) bool {
+func (r *Router) full(e *candidate) bool {
 	if r.load(e) >= float64(r.options.MaxInFlight) {
 		return true
 	}
 	if e.Waiting == 0 {
 		return false
 	}
-	since := float64(r.tracked(e.Name).since) * r.spread
+	since := float64(e.state.since) * r.spread
 	return float64(e.Waiting)+since > float64(r.options.MaxWaiting)
 }
--- a/internal/route/prefix.go
+++ b/internal/route/prefix.go
@@ -1,10 +1,6 @@
 package route
 
-import (
-	"encoding/binary"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // Prefix is the hash of an item and the beginning of a prompt. NoPrefix stands
 // for a prompt that is too short to be worth an engine's cache.
@@ -39,14 +35,13 @@
 	return max(Prefix(d.Sum64()), 1)
 }
 
-// score is an engine's place in a prefix's order (rendezvous hashing): each VM
-// computes the same order without a message, and an engine that comes or goes
-// moves only its own prefixes.
-func (p Prefix) score(engine string) uint64 {
-	var seed [8]byte
-	binary.LittleEndian.PutUint64(seed[:], uint64(p))
-	d := xxhash.New()
-	_, _ = d.Write(seed[:])
-	_, _ = d.WriteString(engine)
-	return d.Sum64()
+// score is the place of an engine, by the hash of its name, in a prefix's order
+// (rendezvous hashing): each VM computes the same order without a message, and an
+// engine that comes or goes moves only its own prefixes. The two hashes are mixed as
+// in SplitMix64 (Steele, Lea and Flood, 2014).
+func (p Prefix) score(engine uint64) uint64 {
+	z := uint64(p) ^ engine
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
 }
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -26,6 +27,9 @@
 	adapter map[Item]int
 	spread  float64
 	turn    uint64
+	// serving holds the engines with an item, for the items that were asked for
+	// since the fleet came. Without it each choice would look at every engine.
+	serving map[Item][]*candidate
 	faults  faults
 }
 
@@ -41,6 +45,12 @@
 	ignorePart bool
 }
 
+// candidate is an engine with what this VM knows of it.
+type candidate struct {
+	*Engine
+	state *tracked
+}
+
 // New returns a router with an empty fleet.
 func New(o Options) *Router {
 	return &Router{
@@ -48,6 +58,7 @@
 		fleet:   &Fleet{},
 		engines: make(map[string]*tracked),
 		adapter: make(map[Item]int),
+		serving: make(map[Item][]*candidate),
 		spread:  1,
 	}
 }
@@ -56,6 +67,7 @@
 // forgotten once nothing of this VM runs there.
 func (r *Router) SetFleet(f *Fleet) {
 	r.fleet = f
+	clear(r.serving)
 	present := make(map[string]bool, len(f.Engines))
 	for i := range f.Engines {
 		e := &f.Engines[i]
@@ -78,7 +90,7 @@
 func (r *Router) tracked(name string) *tracked {
 	t := r.engines[name]
 	if t == nil {
-		t = &tracked{}
+		t = &tracked{hash: xxhash.Sum64String(name)}
 		r.engines[name] = t
 	}
 	return t
@@ -114,11 +126,11 @@
 	if err != nil {
 		return Engine{}, err
 	}
-	return *r.choose(free, q, rng), nil
+	return *r.choose(free, q, rng).Engine, nil
 }
 
 // free returns the engines that can take a request now.
-func (r *Router) free(q Request, now time.Time) ([]*Engine, error) {
+func (r *Router) free(q Request, now time.Time) ([]*candidate, error) {
 	candidates := r.candidates(q, now)
 	if len(candidates) == 0 {
 		return nil, ErrNoReplica
@@ -136,15 +148,14 @@
 // candidates returns the engines that may serve a request: those with the
 // version in force, else those with any. Ejected engines come only if there are
 // no others, since a slow answer is better than none.
-func (r *Router) candidates(q Request, now time.Time) []*Engine {
-	var current, other, ejected []*Engine
-	for i := range r.fleet.Engines {
-		e := &r.fleet.Engines[i]
-		if !r.takesWork(e) || !e.Serves(q.Item) || slices.Contains(q.Avoid, e.Name) {
+func (r *Router) candidates(q Request, now time.Time) []*candidate {
+	var current, other, ejected []*candidate
+	for _, e := range r.with(q.Item) {
+		if slices.Contains(q.Avoid, e.Name) {
 			continue
 		}
 		switch {
-		case now.Before(r.tracked(e.Name).ejectedUntil):
+		case now.Before(e.state.ejectedUntil):
 			ejected = append(ejected, e)
 		case slices.Contains(e.Ready[q.Item], q.Version):
 			current = append(current, e)
@@ -161,12 +172,28 @@
 	return ejected
 }
 
+// with returns the engines that take work and have an item ready.
+func (r *Router) with(i Item) []*candidate {
+	all, known := r.serving[i]
+	if known {
+		return all
+	}
+	for n := range r.fleet.Engines {
+		e := &r.fleet.Engines[n]
+		if r.takesWork(e) && e.Serves(i) {
+			all = append(all, &candidate{Engine: e, state: r.tracked(e.Name)})
+		}
+	}
+	r.serving[i] = all
+	return all
+}
+
 func (r *Router) takesWork(e *Engine) bool {
 	return e.Reachable && (!e.Leaving || r.faults.keepLeaving)
 }
 
 // choose orders the free candidates by the policy and returns the first.
-func (r *Router) choose(free []*Engine, q Request, rng *rand.Rand) *Engine {
+func (r *Router) choose(free []*candidate, q Request, rng *rand.Rand) *candidate {
 	switch r.options.Policy {
 	case PolicyRoundRobin:
 		r.turn++
@@ -183,9 +210,9 @@
 // byPrefix takes the first engines of the prefix's order while their load is
 // near the mean, and the lesser of two of the others after that. Without the
 // bound, one popular text would fill a single engine while others stand idle.
-func (r *Router) byPrefix(free []*Engine, p Prefix, rng *rand.Rand) *Engine {
-	slices.SortFunc(free, func(a, b *Engine) int {
-		return cmp.Compare(p.score(b.Name), p.score(a.Name))
+func (r *Router) byPrefix(free []*candidate, p Prefix, rng *rand.Rand) *candidate {
+	slices.SortFunc(free, func(a, b *candidate) int {
+		return cmp.Compare(p.score(b.state.hash), p.score(a.state.hash))
 	})
 	bound := max(r.options.FreeLoad, r.options.LoadFactor*(r.mean(free)+1))
 	preferred := min(r.options.Affinity, len(free))
@@ -200,7 +227,7 @@
 	return r.least(free)
 }
 
-func (r *Router) mean(engines []*Engine) float64 {
+func (r *Router) mean(engines []*candidate) float64 {
 	sum := 0.0
 	for _, e := range engines {
 		sum += r.load(e)
@@ -211,7 +238,7 @@
 // lesserOfTwo takes the less loaded of two engines drawn at random. With lagging
 // reports it spreads better than the least loaded of all, which every VM would
 // pick at once.
-func (r *Router) lesserOfTwo(engines []*Engine, rng *rand.Rand) *Engine {
+func (r *Router) lesserOfTwo(engines []*candidate, rng *rand.Rand) *candidate {
 	if len(engines) == 1 {
 		return engines[0]
 	}
@@ -227,7 +254,7 @@
 	return a
 }
 
-func (r *Router) least(engines []*Engine) *Engine {
+func (r *Router) least(engines []*candidate) *candidate {
 	best := engines[0]
 	for _, e := range engines[1:] {
 		if r.load(e) < r.load(best) {
--- a/internal/route/router_test.go
+++ b/internal/route/router_test.go
@@ -237,3 +237,27 @@
 	_, err := w.Pick(Request{Item: Item{Model: "none"}}, w.now, w.rng)
 	require.ErrorIs(t, err, ErrNoReplica)
 }
+
+func BenchmarkPick(b *testing.B) {
+	for _, engines := range []int{20, 400, 12000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			f := &Fleet{}
+			for i := range engines {
+				item := Item{Model: fmt.Sprint(i % max(1, engines/20))}
+				f.Engines = append(f.Engines, Engine{Name: fmt.Sprint("e", i), Reachable: true, ReportedAt: start, Ready: map[Item][]string{item: {"v"}}})
+			}
+			r := New(Options{MaxInFlight: 1 << 30})
+			r.SetFleet(f)
+			rng := rng(1)
+			b.ReportAllocs()
+			for i := range b.N {
+				e, err := r.Pick(Request{Item: Item{Model: "0"}, Version: "v", Prefix: Prefix(i%1000 + 1)}, start, rng)
+				if err != nil {
+					b.Fatal(err)
+				}
+				r.Started(e.Name, Item{Model: "0"}, start)
+				r.Finished(e.Name, Item{Model: "0"}, true, start)
+			}
+		})
+	}
+}
--- a/internal/trafficmeasure/routing.go
+++ b/internal/trafficmeasure/routing.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/route"
@@ -71,6 +72,8 @@
 	pending []ending
 	fleet   *route.Fleet
 	rng     *rand.Rand
+	// prefixes are those of the texts.
+	prefixes []route.Prefix
 }
 
 // ending is a request that will end.
@@ -87,6 +90,10 @@
 	for i := range engines {
 		w.readers = append(w.readers, &reader{name: fmt.Sprintf("e%02d", i), free: start})
 	}
+	for i := range manuals {
+		text := strings.Repeat(fmt.Sprintf("page %08d of a long text. ", i), 100)
+		w.prefixes = append(w.prefixes, route.PrefixOf(manualItem, text))
+	}
 	for range entryVMs {
 		w.routers = append(w.routers, route.New(route.Options{Policy: p, MaxInFlight: 1 << 20}))
 	}
@@ -124,7 +131,7 @@
 	prefix := route.NoPrefix
 	if w.rng.Float64() >= shortShare {
 		manual = int(float64(manuals) * w.rng.Float64() * w.rng.Float64())
-		prefix = route.Prefix(manual + 1)
+		prefix = w.prefixes[manual]
 	}
 	router := w.routers[w.rng.IntN(len(w.routers))]
 	e, err := router.Pick(route.Request{Item: manualItem, Version: "v", Prefix: prefix}, now, w.rng)
