load: what is refused inside the rate is a number missing, not a choice of requests

Change: the ideal bucket knows only what it admits itself; refused inside the rate is by how many requests the system admitted fewer. Attainment counts attained requests against those that the ideal bucket admits.

--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -294,13 +294,17 @@
 // judge compares the digest of the text with that of the text that the
 // stand-in engines generate for the prompt.
 func (x *exchange) judge() {
-	expected := standin.Generate(x.arrival.Model, x.call.text(x.arrival), x.call.MaxTokens, false)
 	x.result.Outcome = Damaged
-	if sha256.Sum256([]byte(x.text.String())) == sha256.Sum256([]byte(expected.Text())) {
+	if sha256.Sum256([]byte(x.text.String())) == sha256.Sum256([]byte(x.expected().Text())) {
 		x.result.Outcome = Whole
 	}
 }
 
+// expected is the generation that the request stands for.
+func (x *exchange) expected() standin.Generation {
+	return standin.Generate(x.arrival.Model, x.call.text(x.arrival), x.call.MaxTokens, false)
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -154,3 +154,23 @@
 	_, err = standin.ReadConfig("../../examples/standins.yaml")
 	require.NoError(t, err)
 }
+
+// A team sends four times its rate. The system admits as many requests as an
+// ideal bucket would, but others: nothing was refused inside the rate. When it
+// admits one fewer, one was.
+func TestReportCountsWhatIsMissing(t *testing.T) {
+	w := &Workload{Duration: time.Second, FirstToken: time.Second, Teams: []Team{{Name: "a"}}}
+	results := make([]Result, 8)
+	for i := range results {
+		results[i] = Result{Outcome: Refused, Inside: i < 2}
+	}
+	results[6].Outcome, results[7].Outcome = Whole, Whole
+	report := newReport(w, results, records{}, records{})
+	require.Zero(t, report.RefusedInside)
+	require.Equal(t, 6, report.RefusedOutside)
+	require.Equal(t, 1.0, report.Attainment)
+	results[7].Outcome = Refused
+	report = newReport(w, results, records{}, records{})
+	require.Equal(t, 1, report.RefusedInside)
+	require.Equal(t, 0.5, report.Attainment)
+}
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -36,7 +36,7 @@
 	Outcome Outcome
 	// Reason is the error's type or text.
 	Reason string
-	// Inside says that the ideal bucket of the team admits it.
+	// Inside says that the team's ideal bucket admits it.
 	Inside bool
 	// FirstToken is the time to the first token, Total to the end.
 	FirstToken time.Duration
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -17,8 +17,8 @@
 	Requests int `json:"requests"`
 	// Seconds is how long arrivals went on.
 	Seconds float64 `json:"seconds"`
-	// Attainment is the share of the requests inside the rate that met both
-	// objectives.
+	// Attainment is the number of requests that met both objectives, as a
+	// share of those inside the rate.
 	Attainment float64 `json:"attainment"`
 	// Accelerators is what AttainedPerAccelerator divides by.
 	Accelerators int `json:"accelerators"`
@@ -33,7 +33,8 @@
 	WorstAttainment float64 `json:"worst_attainment"`
 	WorstToMean     float64 `json:"worst_to_mean"`
 	// RefusedInside counts the requests that were refused for their rate
-	// although an ideal bucket admits them, RefusedOutside the others.
+	// although the team was inside it: by how many the system admitted fewer
+	// than the team's ideal bucket. RefusedOutside counts the others.
 	RefusedInside  int `json:"refused_inside"`
 	RefusedOutside int `json:"refused_outside"`
 	// PrefixHitShare is the part of prompt tokens that engines had cached.
@@ -68,8 +69,11 @@
 	Name     string          `json:"name"`
 	Requests int             `json:"requests"`
 	Outcomes map[Outcome]int `json:"outcomes"`
-	// Inside is the number of requests inside the rate, Attained how many of
-	// them met both objectives, Attainment the share.
+	// Inside is the number of requests that the team's ideal bucket admits.
+	// Attained is how many met both objectives, of all that the system
+	// admitted, but no more than Inside: which of a team's requests are
+	// admitted when it is over its rate is no merit or fault. Attainment is
+	// their ratio.
 	Inside     int     `json:"inside"`
 	Attained   int     `json:"attained"`
 	Attainment float64 `json:"attainment"`
@@ -94,8 +98,6 @@
 		Workload: w.Name, Seed: w.Seed, Requests: len(results), Seconds: w.Duration.Seconds(),
 		Accelerators: w.Accelerators, Reasons: make(map[string]int), results: results, workload: w,
 	}
-	r.Total = figures(w, "all", results)
-	r.Attainment = r.Total.Attainment
 	attained := 0
 	for i := range results {
 		result := &results[i]
@@ -103,12 +105,6 @@
 		if result.attained(w) {
 			attained++
 		}
-		switch {
-		case result.Outcome == Refused && result.Inside:
-			r.RefusedInside++
-		case result.Outcome == Refused:
-			r.RefusedOutside++
-		}
 		if result.Outcome != Whole {
 			r.Reasons[string(result.Outcome)+": "+result.Reason]++
 		}
@@ -117,6 +113,7 @@
 		r.AttainedPerAccelerator = float64(attained) / r.Seconds / float64(w.Accelerators)
 	}
 	r.addTeams(w, results)
+	r.addTotal(w, results)
 	r.addRecords(w, before, after)
 	return r
 }
@@ -131,6 +128,10 @@
 	for i, of := range byTeam {
 		f := figures(w, w.Teams[i].Name, of)
 		r.Teams = append(r.Teams, f)
+		admitted := f.Requests - f.Outcomes[Refused]
+		inside := min(f.Outcomes[Refused], max(0, f.Inside-admitted))
+		r.RefusedInside += inside
+		r.RefusedOutside += f.Outcomes[Refused] - inside
 		if f.Inside > 0 {
 			judged = append(judged, f)
 			sum += f.Attainment
@@ -146,6 +147,24 @@
 	}
 }
 
+// addTotal adds the teams' figures up; latencies are of all requests.
+func (r *Report) addTotal(w *Workload, results []Result) {
+	r.Total = figures(w, "all", results)
+	r.Total.Attained = 0
+	for _, f := range r.Teams {
+		r.Total.Attained += f.Attained
+	}
+	r.Total.Attainment = share(r.Total.Attained, r.Total.Inside)
+	r.Attainment = r.Total.Attainment
+}
+
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
 func (r *Report) addRecords(w *Workload, before, after records) {
 	r.Moves = after.moves - before.moves
 	r.Overcommits = after.overcommits - before.overcommits
@@ -169,9 +188,9 @@
 		f.Outcomes[r.Outcome]++
 		if r.Inside {
 			f.Inside++
-			if r.attained(w) {
-				f.Attained++
-			}
+		}
+		if r.attained(w) {
+			f.Attained++
 		}
 		if r.Outcome != Whole {
 			continue
@@ -182,9 +201,8 @@
 			record(between, gap)
 		}
 	}
-	if f.Inside > 0 {
-		f.Attainment = float64(f.Attained) / float64(f.Inside)
-	}
+	f.Attained = min(f.Attained, f.Inside)
+	f.Attainment = share(f.Attained, f.Inside)
 	f.FirstToken, f.BetweenTokens, f.Total = quantiles(first), quantiles(between), quantiles(total)
 	return f
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -117,21 +117,18 @@
 	result := x.run(ctx)
 	result.Inside = inside
 	if inside {
-		r.buckets[a.Team].refund(unused(x, cost), time.Now())
+		r.buckets[a.Team].refund(unused(x), time.Now())
 	}
 	r.add(result)
 }
 
-// unused is the part of a request's cost that its end gives back.
-func unused(x *exchange, cost int64) int64 {
-	switch {
-	case x.result.Outcome == Refused || x.result.Outcome == NotRun:
-		return cost
-	case x.call.Kind == KindAction:
+// unused is the part of a request's cost that its end gives back, whether the
+// system ran it or not: the ideal bucket knows only what it admitted itself.
+func unused(x *exchange) int64 {
+	if x.call.Kind == KindAction {
 		return 0
-	default:
-		return int64(max(0, x.call.MaxTokens-x.tokens))
 	}
+	return int64(x.call.MaxTokens - x.expected().Tokens)
 }
 
 func (r *runner) add(result Result) {
