configstate: envelopes of another environment are refused

Cause: a VM whose settings name a peer of another environment would have taken that environment's configuration if its version was higher, and never gone back. Conclusion: heartbeats themselves still mix environments; membership does not tell them apart.

--- a/internal/configstate/bench_test.go
+++ b/internal/configstate/bench_test.go
@@ -90,7 +90,7 @@
 				var err error
 				whole, err = to.Encode()
 				require.NoError(b, err)
-				delta, err = EncodeDeltas([]Delta{NewDelta(from, to)}, 0)
+				delta, err = EncodeDeltas("", []Delta{NewDelta(from, to)}, 0)
 				require.NoError(b, err)
 			}
 			b.ReportMetric(float64(len(whole)), "whole-bytes")
--- a/internal/configstate/delta.go
+++ b/internal/configstate/delta.go
@@ -71,15 +71,16 @@
 		return nil, errors.Wrapf(ErrEnvelope, "delta to version %d does not fit", d.Version)
 	}
 	e := &Envelope{
-		Version:    d.Version,
-		ChangeID:   d.ChangeID,
-		Nonce:      d.Nonce,
-		Digest:     d.Digest,
-		Document:   text[:d.Prefix] + d.Middle + text[len(text)-d.Suffix:],
-		Withdrawn:  Union(base.Withdrawn, d.Withdrawn),
-		AcceptedAt: d.AcceptedAt,
-		Author:     d.Author,
-		Promotion:  d.Promotion,
+		Environment: base.Environment,
+		Version:     d.Version,
+		ChangeID:    d.ChangeID,
+		Nonce:       d.Nonce,
+		Digest:      d.Digest,
+		Document:    text[:d.Prefix] + d.Middle + text[len(text)-d.Suffix:],
+		Withdrawn:   Union(base.Withdrawn, d.Withdrawn),
+		AcceptedAt:  d.AcceptedAt,
+		Author:      d.Author,
+		Promotion:   d.Promotion,
 	}
 	return e, e.check()
 }
@@ -87,6 +88,8 @@
 // Update is what one VM sends another that is behind: deltas, or the whole
 // envelope where they would be no smaller or do not reach back far enough.
 type Update struct {
+	// Environment names the sender's, with deltas.
+	Environment string
 	// Envelope is the whole envelope, nil with deltas.
 	Envelope *Envelope
 	// Deltas lead from a version of the receiver to one of the sender.
@@ -99,13 +102,14 @@
 
 // deltaList is a list of deltas on the wire.
 type deltaList struct {
+	Environment  string  `json:"environment"`
 	Deltas       []Delta `json:"deltas"`
 	WithdrawnSum uint64  `json:"withdrawn_sum,string"`
 }
 
 // EncodeDeltas returns the JSON of a list that DecodeUpdate reads.
-func EncodeDeltas(list []Delta, withdrawnSum uint64) ([]byte, error) {
-	data, err := json.Marshal(deltaList{Deltas: list, WithdrawnSum: withdrawnSum})
+func EncodeDeltas(environment string, list []Delta, withdrawnSum uint64) ([]byte, error) {
+	data, err := json.Marshal(deltaList{Environment: environment, Deltas: list, WithdrawnSum: withdrawnSum})
 	if err != nil {
 		return nil, errors.Wrap(ErrEnvelope, err.Error())
 	}
@@ -119,7 +123,7 @@
 		return nil, errors.Wrap(ErrEnvelope, err.Error())
 	}
 	if len(list.Deltas) > 0 {
-		return &Update{Deltas: list.Deltas, WithdrawnSum: list.WithdrawnSum}, nil
+		return &Update{Environment: list.Environment, Deltas: list.Deltas, WithdrawnSum: list.WithdrawnSum}, nil
 	}
 	e, err := Decode(data)
 	if err != nil {
@@ -135,6 +139,9 @@
 	if u.Envelope != nil {
 		return s.Offer(u.Envelope)
 	}
+	if err := s.foreign(u.Environment); err != nil {
+		return false, err
+	}
 	for i := range u.Deltas {
 		d := &u.Deltas[i]
 		if s.envelope != nil && d.Version <= s.envelope.Version {
--- a/internal/configstate/delta_test.go
+++ b/internal/configstate/delta_test.go
@@ -14,7 +14,7 @@
 		text := rapid.StringOfN(rapid.SampledFrom([]rune("ab\n")), 0, 30, -1)
 		from, to := envelope(3, text.Draw(rt, "from")), envelope(5, text.Draw(rt, "to"))
 		from.Withdrawn, to.Withdrawn = []string{DigestKey("x")}, Union([]string{DigestKey("x"), DigestKey("y")})
-		encoded, err := EncodeDeltas([]Delta{NewDelta(from, to)}, 7)
+		encoded, err := EncodeDeltas("", []Delta{NewDelta(from, to)}, 7)
 		require.NoError(rt, err)
 		update, err := DecodeUpdate(encoded)
 		require.NoError(rt, err)
--- a/internal/configstate/envelope.go
+++ b/internal/configstate/envelope.go
@@ -18,6 +18,8 @@
 	// ErrDivergent means that two envelopes of one version hold different
 	// documents. Only a writer that goes around compare-and-swap makes them.
 	ErrDivergent = errors.New("configstate: two documents with one version")
+	// ErrForeign means that an envelope belongs to another environment.
+	ErrForeign = errors.New("configstate: envelope of another environment")
 	// ErrWithdrawnListed means that a document lists a withdrawn key.
 	ErrWithdrawnListed = errors.New("configstate: document lists a withdrawn key")
 )
@@ -25,6 +27,8 @@
 // Envelope is an accepted configuration as the key-value service and the peers
 // carry it.
 type Envelope struct {
+	// Environment names the environment that accepted it.
+	Environment string `json:"environment"`
 	// Version counts accepted envelopes from 1.
 	Version int64 `json:"version"`
 	// ChangeID names the change for operators. A repeated command carries the
--- a/internal/configstate/state.go
+++ b/internal/configstate/state.go
@@ -10,6 +10,12 @@
 // service, from peers and from operators in any order, late and repeatedly; the
 // state only ever moves forward. It is not safe for concurrent use.
 type State struct {
+	// Environment names the environment that the VM belongs to. Envelopes of
+	// others are refused with all that they hold: one wrong address among the
+	// peers would otherwise bring their teams, keys and upstreams. Empty means
+	// that it is not checked.
+	Environment string
+
 	envelope  *Envelope
 	withdrawn []string
 	snapshot  *Snapshot
@@ -31,6 +37,9 @@
 // count: a withdrawal holds from whichever source it is heard first. The same
 // is true with an error, which means that the document cannot be used.
 func (s *State) Offer(e *Envelope) (changed bool, err error) {
+	if err := s.foreign(e.Environment); err != nil {
+		return false, err
+	}
 	if s.envelope != nil && e.Version == s.envelope.Version && e.Digest != s.envelope.Digest {
 		return false, errors.Wrapf(ErrDivergent, "version %d: %s and %s", e.Version, s.envelope.Digest, e.Digest)
 	}
@@ -58,6 +67,13 @@
 	return true, nil
 }
 
+func (s *State) foreign(environment string) error {
+	if s.Environment != "" && environment != s.Environment {
+		return errors.Wrapf(ErrForeign, "%q offered to %q", environment, s.Environment)
+	}
+	return nil
+}
+
 func (s *State) newer(e *Envelope) bool {
 	if s.faults.acceptLower {
 		return e.Version != s.envelope.Version
--- a/internal/configstate/state_test.go
+++ b/internal/configstate/state_test.go
@@ -143,3 +143,21 @@
 	require.ErrorIs(t, Prove(p, "d", nil), ErrNotProven)
 	require.ErrorIs(t, Prove(document.Promotion{}, "d", &Evidence{Digest: "d"}), ErrNotProven, "no request proves nothing")
 }
+
+// One VM's settings name a peer of another environment. What that peer sends is
+// refused as a whole, withdrawals included.
+func TestForeignEnvelopeIsRefused(t *testing.T) {
+	s := State{Environment: "test"}
+	ours := envelope(1, textWithKeys(1, DigestKey("a")))
+	ours.Environment = "test"
+	_, err := s.Offer(ours)
+	require.NoError(t, err)
+	foreign := envelope(9, textWithKeys(9), DigestKey("a"))
+	foreign.Environment = "production"
+	_, err = s.Offer(foreign)
+	require.ErrorIs(t, err, ErrForeign)
+	_, err = s.OfferUpdate(&Update{Environment: "production", Deltas: []Delta{{Version: 1, Withdrawn: []string{DigestKey("a")}}}})
+	require.ErrorIs(t, err, ErrForeign)
+	require.EqualValues(t, 1, s.Snapshot().Version)
+	require.Zero(t, s.Snapshot().Withdrawn())
+}
--- a/internal/configsync/keeper.go
+++ b/internal/configsync/keeper.go
@@ -66,6 +66,7 @@
 		reopen:  make(chan struct{}, 1),
 		merge:   make(chan struct{}, 1),
 	}
+	k.state.Environment = o.Environment
 	k.published.Store(new(published))
 	k.freshness.Store(new(configstate.Freshness))
 	return k
@@ -159,7 +160,7 @@
 		if d.From != have {
 			continue
 		}
-		deltas, err := configstate.EncodeDeltas(p.deltas[i:], p.snapshot.WithdrawnSum())
+		deltas, err := configstate.EncodeDeltas(k.options.Environment, p.deltas[i:], p.snapshot.WithdrawnSum())
 		if err == nil && len(deltas) < len(envelope) {
 			return p.snapshot.Version, deltas
 		}
--- a/internal/configsync/writer.go
+++ b/internal/configsync/writer.go
@@ -249,6 +249,7 @@
 	if now.envelope != nil && now.envelope.Document == next.Document && len(configstate.Missing(now.envelope.Withdrawn, next.Withdrawn)) == 0 {
 		return &Accepted{Envelope: now.envelope, Revision: now.revision}, nil
 	}
+	next.Environment = w.Environment
 	next.Version = base.Version + 1
 	next.ChangeID, next.Nonce, next.Author = c.ID, c.Nonce, c.Author
 	next.Digest = document.Digest([]byte(next.Document))
