--- a/internal/capacity/configuration.go
+++ b/internal/capacity/configuration.go
@@ -39,7 +39,7 @@
 		to := envelopeOf(2, changed(text, 0))
 		encoded, err := to.Encode()
 		must(err)
-		small, err := configstate.EncodeDeltas([]configstate.Delta{configstate.NewDelta(from, to)}, 0)
+		small, err := configstate.EncodeDeltas("", []configstate.Delta{configstate.NewDelta(from, to)}, 0)
 		must(err)
 		stored.add(n, float64(len(encoded))/megabyte)
 		whole.add(n, float64(len(encoded))*changesPerSecond/kilobyte)
