capacity: limits at the target's demand

Cause: the loop asked for a twelfth of the target's tokens, in tiny requests. Change: 12.4 requests of 339 tokens a second and VM, four fifths of the rate.

--- a/internal/capacity/quota.go
+++ b/internal/capacity/quota.go
@@ -13,26 +13,24 @@
 	quotaWarmUp = 30 * time.Second
 	// quotaMeasured is the time that is measured.
 	quotaMeasured = 10 * time.Second
-	// tokensPerVM is each VM's share of the target's 2.2 million tokens a
-	// second, with their prompts, over 420 VMs and 40 teams: the loop has one
-	// team, so that the figures are for one.
-	tokensPerVM   = 250
-	requestTokens = 50
-	// demandPeriod is the time between two requests of one team at one VM.
-	demandPeriod = 200 * time.Millisecond
+	// tokensPerVM is each VM's share of the target's 2.2 million tokens a second.
+	tokensPerVM = 2.2e6 / targetVMs
+	// demandPeriod is the time between two requests at one VM, at the target's
+	// 5,200 requests a second. One team makes them all.
+	demandPeriod = 81 * time.Millisecond
 )
 
 // measureQuota steps the machines of one team whose demand is four fifths of
 // its rate and comes to every VM alike.
 func measureQuota() []series {
-	cpu := series{role: "entry: limits", name: "processor time, one team", unit: "% of a core", sizeName: "VMs", target: targetVMs}
-	sent := series{role: "entry: limits", name: "sent, one team", unit: "KB/s", sizeName: "VMs", target: targetVMs}
+	cpu := series{role: "entry: limits", name: "processor time", unit: "% of a core", sizeName: "VMs", target: targetVMs}
+	sent := series{role: "entry: limits", name: "sent", unit: "KB/s", sizeName: "VMs", target: targetVMs}
 	calls := series{role: "key-value service", name: "calls by all VMs' limits", unit: "/s", sizeName: "VMs", target: targetVMs}
-	memory := series{role: "entry: limits", name: "memory, one team", unit: "MB", sizeName: "VMs", target: targetVMs}
+	memory := series{role: "entry: limits", name: "memory", unit: "MB", sizeName: "VMs", target: targetVMs}
 	for _, n := range vmSizes {
 		before := heap()
 		bytes := int64(0)
-		rate := int64(n * tokensPerVM)
+		rate := int64(float64(n) * tokensPerVM)
 		w := quotaloop.New(quotaloop.Options{
 			VMs: n, Domains: max(3, n/vmsPerDomain), Rate: rate, Burst: 4 * rate, Seed: 1,
 			Network: quotaloop.NetworkFaults{Delay: 500 * time.Microsecond},
@@ -55,6 +53,10 @@
 	return []series{cpu, sent, calls, memory}
 }
 
+// requestTokens is the size of a request: four fifths of the rate over 12.4
+// requests a second.
+const requestTokens = 339
+
 // offerDemand has each VM ask for tokens at a steady pace.
 func offerDemand(w *quotaloop.World, n int) {
 	for i := range n {
@@ -62,7 +64,7 @@
 		var ask func()
 		at := time.Duration(i) * demandPeriod / time.Duration(n)
 		ask = func() {
-			w.Acquire(vm, requestTokens*4/5)
+			w.Acquire(vm, requestTokens)
 			at += demandPeriod
 			w.At(at, ask)
 		}
