--- a/internal/process/doc.go
+++ b/internal/process/doc.go
@@ -1,3 +1,4 @@
-// Package process holds what the daemons have in common: certificates from
-// settings, and the clients made with them.
+// Package process holds what the daemons have in common: the command line, the
+// reaction to signals, certificates from settings and the clients made with
+// them.
 package process
