caller: charge what the engine may make, settle by what it counted

Cause: a body was decoded without regard to case and with other fields than an engine reads. With "MAX_TOKENS":1 beside "max_tokens":1000 one token was charged; n and best_of multiplied what was made but not what was charged; without a limit 256 were charged and the engine could go on. A prompt that was estimated too low was never owed. Change: fields by their exact names, each sent once; the charge counts all of them; a limit is always sent; the engine's usage settles the charge. The harness counted completions by the exact body that a caller sent; since that is rewritten now, it counts them by their "user" field, which each test sets to its own.

--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 
 	"github.com/chestnutarch/chestnutarch/internal/dispatch"
@@ -14,24 +13,6 @@
 // headerLastEventID carries the last event that a caller has.
 const headerLastEventID = "Last-Event-ID"
 
-// completionRequest is the part of an OpenAI-style request that is looked at.
-// The rest is passed on as it came.
-type completionRequest struct {
-	Model     string          `json:"model"`
-	Stream    bool            `json:"stream"`
-	MaxTokens int64           `json:"max_tokens"`
-	Prompt    json.RawMessage `json:"prompt"`
-	Messages  json.RawMessage `json:"messages"`
-}
-
-// prompt is the raw JSON of the prompt or of the messages.
-func (c *completionRequest) prompt() json.RawMessage {
-	if len(c.Messages) > 0 {
-		return c.Messages
-	}
-	return c.Prompt
-}
-
 // completion is one completion under way.
 type completion struct {
 	*completionRequest
@@ -81,21 +62,18 @@
 }
 
 func (h *Handler) newCompletion(r *http.Request, req *request, body []byte) (*completion, *Problem) {
-	parsed, problem := parseCompletion(body)
-	if problem != nil {
-		return nil, problem
+	parsed, err := parseCompletion(body)
+	if err != nil {
+		return nil, newProblem(http.StatusBadRequest, TypeMalformed, NotRun, err.Error())
 	}
 	what, ok := findServed(req.snapshot.Document, parsed.Model)
 	if !ok {
 		return nil, newProblem(http.StatusNotFound, TypeUnknownModel, NotRun, "no model or adapter is called "+parsed.Model)
 	}
 	c := &completion{
-		completionRequest: parsed, served: what, body: body, cost: estimateTokens(parsed),
+		completionRequest: parsed, served: what, body: parsed.forEngine(), cost: estimateTokens(parsed),
 		path: r.URL.Path, stream: req.stream,
 	}
-	if !parsed.Stream {
-		c.body = asStream(body)
-	}
 	if id := r.Header.Get(headerLastEventID); id != "" {
 		token, problem := h.openToken(id, req)
 		if problem != nil {
@@ -107,36 +85,6 @@
 	return c, nil
 }
 
-func parseCompletion(body []byte) (*completionRequest, *Problem) {
-	c := &completionRequest{}
-	if err := json.Unmarshal(body, c); err != nil {
-		return nil, newProblem(http.StatusBadRequest, TypeMalformed, NotRun, "the body is not valid JSON: "+err.Error())
-	}
-	if c.Model == "" || len(c.prompt()) == 0 {
-		return nil, newProblem(http.StatusBadRequest, TypeMalformed, NotRun, `"model" and "messages" or "prompt" are required`)
-	}
-	if c.MaxTokens < 0 {
-		return nil, newProblem(http.StatusBadRequest, TypeMalformed, NotRun, `"max_tokens" is negative`)
-	}
-	return c, nil
-}
-
-// asStream sets "stream" in a body that is known to be a JSON object. Engines
-// are always asked for a stream, so that a broken answer is noticed and can be
-// resumed also for callers that want it in one piece.
-func asStream(body []byte) []byte {
-	fields := make(map[string]json.RawMessage)
-	if err := json.Unmarshal(body, &fields); err != nil {
-		return body
-	}
-	fields["stream"] = json.RawMessage("true")
-	changed, err := json.Marshal(fields)
-	if err != nil {
-		return body
-	}
-	return changed
-}
-
 // job describes a completion to the relay. Each time it needs an engine, the key
 // is checked again in the moment of dispatch.
 func (h *Handler) job(req *request, c *completion) relay.Job {
@@ -170,6 +118,11 @@
 	case !x.Sent:
 		return 0
 	}
+	if x.Usage != nil {
+		// The engine has counted. A prompt that was estimated too low becomes the
+		// team's debt.
+		return x.Usage.PromptTokens + x.Usage.CompletionTokens
+	}
 	return promptTokens(c.completionRequest) + x.Events
 }
 
--- a/internal/caller/completions_test.go
+++ b/internal/caller/completions_test.go
@@ -104,7 +104,7 @@
 	wg.Go(func() {
 		running = f.call(t, 0, "POST", completionPath, "key-one", fmt.Sprintf(completionBody, true, "running"))
 	})
-	require.Eventually(t, func() bool { return u.count(fmt.Sprintf(completionBody, true, "running")) == 1 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return u.count("running") == 1 }, 5*time.Second, time.Millisecond)
 	wg.Go(func() {
 		waiting = f.call(t, 0, "POST", completionPath, "key-one", fmt.Sprintf(completionBody, true, "waiting"))
 	})
@@ -115,7 +115,7 @@
 	require.Equal(t, "[DONE]", running.texts[5])
 	require.Equal(t, http.StatusUnauthorized, waiting.status)
 	require.Equal(t, NotRun, waiting.problem(t).Outcome)
-	require.Zero(t, u.count(fmt.Sprintf(completionBody, true, "waiting")))
+	require.Zero(t, u.count("waiting"))
 }
 
 // Bodies of unknown length that never end, and more bodies than the VM can hold,
--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -33,7 +33,7 @@
 )
 
 // upstream is one server that stands for an engine and a plain service. It counts
-// what it runs, and may break.
+// what it runs, completions by their "user" and actions by their body, and may break.
 type upstream struct {
 	*httptest.Server
 	mu      sync.Mutex
@@ -68,9 +68,10 @@
 }
 
 func (u *upstream) complete(w http.ResponseWriter, r *http.Request) {
-	body, _ := io.ReadAll(r.Body)
+	var body struct{ User string }
+	_ = json.NewDecoder(r.Body).Decode(&body)
 	u.mu.Lock()
-	u.runs[string(body)]++
+	u.runs[body.User]++
 	u.headers = r.Header.Clone()
 	u.mu.Unlock()
 	u.stream(w, r, r.Header.Get("X-Request-Id"))
--- a/internal/caller/tokens.go
+++ b/internal/caller/tokens.go
@@ -10,24 +10,16 @@
 	"github.com/chestnutarch/chestnutarch/internal/ratelimit"
 )
 
-const (
-	// bytesPerToken is how many bytes of JSON text make a token on average. A
-	// wrong estimate becomes a refund or debt when the request is settled.
-	bytesPerToken = 4
-	// defaultMaxTokens is charged for the answer if the caller names no limit.
-	defaultMaxTokens = 256
-)
+// bytesPerToken is how many bytes of JSON text make a token on average. A wrong
+// estimate becomes a refund or debt when the request is settled.
+const bytesPerToken = 4
 
 func promptTokens(c *completionRequest) int64 {
 	return int64(len(c.prompt())/bytesPerToken) + 1
 }
 
 func estimateTokens(c *completionRequest) int64 {
-	answer := c.MaxTokens
-	if answer == 0 {
-		answer = defaultMaxTokens
-	}
-	return promptTokens(c) + answer
+	return promptTokens(c) + c.MaxTokens*c.Answers
 }
 
 // limitProblem says what a refusal by the limiter means to the caller.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -95,10 +95,20 @@
 	Acquire func(ctx context.Context, avoid []string) (*dispatch.Grant, error)
 }
 
+// Usage is what an engine has counted.
+type Usage struct {
+	// PromptTokens are those of the prompt.
+	PromptTokens int64 `json:"prompt_tokens"`
+	// CompletionTokens are those of the answers.
+	CompletionTokens int64 `json:"completion_tokens"`
+}
+
 // Result says how a job ended.
 type Result struct {
 	// Events is the number of events that engines have sent for the job.
 	Events int64
+	// Usage is the engine's own count, if it has given one.
+	Usage *Usage
 	// Sent means that the request may have reached an engine.
 	Sent bool
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"sync"
 	"time"
@@ -176,11 +178,28 @@
 		if !event.Done {
 			x.last = event.ID
 			x.result.Events++
+			x.noteUsage(event.Data)
 		}
 		x.deliver(event)
 	}
 }
 
+// usageField is how a chunk that carries a usage looks.
+var usageField = []byte(`"usage":{`)
+
+// noteUsage keeps the engine's count, which comes with the last chunk.
+func (x *run) noteUsage(data []byte) {
+	if !bytes.Contains(data, usageField) {
+		return
+	}
+	var chunk struct {
+		Usage *Usage `json:"usage"`
+	}
+	if json.Unmarshal(data, &chunk) == nil && chunk.Usage != nil && chunk.Usage.PromptTokens >= 0 && chunk.Usage.CompletionTokens >= 0 {
+		x.result.Usage = chunk.Usage
+	}
+}
+
 // deliver gives an event to the caller. Once he has gone, events are only counted.
 func (x *run) deliver(event engine.Event) {
 	if x.gone {
