quota: survive an outage soon after the start, borrow after a restart in one

Cause: scenarios found VMs that were ready before they could admit (429 no_authority 1 ms after readyz), an outage a few seconds after the start that left nobody with authority, and a VM restarted in an outage that knew no lender.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -221,6 +221,10 @@
 // half of the other VMs. A key may have been withdrawn without its knowledge.
 var ErrStale = errors.New("entry: hears neither the key-value service nor most other VMs")
 
+// ErrNoLimits means that this VM holds no part of the teams' limits yet and knows
+// of no VM that lends.
+var ErrNoLimits = errors.New("entry: holds no part of the teams' limits yet")
+
 // Ready returns nil if this VM may take new work.
 func (p *Process) Ready() error {
 	if p.config.Snapshot() == nil {
@@ -229,6 +233,9 @@
 	if !p.config.Fresh() {
 		return ErrStale
 	}
+	if !p.leases.CanAdmit() {
+		return ErrNoLimits
+	}
 	return nil
 }
 
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -35,6 +35,8 @@
 	collect  *collection
 	// nextCollection is when the next one may start.
 	nextCollection time.Duration
+	// nextFind is when lenders may be looked for again.
+	nextFind time.Duration
 	// nextBalance is when balances may be evened out again.
 	nextBalance time.Duration
 
--- a/internal/quota/loans.go
+++ b/internal/quota/loans.go
@@ -83,6 +83,9 @@
 
 // fruitful reports whether an answer brought at least half of what was asked for.
 func (a ask) fruitful(msg Answer) bool {
+	if a.units == 0 && a.balance == 0 {
+		return true
+	}
 	return msg.Units > 0 && 2*msg.Units >= a.units && 2*msg.Balance >= a.balance
 }
 
--- a/internal/quota/loop_test.go
+++ b/internal/quota/loop_test.go
@@ -32,3 +32,51 @@
 		require.Equal(t, int64(i+1), w.Verdicts[quota.CauseNone], "%v %+v", w.Verdicts, w.Stats(quotaloop.VM(i)))
 	}
 }
+
+func down(f *quotaloop.StoreFaults) { f.Down = true }
+
+// admits reports whether a small request is admitted at a VM.
+func admits(t *testing.T, w *quotaloop.World, vm string) bool {
+	t.Helper()
+	before := w.Verdicts[quota.CauseNone]
+	require.True(t, w.Acquire(vm, rate/100))
+	require.NoError(t, w.Run(w.Now+time.Second))
+	return w.Verdicts[quota.CauseNone] > before
+}
+
+// The key-value service goes away two seconds after the VMs started. A VM that
+// had a part of the rate but no witnesses yet would lose it a term later, and
+// every caller would be refused for the whole outage.
+func TestOutageSoonAfterTheStart(t *testing.T) {
+	for _, vms := range []int{2, 3, 7} {
+		w := quotaloop.New(calm(1, vms))
+		w.At(2*time.Second, func() { w.SetStore(down) })
+		require.NoError(t, w.Run(40*time.Second))
+		for i := range vms {
+			require.True(t, admits(t, w, quotaloop.VM(i)), "%d VMs, VM %d", vms, i)
+		}
+	}
+}
+
+// A VM is restarted while the key-value service is out. It cannot read who holds
+// what, and without asking around it would refuse its callers until the service
+// is back.
+func TestRestartDuringAnOutageBorrows(t *testing.T) {
+	w := quotaloop.New(calm(1, 3))
+	w.At(15*time.Second, func() { w.SetStore(down) })
+	w.At(20*time.Second, func() { w.Restart(quotaloop.VM(1)) })
+	require.NoError(t, w.Run(25*time.Second))
+	require.True(t, admits(t, w, quotaloop.VM(1)))
+}
+
+// One VM of seven dies and the service is out. The VMs that it witnesses for must
+// keep their parts, or three sevenths of the rate would be lost instead of one.
+func TestDeathDuringAnOutageCostsOnePart(t *testing.T) {
+	w := quotaloop.New(calm(1, 7))
+	w.At(15*time.Second, func() { w.SetStore(down) })
+	w.At(20*time.Second, func() { w.Kill(quotaloop.VM(2)) })
+	require.NoError(t, w.Run(60*time.Second))
+	require.True(t, w.Acquire(quotaloop.VM(5), burst*6/7-1))
+	require.NoError(t, w.Run(w.Now+time.Second))
+	require.Equal(t, int64(1), w.Verdicts[quota.CauseNone], "%v", w.Verdicts)
+}
--- a/internal/quota/machine.go
+++ b/internal/quota/machine.go
@@ -116,6 +116,7 @@
 	duties    map[string]*duty
 	ops       map[uint64]operation
 	leaving   bool
+	joined    bool
 	stats     Stats
 	// holders lists the processes that should hold slots, holding their VMs.
 	holders []Holder
--- a/internal/quota/ownrecord.go
+++ b/internal/quota/ownrecord.go
@@ -66,7 +66,8 @@
 		return
 	}
 	pause := m.cfg.Term / 3
-	if m.own.phase != recordActive {
+	if m.own.phase != recordActive || len(m.own.witnesses) < m.possibleWitnesses() {
+		// Without witnesses the authority would not survive an outage.
 		pause = retryEvery
 	}
 	if m.own.tried && now.Mono-m.own.lastTry < pause {
@@ -290,9 +291,30 @@
 	m.authority.renewByPromise(sent)
 }
 
-// chooseWitnesses picks VMs in other failure domains where there are any. The
-// choice changes only when a witness is no longer heard.
+// chooseWitnesses keeps the witnesses that are still there and adds VMs in other
+// failure domains, where there are any. A change without need would be a risk: if
+// its write is lost in an outage, only those that stand in both lists count.
 func (m *Machine) chooseWitnesses() []Witness {
+	candidates := m.witnessCandidates()
+	var chosen []Witness
+	domains := map[string]bool{m.cfg.FailureDomain: true}
+	choose := func(fits func(p Peer, w Witness) bool) {
+		for _, p := range candidates {
+			w := Witness{Holder: p.Holder, Address: p.Address}
+			if len(chosen) < witnessCount && !slices.Contains(chosen, w) && fits(p, w) {
+				domains[p.FailureDomain] = true
+				chosen = append(chosen, w)
+			}
+		}
+	}
+	choose(func(_ Peer, w Witness) bool { return slices.Contains(m.own.witnesses, w) })
+	choose(func(p Peer, _ Witness) bool { return !domains[p.FailureDomain] })
+	choose(func(Peer, Witness) bool { return true })
+	return chosen
+}
+
+// witnessCandidates lists the VMs that may be witnesses, in this VM's order.
+func (m *Machine) witnessCandidates() []Peer {
 	var candidates []Peer
 	for vm, p := range m.peers {
 		if p.Heard && !p.Leaving && m.eligible(vm) {
@@ -302,19 +324,7 @@
 	slices.SortFunc(candidates, func(a, b Peer) int {
 		return cmp.Or(cmp.Compare(m.rank(a), m.rank(b)), cmp.Compare(a.VM, b.VM))
 	})
-	var chosen []Witness
-	domains := map[string]bool{m.cfg.FailureDomain: true}
-	for _, fresh := range []bool{true, false} {
-		for _, p := range candidates {
-			w := Witness{Holder: p.Holder, Address: p.Address}
-			if len(chosen) == witnessCount || slices.Contains(chosen, w) || (fresh && domains[p.FailureDomain]) {
-				continue
-			}
-			domains[p.FailureDomain] = true
-			chosen = append(chosen, w)
-		}
-	}
-	return chosen
+	return candidates
 }
 
 // rank orders witnesses differently at every VM, so that none has to answer for
--- a/internal/quota/sharing.go
+++ b/internal/quota/sharing.go
@@ -156,7 +156,12 @@
 // onReceiver hands slots over once the receiver is known to have a record.
 func (m *Machine) onReceiver(now clock.Reading, give move, entry Entry) {
 	record, err := decode[Record](entry.Value)
-	if entry.Revision == 0 || err != nil || record.Holder != give.to || record.Closed || record.consented() {
+	if entry.Revision == 0 || err != nil || record.Holder != give.to || !record.renewable() {
+		return
+	}
+	// This VM could be its witness, so a record without any was written before
+	// its holder had heard of others. What it held would not survive an outage.
+	if len(record.Witnesses) == 0 {
 		return
 	}
 	mine := m.shares.current.slotsOf(m.cfg.Self)
--- a/internal/ratelimit/leases.go
+++ b/internal/ratelimit/leases.go
@@ -68,6 +68,7 @@
 	calls       chan struct{}
 	incarnation atomic.Uint64
 	left        atomic.Bool
+	canAdmit    atomic.Bool
 	meters      meters
 
 	// The rest belongs to the control goroutine.
@@ -117,6 +118,11 @@
 	return l.left.Load()
 }
 
+// CanAdmit reports whether requests have a chance at this VM, as of the last tick.
+func (l *Leases) CanAdmit() bool {
+	return l.canAdmit.Load()
+}
+
 // Leave starts to give this VM's part away, for a graceful shutdown. Requests
 // are still admitted with tokens that other VMs lend.
 func (l *Leases) Leave() {
--- a/internal/ratelimit/run.go
+++ b/internal/ratelimit/run.go
@@ -66,6 +66,7 @@
 	l.perform()
 	l.incarnation.Store(l.machine.Self().Incarnation)
 	l.left.Store(l.machine.Left())
+	l.canAdmit.Store(l.machine.CanAdmit(l.options.Clock()))
 	l.meters.update(l.machine.Stats())
 }
 
