membership: leave counters that stand still out of heartbeats

Cause: with 40 teams a VM sent 8.4 KB/s of heartbeats, of a budget of 9 KB/s for all control; half of it were counters of teams that it had not served meanwhile. Change: a report carries the counters that changed in this round or the one before, and every sixteenth round all of them; receivers merge within one incarnation. Conclusion: a heartbeat's size follows what a VM serves, not the number of teams.

--- a/internal/capacity/membership.go
+++ b/internal/capacity/membership.go
@@ -24,6 +24,9 @@
 	measuredRounds = 20
 	// teamsReported is the number of teams whose served tokens ride along.
 	teamsReported = 40
+	// teamsServed is how many of them a VM serves in a second: one for each of
+	// the target's 12.4 requests a second and VM.
+	teamsServed = 12
 	// frameBytes is what HTTP/2 and TCP add to a message, about: a header
 	// frame, a data frame and two acknowledgements.
 	frameBytes = 200
@@ -40,15 +43,11 @@
 
 func newVMFleet(n int) *vmFleet {
 	f := &vmFleet{now: time.Unix(0, 0), states: make(map[string]*membership.State, n)}
-	served := make(map[string]int64, teamsReported)
-	for i := range teamsReported {
-		served[fmt.Sprintf("team-%02d", i)] = int64(i) * 1_000_003
-	}
 	for i := range n {
 		address := fmt.Sprintf("10.0.%d.%d:7443", i/250, i%250)
 		s := membership.New(membership.Config{}, membership.Node{
 			VM: fmt.Sprintf("vm%03d", i), Incarnation: 1, Ready: true, PeerAddress: address,
-			FailureDomain: fmt.Sprintf("d%d", i/vmsPerDomain), CallerURL: "https://" + address, ServedTokens: served,
+			FailureDomain: fmt.Sprintf("d%d", i/vmsPerDomain), CallerURL: "https://" + address,
 		})
 		s.SetSeeds([]string{"10.0.0.0:7443", "10.0.0.1:7443"})
 		f.states[address] = s
@@ -57,11 +56,26 @@
 	return f
 }
 
+// served returns the counters of one second: a dozen teams' have moved.
+func (f *vmFleet) served() map[string]int64 {
+	served := make(map[string]int64, teamsReported)
+	second := f.now.Unix()
+	for i := range int64(teamsReported) {
+		moved := second
+		if i >= teamsServed {
+			moved = 0
+		}
+		served[fmt.Sprintf("team-%02d", i)] = i*1_000_003 + moved*423
+	}
+	return served
+}
+
 // round is one second. With count, the messages are encoded to learn their size.
 func (f *vmFleet) round(count bool) {
 	f.now = f.now.Add(time.Second)
+	served := f.served()
 	for _, s := range f.order {
-		s.UpdateSelf(func(*membership.Node) {})
+		s.UpdateSelf(func(n *membership.Node) { n.ServedTokens = served })
 		s.Tick(f.now)
 		for _, target := range s.Targets(f.now) {
 			other, known := f.states[target]
@@ -69,8 +83,8 @@
 				continue
 			}
 			asked, answered := s.Rumors(), other.Rumors()
-			other.Receive(f.now, s.Self(), asked)
-			s.Receive(f.now, other.Self(), answered)
+			other.Receive(f.now, s.Report(), asked)
+			s.Receive(f.now, other.Report(), answered)
 			if count {
 				f.count(s, asked)
 				f.count(other, answered)
@@ -82,7 +96,7 @@
 
 func (f *vmFleet) count(sender *membership.State, heard []membership.Node) {
 	f.calls++
-	message := &peerpb.HeartbeatRequest{Sender: peer.EncodeNode(sender.Self()), Heard: peer.EncodeNodes(heard)}
+	message := &peerpb.HeartbeatRequest{Sender: peer.EncodeNode(sender.Report()), Heard: peer.EncodeNodes(heard)}
 	f.bytes += int64(proto.Size(message)) + frameBytes
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -159,7 +159,7 @@
 		f.state.SetSeeds(f.options.Seeds())
 	}
 	f.publish(now)
-	self := peer.EncodeNode(f.state.Self())
+	self := peer.EncodeNode(f.state.Report())
 	for _, address := range f.state.Targets(now) {
 		request := &peerpb.HeartbeatRequest{Sender: self, Heard: peer.EncodeNodes(f.state.Rumors())}
 		group.Go(func() error {
@@ -208,7 +208,7 @@
 	f.updateSelf()
 	f.publish(now)
 	r.answer <- &peerpb.HeartbeatResponse{
-		Receiver: peer.EncodeNode(f.state.Self()),
+		Receiver: peer.EncodeNode(f.state.Report()),
 		Heard:    peer.EncodeNodes(f.state.Rumors()),
 	}
 }
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -74,6 +74,7 @@
 	// and urgent those that changed, with the number of passes left.
 	rotation []string
 	urgent   []pass
+	counters counters
 	// ring caches ringOrder until a VM joins, goes or changes its domain.
 	ring []string
 	// names holds the members in order, made with the ring.
@@ -91,6 +92,14 @@
 	return s.self
 }
 
+// Report returns what to tell partners now: the local VM's latest report with
+// the counters that changed of late.
+func (s *State) Report() Node {
+	n := s.self
+	n.ServedTokens = s.counters.selected(n.ServedTokens)
+	return n
+}
+
 // UpdateSelf changes the local VM's report and counts a new sequence number.
 // The ID and the incarnation stay as they were.
 func (s *State) UpdateSelf(change func(n *Node)) {
@@ -136,9 +145,10 @@
 	served := m.node.ServedTokens
 	sameProcess := m.node.Incarnation == n.Incarnation
 	m.node = n.clone()
-	// Reports that are passed on leave the counters out to stay small.
-	if n.ServedTokens == nil && sameProcess {
-		m.node.ServedTokens = served
+	// Reports leave counters out to stay small: those that stand still, and all
+	// of them when they are passed on.
+	if sameProcess {
+		m.node.ServedTokens = merged(served, n.ServedTokens)
 	}
 	m.lastHeard = now
 	m.silent = false
@@ -184,6 +194,7 @@
 // Tick looks for partners that fell silent and forgets VMs that have been gone
 // for long, and sooner those that had said that they were leaving.
 func (s *State) Tick(now time.Time) {
+	s.counters.tick(s.self.ServedTokens)
 	for vm := range s.partnerSet() {
 		m := s.members[vm]
 		if !m.silent && now.Sub(m.lastHeard) > s.cfg.GoneAfter {
