caller: hold a waiting request's body once

Cause: a waiting completion held its body three times, as it came, as its fields and as the engine gets it, while the bound on memory counts it once.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 
 	"github.com/pkg/errors"
 )
@@ -83,7 +84,7 @@
 	c.MaxTokens = max(c.MaxTokens, newer)
 	if c.MaxTokens == 0 {
 		c.MaxTokens = defaultMaxTokens
-		c.fields["max_tokens"] = json.RawMessage("256")
+		c.fields["max_tokens"] = json.RawMessage(strconv.Itoa(defaultMaxTokens))
 	}
 	c.Answers = max(1, n, bestOf)
 	return nil
@@ -91,7 +92,8 @@
 
 // forEngine returns the body for an engine: each field once, and a stream in any
 // case, so that a broken answer is noticed and can be resumed also for callers that
-// want it in one piece.
+// want it in one piece. What was read is given up: a waiting request holds its body
+// once.
 func (c *completionRequest) forEngine() []byte {
 	c.fields["stream"] = json.RawMessage("true")
 	body, err := json.Marshal(c.fields)
@@ -99,5 +101,6 @@
 		// The fields are JSON that has just been read.
 		panic(err)
 	}
+	c.fields, c.Prompt, c.Messages = nil, nil, nil
 	return body
 }
--- a/internal/caller/body_test.go
+++ b/internal/caller/body_test.go
@@ -45,10 +45,12 @@
 		if err != nil {
 			return
 		}
-		require.Positive(t, estimateTokens(c))
+		cost := estimateTokens(c)
+		require.Positive(t, cost)
 		again, err := parseCompletion(c.forEngine())
 		require.NoError(t, err)
 		require.True(t, again.Stream)
+		require.GreaterOrEqual(t, cost, again.MaxTokens*again.Answers)
 		require.Equal(t, c.MaxTokens, again.MaxTokens)
 		require.Equal(t, c.Answers, again.Answers)
 	})
--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -17,9 +17,12 @@
 type completion struct {
 	*completionRequest
 	served
-	body []byte
-	cost int64
-	path string
+	body   []byte
+	cost   int64
+	prefix route.Prefix
+	path   string
+	// promptTokens is an estimate.
+	promptTokens int64
 	// stream names the stream at the engines. It is our own: two callers may
 	// choose the same request ID, and must not be given each other's stream.
 	stream string
@@ -71,9 +74,11 @@
 		return nil, newProblem(http.StatusNotFound, TypeUnknownModel, NotRun, "no model or adapter is called "+parsed.Model)
 	}
 	c := &completion{
-		completionRequest: parsed, served: what, body: parsed.forEngine(), cost: estimateTokens(parsed),
+		completionRequest: parsed, served: what, cost: estimateTokens(parsed), promptTokens: promptTokens(parsed),
 		path: r.URL.Path, stream: req.stream,
 	}
+	c.prefix = route.PrefixOf(c.item, string(c.prompt()[:min(len(c.prompt()), route.PrefixBytes)]))
+	c.body = parsed.forEngine()
 	if id := r.Header.Get(headerLastEventID); id != "" {
 		token, problem := h.openToken(id, req)
 		if problem != nil {
@@ -88,20 +93,19 @@
 // job describes a completion to the relay. Each time it needs an engine, the key
 // is checked again in the moment of dispatch.
 func (h *Handler) job(req *request, c *completion) relay.Job {
-	prefix := route.PrefixOf(c.item, string(c.prompt()[:min(len(c.prompt()), route.PrefixBytes)]))
 	return relay.Job{
 		StreamID: c.stream,
 		Path:     c.path,
 		Body:     c.body,
 		AfterID:  c.afterID,
 
-		PromptTokens: promptTokens(c.completionRequest),
+		PromptTokens: c.promptTokens,
 		Acquire: func(ctx context.Context, avoid []string) (*dispatch.Grant, error) {
 			if !h.retries.allow(len(avoid)) {
 				return nil, dispatch.ErrNoReplica
 			}
 			return h.Models.Acquire(ctx, dispatch.Request{
-				Team: req.holder.Team, Item: c.item, Version: c.version, Prefix: prefix,
+				Team: req.holder.Team, Item: c.item, Version: c.version, Prefix: c.prefix,
 				MaxInFlight: c.maxInFlight, Tokens: c.cost, Bytes: int64(len(c.body)),
 				Deadline: req.deadline, Avoid: avoid, Check: func() error { return h.mayRun(req) },
 			})
@@ -123,7 +127,7 @@
 		// team's debt.
 		return x.Usage.PromptTokens + x.Usage.CompletionTokens
 	}
-	return promptTokens(c.completionRequest) + x.Events
+	return c.promptTokens + x.Events
 }
 
 // streamJob passes a stream on to a caller.
