test, load: a lost stream is asked for again as callers are told to

Cause: where an engine has lost a stream, callers are to send the original request with the last event's ID.

--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -44,12 +44,11 @@
 	caller   *caller
 	due      time.Time
 
-	result  Result
-	text    strings.Builder
-	token   string
-	lastAt  time.Time
-	tokens  int
-	started bool
+	result Result
+	text   strings.Builder
+	token  string
+	lastAt time.Time
+	tokens int
 }
 
 // run makes the request and returns what its caller saw.
@@ -152,32 +151,33 @@
 	}
 }
 
-// stream makes a generation and takes it up again where it breaks off.
+// stream makes a generation and takes it up again where it breaks off: first as
+// a stream that an engine still has, and if none has it any more by the original
+// request with the last event's ID.
 func (x *exchange) stream(ctx context.Context, base string) {
 	response, err := x.open(ctx, base)
 	for {
-		if err == nil && response.StatusCode != http.StatusOK {
-			data, _ := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+		if err == nil && response.StatusCode == http.StatusOK {
+			err = x.read(response.Body)
 			_ = response.Body.Close()
-			x.refused(response.StatusCode, data)
-			if x.started {
-				x.result.Outcome = Cut
+			if err == nil {
+				x.judge()
+				return
 			}
-			return
 		}
-		if err == nil {
-			err = x.read(response.Body)
+		lost := err == nil
+		if lost {
+			data, _ := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 			_ = response.Body.Close()
+			x.refused(response.StatusCode, data)
+		} else {
+			x.lost(base, err)
 		}
-		if err == nil {
-			x.judge()
+		if x.token == "" {
 			return
 		}
-		x.lost(base, err)
-		if x.started {
-			x.result.Outcome = Cut
-		}
-		if x.token == "" || x.result.Resumes >= x.workload.Resumes || ctx.Err() != nil {
+		x.result.Outcome = Cut
+		if x.result.Resumes >= x.workload.Resumes || ctx.Err() != nil {
 			return
 		}
 		x.result.Resumes++
@@ -185,7 +185,11 @@
 		if base, err = x.caller.base(ctx); err != nil {
 			return
 		}
-		response, err = x.resume(ctx, base)
+		if lost {
+			response, err = x.open(ctx, base)
+		} else {
+			response, err = x.resume(ctx, base)
+		}
 	}
 }
 
@@ -212,6 +216,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if x.token != "" {
+		request.Header.Set("Last-Event-ID", x.token)
+	}
 	response, err := x.caller.client.Do(request)
 	return response, errors.WithStack(err)
 }
@@ -272,7 +279,6 @@
 	if data == "" || json.Unmarshal([]byte(data), &e) != nil || len(e.Choices) == 0 {
 		return
 	}
-	x.started = true
 	if id != "" {
 		x.token = id
 	}
--- a/test/scenarios_test.go
+++ b/test/scenarios_test.go
@@ -69,6 +69,7 @@
 			"join":    cmdJoin,
 			"warm":    cmdWarm,
 			"abandon": cmdAbandon,
+			"again":   cmdAgain,
 			"sleep":   cmdSleep,
 			"burst":   cmdBurst,
 			"stream":  cmdStream,
--- a/test/traffic_test.go
+++ b/test/traffic_test.go
@@ -165,6 +165,7 @@
 	o      options
 	prompt string
 	tokens int
+	body   string
 	cancel context.CancelFunc
 
 	mu     sync.Mutex
@@ -191,8 +192,9 @@
 		"model": s.o.get("model", ""), "prompt": s.prompt, "max_tokens": s.tokens, "ignore_eos": true, "stream": true,
 	})
 	ts.Check(err)
+	s.body = string(body)
 	stateOf(ts).streams[args[0]] = s
-	s.open(http.MethodPost, args[1]+"/v1/completions", string(body))
+	s.open(http.MethodPost, args[1]+"/v1/completions", s.body)
 }
 
 func (s *stream) open(method, url, body string) {
@@ -328,6 +330,14 @@
 	}
 }
 
+// cmdAgain: again NAME URL drops the stream's connection and sends the original
+// request again with the last event's ID, for a stream that its engine has lost.
+func cmdAgain(ts *testscript.TestScript, neg bool, args []string) {
+	s := streamOf(ts, neg, args, 2)
+	s.stop()
+	s.open(http.MethodPost, args[1]+"/v1/completions", s.body)
+}
+
 // cmdAbandon: abandon NAME drops the stream's connection.
 func cmdAbandon(ts *testscript.TestScript, neg bool, args []string) {
 	streamOf(ts, neg, args, 1).stop()
