order, placement: faults that longer fuzzing found

An unload counted on a copy that had just restarted, while the one that it took away was not reported ready yet; a plan made while engines were out of hearing made what they held unwanted; an adapter of a replaced base model made other models give up their second failure domain; a copy was taken for lost by one old report. Change: an unload leaves as many domains as hold the name, ready or not, by the ready copies; engines that the plan did not look at are left alone; a second domain is given up for a new version only after 30 s without any move; a copy is missing only after four reports.

--- a/internal/order/action.go
+++ b/internal/order/action.go
@@ -102,6 +102,9 @@
 	FailureDomain string
 	// Capacity is the memory for weights in bytes.
 	Capacity int64
+	// Planned means that the plan knew what the engine holds. What an engine
+	// holds that was out of hearing is not unwanted, it was not looked at.
+	Planned bool
 }
 
 // Options tunes a Book. The zero value of a field selects its default.
@@ -126,7 +129,9 @@
 	// there when copies are planned. The default is 5s.
 	AbsentAfter time.Duration
 	// ReduceAfter is how long an engine must be silent until other names give
-	// up their second failure domain for what it alone held. The default is 30s.
+	// up their second failure domain for what it alone held, and how long
+	// nothing must have moved until they do for a new version. The default
+	// is 30s.
 	ReduceAfter time.Duration
 	// MissingAfter is how long a copy may be missing from reports, which lag,
 	// before it is unloaded for certain and loaded anew. The default is 10s.
@@ -193,3 +198,16 @@
 	// Reduced lists the names whose second failure domain is given up.
 	Reduced []placement.Name
 }
+
+// SetPlan takes over a plan and the view that it was made from.
+func (g *Goal) SetPlan(p placement.Plan, view []placement.Engine) {
+	g.Assignments = p.Assignments
+	g.Reduced = p.Reduced
+	available := make(map[string]bool, len(view))
+	for _, e := range view {
+		available[e.Name] = e.Available
+	}
+	for i := range g.Engines {
+		g.Engines[i].Planned = available[g.Engines[i].Name]
+	}
+}
--- a/internal/order/book.go
+++ b/internal/order/book.go
@@ -30,6 +30,8 @@
 	// inControl is when the last account was taken over.
 	inControl time.Time
 	ready     bool
+	// quietSince is since when every engine was there and every copy served.
+	quietSince time.Time
 	// acked holds the time of the first answer to each load order.
 	acked map[string]time.Time
 	// removed is when a name was first found missing from the document.
@@ -80,12 +82,19 @@
 	polling        bool
 	nextPoll       time.Time
 	lastHeard      time.Time
-	// missing is when a settled item was first not reported.
-	missing map[placement.Item]time.Time
+	// missing notes settled items that are not reported.
+	missing map[placement.Item]missing
 	// holds is until when no order goes out for an item whose last one failed.
 	holds map[placement.Item]time.Time
 }
 
+// missing is since when, and in how many reports, an item was not reported.
+type missing struct {
+	since   time.Time
+	last    time.Time
+	reports int
+}
+
 // sending is the state of one order on its way.
 type sending struct {
 	inFlight bool
@@ -144,7 +153,7 @@
 		return l
 	}
 	l = &line{name: name, answers: make(map[string]Answer), sends: make(map[string]*sending)}
-	l.missing = make(map[placement.Item]time.Time)
+	l.missing = make(map[placement.Item]missing)
 	l.holds = make(map[placement.Item]time.Time)
 	l.key = b.options.Prefix + "engines/" + name
 	b.lines[name] = l
--- a/internal/order/decide.go
+++ b/internal/order/decide.go
@@ -46,7 +46,7 @@
 func (b *Book) decideUnloads(now time.Time) {
 	for _, name := range b.names {
 		l := b.lines[name]
-		if !b.mayChange(l, now) {
+		if !b.mayChange(l, now) || !l.spec.Planned {
 			continue
 		}
 		for _, e := range l.draft.Entries {
@@ -84,6 +84,10 @@
 	l.changed = true
 }
 
+// missingReports is in how many reports a copy must be missing: the first of
+// them may be older than the copy.
+const missingReports = 4
+
 // lost says whether the engine no longer reports an item that it was told to
 // load. The item cannot just be struck out, since a report may be older than
 // the load; an unload that is answered makes certain.
@@ -93,12 +97,16 @@
 		delete(l.missing, e.Item)
 		return false
 	}
-	since, noted := l.missing[e.Item]
-	if !noted {
-		l.missing[e.Item] = now
-		return false
+	m := l.missing[e.Item]
+	if m.reports == 0 {
+		m.since = now
 	}
-	return now.Sub(since) >= b.options.MissingAfter
+	if l.reportBegan.After(m.last) {
+		m.last = l.reportBegan
+		m.reports++
+	}
+	l.missing[e.Item] = m
+	return m.reports >= missingReports && now.Sub(m.since) >= b.options.MissingAfter
 }
 
 // mayUnload says whether a copy can go. Copies that are on their way out in
@@ -117,23 +125,45 @@
 	}
 	current := item
 	current.Version = version
-	if len(b.planned[current]) == 0 || b.readyDomains(current, wantedKey{l.name, item}, now) == 0 {
+	if len(b.planned[current]) == 0 {
 		return false
 	}
 	return b.readyDomains(anyVersion(item), wantedKey{l.name, item}, now) >= b.needed(item, current, now)
 }
 
 // needed is the number of failure domains in which a name must stay ready when
-// a copy goes: two, unless memory never let the name into a second one, or the
-// plan gives the second one up for a name that has none. What the plan has
-// reached for so far is not enough to go by: while a base model is replaced,
-// the plan has its adapters beside the new version in one domain only.
+// a copy goes: as many as now, at most two. It may become one where the plan
+// gives the second up for a name that has none, or has no place for a second
+// and nothing has moved for long. Before that the plan is no guide: when a
+// base model is replaced, its adapters are at first wanted beside the new
+// version in one domain only.
 func (b *Book) needed(item, current placement.Item, now time.Time) int {
 	if _, reduced := b.reduced[item.Name()]; reduced {
 		return 1
 	}
-	have := b.readyDomains(item, wantedKey{}, now)
-	return min(2, max(have, len(b.planned[current])))
+	if len(b.planned[current]) == 1 && b.Quiet(now) {
+		return 1
+	}
+	return max(1, min(2, b.heldDomains(item.Name(), now)))
+}
+
+// heldDomains counts the failure domains that hold a name, ready or not yet, on
+// engines that may be there. A report lags: a copy that it does not show ready
+// may be the second one, and what it does show may be gone.
+func (b *Book) heldDomains(name placement.Name, now time.Time) int {
+	domains := make(map[string]struct{})
+	for _, engine := range b.names {
+		l := b.lines[engine]
+		if l.spec == nil || !(b.present(l, now) || b.uncertain(l, now)) {
+			continue
+		}
+		for _, e := range l.draft.Entries {
+			if e.Item.Name() == name && e.Unload == "" {
+				domains[l.spec.FailureDomain] = struct{}{}
+			}
+		}
+	}
+	return len(domains)
 }
 
 // anyVersion stands for every version of an item's name.
--- a/internal/order/next.go
+++ b/internal/order/next.go
@@ -19,6 +19,7 @@
 	actions = b.stepPolls(actions, now)
 	b.noteControl(now)
 	b.draft(now)
+	b.noteQuiet(now)
 	if b.ready {
 		b.decideUnloads(now)
 		b.decideLoads(now)
@@ -284,6 +285,34 @@
 	return now.Sub(last) <= b.options.ReduceAfter
 }
 
+// noteQuiet notes since when nothing moves.
+func (b *Book) noteQuiet(now time.Time) {
+	for _, name := range b.names {
+		l := b.lines[name]
+		if l.spec == nil {
+			continue
+		}
+		quiet := b.present(l, now) && l.idle() && !l.changed
+		for _, e := range l.draft.Entries {
+			quiet = quiet && b.serves(l, e.Item, now)
+		}
+		if !quiet {
+			b.quietSince = now
+			return
+		}
+	}
+}
+
+// Quiet says whether nothing has moved for long: what has no place now will not
+// get one by waiting.
+func (b *Book) Quiet(now time.Time) bool {
+	since := b.quietSince
+	if since.Before(b.inControl) {
+		since = b.inControl
+	}
+	return b.InControl() && now.Sub(since) > b.options.ReduceAfter
+}
+
 // Surveyed says whether every engine has been heard since this leader began, or
 // has had the time for it. A plan made before would take the engines that have
 // not answered yet for lost, and load copies of what they hold.
--- a/internal/placement/fits.go
+++ b/internal/placement/fits.go
@@ -94,7 +94,7 @@
 	before := Make(Input{Models: current.Models, Engines: EnginesOf(current)})
 	engines := EnginesOf(next)
 	hold(engines, before)
-	after := Make(Input{Models: next.Models, Engines: engines})
+	after := Make(Input{Models: next.Models, Engines: engines, Quiet: true})
 	if len(after.Unplaced) == 0 {
 		return nil
 	}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -22,6 +22,9 @@
 	// whose requests run on the same copies.
 	demand float64
 	total  float64
+	// older says that the name serves in another version, or on another version
+	// of its base model.
+	older bool
 	// copies lists the engines that should hold the item.
 	copies []int
 	// domains counts the copies in each failure domain.
@@ -64,6 +67,8 @@
 	reasons map[assignmentKey]Reason
 	// sequence lists new copies in the order in which they were decided.
 	sequence []assignmentKey
+	// quiet says that nothing has moved for long.
+	quiet bool
 	// uncertain says that some engine may be back in a moment.
 	uncertain bool
 	// reduced lists the items that gave up copies for another's first.
@@ -80,6 +85,7 @@
 		held:    make(map[assignmentKey]struct{}),
 		reasons: make(map[assignmentKey]Reason),
 		reduced: make(map[int]struct{}),
+		quiet:   in.Quiet,
 	}
 	byItem, byName := f.indexItems(in.Models, in.Demand)
 	f.indexEngines(in.Engines)
@@ -207,6 +213,7 @@
 	if !current {
 		if other, named := byName[h.Item.Name()]; named {
 			state.stale = append(state.stale, other)
+			f.items[other].older = f.items[other].older || h.Ready
 		}
 		return
 	}
@@ -218,6 +225,7 @@
 		return
 	case base != noBase && !slices.Contains(state.wants, base):
 		state.dormant = append(state.dormant, index)
+		f.items[index].older = f.items[index].older || h.Ready
 		return
 	}
 	f.reasons[assignmentKey{e, index}] = ReasonStays
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -37,7 +37,7 @@
 		return
 	}
 	for _, memory := range []int64{f.groupMemory(b), f.items[b].memory} {
-		if ev, found := f.evictFor(b, memory, f.sacrifice(), anyEngine); found {
+		if ev, found := f.evictFor(b, memory, f.sacrifice(b), anyEngine); found {
 			f.evict(ev)
 			f.add(ev.engine, b, ReasonFirstCopy)
 			return
@@ -51,9 +51,10 @@
 // sacrifice says what other items give up for an item's first copy. While an
 // engine may be back in a moment, nobody gives up a second failure domain: a few
 // lost reports and the loss of a domain together would else leave the giver
-// without a copy.
-func (f *fleet) sacrifice() need {
-	if f.uncertain {
+// without a copy. Nor does anybody for a new version while the old one serves,
+// unless nothing has moved for long.
+func (f *fleet) sacrifice(i int) need {
+	if f.uncertain || (f.items[i].older && !f.quiet) {
 		return needTwoDomains
 	}
 	return needOneCopy
@@ -65,7 +66,7 @@
 		return
 	}
 	memory := f.items[a].memory
-	if ev, found := f.evictFor(a, memory, f.sacrifice(), anyEngine); found {
+	if ev, found := f.evictFor(a, memory, f.sacrifice(a), anyEngine); found {
 		f.evict(ev)
 		f.add(ev.engine, a, ReasonFirstCopy)
 		return
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -97,6 +97,10 @@
 	// Demand is the offered load by name in tokens per second. A name that is
 	// missing has no demand.
 	Demand map[Name]float64
+	// Quiet means that for some time every engine was there and every copy
+	// served. Only then other names give up a second failure domain for a new
+	// version whose old one serves: before, room may still come by itself.
+	Quiet bool
 	// Options tunes the policy.
 	Options Options
 }
--- a/internal/planner/leadership.go
+++ b/internal/planner/leadership.go
@@ -15,7 +15,6 @@
 	"github.com/chestnutarch/chestnutarch/internal/kv"
 	"github.com/chestnutarch/chestnutarch/internal/order"
 	"github.com/chestnutarch/chestnutarch/internal/placement"
-	"github.com/chestnutarch/chestnutarch/internal/telemetry"
 )
 
 // Bounds on what is under way at once.
@@ -187,18 +186,20 @@
 		l.book.SetGoal(goal)
 	}
 	if l.book.Surveyed(now.Wall) {
+		view := l.book.View(now.Wall)
 		l.plan = placement.Make(placement.Input{
 			Models:  snapshot.Document.Models,
-			Engines: l.book.View(now.Wall),
+			Engines: view,
 			Demand:  l.rates,
+			Quiet:   l.book.Quiet(now.Wall),
 			Options: l.planner.options.Placement,
 		})
-		goal.Assignments, goal.Reduced = l.plan.Assignments, l.plan.Reduced
+		goal.SetPlan(l.plan, view)
 		l.book.SetGoal(goal)
 	}
 	l.publish(now)
 	l.planTook = clock.Elapsed(now, l.planner.options.Clock())
-	telemetry.NewTimer(l.planner.options.Metrics, "planner.plan").Update(l.planTook)
+	l.planner.planTimer.Update(l.planTook)
 }
 
 func urlsOf(doc *document.Document) map[string]string {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -10,15 +10,17 @@
 
 	"github.com/chestnutarch/chestnutarch/internal/demand"
 	"github.com/chestnutarch/chestnutarch/internal/engine"
+	"github.com/chestnutarch/chestnutarch/internal/telemetry"
 )
 
 // Planner is one of the planners of an environment. One at a time leads.
 type Planner struct {
-	options Options
-	orders  engine.OrderClient
-	reports *engine.Client
-	leader  atomic.Pointer[Leader]
-	status  atomic.Pointer[Status]
+	options   Options
+	orders    engine.OrderClient
+	reports   *engine.Client
+	leader    atomic.Pointer[Leader]
+	status    atomic.Pointer[Status]
+	planTimer metrics.Timer
 	// demand carries the entry VMs' reports to the leader's goroutine.
 	demand chan demand.Report
 }
@@ -30,10 +32,11 @@
 	}
 	o.provision()
 	return &Planner{
-		options: o,
-		demand:  make(chan demand.Report, reportBuffer),
-		orders:  engine.OrderClient{Timeout: o.OrderTimeout},
-		reports: engine.NewClient(engine.ClientOptions{CallTimeout: o.OrderTimeout}),
+		options:   o,
+		planTimer: telemetry.NewTimer(o.Metrics, "planner.plan"),
+		demand:    make(chan demand.Report, reportBuffer),
+		orders:    engine.OrderClient{Timeout: o.OrderTimeout},
+		reports:   engine.NewClient(engine.ClientOptions{CallTimeout: o.OrderTimeout}),
 	}, nil
 }
 
