caller: say that a stream is lost when a resume finds its engine without it

Cause: a caller who came back to a stream that its engine had forgotten was told "upstream_failed" with 502, which does not say that sending the request again with Last-Event-ID goes on with it. Change: 404 unknown_stream, with what to do.

--- a/internal/caller/completions_test.go
+++ b/internal/caller/completions_test.go
@@ -78,7 +78,8 @@
 }
 
 // The caller's VM is gone. He goes on at another one from the last event that he
-// has; nobody else may, and a changed event ID is refused.
+// has; nobody else may, and a changed event ID is refused. If the engine has lost the
+// stream, he is told so, and sends his request again.
 func TestStreamsAreResumedAtAnotherVMByTheirTeam(t *testing.T) {
 	u := newUpstream(t)
 	f := newFleet(t, 2, 64, u.URL)
@@ -87,6 +88,9 @@
 	require.Equal(t, first.texts[2:], rest.texts)
 	again := f.call(t, 1, "POST", completionPath, "key-one", fmt.Sprintf(completionBody, true, "x"), headerLastEventID, first.ids[1])
 	require.Equal(t, first.texts[2:], again.texts)
+	u.set(func() { u.forget = true })
+	lost := f.call(t, 1, "GET", "/v1/streams", "key-one", "", headerLastEventID, first.ids[1])
+	require.Equal(t, TypeUnknownStream, lost.problem(t).Type)
 	foreign := f.call(t, 1, "GET", "/v1/streams", "key-two", "", headerLastEventID, first.ids[1])
 	require.Equal(t, TypeUnknownStream, foreign.problem(t).Type)
 	forged := f.call(t, 1, "GET", "/v1/streams", "key-one", "", headerLastEventID, first.ids[1][1:])
--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -79,7 +79,10 @@
 
 func (u *upstream) resume(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Request-Id", r.PathValue("id"))
-	if u.forget {
+	u.mu.Lock()
+	forget := u.forget
+	u.mu.Unlock()
+	if forget {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
--- a/internal/caller/outcomes.go
+++ b/internal/caller/outcomes.go
@@ -59,6 +59,8 @@
 		return statusProblem(status)
 	case errors.Is(err, context.DeadlineExceeded):
 		return newProblem(http.StatusGatewayTimeout, TypeDeadline, Unknown, "the deadline passed before the answer was complete")
+	case errors.Is(err, relay.ErrLost) && errors.Is(err, engine.ErrUnknownStream):
+		return newProblem(http.StatusNotFound, TypeUnknownStream, Unknown, "the engine has lost the stream; send the request again with Last-Event-ID")
 	case errors.Is(err, relay.ErrCallerGone), isTakenOver(err):
 		return newProblem(statusClientClosed, TypeCallerGone, Unknown, err.Error())
 	case x.Sent:
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -243,9 +243,18 @@
 	if errors.As(cause, &status) {
 		return nil, true, cause
 	}
-	return nil, true, errors.Wrap(ErrLost, cause.Error())
+	return nil, true, &lostError{cause}
 }
 
+// lostError is the loss of a stream with its cause.
+type lostError struct{ cause error }
+
+// Error names both.
+func (e *lostError) Error() string { return ErrLost.Error() + ": " + e.cause.Error() }
+
+// Unwrap returns both.
+func (e *lostError) Unwrap() []error { return []error{ErrLost, e.cause} }
+
 // unacquired is the end of a job that gets no engine.
 func (x *run) unacquired(err error) error {
 	if x.result.Sent {
