--- a/internal/quota/loop_test.go
+++ b/internal/quota/loop_test.go
@@ -80,3 +80,42 @@
 	require.NoError(t, w.Run(w.Now+time.Second))
 	require.Equal(t, int64(1), w.Verdicts[quota.CauseNone], "%v", w.Verdicts)
 }
+
+// wholeAgain returns how long after now the whole burst can be had at a VM.
+func wholeAgain(t *testing.T, w *quotaloop.World, vm string) time.Duration {
+	t.Helper()
+	start, before := w.Now, w.Verdicts[quota.CauseNone]
+	for w.Now < start+time.Minute {
+		require.True(t, w.Acquire(vm, burst))
+		require.NoError(t, w.Run(w.Now+500*time.Millisecond))
+		if w.Verdicts[quota.CauseNone] > before {
+			break
+		}
+	}
+	return w.Now - start
+}
+
+// A VM dies for good. Its part must come back to the others, or the team would
+// stay a seventh short for ever.
+func TestDeadVMsPartComesBack(t *testing.T) {
+	w := quotaloop.New(calm(1, 7))
+	require.NoError(t, w.Run(20*time.Second))
+	w.Kill(quotaloop.VM(2))
+	took := wholeAgain(t, w, quotaloop.VM(5))
+	t.Logf("whole again after %s, at the latest", took)
+	require.Less(t, took, 20*time.Second)
+}
+
+// All VMs are restarted at once, for example by a faulty upgrade. Every record
+// names witnesses that are gone, and none could be closed if each waited for
+// another's.
+func TestAllVMsRestartAtOnce(t *testing.T) {
+	w := quotaloop.New(calm(1, 7))
+	require.NoError(t, w.Run(20*time.Second))
+	for i := range 7 {
+		w.Restart(quotaloop.VM(i))
+	}
+	took := wholeAgain(t, w, quotaloop.VM(5))
+	t.Logf("whole again after %s, at the latest", took)
+	require.Less(t, took, 20*time.Second)
+}
