quota: even out the slots that a division leaves over; cost measured again

Cause: with 24 holders the VM that made the assignment kept 15 slots, the others 3. Change: what is left over goes round one by one; the design note's figures follow.

--- a/internal/quota/sharing.go
+++ b/internal/quota/sharing.go
@@ -150,6 +150,10 @@
 		return move{to: fewest, slots: min(mine, max(target-theirs, 1))}, true
 	}
 	slots := min(mine-target, target-theirs)
+	if slots <= 0 && mine-theirs > 1 {
+		// What the division leaves over goes round one by one.
+		slots = 1
+	}
 	return move{to: fewest, slots: slots}, slots > 0
 }
 
