capacity: keep the document while the plan's memory is measured

Cause: the plan's memory came out negative: the collector freed the document meanwhile. Change: the inputs are kept until the figure is taken.

--- a/internal/capacity/planning.go
+++ b/internal/capacity/planning.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"runtime"
+
 	"github.com/chestnutarch/chestnutarch/internal/placement"
 )
 
@@ -19,6 +21,10 @@
 		input.Engines = holding(input.Engines, plan)
 		next.add(n, timed(func() { plan = placement.Make(input) }))
 		memory.add(n, (heap()-before)/megabyte)
+		// Without this the collector frees what was there before the plan.
+		runtime.KeepAlive(doc)
+		runtime.KeepAlive(input)
+		runtime.KeepAlive(plan)
 	}
 	return []series{first, next, memory}
 }
