entry: a VM that has just started does not name itself to callers

Cause: in a rolling restart under load one request was refused by a VM without a configuration. The caller had asked that VM for an address; it had heard nobody yet, and for want of a ready VM it named itself. Change: a VM names itself only if it is ready, or if its settings know no other VM. Conclusion: the caller asks another VM instead.

--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -17,6 +17,8 @@
 	view     func() *membership.View
 	leaving  func(address string) bool
 	capacity int64
+	// alone means that the settings name no other VM.
+	alone bool
 
 	mu   sync.Mutex
 	book *address.Book
@@ -24,11 +26,12 @@
 	rng  *rand.Rand
 }
 
-func newAddresses(lifetime time.Duration, capacity int, view func() *membership.View, leaving func(string) bool) *addresses {
+func newAddresses(lifetime time.Duration, capacity int, alone bool, view func() *membership.View, leaving func(string) bool) *addresses {
 	return &addresses{
 		view:     view,
 		leaving:  leaving,
 		capacity: int64(capacity),
+		alone:    alone,
 		book:     address.New(address.Options{Lifetime: lifetime}),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -55,7 +58,13 @@
 }
 
 func (a *addresses) vms(view *membership.View) []address.VM {
-	all := []address.VM{a.vm(view.Self, view.At, true)}
+	var all []address.VM
+	// A VM that has just started hears nobody yet and knows no VM that is ready.
+	// If it named itself then, callers would come to be refused, although the
+	// other VMs are there. With no answer they ask another one.
+	if view.Self.Ready || a.alone {
+		all = append(all, a.vm(view.Self, view.At, true))
+	}
 	for _, m := range view.Members {
 		if m.Status != membership.Gone {
 			all = append(all, a.vm(m.Node, view.At, m.Status == membership.Heard))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -170,7 +170,7 @@
 }
 
 func (p *Process) buildCallers() error {
-	p.addresses = newAddresses(p.settings.Limits.AddressLifetime, p.settings.Limits.MaxInFlight, p.fleet.View, p.vms.Leaving)
+	p.addresses = newAddresses(p.settings.Limits.AddressLifetime, p.settings.Limits.MaxInFlight, len(p.settings.Peers) == 0, p.fleet.View, p.vms.Leaving)
 	p.handler = caller.NewHandler(caller.Options{
 		Configuration: p.config,
 		Limiter:       p.leases,
