Follow renewed authorities on every hop, tell a VM's want of limits from the team's, feed promotions

Cause: outgoing connections kept the authorities that were there at the start; a refusal for want of authority was told to callers as a rate used up; nothing counted completions, so that no promotion could ever have evidence; the planner went to https engines without the authority of its settings; its setting entries was not used by anything. Change: transport takes a function for each new connection's TLS; no_authority is answered as 503 not_ready; caller judges each admitted completion by the two latency objectives; the planner uses tls.upstreams; entries is gone.

--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/dispatch"
+	"github.com/chestnutarch/chestnutarch/internal/ratelimit"
 	"github.com/chestnutarch/chestnutarch/internal/relay"
 	"github.com/chestnutarch/chestnutarch/internal/resume"
 	"github.com/chestnutarch/chestnutarch/internal/route"
@@ -34,6 +36,7 @@
 
 // completions serves both OpenAI-style completion calls.
 func (h *Handler) completions(w http.ResponseWriter, r *http.Request, req *request) *Problem {
+	arrived := time.Now()
 	body, release, problem := h.readBody(w, r)
 	if problem != nil {
 		return problem
@@ -48,14 +51,23 @@
 	if err != nil {
 		return limitProblem(err)
 	}
+	p := &pace{start: arrived}
+	problem = h.run(w, r, req, c, grant, p)
+	h.tally(r, p, problem)
+	return problem
+}
+
+// run sends an admitted completion to an engine and passes the answer on.
+func (h *Handler) run(w http.ResponseWriter, r *http.Request, req *request, c *completion, grant *ratelimit.Grant, p *pace) *Problem {
 	used := int64(0)
 	defer func() { grant.Settle(used) }()
 	job := h.job(req, c)
 	if c.Stream {
-		return h.streamJob(w, r, req, job, func(x relay.Result, err error) { used = c.used(x, err) })
+		return h.streamJob(w, r, req, job, p, func(x relay.Result, err error) { used = c.used(x, err) })
 	}
 	sink := newCollector(req.id, c.path)
-	result, err := h.Relay.Run(r.Context(), job, sink)
+	p.Sink = sink
+	result, err := h.Relay.Run(r.Context(), job, p)
 	used = c.used(result, err)
 	if problem := relayProblem(err, sink.err, result); problem != nil {
 		return problem
@@ -131,10 +143,11 @@
 }
 
 // streamJob passes a stream on to a caller.
-func (h *Handler) streamJob(w http.ResponseWriter, r *http.Request, req *request, job relay.Job, ended func(relay.Result, error)) *Problem {
+func (h *Handler) streamJob(w http.ResponseWriter, r *http.Request, req *request, job relay.Job, p *pace, ended func(relay.Result, error)) *Problem {
 	sink := newSSE(w, h.Ring, resume.Token{Team: req.holder.Team, VM: h.VM, Stream: job.StreamID}, h.pacing)
 	defer sink.close()
-	result, err := h.Relay.Run(r.Context(), job, sink)
+	p.Sink = sink
+	result, err := h.Relay.Run(r.Context(), job, p)
 	if ended != nil {
 		ended(result, err)
 	}
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -30,12 +30,15 @@
 	RequestTimeout time.Duration
 }
 
-// Options is what a Handler works with. Every field but Offered is required.
+// Options is what a Handler works with. Every field but Offered and Judged is required.
 type Options struct {
 	Configuration Configuration
 	Limiter       ratelimit.Limiter
 	// Offered is told of what callers ask for, admitted or not, in tokens.
 	Offered func(model, adapter string, tokens int64)
+	// Judged is told of each admitted completion that has ended: whether it kept
+	// to the latency objectives and whether it failed.
+	Judged func(attained, failed bool)
 	// VM is this VM's name, which stands in resume tokens.
 	VM string
 	// Models gives engines, Pools gives replicas of plain services.
@@ -71,6 +74,9 @@
 	if o.Offered == nil {
 		o.Offered = func(string, string, int64) {}
 	}
+	if o.Judged == nil {
+		o.Judged = func(bool, bool) {}
+	}
 	h := &Handler{
 		Options:  o,
 		slots:    make(chan struct{}, o.Limits.MaxInFlight),
--- a/internal/caller/streams.go
+++ b/internal/caller/streams.go
@@ -26,7 +26,7 @@
 	}
 	h.takeOver(token)
 	job := relay.Job{StreamID: token.Stream, At: relay.Place{Engine: token.Engine, URL: url}, AfterID: token.Offset}
-	return h.streamJob(w, r, req, job, nil)
+	return h.streamJob(w, r, req, job, &pace{}, nil)
 }
 
 // openToken checks an event ID that a caller sent back. A token of another team
--- a/internal/caller/tokens.go
+++ b/internal/caller/tokens.go
@@ -25,6 +25,10 @@
 // limitProblem says what a refusal by the limiter means to the caller.
 func limitProblem(err error) *Problem {
 	limited := new(ratelimit.LimitedError)
+	if errors.As(err, &limited) && limited.Cause == ratelimit.CauseNoAuthority {
+		// The team may be well inside its rate: it is this VM that may not admit.
+		return newProblem(http.StatusServiceUnavailable, TypeNotReady, NotRun, limited.Error()).retryAfter(limited.RetryAfter)
+	}
 	if errors.As(err, &limited) {
 		return newProblem(http.StatusTooManyRequests, TypeRateLimited, NotRun, limited.Error()).retryAfter(limited.RetryAfter)
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net"
@@ -47,7 +46,7 @@
 	// Pool bounds the idle connections.
 	Pool transport.Pool
 	// TLS is used for engines with an https address.
-	TLS *tls.Config
+	TLS transport.TLS
 	// IdleLimit is how long a stream may bring nothing, and how long its
 	// answer's header may take, before it counts as silent. The default is 5s.
 	IdleLimit time.Duration
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chestnutarch/chestnutarch/internal/transport"
 )
 
 var (
@@ -37,6 +39,8 @@
 type OrderClient struct {
 	// Timeout bounds one exchange. The default is DefaultOrderTimeout.
 	Timeout time.Duration
+	// TLS is used for engines with an https address.
+	TLS transport.TLS
 }
 
 // Send sends an order to the engine at base if it is in the given incarnation.
@@ -51,7 +55,7 @@
 func (c *OrderClient) Send(ctx context.Context, base, incarnation string, order Order) (OrderStatus, error) {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
-	conn, err := dialOnce(ctx, base)
+	conn, err := c.dialOnce(ctx, base)
 	if err != nil {
 		return OrderStatus{}, errors.Wrap(ErrNoAnswer, err.Error())
 	}
@@ -75,7 +79,7 @@
 func (c *OrderClient) Status(ctx context.Context, base, orderID string) (OrderStatus, error) {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
-	conn, err := dialOnce(ctx, base)
+	conn, err := c.dialOnce(ctx, base)
 	if err != nil {
 		return OrderStatus{}, errors.Wrap(ErrNoAnswer, err.Error())
 	}
@@ -92,7 +96,7 @@
 func (c *OrderClient) Report(ctx context.Context, base string) (Load, error) {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
-	conn, err := dialOnce(ctx, base)
+	conn, err := c.dialOnce(ctx, base)
 	if err != nil {
 		return Load{}, errors.Wrap(ErrNoAnswer, err.Error())
 	}
@@ -122,7 +126,7 @@
 // errDialedTwice stops the transport from opening a second connection.
 var errDialedTwice = errors.New("engine: one connection only")
 
-func dialOnce(ctx context.Context, base string) (*connection, error) {
+func (c *OrderClient) dialOnce(ctx context.Context, base string) (*connection, error) {
 	target, err := url.Parse(base)
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -133,7 +137,7 @@
 		return nil, errors.WithStack(err)
 	}
 	var used atomic.Bool
-	transport := &http.Transport{
+	single := &http.Transport{
 		DialContext: func(context.Context, string, string) (net.Conn, error) {
 			if used.Swap(true) {
 				return nil, errDialedTwice
@@ -141,8 +145,10 @@
 			return conn, nil
 		},
 	}
-	client := &http.Client{Transport: transport}
-	return &connection{client: client, transport: transport, conn: conn}, nil
+	if c.TLS != nil {
+		single.TLSClientConfig = c.TLS()
+	}
+	return &connection{client: &http.Client{Transport: single}, transport: single, conn: conn}, nil
 }
 
 func (c *connection) close() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -174,6 +174,7 @@
 	p.handler = caller.NewHandler(caller.Options{
 		Configuration: p.config,
 		Limiter:       p.leases,
+		Judged:        p.tally.Request,
 		Offered:       p.demand.Add,
 		VM:            p.settings.VM,
 		Models:        p.traffic.models,
--- a/internal/planner/options.go
+++ b/internal/planner/options.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/kv"
 	"github.com/chestnutarch/chestnutarch/internal/order"
 	"github.com/chestnutarch/chestnutarch/internal/placement"
+	"github.com/chestnutarch/chestnutarch/internal/transport"
 )
 
 // ErrOptions means that an option is missing or out of range.
@@ -42,6 +43,9 @@
 	PlanEvery time.Duration
 	// OrderTimeout bounds one exchange with an engine. The default is 2s.
 	OrderTimeout time.Duration
+	// TLS is used for engines with an https address. Nil takes the machine's
+	// authorities.
+	TLS transport.TLS
 	// Placement tunes the policy.
 	Placement placement.Options
 	// Demand tunes the estimate of what callers ask for.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -35,8 +35,8 @@
 		options:   o,
 		planTimer: telemetry.NewTimer(o.Metrics, "planner.plan"),
 		demand:    make(chan demand.Report, reportBuffer),
-		orders:    engine.OrderClient{Timeout: o.OrderTimeout},
-		reports:   engine.NewClient(engine.ClientOptions{CallTimeout: o.OrderTimeout}),
+		orders:    engine.OrderClient{Timeout: o.OrderTimeout, TLS: o.TLS},
+		reports:   engine.NewClient(engine.ClientOptions{CallTimeout: o.OrderTimeout, TLS: o.TLS}),
 	}, nil
 }
 
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -54,6 +54,7 @@
 		URL:         scheme(security) + p.plan.Addr().String(),
 		Store:       store,
 		Config:      p.config.Snapshot,
+		TLS:         process.ClientTLS(security.Upstreams),
 		LeaseTTL:    s.Lease,
 		PlanEvery:   s.Interval,
 		Log:         log,
--- a/internal/process/security.go
+++ b/internal/process/security.go
@@ -55,12 +55,12 @@
 	return credentials.New(credentials.Files{Certificate: c.Certificate, Key: c.Key, Authority: c.Authority})
 }
 
-// ClientTLS returns a client's TLS configuration, nil for the defaults.
-func ClientTLS(r *credentials.Reloader) *tls.Config {
+// ClientTLS returns a client's TLS configurations, nil for the defaults.
+func ClientTLS(r *credentials.Reloader) transport.TLS {
 	if r == nil {
 		return nil
 	}
-	return r.Client()
+	return r.Client
 }
 
 // ServerTLS returns a server's TLS configuration, nil for plain text.
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -46,7 +45,7 @@
 	// Pool bounds the idle connections for calls that may be repeated.
 	Pool transport.Pool
 	// TLS is used for services with an https address.
-	TLS *tls.Config
+	TLS transport.TLS
 }
 
 // Client calls plain services. It is safe for concurrent use.
--- a/internal/settings/planner.go
+++ b/internal/settings/planner.go
@@ -23,8 +23,6 @@
 	FailureDomain string `yaml:"failure_domain"`
 	// Listen gives the addresses to listen on.
 	Listen PlannerListen `yaml:"listen"`
-	// Entries lists "IP:port" of entry VMs' peer listeners, asked for demand.
-	Entries []string `yaml:"entries"`
 	// KV tells where the key-value service is.
 	KV KV `yaml:"kv"`
 	// TLS gives certificates.
@@ -65,9 +63,6 @@
 	c.required("failure_domain", s.FailureDomain)
 	c.address("listen.peers", s.Listen.Peers)
 	c.optionalAddress("listen.metrics", s.Listen.Metrics)
-	for _, e := range s.Entries {
-		c.address("entries", e)
-	}
 	c.kv(&s.KV)
 	c.tls(&s.TLS)
 	c.protected("listen.peers", s.Listen.Peers, &s.TLS.Peers, s.TLS.AllowPlainText)
--- a/internal/transport/hosts.go
+++ b/internal/transport/hosts.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"crypto/tls"
 	"net/http"
 	"sync"
 )
@@ -11,14 +10,14 @@
 type Hosts struct {
 	limits Limits
 	pool   Pool
-	tls    *tls.Config
+	tls    TLS
 
 	mu    sync.Mutex
 	hosts map[string]*http.Transport
 }
 
 // NewHosts returns an empty set of transports.
-func NewHosts(l Limits, p Pool, tlsConfig *tls.Config) *Hosts {
+func NewHosts(l Limits, p Pool, tlsConfig TLS) *Hosts {
 	return &Hosts{limits: l, pool: p, tls: tlsConfig, hosts: make(map[string]*http.Transport)}
 }
 
