--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,71 @@
+package telemetry
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel"
+)
+
+func TestLoggerWritesStructuredEventsFromItsLevelOn(t *testing.T) {
+	s := LogSettings{Level: "warn"}
+	s.Provision()
+	require.NoError(t, s.Validate())
+	var out bytes.Buffer
+	log := NewLogger(&out, s)
+	log.Info().Msg("left out")
+	log.Warn().Str("vm", "a").Msg("kept")
+	var event map[string]any
+	require.NoError(t, json.Unmarshal(out.Bytes(), &event))
+	require.Equal(t, "kept", event["message"])
+	require.Equal(t, "a", event["vm"])
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	require.ErrorIs(t, (&LogSettings{Level: "loud", Format: FormatJSON}).Validate(), ErrLogLevel)
+	require.ErrorIs(t, (&LogSettings{Level: "info", Format: "xml"}).Validate(), ErrLogFormat)
+	for _, c := range []struct {
+		settings TraceSettings
+		want     error
+	}{
+		{TraceSettings{Exporter: "pigeon"}, ErrTraceExporter},
+		{TraceSettings{Exporter: ExporterOTLP, Endpoint: "collector"}, ErrTraceEndpoint},
+	} {
+		c.settings.Provision()
+		require.ErrorIs(t, c.settings.Validate(), c.want)
+	}
+	share := 1.5
+	require.ErrorIs(t, (&TraceSettings{Exporter: ExporterNone, SampledShare: &share}).Validate(), ErrTraceShare)
+}
+
+// An operator turns traces on to find a slow hop. Spans that are still waiting
+// in the exporter when the process stops would be missing.
+func TestTracesAreSentAtTheStop(t *testing.T) {
+	before := otel.GetTracerProvider()
+	defer otel.SetTracerProvider(before)
+	s := TraceSettings{Exporter: ExporterStdout}
+	s.Provision()
+	var out bytes.Buffer
+	stop, err := StartTracing(t.Context(), s, "chestnut-entry", "vm1", &out)
+	require.NoError(t, err)
+	_, span := otel.Tracer("test").Start(t.Context(), "a hop")
+	span.End()
+	require.NoError(t, stop(t.Context()))
+	require.Contains(t, out.String(), `"Name":"a hop"`)
+	require.Contains(t, out.String(), "vm1")
+}
+
+func TestMetricsAreServedAsJSON(t *testing.T) {
+	r := metrics.NewRegistry()
+	NewTimer(r, "caller.requests").Update(3 * time.Millisecond)
+	answer := httptest.NewRecorder()
+	MetricsHandler(r).ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
+	var body map[string]map[string]any
+	require.NoError(t, json.Unmarshal(answer.Body.Bytes(), &body))
+	require.InDelta(t, 1, body["caller.requests"]["count"], 0)
+}
