--- a/test/world_test.go
+++ b/test/world_test.go
@@ -86,7 +86,10 @@
 }
 
 func (w *world) export(ts *testscript.TestScript) {
-	set := func(name, listen string) { ts.Setenv(name, "http://"+listen) }
+	set := func(name, listen string) {
+		ts.Setenv(name, "http://"+listen)
+		ts.Setenv(name+"_ADDRESS", listen)
+	}
 	set("KV", w.KV.Listen)
 	set("VMS", w.VMs.Listen)
 	set("WEIGHTS", w.Weights.Listen)
