--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -103,7 +103,6 @@
 		Environment:   environment,
 		FailureDomain: string(rune('a' + i)),
 		Listen:        settings.EntryListen{Callers: loopback(port), Operators: loopback(port + 1), Peers: loopback(port + 2)},
-		FleetSize:     len(entryPorts),
 		KV:            settings.KV{URLs: []string{kvURL}},
 		VMList:        settings.VMList{URL: "http://127.0.0.1:7381"},
 		Operators:     []settings.OperatorKey{{ID: "demo", SHA256: configstate.DigestKey(OperatorKey)}},
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -125,7 +125,6 @@
 	for i, p := range s.Peers {
 		c.address(fmt.Sprintf("peers[%d]", i), p)
 	}
-	c.atLeast("fleet_size", int64(s.FleetSize), 1)
 	c.kv(&s.KV)
 	if s.VMList.URL != "" {
 		c.url("vm_list.url", s.VMList.URL)
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -15,7 +15,6 @@
 	DefaultMaxHeaderBytes   = 32 << 10
 	DefaultMaxInFlight      = 4096
 	DefaultRequestTimeout   = 2 * time.Minute
-	DefaultFleetSize        = 1
 	DefaultVMListInterval   = 2 * time.Second
 	maxConfiguredBodyBytes  = 64 << 20
 	maxConfiguredHeaderSize = 1 << 20
@@ -35,10 +34,6 @@
 	Advertise Advertise `yaml:"advertise"`
 	// Peers lists "IP:port" of other VMs' peer listeners, to start from.
 	Peers []string `yaml:"peers"`
-	// FleetSize is the number of entry VMs that share each team's rate until
-	// the quota assignment in the key-value service says otherwise. The
-	// default is 1.
-	FleetSize int `yaml:"fleet_size"`
 	// KV tells where the key-value service is.
 	KV KV `yaml:"kv"`
 	// VMList tells where the platform's VM list is.
@@ -128,7 +123,6 @@
 	s.Traces.Provision()
 	s.KV.provision()
 	setDefault(&s.VMList.Interval, DefaultVMListInterval)
-	setDefault(&s.FleetSize, DefaultFleetSize)
 	s.Limits.provision()
 	if s.Advertise.Callers == "" && s.Listen.Callers != "" {
 		s.Advertise.Callers = s.TLS.Callers.scheme() + "://" + s.Listen.Callers
