--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -215,17 +215,6 @@
 	return local
 }
 
-// ErrNoConfiguration means that no configuration is known yet.
-var ErrNoConfiguration = errors.New("entry: no configuration is known yet")
-
-// ErrStale means that this VM hears neither the key-value service nor more than
-// half of the other VMs. A key may have been withdrawn without its knowledge.
-var ErrStale = errors.New("entry: hears neither the key-value service nor most other VMs")
-
-// ErrNoLimits means that this VM holds no part of the teams' limits yet and knows
-// of no VM that lends.
-var ErrNoLimits = errors.New("entry: holds no part of the teams' limits yet")
-
 // Ready returns nil if this VM may take new work.
 func (p *Process) Ready() error {
 	if p.config.Snapshot() == nil {
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -15,9 +15,6 @@
 	"github.com/chestnutarch/chestnutarch/internal/transport"
 )
 
-// ErrListen means that an address can't be listened on.
-var ErrListen = errors.New("entry: cannot listen")
-
 // readHeaderTimeout bounds how long a caller may take for its headers, so that
 // slow callers can't hold connections without ever asking anything.
 const readHeaderTimeout = 10 * time.Second
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -17,13 +17,6 @@
 	"github.com/chestnutarch/chestnutarch/internal/route"
 )
 
-var (
-	// ErrNoLeader means that no planner leads at present.
-	ErrNoLeader = errors.New("entry: no planner leads")
-	// ErrOtherVM means that a drain names another VM than the one asked.
-	ErrOtherVM = errors.New("entry: ask the VM itself to drain; upstreams are drained by the document")
-)
-
 // maxPlanBytes bounds the leader's answer.
 const maxPlanBytes = 64 << 20
 
