quota: wait for the assignment before borrowing counts as readiness

Cause: on a clean clone ready-means-serving.txtar failed in the README's test command: a VM that had not read the assignment yet was taken for one that cannot learn it. Change: for the first five seconds a VM that does not know the assignment is not ready. Conclusion: a VM that restarts in an outage takes callers after five seconds.

--- a/internal/quota/ready.go
+++ b/internal/quota/ready.go
@@ -39,7 +39,7 @@
 	if m.shares.usable() > 0 {
 		return len(m.own.witnesses) >= m.possibleWitnesses()
 	}
-	expects := m.shares.known && slices.Contains(m.holders, m.cfg.Self)
+	expects := !m.shares.known || slices.Contains(m.holders, m.cfg.Self)
 	return !expects || now.Mono-m.started.Mono >= joinPatience
 }
 
