One function for the address of a URL

Cause: route, engine, the poller and entry each had the same six lines under the names hostOf and addressOf; Process.Handler of entry had no caller. Change: document.Address serves all four; the unused method is gone. Behaviour is the same. Conclusion: one place to change if addresses take another form.

--- a/internal/engine/poller/poller.go
+++ b/internal/engine/poller/poller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -187,22 +186,13 @@
 		s := p.state(e)
 		kept[e.Name] = s
 		out := snapshot(e, s, now, p.options.MaxAge)
-		out.Leaving = out.Leaving || p.options.Leaving(addressOf(e.URL))
+		out.Leaving = out.Leaving || p.options.Leaving(document.Address(e.URL))
 		fleet.Engines = append(fleet.Engines, out)
 	}
 	p.states = kept
 	p.fleet.Store(fleet)
 }
 
-// addressOf returns the "IP:port" of a base address.
-func addressOf(base string) string {
-	u, err := url.Parse(base)
-	if err != nil {
-		return ""
-	}
-	return u.Host
-}
-
 func snapshot(e document.Engine, s *state, now time.Time, maxAge time.Duration) route.Engine {
 	out := route.Engine{Name: e.Name, URL: e.URL, FailureDomain: e.FailureDomain}
 	if !s.arrived {
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -6,10 +6,11 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chestnutarch/chestnutarch/internal/document"
 )
 
 // doneData is the data of the event that ends a whole stream.
@@ -54,7 +55,7 @@
 
 func (c *Client) open(ctx context.Context, o opening) (*Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	s := &Stream{client: c, host: hostOf(o.target), requestID: o.requestID, cancel: cancel, last: o.afterID}
+	s := &Stream{client: c, host: document.Address(o.target), requestID: o.requestID, cancel: cancel, last: o.afterID}
 	s.heard()
 	s.silence = time.AfterFunc(o.limit, func() { c.silent(s) })
 	c.streams.add(s)
@@ -71,14 +72,6 @@
 	return s, nil
 }
 
-func hostOf(target string) string {
-	u, err := url.Parse(target)
-	if err != nil {
-		return ""
-	}
-	return u.Host
-}
-
 func (s *Stream) checkHeader() error {
 	failed := s.resp.StatusCode != http.StatusOK
 	echo := s.resp.Header.Get(headerRequestID)
--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -2,12 +2,12 @@
 
 import (
 	"math/rand/v2"
-	"net/url"
 	"sync"
 	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/address"
 	"github.com/chestnutarch/chestnutarch/internal/caller"
+	"github.com/chestnutarch/chestnutarch/internal/document"
 	"github.com/chestnutarch/chestnutarch/internal/membership"
 )
 
@@ -80,18 +80,9 @@
 		URL:           n.CallerURL,
 		FailureDomain: n.FailureDomain,
 		Ready:         heard && n.Ready,
-		Leaving:       n.Leaving || a.leaving(hostOf(n.CallerURL)),
+		Leaving:       n.Leaving || a.leaving(document.Address(n.CallerURL)),
 		Capacity:      a.capacity,
 		InFlight:      n.InFlight,
 		HeardAt:       at,
 	}
 }
-
-// hostOf returns the "IP:port" of a URL.
-func hostOf(raw string) string {
-	u, err := url.Parse(raw)
-	if err != nil {
-		return ""
-	}
-	return u.Host
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -318,6 +318,3 @@
 func (p *Process) Addresses() (callers, operators string) {
 	return p.listeners.callers.Addr().String(), p.listeners.operators.Addr().String()
 }
-
-// Handler returns the callers' API, for tests in one process.
-func (p *Process) Handler() http.Handler { return p.handler }
--- a/internal/route/fleet.go
+++ b/internal/route/fleet.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"net/url"
 	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/document"
@@ -64,17 +63,9 @@
 		for _, r := range s.Replicas {
 			f.Engines = append(f.Engines, Engine{
 				Name: r.Name, URL: r.URL, FailureDomain: r.FailureDomain, Reachable: true,
-				Leaving: r.Draining || leaving(hostOf(r.URL)), Ready: map[Item][]string{PoolItem(s.Name): {""}},
+				Leaving: r.Draining || leaving(document.Address(r.URL)), Ready: map[Item][]string{PoolItem(s.Name): {""}},
 			})
 		}
 	}
 	return f
 }
-
-func hostOf(base string) string {
-	u, err := url.Parse(base)
-	if err != nil {
-		return ""
-	}
-	return u.Host
-}
