Run on the users' platform: one process a VM behind platform/

Cause: the users' new machines speak in their own way; nothing of ours ran there. Change: platform/ translates settings, store, configuration, instances, callers' requests and upstreams; chestnut-vm assembles new decisions: assign (upstreams by kept prompt parts and load), teamrate (rates over all VMs), retrybudget, leadership, residency (adapters on demand).

--- /dev/null
+++ b/cmd/chestnut-vm/main.go
@@ -0,0 +1,59 @@
+// Command chestnut-vm runs on every entry VM of the users' platform: it carries
+// callers' requests, and on one VM it gives orders to engines as well.
+package main
+
+import "C" // links the program to the C library
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/chestnutarch/chestnutarch/internal/telemetry"
+	"github.com/chestnutarch/chestnutarch/internal/vm"
+	"github.com/chestnutarch/chestnutarch/platform"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var check bool
+	var level string
+	c := &cobra.Command{
+		Use:           "chestnut-vm",
+		Short:         "Carry callers' requests on a VM of the users' platform",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			settings, err := platform.ReadSettings()
+			if err != nil || check {
+				return err
+			}
+			return run(cmd.Context(), settings, telemetry.LogSettings{Level: level, Format: telemetry.FormatJSON})
+		},
+	}
+	c.Flags().BoolVar(&check, "check", false, "only check the settings")
+	c.Flags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
+	return c
+}
+
+func run(ctx context.Context, s *platform.Settings, logs telemetry.LogSettings) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	log := telemetry.NewLogger(os.Stdout, logs).With().Str("vm", s.VM).Logger()
+	p, err := vm.New(s, log)
+	if err != nil {
+		return err
+	}
+	return p.Run(ctx)
+}
--- /dev/null
+++ b/internal/clock/boot_linux.go
@@ -0,0 +1,22 @@
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Boot returns a Func whose second clock is the time since the machine started,
+// which goes on while the machine is suspended and which nobody can set. Where it
+// cannot be read the wall clock takes its place.
+func Boot() Func {
+	start := time.Now()
+	return func() Reading {
+		now := time.Now()
+		var ts unix.Timespec
+		if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+			return Reading{Mono: now.Sub(start), Wall: now.Round(0)}
+		}
+		return Reading{Mono: now.Sub(start), Wall: time.Unix(ts.Unix())}
+	}
+}
--- /dev/null
+++ b/internal/residency/doc.go
@@ -0,0 +1,9 @@
+// Package residency decides which engine holds which models and adapters. It does
+// no I/O: the state of the engines and the demand go in, orders come out.
+//
+// The load it answers: more adapters than places on any engine, asked for a few at
+// a time, and models whose demand comes and goes within seconds while a load from
+// the weight store takes as long. So adapters are brought when they are asked for,
+// to an engine with little to do, and models are moved only for a reason that
+// outlasts the move.
+package residency
--- /dev/null
+++ b/internal/vm/planner.go
@@ -0,0 +1,436 @@
+package vm
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+
+	"github.com/chestnutarch/chestnutarch/internal/catalog"
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+	"github.com/chestnutarch/chestnutarch/internal/residency"
+	"github.com/chestnutarch/chestnutarch/internal/upstream"
+	"github.com/chestnutarch/chestnutarch/platform"
+)
+
+var (
+	// ErrNotLeader means that this VM may give no orders.
+	ErrNotLeader = errors.New("vm: this VM does not lead")
+	// ErrNoPlace means that no engine can take an adapter at present.
+	ErrNoPlace = errors.New("vm: no engine can take the adapter")
+	// ErrOrder means that an engine did not carry an order out.
+	ErrOrder = errors.New("vm: order not carried out")
+)
+
+const (
+	// planEvery is how often the leader looks at the engines.
+	planEvery = 200 * time.Millisecond
+	// adapterTime is how long an adapter takes from the order to its use.
+	adapterTime = 11 * time.Millisecond
+	// orderTries bounds the sendings of one order.
+	orderTries = 3
+)
+
+// planner gives orders while this VM leads.
+type planner struct {
+	p *Process
+
+	mu    sync.Mutex
+	token int64
+	books map[string]*book
+	// pending holds the adapters that are being brought, so that each is once.
+	pending map[string]*pendingAdapter
+	// demand is what each VM has reported, used when an item was last asked for.
+	demand map[string]*reportedDemand
+	used   map[string]time.Time
+	rates  map[string]*itemRate
+	// learnt is the newest that the leader told.
+	learnt     []*peerpb.EngineContents
+	learntFrom int64
+	loads      loadBudget
+}
+
+// book is what the leader knows of one engine.
+type book struct {
+	// orders serializes the orders to the engine.
+	orders   sync.Mutex
+	instance *upstream.Instance
+	// accepted is the number of orders that the engine has accepted.
+	accepted int64
+	models   map[string]bool
+	adapters map[string]bool
+	quick    map[string]bool
+	// busyUntil is when an order about a model is expected to be done.
+	busy      bool
+	busySince time.Time
+	pending   string
+}
+
+type pendingAdapter struct {
+	done     chan struct{}
+	instance string
+	err      error
+}
+
+type reportedDemand struct {
+	incarnation int64
+	tokens      map[string]int64
+}
+
+func newPlanner(p *Process) *planner {
+	return &planner{
+		p: p, books: make(map[string]*book), pending: make(map[string]*pendingAdapter),
+		demand: make(map[string]*reportedDemand), used: make(map[string]time.Time), rates: make(map[string]*itemRate),
+	}
+}
+
+// run looks after the engines while this VM leads.
+func (l *planner) run(ctx context.Context) error {
+	ticker := time.NewTicker(planEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.forget()
+			return nil
+		case <-ticker.C:
+		}
+		token, ok := l.p.candidate.Authority()
+		if !ok {
+			l.forget()
+			continue
+		}
+		l.heardDemand(l.p.settings.VM, l.p.fleet.incarnation, l.p.assigner.Demand(), time.Now())
+		l.adopt(ctx, token)
+		l.plan(ctx)
+	}
+}
+
+// forget drops the books of a term that has ended: another leader's orders will
+// have changed what they say.
+func (l *planner) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.token != 0 {
+		l.token = 0
+		l.books = make(map[string]*book)
+	}
+}
+
+// adopt opens a book for every engine that has none. The engine is asked what it
+// holds, since orders of an earlier leader may not show in its heartbeats yet.
+func (l *planner) adopt(ctx context.Context, token int64) {
+	instances := *l.p.instances.Load()
+	k := l.p.core.Catalog()
+	if k == nil {
+		return
+	}
+	l.mu.Lock()
+	if l.token != token {
+		l.token, l.books = token, make(map[string]*book)
+	}
+	var fresh []*upstream.Instance
+	for id, b := range l.books {
+		if now := instances[id]; now == nil || !now.Same(b.instance) {
+			delete(l.books, id)
+		} else {
+			b.instance = now
+		}
+	}
+	for id, i := range instances {
+		s := k.Services[i.Service]
+		if s != nil && s.Engine != nil && l.books[id] == nil && !i.Draining {
+			fresh = append(fresh, i)
+		}
+	}
+	l.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, i := range fresh {
+		wg.Go(func() { l.open(ctx, token, i) })
+	}
+	wg.Wait()
+}
+
+func (l *planner) open(ctx context.Context, token int64, i *upstream.Instance) {
+	report, err := l.p.replicas.Report(ctx, i)
+	if err != nil {
+		l.p.log.Warn().Str("event", "engine_not_read").Str("instance", i.ID).AnErr("cause", err).Send()
+		return
+	}
+	b := &book{instance: i}
+	b.read(report)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.token == token {
+		l.books[i.ID] = b
+	}
+}
+
+// read takes a report over.
+func (b *book) read(r *platform.Report) {
+	b.accepted, b.busy = r.OrdersAccepted, r.Busy
+	b.models, b.adapters, b.quick = make(map[string]bool), make(map[string]bool), make(map[string]bool)
+	for _, m := range r.Models {
+		b.models[m.Model] = true
+		for _, a := range m.Adapters {
+			b.adapters[residency.Item(m.Model, a)] = true
+		}
+	}
+	for _, item := range r.Incoming {
+		b.adapters[item] = true
+	}
+	for _, m := range slices.Concat(r.InMemory, r.OnDisk) {
+		b.quick[m] = true
+	}
+}
+
+// ensure brings an adapter to an engine and returns the engine's ID.
+func (l *planner) ensure(ctx context.Context, service, model, adapter string) (string, error) {
+	item := residency.Item(model, adapter)
+	l.mu.Lock()
+	if w := l.pending[item]; w != nil {
+		l.mu.Unlock()
+		select {
+		case <-w.done:
+			return w.instance, w.err
+		case <-ctx.Done():
+			return "", errors.Wrap(ErrOrder, ctx.Err().Error())
+		}
+	}
+	w := &pendingAdapter{done: make(chan struct{})}
+	l.pending[item] = w
+	l.mu.Unlock()
+	// The order goes on if the first to ask leaves: others wait for it.
+	w.instance, w.err = l.bring(context.WithoutCancel(ctx), service, model, adapter)
+	close(w.done)
+	l.mu.Lock()
+	delete(l.pending, item)
+	l.mu.Unlock()
+	return w.instance, w.err
+}
+
+func (l *planner) bring(ctx context.Context, service, model, adapter string) (string, error) {
+	k := l.p.core.Catalog()
+	if _, ok := l.p.candidate.Authority(); !ok || k == nil || k.Services[service] == nil || k.Services[service].Engine == nil {
+		return "", errors.WithStack(ErrNotLeader)
+	}
+	spec := k.Services[service].Engine
+	item := residency.Item(model, adapter)
+	engines := l.engines(service)
+	l.mu.Lock()
+	l.used[item] = time.Now()
+	for _, e := range engines {
+		if e.Usable && e.Models[model] {
+			if _, ok := e.Adapters[item]; ok {
+				l.mu.Unlock()
+				return e.ID, nil
+			}
+		}
+	}
+	l.mu.Unlock()
+	move, ok := residency.PlaceAdapter(engines, spec, model, time.Now())
+	if !ok {
+		return "", errors.WithStack(ErrNoPlace)
+	}
+	b := l.book(move.Engine)
+	if b == nil {
+		return "", errors.WithStack(ErrNoPlace)
+	}
+	if err := l.swapAdapter(ctx, b, move.Evict, model, adapter, spec); err != nil {
+		return "", err
+	}
+	sleep(ctx, adapterTime)
+	l.p.assigner.AddAdapter(move.Engine, model, adapter)
+	return move.Engine, nil
+}
+
+// swapAdapter unloads one adapter if need be and loads another.
+func (l *planner) swapAdapter(ctx context.Context, b *book, evict, model, adapter string, spec *catalog.EngineSpec) error {
+	b.orders.Lock()
+	defer b.orders.Unlock()
+	if evict != "" {
+		oldModel, oldAdapter, _ := strings.Cut(evict, "/")
+		if err := l.order(ctx, b, platform.Unload, oldModel, oldAdapter); err != nil {
+			return err
+		}
+		l.p.assigner.RemoveItem(b.instance.ID, oldModel, oldAdapter)
+	}
+	l.mu.Lock()
+	full := len(b.adapters) >= spec.AdapterSlots
+	l.mu.Unlock()
+	if full {
+		return errors.WithStack(ErrNoPlace)
+	}
+	return l.order(ctx, b, platform.Load, model, adapter)
+}
+
+// order gives one order to an engine. The engine's order lock must be held.
+//
+// An order whose answer is lost may be carried out seconds later. It is sent again
+// with the same number of accepted orders: whichever of the two arrives first makes
+// the other one void.
+func (l *planner) order(ctx context.Context, b *book, op platform.Operation, model, adapter string) error {
+	var last error
+	for range orderTries {
+		token, ok := l.p.candidate.Authority()
+		if !ok {
+			return errors.WithStack(ErrNotLeader)
+		}
+		l.mu.Lock()
+		accepted := b.accepted
+		l.mu.Unlock()
+		result, err := l.p.replicas.Order(ctx, b.instance, platform.Order{
+			Operation: op, Model: model, Adapter: adapter, Holder: l.p.settings.VM, Token: token, Accepted: accepted,
+		})
+		l.p.log.Info().Str("event", "order").Str("instance", b.instance.ID).Str("operation", string(op)).Str("model", model).
+			Str("adapter", adapter).Int64("token", token).Int64("accepted", accepted).Int("result", int(result)).AnErr("cause", err).Send()
+		switch result {
+		case platform.OrderAccepted, platform.OrderHolds:
+			l.settled(b, op, model, adapter, result)
+			return nil
+		case platform.OrderConflict:
+			if l.reread(ctx, b) && l.holds(b, op, model, adapter) {
+				return nil
+			}
+		case platform.OrderUnknown:
+		default:
+			return errors.Wrapf(ErrOrder, "%s: result %d", b.instance.ID, result)
+		}
+		last = errors.Wrapf(ErrOrder, "%s: result %d", b.instance.ID, result)
+	}
+	l.reread(ctx, b)
+	return last
+}
+
+// settled notes the effect of an order.
+func (l *planner) settled(b *book, op platform.Operation, model, adapter string, result platform.OrderResult) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if result == platform.OrderAccepted || (op == platform.Unload && adapter != "") {
+		b.accepted++
+	}
+	item := residency.Item(model, adapter)
+	switch {
+	case adapter != "" && op == platform.Load:
+		b.adapters[item] = true
+	case adapter != "":
+		delete(b.adapters, item)
+	default:
+		b.busy, b.busySince, b.pending = result == platform.OrderAccepted, time.Now(), model
+	}
+}
+
+// reread asks an engine for its state.
+func (l *planner) reread(ctx context.Context, b *book) bool {
+	report, err := l.p.replicas.Report(ctx, b.instance)
+	if err != nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b.read(report)
+	return true
+}
+
+func (l *planner) holds(b *book, op platform.Operation, model, adapter string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	present := b.models[model]
+	if adapter != "" {
+		present = b.adapters[residency.Item(model, adapter)]
+	}
+	return present == (op == platform.Load)
+}
+
+func (l *planner) book(id string) *book {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.books[id]
+}
+
+// engines returns the state of a service's engines for decisions.
+func (l *planner) engines(service string) []residency.Engine {
+	loads := l.p.assigner.Totals(time.Now())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]residency.Engine, 0, len(l.books))
+	for id, b := range l.books {
+		if b.instance.Service != service {
+			continue
+		}
+		load, usable := loads[id]
+		e := residency.Engine{
+			ID: id, Models: maps.Clone(b.models), Adapters: make(map[string]time.Time, len(b.adapters)), Busy: b.busy,
+			Usable: usable && !b.instance.Draining, Load: load.PrefillTokens, Quick: b.quick,
+		}
+		for item := range b.adapters {
+			e.Adapters[item] = l.used[item]
+		}
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b residency.Engine) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// describe adds what the leader knows to a report.
+func (l *planner) describe(out *peerpb.VMReport) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.token == 0 {
+		return
+	}
+	out.LeaderToken = l.token
+	for id, b := range l.books {
+		out.Contents = append(out.Contents, &peerpb.EngineContents{
+			Instance: id, OrdersAccepted: b.accepted,
+			Adapters: slices.Collect(maps.Keys(b.adapters)), Models: slices.Collect(maps.Keys(b.models)),
+		})
+	}
+}
+
+// heardContents takes what the leader tells of the engines.
+func (l *planner) heardContents(r *peerpb.VMReport) {
+	if r.LeaderToken == 0 {
+		return
+	}
+	l.mu.Lock()
+	old := r.LeaderToken < l.learntFrom || l.token != 0
+	l.learntFrom = max(l.learntFrom, r.LeaderToken)
+	l.mu.Unlock()
+	if old {
+		return
+	}
+	for _, c := range r.Contents {
+		l.p.assigner.SetContents(c.Instance, c.OrdersAccepted, slices.Concat(c.Models, c.Adapters))
+	}
+}
+
+// ensureAdapter brings an adapter to an engine, through the leader if that is
+// another VM.
+func (p *Process) ensureAdapter(ctx context.Context, service, model, adapter string) (string, error) {
+	if _, ok := p.candidate.Authority(); ok {
+		return p.planner.ensure(ctx, service, model, adapter)
+	}
+	term, ok := p.candidate.Leader()
+	if !ok || term.VM == p.settings.VM {
+		return "", errors.WithStack(ErrNotLeader)
+	}
+	address, ok := p.fleet.peerOf(term.VM)
+	if !ok {
+		return "", errors.WithStack(ErrNotLeader)
+	}
+	var answer *peerpb.EnsureAdapterResponse
+	err := p.pool.Call(ctx, address, exchangeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
+		answer, err = peerpb.NewVMsClient(conn).EnsureAdapter(ctx, &peerpb.EnsureAdapterRequest{Service: service, Model: model, Adapter: adapter})
+		return err
+	})
+	if err != nil {
+		return "", err
+	}
+	return answer.Instance, nil
+}
--- /dev/null
+++ b/internal/vm/process.go
@@ -0,0 +1,371 @@
+package vm
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chestnutarch/chestnutarch/internal/assign"
+	"github.com/chestnutarch/chestnutarch/internal/catalog"
+	"github.com/chestnutarch/chestnutarch/internal/clock"
+	"github.com/chestnutarch/chestnutarch/internal/leadership"
+	"github.com/chestnutarch/chestnutarch/internal/peer"
+	"github.com/chestnutarch/chestnutarch/internal/retrybudget"
+	"github.com/chestnutarch/chestnutarch/internal/store"
+	"github.com/chestnutarch/chestnutarch/internal/teamrate"
+	"github.com/chestnutarch/chestnutarch/internal/telemetry"
+	"github.com/chestnutarch/chestnutarch/internal/traffic"
+	"github.com/chestnutarch/chestnutarch/internal/transport"
+	"github.com/chestnutarch/chestnutarch/internal/upstream"
+	"github.com/chestnutarch/chestnutarch/platform"
+)
+
+// ownPrefix is the prefix of this project's keys in the store.
+const ownPrefix = "chestnutarch/"
+
+// Process is one VM's process.
+type Process struct {
+	settings *platform.Settings
+	log      zerolog.Logger
+	metrics  metrics.Registry
+
+	store      store.Store
+	replicas   *platform.Replicas
+	tracker    *tracker
+	assigner   *assign.Assigner
+	limiter    *teamrate.Limiter
+	core       *traffic.Core
+	ingress    *platform.Ingress
+	candidate  *leadership.Candidate
+	fleet      *fleet
+	planner    *planner
+	pool       *peer.Pool
+	peerServer *peer.Server
+
+	instances atomic.Pointer[map[string]*upstream.Instance]
+	leaving   atomic.Bool
+	// gone holds instances that were seen draining or gone, by incarnation.
+	gone *departures
+
+	mu sync.Mutex
+	// configRevision is the store's revision of the configuration in force, and
+	// configValue its text, for VMs that the store turns away.
+	configRevision int64
+	configValue    []byte
+}
+
+// New builds a process.
+func New(s *platform.Settings, log zerolog.Logger) (*Process, error) {
+	p := &Process{settings: s, log: log, metrics: metrics.NewRegistry(), gone: newDepartures()}
+	p.store = platform.NewStore(s.Store.Address)
+	p.replicas = platform.NewReplicas()
+	p.assigner = assign.New()
+	p.limiter = teamrate.New(s.Bounds.RateSlack)
+	p.tracker = newTracker(p.store, log, p.follow)
+	p.candidate = leadership.New(leadership.Options{
+		Store: p.store, VM: s.VM, Prefix: ownPrefix, LeaseMin: s.Store.LeaseMin,
+		Settle: s.Bounds.OrderLease, Clock: clock.Boot(), Log: log,
+	})
+	empty := make(map[string]*upstream.Instance)
+	p.instances.Store(&empty)
+	if err := p.buildPeers(); err != nil {
+		return nil, err
+	}
+	p.planner = newPlanner(p)
+	p.core = traffic.New(traffic.Options{
+		Upstreams: p.replicas, Assigner: p.assigner, Limiter: p.limiter,
+		Budget: retrybudget.New(retrybudget.Limits{
+			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow,
+		}, time.Now()),
+		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, Log: log, Metrics: p.metrics,
+	})
+	p.ingress = platform.NewIngress(p.core)
+	return p, nil
+}
+
+func (p *Process) buildPeers() error {
+	security := peer.Security{AllowPlainText: true}
+	pool, err := peer.NewPool(security)
+	if err != nil {
+		return err
+	}
+	server, err := peer.NewServer(security)
+	if err != nil {
+		return err
+	}
+	p.pool, p.peerServer = pool, server
+	p.fleet = newFleet(p)
+	return nil
+}
+
+func (p *Process) peerAddress() string {
+	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort))
+}
+
+func (p *Process) instance(id string) *upstream.Instance { return (*p.instances.Load())[id] }
+
+// Run serves until ctx ends, then stops gracefully.
+func (p *Process) Run(ctx context.Context) error {
+	p.log.Info().Str("event", "start").Str("callers", p.settings.Callers).Send()
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, background := errgroup.WithContext(background)
+	servers, err := p.listen(background)
+	if err != nil {
+		return err
+	}
+	for _, s := range servers {
+		group.Go(s.serve)
+	}
+	peers, err := transport.NewListenConfig(transport.Limits{}).Listen(background, "tcp4", p.peerAddress())
+	if err != nil {
+		return errors.Wrap(err, "vm: peers")
+	}
+	leading, resign := context.WithCancel(background)
+	group.Go(func() error { return p.tracker.run(background) })
+	group.Go(func() error { return p.fleet.register(background) })
+	group.Go(func() error { return p.fleet.run(background) })
+	group.Go(func() error { return p.candidate.Run(leading) })
+	group.Go(func() error { return p.planner.run(leading) })
+	group.Go(func() error { return p.peerServer.Serve(background, peers, peerGrace) })
+	select {
+	case <-ctx.Done():
+	case <-background.Done():
+	}
+	resign()
+	p.drain(background, servers)
+	stop()
+	err = group.Wait()
+	p.log.Info().Str("event", "stop").AnErr("cause", err).Send()
+	return err
+}
+
+const (
+	// peerGrace bounds the wait for calls of peers at the end.
+	peerGrace = 300 * time.Millisecond
+	// leaveTime is how long a stopping VM goes on taking connections: callers keep
+	// addresses for some seconds.
+	leaveTime = 3 * time.Second
+	// stopMargin is how much of the grace period is left for the end itself.
+	stopMargin = 700 * time.Millisecond
+)
+
+// drain takes the VM out of the answers, serves what still comes for a while, then
+// refuses new requests as not run and waits until the others have ended.
+func (p *Process) drain(background context.Context, servers []*server) {
+	p.log.Info().Str("event", "draining").Int64("pending", p.ingress.Pending()).Send()
+	end := time.Now().Add(p.settings.Bounds.Grace - stopMargin)
+	p.leaving.Store(true)
+	p.core.Close()
+	p.fleet.announce()
+	sleep(background, min(leaveTime, p.settings.Bounds.Grace/2))
+	p.core.RefuseNew()
+	for time.Now().Before(end) && p.ingress.Pending() > 0 && background.Err() == nil {
+		sleep(background, 20*time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(background), stopMargin/2)
+	defer cancel()
+	for _, s := range servers {
+		_ = s.http.Shutdown(ctx)
+		_ = s.http.Close()
+	}
+}
+
+// ready reports whether callers may be sent here.
+func (p *Process) ready() bool {
+	return !p.leaving.Load() && p.core.Catalog() != nil
+}
+
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func (s *server) serve() error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.WithStack(err)
+}
+
+const (
+	// headerLimit bounds the headers of a request in bytes; headerTimeout the time
+	// in which they have to come. The configuration's own limits are lower, but
+	// change while connections are open.
+	headerLimit   = 64 << 10
+	headerTimeout = 10 * time.Second
+	// callerIdle is how long an idle connection of a caller is kept. Callers reuse
+	// connections up to four fifths of the configured time, which may be changed;
+	// a longer time cuts nobody.
+	callerIdle = 90 * time.Second
+)
+
+func (p *Process) listen(ctx context.Context) ([]*server, error) {
+	config := transport.NewListenConfig(transport.Limits{UserTimeout: 5 * time.Second})
+	var out []*server
+	for _, s := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{p.settings.Callers, p.ingress},
+		{p.settings.Readiness, platform.NewReadiness(p.ready)},
+		{p.settings.Directory, platform.NewDirectory(p.fleet)},
+	} {
+		listener, err := config.Listen(ctx, "tcp4", s.address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "vm: listen on %s", s.address)
+		}
+		out = append(out, &server{listener: listener, http: &http.Server{
+			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: headerLimit,
+			ErrorLog: nil,
+		}})
+	}
+	return out, nil
+}
+
+// follow takes a newer view of the store.
+func (p *Process) follow(v view) {
+	if item, ok := v.items[platform.ConfigurationKey]; ok {
+		p.configure(item.Revision, item.Value)
+	}
+	own := make(map[string]store.Item)
+	for key, item := range v.items {
+		if len(key) > len(ownPrefix) && key[:len(ownPrefix)] == ownPrefix {
+			own[key] = item
+		}
+	}
+	p.candidate.Observe(own)
+	p.fleet.observe(own)
+	p.setInstances(v)
+}
+
+// configure puts a configuration in force if it is newer than the one that is. A
+// configuration that cannot be read leaves the old one in force.
+func (p *Process) configure(revision int64, value []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if revision <= p.configRevision {
+		return
+	}
+	next, skipped, err := platform.Configuration(value)
+	if err != nil {
+		p.log.Error().Str("event", "configuration_unreadable").Int64("revision", revision).AnErr("cause", err).Send()
+		return
+	}
+	for _, s := range skipped {
+		p.log.Warn().Str("event", "configuration_part_skipped").Int64("revision", revision).AnErr("cause", s).Send()
+	}
+	p.configRevision, p.configValue = revision, value
+	p.limiter.SetLimits(limitsOf(next), time.Now())
+	p.assigner.SetCatalog(next)
+	p.core.SetCatalog(next)
+	p.log.Info().Str("event", "configuration_in_force").Int64("version", next.Version).Int64("revision", revision).
+		Int("routes", len(next.Routes())).Send()
+}
+
+func limitsOf(c *catalog.Catalog) map[string]teamrate.Limit {
+	out := make(map[string]teamrate.Limit, len(c.Teams))
+	for name, t := range c.Teams {
+		out[name] = teamrate.Limit{Rate: t.Rate, Burst: t.Burst}
+	}
+	return out
+}
+
+func (p *Process) configuration() (int64, []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.configRevision, p.configValue
+}
+
+// setInstances translates the entries of instances.
+func (p *Process) setInstances(v view) {
+	now := time.Now()
+	away := p.tracker.awayWithin(now, revivalTime)
+	next := make(map[string]*upstream.Instance)
+	for key, item := range v.items {
+		if _, ok := platform.InstanceID(key); !ok {
+			continue
+		}
+		i, err := platform.Instance(item)
+		if err != nil {
+			p.log.Debug().Str("event", "instance_unreadable").AnErr("cause", err).Send()
+			continue
+		}
+		name := incarnationOf(i)
+		if i.Draining {
+			p.gone.left(name, true, now)
+		} else if p.gone.barred(name, item.Revision, away) {
+			i.Draining = true
+		}
+		next[i.ID] = i
+	}
+	for id, old := range *p.instances.Load() {
+		if i, ok := next[id]; !ok || !i.Same(old) {
+			p.gone.left(incarnationOf(old), false, now)
+			p.replicas.Pool.Forget(old.Address)
+			p.log.Info().Str("event", "instance_gone").Str("instance", id).Str("address", old.Address).Send()
+		}
+	}
+	p.putInForce(next)
+}
+
+// revivalTime is how long after the store was away an entry that comes back is
+// believed at once.
+const revivalTime = 5 * time.Second
+
+// putInForce makes a table of instances the one that requests are routed by.
+func (p *Process) putInForce(next map[string]*upstream.Instance) {
+	previous := *p.instances.Load()
+	list := make([]upstream.Instance, 0, len(next))
+	for id, i := range next {
+		if old := previous[id]; old == nil || !old.Same(i) || old.Draining != i.Draining {
+			p.log.Info().Str("event", "instance").Str("instance", id).Str("service", i.Service).
+				Str("address", i.Address).Bool("draining", i.Draining).Int64("born", i.Born).Send()
+		}
+		list = append(list, *i)
+	}
+	p.instances.Store(&next)
+	p.assigner.SetInstances(list)
+}
+
+// peerDepartures takes what another VM has seen leaving. It counts only while this
+// VM's own view is old: the store turns single VMs away.
+func (p *Process) peerDepartures(names []string) {
+	if _, age := p.tracker.current(); age < staleView || len(names) == 0 {
+		return
+	}
+	left := make(map[string]bool, len(names))
+	for _, n := range names {
+		left[n] = true
+	}
+	next := make(map[string]*upstream.Instance)
+	changed := false
+	for id, i := range *p.instances.Load() {
+		copied := *i
+		if !i.Draining && left[incarnationOf(i)] {
+			p.gone.left(incarnationOf(i), false, time.Now())
+			copied.Draining, changed = true, true
+		}
+		next[id] = &copied
+	}
+	if changed {
+		p.putInForce(next)
+	}
+}
+
+// staleView is the age from which a view of the store is not the newest one: two
+// watches.
+const staleView = 2 * (watchPause + watchWait)
+
+// Metrics returns what the process counts.
+func (p *Process) Metrics() http.Handler { return telemetry.MetricsHandler(p.metrics) }
--- /dev/null
+++ b/internal/vm/tracker.go
@@ -0,0 +1,205 @@
+package vm
+
+import (
+	"context"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/chestnutarch/chestnutarch/internal/store"
+)
+
+const (
+	// watchWait is how long one watch waits for a change. It bounds, with the
+	// store's timeout, how long a watch can be silent unnoticed.
+	watchWait = 500 * time.Millisecond
+	// watchPause is the time between two watches. Instances write all the time, so a
+	// watch returns at once; without a pause every heartbeat would cost a call of
+	// every VM. A configuration has to be in force within two seconds.
+	watchPause = 600 * time.Millisecond
+	// retryPause is the time between tries while the store does not answer.
+	retryPause = 150 * time.Millisecond
+	// returnGrace is how long after the store's return an entry that lapsed is still
+	// believed. Leases may run out while the store is away; what lives is back
+	// within about two seconds.
+	returnGrace = 2200 * time.Millisecond
+)
+
+// view is the state of the store as this VM knows it.
+type view struct {
+	items map[string]store.Item
+	// revision is the store's revision that the view stands for.
+	revision int64
+}
+
+// tracker follows all keys of the store with one watch.
+type tracker struct {
+	store   store.Store
+	log     zerolog.Logger
+	changed func(view)
+
+	mu   sync.Mutex
+	view view
+	// lapsed holds entries that disappeared while the store was away or had just
+	// returned, with the time at which they are given up.
+	lapsed map[string]time.Time
+	// failedAt is when a call of the store last failed.
+	failedAt time.Time
+	lost     bool
+	// fresh is when the view was last known to be complete.
+	fresh time.Time
+}
+
+func newTracker(s store.Store, log zerolog.Logger, changed func(view)) *tracker {
+	return &tracker{store: s, log: log, changed: changed, lapsed: make(map[string]time.Time)}
+}
+
+// run follows the store until ctx ends.
+func (t *tracker) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := t.list(ctx); err != nil {
+			t.failed(err)
+			sleep(ctx, retryPause)
+			continue
+		}
+		t.follow(ctx)
+	}
+	return nil
+}
+
+// follow watches until the history is gone.
+func (t *tracker) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		events, err := t.store.Watch(ctx, "", t.at(), watchWait)
+		switch {
+		case errors.Is(err, store.ErrCompacted):
+			return
+		case err != nil:
+			t.failed(err)
+			sleep(ctx, retryPause)
+			continue
+		}
+		t.apply(events)
+		sleep(ctx, watchPause)
+	}
+}
+
+func (t *tracker) at() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.view.revision
+}
+
+// list reads everything. An entry that is missing then was deleted while nobody
+// watched.
+func (t *tracker) list(ctx context.Context) error {
+	listing, err := t.store.Range(ctx, "")
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	next := make(map[string]store.Item, len(listing.Items))
+	for _, item := range listing.Items {
+		next[item.Key] = item
+	}
+	for key, old := range t.view.items {
+		if _, ok := next[key]; !ok && t.hold(key, now) {
+			next[key] = old
+		}
+	}
+	for key := range t.lapsed {
+		if item, ok := next[key]; ok && item.Revision != t.view.items[key].Revision {
+			delete(t.lapsed, key)
+		}
+	}
+	t.publish(view{items: next, revision: listing.Revision}, now)
+	return nil
+}
+
+func (t *tracker) apply(events store.Events) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	next := maps.Clone(t.view.items)
+	for _, e := range events.Events {
+		if !e.Deleted {
+			next[e.Key] = e.Item
+			delete(t.lapsed, e.Key)
+			continue
+		}
+		if !t.hold(e.Key, now) {
+			delete(next, e.Key)
+		}
+	}
+	t.publish(view{items: next, revision: events.Revision}, now)
+}
+
+// hold reports whether an entry that has disappeared is to be kept for a while: if
+// the store was away just now, its lease may have lapsed although the instance
+// lives.
+func (t *tracker) hold(key string, now time.Time) bool {
+	if strings.HasPrefix(key, ownPrefix) || t.failedAt.IsZero() {
+		return false
+	}
+	until, ok := t.lapsed[key]
+	if !ok {
+		until = t.failedAt.Add(returnGrace)
+		t.lapsed[key] = until
+	}
+	return now.Before(until)
+}
+
+// publish must be called with the lock held.
+func (t *tracker) publish(next view, now time.Time) {
+	for key, until := range t.lapsed {
+		if now.After(until) {
+			delete(next.items, key)
+			delete(t.lapsed, key)
+		}
+	}
+	if t.lost {
+		t.lost = false
+		t.log.Info().Str("event", "store_regained").Int64("revision", next.revision).Send()
+	}
+	t.view, t.fresh = next, now
+	t.changed(next)
+}
+
+func (t *tracker) failed(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failedAt = time.Now()
+	if !t.lost {
+		t.lost = true
+		t.log.Warn().Str("event", "store_lost").AnErr("cause", err).Int64("revision", t.view.revision).
+			Dur("age_ms", time.Since(t.fresh)).Send()
+	}
+}
+
+// current returns the newest view and its age.
+func (t *tracker) current() (view, time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.view, time.Since(t.fresh)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// awayWithin reports whether a call of the store failed within some time. It is
+// called while a view is published.
+func (t *tracker) awayWithin(now time.Time, within time.Duration) bool {
+	return !t.failedAt.IsZero() && now.Sub(t.failedAt) < within
+}
