residency: move models by demand, fill free memory with what engines have at hand

Change: the leader plans from the demand that all VMs report: missing models first, then further copies beside engines with less to do, then free memory.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -40,6 +40,9 @@
 	// holdShare is the part of its objective for which a request may wait for a
 	// place before it is refused.
 	holdShare = 8
+	// loadWait is what a caller is told whose model or adapter is on no engine: the
+	// time of a load from an engine's own disk.
+	loadWait = time.Second
 	// minRetry and maxRetry bound what callers are told to wait.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 4 * time.Second
@@ -270,7 +273,7 @@
 func (s *Assigner) chooseEngine(a Ask, now time.Time) (*Choice, error) {
 	candidates, err := s.candidates(a, now)
 	if err != nil {
-		return nil, &Refused{Cause: err, RetryAfter: retryIn(now, a, s.loadTime(a))}
+		return nil, &Refused{Cause: err, RetryAfter: retryIn(now, a, loadWait)}
 	}
 	perToken := s.pace(a.Model)
 	home := homeOf(candidates, a)
@@ -427,15 +430,6 @@
 	return defaultPerToken
 }
 
-func (s *Assigner) loadTime(a Ask) time.Duration {
-	if spec := s.spec(a.Service); spec != nil {
-		if m, ok := spec.Models[a.Model]; ok {
-			return m.LoadTime
-		}
-	}
-	return time.Second
-}
-
 // retryIn is what a caller is told to wait: the time that is short, within bounds,
 // and never so long that nothing of its own time is left to be served in.
 func retryIn(now time.Time, a Ask, short time.Duration) time.Duration {
--- a/internal/vm/plan.go
+++ b/internal/vm/plan.go
@@ -2,7 +2,16 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strings"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutarch/chestnutarch/internal/catalog"
+	"github.com/chestnutarch/chestnutarch/internal/residency"
+	"github.com/chestnutarch/chestnutarch/platform"
 )
 
 // itemRate is the demand for an item.
@@ -11,8 +20,22 @@
 	at        time.Time
 }
 
-// loadBudget is what the weight store allows.
-type loadBudget struct{}
+// loadBudget is what the weight store allows: a bucket of loads.
+type loadBudget struct {
+	tokens float64
+	at     time.Time
+}
+
+// loadBurst is how many loads may begin at once. The platform tolerates three beyond
+// its rate in a window.
+const loadBurst = 2.0
+
+func (b *loadBudget) refill(perSecond float64, now time.Time) {
+	if !b.at.IsZero() {
+		b.tokens = min(loadBurst, b.tokens+perSecond*now.Sub(b.at).Seconds())
+	}
+	b.at = now
+}
 
 // heardDemand takes the tokens that a VM was asked for by item since its start.
 func (l *planner) heardDemand(vm string, incarnation int64, tokens map[string]int64, now time.Time) {
@@ -36,7 +59,7 @@
 }
 
 // rateMemory is the time over which demand is averaged.
-const rateMemory = 4 * time.Second
+const rateMemory = 2 * time.Second
 
 func (l *planner) count(item string, tokens int64, now time.Time) {
 	r := l.rates[item]
@@ -54,5 +77,187 @@
 	r.at = now
 }
 
-// plan decides about models.
-func (l *planner) plan(context.Context) {}
+const (
+	// settleTime is how long a model stays on an engine at least: a few times what a
+	// load from disk takes.
+	settleTime = 3 * time.Second
+	// confirmAfter is how long after the expected end of a load the engine is asked:
+	// its reports are some hundred milliseconds old.
+	confirmAfter = 250 * time.Millisecond
+	// moveTimeout is how long a move may take beyond three times its expected time
+	// before the engine is read anew.
+	moveTimeout = 2 * time.Second
+	// unloadPoll is how often a load is tried while the model before it is unloaded.
+	unloadPoll = 120 * time.Millisecond
+)
+
+// plan moves models.
+func (l *planner) plan(ctx context.Context) {
+	k := l.p.core.Catalog()
+	if k == nil {
+		return
+	}
+	for name, s := range k.Services {
+		if s.Engine == nil {
+			continue
+		}
+		for _, move := range l.decide(name, s.Engine) {
+			l.start(ctx, move, s.Engine)
+		}
+	}
+	l.publish()
+}
+
+// decide makes the plan of one service.
+func (l *planner) decide(service string, spec *catalog.EngineSpec) []residency.ModelMove {
+	now := time.Now()
+	engines := l.engines(service)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loads.refill(spec.LoadsPerSecond*loadCaution, now)
+	f := residency.Fleet{
+		Engines: engines, Spec: spec, Demand: make(map[string]float64), Settled: l.settledUntil,
+		StoreLoads: l.storeLoads(spec), Now: now,
+	}
+	for m := range spec.Models {
+		if r := l.rates[m]; r != nil {
+			r.decay(now)
+			f.Demand[m] = r.perSecond
+		}
+	}
+	return residency.PlanModels(f)
+}
+
+// loadCaution is the part of the weight store's rate that is used.
+const loadCaution = 0.9
+
+// storeLoads is how many loads from the weight store may begin now: within its rate,
+// and no more at once than the rate carries at full speed. It must be called with
+// the lock held.
+func (l *planner) storeLoads(spec *catalog.EngineSpec) int {
+	if spec.LoadsPerSecond <= 0 {
+		return len(l.books)
+	}
+	longest := time.Duration(0)
+	for _, m := range spec.Models {
+		longest = max(longest, m.LoadTime)
+	}
+	running := 0
+	for _, b := range l.books {
+		if b.busy && b.fromStore {
+			running++
+		}
+	}
+	atOnce := max(1, int(spec.LoadsPerSecond*longest.Seconds()))
+	return min(int(l.loads.tokens), atOnce-running)
+}
+
+// start carries a move out beside the others.
+func (l *planner) start(ctx context.Context, move residency.ModelMove, spec *catalog.EngineSpec) {
+	b := l.book(move.Engine)
+	if b == nil {
+		return
+	}
+	l.mu.Lock()
+	b.busy, b.fromStore = true, move.FromStore
+	if move.FromStore {
+		l.loads.tokens--
+	}
+	l.settledUntil[residency.SettledKey(move.Engine, move.Load)] = time.Now().Add(settleTime)
+	l.mu.Unlock()
+	l.p.log.Info().Str("event", "model_move").Str("instance", move.Engine).Str("load", move.Load).Str("evict", move.Evict).
+		Bool("from_store", move.FromStore).Str("reason", move.Reason).Send()
+	go func() {
+		err := l.move(ctx, b, move, spec)
+		l.mu.Lock()
+		b.busy, b.fromStore = false, false
+		l.mu.Unlock()
+		if err != nil {
+			l.p.log.Warn().Str("event", "model_move_failed").Str("instance", move.Engine).Str("load", move.Load).AnErr("cause", err).Send()
+		}
+		l.publish()
+	}()
+}
+
+// move unloads one model if need be, loads the other and waits until the engine has
+// it.
+func (l *planner) move(ctx context.Context, b *book, move residency.ModelMove, spec *catalog.EngineSpec) error {
+	b.orders.Lock()
+	defer b.orders.Unlock()
+	if move.Evict != "" {
+		l.drop(b, move.Evict)
+		l.publish()
+		if err := l.order(ctx, b, platform.Unload, move.Evict, ""); err != nil {
+			l.closeBook(b)
+			return err
+		}
+	}
+	expected := l.loadTime(b, move, spec)
+	limit := time.Now().Add(3*expected + moveTimeout)
+	for {
+		err := l.order(ctx, b, platform.Load, move.Load, "")
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, errBusy) || time.Now().After(limit) || ctx.Err() != nil {
+			l.closeBook(b)
+			return err
+		}
+		sleep(ctx, unloadPoll)
+	}
+	sleep(ctx, expected+confirmAfter)
+	for {
+		if l.reread(ctx, b) && l.holds(b, platform.Load, move.Load, "") {
+			return nil
+		}
+		if time.Now().After(limit) || ctx.Err() != nil {
+			l.closeBook(b)
+			return errors.Wrapf(ErrOrder, "%s is not there after %v", move.Load, 3*expected+moveTimeout)
+		}
+		sleep(ctx, confirmAfter)
+	}
+}
+
+// drop notes that a model is on its way out, with its adapters, so that no more
+// requests go there for it.
+func (l *planner) drop(b *book, model string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(b.models, model)
+	for item := range b.adapters {
+		if strings.HasPrefix(item, model+"/") {
+			delete(b.adapters, item)
+		}
+	}
+}
+
+func (l *planner) loadTime(b *book, move residency.ModelMove, spec *catalog.EngineSpec) time.Duration {
+	m := spec.Models[move.Load]
+	if move.FromStore {
+		return m.LoadTime
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b.inMemory[move.Load] {
+		return m.WarmTime
+	}
+	return m.DiskTime
+}
+
+// publish gives what the books say to this VM's own choice of engines.
+func (l *planner) publish() {
+	type content struct {
+		id       string
+		accepted int64
+		items    []string
+	}
+	l.mu.Lock()
+	var all []content
+	for id, b := range l.books {
+		all = append(all, content{id, b.accepted, slices.Concat(slices.Collect(maps.Keys(b.models)), slices.Collect(maps.Keys(b.adapters)))})
+	}
+	l.mu.Unlock()
+	for _, c := range all {
+		l.p.assigner.SetContents(c.id, c.accepted, c.items)
+	}
+}
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -34,6 +34,9 @@
 	adapterTime = 11 * time.Millisecond
 	// orderTries bounds the sendings of one order.
 	orderTries = 3
+	// openPause is the time between two questions to an engine that has no book: it
+	// may be starting, busy with an earlier leader's order, or gone.
+	openPause = 600 * time.Millisecond
 )
 
 // planner gives orders while this VM leads.
@@ -49,10 +52,13 @@
 	demand map[string]*reportedDemand
 	used   map[string]time.Time
 	rates  map[string]*itemRate
-	// learnt is the newest that the leader told.
-	learnt     []*peerpb.EngineContents
+	// learntFrom is the token of the newest leader that told of the engines.
 	learntFrom int64
 	loads      loadBudget
+	// settledUntil says until when a model stays on an engine.
+	settledUntil map[string]time.Time
+	// notBefore says when an engine without a book may be asked again.
+	notBefore map[string]time.Time
 }
 
 // book is what the leader knows of one engine.
@@ -60,15 +66,19 @@
 	// orders serializes the orders to the engine.
 	orders   sync.Mutex
 	instance *upstream.Instance
-	// accepted is the number of orders that the engine has accepted.
+	// born and accepted are the incarnation and the number of orders that it has
+	// accepted. Models and adapters are what it holds after these orders; every order
+	// names the number, so that none is carried out on top of one that is not known.
+	born     int64
 	accepted int64
 	models   map[string]bool
 	adapters map[string]bool
 	quick    map[string]bool
-	// busyUntil is when an order about a model is expected to be done.
-	busy      bool
-	busySince time.Time
-	pending   string
+	// inMemory is the part of quick that loads fastest.
+	inMemory map[string]bool
+	// busy means that a model is being moved, fromStore that its weights come from
+	// the weight store.
+	busy, fromStore bool
 }
 
 type pendingAdapter struct {
@@ -86,6 +96,7 @@
 	return &planner{
 		p: p, books: make(map[string]*book), pending: make(map[string]*pendingAdapter),
 		demand: make(map[string]*reportedDemand), used: make(map[string]time.Time), rates: make(map[string]*itemRate),
+		settledUntil: make(map[string]time.Time), notBefore: make(map[string]time.Time),
 	}
 }
 
@@ -119,6 +130,9 @@
 	if l.token != 0 {
 		l.token = 0
 		l.books = make(map[string]*book)
+		l.settledUntil = make(map[string]time.Time)
+		// The next term begins without loads in hand: another leader may have begun some.
+		l.loads = loadBudget{}
 	}
 }
 
@@ -134,17 +148,20 @@
 	if l.token != token {
 		l.token, l.books = token, make(map[string]*book)
 	}
+	now := time.Now()
 	var fresh []*upstream.Instance
 	for id, b := range l.books {
-		if now := instances[id]; now == nil || !now.Same(b.instance) {
+		if i := instances[id]; i == nil || !i.Same(b.instance) {
 			delete(l.books, id)
+			delete(l.notBefore, id)
 		} else {
-			b.instance = now
+			b.instance = i
 		}
 	}
 	for id, i := range instances {
 		s := k.Services[i.Service]
-		if s != nil && s.Engine != nil && l.books[id] == nil && !i.Draining {
+		if s != nil && s.Engine != nil && l.books[id] == nil && !i.Draining && now.After(l.notBefore[id]) {
+			l.notBefore[id] = now.Add(openPause)
 			fresh = append(fresh, i)
 		}
 	}
@@ -162,8 +179,16 @@
 		l.p.log.Warn().Str("event", "engine_not_read").Str("instance", i.ID).AnErr("cause", err).Send()
 		return
 	}
+	if report.Busy {
+		// What is being loaded does not show among the models: an order on top of it
+		// could overfill the engine, which would crash.
+		return
+	}
 	b := &book{instance: i}
 	b.read(report)
+	l.p.log.Info().Str("event", "engine_read").Str("instance", i.ID).Strs("models", slices.Sorted(maps.Keys(b.models))).
+		Strs("adapters", slices.Sorted(maps.Keys(b.adapters))).Strs("quick", slices.Sorted(maps.Keys(b.quick))).
+		Int64("accepted", b.accepted).Bool("busy", b.busy).Send()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.token == token {
@@ -171,10 +196,15 @@
 	}
 }
 
-// read takes a report over.
+// read takes a report over. Reports are some hundred milliseconds old: one from
+// before the last order that was accepted says nothing.
 func (b *book) read(r *platform.Report) {
-	b.accepted, b.busy = r.OrdersAccepted, r.Busy
-	b.models, b.adapters, b.quick = make(map[string]bool), make(map[string]bool), make(map[string]bool)
+	if r.Born == b.born && r.OrdersAccepted < b.accepted {
+		return
+	}
+	b.born, b.accepted = r.Born, r.OrdersAccepted
+	b.models, b.adapters = make(map[string]bool), make(map[string]bool)
+	b.quick, b.inMemory = make(map[string]bool), make(map[string]bool)
 	for _, m := range r.Models {
 		b.models[m.Model] = true
 		for _, a := range m.Adapters {
@@ -187,6 +217,9 @@
 	for _, m := range slices.Concat(r.InMemory, r.OnDisk) {
 		b.quick[m] = true
 	}
+	for _, m := range r.InMemory {
+		b.inMemory[m] = true
+	}
 }
 
 // ensure brings an adapter to an engine and returns the engine's ID.
@@ -294,19 +327,57 @@
 			l.settled(b, op, model, adapter, result)
 			return nil
 		case platform.OrderConflict:
-			if l.reread(ctx, b) && l.holds(b, op, model, adapter) {
-				return nil
+			done, err := l.conflict(ctx, b, accepted, op, model, adapter)
+			if done || err != nil {
+				return err
 			}
 		case platform.OrderUnknown:
 		default:
+			l.closeBook(b)
 			return errors.Wrapf(ErrOrder, "%s: result %d", b.instance.ID, result)
 		}
 		last = errors.Wrapf(ErrOrder, "%s: result %d", b.instance.ID, result)
 	}
-	l.reread(ctx, b)
+	l.closeBook(b)
 	return last
 }
 
+// conflict tells the two reasons for a conflict apart: another order is under way,
+// which is errBusy, or an order was accepted that the book does not know, such as
+// this one, whose answer was lost. done means that the order's effect is there.
+func (l *planner) conflict(ctx context.Context, b *book, accepted int64, op platform.Operation, model, adapter string) (done bool, err error) {
+	report, err := l.p.replicas.Report(ctx, b.instance)
+	if err != nil {
+		return false, nil
+	}
+	l.mu.Lock()
+	if report.Born != b.born || (report.OrdersAccepted > accepted && report.Busy) {
+		l.mu.Unlock()
+		l.closeBook(b)
+		return false, errors.Wrapf(ErrOrder, "%s: it has taken other orders", b.instance.ID)
+	}
+	b.read(report)
+	same := b.accepted == accepted
+	l.mu.Unlock()
+	if same {
+		return false, errors.Wrap(errBusy, b.instance.ID)
+	}
+	return l.holds(b, op, model, adapter), nil
+}
+
+// closeBook forgets an engine whose state is not certain. It is read anew.
+func (l *planner) closeBook(b *book) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.books[b.instance.ID] == b {
+		delete(l.books, b.instance.ID)
+		l.notBefore[b.instance.ID] = time.Now().Add(openPause)
+	}
+}
+
+// errBusy means that an engine is carrying out another order.
+var errBusy = errors.New("vm: the engine carries out another order")
+
 // settled notes the effect of an order.
 func (l *planner) settled(b *book, op platform.Operation, model, adapter string, result platform.OrderResult) {
 	l.mu.Lock()
@@ -320,8 +391,8 @@
 		b.adapters[item] = true
 	case adapter != "":
 		delete(b.adapters, item)
-	default:
-		b.busy, b.busySince, b.pending = result == platform.OrderAccepted, time.Now(), model
+	case op == platform.Unload:
+		delete(b.models, model)
 	}
 }
 
