teamrate: pace a team near its rate, count what restarted VMs admitted

Change: below 0.6 of a full bucket a VM admits at 1.6 times its equal part at most; the first report of a younger VM counts whole; a VM is silent after 0.7 s (was 1.2).

--- a/internal/teamrate/limiter.go
+++ b/internal/teamrate/limiter.go
@@ -7,16 +7,26 @@
 
 const (
 	// silentAfter is how long a VM may say nothing before it is taken to use its
-	// equal part: four reports.
-	silentAfter = 1200 * time.Millisecond
+	// equal part: nearly three reports. Until then both sides of a cut use the whole.
+	silentAfter = 700 * time.Millisecond
+	// pressed is the part of a full bucket below which a VM paces itself. Below it a
+	// team is near its rate, and what all VMs admit before they hear of each other
+	// would go beyond.
+	pressed = 0.6
+	// paceShare is how much of the rate a VM may use then, as a multiple of its equal
+	// part: callers are never spread quite evenly.
+	paceShare = 1.6
+	// paceDepth is how far a VM may run ahead of its pace: about one report.
+	paceDepth = 300 * time.Millisecond
 	// slackShare is the part of the tolerated excess that deepens every bucket. The
 	// rest is for what VMs admit before they hear of each other.
 	slackShare = 0.25
 	// startShare is the part of a full bucket with which a VM starts: it does not
 	// know what the others have admitted before.
 	startShare = 0.3
-	// largestWait bounds what a caller is told to wait.
-	largestWait = 5 * time.Second
+	// shortestWait and largestWait bound what a caller is told to wait.
+	shortestWait = 50 * time.Millisecond
+	largestWait  = 5 * time.Second
 )
 
 // Limit is one team's rate.
@@ -29,9 +39,10 @@
 type Limiter struct {
 	mu sync.Mutex
 	// slack is what the platform tolerates beyond rate and burst, in units.
-	slack float64
-	teams map[string]*bucket
-	peers map[string]*peer
+	slack       float64
+	incarnation int64
+	teams       map[string]*bucket
+	peers       map[string]*peer
 }
 
 type bucket struct {
@@ -40,6 +51,9 @@
 	at    time.Time
 	// admitted counts what this VM has admitted since it started.
 	admitted float64
+	// pace is what this VM may admit while the bucket is low. A single request may
+	// overdraw it.
+	pace float64
 }
 
 // peer is another VM.
@@ -52,9 +66,9 @@
 	assumed map[string]float64
 }
 
-// New returns a limiter without teams.
-func New(slack float64) *Limiter {
-	return &Limiter{slack: slack, teams: make(map[string]*bucket), peers: make(map[string]*peer)}
+// New returns a limiter without teams. incarnation is this VM's own.
+func New(slack float64, incarnation int64) *Limiter {
+	return &Limiter{slack: slack, incarnation: incarnation, teams: make(map[string]*bucket), peers: make(map[string]*peer)}
 }
 
 // SetLimits takes the limits in force. A team that is not named has none.
@@ -108,15 +122,12 @@
 		return
 	}
 	l.refillAll(now)
-	fresh := p.incarnation != incarnation
+	if p.incarnation != incarnation {
+		l.meet(p, incarnation, admitted)
+	}
 	for team, total := range admitted {
-		b := l.teams[team]
-		if b == nil {
-			continue
-		}
-		before, known := p.admitted[team]
-		if known && !fresh {
-			b.level = min(b.level+p.assumed[team]-(total-before), l.depth(b.limit))
+		if b := l.teams[team]; b != nil {
+			b.level = min(b.level+p.assumed[team]-(total-p.admitted[team]), l.depth(b.limit))
 		}
 		p.admitted[team] = total
 	}
@@ -124,6 +135,19 @@
 	clear(p.assumed)
 }
 
+// meet notes a VM that has started or is heard for the first time. What a VM has
+// admitted that started after this one counts whole; what an older one admitted
+// before this one heard of it does not.
+func (l *Limiter) meet(p *peer, incarnation int64, admitted map[string]float64) {
+	clear(p.admitted)
+	if p.incarnation != 0 || incarnation > l.incarnation {
+		return
+	}
+	for team, total := range admitted {
+		p.admitted[team] = total
+	}
+}
+
 // Admitted returns what this VM has admitted by team since it started.
 func (l *Limiter) Admitted() map[string]float64 {
 	l.mu.Lock()
@@ -148,13 +172,26 @@
 	need := min(units, l.depth(b.limit))
 	if b.level < need {
 		wait := time.Duration((need - b.level) / b.limit.Rate * float64(time.Second))
-		return false, min(max(wait, 50*time.Millisecond), largestWait)
+		return false, min(max(wait, shortestWait), largestWait)
+	}
+	low := b.level < pressed*l.depth(b.limit)
+	if low && b.pace <= 0 {
+		wait := time.Duration(-b.pace / l.paceRate(b.limit) * float64(time.Second))
+		return false, min(max(wait, shortestWait), largestWait)
 	}
 	b.level -= units
 	b.admitted += units
+	if low {
+		b.pace -= units
+	}
 	return true, 0
 }
 
+// paceRate is what this VM may admit a second while the bucket is low.
+func (l *Limiter) paceRate(limit Limit) float64 {
+	return limit.Rate * min(1, paceShare/float64(len(l.peers)+1))
+}
+
 // Return gives back what a request took that did not run.
 func (l *Limiter) Return(team string, units float64) {
 	l.mu.Lock()
@@ -201,5 +238,7 @@
 		}
 	}
 	b.level = min(b.level+accrued, l.depth(b.limit))
+	pace := l.paceRate(b.limit)
+	b.pace = min(b.pace+pace*passed.Seconds(), pace*paceDepth.Seconds())
 	b.at = now
 }
--- /dev/null
+++ b/internal/teamrate/limiter_test.go
@@ -0,0 +1,213 @@
+package teamrate
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	testRate   = 100_000.0
+	testSlack  = 110_000.0
+	testExcess = 0.1
+	testWindow = 8 * time.Second
+	testTick   = 10 * time.Millisecond
+	testReport = 250 * time.Millisecond
+	testLag    = 20 * time.Millisecond
+	testJitter = 250 * time.Millisecond
+)
+
+// vms plays several limiters that report to each other.
+type vms struct {
+	now      time.Time
+	start    time.Time
+	limiters []*Limiter
+	born     []int64
+	cut      map[int]bool
+	// admitted holds the units admitted in each tick by all VMs.
+	admitted []float64
+	// refused and asked count units.
+	refused, asked float64
+	inflight       []report
+	newest         map[[2]int]time.Time
+}
+
+type report struct {
+	due, at  time.Time
+	from, to int
+	born     int64
+	admitted map[string]float64
+}
+
+func newVMs(n int) *vms {
+	now := time.Now()
+	w := &vms{now: now, start: now, cut: make(map[int]bool), newest: make(map[[2]int]time.Time)}
+	w.limiters = make([]*Limiter, n)
+	w.born = make([]int64, n)
+	for i := range n {
+		w.restart(i)
+	}
+	return w
+}
+
+func (w *vms) restart(i int) {
+	w.born[i] = w.now.UnixNano() + int64(i)
+	w.limiters[i] = New(testSlack, w.born[i])
+	w.limiters[i].SetLimits(map[string]Limit{"team": {Rate: testRate, Burst: testRate}}, w.now)
+	var others []string
+	for j := range w.limiters {
+		if j != i {
+			others = append(others, fmt.Sprint(j))
+		}
+	}
+	w.limiters[i].SetPeers(others, w.now)
+}
+
+// step plays one tick, in which VM i is asked for demand[i] units a second in
+// requests of the given size.
+func (w *vms) step(r *rand.Rand, demand []float64, size float64) {
+	total := 0.0
+	for i, d := range demand {
+		expected := d * testTick.Seconds() / size
+		for expected > 0 && r.Float64() < expected {
+			expected--
+			units := min(size*math.Exp(r.NormFloat64()*0.8-0.32), 5*size)
+			w.asked += units
+			if ok, _ := w.limiters[i].Take("team", units, w.now); ok {
+				total += units
+			} else {
+				w.refused += units
+			}
+		}
+	}
+	w.admitted = append(w.admitted, total)
+	w.exchange(r)
+	w.now = w.now.Add(testTick)
+}
+
+func (w *vms) exchange(r *rand.Rand) {
+	if w.now.Sub(w.start)%testReport == 0 {
+		for i, l := range w.limiters {
+			for j := range w.limiters {
+				if i != j && !w.cut[i] && !w.cut[j] {
+					w.inflight = append(w.inflight, report{w.now.Add(testLag + time.Duration(r.Int64N(int64(testJitter)))), w.now, i, j, w.born[i], l.Admitted()})
+				}
+			}
+		}
+	}
+	var later []report
+	for _, m := range w.inflight {
+		if m.due.After(w.now) {
+			later = append(later, m)
+			continue
+		}
+		if m.born == w.born[m.from] && m.at.After(w.newest[[2]int{m.from, m.to}]) {
+			w.newest[[2]int{m.from, m.to}] = m.at
+			w.limiters[m.to].Report(fmt.Sprint(m.from), m.born, m.admitted, w.now)
+		}
+	}
+	w.inflight = later
+}
+
+// worst is the most that was admitted in any window.
+func (w *vms) worst() float64 {
+	ticks := int(testWindow / testTick)
+	worst, sum := 0.0, 0.0
+	for i, u := range w.admitted {
+		sum += u
+		if i >= ticks {
+			sum -= w.admitted[i-ticks]
+		}
+		worst = max(worst, sum)
+	}
+	return worst
+}
+
+func allowed() float64 {
+	return (testRate*testWindow.Seconds()+testRate)*(1+testExcess) + testSlack
+}
+
+func even(n int, total float64) []float64 {
+	out := make([]float64, n)
+	for i := range out {
+		out[i] = total / float64(n)
+	}
+	return out
+}
+
+// One team's program goes wild and sends several times the team's rate through all
+// VMs at once. Each VM sees the same full bucket and learns a quarter of a second
+// later what the others took from it. Other teams' callers would wait behind the
+// excess.
+func TestHotTeamStaysWithinItsRate(t *testing.T) {
+	for seed := range uint64(40) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		w := newVMs(7)
+		for range 400 {
+			w.step(r, even(7, testRate/1.8), 9000)
+		}
+		for range 1600 {
+			w.step(r, even(7, 7.5*testRate/1.8), 9000)
+		}
+		require.Less(t, w.worst(), allowed(), "seed %d", seed)
+	}
+}
+
+// A VM loses its links to the others while a team sends too much through all of
+// them. Neither side hears what the other admits, and callers reach both.
+func TestPartitionMakesNoMoreOfARate(t *testing.T) {
+	for seed := range uint64(40) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		w := newVMs(7)
+		for range 400 {
+			w.step(r, even(7, 6*testRate/1.8), 9000)
+		}
+		w.cut[3] = true
+		for range 600 {
+			w.step(r, even(7, 6*testRate/1.8), 9000)
+		}
+		w.cut[3] = false
+		for range 600 {
+			w.step(r, even(7, 6*testRate/1.8), 9000)
+		}
+		require.Less(t, w.worst(), allowed(), "seed %d", seed)
+	}
+}
+
+// VMs are restarted one after the other while a team sends too much. A VM that has
+// just started knows nothing of what was admitted, and what it admits before its
+// first report must count for the others too.
+func TestRestartsMakeNoMoreOfARate(t *testing.T) {
+	for seed := range uint64(40) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		w := newVMs(7)
+		for i := range 1600 {
+			if i > 300 && i%90 == 0 {
+				w.restart(i / 90 % 7)
+			}
+			w.step(r, even(7, 6*testRate/1.8), 9000)
+		}
+		require.Less(t, w.worst(), allowed(), "seed %d", seed)
+	}
+}
+
+// A team's callers come through few VMs, as when a handful of programs keep their
+// connections. Equal parts of the rate would refuse half of what the team asks for,
+// although it stays far below its rate.
+func TestUnevenCallersAreNotRefusedInsideTheRate(t *testing.T) {
+	r := rand.New(rand.NewPCG(4, 4))
+	w := newVMs(7)
+	demand := []float64{0.6 * testRate / 1.8, 0.3 * testRate / 1.8, 0.1 * testRate / 1.8, 0, 0, 0, 0}
+	for range 300 {
+		w.step(r, even(7, testRate/1.8), 9000)
+	}
+	w.asked, w.refused = 0, 0
+	for range 2000 {
+		w.step(r, demand, 9000)
+	}
+	require.Less(t, w.refused/w.asked, 0.01)
+}
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -69,7 +69,7 @@
 	p.store = platform.NewStore(s.Store.Address)
 	p.replicas = platform.NewReplicas()
 	p.assigner = assign.New()
-	p.limiter = teamrate.New(s.Bounds.RateSlack)
+	p.limiter = teamrate.New(s.Bounds.RateSlack, time.Now().UnixNano())
 	p.tracker = newTracker(p.store, log, p.follow)
 	p.candidate = leadership.New(leadership.Options{
 		Store: p.store, VM: s.VM, Prefix: ownPrefix, LeaseMin: s.Store.LeaseMin,
