--- a/internal/residency/models.go
+++ b/internal/residency/models.go
@@ -64,6 +64,11 @@
 		if !e.Usable {
 			continue
 		}
+		if e.Coming != "" {
+			// A load takes seconds; until then the copy counts as there, or each plan
+			// would order one more.
+			e.Models[e.Coming] = true
+		}
 		for m := range e.Models {
 			s.copies[m]++
 		}
--- a/internal/residency/state.go
+++ b/internal/residency/state.go
@@ -9,6 +9,8 @@
 	Models map[string]bool
 	// Adapters is what it holds, "model/adapter", with the time of the last use.
 	Adapters map[string]time.Time
+	// Coming is a model that is being loaded, "" if none.
+	Coming string
 	// Busy engines take no orders about models.
 	Busy bool
 	// Usable engines are neither draining nor silent.
--- a/internal/vm/plan.go
+++ b/internal/vm/plan.go
@@ -159,7 +159,7 @@
 		return
 	}
 	l.mu.Lock()
-	b.busy, b.fromStore = true, move.FromStore
+	b.busy, b.fromStore, b.coming = true, move.FromStore, move.Load
 	if move.FromStore {
 		l.loads.tokens--
 	}
@@ -170,7 +170,7 @@
 	go func() {
 		err := l.move(ctx, b, move, spec)
 		l.mu.Lock()
-		b.busy, b.fromStore = false, false
+		b.busy, b.fromStore, b.coming = false, false, ""
 		l.mu.Unlock()
 		if err != nil {
 			l.p.log.Warn().Str("event", "model_move_failed").Str("instance", move.Engine).Str("load", move.Load).AnErr("cause", err).Send()
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -79,6 +79,8 @@
 	// busy means that a model is being moved, fromStore that its weights come from
 	// the weight store.
 	busy, fromStore bool
+	// coming is the model that is being loaded.
+	coming string
 }
 
 type pendingAdapter struct {
@@ -436,7 +438,7 @@
 		}
 		load, usable := loads[id]
 		e := residency.Engine{
-			ID: id, Models: maps.Clone(b.models), Adapters: make(map[string]time.Time, len(b.adapters)), Busy: b.busy,
+			ID: id, Models: maps.Clone(b.models), Adapters: make(map[string]time.Time, len(b.adapters)), Busy: b.busy, Coming: b.coming,
 			Usable: usable && !b.instance.Draining, Load: load.PrefillTokens, Quick: b.quick,
 		}
 		for item := range b.adapters {
