residency: the last usable copy stays; copies only for demand that is certain

Change: a victim needs another copy that is ready; further copies are made for the demand less one standard deviation; VMs report requests beside tokens.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -54,8 +55,8 @@
 	nodes    map[string]*node
 	catalog  *catalog.Catalog
 	perToken map[string]time.Duration
-	// demand counts tokens asked for by item since the start.
-	demand map[string]int64
+	// demand counts what was asked for by item since the start.
+	demand map[string]Demand
 	// freed is closed when work ends or starts, and replaced.
 	freed chan struct{}
 }
@@ -63,7 +64,7 @@
 // New returns an Assigner that knows no upstreams.
 func New() *Assigner {
 	return &Assigner{
-		nodes: make(map[string]*node), perToken: make(map[string]time.Duration), demand: make(map[string]int64),
+		nodes: make(map[string]*node), perToken: make(map[string]time.Duration), demand: make(map[string]Demand),
 		freed: make(chan struct{}),
 	}
 }
@@ -180,15 +181,16 @@
 	return out
 }
 
-// Demand returns the tokens asked for by item since the start.
-func (s *Assigner) Demand() map[string]int64 {
+// Demand is what was asked for of one item.
+type Demand struct {
+	Tokens, Requests int64
+}
+
+// Demand returns what was asked for by item since the start.
+func (s *Assigner) Demand() map[string]Demand {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]int64, len(s.demand))
-	for k, v := range s.demand {
-		out[k] = v
-	}
-	return out
+	return maps.Clone(s.demand)
 }
 
 // Offered counts a request towards the demand for its item.
@@ -198,12 +200,19 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.demand[model] += int64(max(1, tokens))
+	s.count(model, tokens)
 	if adapter != "" {
-		s.demand[itemName(model, adapter)] += int64(max(1, tokens))
+		s.count(itemName(model, adapter), tokens)
 	}
 }
 
+func (s *Assigner) count(item string, tokens int) {
+	d := s.demand[item]
+	d.Tokens += int64(tokens)
+	d.Requests++
+	s.demand[item] = d
+}
+
 // Choose finds a place for a request. The error is a *Refused.
 func (s *Assigner) Choose(a Ask, now time.Time) (*Choice, error) {
 	s.mu.Lock()
--- a/internal/residency/models.go
+++ b/internal/residency/models.go
@@ -38,8 +38,8 @@
 type Fleet struct {
 	Engines []Engine
 	Spec    *catalog.EngineSpec
-	// Demand is in tokens a second by model.
-	Demand map[string]float64
+	// Demand is in tokens a second by model, Certain what it is at least.
+	Demand, Certain map[string]float64
 	// Settled says until when a model on an engine stays, by engine and model, so
 	// that no copy is dropped right after it came.
 	Settled map[string]time.Time
@@ -51,20 +51,25 @@
 // planState is a fleet with the sums that a plan needs, changed by each move.
 type planState struct {
 	Fleet
-	copies map[string]int
-	load   map[string]float64
-	moves  []ModelMove
+	// copies counts the engines that hold a model or load it, ready those that can be
+	// used.
+	copies, ready map[string]int
+	load          map[string]float64
+	moves         []ModelMove
 }
 
 // PlanModels returns moves for engines that have none under way, at most one for
 // each: first models that no engine holds, then further copies of models whose
 // engines have much more to do than others, then copies in memory that is free.
 func PlanModels(f Fleet) []ModelMove {
-	s := &planState{Fleet: f, copies: make(map[string]int)}
+	s := &planState{Fleet: f, copies: make(map[string]int), ready: make(map[string]int)}
 	for _, e := range f.Engines {
 		if !e.Usable {
 			continue
 		}
+		for m := range e.Models {
+			s.ready[m]++
+		}
 		if e.Coming != "" {
 			// A load takes seconds; until then the copy counts as there, or each plan
 			// would order one more.
@@ -113,6 +118,11 @@
 // share is the demand that one copy of a model carries.
 func (s *planState) share(m string) float64 { return s.Demand[m] / float64(max(1, s.copies[m])) }
 
+// certainShare is the demand that one copy carries at least.
+func (s *planState) certainShare(m string) float64 {
+	return s.Certain[m] / float64(max(1, s.copies[m]))
+}
+
 // restoreMissing brings every model that no engine holds to one. Each that is asked
 // for and cannot be reached is a caller refused.
 func (s *planState) restoreMissing() {
@@ -134,7 +144,7 @@
 		if m == "" {
 			return
 		}
-		gain := s.share(m)
+		gain := s.certainShare(m)
 		busiest := s.busiestHolder(m)
 		added := s.Demand[m] / float64(s.copies[m]+1)
 		ok := s.bring(m, "busy", func(e Engine) float64 {
@@ -149,10 +159,10 @@
 func (s *planState) busiestModel(done map[string]bool) string {
 	best := ""
 	for m := range s.Spec.Models {
-		if done[m] || s.share(m) <= leastShare {
+		if done[m] || s.certainShare(m) <= leastShare {
 			continue
 		}
-		if best == "" || s.share(m) > s.share(best) || (s.share(m) == s.share(best) && m < best) {
+		if best == "" || s.certainShare(m) > s.certainShare(best) || (s.certainShare(m) == s.certainShare(best) && m < best) {
 			best = m
 		}
 	}
@@ -260,15 +270,16 @@
 func (s *planState) free(e Engine) bool { return e.Usable && !e.Busy }
 
 // victim returns the model on the engine that is worth least, "" if there is room
-// without one. ok is false if no single model makes enough room. The last copy of a
-// model never makes way.
+// without one. ok is false if no single model makes enough room. The last copy that
+// can be used never makes way: another one that is still being loaded is of no use to
+// callers for seconds.
 func (s *planState) victim(e Engine, m string, limit float64) (string, bool) {
 	if s.fitsModel(e, m, "") {
 		return "", true
 	}
 	best := ""
 	for v := range e.Models {
-		if s.copies[v] < 2 || s.share(v) > limit || !s.fitsModel(e, m, v) {
+		if s.ready[v] < 2 || s.copies[v] < 2 || s.share(v) > limit || !s.fitsModel(e, m, v) {
 			continue
 		}
 		if s.Now.Before(s.Settled[SettledKey(e.ID, v)]) {
@@ -322,6 +333,7 @@
 	if move.Evict != "" {
 		delete(e.Models, move.Evict)
 		s.copies[move.Evict]--
+		s.ready[move.Evict]--
 	}
 	e.Models[move.Load] = true
 	e.Busy = true
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -251,7 +251,7 @@
 	out := &peerpb.VMReport{
 		Vm: f.p.settings.VM, Incarnation: f.incarnation, Sequence: f.sequence.Add(1),
 		CallerAddress: f.p.settings.Callers, PeerAddress: f.p.peerAddress(), Ready: f.p.ready(),
-		ConfigurationRevision: revision, Admitted: f.p.limiter.Admitted(), Demand: f.p.assigner.Demand(),
+		ConfigurationRevision: revision, Admitted: f.p.limiter.Admitted(), Demand: demandReport(f.p.assigner.Demand()),
 		Leaving: f.p.gone.names(),
 	}
 	for id, l := range f.p.assigner.Loads() {
@@ -263,6 +263,22 @@
 	return out
 }
 
+func demandReport(demand map[string]assign.Demand) map[string]*peerpb.Demand {
+	out := make(map[string]*peerpb.Demand, len(demand))
+	for item, d := range demand {
+		out[item] = &peerpb.Demand{Tokens: d.Tokens, Requests: d.Requests}
+	}
+	return out
+}
+
+func demandOf(report map[string]*peerpb.Demand) map[string]assign.Demand {
+	out := make(map[string]assign.Demand, len(report))
+	for item, d := range report {
+		out[item] = assign.Demand{Tokens: d.GetTokens(), Requests: d.GetRequests()}
+	}
+	return out
+}
+
 // take takes in what another VM tells of itself.
 func (f *fleet) take(ctx context.Context, r *peerpb.VMReport) {
 	now := time.Now()
@@ -281,7 +297,7 @@
 	}
 	f.p.assigner.SetOthers(r.Vm, loads, now)
 	f.p.limiter.Report(r.Vm, r.Incarnation, r.Admitted, now)
-	f.p.planner.heardDemand(r.Vm, r.Incarnation, r.Demand, now)
+	f.p.planner.heardDemand(r.Vm, r.Incarnation, demandOf(r.Demand), now)
 	f.p.planner.heardContents(r)
 	f.p.peerDepartures(r.Leaving)
 	if revision, _ := f.p.configuration(); r.ConfigurationRevision > revision {
--- a/internal/vm/plan.go
+++ b/internal/vm/plan.go
@@ -3,21 +3,50 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutarch/chestnutarch/internal/assign"
 	"github.com/chestnutarch/chestnutarch/internal/catalog"
 	"github.com/chestnutarch/chestnutarch/internal/residency"
 	"github.com/chestnutarch/chestnutarch/platform"
 )
 
-// itemRate is the demand for an item.
+// itemRate is the demand for an item, averaged over rateMemory.
 type itemRate struct {
-	perSecond float64
-	at        time.Time
+	// tokens is in tokens a second, requests the number that the average rests on.
+	tokens, requests float64
+	at               time.Time
+}
+
+// rateMemory is the time over which demand is averaged.
+const rateMemory = 1500 * time.Millisecond
+
+func (r *itemRate) add(d assign.Demand, now time.Time) {
+	r.decay(now)
+	r.tokens += float64(d.Tokens) / rateMemory.Seconds()
+	r.requests += float64(d.Requests)
+}
+
+func (r *itemRate) decay(now time.Time) {
+	left := math.Exp(-now.Sub(r.at).Seconds() / rateMemory.Seconds())
+	r.tokens *= left
+	r.requests *= left
+	r.at = now
+}
+
+// certain is the demand that there is at least, one standard deviation below the
+// average. Prompts are large and few: a single one would else look like a model that
+// has become busy, and bring it to one more engine.
+func (r *itemRate) certain() float64 {
+	if r.requests <= 1 {
+		return 0
+	}
+	return r.tokens * (1 - 1/math.Sqrt(r.requests))
 }
 
 // loadBudget is what the weight store allows: a bucket of loads.
@@ -37,44 +66,36 @@
 	b.at = now
 }
 
-// heardDemand takes the tokens that a VM was asked for by item since its start.
-func (l *planner) heardDemand(vm string, incarnation int64, tokens map[string]int64, now time.Time) {
-	if len(tokens) == 0 {
+// heardDemand takes what a VM was asked for by item since its start.
+func (l *planner) heardDemand(vm string, incarnation int64, demand map[string]assign.Demand, now time.Time) {
+	if len(demand) == 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := l.demand[vm]
-	if d == nil || d.incarnation != incarnation {
-		d = &reportedDemand{incarnation: incarnation, tokens: make(map[string]int64)}
-		l.demand[vm] = d
+	known := l.demand[vm]
+	if known == nil || known.incarnation != incarnation {
+		known = &reportedDemand{incarnation: incarnation, items: make(map[string]assign.Demand)}
+		l.demand[vm] = known
 	}
-	for item, total := range tokens {
-		if total > d.tokens[item] {
+	for item, total := range demand {
+		before := known.items[item]
+		if total.Requests > before.Requests {
 			l.used[item] = now
-			l.count(item, total-d.tokens[item], now)
+			l.rate(item, now).add(assign.Demand{Tokens: total.Tokens - before.Tokens, Requests: total.Requests - before.Requests}, now)
 		}
-		d.tokens[item] = total
+		known.items[item] = total
 	}
 }
 
-// rateMemory is the time over which demand is averaged.
-const rateMemory = 1200 * time.Millisecond
-
-func (l *planner) count(item string, tokens int64, now time.Time) {
+// rate must be called with the lock held.
+func (l *planner) rate(item string, now time.Time) *itemRate {
 	r := l.rates[item]
 	if r == nil {
 		r = &itemRate{at: now}
 		l.rates[item] = r
 	}
-	r.decay(now)
-	r.perSecond += float64(tokens) / rateMemory.Seconds()
-}
-
-func (r *itemRate) decay(now time.Time) {
-	passed := now.Sub(r.at).Seconds() / rateMemory.Seconds()
-	r.perSecond /= 1 + passed
-	r.at = now
+	return r
 }
 
 const (
@@ -119,13 +140,13 @@
 	defer l.mu.Unlock()
 	l.loads.refill(spec.LoadsPerSecond*loadCaution, now)
 	f := residency.Fleet{
-		Engines: engines, Spec: spec, Demand: make(map[string]float64), Settled: l.settledUntil,
+		Engines: engines, Spec: spec, Demand: make(map[string]float64), Certain: make(map[string]float64), Settled: l.settledUntil,
 		StoreLoads: l.storeLoads(spec), Now: now,
 	}
 	for m := range spec.Models {
 		if r := l.rates[m]; r != nil {
 			r.decay(now)
-			f.Demand[m] = r.perSecond
+			f.Demand[m], f.Certain[m] = r.tokens, r.certain()
 		}
 	}
 	return residency.PlanModels(f)
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
+	"github.com/chestnutarch/chestnutarch/internal/assign"
 	"github.com/chestnutarch/chestnutarch/internal/catalog"
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/residency"
@@ -91,7 +92,7 @@
 
 type reportedDemand struct {
 	incarnation int64
-	tokens      map[string]int64
+	items       map[string]assign.Demand
 }
 
 func newPlanner(p *Process) *planner {
