--- a/cmd/chestnut-vm/main.go
+++ b/cmd/chestnut-vm/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -50,10 +51,32 @@
 func run(ctx context.Context, s *platform.Settings, logs telemetry.LogSettings) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	log := telemetry.NewLogger(os.Stdout, logs).With().Str("vm", s.VM).Logger()
+	lines := telemetry.NewBounded(os.Stdout)
+	writing, stopWriting := context.WithCancel(context.WithoutCancel(ctx))
+	var writer sync.WaitGroup
+	writer.Go(func() { lines.Run(writing) })
+	defer writer.Wait()
+	defer stopWriting()
+	log := telemetry.NewLogger(lines, logs).With().Str("vm", s.VM).Logger()
 	p, err := vm.New(s, log)
 	if err != nil {
 		return err
 	}
+	go reload(ctx, p)
 	return p.Run(ctx)
 }
+
+// reload reads the settings again at SIGHUP.
+func reload(ctx context.Context, p *vm.Process) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			p.Reload(platform.ReadSettings)
+		}
+	}
+}
--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +45,8 @@
 	// loadWait is what a caller is told whose model or adapter is on no engine: the
 	// time of a load from an engine's own disk.
 	loadWait = time.Second
+	// adapterWait is the same for an adapter that could not be brought at once.
+	adapterWait = 250 * time.Millisecond
 	// minRetry and maxRetry bound what callers are told to wait.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 4 * time.Second
@@ -57,6 +60,8 @@
 	perToken map[string]time.Duration
 	// demand counts what was asked for by item since the start.
 	demand map[string]Demand
+	// inUse counts the requests in flight by adapter.
+	inUse map[string]int
 	// freed is closed when work ends or starts, and replaced.
 	freed chan struct{}
 }
@@ -64,7 +69,7 @@
 // New returns an Assigner that knows no upstreams.
 func New() *Assigner {
 	return &Assigner{
-		nodes: make(map[string]*node), perToken: make(map[string]time.Duration), demand: make(map[string]Demand),
+		nodes: make(map[string]*node), perToken: make(map[string]time.Duration), demand: make(map[string]Demand), inUse: make(map[string]int),
 		freed: make(chan struct{}),
 	}
 }
@@ -282,7 +287,7 @@
 func (s *Assigner) chooseEngine(a Ask, now time.Time) (*Choice, error) {
 	candidates, err := s.candidates(a, now)
 	if err != nil {
-		return nil, &Refused{Cause: err, RetryAfter: retryIn(now, a, loadWait)}
+		return nil, &Refused{Cause: err, RetryAfter: retryIn(now, a, waitFor(err))}
 	}
 	perToken := s.pace(a.Model)
 	home := homeOf(candidates, a)
@@ -429,6 +434,9 @@
 	n.own.prefill += uncached
 	n.own.kv += c.kv
 	n.waiting[c] = struct{}{}
+	if a.Adapter != "" {
+		s.inUse[itemName(a.Model, a.Adapter)]++
+	}
 	return c
 }
 
@@ -439,6 +447,14 @@
 	return defaultPerToken
 }
 
+// waitFor is the usual time until an item is there that is not.
+func waitFor(err error) time.Duration {
+	if err == ErrAdapterNotLoaded {
+		return adapterWait
+	}
+	return loadWait
+}
+
 // retryIn is what a caller is told to wait: the time that is short, within bounds,
 // and never so long that nothing of its own time is left to be served in.
 func retryIn(now time.Time, a Ask, short time.Duration) time.Duration {
@@ -517,6 +533,7 @@
 	}
 	n.own.requests--
 	n.own.kv -= c.kv
+	s.release(c.ask)
 	s.signal()
 	switch o {
 	case Succeeded:
@@ -526,6 +543,24 @@
 	}
 }
 
+// release counts an adapter's request as ended.
+func (s *Assigner) release(a Ask) {
+	if a.Adapter == "" {
+		return
+	}
+	item := itemName(a.Model, a.Adapter)
+	if s.inUse[item]--; s.inUse[item] <= 0 {
+		delete(s.inUse, item)
+	}
+}
+
+// InUse names the adapters that requests in flight use, "model/adapter".
+func (s *Assigner) InUse() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.inUse))
+}
+
 // Parts hashes the leading parts of a prompt of one item.
 func Parts(model, adapter string, ids []string, tokens []int) []Part {
 	h := xxhash.New()
--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -7,10 +7,10 @@
 	"github.com/chestnutarch/chestnutarch/internal/catalog"
 )
 
-// idleBeforeEviction is how long an adapter has to be unused before it makes way
-// for another one: longer than most requests run, so that few evictions wait for
-// requests that use the adapter.
-const idleBeforeEviction = 1500 * time.Millisecond
+// idleBeforeEviction is how long no request may have used an adapter before it makes
+// way for another one: the age of the VMs' reports and a little more, since the unload
+// of an adapter in use waits for its requests.
+const idleBeforeEviction = 600 * time.Millisecond
 
 // AdapterMove says where an adapter goes and which one makes way, "" if none.
 type AdapterMove struct {
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -45,6 +45,13 @@
 	return &Budget{limits: l, start: now, counts: make(map[string]*window)}
 }
 
+// SetLimits takes new limits.
+func (b *Budget) SetLimits(l Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = l
+}
+
 // Request counts a request for a service.
 func (b *Budget) Request(service string, now time.Time) {
 	b.mu.Lock()
--- a/internal/teamrate/limiter.go
+++ b/internal/teamrate/limiter.go
@@ -89,6 +89,13 @@
 	return &Limiter{tolerance: t, incarnation: incarnation, teams: make(map[string]*bucket), peers: make(map[string]*peer)}
 }
 
+// SetTolerance takes a new tolerance.
+func (l *Limiter) SetTolerance(t Tolerance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tolerance = t
+}
+
 // SetLimits takes the limits in force. A team that is not named has none.
 func (l *Limiter) SetLimits(limits map[string]Limit, now time.Time) {
 	l.mu.Lock()
@@ -225,16 +232,14 @@
 	b.level = min(b.level+units, l.depth(b.limit))
 }
 
-// Levels returns what is left of each team's bucket, for status pages.
-func (l *Limiter) Levels(now time.Time) map[string]float64 {
+// Level returns what is left of a team's bucket, in units.
+func (l *Limiter) Level(team string) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refillAll(now)
-	out := make(map[string]float64, len(l.teams))
-	for team, b := range l.teams {
-		out[team] = b.level
+	if b := l.teams[team]; b != nil {
+		return b.level
 	}
-	return out
+	return 0
 }
 
 func (l *Limiter) refillAll(now time.Time) {
--- /dev/null
+++ b/internal/telemetry/bounded_test.go
@@ -0,0 +1,68 @@
+package telemetry
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// The program that collects a process's log stops reading, and the pipe between them
+// is full. Requests go on, and after a while no line can wait any more; each one that
+// is dropped is counted.
+func TestFullPipeCostsTheRequestPathNothing(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	b := NewBounded(writer)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { b.Run(ctx) })
+	log := zerolog.New(b)
+	filler := strings.Repeat("x", 2000)
+	for range 4 * routineLines {
+		log.Info().Str("filler", filler).Send()
+		log.Warn().Str("filler", filler).Send()
+	}
+	routine, reserved := b.Dropped()
+	require.Positive(t, routine)
+	require.Positive(t, reserved)
+	cancel()
+	require.NoError(t, reader.Close())
+	wg.Wait()
+}
+
+// A second with ten times the usual requests writes more lines of successes than the
+// log keeps up with. The one failure among them has to be in the log all the same.
+func TestSuccessesDoNotPushOutAFailure(t *testing.T) {
+	var out bytes.Buffer
+	b := NewBounded(&out)
+	log := zerolog.New(b)
+	for range 10 * routinePerSecond {
+		log.Info().Str("outcome", "answered").Send()
+	}
+	log.Warn().Str("outcome", "cut").Send()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	b.Run(ctx)
+	require.Contains(t, out.String(), "cut")
+	require.LessOrEqual(t, strings.Count(out.String(), "answered"), routinePerSecond)
+	routine, reserved := b.Dropped()
+	require.Equal(t, int64(9*routinePerSecond), routine)
+	require.Zero(t, reserved)
+}
+
+func BenchmarkBoundedLine(b *testing.B) {
+	w := NewBounded(new(bytes.Buffer))
+	log := zerolog.New(w)
+	b.ReportAllocs()
+	for b.Loop() {
+		w.credit.Store(routinePerSecond)
+		log.Info().Str("event", "request_ended").Str("request", "9c41d07be2a35f68").Dur("took_ms", time.Second).Send()
+	}
+}
--- /dev/null
+++ b/internal/telemetry/exposition.go
@@ -0,0 +1,66 @@
+package telemetry
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	metrics "github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
+)
+
+// quantiles are the percentiles that a histogram is exposed with.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// TextHandler serves every metric of r in the Prometheus text format. A name such as
+// "requests.answered" becomes "chestnut_requests_answered".
+func TextHandler(r metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		format := expfmt.NewFormat(expfmt.TypeTextPlain)
+		w.Header().Set("Content-Type", string(format))
+		encoder := expfmt.NewEncoder(w, format)
+		var failed error
+		r.Each(func(name string, metric any) {
+			family := familyOf(name, metric)
+			if family == nil || failed != nil {
+				return
+			}
+			failed = errors.WithStack(encoder.Encode(family))
+		})
+	})
+}
+
+func familyOf(name string, metric any) *dto.MetricFamily {
+	out := &dto.MetricFamily{Name: proto.String("chestnut_" + strings.NewReplacer(".", "_", "-", "_").Replace(name))}
+	switch m := metric.(type) {
+	case metrics.Counter:
+		out.Type = dto.MetricType_COUNTER.Enum()
+		out.Metric = []*dto.Metric{{Counter: &dto.Counter{Value: proto.Float64(float64(m.Snapshot().Count()))}}}
+	case metrics.Gauge:
+		out.Type = dto.MetricType_GAUGE.Enum()
+		out.Metric = []*dto.Metric{{Gauge: &dto.Gauge{Value: proto.Float64(float64(m.Value()))}}}
+	case metrics.GaugeFloat64:
+		out.Type = dto.MetricType_GAUGE.Enum()
+		out.Metric = []*dto.Metric{{Gauge: &dto.Gauge{Value: proto.Float64(m.Value())}}}
+	case metrics.Timer:
+		out.Type = dto.MetricType_SUMMARY.Enum()
+		out.Metric = []*dto.Metric{{Summary: summaryOf(m.Snapshot())}}
+	default:
+		return nil
+	}
+	return out
+}
+
+// summaryOf gives a timer in seconds.
+func summaryOf(t metrics.Timer) *dto.Summary {
+	const nanoseconds = 1e9
+	out := &dto.Summary{
+		SampleCount: proto.Uint64(uint64(t.Count())), SampleSum: proto.Float64(float64(t.Sum()) / nanoseconds),
+	}
+	for i, v := range t.Percentiles(quantiles) {
+		out.Quantile = append(out.Quantile, &dto.Quantile{Quantile: proto.Float64(quantiles[i]), Value: proto.Float64(v / nanoseconds)})
+	}
+	return out
+}
--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -28,12 +28,16 @@
 		if err == nil {
 			return choice, nil
 		}
-		if errors.Is(err, assign.ErrAdapterNotLoaded) && ensured < maxEnsures {
+		if errors.Is(err, assign.ErrAdapterNotLoaded) {
 			ensured++
-			if j.ensure(ctx, ask) {
+			if ensured <= maxEnsures && j.ensure(ctx, ask) {
 				continue
 			}
-			return nil, err
+			if !time.Now().Before(hold) {
+				return nil, err
+			}
+			await(ctx, freed)
+			continue
 		}
 		var refused *assign.Refused
 		if !errors.As(err, &refused) || !refused.Wait || !time.Now().Before(hold) {
@@ -45,7 +49,7 @@
 
 // maxEnsures bounds how often one request asks the leader for an adapter: engines
 // may drop one again before the request reaches it.
-const maxEnsures = 3
+const maxEnsures = 5
 
 func (j *job) ask() assign.Ask {
 	if j.parts == nil && len(j.request.Parts) > 0 {
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -38,8 +38,10 @@
 	VMs func() int
 	// EnsureAdapter brings an adapter to an engine and returns the engine's ID.
 	EnsureAdapter func(ctx context.Context, service, model, adapter string) (string, error)
-	Log           zerolog.Logger
-	Metrics       metrics.Registry
+	// UpstreamsAge returns the age of what is known of the upstreams.
+	UpstreamsAge func() time.Duration
+	Log          zerolog.Logger
+	Metrics      metrics.Registry
 }
 
 // Core serves requests. It is safe for concurrent use.
@@ -89,7 +91,7 @@
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	err := j.run(ctx)
-	c.logEnd(j, err)
+	c.logEnd(j)
 	return err
 }
 
@@ -124,6 +126,7 @@
 	if j.team != "" {
 		ok, retry := c.options.Limiter.Take(j.team, j.units, now)
 		if !ok {
+			j.rateLevel = c.options.Limiter.Level(j.team)
 			return j, &Refusal{
 				Status: http.StatusTooManyRequests, Reason: "rate_limited",
 				Detail: "the team's rate is used up; the request was not run", RetryAfter: retry,
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -58,12 +58,16 @@
 	// kept is a failure of an upstream that is passed on if nothing better comes.
 	kept *wholeReply
 
-	outcome  string
-	upstream string
-	cause    error
-	first    time.Duration
-	expected time.Duration
-	late     bool
+	// What the log tells.
+	outcome    string
+	status     int
+	retryAfter time.Duration
+	upstream   string
+	cause      error
+	first      time.Duration
+	expected   time.Duration
+	// rateLevel is what was left of the team's bucket when the request was refused.
+	rateLevel float64
 }
 
 type wholeReply struct {
@@ -132,7 +136,8 @@
 		return &failure{kind: notSent, err: assign.ErrNoUpstream}
 	}
 	j.sends++
-	j.upstream, j.expected, j.late = choice.Instance, choice.Expected, choice.Late
+	j.upstream, j.expected = choice.Instance, choice.Expected
+	j.core.logSent(j, choice)
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
 	patience := j.patience(cancel)
@@ -249,7 +254,7 @@
 		return &failure{kind: unknown, err: errors.Wrapf(ErrFailedUpstream, "%s: status %d", choice.Instance, reply.Status)}
 	}
 	j.finish(choice, assign.Succeeded)
-	j.outcome = outcomeAnswered
+	j.outcome, j.status = outcomeAnswered, reply.Status
 	j.sink.Whole(reply.Status, reply.Header, body)
 	return nil
 }
@@ -307,11 +312,13 @@
 		return errors.Wrap(ErrCut, "the caller left")
 	}
 	if j.kept != nil {
-		j.outcome = outcomeFailed
+		j.outcome, j.status = outcomeFailed, j.kept.status
 		j.sink.Whole(j.kept.status, j.kept.header, j.kept.body)
 		return nil
 	}
-	j.sink.Refuse(j.refusal(ctx, err))
+	refusal := j.refusal(ctx, err)
+	j.status, j.retryAfter = refusal.Status, refusal.RetryAfter
+	j.sink.Refuse(refusal)
 	return nil
 }
 
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -104,7 +104,7 @@
 		j.sink.Begin(reply.Status, reply.Header)
 	}
 	j.finish(choice, assign.Succeeded)
-	j.outcome = outcomeAnswered
+	j.outcome, j.status = outcomeAnswered, reply.Status
 	return nil
 }
 
--- /dev/null
+++ b/internal/vm/cluster_test.go
@@ -0,0 +1,245 @@
+package vm
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/platform"
+	"github.com/chestnutarch/chestnutarch/platform/standin"
+)
+
+const (
+	testHost = "callers.example"
+	testKey  = "key-of-writers"
+	testWait = 15 * time.Second
+)
+
+// cluster is VMs before stand-ins of the platform.
+type cluster struct {
+	t        *testing.T
+	store    *standin.Store
+	replicas map[string]*standin.Replica
+	servers  map[string]*httptest.Server
+	vms      []*testVM
+	version  int
+	ids      atomic.Int64
+}
+
+// testVM is one process with its own way to the store.
+type testVM struct {
+	*Process
+	// turnedAway makes the store turn this VM away.
+	turnedAway atomic.Bool
+	stop       func()
+}
+
+// newCluster starts the store and the replicas. Services are named by the part of a
+// replica's ID before the dash.
+func newCluster(t *testing.T, replicas ...*standin.Replica) *cluster {
+	c := &cluster{t: t, store: standin.NewStore(), replicas: make(map[string]*standin.Replica), servers: make(map[string]*httptest.Server)}
+	c.configure(nil)
+	for _, r := range replicas {
+		c.add(r)
+	}
+	return c
+}
+
+func (c *cluster) add(r *standin.Replica) {
+	server := httptest.NewServer(r)
+	c.t.Cleanup(server.Close)
+	c.replicas[r.ID], c.servers[r.ID] = r, server
+	c.describe(r.ID, "ready")
+}
+
+func (c *cluster) describe(id, state string) {
+	service, _, _ := strings.Cut(id, "-")
+	c.store.Put("servers/"+id, map[string]any{
+		"service": service, "address": c.servers[id].Listener.Addr().String(), "zone": "a", "slots": 8, "state": state,
+		"sequence": 0, "born": 1, "models": []any{map[string]any{"name": "m0", "version": 1, "adapters": []string{}}},
+	})
+}
+
+// configure writes a configuration, changed by edit.
+func (c *cluster) configure(edit func(map[string]any)) {
+	c.version++
+	route := func(name, kind, service string, attempts int, resume bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": testHost, "path-prefix": "/" + name + "/", "kind": kind, "timeout-ms": 8000,
+			"target-latency-ms": 2000, "priority": 1, "service": service, "attempts": attempts, "can-resume": resume,
+		}
+	}
+	model := func(name string) map[string]any {
+		return map[string]any{"name": name, "weights-mb": 50000.0, "load-time-s": 0.1, "warm-s": 0.05, "disk-s": 0.05, "adapters": 3, "adapter-mb": 10.0}
+	}
+	config := map[string]any{
+		"version": c.version,
+		"routes": []any{
+			route("chat", "streaming", "engine", 1, false), route("draft", "streaming", "engine", 2, true),
+			route("file", "non_idempotent", "clerk", 1, false), route("look", "idempotent", "clerk", 2, false),
+		},
+		"services": []any{
+			map[string]any{"name": "clerk", "max-connections": 100},
+			map[string]any{"name": "engine", "max-connections": 100, "engine": map[string]any{
+				"slots": 8, "kv-capacity-tokens": 100000, "weights-mb": 120000.0, "adapter-slots": 2, "stride": 4,
+				"loads-per-s": 5.0, "models": []any{model("m0"), model("m1")},
+			}},
+		},
+		"tenants": []any{map[string]any{
+			"name": "writers", "keys": []string{testKey}, "unit": "tokens", "plain-tokens": 200, "rate-per-s": 1e6, "burst": 1e6,
+		}},
+		"limits": map[string]any{"header-bytes": 16384, "body-bytes": 1 << 20},
+	}
+	if edit != nil {
+		edit(config)
+	}
+	c.store.Put("op/config", config)
+}
+
+// start adds a VM.
+func (c *cluster) start(name string) *testVM {
+	v := &testVM{}
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if v.turnedAway.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		c.store.ServeHTTP(w, r)
+	}))
+	c.t.Cleanup(store.Close)
+	first := freePorts(c.t, 6)
+	s := &platform.Settings{
+		VM: name, FailureDomain: "a", IP: "127.0.0.1", FirstPort: first[0], LastPort: first[1],
+		Callers: loopback(first[2]), Readiness: loopback(first[3]), Directory: loopback(first[4]), Domains: 1,
+		Bounds: platform.Bounds{
+			OrderLease: 500 * time.Millisecond, Configuration: 2 * time.Second, Grace: 1800 * time.Millisecond, Draining: 2 * time.Second,
+			AddressLifetime: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
+			RateSlack: 100000, RateExcess: 0.1, RateWindow: 8 * time.Second,
+		},
+		Store: platform.StoreSettings{Address: store.Listener.Addr().String(), LeaseMin: time.Second},
+	}
+	p, err := New(s, zerolog.New(zerolog.NewTestWriter(c.t)).Level(zerolog.Disabled))
+	require.NoError(c.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = p.Run(ctx) })
+	v.Process = p
+	v.stop = func() {
+		cancel()
+		wg.Wait()
+	}
+	c.t.Cleanup(v.stop)
+	c.vms = append(c.vms, v)
+	c.eventually(func() bool { return v.ready() })
+	return v
+}
+
+func freePorts(t *testing.T, n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		out[i] = l.Addr().(*net.TCPAddr).Port
+	}
+	return out
+}
+
+func loopback(port int) string { return "127.0.0.1:" + strconv.Itoa(port) }
+
+func (c *cluster) eventually(condition func() bool) {
+	c.t.Helper()
+	require.Eventually(c.t, condition, testWait, 5*time.Millisecond)
+}
+
+// waitLeader waits until a VM may give orders and knows the engines.
+func (c *cluster) waitLeader() *testVM {
+	c.t.Helper()
+	var leader *testVM
+	c.eventually(func() bool {
+		for _, v := range c.vms {
+			if _, ok := v.candidate.Authority(); ok && len(v.planner.engines("engine")) > 0 {
+				leader = v
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+// call is a request of a caller.
+type call struct {
+	method, path, model, body string
+	header                    map[string]string
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// err is what the caller sees if the answer breaks off.
+	err error
+}
+
+func (c *cluster) ask(v *testVM, q call) answer {
+	c.t.Helper()
+	r, err := http.NewRequest(q.method, "http://"+v.settings.Callers+q.path, strings.NewReader(q.body))
+	require.NoError(c.t, err)
+	r.Host = testHost
+	r.Header.Set("X-Chestnutarch-Attempt-Id", fmt.Sprintf("id-%d", c.ids.Add(1)))
+	r.Header.Set("X-Chestnutarch-Deadline-Remaining-Ms", "6000")
+	r.Header.Set("Authorization", "Token "+testKey)
+	if q.model != "" {
+		r.Header.Set("X-Chestnutarch-Model", q.model)
+		r.Header.Set("X-Chestnutarch-Token-Counts", "100,20")
+		r.Header.Set("X-Chestnutarch-Prompt-Prefix", "aa:60,bb:40")
+	}
+	for name, value := range q.header {
+		r.Header.Set(name, value)
+	}
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(bufio.NewReader(response.Body))
+	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+// askAgain asks until the answer is no refusal that says when to come back.
+func (c *cluster) askAgain(v *testVM, q call) answer {
+	c.t.Helper()
+	var got answer
+	c.eventually(func() bool {
+		got = c.ask(v, q)
+		wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		if err != nil {
+			return true
+		}
+		time.Sleep(time.Duration(wait * float64(time.Second)))
+		return false
+	})
+	return got
+}
+
+func words(ids ...int) string {
+	var out strings.Builder
+	for _, i := range ids {
+		fmt.Fprintf(&out, "id: %d\ndata: word%d\n\n", i, i)
+	}
+	return out.String()
+}
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -252,7 +252,7 @@
 		Vm: f.p.settings.VM, Incarnation: f.incarnation, Sequence: f.sequence.Add(1),
 		CallerAddress: f.p.settings.Callers, PeerAddress: f.p.peerAddress(), Ready: f.p.ready(),
 		ConfigurationRevision: revision, Admitted: f.p.limiter.Admitted(), Demand: demandReport(f.p.assigner.Demand()),
-		Leaving: f.p.gone.names(),
+		Leaving: f.p.gone.names(), InUse: f.p.assigner.InUse(),
 	}
 	for id, l := range f.p.assigner.Loads() {
 		out.Engines = append(out.Engines, &peerpb.EngineLoad{
@@ -298,6 +298,7 @@
 	f.p.assigner.SetOthers(r.Vm, loads, now)
 	f.p.limiter.Report(r.Vm, r.Incarnation, r.Admitted, now)
 	f.p.planner.heardDemand(r.Vm, r.Incarnation, demandOf(r.Demand), now)
+	f.p.planner.heardUse(r.InUse, now)
 	f.p.planner.heardContents(r)
 	f.p.peerDepartures(r.Leaving)
 	if revision, _ := f.p.configuration(); r.ConfigurationRevision > revision {
--- /dev/null
+++ b/internal/vm/gauges.go
@@ -0,0 +1,73 @@
+package vm
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/chestnutarch/chestnutarch/internal/store"
+)
+
+// measureEvery is how often gauges are read: the pace at which metrics are fetched is
+// a few seconds.
+const measureEvery = 2 * time.Second
+
+// measure keeps the gauges up to date until ctx ends.
+func (p *Process) measure(ctx context.Context) error {
+	for ctx.Err() == nil {
+		p.gauge("requests.pending", p.ingress.Pending())
+		p.gauge("upstreams.age_ms", p.tracker.age().Milliseconds())
+		p.gauge("upstreams.known", int64(len(*p.instances.Load())))
+		p.gauge("vms.known", int64(p.fleet.size()))
+		p.gauge("upstreams.connections_opened", p.replicas.Pool.Dials())
+		revision, _ := p.configuration()
+		p.gauge("configuration.revision", revision)
+		p.gauge("leadership.leads", boolean(p.candidate.Leads()))
+		p.gaugeLoads()
+		sleep(ctx, measureEvery)
+	}
+	return nil
+}
+
+func (p *Process) gaugeLoads() {
+	requests, prefill, kv := 0, 0, 0
+	for _, l := range p.assigner.Loads() {
+		requests += l.Requests
+		prefill += l.PrefillTokens
+		kv += l.KVTokens
+	}
+	p.gauge("upstreams.requests_in_flight", int64(requests))
+	p.gauge("upstreams.prompt_tokens_waiting", int64(prefill))
+	p.gauge("upstreams.kv_tokens_in_use", int64(kv))
+}
+
+func (p *Process) gauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, p.metrics).Update(value)
+}
+
+func (p *Process) counter(name string) {
+	metrics.GetOrRegisterCounter(name, p.metrics).Inc(1)
+}
+
+func boolean(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// countStoreCall counts the calls of the store by name and outcome.
+func (p *Process) countStoreCall(call string, err error) {
+	outcome := "ok"
+	switch {
+	case errors.Is(err, store.ErrUnknown):
+		outcome = "no_answer"
+	case errors.Is(err, store.ErrRefused):
+		outcome = "turned_away"
+	case err != nil:
+		outcome = "refused"
+	}
+	p.counter("store_calls." + call + "." + outcome)
+}
--- /dev/null
+++ b/internal/vm/path_test.go
@@ -0,0 +1,198 @@
+package vm
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/platform/standin"
+)
+
+func TestStreamsAndCallsThroughTwoVMs(t *testing.T) {
+	c := newCluster(t, standin.NewReplica("engine-1", 2, "m0"), standin.NewReplica("clerk-1", 0))
+	for _, v := range []*testVM{c.start("a"), c.start("b")} {
+		got := c.ask(v, call{method: "POST", path: "/chat/x%2Fy?z=1", model: "m0", body: "hello"})
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, words(1, 2, 3), got.body)
+		require.Equal(t, "sig-engine-1", got.header.Get("X-Chestnutarch-Response-Signature"))
+		got = c.ask(v, call{method: "POST", path: "/file/1", body: "deed"})
+		require.Equal(t, "done by clerk-1", got.body)
+	}
+	run := c.replicas["engine-1"].Runs()[0]
+	require.Equal(t, "writers", run.Tenant)
+	require.Equal(t, "/chat/x%2Fy?z=1", run.Target)
+	require.Equal(t, "hello", run.Body)
+}
+
+// A caller sends headers that only the system may set, to borrow another team's name
+// or memory in an engine. They must not arrive, and neither must the key.
+func TestCallersCannotSetTheSystemsHeaders(t *testing.T) {
+	c := newCluster(t, standin.NewReplica("engine-1", 2, "m0"))
+	v := c.start("a")
+	forged := map[string]string{
+		"X-Chestnutarch-Tenant": "others", "X-Chestnutarch-Hold": "h", "X-Chestnutarch-Pin-Ms": "9",
+		"X-Chestnutarch-Kv-Backup": "1.2.3.4:5", "Kv-From": "x", "Kv-Fetch": "y", "X-Chestnutarch-Expected-Version": "7",
+		"X-Chestnutarch-Expected-Instance": "engine-9", "X-Kept": "yes",
+	}
+	require.Equal(t, http.StatusOK, c.ask(v, call{method: "POST", path: "/chat/", model: "m0", header: forged}).status)
+	run := c.replicas["engine-1"].Runs()[0]
+	require.Equal(t, "writers", run.Tenant)
+	require.Equal(t, "yes", run.Header.Get("X-Kept"))
+	require.Equal(t, "engine-1", run.Header.Get("X-Chestnutarch-Expected-Instance"))
+	for _, name := range []string{"X-Chestnutarch-Hold", "X-Chestnutarch-Pin-Ms", "X-Chestnutarch-Kv-Backup", "Kv-From", "Kv-Fetch", "X-Chestnutarch-Expected-Version", "Authorization"} {
+		require.Empty(t, run.Header.Get(name), name)
+	}
+}
+
+func TestRefusalsOfOurOwn(t *testing.T) {
+	c := newCluster(t, standin.NewReplica("clerk-1", 0))
+	v := c.start("a")
+	require.Equal(t, http.StatusNotFound, c.ask(v, call{method: "GET", path: "/nowhere/"}).status)
+	require.Equal(t, http.StatusUnauthorized, c.ask(v, call{method: "GET", path: "/look/", header: map[string]string{"Authorization": "Token no"}}).status)
+	require.Equal(t, http.StatusBadRequest, c.ask(v, call{method: "GET", path: "/look/", header: map[string]string{"X-Chestnutarch-Token-Counts": "many"}}).status)
+	require.Equal(t, http.StatusRequestEntityTooLarge, c.ask(v, call{method: "POST", path: "/file/", body: strings.Repeat("x", 2<<20)}).status)
+	require.Empty(t, c.replicas["clerk-1"].Runs())
+}
+
+// A clerk replica loses its connection while it files a deed. Nobody can know whether
+// the deed was filed. The caller is told so, and the filing is not sent again: a second
+// one would be a rejected case.
+func TestFilingIsNotRepeatedWhenTheConnectionBreaks(t *testing.T) {
+	one, two := standin.NewReplica("clerk-1", 0), standin.NewReplica("clerk-2", 0)
+	one.Fail, two.Fail = abort, abort
+	c := newCluster(t, one, two)
+	got := c.ask(c.start("a"), call{method: "POST", path: "/file/1", body: "deed"})
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.Empty(t, got.header.Get("Retry-After"))
+	require.Len(t, append(one.Runs(), two.Runs()...), 1)
+}
+
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// The same happens to a lookup, which may be repeated: the caller never notices.
+func TestLookupIsRepeatedWhenTheConnectionBreaks(t *testing.T) {
+	one, two := standin.NewReplica("clerk-1", 0), standin.NewReplica("clerk-2", 0)
+	c := newCluster(t, one, two)
+	v := c.start("a")
+	one.Fail = abort
+	for range 6 {
+		got := c.ask(v, call{method: "GET", path: "/look/1"})
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, "done by clerk-2", got.body)
+	}
+}
+
+// A replica is full and says that it did not run the request. Another one takes it,
+// also if the request must not run twice.
+func TestRefusedFilingGoesToAnotherReplica(t *testing.T) {
+	one, two := standin.NewReplica("clerk-1", 0), standin.NewReplica("clerk-2", 0)
+	c := newCluster(t, one, two)
+	v := c.start("a")
+	one.Fail = func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Chestnutarch-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	for range 4 {
+		require.Equal(t, "done by clerk-2", c.ask(v, call{method: "POST", path: "/file/1"}).body)
+	}
+}
+
+// An engine crashes in the middle of an event. On a route that can resume, the stream
+// goes on at another engine after the last whole event, and the caller sees each event
+// once.
+func TestStreamResumesAfterTheLastWholeEvent(t *testing.T) {
+	one, two := standin.NewReplica("engine-1", 2, "m0"), standin.NewReplica("engine-2", 2, "m0")
+	c := newCluster(t, one, two)
+	v := c.start("a")
+	q := call{method: "POST", path: "/draft/", model: "m0"}
+	require.Equal(t, words(1, 2, 3), c.ask(v, q).body)
+	if len(one.Runs()) == 0 {
+		one, two = two, one
+	}
+	one.CutNext(1)
+	got := c.ask(v, q)
+	require.NoError(t, got.err)
+	require.Equal(t, words(1, 2, 3), got.body)
+	runs := two.Runs()
+	require.Len(t, runs, 1)
+	require.Equal(t, "1", runs[0].LastEvent)
+}
+
+// The same on a route that must not be repeated: the caller has to see that its answer
+// broke off, since an answer that ends early would pass for the whole one.
+func TestCutStreamDoesNotLookComplete(t *testing.T) {
+	one := standin.NewReplica("engine-1", 2, "m0")
+	one.CutNext(2)
+	c := newCluster(t, one, standin.NewReplica("engine-2", 2))
+	got := c.ask(c.start("a"), call{method: "POST", path: "/chat/", model: "m0"})
+	require.Error(t, got.err)
+	require.Equal(t, words(1, 2), got.body)
+	require.Len(t, one.Runs(), 1)
+}
+
+// The store turns one VM away while an operator withdraws a key. The VM learns of it
+// from the others, or the key would work there until the store lets it in again.
+func TestTurnedAwayVMLearnsOfAWithdrawnKey(t *testing.T) {
+	c := newCluster(t, standin.NewReplica("clerk-1", 0))
+	a, b := c.start("a"), c.start("b")
+	c.eventually(func() bool { return a.fleet.size() == 2 && b.fleet.size() == 2 })
+	b.turnedAway.Store(true)
+	c.configure(func(config map[string]any) {
+		config["tenants"].([]any)[0].(map[string]any)["keys"] = []string{"another"}
+	})
+	c.eventually(func() bool { return c.ask(b, call{method: "GET", path: "/look/"}).status == http.StatusUnauthorized })
+}
+
+// A replica says that it leaves. Within two seconds no VM sends it anything, though its
+// entry is still there.
+func TestDrainingReplicaGetsNothing(t *testing.T) {
+	one, two := standin.NewReplica("clerk-1", 0), standin.NewReplica("clerk-2", 0)
+	c := newCluster(t, one, two)
+	v := c.start("a")
+	c.describe("clerk-1", "draining")
+	c.eventually(func() bool { i := v.instance("clerk-1"); return i != nil && i.Draining })
+	before := len(one.Runs())
+	for range 6 {
+		require.Equal(t, http.StatusOK, c.ask(v, call{method: "GET", path: "/look/"}).status)
+	}
+	require.Len(t, one.Runs(), before)
+}
+
+// The operator's system and others write to the store as well. An entry that cannot be
+// read names no instance, and a broken part of a configuration takes nothing else down.
+func TestUnreadablePartsTakeNothingElseDown(t *testing.T) {
+	c := newCluster(t, standin.NewReplica("clerk-1", 0))
+	v := c.start("a")
+	c.store.PutBytes("servers/ghost", []byte("{nonsense"))
+	c.store.Put("servers/odd", map[string]any{"service": "clerk", "address": 7})
+	c.configure(func(config map[string]any) {
+		config["routes"] = append(config["routes"].([]any), map[string]any{"name": 5}, map[string]any{"name": "odd", "kind": "dance"})
+	})
+	c.eventually(func() bool { return v.core.Catalog().Version == int64(c.version) })
+	require.Equal(t, http.StatusOK, c.ask(v, call{method: "GET", path: "/look/"}).status)
+	c.store.PutBytes("op/config", []byte("not json"))
+	time.Sleep(2 * (watchPause + watchWait))
+	require.Equal(t, http.StatusOK, c.ask(v, call{method: "GET", path: "/look/"}).status)
+}
+
+// A VM is told to stop while a stream runs and while callers still hold its address. The
+// stream ends whole, and what comes late is told that it has not run.
+func TestStopCutsNothing(t *testing.T) {
+	slow := standin.NewReplica("clerk-1", 0)
+	c := newCluster(t, slow)
+	v := c.start("a")
+	slow.Fail = func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(700 * time.Millisecond)
+		w.Header().Set("X-Chestnutarch-Attempt-Id", r.Header.Get("X-Chestnutarch-Attempt-Id"))
+		_, _ = w.Write([]byte("late but whole"))
+	}
+	got := make(chan answer, 1)
+	go func() { got <- c.ask(v, call{method: "POST", path: "/file/1"}) }()
+	c.eventually(func() bool { return len(slow.Runs()) == 1 })
+	v.stop()
+	require.Equal(t, "late but whole", (<-got).body)
+}
--- a/internal/vm/plan.go
+++ b/internal/vm/plan.go
@@ -88,6 +88,16 @@
 	}
 }
 
+// heardUse notes that adapters are in use. One whose requests still run must not make
+// way: its unload would wait for them and keep its place all the while.
+func (l *planner) heardUse(items []string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, item := range items {
+		l.used[item] = now
+	}
+}
+
 // rate must be called with the lock held.
 func (l *planner) rate(item string, now time.Time) *itemRate {
 	r := l.rates[item]
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -119,6 +119,7 @@
 			l.forget()
 			continue
 		}
+		l.heardUse(l.p.assigner.InUse(), time.Now())
 		l.heardDemand(l.p.settings.VM, l.p.fleet.incarnation, l.p.assigner.Demand(), time.Now())
 		l.adopt(ctx, token)
 		l.plan(ctx)
@@ -157,8 +158,6 @@
 		if i := instances[id]; i == nil || !i.Same(b.instance) {
 			delete(l.books, id)
 			delete(l.notBefore, id)
-		} else {
-			b.instance = i
 		}
 	}
 	for id, i := range instances {
@@ -323,8 +322,9 @@
 		result, err := l.p.replicas.Order(ctx, b.instance, platform.Order{
 			Operation: op, Model: model, Adapter: adapter, Holder: l.p.settings.VM, Token: token, Accepted: accepted,
 		})
+		l.p.counter("orders." + string(op) + "." + result.String())
 		l.p.log.Info().Str("event", "order").Str("instance", b.instance.ID).Str("operation", string(op)).Str("model", model).
-			Str("adapter", adapter).Int64("token", token).Int64("accepted", accepted).Int("result", int(result)).AnErr("cause", err).Send()
+			Str("adapter", adapter).Int64("token", token).Int64("accepted", accepted).Stringer("result", result).AnErr("cause", err).Send()
 		switch result {
 		case platform.OrderAccepted, platform.OrderHolds:
 			l.settled(b, op, model, adapter, result)
@@ -337,9 +337,9 @@
 		case platform.OrderUnknown:
 		default:
 			l.closeBook(b)
-			return errors.Wrapf(ErrOrder, "%s: result %d", b.instance.ID, result)
+			return errors.Wrapf(ErrOrder, "%s: %s", b.instance.ID, result)
 		}
-		last = errors.Wrapf(ErrOrder, "%s: result %d", b.instance.ID, result)
+		last = errors.Wrapf(ErrOrder, "%s: %s", b.instance.ID, result)
 	}
 	l.closeBook(b)
 	return last
@@ -440,7 +440,7 @@
 		load, usable := loads[id]
 		e := residency.Engine{
 			ID: id, Models: maps.Clone(b.models), Adapters: make(map[string]time.Time, len(b.adapters)), Busy: b.busy, Coming: b.coming,
-			Usable: usable && !b.instance.Draining, Load: load.PrefillTokens, Quick: b.quick,
+			Usable: usable && !l.draining(id), Load: load.PrefillTokens, Quick: b.quick,
 		}
 		for item := range b.adapters {
 			e.Adapters[item] = l.used[item]
@@ -451,6 +451,12 @@
 	return out
 }
 
+// draining reports whether an instance leaves or is gone.
+func (l *planner) draining(id string) bool {
+	i := l.p.instance(id)
+	return i == nil || i.Draining
+}
+
 // describe adds what the leader knows to a report.
 func (l *planner) describe(out *peerpb.VMReport) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/vm/planner_test.go
@@ -0,0 +1,85 @@
+package vm
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/platform/standin"
+)
+
+// A caller asks for an adapter that no engine holds, at a VM that does not lead. The
+// leader brings it, and the caller gets its answer without noticing.
+func TestAdapterIsBroughtWhenItIsAskedFor(t *testing.T) {
+	engine := standin.NewReplica("engine-1", 2, "m0")
+	c := newCluster(t, engine)
+	a, b := c.start("a"), c.start("b")
+	c.eventually(func() bool { return a.fleet.size() == 2 && b.fleet.size() == 2 })
+	leader := c.waitLeader()
+	other := a
+	if leader == a {
+		other = b
+	}
+	got := c.askAgain(other, call{method: "POST", path: "/chat/", model: "m0/a1"})
+	require.Equal(t, http.StatusOK, got.status, got.body)
+	require.Equal(t, words(1, 2, 3), got.body)
+}
+
+// The answer to an order is lost although the engine carried it out. Sent again with
+// the same number of accepted orders, it is refused, and the engine's report tells that
+// the adapter is there: it is neither loaded twice nor given up.
+func TestOrderWhoseAnswerIsLostIsSettled(t *testing.T) {
+	engine := standin.NewReplica("engine-1", 2, "m0")
+	engine.LoseOrders(1)
+	c := newCluster(t, engine)
+	v := c.start("a")
+	c.waitLeader()
+	require.Equal(t, http.StatusOK, c.askAgain(v, call{method: "POST", path: "/chat/", model: "m0/a2"}).status)
+	loads := 0
+	orders, _ := engine.Orders()
+	for _, o := range orders {
+		if o == "load m0/a2" {
+			loads++
+		}
+	}
+	require.Equal(t, 1, loads)
+}
+
+// A leader dies while an engine loads the model that it was ordered to. The engine's
+// list does not name the model yet. A successor that trusted the list would order one
+// more than fits, and the engine would crash with everything that it serves.
+func TestSuccessorWaitsForALoadUnderWay(t *testing.T) {
+	engine := standin.NewReplica("engine-1", 2, "m0")
+	engine.SetLoadTime(1500 * time.Millisecond)
+	c := newCluster(t, engine)
+	// The earlier leader's order.
+	response, err := http.Post(c.servers["engine-1"].URL+"/order", "application/json",
+		strings.NewReader(`{"operation":"load","model":"m1","holder":"gone","fencing-token":1}`))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	c.start("a")
+	c.waitLeader()
+	c.eventually(func() bool { return len(c.vms[0].planner.engines("engine")[0].Models) == 2 })
+	time.Sleep(3 * planEvery)
+	_, overfull := engine.Orders()
+	require.False(t, overfull)
+}
+
+// No engine holds a model that is asked for. It is loaded, and callers are told to come
+// back rather than wait for their timeout.
+func TestMissingModelIsLoaded(t *testing.T) {
+	c := newCluster(t, standin.NewReplica("engine-1", 2, "m0"))
+	v := c.start("a")
+	c.eventually(func() bool {
+		got := c.ask(v, call{method: "POST", path: "/draft/", model: "m1"})
+		if got.status == http.StatusServiceUnavailable {
+			require.NotEmpty(t, got.header.Get("Retry-After"))
+		}
+		return got.status == http.StatusOK
+	})
+	_, overfull := c.replicas["engine-1"].Orders()
+	require.False(t, overfull)
+}
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -43,6 +43,7 @@
 	tracker    *tracker
 	assigner   *assign.Assigner
 	limiter    *teamrate.Limiter
+	budget     *retrybudget.Budget
 	core       *traffic.Core
 	ingress    *platform.Ingress
 	candidate  *leadership.Candidate
@@ -66,10 +67,11 @@
 // New builds a process.
 func New(s *platform.Settings, log zerolog.Logger) (*Process, error) {
 	p := &Process{settings: s, log: log, metrics: metrics.NewRegistry(), gone: newDepartures()}
-	p.store = platform.NewStore(s.Store.Address)
+	p.store = platform.NewStore(s.Store.Address, p.countStoreCall)
 	p.replicas = platform.NewReplicas()
 	p.assigner = assign.New()
-	p.limiter = teamrate.New(teamrate.Tolerance{Units: s.Bounds.RateSlack, Window: s.Bounds.RateWindow}, time.Now().UnixNano())
+	p.limiter = teamrate.New(toleranceOf(s), time.Now().UnixNano())
+	p.budget = retrybudget.New(retryLimitsOf(s), time.Now())
 	p.tracker = newTracker(p.store, log, p.follow)
 	p.candidate = leadership.New(leadership.Options{
 		Store: p.store, VM: s.VM, Prefix: ownPrefix, LeaseMin: s.Store.LeaseMin,
@@ -83,10 +85,9 @@
 	p.planner = newPlanner(p)
 	p.core = traffic.New(traffic.Options{
 		Upstreams: p.replicas, Assigner: p.assigner, Limiter: p.limiter,
-		Budget: retrybudget.New(retrybudget.Limits{
-			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow,
-		}, time.Now()),
-		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, Log: log, Metrics: p.metrics,
+		Budget:   p.budget,
+		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, UpstreamsAge: p.tracker.age,
+		Log: log, Metrics: p.metrics,
 	})
 	p.ingress = platform.NewIngress(p.core)
 	return p, nil
@@ -111,6 +112,11 @@
 	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort))
 }
 
+// metricsAddress is where metrics are served: the last port between VMs.
+func (p *Process) metricsAddress() string {
+	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.LastPort))
+}
+
 func (p *Process) instance(id string) *upstream.Instance { return (*p.instances.Load())[id] }
 
 // Run serves until ctx ends, then stops gracefully.
@@ -132,6 +138,7 @@
 	}
 	leading, resign := context.WithCancel(background)
 	group.Go(func() error { return p.tracker.run(background) })
+	group.Go(func() error { return p.measure(background) })
 	group.Go(func() error { return p.fleet.register(background) })
 	group.Go(func() error { return p.fleet.run(background) })
 	group.Go(func() error { return p.candidate.Run(leading) })
@@ -220,6 +227,7 @@
 		{p.settings.Callers, p.ingress},
 		{p.settings.Readiness, platform.NewReadiness(p.ready)},
 		{p.settings.Directory, platform.NewDirectory(p.fleet)},
+		{p.metricsAddress(), telemetry.TextHandler(p.metrics)},
 	} {
 		listener, err := config.Listen(ctx, "tcp4", s.address)
 		if err != nil {
@@ -367,5 +375,25 @@
 // watches.
 const staleView = 2 * (watchPause + watchWait)
 
-// Metrics returns what the process counts.
-func (p *Process) Metrics() http.Handler { return telemetry.MetricsHandler(p.metrics) }
+// Reload takes the settings that can change while the process runs: the bounds on
+// rates and on repeats. Addresses take effect at the next start. Settings that cannot
+// be read leave the old ones in force.
+func (p *Process) Reload(read func() (*platform.Settings, error)) {
+	next, err := read()
+	if err != nil {
+		p.log.Error().Str("event", "reload_failed").AnErr("cause", err).Send()
+		return
+	}
+	p.limiter.SetTolerance(toleranceOf(next))
+	p.budget.SetLimits(retryLimitsOf(next))
+	restart := next.Callers != p.settings.Callers || next.Directory != p.settings.Directory || next.Store != p.settings.Store
+	p.log.Info().Str("event", "reload").Bool("restart_needed", restart).Send()
+}
+
+func toleranceOf(s *platform.Settings) teamrate.Tolerance {
+	return teamrate.Tolerance{Units: s.Bounds.RateSlack, Window: s.Bounds.RateWindow}
+}
+
+func retryLimitsOf(s *platform.Settings) retrybudget.Limits {
+	return retrybudget.Limits{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
+}
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -198,6 +198,13 @@
 	}
 }
 
+// age returns how old the newest view is.
+func (t *tracker) age() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Since(t.fresh)
+}
+
 // awayWithin reports whether a call of the store failed within some time. It is
 // called while a view is published.
 func (t *tracker) awayWithin(now time.Time, within time.Duration) bool {
