--- /dev/null
+++ b/internal/assign/assigner_test.go
@@ -0,0 +1,214 @@
+package assign
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/catalog"
+	"github.com/chestnutarch/chestnutarch/internal/upstream"
+)
+
+func testCatalog() *catalog.Catalog {
+	c := catalog.New(1, nil, nil)
+	c.Services["engines"] = &catalog.Service{Name: "engines", Engine: &catalog.EngineSpec{
+		BatchSlots: 64, KVTokens: 232_000, Models: map[string]catalog.Model{"m": {Name: "m"}},
+	}}
+	return c
+}
+
+func testInstance(service, id string, adapters ...string) upstream.Instance {
+	return upstream.Instance{
+		ID: id, Service: service, Address: id, Slots: 6, Models: []upstream.Loaded{{Model: "m", Adapters: adapters}},
+	}
+}
+
+func testAssigner(service string, n int) *Assigner {
+	s := New()
+	s.SetCatalog(testCatalog())
+	var all []upstream.Instance
+	for i := range n {
+		all = append(all, testInstance(service, fmt.Sprintf("i-%d", i)))
+	}
+	s.SetInstances(all)
+	return s
+}
+
+// draft is a prompt of 9,190 tokens that begins like others of its kind.
+func draft(kind, own int, now time.Time) Ask {
+	parts := Parts("m", "", []string{"system", fmt.Sprint("kind", kind), fmt.Sprint("own", own)}, []int{2520, 3780, 2890})
+	return Ask{
+		Service: "engines", Model: "m", Parts: parts, PromptTokens: 9190, OutputTokens: 60,
+		Start: now.Add(800 * time.Millisecond), Deadline: now.Add(6 * time.Second), Urgency: 1,
+	}
+}
+
+// Several VMs send prompts that begin alike. If each chose an engine by what it sent
+// itself, every engine would read the same six thousand tokens, a sixth of a second
+// each. Without telling each other they have to choose the same one.
+func TestVMsAgreeWhereAPromptBelongs(t *testing.T) {
+	now := time.Now()
+	homes := map[string]bool{}
+	for kind := range 40 {
+		var first string
+		for vm := range 5 {
+			c, err := testAssigner("engines", 8).Choose(draft(kind, vm, now), now)
+			require.NoError(t, err)
+			if vm == 0 {
+				first = c.Instance
+			}
+			require.Equal(t, first, c.Instance)
+		}
+		homes[first] = true
+	}
+	require.Greater(t, len(homes), 5, "prompts of 40 kinds go to most of 8 engines")
+}
+
+// Prompts of one kind come faster than one engine reads them. They go to others rather
+// than wait longer than reading the shared part takes.
+func TestFullHomeSpills(t *testing.T) {
+	s, now := testAssigner("engines", 4), time.Now()
+	used := map[string]int{}
+	for own := range 8 {
+		c, err := s.Choose(draft(1, own, now), now)
+		require.NoError(t, err)
+		used[c.Instance]++
+	}
+	require.Len(t, used, 4)
+}
+
+// Far more prompts come than the engines can begin in time. What cannot is refused at
+// once, and told when to come back: read all the same, it would make the next ones late
+// too. What was accepted can still begin within the objective.
+func TestPromptsThatWouldBeginTooLateAreRefused(t *testing.T) {
+	s, now := testAssigner("engines", 2), time.Now()
+	accepted := 0
+	for own := range 100 {
+		c, err := s.Choose(draft(own, own, now), now)
+		if err == nil {
+			accepted++
+			require.LessOrEqual(t, c.Expected, 800*time.Millisecond)
+			continue
+		}
+		var refused *Refused
+		require.ErrorAs(t, err, &refused)
+		require.ErrorIs(t, err, ErrOverloaded)
+		require.Positive(t, refused.RetryAfter)
+		require.LessOrEqual(t, refused.RetryAfter, 2*time.Second, "a third of the caller's time")
+	}
+	require.Greater(t, accepted, 2)
+	require.Less(t, accepted, 20)
+}
+
+// An upstream goes dark: no reset comes, requests to it just stay without an answer.
+// After a while it gets no more, long before its entry is gone.
+func TestSilentUpstreamGetsNoMore(t *testing.T) {
+	s, now := testAssigner("clerks", 3), time.Now()
+	ask := Ask{Service: "clerks", Start: now.Add(100 * time.Millisecond), Deadline: now.Add(time.Second)}
+	var stuck *Choice
+	for stuck == nil {
+		c, err := s.Choose(ask, now)
+		require.NoError(t, err)
+		if c.Instance == "i-1" {
+			stuck = c
+			continue
+		}
+		s.Started(c, now)
+		s.Finish(c, Succeeded, now)
+		ask.Start = ask.Start.Add(time.Microsecond)
+	}
+	now = now.Add(plainSilence + time.Millisecond)
+	for i := range 50 {
+		ask.Start = now.Add(time.Duration(i) * time.Microsecond)
+		c, err := s.Choose(ask, now)
+		require.NoError(t, err)
+		require.NotEqual(t, "i-1", c.Instance)
+		s.Started(c, now)
+		s.Finish(c, Succeeded, now)
+	}
+}
+
+// A replica fails half of its requests while its health answers are good. It is left
+// alone after a few, and tried again later.
+func TestFailingUpstreamIsLeftAlone(t *testing.T) {
+	s, now := testAssigner("clerks", 2), time.Now()
+	failed := 0
+	for i := range 400 {
+		at := now.Add(time.Duration(i) * 20 * time.Millisecond)
+		c, err := s.Choose(Ask{Service: "clerks", Start: at.Add(time.Second), Deadline: at.Add(time.Second)}, at)
+		require.NoError(t, err)
+		s.Started(c, at)
+		if c.Instance == "i-0" {
+			failed++
+			s.Finish(c, Failed, at)
+			continue
+		}
+		s.Finish(c, Succeeded, at)
+	}
+	require.Less(t, failed, 40)
+	require.Positive(t, failed)
+}
+
+// All instances of a service have failed lately. A try has a chance, a refusal has none.
+func TestLastUpstreamIsTriedAllTheSame(t *testing.T) {
+	s, now := testAssigner("clerks", 1), time.Now()
+	for range 10 {
+		c, err := s.Choose(Ask{Service: "clerks", Start: now, Deadline: now.Add(time.Second)}, now)
+		require.NoError(t, err)
+		s.Finish(c, Failed, now)
+	}
+}
+
+// An engine's own description is older than the leader's last order. It must not take
+// away the adapter that was just brought.
+func TestOldDescriptionDoesNotTakeAnAdapterAway(t *testing.T) {
+	s, now := testAssigner("engines", 1), time.Now()
+	s.SetContents("i-0", 3, []string{"m", "m/a1"})
+	s.SetInstances([]upstream.Instance{testInstance("engines", "i-0")})
+	a := draft(1, 1, now)
+	a.Adapter = "a1"
+	_, err := s.Choose(a, now)
+	require.NoError(t, err)
+	a.Adapter = "a2"
+	_, err = s.Choose(a, now)
+	require.ErrorIs(t, err, ErrAdapterNotLoaded)
+	a.Model = "other"
+	_, err = s.Choose(a, now)
+	require.ErrorIs(t, err, ErrNotLoaded)
+}
+
+func TestPlacesAreGivenBack(t *testing.T) {
+	s, now := testAssigner("engines", 3), time.Now()
+	var all []*Choice
+	for own := range 8 {
+		a := draft(own, own, now)
+		a.Adapter = ""
+		c, err := s.Choose(a, now)
+		require.NoError(t, err)
+		all = append(all, c)
+	}
+	for i, c := range all {
+		if i%2 == 0 {
+			s.Started(c, now)
+		}
+		s.Finish(c, Neutral, now)
+		s.Finish(c, Succeeded, now)
+	}
+	require.Empty(t, s.Loads())
+	require.Empty(t, s.InUse())
+}
+
+func BenchmarkChoose(b *testing.B) {
+	s, now := testAssigner("engines", 18), time.Now()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		c, err := s.Choose(draft(i%76, i, now), now)
+		if err != nil {
+			continue
+		}
+		s.Started(c, now.Add(100*time.Millisecond))
+		s.Finish(c, Succeeded, now)
+	}
+}
--- /dev/null
+++ b/internal/httpconn/pool_test.go
@@ -0,0 +1,175 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/transport"
+)
+
+// upstream serves each accepted connection with f and counts them.
+func upstream(t *testing.T, f func(net.Conn, *bufio.Reader)) (address string, connections *atomic.Int64) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	connections = new(atomic.Int64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer c.Close()
+				f(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String(), connections
+}
+
+func ask(t *testing.T, p *Pool, address, method, body string) (string, error) {
+	r, err := http.NewRequest(method, "http://"+address+"/x", nil)
+	require.NoError(t, err)
+	x, err := p.Do(t.Context(), address, r, []byte(body))
+	if err != nil {
+		return "", err
+	}
+	got, err := io.ReadAll(x.Response.Body)
+	x.Close(err == nil)
+	return string(got), err
+}
+
+// respond reads one request and writes raw.
+func respond(c net.Conn, r *bufio.Reader, raw string) bool {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	_, err = io.WriteString(c, raw)
+	return err == nil
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func TestConnectionsAreKept(t *testing.T) {
+	address, connections := upstream(t, func(c net.Conn, r *bufio.Reader) {
+		for respond(c, r, ok) {
+		}
+	})
+	p := NewPool(transport.Limits{})
+	for range 5 {
+		got, err := ask(t, p, address, "POST", "body")
+		require.NoError(t, err)
+		require.Equal(t, "ok", got)
+	}
+	require.Equal(t, int64(1), connections.Load())
+}
+
+// A replica sends a second answer after the complete one, while the connection is idle.
+// The next request on that connection would be answered with another caller's data.
+func TestSecondAnswerIsNotTakenForTheNext(t *testing.T) {
+	sent := make(chan struct{})
+	address, connections := upstream(t, func(c net.Conn, r *bufio.Reader) {
+		if !respond(c, r, ok) {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale")
+		sent <- struct{}{}
+		_, _ = io.Copy(io.Discard, c)
+	})
+	p := NewPool(transport.Limits{})
+	for range 3 {
+		got, err := ask(t, p, address, "GET", "")
+		require.NoError(t, err)
+		require.Equal(t, "ok", got)
+		<-sent
+	}
+	require.Equal(t, int64(3), connections.Load())
+}
+
+// A kept connection breaks while a request is on it. The client of net/http would send a
+// GET again by itself, which no retry limit counts and the upstream sees as a second run.
+func TestBrokenRequestIsNotSentAgain(t *testing.T) {
+	var seen atomic.Int64
+	address, _ := upstream(t, func(c net.Conn, r *bufio.Reader) {
+		if !respond(c, r, ok) {
+			return
+		}
+		if _, err := http.ReadRequest(r); err == nil {
+			seen.Add(1)
+		}
+	})
+	p := NewPool(transport.Limits{})
+	_, err := ask(t, p, address, "GET", "")
+	require.NoError(t, err)
+	_, err = ask(t, p, address, "GET", "")
+	require.ErrorIs(t, err, ErrBroken)
+	require.Equal(t, int64(1), seen.Load())
+}
+
+// A replica rejects a long request before it has read it, and reads on later. The rest of
+// the body is still due on that connection, so nothing else may be sent on it.
+func TestConnectionWithAnUnreadBodyIsNotUsedAgain(t *testing.T) {
+	address, connections := upstream(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\nno")
+		time.Sleep(100 * time.Millisecond)
+	})
+	p := NewPool(transport.Limits{})
+	long := strings.Repeat("x", 16<<20)
+	for i := range int64(2) {
+		got, err := ask(t, p, address, "POST", long)
+		require.NoError(t, err)
+		require.Equal(t, "no", got)
+		require.Equal(t, i+1, connections.Load())
+	}
+}
+
+// An answer without a length ends with its connection. One that is reset on the way must
+// not pass for a whole one.
+func TestResetAnswerIsNotComplete(t *testing.T) {
+	address, _ := upstream(t, func(c net.Conn, r *bufio.Reader) {
+		respond(c, r, "HTTP/1.1 200 OK\r\n\r\nhalf an ans")
+		time.Sleep(50 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	_, err := ask(t, NewPool(transport.Limits{}), address, "GET", "")
+	require.Error(t, err)
+}
+
+// The caller leaves while the upstream works. The connection is reset at once, so that
+// the upstream stops.
+func TestLeavingResetsTheConnection(t *testing.T) {
+	gone := make(chan error, 1)
+	address, _ := upstream(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, err := r.ReadByte()
+		gone <- err
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	r, err := http.NewRequest("GET", "http://"+address+"/", nil)
+	require.NoError(t, err)
+	_, err = NewPool(transport.Limits{}).Do(ctx, address, r, nil)
+	require.ErrorIs(t, err, ErrBroken)
+	require.Error(t, <-gone)
+}
+
+func TestNothingListens(t *testing.T) {
+	_, err := ask(t, NewPool(transport.Limits{}), "127.0.0.1:1", "GET", "")
+	require.ErrorIs(t, err, ErrNotSent)
+}
--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -17,8 +19,8 @@
 
 // decisions are the packages that hold policy and no I/O.
 var decisions = []string{
-	"address", "admit", "claim", "configstate", "demand", "document", "membership",
-	"order", "placement", "quota", "resume", "route",
+	"address", "admit", "assign", "catalog", "claim", "configstate", "demand", "document", "membership",
+	"order", "placement", "quota", "residency", "resume", "retrybudget", "route", "teamrate", "upstream",
 }
 
 // forbidden are the imports that would let a decision do I/O, read the clock
@@ -78,6 +80,31 @@
 	require.Equal(t, len(decisions), found)
 }
 
+// The names of the platform's wire would spread through the code, and a change of the
+// platform would be a change of the product.
+func TestThePlatformStaysInItsFolder(t *testing.T) {
+	assemblies := []string{module + "cmd/chestnut-vm", module + "internal/vm"}
+	for _, p := range packages(t) {
+		if slices.Contains(assemblies, p.ImportPath) || strings.HasPrefix(p.ImportPath, module+"platform") {
+			continue
+		}
+		for _, imported := range p.Imports {
+			require.False(t, strings.HasPrefix(imported, module+"platform"), "%s imports %s", p.ImportPath, imported)
+		}
+	}
+	names := regexp.MustCompile("(?i)x-chestnutarch-(attempt|deadline|expected|prompt|token|response|not-exec|server-load|tenant|model)|kv-txn|fencing-token")
+	for _, dir := range []string{"../../internal", "../../cmd"} {
+		require.NoError(t, filepath.WalkDir(dir, func(path string, _ os.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			require.Empty(t, names.FindString(string(text)), path)
+			return err
+		}))
+	}
+}
+
 // Some libraries would bring back a fault that the design excludes, and a
 // review can miss an import.
 func TestUnwantedLibrariesStayOut(t *testing.T) {
--- /dev/null
+++ b/internal/leadership/leadership_test.go
@@ -0,0 +1,154 @@
+package leadership
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/clock"
+	"github.com/chestnutarch/chestnutarch/internal/store"
+)
+
+// fakeStore grants everything unless it is away.
+type fakeStore struct {
+	store.Store
+	revision int64
+	items    map[string]store.Item
+	away     bool
+	revoked  int
+}
+
+func (f *fakeStore) Grant(context.Context, time.Duration) (store.LeaseID, time.Duration, error) {
+	if f.away {
+		return 0, 0, store.ErrUnknown
+	}
+	return 1, lease, nil
+}
+
+func (f *fakeStore) Renew(context.Context, store.LeaseID) error {
+	if f.away {
+		return store.ErrUnknown
+	}
+	return nil
+}
+
+func (f *fakeStore) Revoke(context.Context, store.LeaseID) error {
+	f.revoked++
+	return nil
+}
+
+func (f *fakeStore) Commit(_ context.Context, c store.Change) (int64, error) {
+	for _, condition := range c.Conditions {
+		if f.items[condition.Key].Revision != condition.Revision {
+			return 0, errors.WithStack(store.ErrConflict)
+		}
+	}
+	f.revision++
+	for _, p := range c.Puts {
+		f.items[p.Key] = store.Item{Key: p.Key, Value: p.Value, Revision: f.revision, Lease: p.Lease}
+	}
+	return f.revision, nil
+}
+
+// world is a candidate with clocks that the test turns.
+type world struct {
+	*Candidate
+	store      *fakeStore
+	mono, wall time.Duration
+}
+
+func newWorld(vm string, s *fakeStore) *world {
+	w := &world{store: s}
+	w.Candidate = New(Options{
+		Store: s, VM: vm, Prefix: "x/", Settle: 3 * time.Second, Log: zerolog.Nop(),
+		Clock: func() clock.Reading { return clock.Reading{Mono: w.mono, Wall: time.Unix(0, 0).Add(w.wall)} },
+	})
+	return w
+}
+
+func (w *world) pass(d time.Duration) { w.mono, w.wall = w.mono+d, w.wall+d }
+
+func (w *world) elect() {
+	w.Observe(w.store.items)
+	w.step(context.Background())
+}
+
+func TestFirstLeaderActsAtOnce(t *testing.T) {
+	w := newWorld("a", &fakeStore{items: map[string]store.Item{}})
+	w.elect()
+	token, ok := w.Authority()
+	require.True(t, ok)
+	require.Equal(t, int64(1), token)
+	term, ok := w.Leader()
+	require.False(t, ok, "the store has not shown it yet: %v", term)
+}
+
+// A leader is cut off from the store. Its lease may end at any moment from its time to
+// live after the last renewal was sent; by then it must have stopped, or two VMs would
+// give orders.
+func TestAuthorityEndsBeforeTheLease(t *testing.T) {
+	w := newWorld("a", &fakeStore{items: map[string]store.Item{}})
+	w.elect()
+	w.store.away = true
+	w.pass(lease - margin - time.Millisecond)
+	_, ok := w.Authority()
+	require.True(t, ok)
+	w.pass(time.Millisecond)
+	_, ok = w.Authority()
+	require.False(t, ok)
+	w.step(context.Background())
+	require.False(t, w.Leads())
+}
+
+// A leader's VM is suspended for seconds. Its monotonic clock stands still meanwhile, so
+// by that clock its lease is young when it wakes, while another VM leads already.
+func TestSuspendedLeaderHasNoAuthority(t *testing.T) {
+	w := newWorld("a", &fakeStore{items: map[string]store.Item{}})
+	w.elect()
+	w.wall += 5 * time.Second
+	_, ok := w.Authority()
+	require.False(t, ok)
+}
+
+// Another VM led before. Its last order may still be under way, so the successor waits
+// before its own first one.
+func TestSuccessorWaits(t *testing.T) {
+	s := &fakeStore{items: map[string]store.Item{}}
+	newWorld("a", s).elect()
+	delete(s.items, "x/leader")
+	b := newWorld("b", s)
+	b.elect()
+	require.True(t, b.Leads())
+	for range 4 {
+		_, ok := b.Authority()
+		require.False(t, ok)
+		b.pass(700 * time.Millisecond)
+		b.step(context.Background())
+	}
+	b.pass(300 * time.Millisecond)
+	_, ok := b.Authority()
+	require.True(t, ok)
+}
+
+func TestOneOfTwoCandidatesWins(t *testing.T) {
+	s := &fakeStore{items: map[string]store.Item{}}
+	a, b := newWorld("a", s), newWorld("b", s)
+	b.Observe(s.items)
+	a.elect()
+	b.step(context.Background())
+	require.True(t, a.Leads())
+	require.False(t, b.Leads())
+	require.Equal(t, 1, s.revoked)
+	b.Observe(s.items)
+	term, ok := b.Leader()
+	require.True(t, ok)
+	require.Equal(t, "a", term.VM)
+	var r record
+	require.NoError(t, json.Unmarshal(s.items["x/last-leader"].Value, &r))
+	require.Equal(t, "a", r.VM)
+}
--- /dev/null
+++ b/internal/residency/models_test.go
@@ -0,0 +1,213 @@
+package residency
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutarch/chestnutarch/internal/catalog"
+)
+
+// testSpec has models of 70 GB on engines of 200 GB: two fit, beside adapters.
+func testSpec(models int) *catalog.EngineSpec {
+	s := &catalog.EngineSpec{WeightsMB: 200_000, AdapterSlots: 4, Models: make(map[string]catalog.Model)}
+	for i := range models {
+		name := fmt.Sprintf("m%d", i)
+		s.Models[name] = catalog.Model{Name: name, MemoryMB: 70_000, AdapterMB: 50, LoadTime: 4 * time.Second}
+	}
+	return s
+}
+
+func engine(id string, models ...string) Engine {
+	e := Engine{ID: id, Usable: true, Models: make(map[string]bool), Adapters: make(map[string]time.Time), Quick: make(map[string]bool)}
+	for _, m := range models {
+		e.Models[m] = true
+	}
+	return e
+}
+
+// A crash takes the only copy of a model. It is asked for a few times a minute, and each
+// of its callers would be refused until it is back somewhere.
+func TestMissingModelComesBack(t *testing.T) {
+	f := Fleet{Spec: testSpec(3), StoreLoads: 1, Engines: []Engine{engine("a", "m0", "m1"), engine("b", "m0", "m1")}}
+	moves := PlanModels(f)
+	require.Len(t, moves, 1)
+	require.Equal(t, "m2", moves[0].Load)
+	require.NotEmpty(t, moves[0].Evict)
+}
+
+// A load from the weight store takes seconds, and a plan is made several times a second.
+// Without counting what is under way each plan would order one more copy.
+func TestModelUnderWayIsNotOrderedAgain(t *testing.T) {
+	busy := engine("a", "m0")
+	busy.Busy, busy.Coming = true, "m2"
+	f := Fleet{Spec: testSpec(3), StoreLoads: 5, Engines: []Engine{busy, engine("b", "m0", "m1"), engine("c", "m0", "m1")}}
+	for _, m := range PlanModels(f) {
+		require.NotEqual(t, "m2", m.Load)
+	}
+}
+
+// A second copy of a model is being loaded. The first one must not make way before it is
+// there: callers of the model would be refused for seconds.
+func TestLastUsableCopyStays(t *testing.T) {
+	busy := engine("a", "m0")
+	busy.Busy, busy.Coming = true, "m1"
+	f := Fleet{
+		Spec: testSpec(3), StoreLoads: 5, Engines: []Engine{busy, engine("b", "m0", "m1")},
+		Demand: map[string]float64{"m2": 90_000}, Certain: map[string]float64{"m2": 80_000},
+	}
+	for _, m := range PlanModels(f) {
+		require.NotEqual(t, "m1", m.Evict)
+	}
+}
+
+// One long prompt comes for a model that is asked for rarely. It looks like a demand of
+// thousands of tokens a second, and bringing the model elsewhere would cost a load that
+// a model with real demand needs.
+func TestSinglePromptMovesNothing(t *testing.T) {
+	f := Fleet{
+		Spec: testSpec(2), StoreLoads: 5, Engines: []Engine{engine("a", "m0", "m1"), engine("b", "m0")},
+		Demand: map[string]float64{"m1": 30_000, "m0": 40_000}, Certain: map[string]float64{"m1": 0, "m0": 30_000},
+	}
+	require.Empty(t, PlanModels(f))
+}
+
+// Demand moves to a model that one engine of six holds, beside a model whose callers have
+// gone. The engine would be asked for several times what it reads. The plan is followed
+// until it rests, and the load of the busiest engine is compared before and after.
+func TestRisingModelSpreads(t *testing.T) {
+	var engines []Engine
+	for i := range 6 {
+		e := engine(fmt.Sprint(i), "m0")
+		e.Quick["m1"] = true
+		engines = append(engines, e)
+	}
+	engines[0].Models["m1"] = true
+	demand := map[string]float64{"m0": 3_000, "m1": 120_000}
+	before := busiest(engines, demand)
+	for range 10 {
+		for _, m := range PlanModels(Fleet{Spec: testSpec(2), Engines: clone(engines), Demand: demand, Certain: demand}) {
+			for i := range engines {
+				if engines[i].ID == m.Engine {
+					delete(engines[i].Models, m.Evict)
+					engines[i].Models[m.Load] = true
+				}
+			}
+		}
+	}
+	// 120,500 tokens a second at first, 20,500 when all hold it.
+	require.Less(t, busiest(engines, demand), before/5)
+}
+
+func clone(engines []Engine) []Engine {
+	out := make([]Engine, len(engines))
+	for i, e := range engines {
+		out[i] = e
+		out[i].Models = make(map[string]bool)
+		for m := range e.Models {
+			out[i].Models[m] = true
+		}
+	}
+	return out
+}
+
+func busiest(engines []Engine, demand map[string]float64) float64 {
+	copies := map[string]float64{}
+	for _, e := range engines {
+		for m := range e.Models {
+			copies[m]++
+		}
+	}
+	most := 0.0
+	for _, e := range engines {
+		sum := 0.0
+		for m := range e.Models {
+			sum += demand[m] / copies[m]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// Whatever the engines hold and whatever is asked for, no plan overfills an engine, takes
+// the last usable copy of a model away, gives a busy engine an order, or begins more
+// loads from the weight store than it may.
+func TestPlansAreSafe(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spec := testSpec(8)
+		for name, m := range spec.Models {
+			m.MemoryMB = float64(rapid.IntRange(20, 80).Draw(t, "size") * 1000)
+			m.Adapters = rapid.IntRange(0, 3).Draw(t, "adapters")
+			spec.Models[name] = m
+		}
+		f := Fleet{
+			Spec: spec, StoreLoads: rapid.IntRange(0, 3).Draw(t, "loads"), Demand: map[string]float64{}, Certain: map[string]float64{},
+			Settled: map[string]time.Time{}, Now: time.Now(),
+		}
+		for i := range rapid.IntRange(1, 7).Draw(t, "engines") {
+			f.Engines = append(f.Engines, drawEngine(t, fmt.Sprint(i), spec))
+		}
+		for m := range spec.Models {
+			f.Demand[m] = rapid.Float64Range(0, 200_000).Draw(t, "demand")
+			f.Certain[m] = f.Demand[m] * rapid.Float64Range(0, 1).Draw(t, "certain")
+		}
+		before, ready := clone(f.Engines), map[string]int{}
+		for _, e := range before {
+			for m := range e.Models {
+				if e.Usable {
+					ready[m]++
+				}
+			}
+		}
+		check(t, spec, before, ready, f.StoreLoads, PlanModels(f))
+	})
+}
+
+func drawEngine(t *rapid.T, id string, spec *catalog.EngineSpec) Engine {
+	e := engine(id)
+	for m := range spec.Models {
+		if rapid.Bool().Draw(t, "holds") && UsedMB(e, spec)+spec.Models[m].MemoryMB <= spec.WeightsMB {
+			e.Models[m] = true
+		}
+		e.Quick[m] = rapid.Bool().Draw(t, "quick")
+	}
+	e.Usable = rapid.IntRange(0, 4).Draw(t, "usable") > 0
+	e.Busy = rapid.IntRange(0, 3).Draw(t, "busy") == 0
+	return e
+}
+
+func check(t *rapid.T, spec *catalog.EngineSpec, engines []Engine, ready map[string]int, loads int, moves []ModelMove) {
+	seen := map[string]bool{}
+	for _, move := range moves {
+		for i := range engines {
+			e := &engines[i]
+			if e.ID != move.Engine {
+				continue
+			}
+			if seen[e.ID] || e.Busy || !e.Usable {
+				t.Fatalf("order to %s: %+v", e.ID, move)
+			}
+			seen[e.ID] = true
+			if move.Evict != "" {
+				ready[move.Evict]--
+				if ready[move.Evict] < 1 {
+					t.Fatalf("the last usable copy goes: %+v", move)
+				}
+				delete(e.Models, move.Evict)
+			}
+			e.Models[move.Load] = true
+			if UsedMB(*e, spec) > spec.WeightsMB {
+				t.Fatalf("overfilled: %+v", move)
+			}
+			if move.FromStore {
+				loads--
+			}
+			if move.FromStore == e.Quick[move.Load] || loads < 0 {
+				t.Fatalf("weight store: %+v", move)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/retrybudget/budget_test.go
@@ -0,0 +1,51 @@
+package retrybudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Every upstream of a service fails for a while, and every request would be sent once
+// more. Over all VMs the repeats have to stay within the platform's bound in every
+// window, or the service never recovers.
+func TestRepeatsStayWithinTheBoundOverAllVMs(t *testing.T) {
+	const vms, perSecond = 7, 5
+	limits := Limits{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+	now := time.Now()
+	var budgets []*Budget
+	for range vms {
+		budgets = append(budgets, New(limits, now))
+	}
+	var repeats []int
+	for second := range 60 {
+		taken := 0
+		for _, b := range budgets {
+			for i := range perSecond {
+				at := now.Add(time.Duration(second)*time.Second + time.Duration(i)*time.Second/perSecond)
+				b.Request("s", at)
+				if b.Take("s", vms, at) {
+					taken++
+				}
+			}
+		}
+		repeats = append(repeats, taken)
+	}
+	for from := 0; from+10 <= len(repeats); from++ {
+		sum := 0
+		for _, n := range repeats[from : from+10] {
+			sum += n
+		}
+		require.LessOrEqual(t, float64(sum), 0.2*vms*perSecond*10+54)
+		require.Positive(t, sum)
+	}
+}
+
+func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
+	now := time.Now()
+	b := New(Limits{Ratio: 0, Slack: 4, Window: time.Second}, now)
+	for b.Take("a", 1, now) {
+	}
+	require.True(t, b.Take("b", 1, now))
+}
