explain: from a request's ID to its cause, and a page of all log events

Cause: on-call engineers have logs only, and no tool joined the lines of several VMs. Change: chestnutctl explain joins a request's lines with those about its upstreams and its model and names the deciding input; docs/LOGS.md lists events and fields, held against the code by a test; ejections of upstreams are logged. Found while trying it: a refusal named 45,995 units left for a need of 1,327; the VM's own pace had decided, and its figure was missing from the line.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -62,6 +62,9 @@
 	demand map[string]Demand
 	// inUse counts the requests in flight by adapter.
 	inUse map[string]int
+	// believe is told when an instance is left alone, with its failure rate and until
+	// when.
+	believe func(instance string, failures float64, until time.Time)
 	// freed is closed when work ends or starts, and replaced.
 	freed chan struct{}
 }
@@ -74,6 +77,14 @@
 	}
 }
 
+// OnEjection sets what is told of every instance that is left alone for a while. It
+// must not block.
+func (s *Assigner) OnEjection(f func(instance string, failures float64, until time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.believe = f
+}
+
 // Freed returns a channel that is closed when a place may have become free.
 func (s *Assigner) Freed() <-chan struct{} {
 	s.mu.Lock()
@@ -539,7 +550,9 @@
 	case Succeeded:
 		n.succeeded(now)
 	case Failed:
-		n.failed(now)
+		if n.failed(now) && s.believe != nil {
+			s.believe(n.instance.ID, n.failures, n.ejectedUntil)
+		}
 	}
 }
 
--- a/internal/assign/node.go
+++ b/internal/assign/node.go
@@ -117,7 +117,8 @@
 	plainSilence = 400 * time.Millisecond
 )
 
-// succeeded and failed take in how an exchange ended.
+// succeeded and failed take in how an exchange ended; failed reports whether the
+// instance is left alone from now on.
 func (n *node) succeeded(now time.Time) {
 	n.heard = now
 	n.failures *= failureMemory
@@ -126,16 +127,17 @@
 	}
 }
 
-func (n *node) failed(now time.Time) {
+func (n *node) failed(now time.Time) (ejected bool) {
 	n.failures = n.failures*failureMemory + (1 - failureMemory)
 	if n.failures < ejectAbove {
-		return
+		return false
 	}
 	pause := ejectFirst << min(n.ejections, 4)
 	n.ejections++
 	n.ejectedUntil = now.Add(min(pause, ejectMost))
 	// One more failure after the pause ejects it again; one success halves the rate.
 	n.failures = ejectAbove - 0.1
+	return true
 }
 
 // total is the work of all VMs on the instance. What others reported shrinks by
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -59,7 +59,7 @@
 	flags.DurationVar(&o.timeout, "timeout", defaultTimeout, "longest time for one command's calls")
 	flags.StringVarP(&o.output, "output", "o", outputTable, "table, json or yaml")
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputTable, outputJSON, outputYAML}, cobra.ShellCompDirectiveNoFileComp))
-	root.AddCommand(configCommand(o), teamCommand(o), keyCommand(o), statusCommand(o), planCommand(o), drainCommand(o), tlsCommand(o), referenceCommand(o))
+	root.AddCommand(configCommand(o), teamCommand(o), keyCommand(o), statusCommand(o), planCommand(o), drainCommand(o), tlsCommand(o), explainCommand(), referenceCommand(o))
 	return root
 }
 
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,44 @@
+package explain
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The recorded logs are lines of real runs, one file for all VMs, with the stamps that a
+// collector put before them.
+func recorded(t *testing.T) []Event {
+	f, err := os.Open("testdata/recorded.log")
+	require.NoError(t, err)
+	defer f.Close()
+	events, err := Read(f)
+	require.NoError(t, err)
+	return events
+}
+
+func TestStoriesFromRecordedLogs(t *testing.T) {
+	events := recorded(t)
+	for request, verdict := range map[string]string{
+		"fa416722eeae592d": "team huje404 was near its rate",
+		"2ccccf52e54e1e56": `broken off after event "28"`,
+		"66fd09735f16e19b": "late by 46 ms: held 0 ms here, then 446 ms at i-dba909fad2 where 241 were expected",
+		"e420a1bf75da4d30": "nobody can know whether it ran",
+		"b220a373805c724f": "no team held its key in configuration 27",
+	} {
+		story, err := Tell(events, request)
+		require.NoError(t, err)
+		require.Contains(t, story.Verdict, verdict)
+		require.Contains(t, story.String(), "* ")
+	}
+	_, err := Tell(events, "nobody")
+	require.ErrorIs(t, err, ErrUnknownRequest)
+}
+
+func TestLinesThatAreNoEventsArePassedOver(t *testing.T) {
+	events, err := Read(strings.NewReader("plain text\n{broken\n{\"event\":\"start\",\"vm\":\"a\"}\n\n"))
+	require.NoError(t, err)
+	require.Len(t, events, 1)
+}
--- a/internal/teamrate/limiter.go
+++ b/internal/teamrate/limiter.go
@@ -232,14 +232,14 @@
 	b.level = min(b.level+units, l.depth(b.limit))
 }
 
-// Level returns what is left of a team's bucket, in units.
-func (l *Limiter) Level(team string) float64 {
+// Level returns what is left of a team's bucket and of this VM's pace for it, in units.
+func (l *Limiter) Level(team string) (level, pace float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.teams[team]; b != nil {
-		return b.level
+		return b.level, b.pace
 	}
-	return 0
+	return 0, 0
 }
 
 func (l *Limiter) refillAll(now time.Time) {
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -126,7 +126,7 @@
 	if j.team != "" {
 		ok, retry := c.options.Limiter.Take(j.team, j.units, now)
 		if !ok {
-			j.rateLevel = c.options.Limiter.Level(j.team)
+			j.rateLevel, j.ratePace = c.options.Limiter.Level(j.team)
 			return j, &Refusal{
 				Status: http.StatusTooManyRequests, Reason: "rate_limited",
 				Detail: "the team's rate is used up; the request was not run", RetryAfter: retry,
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -66,8 +66,9 @@
 	cause      error
 	first      time.Duration
 	expected   time.Duration
-	// rateLevel is what was left of the team's bucket when the request was refused.
-	rateLevel float64
+	// rateLevel and ratePace are what was left of the team's bucket, and of this VM's
+	// pace, when the request was refused.
+	rateLevel, ratePace float64
 }
 
 type wholeReply struct {
--- /dev/null
+++ b/internal/vm/logs_test.go
@@ -0,0 +1,39 @@
+package vm
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// An engineer on call finds an event in the log that no page explains, or a page
+// promises one that is never written.
+func TestEveryEventIsOnThePageOfLogs(t *testing.T) {
+	written := make(map[string]bool)
+	name := regexp.MustCompile(`Str\("event", "([a-z_]+)"\)`)
+	for _, dir := range []string{".", "../traffic", "../leadership", "../telemetry"} {
+		files, err := filepath.Glob(dir + "/*.go")
+		require.NoError(t, err)
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			text, err := os.ReadFile(file)
+			require.NoError(t, err)
+			for _, m := range name.FindAllStringSubmatch(string(text), -1) {
+				written[m[1]] = true
+			}
+		}
+	}
+	page, err := os.ReadFile("../../docs/LOGS.md")
+	require.NoError(t, err)
+	explained := make(map[string]bool)
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\|").FindAllStringSubmatch(string(page), -1) {
+		explained[m[1]] = true
+	}
+	require.Equal(t, explained, written)
+}
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -71,6 +71,10 @@
 	p.replicas = platform.NewReplicas()
 	p.assigner = assign.New()
 	p.limiter = teamrate.New(toleranceOf(s), time.Now().UnixNano())
+	p.assigner.OnEjection(func(instance string, failures float64, until time.Time) {
+		p.log.Warn().Str("event", "upstream_ejected").Str("instance", instance).Float64("failure_rate", failures).
+			Dur("for_ms", time.Until(until)).Send()
+	})
 	p.budget = retrybudget.New(retryLimitsOf(s), time.Now())
 	p.tracker = newTracker(p.store, log, p.follow)
 	p.candidate = leadership.New(leadership.Options{
