--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync/atomic"
@@ -19,6 +20,10 @@
 	// are dropped and counted: at ten times the usual load of a VM of some 30 requests
 	// a second, with two lines for each, nothing is dropped.
 	routinePerSecond = 800
+	// writeEvery is the time between two writes, batchBytes the size from which one is
+	// not left to grow.
+	writeEvery = 100 * time.Millisecond
+	batchBytes = 64 << 10
 	// reportEvery is how often dropped lines are reported.
 	reportEvery = 5 * time.Second
 )
@@ -32,6 +37,8 @@
 	out               io.Writer
 	routine, reserved chan []byte
 	credit            atomic.Int64
+	// batch belongs to Run.
+	batch bytes.Buffer
 
 	droppedRoutine, droppedReserved atomic.Int64
 }
@@ -77,8 +84,12 @@
 	return b.droppedRoutine.Load(), b.droppedReserved.Load()
 }
 
-// Run writes until ctx ends, and then what still waits if the writer takes it at once.
+// Run writes until ctx ends, and then what still waits. Lines are written a few times
+// a second, many at once: a write and a wake-up of its own for each line would cost more
+// than making the line. A process that is killed loses what came since the last write.
 func (b *Bounded) Run(ctx context.Context) {
+	write := time.NewTicker(writeEvery)
+	defer write.Stop()
 	second := time.NewTicker(time.Second)
 	defer second.Stop()
 	report := time.NewTicker(reportEvery)
@@ -86,10 +97,8 @@
 	var reported int64
 	for {
 		select {
-		case line := <-b.reserved:
-			b.pass(line)
-		case line := <-b.routine:
-			b.pass(line)
+		case <-write.C:
+			b.flush()
 		case <-second.C:
 			b.credit.Store(routinePerSecond)
 		case <-report.C:
@@ -101,11 +110,6 @@
 	}
 }
 
-func (b *Bounded) pass(line []byte) {
-	// A log that cannot be written has nowhere to say so.
-	_, _ = b.out.Write(line)
-}
-
 // reportDrops writes a line if lines were dropped since the last one.
 func (b *Bounded) reportDrops(reported int64) int64 {
 	routine, reserved := b.Dropped()
@@ -117,15 +121,29 @@
 	return routine + reserved
 }
 
+// flush writes what waits.
 func (b *Bounded) flush() {
+	b.batch.Reset()
 	for {
 		select {
 		case line := <-b.reserved:
-			b.pass(line)
+			b.batch.Write(line)
 		case line := <-b.routine:
-			b.pass(line)
+			b.batch.Write(line)
 		default:
+			b.pass()
 			return
 		}
+		if b.batch.Len() > batchBytes {
+			b.pass()
+		}
+	}
+}
+
+// pass writes the batch. A log that cannot be written has nowhere to say so.
+func (b *Bounded) pass() {
+	if b.batch.Len() > 0 {
+		_, _ = b.out.Write(b.batch.Bytes())
+		b.batch.Reset()
 	}
 }
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -111,7 +111,8 @@
 func (j *job) streamBroke(ctx context.Context, choice *assign.Choice, err error) *failure {
 	outcome := assign.Failed
 	if ctx.Err() != nil {
-		outcome = assign.Neutral
+		// The connection was closed here: the time is up, or the caller has left.
+		outcome, err = assign.Neutral, ctx.Err()
 	}
 	j.finish(choice, outcome)
 	j.avoidInstance(choice.Instance)
