--- a/internal/vm/cluster_test.go
+++ b/internal/vm/cluster_test.go
@@ -95,7 +95,7 @@
 			map[string]any{"name": "clerk", "max-connections": 100},
 			map[string]any{"name": "engine", "max-connections": 100, "engine": map[string]any{
 				"slots": 8, "kv-capacity-tokens": 100000, "weights-mb": 120000.0, "adapter-slots": 2, "stride": 4,
-				"loads-per-s": 5.0, "models": []any{model("m0"), model("m1")},
+				"loads-per-s": 5.0, "models": []any{model("m0"), model("m1"), model("m2")},
 			}},
 		},
 		"tenants": []any{map[string]any{
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -297,8 +297,9 @@
 	}
 	l.mu.Lock()
 	full := len(b.adapters) >= spec.AdapterSlots
+	gone := !b.models[model]
 	l.mu.Unlock()
-	if full {
+	if full || gone {
 		return errors.WithStack(ErrNoPlace)
 	}
 	return l.order(ctx, b, platform.Load, model, adapter)
@@ -313,7 +314,8 @@
 	var last error
 	for range orderTries {
 		token, ok := l.p.candidate.Authority()
-		if !ok {
+		if !ok || l.book(b.instance.ID) != b {
+			// A book of an earlier term, or one that was closed, is no ground for orders.
 			return errors.WithStack(ErrNotLeader)
 		}
 		l.mu.Lock()
@@ -330,10 +332,7 @@
 			l.settled(b, op, model, adapter, result)
 			return nil
 		case platform.OrderConflict:
-			done, err := l.conflict(ctx, b, accepted, op, model, adapter)
-			if done || err != nil {
-				return err
-			}
+			return l.conflict(ctx, b, accepted, op, model, adapter)
 		case platform.OrderUnknown:
 		default:
 			l.closeBook(b)
@@ -345,27 +344,31 @@
 	return last
 }
 
-// conflict tells the two reasons for a conflict apart: another order is under way,
-// which is errBusy, or an order was accepted that the book does not know, such as
-// this one, whose answer was lost. done means that the order's effect is there.
-func (l *planner) conflict(ctx context.Context, b *book, accepted int64, op platform.Operation, model, adapter string) (done bool, err error) {
+// conflict tells the reasons for a conflict apart. Another order is under way: errBusy.
+// An order was accepted that the book does not know: if that was this one, whose answer
+// was lost, its effect is there; else the book is closed, since the decision rests on
+// what the engine held before.
+func (l *planner) conflict(ctx context.Context, b *book, accepted int64, op platform.Operation, model, adapter string) error {
 	report, err := l.p.replicas.Report(ctx, b.instance)
 	if err != nil {
-		return false, nil
+		l.closeBook(b)
+		return err
 	}
 	l.mu.Lock()
-	if report.Born != b.born || (report.OrdersAccepted > accepted && report.Busy) {
+	known := report.Born == b.born
+	if known && report.OrdersAccepted <= accepted {
 		l.mu.Unlock()
-		l.closeBook(b)
-		return false, errors.Wrapf(ErrOrder, "%s: it has taken other orders", b.instance.ID)
+		return errors.Wrap(errBusy, b.instance.ID)
+	}
+	if known && !report.Busy {
+		b.read(report)
 	}
-	b.read(report)
-	same := b.accepted == accepted
 	l.mu.Unlock()
-	if same {
-		return false, errors.Wrap(errBusy, b.instance.ID)
+	if known && !report.Busy && l.holds(b, op, model, adapter) {
+		return nil
 	}
-	return l.holds(b, op, model, adapter), nil
+	l.closeBook(b)
+	return errors.Wrapf(ErrOrder, "%s: it has taken other orders", b.instance.ID)
 }
 
 // closeBook forgets an engine whose state is not certain. It is read anew.
--- a/internal/vm/planner_test.go
+++ b/internal/vm/planner_test.go
@@ -83,3 +83,45 @@
 	_, overfull := c.replicas["engine-1"].Orders()
 	require.False(t, overfull)
 }
+
+// An engine takes an order that this leader does not know of, such as one of an earlier
+// term whose answer was lost, while the leader's own is on its way. The leader's order is
+// refused, since it names the number of orders before. It must be thought over and not
+// just sent again with the new number: there may be no room for it any more, and the
+// engine would crash.
+func TestOrderIsNotRepeatedOnTopOfAnotherOne(t *testing.T) {
+	engine := standin.NewReplica("engine-1", 2, "m0", "m1")
+	c := newCluster(t, engine)
+	v := c.start("a")
+	c.waitLeader()
+	c.eventually(func() bool { return len(c.vms[0].planner.engines("engine")[0].Models) == 2 })
+	b := v.planner.book("engine-1")
+	b.orders.Lock()
+	defer b.orders.Unlock()
+	// The book thinks that there is room.
+	v.planner.mu.Lock()
+	delete(b.models, "m1")
+	v.planner.mu.Unlock()
+	response, err := http.Post(c.servers["engine-1"].URL+"/order", "application/json",
+		strings.NewReader(`{"operation":"load","model":"m1","adapter":"a1","holder":"gone","fencing-token":1}`))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Error(t, v.planner.order(t.Context(), b, "load", "m2", ""))
+	_, overfull := engine.Orders()
+	require.False(t, overfull)
+	require.Nil(t, v.planner.book("engine-1"), "the engine is read anew")
+}
+
+// A leader loses its lease in the middle of a move and wins the next election. What it
+// had begun rests on books of the earlier term; it gives no more orders by them.
+func TestMoveOfAnEarlierTermGivesNoOrders(t *testing.T) {
+	engine := standin.NewReplica("engine-1", 2, "m0", "m1")
+	c := newCluster(t, engine)
+	v := c.start("a")
+	c.waitLeader()
+	b := v.planner.book("engine-1")
+	v.planner.forget()
+	require.ErrorIs(t, v.planner.order(t.Context(), b, "load", "m2", ""), ErrNotLeader)
+	orders, _ := engine.Orders()
+	require.Empty(t, orders)
+}
