--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -93,6 +93,9 @@
 	case "answered":
 		return answeredVerdict(s, last)
 	case "refused":
+		if last.Expected > 0 {
+			return fmt.Sprintf("refused as not run, to come back after %.0f ms: it would have begun after %.0f ms, with an objective of %.0f", last.RetryAfter, last.Expected, last.Objective)
+		}
 		return fmt.Sprintf("refused as not run, to come back after %.0f ms: %s%s", last.RetryAfter, last.Cause, s.about(last))
 	case "cut":
 		return fmt.Sprintf("broken off after event %q: %s%s", last.LastEvent, last.Cause, s.about(last))
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -338,7 +338,7 @@
 	}
 	var refused *assign.Refused
 	if errors.As(err, &refused) {
-		out.RetryAfter = refused.RetryAfter
+		out.RetryAfter, j.expected = refused.RetryAfter, refused.Best
 	}
 	return out
 }
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -55,7 +55,7 @@
 		Str("outcome", j.outcome).Int("status", j.status).Dur("retry_after_ms", j.retryAfter).
 		Str("route", j.route.Name).Str("team", j.team).Str("upstream", j.upstream).
 		Str("model", j.request.Model).Str("adapter", j.request.Adapter).
-		Int("sends", j.sends).Int("ran", j.ran).Dur("first_ms", j.first).Dur("objective_ms", j.due.Sub(j.request.Arrived)).
+		Int("sends", j.sends).Int("ran", j.ran).Dur("first_ms", j.first).Dur("expected_ms", j.expected).Dur("objective_ms", j.due.Sub(j.request.Arrived)).
 		Dur("took_ms", took).Str("last_event", j.last).Int64("configuration", j.catalog.Version)
 	if j.cause != nil {
 		e = e.AnErr("cause", j.cause)
