topology: beyond twelve VMs report through hubs of their failure domains

Change: a hub for each domain, the first by name that is heard; it passes on sums of counters and loads (aggregate); rates weigh a silent hub by the VMs that it reports for; unchanged demand is left out; the pause between watches grows with the fleet, and news of a newer view are believed.

--- /dev/null
+++ b/internal/aggregate/counters_test.go
@@ -0,0 +1,38 @@
+package aggregate
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A hub passes on what its VMs admitted. One of them starts again and counts from zero;
+// to the others the sum must not fall back, or what was admitted would be admitted twice.
+func TestSumsGoOnWhenAVMStartsAgain(t *testing.T) {
+	c := NewCounters(100)
+	c.Take("a", 200, true, map[string]float64{"x": 5})
+	c.Take("b", 201, false, nil)
+	c.Take("b", 201, false, map[string]float64{"x": 7, "y": 1})
+	require.Equal(t, map[string]float64{"x": 13, "y": 1}, c.Sum(map[string]float64{"x": 1}, false, ""))
+	c.Take("a", 300, true, map[string]float64{"x": 2})
+	require.Equal(t, 15.0, c.Sum(map[string]float64{"x": 1}, false, "")["x"])
+	require.Equal(t, 8.0, c.Sum(map[string]float64{"x": 1}, true, "")["x"])
+	require.Equal(t, 8.0, c.Sum(map[string]float64{"x": 1}, false, "b")["x"])
+}
+
+// A new hub hears of VMs that have counted for hours. Passing their whole totals on would
+// empty every team's bucket at once.
+func TestOldTotalsAreNotPassedOnByANewHub(t *testing.T) {
+	c := NewCounters(1000)
+	c.Take("old", 10, true, map[string]float64{"x": 1e9})
+	require.Zero(t, c.Sum(nil, false, "")["x"])
+	c.Take("old", 10, true, map[string]float64{"x": 1e9 + 3})
+	require.Equal(t, 3.0, c.Sum(nil, false, "")["x"])
+}
+
+func TestMissingNamesHaveNotChanged(t *testing.T) {
+	c := NewCounters(1)
+	c.Take("a", 2, true, map[string]float64{"x": 1, "y": 1})
+	c.Take("a", 2, true, map[string]float64{"x": 2})
+	require.Equal(t, map[string]float64{"x": 2, "y": 1}, c.Sum(nil, false, ""))
+}
--- a/internal/teamrate/limiter.go
+++ b/internal/teamrate/limiter.go
@@ -61,6 +61,8 @@
 	incarnation int64
 	teams       map[string]*bucket
 	peers       map[string]*peer
+	// vms is how many VMs share the rates.
+	vms float64
 }
 
 type bucket struct {
@@ -74,8 +76,10 @@
 	pace float64
 }
 
-// peer is another VM.
+// peer is another VM that reports.
 type peer struct {
+	// weight is how many VMs it reports for.
+	weight      float64
 	incarnation int64
 	heard       time.Time
 	// admitted is what it has reported by team.
@@ -86,7 +90,7 @@
 
 // New returns a limiter without teams. incarnation is this VM's own.
 func New(t Tolerance, incarnation int64) *Limiter {
-	return &Limiter{tolerance: t, incarnation: incarnation, teams: make(map[string]*bucket), peers: make(map[string]*peer)}
+	return &Limiter{tolerance: t, incarnation: incarnation, teams: make(map[string]*bucket), peers: make(map[string]*peer), vms: 1}
 }
 
 // SetTolerance takes a new tolerance.
@@ -122,20 +126,22 @@
 
 func (l *Limiter) depth(limit Limit) float64 { return limit.Burst + depthShare*l.tolerance.Units }
 
-// SetPeers names the other VMs. One that is not named any more is forgotten.
-func (l *Limiter) SetPeers(vms []string, now time.Time) {
+// SetPeers names the VMs that report, and how many VMs each reports for. One that is
+// not named any more is forgotten.
+func (l *Limiter) SetPeers(weights map[string]int, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refillAll(now)
-	known := make(map[string]bool, len(vms))
-	for _, vm := range vms {
-		known[vm] = true
+	l.vms = 1
+	for vm, weight := range weights {
+		l.vms += float64(weight)
 		if l.peers[vm] == nil {
 			l.peers[vm] = &peer{heard: now, admitted: make(map[string]float64), assumed: make(map[string]float64)}
 		}
+		l.peers[vm].weight = float64(weight)
 	}
 	for vm := range l.peers {
-		if !known[vm] {
+		if _, ok := weights[vm]; !ok {
 			delete(l.peers, vm)
 		}
 	}
@@ -165,10 +171,10 @@
 
 // meet notes a VM that has started or is heard for the first time. What a VM has
 // admitted that started after this one counts whole; what an older one admitted
-// before this one heard of it does not.
+// before this one heard of it does not, nor what one that reports for many has added up.
 func (l *Limiter) meet(p *peer, incarnation int64, admitted map[string]float64) {
 	clear(p.admitted)
-	if p.incarnation != 0 || incarnation > l.incarnation {
+	if p.weight <= 1 && (p.incarnation != 0 || incarnation > l.incarnation) {
 		return
 	}
 	for team, total := range admitted {
@@ -217,7 +223,7 @@
 
 // paceRate is what this VM may admit a second while the bucket is low.
 func (l *Limiter) paceRate(limit Limit) float64 {
-	return l.flow(limit) * min(1, paceShare/float64(len(l.peers)+1))
+	return l.flow(limit) * min(1, paceShare/l.vms)
 }
 
 // Return gives back what a request took that did not run.
@@ -256,11 +262,11 @@
 		return
 	}
 	accrued := l.flow(b.limit) * passed.Seconds()
-	part := accrued / float64(len(l.peers)+1)
+	part := accrued / l.vms
 	for _, p := range l.peers {
 		if now.Sub(p.heard) > silentAfter {
-			p.assumed[team] += part
-			accrued -= part
+			p.assumed[team] += part * p.weight
+			accrued -= part * p.weight
 		}
 	}
 	b.level = min(b.level+accrued, l.depth(b.limit))
--- a/internal/teamrate/limiter_test.go
+++ b/internal/teamrate/limiter_test.go
@@ -61,10 +61,10 @@
 	w.born[i] = w.now.UnixNano() + int64(i)
 	w.limiters[i] = New(Tolerance{Units: testSlack, Window: testWindow}, w.born[i])
 	w.limiters[i].SetLimits(map[string]Limit{"team": {Rate: w.rate, Burst: w.rate}}, w.now)
-	var others []string
+	others := make(map[string]int)
 	for j := range w.limiters {
 		if j != i {
-			others = append(others, fmt.Sprint(j))
+			others[fmt.Sprint(j)] = 1
 		}
 	}
 	w.limiters[i].SetPeers(others, w.now)
--- /dev/null
+++ b/internal/topology/topology.go
@@ -0,0 +1,95 @@
+package topology
+
+import (
+	"slices"
+	"strings"
+)
+
+// MeshLimit is the number of VMs up to which all exchange with all: 66 pairs, each four
+// times a second, cost a VM under a hundredth of a core.
+const MeshLimit = 12
+
+// VM is one VM as another one knows it.
+type VM struct {
+	Name, Domain string
+	// Silent VMs have not been heard for so long that they cannot serve as hubs.
+	Silent bool
+}
+
+// Partner is a VM to exchange reports with.
+type Partner struct {
+	Name string
+	// Weight is how many VMs it reports for.
+	Weight int
+	// Call says that this side starts the exchanges.
+	Call bool
+}
+
+// Scope is what a report to another VM covers.
+type Scope int
+
+// The scopes. ScopeOwn is this VM alone, ScopeDomain the VMs that report to it, and
+// ScopeAll everyone it knows of but the receiver.
+const (
+	ScopeOwn Scope = iota
+	ScopeDomain
+	ScopeAll
+)
+
+// Plan is the place of one VM among the others.
+type Plan struct {
+	self VM
+	hubs map[string]string
+	// Mesh says that all exchange with all.
+	Mesh     bool
+	Partners []Partner
+}
+
+// New works out the place of self among the others.
+func New(self VM, others []VM) *Plan {
+	p := &Plan{self: self, Mesh: len(others)+1 <= MeshLimit, hubs: make(map[string]string)}
+	if p.Mesh {
+		for _, vm := range others {
+			p.Partners = append(p.Partners, Partner{Name: vm.Name, Weight: 1, Call: self.Name < vm.Name})
+		}
+		return p
+	}
+	sizes := make(map[string]int)
+	for _, vm := range append([]VM{self}, others...) {
+		sizes[vm.Domain]++
+		if hub := p.hubs[vm.Domain]; !vm.Silent && (hub == "" || vm.Name < hub) {
+			p.hubs[vm.Domain] = vm.Name
+		}
+	}
+	if !p.IsHub() {
+		p.Partners = []Partner{{Name: p.hubs[self.Domain], Weight: len(others), Call: true}}
+		return p
+	}
+	for _, vm := range others {
+		if vm.Domain == self.Domain {
+			p.Partners = append(p.Partners, Partner{Name: vm.Name, Weight: 1})
+		}
+	}
+	for domain, hub := range p.hubs {
+		if domain != self.Domain {
+			p.Partners = append(p.Partners, Partner{Name: hub, Weight: sizes[domain], Call: self.Name < hub})
+		}
+	}
+	slices.SortFunc(p.Partners, func(a, b Partner) int { return strings.Compare(a.Name, b.Name) })
+	return p
+}
+
+// IsHub reports whether the VM is the hub of its domain. In a mesh nobody is.
+func (p *Plan) IsHub() bool { return !p.Mesh && p.hubs[p.self.Domain] == p.self.Name }
+
+// ScopeFor returns what a report to another VM has to cover: a hub tells its own VMs of
+// everyone, and other hubs of its domain.
+func (p *Plan) ScopeFor(receiver VM) Scope {
+	switch {
+	case !p.IsHub():
+		return ScopeOwn
+	case receiver.Domain == p.self.Domain:
+		return ScopeAll
+	}
+	return ScopeDomain
+}
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -11,9 +11,9 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
-	"github.com/chestnutarch/chestnutarch/internal/assign"
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/store"
+	"github.com/chestnutarch/chestnutarch/internal/topology"
 )
 
 const (
@@ -55,8 +55,11 @@
 	sequence    atomic.Uint64
 	now         chan struct{}
 
+	sums *sums
+
 	mu      sync.Mutex
 	members map[string]*member
+	plan    *topology.Plan
 }
 
 // member is another VM.
@@ -68,10 +71,13 @@
 	sequence       uint64
 	ready          bool
 	calling        bool
+	// failures counts the exchanges in a row that failed.
+	failures int
 }
 
 func newFleet(p *Process) *fleet {
-	f := &fleet{p: p, incarnation: time.Now().UnixNano(), members: make(map[string]*member), now: make(chan struct{}, 1)}
+	started := time.Now().UnixNano()
+	f := &fleet{p: p, incarnation: started, sums: newSums(started), members: make(map[string]*member), now: make(chan struct{}, 1)}
 	peerpb.RegisterVMsServer(p.peerServer.Registrar(), &vmServer{p: p})
 	return f
 }
@@ -158,21 +164,46 @@
 	return key[len(prefix):], true
 }
 
-// forget drops the VMs that are neither registered nor heard of. It must be called
-// with the lock held.
+// forget drops the VMs that are neither registered nor heard of, and works out the
+// partners anew. It must be called with the lock held.
 func (f *fleet) forget(now time.Time) {
-	names := make([]string, 0, len(f.members))
 	for vm, m := range f.members {
 		if !m.registered && now.Sub(later(m.heard, m.started)) > forgetAfter {
 			delete(f.members, vm)
 			f.p.log.Info().Str("event", "vm_forgotten").Str("peer", vm).Send()
-			continue
 		}
-		names = append(names, vm)
 	}
-	f.p.limiter.SetPeers(names, now)
+	f.arrange(now)
+}
+
+// arrange works out with whom to exchange. It must be called with the lock held.
+func (f *fleet) arrange(now time.Time) {
+	others := make([]topology.VM, 0, len(f.members))
+	for vm, m := range f.members {
+		others = append(others, topology.VM{Name: vm, Domain: m.Domain, Silent: m.silentHub(now)})
+	}
+	f.plan = topology.New(f.selfVM(), others)
+	weights := make(map[string]int, len(f.plan.Partners))
+	for _, partner := range f.plan.Partners {
+		weights[partner.Name] = partner.Weight
+	}
+	f.p.limiter.SetPeers(weights, now)
+}
+
+func (f *fleet) selfVM() topology.VM {
+	return topology.VM{Name: f.p.settings.VM, Domain: f.p.settings.FailureDomain}
+}
+
+// silentHub reports whether the VM cannot serve as a hub: its process is known to be gone,
+// or exchanges with it have failed for a while.
+func (m *member) silentHub(now time.Time) bool {
+	return !m.registered || (m.failures >= hubFailures && now.Sub(m.heard) > unheardAfter/2)
 }
 
+// hubFailures is how many exchanges with a hub fail in a row before the next VM takes its
+// place: with the time that one may take, under two seconds.
+const hubFailures = 2
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -201,31 +232,35 @@
 			everyone = true
 		case <-ticker.C:
 		}
-		report := f.report()
 		for _, vm := range f.due(everyone) {
-			go f.exchange(ctx, vm, report)
+			go f.exchange(ctx, vm)
 		}
 	}
 }
 
-// due names the VMs to exchange with. Of two VMs the one with the lower name calls,
-// so that each pair exchanges once; the other one calls too when it hears nothing.
+// due names the VMs to exchange with. Of two partners one calls, so that each pair
+// exchanges once; the other one calls too when it hears nothing.
 func (f *fleet) due(everyone bool) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.arrange(time.Now())
 	var out []string
-	for vm, m := range f.members {
+	for _, partner := range f.plan.Partners {
+		m := f.members[partner.Name]
+		if m == nil || m.calling {
+			continue
+		}
 		quiet := time.Since(later(m.heard, m.started)) > unheardAfter/2
-		if m.calling || (!everyone && !quiet && f.p.settings.VM > vm) {
+		if !everyone && !quiet && !partner.Call {
 			continue
 		}
 		m.calling = true
-		out = append(out, vm)
+		out = append(out, partner.Name)
 	}
 	return out
 }
 
-func (f *fleet) exchange(ctx context.Context, vm string, report *peerpb.VMReport) {
+func (f *fleet) exchange(ctx context.Context, vm string) {
 	f.mu.Lock()
 	m := f.members[vm]
 	f.mu.Unlock()
@@ -233,53 +268,79 @@
 		return
 	}
 	var answer *peerpb.VMReport
+	report := f.report(vm)
 	err := f.p.pool.Call(ctx, m.Peers, exchangeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
 		answer, err = peerpb.NewVMsClient(conn).Exchange(ctx, report)
 		return err
 	})
 	f.mu.Lock()
 	m.calling = false
-	f.mu.Unlock()
+	m.failures++
 	if err == nil {
-		f.take(ctx, answer)
+		m.failures = 0
+	}
+	f.mu.Unlock()
+	if err != nil {
+		f.sums.forget(vm)
+		return
 	}
+	f.take(ctx, answer)
 }
 
-// report is what this VM tells the others.
-func (f *fleet) report() *peerpb.VMReport {
+// report is what this VM tells another one.
+func (f *fleet) report(receiver string) *peerpb.VMReport {
 	revision, _ := f.p.configuration()
+	scope := f.scopeFor(receiver)
 	out := &peerpb.VMReport{
 		Vm: f.p.settings.VM, Incarnation: f.incarnation, Sequence: f.sequence.Add(1),
 		CallerAddress: f.p.settings.Callers, PeerAddress: f.p.peerAddress(), Ready: f.p.ready(),
-		ConfigurationRevision: revision, Admitted: f.p.limiter.Admitted(), Demand: demandReport(f.p.assigner.Demand()),
-		Leaving: f.p.gone.names(), InUse: f.p.assigner.InUse(),
-	}
-	for id, l := range f.p.assigner.Loads() {
-		out.Engines = append(out.Engines, &peerpb.EngineLoad{
-			Instance: id, PrefillTokens: int64(l.PrefillTokens), KvTokens: int64(l.KVTokens), Requests: int32(l.Requests),
-		})
+		ConfigurationRevision: revision, ViewRevision: f.p.tracker.at(),
+		Leaving: f.p.gone.names(), InUse: f.p.assigner.InUse(), Alive: f.alive(scope, receiver),
 	}
+	f.sums.fill(out, scope, receiver, f.incarnationOf(receiver), f.p.limiter.Admitted(), f.p.assigner.Demand(), f.p.assigner.Loads())
 	f.p.planner.describe(out)
 	return out
 }
 
-func demandReport(demand map[string]assign.Demand) map[string]*peerpb.Demand {
-	out := make(map[string]*peerpb.Demand, len(demand))
-	for item, d := range demand {
-		out[item] = &peerpb.Demand{Tokens: d.Tokens, Requests: d.Requests}
+// scopeFor returns what a report to another VM covers.
+func (f *fleet) scopeFor(receiver string) topology.Scope {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[receiver]
+	if m == nil || f.plan == nil {
+		return topology.ScopeOwn
 	}
-	return out
+	return f.plan.ScopeFor(topology.VM{Name: receiver, Domain: m.Domain})
+}
+
+func (f *fleet) incarnationOf(vm string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[vm]; m != nil {
+		return m.Incarnation
+	}
+	return 0
 }
 
-func demandOf(report map[string]*peerpb.Demand) map[string]assign.Demand {
-	out := make(map[string]assign.Demand, len(report))
-	for item, d := range report {
-		out[item] = assign.Demand{Tokens: d.GetTokens(), Requests: d.GetRequests()}
+// alive names the VMs that take callers, as far as the scope goes.
+func (f *fleet) alive(scope topology.Scope, receiver string) []string {
+	if scope == topology.ScopeOwn {
+		return nil
+	}
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for vm, m := range f.members {
+		near := m.Domain == f.p.settings.FailureDomain
+		if vm != receiver && m.ready && now.Sub(m.heard) < unheardAfter/2 && (near || scope == topology.ScopeAll) {
+			out = append(out, vm)
+		}
 	}
 	return out
 }
 
-// take takes in what another VM tells of itself.
+// take takes in what another VM tells.
 func (f *fleet) take(ctx context.Context, r *peerpb.VMReport) {
 	now := time.Now()
 	f.mu.Lock()
@@ -289,18 +350,25 @@
 		return
 	}
 	m.sequence, m.heard, m.ready = r.Sequence, now, r.Ready
-	address := m.Peers
+	for _, vm := range r.Alive {
+		if other := f.members[vm]; other != nil {
+			other.heard, other.ready = now, true
+		}
+	}
+	address, near := m.Peers, m.Domain == f.p.settings.FailureDomain
+	mesh := f.plan == nil || f.plan.Mesh
 	f.mu.Unlock()
-	loads := make(map[string]assign.Load, len(r.Engines))
-	for _, e := range r.Engines {
-		loads[e.Instance] = assign.Load{Requests: int(e.Requests), PrefillTokens: int(e.PrefillTokens), KVTokens: int(e.KvTokens)}
+	if !mesh {
+		f.sums.take(r, near, now)
 	}
-	f.p.assigner.SetOthers(r.Vm, loads, now)
+	f.p.assigner.SetOthers(r.Vm, loadsOf(r), now)
 	f.p.limiter.Report(r.Vm, r.Incarnation, r.Admitted, now)
 	f.p.planner.heardDemand(r.Vm, r.Incarnation, demandOf(r.Demand), now)
 	f.p.planner.heardUse(r.InUse, now)
 	f.p.planner.heardContents(r)
-	f.p.peerDepartures(r.Leaving)
+	if r.ViewRevision > f.p.tracker.at() {
+		f.p.peerDepartures(r.Leaving)
+	}
 	if revision, _ := f.p.configuration(); r.ConfigurationRevision > revision {
 		f.fetchConfiguration(ctx, address, revision)
 	}
@@ -348,7 +416,7 @@
 // Exchange implements peerpb.VMsServer.
 func (s *vmServer) Exchange(ctx context.Context, in *peerpb.VMReport) (*peerpb.VMReport, error) {
 	go s.p.fleet.take(context.WithoutCancel(ctx), in)
-	return s.p.fleet.report(), nil
+	return s.p.fleet.report(in.Vm), nil
 }
 
 // Configuration implements peerpb.VMsServer.
--- a/internal/vm/plan.go
+++ b/internal/vm/plan.go
@@ -75,8 +75,9 @@
 	defer l.mu.Unlock()
 	known := l.demand[vm]
 	if known == nil || known.incarnation != incarnation {
-		known = &reportedDemand{incarnation: incarnation, items: make(map[string]assign.Demand)}
-		l.demand[vm] = known
+		// What was asked for before this VM heard of it is no demand of now.
+		l.demand[vm] = &reportedDemand{incarnation: incarnation, items: demand}
+		return
 	}
 	for item, total := range demand {
 		before := known.items[item]
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -76,7 +76,7 @@
 			Dur("for_ms", time.Until(until)).Send()
 	})
 	p.budget = retrybudget.New(retryLimitsOf(s), time.Now())
-	p.tracker = newTracker(p.store, log, p.follow)
+	p.tracker = newTracker(p.store, log, p.follow, func() int { return p.fleet.size() }, s.Bounds.Configuration*2/3)
 	p.candidate = leadership.New(leadership.Options{
 		Store: p.store, VM: s.VM, Prefix: ownPrefix, LeaseMin: s.Store.LeaseMin,
 		Settle: s.Bounds.OrderLease, Clock: clock.Boot(), Log: log,
@@ -350,10 +350,9 @@
 	p.assigner.SetInstances(list)
 }
 
-// peerDepartures takes what another VM has seen leaving. It counts only while this
-// VM's own view is old: the store turns single VMs away.
+// peerDepartures takes what a VM with a newer view of the store has seen leaving.
 func (p *Process) peerDepartures(names []string) {
-	if _, age := p.tracker.current(); age < staleView || len(names) == 0 {
+	if len(names) == 0 {
 		return
 	}
 	left := make(map[string]bool, len(names))
@@ -375,10 +374,6 @@
 	}
 }
 
-// staleView is the age from which a view of the store is not the newest one: two
-// watches.
-const staleView = 2 * (watchPause + watchWait)
-
 // Reload takes the settings that can change while the process runs: the bounds on
 // rates and on repeats. Addresses take effect at the next start. Settings that cannot
 // be read leave the old ones in force.
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -21,6 +21,9 @@
 	// watch returns at once; without a pause every heartbeat would cost a call of
 	// every VM. A configuration has to be in force within two seconds.
 	watchPause = 600 * time.Millisecond
+	// pauseFleet is the number of VMs up to which the pause is the shortest: a dozen VMs
+	// make some 20 calls a second.
+	pauseFleet = 12
 	// retryPause is the time between tries while the store does not answer.
 	retryPause = 150 * time.Millisecond
 	// returnGrace is how long after the store's return an entry that lapsed is still
@@ -41,6 +44,9 @@
 	store   store.Store
 	log     zerolog.Logger
 	changed func(view)
+	// vms is the number of VMs, longest the longest pause between two watches.
+	vms     func() int
+	longest time.Duration
 
 	mu   sync.Mutex
 	view view
@@ -54,8 +60,8 @@
 	fresh time.Time
 }
 
-func newTracker(s store.Store, log zerolog.Logger, changed func(view)) *tracker {
-	return &tracker{store: s, log: log, changed: changed, lapsed: make(map[string]time.Time)}
+func newTracker(s store.Store, log zerolog.Logger, changed func(view), vms func() int, longest time.Duration) *tracker {
+	return &tracker{store: s, log: log, changed: changed, vms: vms, longest: longest, lapsed: make(map[string]time.Time)}
 }
 
 // run follows the store until ctx ends.
@@ -84,10 +90,17 @@
 			continue
 		}
 		t.apply(events)
-		sleep(ctx, watchPause)
+		sleep(ctx, t.pause())
 	}
 }
 
+// pause is the time between two watches. It grows with the fleet, so that the calls of
+// all VMs grow more slowly: VMs tell each other what the one has seen that watched last.
+func (t *tracker) pause() time.Duration {
+	scaled := watchPause * time.Duration(t.vms()) / pauseFleet
+	return min(max(watchPause, scaled), max(watchPause, t.longest))
+}
+
 func (t *tracker) at() int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
