vm: what the leader knows of engines is passed on through hubs

Change: a table of the engines' contents, passed on by every VM, only what the receiver was not told; adapters in use are passed on too.

--- /dev/null
+++ b/internal/vm/contents.go
@@ -0,0 +1,127 @@
+package vm
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+)
+
+// contentsTable holds what the leader knows of the engines, and passes it on: the leader
+// reports to a few VMs only, and the others have to know as soon where a model or an
+// adapter can be used.
+type contentsTable struct {
+	mu sync.Mutex
+	// token is of the leader that it stems from.
+	token   int64
+	engines map[string]*peerpb.EngineContents
+	// told is what each VM was told last, by instance.
+	told map[string]map[string]*peerpb.EngineContents
+}
+
+func newContentsTable() contentsTable {
+	return contentsTable{engines: make(map[string]*peerpb.EngineContents), told: make(map[string]map[string]*peerpb.EngineContents)}
+}
+
+// set replaces the table, on the leader. Engines that have not changed keep their value.
+func (c *contentsTable) set(token int64, engines []*peerpb.EngineContents) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := make(map[string]*peerpb.EngineContents, len(engines))
+	for _, e := range engines {
+		slices.Sort(e.Models)
+		slices.Sort(e.Adapters)
+		next[e.Instance] = e
+		if old := c.engines[e.Instance]; old != nil && token == c.token && sameContents(old, e) {
+			next[e.Instance] = old
+		}
+	}
+	c.token, c.engines = token, next
+}
+
+func sameContents(a, b *peerpb.EngineContents) bool {
+	return a.OrdersAccepted == b.OrdersAccepted && slices.Equal(a.Models, b.Models) && slices.Equal(a.Adapters, b.Adapters)
+}
+
+// hear takes what another VM passes on, and returns what is new. What stems from an
+// earlier leader is not believed.
+func (c *contentsTable) hear(token int64, engines []*peerpb.EngineContents) []*peerpb.EngineContents {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if token == 0 || token < c.token {
+		return nil
+	}
+	if token > c.token {
+		c.token, c.engines = token, make(map[string]*peerpb.EngineContents)
+	}
+	var fresh []*peerpb.EngineContents
+	for _, e := range engines {
+		old := c.engines[e.Instance]
+		if old != nil && (old.OrdersAccepted > e.OrdersAccepted || sameContents(old, e)) {
+			continue
+		}
+		c.engines[e.Instance] = e
+		fresh = append(fresh, e)
+	}
+	return fresh
+}
+
+// describe adds what the receiver was not told yet to a report.
+func (c *contentsTable) describe(out *peerpb.VMReport, receiver string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.token == 0 {
+		return
+	}
+	out.LeaderToken = c.token
+	told := c.told[receiver]
+	for id, e := range c.engines {
+		if told[id] != e {
+			out.Contents = append(out.Contents, e)
+		}
+	}
+	c.told[receiver] = maps.Clone(c.engines)
+}
+
+// forget makes the next report to a VM whole: it may not have got the last one.
+func (c *contentsTable) forget(vm string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.told, vm)
+}
+
+// publish gives what the books say to this VM's own choice of engines and to the others.
+func (l *planner) publish() {
+	l.mu.Lock()
+	token := l.token
+	engines := make([]*peerpb.EngineContents, 0, len(l.books))
+	for id, b := range l.books {
+		engines = append(engines, &peerpb.EngineContents{
+			Instance: id, OrdersAccepted: b.accepted,
+			Adapters: slices.Collect(maps.Keys(b.adapters)), Models: slices.Collect(maps.Keys(b.models)),
+		})
+	}
+	l.mu.Unlock()
+	if token == 0 {
+		return
+	}
+	l.contents.set(token, engines)
+	l.believe(engines)
+}
+
+// hearContents takes what another VM passes on of the engines.
+func (l *planner) hearContents(r *peerpb.VMReport) {
+	l.mu.Lock()
+	leading := l.token != 0
+	l.mu.Unlock()
+	if !leading {
+		l.believe(l.contents.hear(r.LeaderToken, r.Contents))
+	}
+}
+
+func (l *planner) believe(engines []*peerpb.EngineContents) {
+	for _, e := range engines {
+		l.p.assigner.SetContents(e.Instance, e.OrdersAccepted, slices.Concat(e.Models, e.Adapters))
+	}
+}
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -282,6 +282,7 @@
 	f.mu.Unlock()
 	if err != nil {
 		f.sums.forget(vm)
+		f.p.planner.contents.forget(vm)
 		return
 	}
 	f.take(ctx, answer)
@@ -295,10 +296,10 @@
 		Vm: f.p.settings.VM, Incarnation: f.incarnation, Sequence: f.sequence.Add(1),
 		CallerAddress: f.p.settings.Callers, PeerAddress: f.p.peerAddress(), Ready: f.p.ready(),
 		ConfigurationRevision: revision, ViewRevision: f.p.tracker.at(),
-		Leaving: f.p.gone.names(), InUse: f.p.assigner.InUse(), Alive: f.alive(scope, receiver),
+		Leaving: f.p.gone.names(), Alive: f.alive(scope, receiver),
 	}
-	f.sums.fill(out, scope, receiver, f.incarnationOf(receiver), f.p.limiter.Admitted(), f.p.assigner.Demand(), f.p.assigner.Loads())
-	f.p.planner.describe(out)
+	f.sums.fill(out, scope, receiver, f.incarnationOf(receiver), f.own())
+	f.p.planner.contents.describe(out, receiver)
 	return out
 }
 
@@ -313,6 +314,13 @@
 	return f.plan.ScopeFor(topology.VM{Name: receiver, Domain: m.Domain})
 }
 
+// own is the work of this VM.
+func (f *fleet) own() work {
+	return work{
+		admitted: f.p.limiter.Admitted(), demand: f.p.assigner.Demand(), loads: f.p.assigner.Loads(), inUse: f.p.assigner.InUse(),
+	}
+}
+
 func (f *fleet) incarnationOf(vm string) int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -365,7 +373,7 @@
 	f.p.limiter.Report(r.Vm, r.Incarnation, r.Admitted, now)
 	f.p.planner.heardDemand(r.Vm, r.Incarnation, demandOf(r.Demand), now)
 	f.p.planner.heardUse(r.InUse, now)
-	f.p.planner.heardContents(r)
+	f.p.planner.hearContents(r)
 	if r.ViewRevision > f.p.tracker.at() {
 		f.p.peerDepartures(r.Leaving)
 	}
--- /dev/null
+++ b/internal/vm/hubs_test.go
@@ -0,0 +1,161 @@
+package vm
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/assign"
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+	"github.com/chestnutarch/chestnutarch/internal/teamrate"
+	"github.com/chestnutarch/chestnutarch/internal/topology"
+)
+
+const (
+	hubTestVMs    = 40
+	hubTestRate   = 300_000.0
+	hubTestSlack  = 110_000.0
+	hubTestWindow = 8 * time.Second
+)
+
+// hubWorld is many VMs that report as the topology says, without a network.
+type hubWorld struct {
+	now      time.Time
+	vms      []topology.VM
+	born     []int64
+	limiters []*teamrate.Limiter
+	sums     []*sums
+	admitted []float64
+	// asked and refused count units.
+	asked, refused float64
+}
+
+func newHubWorld() *hubWorld {
+	w := &hubWorld{now: time.Now()}
+	for i := range hubTestVMs {
+		born := w.now.UnixNano() + int64(i)
+		l := teamrate.New(teamrate.Tolerance{Units: hubTestSlack, Window: hubTestWindow}, born)
+		l.SetLimits(map[string]teamrate.Limit{"team": {Rate: hubTestRate, Burst: hubTestRate}}, w.now)
+		w.vms = append(w.vms, topology.VM{Name: fmt.Sprintf("vm-%02d", i), Domain: fmt.Sprint(i % 4)})
+		w.born = append(w.born, born)
+		w.limiters, w.sums = append(w.limiters, l), append(w.sums, newSums(born))
+	}
+	return w
+}
+
+func (w *hubWorld) plan(i int) *topology.Plan {
+	others := append(append([]topology.VM{}, w.vms[:i]...), w.vms[i+1:]...)
+	return topology.New(w.vms[i], others)
+}
+
+// exchange makes every pair of partners exchange, except with VMs that are silent.
+func (w *hubWorld) exchange() {
+	for i := range w.vms {
+		plan := w.plan(i)
+		weights := make(map[string]int)
+		for _, p := range plan.Partners {
+			weights[p.Name] = p.Weight
+		}
+		w.limiters[i].SetPeers(weights, w.now)
+	}
+	for i := range w.vms {
+		for _, p := range w.plan(i).Partners {
+			j := w.index(p.Name)
+			if p.Call && !w.vms[i].Silent && !w.vms[j].Silent {
+				w.tell(i, j)
+				w.tell(j, i)
+			}
+		}
+	}
+}
+
+func (w *hubWorld) index(name string) int {
+	for i, vm := range w.vms {
+		if vm.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (w *hubWorld) tell(from, to int) {
+	r := &peerpb.VMReport{Vm: w.vms[from].Name, Incarnation: w.born[from]}
+	demand := map[string]assign.Demand{"m": {Tokens: int64(from), Requests: 1}}
+	w.sums[from].fill(r, w.plan(from).ScopeFor(w.vms[to]), w.vms[to].Name, w.born[to], work{admitted: w.limiters[from].Admitted(), demand: demand})
+	w.sums[to].take(r, w.vms[from].Domain == w.vms[to].Domain, w.now)
+	w.limiters[to].Report(r.Vm, r.Incarnation, r.Admitted, w.now)
+}
+
+// step asks all VMs for so many units a second together.
+func (w *hubWorld) step(r *rand.Rand, demand float64) {
+	const tick, size = 10 * time.Millisecond, 9000.0
+	total := 0.0
+	for expected := demand * tick.Seconds() / size; expected > 0 && r.Float64() < expected; expected-- {
+		i := r.IntN(len(w.vms))
+		w.asked += size
+		if ok, _ := w.limiters[i].Take("team", size, w.now); ok {
+			total += size
+		} else {
+			w.refused += size
+		}
+	}
+	w.admitted = append(w.admitted, total)
+	w.now = w.now.Add(tick)
+}
+
+func (w *hubWorld) run(r *rand.Rand, steps int, demand float64) {
+	for i := range steps {
+		if i%25 == 0 {
+			w.exchange()
+		}
+		w.step(r, demand)
+	}
+}
+
+func (w *hubWorld) worst() float64 {
+	ticks := int(hubTestWindow / (10 * time.Millisecond))
+	worst, sum := 0.0, 0.0
+	for i, u := range w.admitted {
+		sum += u
+		if i >= ticks {
+			sum -= w.admitted[i-ticks]
+		}
+		worst = max(worst, sum)
+	}
+	return worst
+}
+
+// One team sends several times its rate through forty VMs, which hear of each other
+// through hubs. A hub dies in the middle, and its VMs turn to the next one. What was
+// admitted before must neither be forgotten nor counted twice: the first would let the
+// team through, the second would refuse it inside its rate.
+func TestRatesHoldThroughHubs(t *testing.T) {
+	for seed := range uint64(6) {
+		r := rand.New(rand.NewPCG(seed, 9))
+		w := newHubWorld()
+		w.run(r, 400, hubTestRate/1.8)
+		before := len(w.admitted)
+		w.run(r, 800, 6*hubTestRate/1.8)
+		w.vms[0].Silent = true
+		w.run(r, 800, 6*hubTestRate/1.8)
+		require.Less(t, w.worst(), (hubTestRate*hubTestWindow.Seconds()+hubTestRate)*1.1+hubTestSlack, "seed %d", seed)
+		served := 0.0
+		for _, u := range w.admitted[before:] {
+			served += u
+		}
+		require.Greater(t, served, 0.85*hubTestRate*16, "seed %d", seed)
+	}
+}
+
+// The same VMs carry what the team usually sends. Nothing may be refused.
+func TestUsualLoadPassesThroughHubs(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 10))
+	w := newHubWorld()
+	w.run(r, 300, hubTestRate/1.8)
+	w.asked, w.refused = 0, 0
+	w.run(r, 3000, hubTestRate/1.8)
+	require.Less(t, w.refused/w.asked, 0.01)
+}
--- a/internal/vm/plan.go
+++ b/internal/vm/plan.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"math"
-	"slices"
 	"strings"
 	"time"
 
@@ -281,21 +279,3 @@
 	}
 	return m.DiskTime
 }
-
-// publish gives what the books say to this VM's own choice of engines.
-func (l *planner) publish() {
-	type content struct {
-		id       string
-		accepted int64
-		items    []string
-	}
-	l.mu.Lock()
-	var all []content
-	for id, b := range l.books {
-		all = append(all, content{id, b.accepted, slices.Concat(slices.Collect(maps.Keys(b.models)), slices.Collect(maps.Keys(b.adapters)))})
-	}
-	l.mu.Unlock()
-	for _, c := range all {
-		l.p.assigner.SetContents(c.id, c.accepted, c.items)
-	}
-}
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -53,9 +53,10 @@
 	demand map[string]*reportedDemand
 	used   map[string]time.Time
 	rates  map[string]*itemRate
-	// learntFrom is the token of the newest leader that told of the engines.
-	learntFrom int64
-	loads      loadBudget
+	// contents is what is known of the engines, by instance: on the leader from its
+	// books, elsewhere from the leader. A value is replaced when it changes.
+	contents contentsTable
+	loads    loadBudget
 	// settledUntil says until when a model stays on an engine.
 	settledUntil map[string]time.Time
 	// notBefore says when an engine without a book may be asked again.
@@ -98,7 +99,7 @@
 func newPlanner(p *Process) *planner {
 	return &planner{
 		p: p, books: make(map[string]*book), pending: make(map[string]*pendingAdapter),
-		demand: make(map[string]*reportedDemand), used: make(map[string]time.Time), rates: make(map[string]*itemRate),
+		demand: make(map[string]*reportedDemand), used: make(map[string]time.Time), rates: make(map[string]*itemRate), contents: newContentsTable(),
 		settledUntil: make(map[string]time.Time), notBefore: make(map[string]time.Time),
 	}
 }
@@ -460,39 +461,6 @@
 	return i == nil || i.Draining
 }
 
-// describe adds what the leader knows to a report.
-func (l *planner) describe(out *peerpb.VMReport) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.token == 0 {
-		return
-	}
-	out.LeaderToken = l.token
-	for id, b := range l.books {
-		out.Contents = append(out.Contents, &peerpb.EngineContents{
-			Instance: id, OrdersAccepted: b.accepted,
-			Adapters: slices.Collect(maps.Keys(b.adapters)), Models: slices.Collect(maps.Keys(b.models)),
-		})
-	}
-}
-
-// heardContents takes what the leader tells of the engines.
-func (l *planner) heardContents(r *peerpb.VMReport) {
-	if r.LeaderToken == 0 {
-		return
-	}
-	l.mu.Lock()
-	old := r.LeaderToken < l.learntFrom || l.token != 0
-	l.learntFrom = max(l.learntFrom, r.LeaderToken)
-	l.mu.Unlock()
-	if old {
-		return
-	}
-	for _, c := range r.Contents {
-		l.p.assigner.SetContents(c.Instance, c.OrdersAccepted, slices.Concat(c.Models, c.Adapters))
-	}
-}
-
 // ensureAdapter brings an adapter to an engine, through the leader if that is
 // another VM.
 func (p *Process) ensureAdapter(ctx context.Context, service, model, adapter string) (string, error) {
--- a/internal/vm/sums.go
+++ b/internal/vm/sums.go
@@ -1,6 +1,8 @@
 package vm
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,10 +24,21 @@
 	told map[string]*told
 }
 
+// loadReport is what a VM has in flight.
 type loadReport struct {
 	at    time.Time
 	near  bool
 	loads map[string]assign.Load
+	inUse []string
+}
+
+// work is what one VM does, or many.
+type work struct {
+	admitted map[string]float64
+	demand   map[string]assign.Demand
+	loads    map[string]assign.Load
+	// inUse names adapters that requests in flight use.
+	inUse []string
 }
 
 // told is what an incarnation of a VM was told.
@@ -53,22 +66,22 @@
 	s.admitted.Take(r.Vm, r.Incarnation, near, r.Admitted)
 	s.tokens.Take(r.Vm, r.Incarnation, near, tokens)
 	s.requests.Take(r.Vm, r.Incarnation, near, requests)
-	s.loads[r.Vm] = loadReport{at: now, near: near, loads: loadsOf(r)}
+	s.loads[r.Vm] = loadReport{at: now, near: near, loads: loadsOf(r), inUse: r.InUse}
 }
 
 // fill puts the counters and loads into a report, as far as its scope goes.
-func (s *sums) fill(out *peerpb.VMReport, scope topology.Scope, receiver string, incarnation int64, admitted map[string]float64, demand map[string]assign.Demand, loads map[string]assign.Load) {
+func (s *sums) fill(out *peerpb.VMReport, scope topology.Scope, receiver string, incarnation int64, w work) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if scope != topology.ScopeOwn {
 		near := scope == topology.ScopeDomain
-		admitted = s.admitted.Sum(admitted, near, receiver)
-		demand = s.demand(demand, near, receiver)
-		loads = s.load(loads, near, receiver)
+		w.admitted = s.admitted.Sum(w.admitted, near, receiver)
+		w.demand = s.demand(w.demand, near, receiver)
+		w.loads, w.inUse = s.inFlight(w, near, receiver)
 	}
-	out.Admitted = admitted
-	out.Demand = demandReport(s.changed(receiver, incarnation, demand))
-	for id, l := range loads {
+	out.Admitted, out.InUse = w.admitted, w.inUse
+	out.Demand = demandReport(s.changed(receiver, incarnation, w.demand))
+	for id, l := range w.loads {
 		out.Engines = append(out.Engines, &peerpb.EngineLoad{
 			Instance: id, PrefillTokens: int64(l.PrefillTokens), KvTokens: int64(l.KVTokens), Requests: int32(l.Requests),
 		})
@@ -88,11 +101,12 @@
 	return out
 }
 
-func (s *sums) load(own map[string]assign.Load, near bool, except string) map[string]assign.Load {
+// inFlight adds up what is in flight.
+func (s *sums) inFlight(own work, near bool, except string) (map[string]assign.Load, []string) {
 	now := time.Now()
-	out := make(map[string]assign.Load, len(own))
-	for id, l := range own {
-		out[id] = l
+	loads, inUse := maps.Clone(own.loads), slices.Clone(own.inUse)
+	if loads == nil {
+		loads = make(map[string]assign.Load)
 	}
 	for vm, r := range s.loads {
 		if now.Sub(r.at) > loadsLifetime {
@@ -102,14 +116,16 @@
 		if vm == except || (near && !r.near) {
 			continue
 		}
+		inUse = append(inUse, r.inUse...)
 		for id, l := range r.loads {
-			sum := out[id]
-			out[id] = assign.Load{
+			sum := loads[id]
+			loads[id] = assign.Load{
 				Requests: sum.Requests + l.Requests, PrefillTokens: sum.PrefillTokens + l.PrefillTokens, KVTokens: sum.KVTokens + l.KVTokens,
 			}
 		}
 	}
-	return out
+	slices.Sort(inUse)
+	return loads, slices.Compact(inUse)
 }
 
 // forget makes the next report to a VM whole: it may not have got the last one.
