topology: a report counts only if it covers what its sender's place allows

Change: reports name their scope, and only own ones of near VMs, domain ones of other hubs and whole ones of the own hub count; what a VM reported through another hub is not added when it comes back.

--- a/internal/aggregate/counters.go
+++ b/internal/aggregate/counters.go
@@ -1,5 +1,10 @@
 package aggregate
 
+import (
+	"maps"
+	"time"
+)
+
 // Counters adds up counters that VMs have kept since they started. A VM that starts
 // again begins at zero; the sum goes on. It is not safe for concurrent use.
 type Counters struct {
@@ -11,9 +16,10 @@
 type source struct {
 	incarnation int64
 	// near sources are of the own failure domain.
-	near bool
-	last map[string]float64
-	sum  map[string]float64
+	near  bool
+	heard time.Time
+	last  map[string]float64
+	sum   map[string]float64
 }
 
 // NewCounters returns counters of a VM with the given incarnation.
@@ -21,9 +27,14 @@
 	return &Counters{started: started, sources: make(map[string]*source)}
 }
 
+// gap is how long a source may be away and still be added up without a break. Longer,
+// and it has reported through another VM, whose sums have reached the others: what it
+// counted meanwhile would count twice.
+const gap = 1500 * time.Millisecond
+
 // Take takes what a VM has counted since the start that its incarnation names. Names
 // that are missing have not changed.
-func (c *Counters) Take(vm string, incarnation int64, near bool, totals map[string]float64) {
+func (c *Counters) Take(vm string, incarnation int64, near bool, totals map[string]float64, now time.Time) {
 	s := c.sources[vm]
 	if s == nil {
 		s = &source{sum: make(map[string]float64)}
@@ -41,6 +52,10 @@
 		}
 	}
 	s.near = near
+	if away := now.Sub(s.heard); !s.heard.IsZero() && away > gap {
+		maps.Copy(s.last, totals)
+	}
+	s.heard = now
 	for name, total := range totals {
 		s.sum[name] += total - s.last[name]
 		s.last[name] = total
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -114,3 +114,19 @@
 	}
 	return ScopeDomain
 }
+
+// Accepts reports whether the sums of a report count here. VMs do not always agree on who
+// is a hub: where links are cut, a domain may have two. A report that covers more than its
+// sender's place allows would come back to where it was summed, and grow with each turn.
+func (p *Plan) Accepts(sender VM, scope Scope) bool {
+	near := sender.Domain == p.self.Domain
+	switch {
+	case p.Mesh:
+		return scope == ScopeOwn
+	case p.IsHub() && near:
+		return scope == ScopeOwn
+	case p.IsHub():
+		return scope == ScopeDomain
+	}
+	return scope == ScopeAll && sender.Name == p.hubs[p.self.Domain]
+}
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -301,7 +301,7 @@
 	out := &peerpb.VMReport{
 		Vm: f.p.settings.VM, Incarnation: f.incarnation, Sequence: f.sequence.Add(1),
 		CallerAddress: f.p.settings.Callers, PeerAddress: f.p.peerAddress(), Ready: f.p.ready(),
-		ConfigurationRevision: revision, ViewRevision: f.p.tracker.at(),
+		Scope: int32(scope), ConfigurationRevision: revision, ViewRevision: f.p.tracker.at(),
 		Leaving: f.p.gone.names(), Alive: f.alive(scope, receiver),
 	}
 	f.sums.fill(out, scope, receiver, f.incarnationOf(receiver), f.own())
@@ -369,16 +369,13 @@
 			other.heard, other.ready = now, true
 		}
 	}
-	address, near := m.Peers, m.Domain == f.p.settings.FailureDomain
-	mesh := f.plan == nil || f.plan.Mesh
+	address, domain := m.Peers, m.Domain
+	near := domain == f.p.settings.FailureDomain
+	plan := f.plan
 	f.mu.Unlock()
-	if !mesh {
-		f.sums.take(r, near, now)
+	if plan != nil && plan.Accepts(topology.VM{Name: r.Vm, Domain: domain}, topology.Scope(r.Scope)) {
+		f.takeWork(r, plan.Mesh, near, now)
 	}
-	f.p.assigner.SetOthers(r.Vm, loadsOf(r), now)
-	f.p.limiter.Report(r.Vm, r.Incarnation, r.Admitted, now)
-	f.p.planner.heardDemand(r.Vm, r.Incarnation, demandOf(r.Demand), now)
-	f.p.planner.heardUse(r.InUse, now)
 	f.p.planner.hearContents(r)
 	if r.ViewRevision > f.p.tracker.at() {
 		f.p.peerDepartures(r.Leaving)
@@ -388,6 +385,17 @@
 	}
 }
 
+// takeWork takes in what the VMs do that a report covers.
+func (f *fleet) takeWork(r *peerpb.VMReport, mesh, near bool, now time.Time) {
+	if !mesh {
+		f.sums.take(r, near, now)
+	}
+	f.p.assigner.SetOthers(r.Vm, loadsOf(r), now)
+	f.p.limiter.Report(r.Vm, r.Incarnation, r.Admitted, now)
+	f.p.planner.heardDemand(r.Vm, r.Incarnation, demandOf(r.Demand), now)
+	f.p.planner.heardUse(r.InUse, now)
+}
+
 // fetchConfiguration reads a newer configuration from another VM. The store may
 // turn this VM away while others have learnt of a key that was withdrawn.
 func (f *fleet) fetchConfiguration(ctx context.Context, address string, have int64) {
--- a/internal/vm/hubs_test.go
+++ b/internal/vm/hubs_test.go
@@ -31,10 +31,12 @@
 	admitted []float64
 	// asked and refused count units.
 	asked, refused float64
+	// unheard says which VMs do not hear which others.
+	unheard func(i, j int) bool
 }
 
 func newHubWorld() *hubWorld {
-	w := &hubWorld{now: time.Now()}
+	w := &hubWorld{now: time.Now(), unheard: func(int, int) bool { return false }}
 	for i := range hubTestVMs {
 		born := w.now.UnixNano() + int64(i)
 		l := teamrate.New(teamrate.Tolerance{Units: hubTestSlack, Window: hubTestWindow}, born)
@@ -47,7 +49,13 @@
 }
 
 func (w *hubWorld) plan(i int) *topology.Plan {
-	others := append(append([]topology.VM{}, w.vms[:i]...), w.vms[i+1:]...)
+	var others []topology.VM
+	for j, vm := range w.vms {
+		if j != i {
+			vm.Silent = vm.Silent || w.unheard(i, j)
+			others = append(others, vm)
+		}
+	}
 	return topology.New(w.vms[i], others)
 }
 
@@ -69,7 +77,7 @@
 		w.limiters[i].SetPeers(weights, w.now)
 		for _, p := range plan.Partners {
 			j := w.index(p.Name)
-			if p.Call && !w.vms[i].Silent && !w.vms[j].Silent {
+			if p.Call && !w.vms[i].Silent && !w.vms[j].Silent && !w.unheard(i, j) {
 				w.tell(i, j)
 				w.tell(j, i)
 			}
@@ -87,9 +95,13 @@
 }
 
 func (w *hubWorld) tell(from, to int) {
+	scope := w.plan(from).ScopeFor(w.vms[to])
+	if !w.plan(to).Accepts(w.vms[from], scope) {
+		return
+	}
 	r := &peerpb.VMReport{Vm: w.vms[from].Name, Incarnation: w.born[from]}
 	demand := map[string]assign.Demand{"m": {Tokens: int64(from), Requests: 1}}
-	w.sums[from].fill(r, w.plan(from).ScopeFor(w.vms[to]), w.vms[to].Name, w.born[to], work{admitted: w.limiters[from].Admitted(), demand: demand})
+	w.sums[from].fill(r, scope, w.vms[to].Name, w.born[to], work{admitted: w.limiters[from].Admitted(), demand: demand})
 	w.sums[to].take(r, w.vms[from].Domain == w.vms[to].Domain, w.now)
 	w.limiters[to].Report(r.Vm, r.Incarnation, r.Admitted, w.now)
 }
@@ -162,3 +174,24 @@
 	w.run(r, 3000, hubTestRate/1.8)
 	require.Less(t, w.refused/w.asked, 0.01)
 }
+
+// Links between some VMs are cut, and not all see the same ones as silent: a domain has
+// two hubs, each of which takes the other for one of its own VMs. If one passed on what
+// it has of the other, which has it from the first, sums would grow without end and every
+// team would be refused.
+func TestTwoHubsOfADomainDoNotCountEachOther(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 11))
+	w := newHubWorld()
+	w.run(r, 400, hubTestRate/1.8)
+	w.unheard = func(i, j int) bool {
+		// vm-00 is not heard by the other domains nor by half of its own.
+		cut := func(k int) bool { return k%4 != 0 || k%8 == 4 && k > 4 }
+		return (j == 0 && cut(i)) || (i == 0 && cut(j))
+	}
+	w.run(r, 1600, hubTestRate/1.8)
+	w.unheard = func(int, int) bool { return false }
+	w.run(r, 400, hubTestRate/1.8)
+	w.asked, w.refused = 0, 0
+	w.run(r, 800, hubTestRate/1.8)
+	require.Less(t, w.refused/w.asked, 0.02)
+}
--- a/internal/vm/sums.go
+++ b/internal/vm/sums.go
@@ -63,9 +63,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.admitted.Take(r.Vm, r.Incarnation, near, r.Admitted)
-	s.tokens.Take(r.Vm, r.Incarnation, near, tokens)
-	s.requests.Take(r.Vm, r.Incarnation, near, requests)
+	s.admitted.Take(r.Vm, r.Incarnation, near, r.Admitted, now)
+	s.tokens.Take(r.Vm, r.Incarnation, near, tokens, now)
+	s.requests.Take(r.Vm, r.Incarnation, near, requests, now)
 	s.loads[r.Vm] = loadReport{at: now, near: near, loads: loadsOf(r), inUse: r.InUse}
 }
 
