teamrate: a request larger than a VM's pace passes by chance, not always

Change: such a request passes with the chance pace/units; beyond a mesh the pace is 1.15 instead of 1.6 equal parts.

--- a/internal/teamrate/limiter.go
+++ b/internal/teamrate/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -16,7 +17,10 @@
 	pressed = 0.6
 	// paceShare is how much of the rate a VM may use then, as a multiple of its equal
 	// part: callers are never spread quite evenly.
-	paceShare = 1.6
+	// Where some VMs report for many, reports take up to three turns, and what all may run
+	// ahead has to be less.
+	paceShare     = 1.6
+	paceShareMany = 1.15
 	// paceDepth is how far a VM may run ahead of its pace: about one report.
 	paceDepth = 300 * time.Millisecond
 	// depthShare and refillShare are the parts of the tolerated excess that deepen
@@ -71,6 +75,7 @@
 	vms float64
 	// heardMany is when a VM that reports for many was last heard.
 	heardMany time.Time
+	draw      *rand.Rand
 }
 
 type bucket struct {
@@ -82,8 +87,7 @@
 	// others is what other VMs used lately, in units a second, as of heard.
 	others float64
 	heard  time.Time
-	// pace is what this VM may admit while the bucket is low. A single request may
-	// overdraw it.
+	// pace is what this VM may admit while the bucket is low.
 	pace float64
 }
 
@@ -101,7 +105,8 @@
 
 // New returns a limiter without teams. incarnation is this VM's own.
 func New(t Tolerance, incarnation int64) *Limiter {
-	return &Limiter{tolerance: t, incarnation: incarnation, teams: make(map[string]*bucket), peers: make(map[string]*peer)}
+	return &Limiter{tolerance: t, incarnation: incarnation, teams: make(map[string]*bucket), peers: make(map[string]*peer),
+		draw: rand.New(rand.NewPCG(uint64(incarnation), 0))}
 }
 
 // SetTolerance takes a new tolerance.
@@ -232,21 +237,28 @@
 		return false, min(max(wait, shortestWait), largestWait)
 	}
 	low := b.level < pressed*l.depth(b.limit)
-	if low && b.pace <= 0 {
-		wait := time.Duration(-b.pace / l.paceRate(b.limit) * float64(time.Second))
+	if low && l.draw.Float64()*units >= b.pace {
+		// A request larger than the pace passes with the chance that makes up for its
+		// size. If each VM let one pass whatever its size, sixty VMs together would let
+		// through twice a team's rate in the moment in which they start.
+		wait := time.Duration((units - b.pace) / l.paceRate(b.limit) * float64(time.Second))
 		return false, min(max(wait, shortestWait), largestWait)
 	}
 	b.level -= units
 	b.admitted += units
 	if low {
-		b.pace -= units
+		b.pace = max(0, b.pace-units)
 	}
 	return true, 0
 }
 
 // paceRate is what this VM may admit a second while the bucket is low.
 func (l *Limiter) paceRate(limit Limit) float64 {
-	return l.flow(limit) * min(1, paceShare/max(1, l.vms))
+	share := paceShare
+	if !l.heardMany.IsZero() {
+		share = paceShareMany
+	}
+	return l.flow(limit) * min(1, share/max(1, l.vms))
 }
 
 // Return gives back what a request took that did not run.
