--- /dev/null
+++ b/internal/assign/choose.go
@@ -0,0 +1,284 @@
+package assign
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chestnutarch/chestnutarch/internal/catalog"
+)
+
+const (
+	// defaultPerToken is the time in which an engine reads a token of a prompt
+	// until it has been measured: some 30,000 tokens a second, as large models do
+	// on one accelerator.
+	defaultPerToken = 30 * time.Microsecond
+	// perTokenMemory is the weight that an observation keeps in that figure.
+	perTokenMemory = 0.9
+	// measureFrom is the number of tokens from which the time to the first event
+	// tells of the pace at which prompts are read.
+	measureFrom = 1000
+	// stepTime is the shortest time to a first event: one step of a batch beside
+	// other requests' prompts.
+	stepTime = 25 * time.Millisecond
+	// kvFill is the part of an engine's KV cache that requests in flight may take.
+	// Beyond it an engine preempts requests in the middle of their streams.
+	kvFill = 0.85
+	// homeBelief is the part of a prompt's shared parts that the engine is taken to
+	// keep to which all VMs send such prompts first, although this VM has not sent
+	// one lately.
+	homeBelief = 0.7
+	// urgentShare is the part of the waiting prompts that delays an urgent request:
+	// engines let it pass those that wait, not those that are being read.
+	urgentShare = 0.5
+	// lateBacklog is how much work may wait at an engine that is given a request
+	// whose objective is missed already. The work is worth little, so it only fills
+	// gaps.
+	lateBacklog = 150 * time.Millisecond
+	// holdShare is the part of its objective for which a request may wait for a
+	// place before it is refused.
+	holdShare = 8
+	// loadWait is what a caller is told whose model or adapter is on no engine: the
+	// time of a load from an engine's own disk.
+	loadWait = time.Second
+	// adapterWait is the same for an adapter that could not be brought at once.
+	adapterWait = 250 * time.Millisecond
+	// minRetry and maxRetry bound what callers are told to wait.
+	minRetry = 100 * time.Millisecond
+	maxRetry = 4 * time.Second
+)
+
+// Choose finds a place for a request. The error is a *Refused.
+func (s *Assigner) Choose(a Ask, now time.Time) (*Choice, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.Model == "" {
+		return s.choosePlain(a, now)
+	}
+	return s.chooseEngine(a, now)
+}
+
+// choosePlain takes the instance with the least work for its speed.
+func (s *Assigner) choosePlain(a Ask, now time.Time) (*Choice, error) {
+	var best *node
+	bestCost := 0.0
+	for _, n := range s.nodes {
+		if n.instance.Service != a.Service || a.Avoid[n.instance.ID] || !n.ready(now) {
+			continue
+		}
+		cost := plainCost(n, now, a)
+		if best == nil || cost < bestCost {
+			best, bestCost = n, cost
+		}
+	}
+	if best == nil {
+		best = s.lastResort(a, now)
+	}
+	if best == nil {
+		return nil, &Refused{Cause: ErrNoUpstream, RetryAfter: retryIn(now, a, 300*time.Millisecond)}
+	}
+	return s.place(best, a, 0, plainExpected, now), nil
+}
+
+// plainExpected is the time in which a plain service answers until more is known.
+const plainExpected = 50 * time.Millisecond
+
+// plainCost ranks instances of a plain service: the share of its places taken,
+// worse for slow and failing ones. The draw by request keeps VMs that know nothing
+// of each other's last choices from all taking the same one.
+func plainCost(n *node, now time.Time, a Ask) float64 {
+	l := n.total(now, 0)
+	slots := float64(max(1, n.instance.Slots))
+	jitter := float64(xxhash.Sum64String(n.instance.ID+a.Start.String())%1024) / 1024 * 0.3
+	return (float64(l.requests)+0.5+jitter)/slots*n.slow + 2*n.failures
+}
+
+// lastResort returns an instance that was left alone, for want of a better one:
+// a try has a chance, a refusal has none.
+func (s *Assigner) lastResort(a Ask, now time.Time) *node {
+	var best *node
+	for _, n := range s.nodes {
+		if n.instance.Service != a.Service || n.instance.Draining || a.Avoid[n.instance.ID] {
+			continue
+		}
+		if a.Model != "" && !n.holds(itemName(a.Model, a.Adapter)) {
+			continue
+		}
+		if best == nil || n.own.requests < best.own.requests {
+			best = n
+		}
+	}
+	if best != nil && best.silent(now) {
+		return nil
+	}
+	return best
+}
+
+func (s *Assigner) chooseEngine(a Ask, now time.Time) (*Choice, error) {
+	candidates, err := s.candidates(a, now)
+	if err != nil {
+		return nil, &Refused{Cause: err, RetryAfter: retryIn(now, a, waitFor(err))}
+	}
+	perToken := s.pace(a.Model)
+	home := homeOf(candidates, a)
+	var best *node
+	var bestCost, bestStart time.Duration
+	bestUncached := 0
+	full := 0
+	for _, n := range candidates {
+		uncached := s.uncached(n, a, n == home, now)
+		if s.full(n, a, uncached, now) {
+			full++
+			continue
+		}
+		start := s.startAfter(n, a, uncached, perToken, now)
+		cost := start + crowding(n.total(now, perToken))
+		if best == nil || cost < bestCost {
+			best, bestCost, bestStart, bestUncached = n, cost, start, uncached
+		}
+	}
+	if best == nil {
+		return nil, &Refused{Cause: ErrOverloaded, RetryAfter: retryIn(now, a, 500*time.Millisecond), Wait: true}
+	}
+	due := a.Start.Sub(now)
+	if bestStart <= due {
+		return s.place(best, a, bestUncached, bestStart, now), nil
+	}
+	left := a.Deadline.Sub(now)
+	backlog := time.Duration(best.total(now, perToken).prefill) * perToken
+	if bestStart < left && (due <= 0 || bestStart-backlog > due) && backlog <= lateBacklog {
+		c := s.place(best, a, bestUncached, bestStart, now)
+		c.Late = true
+		return c, nil
+	}
+	return nil, &Refused{
+		Cause: ErrOverloaded, RetryAfter: retryIn(now, a, bestStart-max(due, 0)), Wait: bestStart < left, Best: bestStart,
+	}
+}
+
+// candidates are the engines that hold the item and take work.
+func (s *Assigner) candidates(a Ask, now time.Time) ([]*node, error) {
+	var out []*node
+	item := itemName(a.Model, a.Adapter)
+	any, base := false, false
+	for _, n := range s.nodes {
+		if n.instance.Service != a.Service || n.instance.Draining {
+			continue
+		}
+		any = true
+		base = base || (n.holds(a.Model) && n.ready(now))
+		if n.holds(item) && n.holds(a.Model) && n.ready(now) && !a.Avoid[n.instance.ID] {
+			out = append(out, n)
+		}
+	}
+	switch {
+	case len(out) > 0:
+		return out, nil
+	case !any:
+		return nil, ErrNoUpstream
+	case !base:
+		if n := s.lastResort(a, now); n != nil {
+			return []*node{n}, nil
+		}
+		return nil, ErrNotLoaded
+	}
+	return nil, ErrAdapterNotLoaded
+}
+
+// homeOf is the engine to which all VMs send prompts that begin alike, so that
+// their shared parts are read once. It is drawn by rendezvous hashing: a change of
+// the engines moves only the prompts of those that came or went.
+func homeOf(candidates []*node, a Ask) *node {
+	if len(a.Parts) < 2 {
+		return nil
+	}
+	shared := a.Parts[len(a.Parts)-2].Hash
+	var home *node
+	var top uint64
+	for _, n := range candidates {
+		weight := mix(xxhash.Sum64String(n.instance.ID) ^ shared)
+		if home == nil || weight > top {
+			home, top = n, weight
+		}
+	}
+	return home
+}
+
+// mix spreads the bits of a hash (the finalizer of MurmurHash3).
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// uncached is how many tokens of the prompt the engine would have to read.
+func (s *Assigner) uncached(n *node, a Ask, home bool, now time.Time) int {
+	kept := n.cachedTokens(a, now)
+	if home && len(a.Parts) >= 2 {
+		kept = max(kept, int(homeBelief*float64(a.Parts[len(a.Parts)-2].Tokens)))
+	}
+	return max(0, a.PromptTokens-kept)
+}
+
+// full reports whether the engine has no place or no memory for the request.
+func (s *Assigner) full(n *node, a Ask, uncached int, now time.Time) bool {
+	spec := s.spec(a.Service)
+	if spec == nil {
+		return false
+	}
+	l := n.total(now, 0)
+	if l.requests >= spec.BatchSlots {
+		return true
+	}
+	return spec.KVTokens > 0 && l.requests > 0 &&
+		float64(l.kv+uncached+a.OutputTokens) > kvFill*float64(spec.KVTokens)
+}
+
+func (s *Assigner) spec(service string) *catalog.EngineSpec {
+	if s.catalog == nil || s.catalog.Services[service] == nil {
+		return nil
+	}
+	return s.catalog.Services[service].Engine
+}
+
+// startAfter is the expected time to the first event.
+func (s *Assigner) startAfter(n *node, a Ask, uncached int, perToken time.Duration, now time.Time) time.Duration {
+	backlog := time.Duration(n.total(now, perToken).prefill) * perToken
+	if a.Urgency == 0 {
+		backlog = time.Duration(urgentShare * float64(backlog))
+	}
+	work := backlog + time.Duration(uncached)*perToken + stepTime
+	return time.Duration(float64(work) * n.slow)
+}
+
+// crowding prefers engines with fewer requests: each makes every step longer.
+func crowding(l load) time.Duration { return time.Duration(l.requests) * 2 * time.Millisecond }
+
+func (s *Assigner) pace(model string) time.Duration {
+	if p, ok := s.perToken[model]; ok {
+		return p
+	}
+	return defaultPerToken
+}
+
+// waitFor is the usual time until an item is there that is not.
+func waitFor(err error) time.Duration {
+	if err == ErrAdapterNotLoaded {
+		return adapterWait
+	}
+	return loadWait
+}
+
+// retryIn is what a caller is told to wait: the time that is short, within bounds,
+// and never so long that nothing of its own time is left to be served in.
+func retryIn(now time.Time, a Ask, short time.Duration) time.Duration {
+	left := a.Deadline.Sub(now)
+	return max(minRetry, min(short, maxRetry, left/3))
+}
+
+// HoldUntil is until when a request may be held for a place.
+func (a *Ask) HoldUntil(arrived time.Time) time.Time {
+	return arrived.Add(a.Start.Sub(arrived) / holdShare)
+}
--- /dev/null
+++ b/internal/assign/work.go
@@ -0,0 +1,163 @@
+package assign
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// SetOthers takes another VM's report of its work by instance.
+func (s *Assigner) SetOthers(vm string, loads map[string]Load, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, n := range s.nodes {
+		l, ok := loads[id]
+		if !ok {
+			delete(n.others, vm)
+			continue
+		}
+		n.others[vm] = reported{load: load{requests: l.Requests, prefill: l.PrefillTokens, kv: l.KVTokens}, at: now}
+	}
+}
+
+// Load is work in flight at an instance.
+type Load struct {
+	Requests, PrefillTokens, KVTokens int
+}
+
+// Loads returns this VM's work by instance.
+func (s *Assigner) Loads() map[string]Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]Load)
+	for id, n := range s.nodes {
+		if n.own.requests > 0 {
+			out[id] = Load{Requests: n.own.requests, PrefillTokens: n.own.prefill, KVTokens: n.own.kv}
+		}
+	}
+	return out
+}
+
+// Totals returns the work of all VMs at the instances that take work.
+func (s *Assigner) Totals(now time.Time) map[string]Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]Load, len(s.nodes))
+	for id, n := range s.nodes {
+		if n.ready(now) {
+			t := n.total(now, defaultPerToken)
+			out[id] = Load{Requests: t.requests, PrefillTokens: t.prefill, KVTokens: t.kv}
+		}
+	}
+	return out
+}
+
+// place books the work.
+func (s *Assigner) place(n *node, a Ask, uncached int, expected time.Duration, now time.Time) *Choice {
+	c := &Choice{Instance: n.instance.ID, Uncached: uncached, Expected: expected, node: n, ask: a, at: now}
+	c.kv = uncached + a.OutputTokens/2
+	n.own.requests++
+	n.own.prefill += uncached
+	n.own.kv += c.kv
+	n.waiting[c] = struct{}{}
+	if a.Adapter != "" {
+		s.inUse[itemName(a.Model, a.Adapter)]++
+	}
+	return c
+}
+
+// Started notes a choice's first event, or the answer of a plain service.
+func (s *Assigner) Started(c *Choice, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.started || c.done {
+		return
+	}
+	c.started = true
+	n := c.node
+	n.heard = now
+	delete(n.waiting, c)
+	n.own.prefill -= c.Uncached
+	if c.ask.Model == "" {
+		return
+	}
+	s.signal()
+	n.remember(c.ask, now)
+	s.learn(n, c, now.Sub(c.at))
+}
+
+// Heard notes a sign of life of the choice's instance.
+func (s *Assigner) Heard(c *Choice, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.node.heard = now
+}
+
+// learn compares the time to the first event with what was expected.
+func (s *Assigner) learn(n *node, c *Choice, took time.Duration) {
+	ratio := float64(took) / float64(max(c.Expected, stepTime))
+	n.slow = slowMemory*n.slow + (1-slowMemory)*min(max(ratio*n.slow, 0.5), slowMost)
+	n.slow = max(n.slow, 0.7)
+	if c.Uncached < measureFrom || len(n.waiting) > 0 {
+		return
+	}
+	seen := (took - stepTime) / time.Duration(c.Uncached)
+	seen = min(max(seen, defaultPerToken/8), defaultPerToken*8)
+	old := s.pace(c.ask.Model)
+	s.perToken[c.ask.Model] = time.Duration(perTokenMemory*float64(old) + (1-perTokenMemory)*float64(seen))
+}
+
+// Outcome is how an exchange ended for the upstream.
+type Outcome int
+
+// The outcomes. Neutral tells nothing about the upstream, as when the caller left.
+const (
+	Succeeded Outcome = iota
+	Failed
+	Neutral
+)
+
+// Finish gives a place back.
+func (s *Assigner) Finish(c *Choice, o Outcome, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.done {
+		return
+	}
+	c.done = true
+	n := c.node
+	delete(n.waiting, c)
+	if !c.started {
+		n.own.prefill -= c.Uncached
+	}
+	n.own.requests--
+	n.own.kv -= c.kv
+	s.release(c.ask)
+	s.signal()
+	switch o {
+	case Succeeded:
+		n.succeeded(now)
+	case Failed:
+		if n.failed(now) && s.believe != nil {
+			s.believe(n.instance.ID, n.failures, n.ejectedUntil)
+		}
+	}
+}
+
+// release counts an adapter's request as ended.
+func (s *Assigner) release(a Ask) {
+	if a.Adapter == "" {
+		return
+	}
+	item := itemName(a.Model, a.Adapter)
+	if s.inUse[item]--; s.inUse[item] <= 0 {
+		delete(s.inUse, item)
+	}
+}
+
+// InUse names the adapters that requests in flight use, "model/adapter".
+func (s *Assigner) InUse() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.inUse))
+}
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -304,14 +304,14 @@
 	if j.ran == 0 && j.team != "" {
 		j.core.options.Limiter.Return(j.team, j.units)
 	}
-	if j.begun {
-		j.outcome = outcomeCut
-		return errors.Wrap(ErrCut, err.Error())
-	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		j.outcome = outcomeLeft
 		return errors.Wrap(ErrCut, "the caller left")
 	}
+	if j.begun {
+		j.outcome = outcomeCut
+		return errors.Wrap(ErrCut, err.Error())
+	}
 	if j.kept != nil {
 		j.outcome, j.status = outcomeFailed, j.kept.status
 		j.sink.Whole(j.kept.status, j.kept.header, j.kept.body)
--- /dev/null
+++ b/internal/vm/exchange.go
@@ -0,0 +1,234 @@
+package vm
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+	"github.com/chestnutarch/chestnutarch/internal/topology"
+)
+
+// announce makes the next exchange come at once.
+func (f *fleet) announce() {
+	select {
+	case f.now <- struct{}{}:
+	default:
+	}
+}
+
+// run exchanges reports until ctx ends.
+func (f *fleet) run(ctx context.Context) error {
+	ticker := time.NewTicker(exchangeEvery)
+	defer ticker.Stop()
+	for {
+		everyone := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.now:
+			everyone = true
+		case <-ticker.C:
+		}
+		for _, vm := range f.due(everyone) {
+			go f.exchange(ctx, vm)
+		}
+	}
+}
+
+// due names the VMs to exchange with. Of two partners one calls, so that each pair
+// exchanges once; the other one calls too when it hears nothing.
+func (f *fleet) due(everyone bool) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.arrange(time.Now())
+	var out []string
+	for _, partner := range f.plan.Partners {
+		m := f.members[partner.Name]
+		if m == nil || m.calling {
+			continue
+		}
+		quiet := time.Since(later(m.heard, m.started)) > unheardAfter/2
+		if !everyone && !quiet && !partner.Call {
+			continue
+		}
+		m.calling = true
+		out = append(out, partner.Name)
+	}
+	return out
+}
+
+func (f *fleet) exchange(ctx context.Context, vm string) {
+	f.mu.Lock()
+	m := f.members[vm]
+	f.mu.Unlock()
+	if m == nil {
+		return
+	}
+	var answer *peerpb.VMReport
+	report := f.report(vm)
+	err := f.p.pool.Call(ctx, m.Peers, exchangeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
+		answer, err = peerpb.NewVMsClient(conn).Exchange(ctx, report)
+		return err
+	})
+	f.mu.Lock()
+	m.calling = false
+	m.failures++
+	if err == nil {
+		m.failures = 0
+	}
+	f.mu.Unlock()
+	if err != nil {
+		f.sums.forget(vm)
+		f.p.planner.contents.forget(vm)
+		return
+	}
+	f.take(ctx, answer)
+}
+
+// report is what this VM tells another one.
+func (f *fleet) report(receiver string) *peerpb.VMReport {
+	revision, _ := f.p.configuration()
+	scope := f.scopeFor(receiver)
+	out := &peerpb.VMReport{
+		Vm: f.p.settings.VM, Incarnation: f.incarnation, Sequence: f.sequence.Add(1),
+		CallerAddress: f.p.settings.Callers, PeerAddress: f.p.peerAddress(), Ready: f.p.ready(),
+		Scope: int32(scope), ConfigurationRevision: revision, ViewRevision: f.p.tracker.at(),
+		Leaving: f.p.gone.names(), Alive: f.alive(scope, receiver),
+	}
+	f.sums.fill(out, scope, receiver, f.incarnationOf(receiver), f.own())
+	f.p.planner.contents.describe(out, receiver)
+	return out
+}
+
+// scopeFor returns what a report to another VM covers.
+func (f *fleet) scopeFor(receiver string) topology.Scope {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[receiver]
+	if m == nil || f.plan == nil {
+		return topology.ScopeOwn
+	}
+	return f.plan.ScopeFor(topology.VM{Name: receiver, Domain: m.Domain})
+}
+
+// own is the work of this VM.
+func (f *fleet) own() work {
+	return work{
+		admitted: f.p.limiter.Admitted(), demand: f.p.assigner.Demand(), loads: f.p.assigner.Loads(), inUse: f.p.assigner.InUse(),
+	}
+}
+
+func (f *fleet) incarnationOf(vm string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[vm]; m != nil {
+		return m.Incarnation
+	}
+	return 0
+}
+
+// alive names the VMs that take callers, as far as the scope goes.
+func (f *fleet) alive(scope topology.Scope, receiver string) []string {
+	if scope == topology.ScopeOwn {
+		return nil
+	}
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for vm, m := range f.members {
+		near := m.Domain == f.p.settings.FailureDomain
+		if vm != receiver && m.ready && now.Sub(m.heard) < unheardAfter/2 && (near || scope == topology.ScopeAll) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// take takes in what another VM tells.
+func (f *fleet) take(ctx context.Context, r *peerpb.VMReport) {
+	now := time.Now()
+	f.mu.Lock()
+	m := f.members[r.Vm]
+	if m == nil || m.Incarnation != r.Incarnation || r.Sequence <= m.sequence {
+		f.mu.Unlock()
+		return
+	}
+	m.sequence, m.heard, m.ready = r.Sequence, now, r.Ready
+	for _, vm := range r.Alive {
+		if other := f.members[vm]; other != nil {
+			other.heard, other.ready = now, true
+		}
+	}
+	address, domain := m.Peers, m.Domain
+	near := domain == f.p.settings.FailureDomain
+	plan := f.plan
+	f.mu.Unlock()
+	if plan != nil && plan.Accepts(topology.VM{Name: r.Vm, Domain: domain}, topology.Scope(r.Scope)) {
+		f.takeWork(r, plan.Mesh, near, now)
+	}
+	f.p.planner.hearContents(r)
+	if r.ViewRevision > f.p.tracker.at() {
+		f.p.peerDepartures(r.Leaving)
+	}
+	if revision, _ := f.p.configuration(); r.ConfigurationRevision > revision {
+		f.fetchConfiguration(ctx, address, revision)
+	}
+}
+
+// takeWork takes in what the VMs do that a report covers.
+func (f *fleet) takeWork(r *peerpb.VMReport, mesh, near bool, now time.Time) {
+	if !mesh {
+		f.sums.take(r, near, now)
+	}
+	f.p.assigner.SetOthers(r.Vm, loadsOf(r), now)
+	f.p.limiter.Report(r.Vm, r.Incarnation, r.Admitted, now)
+	f.p.planner.heardDemand(r.Vm, r.Incarnation, demandOf(r.Demand), now)
+	f.p.planner.heardUse(r.InUse, now)
+}
+
+// fetchConfiguration reads a newer configuration from another VM. The store may
+// turn this VM away while others have learnt of a key that was withdrawn.
+func (f *fleet) fetchConfiguration(ctx context.Context, address string, have int64) {
+	var answer *peerpb.ConfigurationResponse
+	err := f.p.pool.Call(ctx, address, exchangeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
+		answer, err = peerpb.NewVMsClient(conn).Configuration(ctx, &peerpb.ConfigurationRequest{HaveRevision: have})
+		return err
+	})
+	if err != nil || len(answer.Value) == 0 {
+		return
+	}
+	f.p.configure(answer.Revision, answer.Value)
+}
+
+// vmServer answers other VMs.
+type vmServer struct {
+	peerpb.UnimplementedVMsServer
+	p *Process
+}
+
+// Exchange implements peerpb.VMsServer.
+func (s *vmServer) Exchange(ctx context.Context, in *peerpb.VMReport) (*peerpb.VMReport, error) {
+	go s.p.fleet.take(context.WithoutCancel(ctx), in)
+	return s.p.fleet.report(in.Vm), nil
+}
+
+// Configuration implements peerpb.VMsServer.
+func (s *vmServer) Configuration(_ context.Context, in *peerpb.ConfigurationRequest) (*peerpb.ConfigurationResponse, error) {
+	revision, value := s.p.configuration()
+	if revision <= in.HaveRevision {
+		return &peerpb.ConfigurationResponse{Revision: revision}, nil
+	}
+	return &peerpb.ConfigurationResponse{Revision: revision, Value: value}, nil
+}
+
+// EnsureAdapter implements peerpb.VMsServer.
+func (s *vmServer) EnsureAdapter(ctx context.Context, in *peerpb.EnsureAdapterRequest) (*peerpb.EnsureAdapterResponse, error) {
+	instance, err := s.p.planner.ensure(ctx, in.Service, in.Model, in.Adapter)
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.EnsureAdapterResponse{Instance: instance}, nil
+}
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -9,11 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"google.golang.org/grpc"
 
 	"github.com/chestnutarch/chestnutarch/internal/assign"
-	"github.com/chestnutarch/chestnutarch/internal/catalog"
-	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/residency"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
 	"github.com/chestnutarch/chestnutarch/platform"
@@ -85,12 +82,6 @@
 	coming string
 }
 
-type pendingAdapter struct {
-	done     chan struct{}
-	instance string
-	err      error
-}
-
 type reportedDemand struct {
 	incarnation int64
 	items       map[string]assign.Demand
@@ -225,206 +216,6 @@
 	}
 }
 
-// ensure brings an adapter to an engine and returns the engine's ID.
-func (l *planner) ensure(ctx context.Context, service, model, adapter string) (string, error) {
-	item := residency.Item(model, adapter)
-	l.mu.Lock()
-	if w := l.pending[item]; w != nil {
-		l.mu.Unlock()
-		select {
-		case <-w.done:
-			return w.instance, w.err
-		case <-ctx.Done():
-			return "", errors.Wrap(ErrOrder, ctx.Err().Error())
-		}
-	}
-	w := &pendingAdapter{done: make(chan struct{})}
-	l.pending[item] = w
-	l.mu.Unlock()
-	// The order goes on if the first to ask leaves: others wait for it.
-	w.instance, w.err = l.bring(context.WithoutCancel(ctx), service, model, adapter)
-	close(w.done)
-	l.mu.Lock()
-	delete(l.pending, item)
-	l.mu.Unlock()
-	return w.instance, w.err
-}
-
-func (l *planner) bring(ctx context.Context, service, model, adapter string) (string, error) {
-	k := l.p.core.Catalog()
-	if _, ok := l.p.candidate.Authority(); !ok || k == nil || k.Services[service] == nil || k.Services[service].Engine == nil {
-		return "", errors.WithStack(ErrNotLeader)
-	}
-	spec := k.Services[service].Engine
-	item := residency.Item(model, adapter)
-	engines := l.engines(service)
-	l.mu.Lock()
-	l.used[item] = time.Now()
-	for _, e := range engines {
-		if e.Usable && e.Models[model] {
-			if _, ok := e.Adapters[item]; ok {
-				l.mu.Unlock()
-				return e.ID, nil
-			}
-		}
-	}
-	l.mu.Unlock()
-	move, ok := residency.PlaceAdapter(engines, spec, model, time.Now())
-	if !ok {
-		return "", errors.WithStack(ErrNoPlace)
-	}
-	b := l.book(move.Engine)
-	if b == nil {
-		return "", errors.WithStack(ErrNoPlace)
-	}
-	if err := l.swapAdapter(ctx, b, move.Evict, model, adapter, spec); err != nil {
-		return "", err
-	}
-	sleep(ctx, adapterTime)
-	l.p.assigner.AddAdapter(move.Engine, model, adapter)
-	return move.Engine, nil
-}
-
-// swapAdapter unloads one adapter if need be and loads another.
-func (l *planner) swapAdapter(ctx context.Context, b *book, evict, model, adapter string, spec *catalog.EngineSpec) error {
-	b.orders.Lock()
-	defer b.orders.Unlock()
-	if evict != "" {
-		oldModel, oldAdapter, _ := strings.Cut(evict, "/")
-		if err := l.order(ctx, b, platform.Unload, oldModel, oldAdapter); err != nil {
-			return err
-		}
-		l.p.assigner.RemoveItem(b.instance.ID, oldModel, oldAdapter)
-	}
-	l.mu.Lock()
-	full := len(b.adapters) >= spec.AdapterSlots
-	gone := !b.models[model]
-	l.mu.Unlock()
-	if full || gone {
-		return errors.WithStack(ErrNoPlace)
-	}
-	return l.order(ctx, b, platform.Load, model, adapter)
-}
-
-// order gives one order to an engine. The engine's order lock must be held.
-//
-// An order whose answer is lost may be carried out seconds later. It is sent again
-// with the same number of accepted orders: whichever of the two arrives first makes
-// the other one void.
-func (l *planner) order(ctx context.Context, b *book, op platform.Operation, model, adapter string) error {
-	var last error
-	for range orderTries {
-		token, ok := l.p.candidate.Authority()
-		if !ok || l.book(b.instance.ID) != b {
-			// A book of an earlier term, or one that was closed, is no ground for orders.
-			return errors.WithStack(ErrNotLeader)
-		}
-		l.mu.Lock()
-		accepted := b.accepted
-		l.mu.Unlock()
-		result, err := l.p.replicas.Order(ctx, b.instance, platform.Order{
-			Operation: op, Model: model, Adapter: adapter, Holder: l.p.settings.VM, Token: token, Accepted: accepted,
-		})
-		l.p.counter("orders." + string(op) + "." + result.String())
-		l.p.log.Info().Str("event", "order").Str("instance", b.instance.ID).Str("operation", string(op)).Str("model", model).
-			Str("adapter", adapter).Int64("token", token).Int64("accepted", accepted).Stringer("result", result).AnErr("cause", err).Send()
-		switch result {
-		case platform.OrderAccepted, platform.OrderHolds:
-			l.settled(b, op, model, adapter, result)
-			return nil
-		case platform.OrderConflict:
-			return l.conflict(ctx, b, accepted, op, model, adapter)
-		case platform.OrderUnknown:
-		default:
-			l.closeBook(b)
-			return errors.Wrapf(ErrOrder, "%s: %s", b.instance.ID, result)
-		}
-		last = errors.Wrapf(ErrOrder, "%s: %s", b.instance.ID, result)
-	}
-	l.closeBook(b)
-	return last
-}
-
-// conflict tells the reasons for a conflict apart. Another order is under way: errBusy.
-// An order was accepted that the book does not know: if that was this one, whose answer
-// was lost, its effect is there; else the book is closed, since the decision rests on
-// what the engine held before.
-func (l *planner) conflict(ctx context.Context, b *book, accepted int64, op platform.Operation, model, adapter string) error {
-	report, err := l.p.replicas.Report(ctx, b.instance)
-	if err != nil {
-		l.closeBook(b)
-		return err
-	}
-	l.mu.Lock()
-	known := report.Born == b.born
-	if known && report.OrdersAccepted <= accepted {
-		l.mu.Unlock()
-		return errors.Wrap(errBusy, b.instance.ID)
-	}
-	if known && !report.Busy {
-		b.read(report)
-	}
-	l.mu.Unlock()
-	if known && !report.Busy && l.holds(b, op, model, adapter) {
-		return nil
-	}
-	l.closeBook(b)
-	return errors.Wrapf(ErrOrder, "%s: it has taken other orders", b.instance.ID)
-}
-
-// closeBook forgets an engine whose state is not certain. It is read anew.
-func (l *planner) closeBook(b *book) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.books[b.instance.ID] == b {
-		delete(l.books, b.instance.ID)
-		l.notBefore[b.instance.ID] = time.Now().Add(openPause)
-	}
-}
-
-// errBusy means that an engine is carrying out another order.
-var errBusy = errors.New("vm: the engine carries out another order")
-
-// settled notes the effect of an order.
-func (l *planner) settled(b *book, op platform.Operation, model, adapter string, result platform.OrderResult) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if result == platform.OrderAccepted || (op == platform.Unload && adapter != "") {
-		b.accepted++
-	}
-	item := residency.Item(model, adapter)
-	switch {
-	case adapter != "" && op == platform.Load:
-		b.adapters[item] = true
-	case adapter != "":
-		delete(b.adapters, item)
-	case op == platform.Unload:
-		delete(b.models, model)
-	}
-}
-
-// reread asks an engine for its state.
-func (l *planner) reread(ctx context.Context, b *book) bool {
-	report, err := l.p.replicas.Report(ctx, b.instance)
-	if err != nil {
-		return false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	b.read(report)
-	return true
-}
-
-func (l *planner) holds(b *book, op platform.Operation, model, adapter string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	present := b.models[model]
-	if adapter != "" {
-		present = b.adapters[residency.Item(model, adapter)]
-	}
-	return present == (op == platform.Load)
-}
-
 func (l *planner) book(id string) *book {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -460,28 +251,3 @@
 	i := l.p.instance(id)
 	return i == nil || i.Draining
 }
-
-// ensureAdapter brings an adapter to an engine, through the leader if that is
-// another VM.
-func (p *Process) ensureAdapter(ctx context.Context, service, model, adapter string) (string, error) {
-	if _, ok := p.candidate.Authority(); ok {
-		return p.planner.ensure(ctx, service, model, adapter)
-	}
-	term, ok := p.candidate.Leader()
-	if !ok || term.VM == p.settings.VM {
-		return "", errors.WithStack(ErrNotLeader)
-	}
-	address, ok := p.fleet.peerOf(term.VM)
-	if !ok {
-		return "", errors.WithStack(ErrNotLeader)
-	}
-	var answer *peerpb.EnsureAdapterResponse
-	err := p.pool.Call(ctx, address, exchangeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
-		answer, err = peerpb.NewVMsClient(conn).EnsureAdapter(ctx, &peerpb.EnsureAdapterRequest{Service: service, Model: model, Adapter: adapter})
-		return err
-	})
-	if err != nil {
-		return "", err
-	}
-	return answer.Instance, nil
-}
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -195,13 +195,6 @@
 	}
 }
 
-// current returns the newest view and its age.
-func (t *tracker) current() (view, time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.view, time.Since(t.fresh)
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
