--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -154,6 +154,12 @@
 		return j.refusedByUpstream(choice, reply)
 	}
 	j.ran++
+	if reply.Status/100 == 2 && !reply.Signed {
+		reply.Close(false)
+		j.finish(choice, assign.Failed)
+		j.avoidInstance(choice.Instance)
+		return &failure{kind: unknown, err: errors.Wrapf(ErrForeignReply, "%s: a success without a signature", choice.Instance)}
+	}
 	if j.route.Kind == catalog.Streaming && reply.Status == http.StatusOK {
 		patience.Stop()
 		return j.stream(ctx, choice, reply)
--- a/internal/vm/path_test.go
+++ b/internal/vm/path_test.go
@@ -188,6 +188,7 @@
 	slow.Fail = func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(700 * time.Millisecond)
 		w.Header().Set("X-Chestnutarch-Attempt-Id", r.Header.Get("X-Chestnutarch-Attempt-Id"))
+		w.Header().Set("X-Chestnutarch-Response-Signature", "sig")
 		_, _ = w.Write([]byte("late but whole"))
 	}
 	got := make(chan answer, 1)
@@ -196,3 +197,25 @@
 	v.stop()
 	require.Equal(t, "late but whole", (<-got).body)
 }
+
+// Something between a replica and us answers in its place, or the replica sends bytes that
+// only look like an answer. A success that no replica has signed is nobody's: the caller
+// would take a filing for done that never was.
+func TestUnsignedSuccessIsNotPassedOn(t *testing.T) {
+	one := standin.NewReplica("clerk-1", 0)
+	one.Fail = func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("all is well")) }
+	c := newCluster(t, one)
+	got := c.ask(c.start("a"), call{method: "POST", path: "/file/1"})
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.Len(t, one.Runs(), 1)
+}
+
+// A caller forgets the ID of its attempt. No replica runs such a request, and trying them
+// all would use up the retry budget of others.
+func TestRequestWithoutAnIDIsMalformed(t *testing.T) {
+	one := standin.NewReplica("clerk-1", 0)
+	c := newCluster(t, one)
+	got := c.ask(c.start("a"), call{method: "GET", path: "/look/", header: map[string]string{"X-Chestnutarch-Attempt-Id": ""}})
+	require.Equal(t, http.StatusBadRequest, got.status)
+	require.Empty(t, one.Runs())
+}
