planner: an engine that took an order we do not know closes its book

Read in the code: a report with one order more than the book knows was taken over while the engine loaded that order's model, which shows nowhere; the next order could overfill it. Change: such a report closes the book; after a conflict exactly one order more counts as ours.

--- a/internal/vm/orders.go
+++ b/internal/vm/orders.go
@@ -65,11 +65,12 @@
 		l.mu.Unlock()
 		return errors.Wrap(errBusy, b.instance.ID)
 	}
-	if known && !report.Busy {
+	ours := known && !report.Busy && report.OrdersAccepted == accepted+1
+	if ours {
 		b.read(report)
 	}
 	l.mu.Unlock()
-	if known && !report.Busy && l.holds(b, op, model, adapter) {
+	if ours && l.holds(b, op, model, adapter) {
 		return nil
 	}
 	l.closeBook(b)
@@ -107,16 +108,25 @@
 	}
 }
 
-// reread asks an engine for its state.
+// reread asks an engine for its state. It returns false if that is not certain: there is
+// no answer, or the engine has taken an order that the book does not know, such as one of
+// an earlier leader that was carried out late. What such an order loads does not show
+// until it is there, so the book is closed and opened anew when the engine rests.
 func (l *planner) reread(ctx context.Context, b *book) bool {
 	report, err := l.p.replicas.Report(ctx, b.instance)
 	if err != nil {
 		return false
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	b.read(report)
-	return true
+	known := report.Born == b.born && report.OrdersAccepted <= b.accepted
+	if known {
+		b.read(report)
+	}
+	l.mu.Unlock()
+	if !known {
+		l.closeBook(b)
+	}
+	return known
 }
 
 func (l *planner) holds(b *book, op platform.Operation, model, adapter string) bool {
--- a/internal/vm/planner_test.go
+++ b/internal/vm/planner_test.go
@@ -125,3 +125,22 @@
 	orders, _ := engine.Orders()
 	require.Empty(t, orders)
 }
+
+// A lost order of an earlier leader is carried out late, right after this leader's own. The
+// engine reports one order more than the book knows of, and is loading a model that shows
+// nowhere. A book that simply took the number over would think that there is room, and the
+// next order would be accepted and overfill the engine.
+func TestLateOrderOfAnotherLeaderClosesTheBook(t *testing.T) {
+	engine := standin.NewReplica("engine-1", 2, "m0", "m1")
+	engine.SetLoadTime(2 * time.Second)
+	c := newCluster(t, engine)
+	v := c.start("a")
+	c.waitLeader()
+	b := v.planner.book("engine-1")
+	response, err := http.Post(c.servers["engine-1"].URL+"/order", "application/json",
+		strings.NewReader(`{"operation":"load","model":"m1","holder":"gone","fencing-token":1}`))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.False(t, v.planner.reread(t.Context(), b))
+	require.Nil(t, v.planner.book("engine-1"))
+}
