planner: an unload that waits closes the book

Change: a 202 to an adapter's unload closes the book, and so does a busy engine after one. Figures: TestUnloadThatWaitsClosesTheBook failed before, passes now.

--- a/internal/vm/adapters.go
+++ b/internal/vm/adapters.go
@@ -98,7 +98,12 @@
 	if full || gone {
 		return errors.WithStack(ErrNoPlace)
 	}
-	return l.order(ctx, b, platform.Load, model, adapter)
+	err := l.order(ctx, b, platform.Load, model, adapter)
+	if errors.Is(err, errBusy) {
+		// Something is under way that the book does not know.
+		l.closeBook(b)
+	}
+	return err
 }
 
 // ensureAdapter brings an adapter to an engine, through the leader if that is
--- a/internal/vm/orders.go
+++ b/internal/vm/orders.go
@@ -35,6 +35,13 @@
 		switch result {
 		case platform.OrderAccepted, platform.OrderHolds:
 			l.settled(b, op, model, adapter, result)
+			if op == platform.Unload && adapter != "" && result == platform.OrderAccepted {
+				// The adapter is in use and its unload waits. The engine does not count such
+				// an unload twice, so the book could run ahead of it, and an order that
+				// names a number too high may be carried out late.
+				l.closeBook(b)
+				return errors.Wrap(errBusy, b.instance.ID)
+			}
 			return nil
 		case platform.OrderConflict:
 			return l.conflict(ctx, b, accepted, op, model, adapter)
--- a/internal/vm/planner_test.go
+++ b/internal/vm/planner_test.go
@@ -144,3 +144,20 @@
 	require.False(t, v.planner.reread(t.Context(), b))
 	require.Nil(t, v.planner.book("engine-1"))
 }
+
+// An adapter that is to make way is still in use, so its unload waits. Ordered again, the
+// engine says once more that it is carried out, without counting it, and the book would
+// run ahead of the engine's count. A late order that names the higher number would then be
+// carried out when the count gets there, on top of whatever the engine holds by then.
+func TestUnloadThatWaitsClosesTheBook(t *testing.T) {
+	engine := standin.NewReplica("engine-1", 2, "m0", "m1")
+	engine.UseAdapters()
+	c := newCluster(t, engine)
+	v := c.start("a")
+	c.waitLeader()
+	b := v.planner.book("engine-1")
+	b.orders.Lock()
+	defer b.orders.Unlock()
+	require.ErrorIs(t, v.planner.order(t.Context(), b, "unload", "m0", "a1"), errBusy)
+	require.Nil(t, v.planner.book("engine-1"))
+}
