Drop what replies told and nobody read; one way for a failed upstream

Cause: read through once more: the load, length and leaving mark of a reply were decoded and never used; an upstream's failure was noted by the same three lines in three places; a prefix was cut by hand beside the standard library.

--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -156,9 +156,7 @@
 	j.ran++
 	if reply.Status/100 == 2 && !reply.Signed {
 		reply.Close(false)
-		j.finish(choice, assign.Failed)
-		j.avoidInstance(choice.Instance)
-		return &failure{kind: unknown, err: errors.Wrapf(ErrForeignReply, "%s: a success without a signature", choice.Instance)}
+		return j.failedBy(choice, errors.Wrapf(ErrForeignReply, "%s: a success without a signature", choice.Instance))
 	}
 	if j.route.Kind == catalog.Streaming && reply.Status == http.StatusOK {
 		patience.Stop()
@@ -169,7 +167,7 @@
 		reply.Close(false)
 		return j.streamBroke(ctx, choice, errors.Wrapf(ErrFailedUpstream, "status %d", reply.Status))
 	}
-	return j.whole(ctx, choice, reply)
+	return j.whole(choice, reply)
 }
 
 // patience ends the wait for an upstream where another one may be asked.
@@ -245,20 +243,16 @@
 
 // whole reads an answer to its end and passes it on. Reading it first allows to
 // send an idempotent request again when the answer is cut or is a failure.
-func (j *job) whole(ctx context.Context, choice *assign.Choice, reply *Reply) *failure {
+func (j *job) whole(choice *assign.Choice, reply *Reply) *failure {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxWholeBody))
 	reply.Close(err == nil)
 	if err != nil {
-		j.finish(choice, assign.Failed)
-		j.avoidInstance(choice.Instance)
-		return &failure{kind: unknown, err: errors.Wrapf(ErrUnknown, "%s: %v", choice.Instance, err)}
+		return j.failedBy(choice, errors.Wrapf(ErrUnknown, "%s: %v", choice.Instance, err))
 	}
 	j.started(choice)
 	if reply.Status >= http.StatusInternalServerError {
-		j.finish(choice, assign.Failed)
-		j.avoidInstance(choice.Instance)
 		j.kept = &wholeReply{status: reply.Status, header: reply.Header, body: body}
-		return &failure{kind: unknown, err: errors.Wrapf(ErrFailedUpstream, "%s: status %d", choice.Instance, reply.Status)}
+		return j.failedBy(choice, errors.Wrapf(ErrFailedUpstream, "%s: status %d", choice.Instance, reply.Status))
 	}
 	j.finish(choice, assign.Succeeded)
 	j.outcome, j.status = outcomeAnswered, reply.Status
@@ -280,6 +274,13 @@
 	j.core.options.Assigner.Finish(choice, outcome, time.Now())
 }
 
+// failedBy notes that an upstream failed a request that it may have run.
+func (j *job) failedBy(choice *assign.Choice, err error) *failure {
+	j.finish(choice, assign.Failed)
+	j.avoidInstance(choice.Instance)
+	return &failure{kind: unknown, err: err}
+}
+
 func (j *job) avoidInstance(id string) {
 	if j.avoid == nil {
 		j.avoid = make(map[string]bool)
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -62,11 +62,6 @@
 	ResumeAfter string
 }
 
-// Load is what an upstream says of itself with an answer.
-type Load struct {
-	Running, Waiting, Slots int
-}
-
 // Reply is an upstream's answer whose body has not been read yet.
 type Reply struct {
 	Status int
@@ -79,14 +74,8 @@
 	Misdirected bool
 	// Signed means that the answer carries the upstream's signature.
 	Signed bool
-	// Load is nil if the upstream does not tell.
-	Load *Load
-	// Leaving means that the upstream asked to close the connection.
-	Leaving bool
 	// Body ends with io.EOF only if the answer is complete.
 	Body io.Reader
-	// Length is the length of the body, -1 if unknown.
-	Length int64
 	// Close ends the exchange; keep says that the body was read to its end.
 	Close func(keep bool)
 }
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -137,8 +138,8 @@
 		m.registered = false
 	}
 	for key, item := range own {
-		vm, ok := cutPrefix(key, vmPrefix)
-		if !ok || vm == f.p.settings.VM {
+		vm, ok := strings.CutPrefix(key, vmPrefix)
+		if !ok || vm == "" || vm == f.p.settings.VM {
 			continue
 		}
 		var r registration
@@ -156,13 +157,6 @@
 	f.forget(now)
 }
 
-func cutPrefix(key, prefix string) (string, bool) {
-	if len(key) <= len(prefix) || key[:len(prefix)] != prefix {
-		return "", false
-	}
-	return key[len(prefix):], true
-}
-
 // forget drops the VMs that are neither registered nor heard of, and works out the
 // partners anew. It must be called with the lock held.
 func (f *fleet) forget(now time.Time) {
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -252,7 +253,7 @@
 	}
 	own := make(map[string]store.Item)
 	for key, item := range v.items {
-		if len(key) > len(ownPrefix) && key[:len(ownPrefix)] == ownPrefix {
+		if strings.HasPrefix(key, ownPrefix) {
 			own[key] = item
 		}
 	}
