planner: unloads that wait, models that leave, models nobody asks for

The leader ordered the load again every 120 ms: 462 of 723 orders were refused. The model to be loaded counted as coming all the while, so no other engine got it: 208 requests for one model refused in 12 s. - The engine goes on to name a model whose unload waits. At the same number of orders its own description was added to the leader's, so VMs went on sending requests that it turns away: 446 of 3,117 arrivals were rejected. - Each of 31 models kept one copy, also those nobody asks for. A missing model then took the place of the busiest one, whose copies fell from 8 to 2 while it got 60 requests a second. - A request for a model that would be back within a second was refused after an eighth of its objective, and again when it came back. - A team's priority was read and used nowhere.

Change: - The leader names models as leaving; they are not believed until the engine has taken a later order. An engine that turns a request away gets none for that model from this VM for 300 ms. - While an unload waits the engine is asked how far it is, with growing pauses, and after one second the model may go elsewhere, once. - A model that nobody asks for and whose weights stay at hand may make way. Victims are models that few requests use (reports carry requests in flight by model).

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -100,13 +100,31 @@
 	}
 }
 
-// SetContents takes what the leader knows of an engine after a number of accepted
-// orders.
-func (s *Assigner) SetContents(instance string, orders int64, items []string) {
+// Contents is what the leader knows of an engine.
+type Contents struct {
+	// Orders is the number of orders that the engine had accepted by then.
+	Orders int64
+	// Items are the models and adapters that can be used, Leaving the models that are
+	// being unloaded.
+	Items, Leaving []string
+}
+
+// SetContents takes what the leader knows of an engine.
+func (s *Assigner) SetContents(instance string, k Contents) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := s.nodes[instance]; n != nil && n.contents.reported(k) {
+		s.signal()
+	}
+}
+
+// TurnedAway notes that an engine refused a request for a model that it was taken to
+// hold: it is full, or it is about to unload the model.
+func (s *Assigner) TurnedAway(instance, model string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if n := s.nodes[instance]; n != nil {
-		n.contents.reported(orders, items)
+		n.pausedUntil[model] = now.Add(refusalPause)
 	}
 }
 
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/chestnutarch/chestnutarch/internal/catalog"
 )
@@ -38,6 +39,10 @@
 	// holdShare is the part of its objective for which a request may wait for a
 	// place before it is refused.
 	holdShare = 8
+	// loadShare is the same for a model or an adapter that is on no engine yet: either is
+	// brought as soon as it is asked for, from an engine's own disk within a second, and
+	// a caller who is refused comes back later than that.
+	loadShare = 2
 	// loadWait is what a caller is told whose model or adapter is on no engine: the
 	// time of a load from an engine's own disk.
 	loadWait = time.Second
@@ -117,7 +122,8 @@
 func (s *Assigner) chooseEngine(a Ask, now time.Time) (*Choice, error) {
 	candidates, err := s.candidates(a, now)
 	if err != nil {
-		return nil, &Refused{Cause: err, RetryAfter: retryIn(now, a, waitFor(err))}
+		coming := err == ErrNotLoaded || err == ErrAdapterNotLoaded
+		return nil, &Refused{Cause: err, RetryAfter: retryIn(now, a, waitFor(err)), Wait: coming}
 	}
 	perToken := s.pace(a.Model)
 	home := homeOf(candidates, a)
@@ -127,7 +133,7 @@
 	full := 0
 	for _, n := range candidates {
 		uncached := s.uncached(n, a, n == home, now)
-		if s.full(n, a, uncached, now) {
+		if now.Before(n.pausedUntil[a.Model]) || s.full(n, a, uncached, now) {
 			full++
 			continue
 		}
@@ -181,6 +187,9 @@
 			return []*node{n}, nil
 		}
 		return nil, ErrNotLoaded
+	case a.Adapter == "":
+		// All that hold the model have failed this request.
+		return nil, ErrNoUpstream
 	}
 	return nil, ErrAdapterNotLoaded
 }
@@ -278,7 +287,11 @@
 	return max(minRetry, min(short, maxRetry, left/3))
 }
 
-// HoldUntil is until when a request may be held for a place.
-func (a *Ask) HoldUntil(arrived time.Time) time.Time {
-	return arrived.Add(a.Start.Sub(arrived) / holdShare)
+// HoldUntil is until when a request may be held that was refused for a cause.
+func (a *Ask) HoldUntil(arrived time.Time, cause error) time.Time {
+	objective := a.Start.Sub(arrived)
+	if errors.Is(cause, ErrNotLoaded) || errors.Is(cause, ErrAdapterNotLoaded) {
+		return arrived.Add(objective / loadShare)
+	}
+	return arrived.Add(objective / holdShare)
 }
--- a/internal/assign/contents.go
+++ b/internal/assign/contents.go
@@ -1,6 +1,9 @@
 package assign
 
-import "maps"
+import (
+	"maps"
+	"strings"
+)
 
 // contents is what an engine holds, merged from three sources: the engine's own
 // description, which comes with its heartbeats and lags behind orders by up to a
@@ -13,6 +16,11 @@
 	// led is what the leader knew after ledOrders accepted orders.
 	led       map[string]bool
 	ledOrders int64
+	// leaving are models that the leader has ordered the engine to unload. The unload
+	// waits for the requests that run, and until then the engine goes on to name the
+	// model, but it turns every new request for it away. Sent there all the same, a
+	// request costs a round trip and a repeat out of the retry budget.
+	leaving map[string]bool
 	// added and missing are what this VM learnt since from the leader's answers and
 	// from refusals.
 	added, missing map[string]bool
@@ -31,16 +39,17 @@
 	c.merge()
 }
 
-// reported takes what the leader knows.
-func (c *contents) reported(orders int64, items []string) {
-	next := setOf(items)
-	if orders == c.ledOrders && maps.Equal(next, c.led) {
-		return
+// reported takes what the leader knows, and returns whether that is new.
+func (c *contents) reported(k Contents) (changed bool) {
+	next, leaving := setOf(k.Items), setOf(k.Leaving)
+	if k.Orders == c.ledOrders && maps.Equal(next, c.led) && maps.Equal(leaving, c.leaving) {
+		return false
 	}
-	c.led, c.ledOrders = next, orders
+	c.led, c.ledOrders, c.leaving = next, k.Orders, leaving
 	clear(c.added)
 	clear(c.missing)
 	c.merge()
+	return true
 }
 
 func (c *contents) add(item string) {
@@ -69,6 +78,20 @@
 	for item := range c.missing {
 		delete(c.items, item)
 	}
+	if c.ownOrders <= c.ledOrders+1 {
+		// The leader names a model as leaving before it orders the unload, so the engine's
+		// own description may count that one order more. Two more, and the unload is done.
+		c.removeLeaving()
+	}
+}
+
+func (c *contents) removeLeaving() {
+	for item := range c.items {
+		model, _, _ := strings.Cut(item, "/")
+		if c.leaving[model] {
+			delete(c.items, item)
+		}
+	}
 }
 
 func setOf(items []string) map[string]bool {
--- a/internal/assign/node.go
+++ b/internal/assign/node.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"maps"
 	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
@@ -22,6 +23,10 @@
 	// instance, slowMost the largest slowness believed.
 	slowMemory = 0.7
 	slowMost   = 12.0
+	// refusalPause is how long an engine that turned a request away gets no more for
+	// that model from this VM: about the time until a report of the leader or of the
+	// engine tells why.
+	refusalPause = 300 * time.Millisecond
 )
 
 // node is what is known of one instance.
@@ -44,6 +49,11 @@
 	waiting map[*Choice]struct{}
 	// heard is when the instance last gave a sign of life.
 	heard time.Time
+	// running counts this VM's requests in flight by model.
+	running map[string]int
+	// pausedUntil says until when the engine gets no requests for a model, after it has
+	// turned one away.
+	pausedUntil map[string]time.Time
 	// cached holds the parts of prompts that the engine was sent, with the time.
 	cached map[uint64]time.Time
 }
@@ -57,7 +67,8 @@
 
 type reported struct {
 	load
-	at time.Time
+	running map[string]int
+	at      time.Time
 }
 
 func newNode(i upstream.Instance) *node {
@@ -65,6 +76,7 @@
 		contents: contents{added: make(map[string]bool), missing: make(map[string]bool)},
 		others:   make(map[string]reported), slow: 1,
 		waiting: make(map[*Choice]struct{}), cached: make(map[uint64]time.Time),
+		running: make(map[string]int), pausedUntil: make(map[string]time.Time),
 	}
 	n.describe(i)
 	return n
@@ -160,6 +172,20 @@
 	return sum
 }
 
+// totalRunning counts the requests in flight of all VMs by model.
+func (n *node) totalRunning(now time.Time) map[string]int {
+	sum := maps.Clone(n.running)
+	for _, r := range n.others {
+		if now.Sub(r.at) > reportLifetime {
+			continue
+		}
+		for model, count := range r.running {
+			sum[model] += count
+		}
+	}
+	return sum
+}
+
 // reportLifetime is how long another VM's report counts: a few reports, so that
 // the work of a VM that died does not block an engine.
 const reportLifetime = 2 * time.Second
--- a/internal/assign/work.go
+++ b/internal/assign/work.go
@@ -16,13 +16,29 @@
 			delete(n.others, vm)
 			continue
 		}
-		n.others[vm] = reported{load: load{requests: l.Requests, prefill: l.PrefillTokens, kv: l.KVTokens}, at: now}
+		n.others[vm] = reported{load: load{requests: l.Requests, prefill: l.PrefillTokens, kv: l.KVTokens}, running: l.Running, at: now}
 	}
 }
 
 // Load is work in flight at an instance.
 type Load struct {
 	Requests, PrefillTokens, KVTokens int
+	// Running counts the requests by model.
+	Running map[string]int
+}
+
+// Add returns the sum of two loads.
+func (l Load) Add(other Load) Load {
+	sum := Load{
+		Requests: l.Requests + other.Requests, PrefillTokens: l.PrefillTokens + other.PrefillTokens, KVTokens: l.KVTokens + other.KVTokens,
+		Running: make(map[string]int, len(l.Running)+len(other.Running)),
+	}
+	for _, running := range []map[string]int{l.Running, other.Running} {
+		for model, n := range running {
+			sum.Running[model] += n
+		}
+	}
+	return sum
 }
 
 // Loads returns this VM's work by instance.
@@ -32,7 +48,7 @@
 	out := make(map[string]Load)
 	for id, n := range s.nodes {
 		if n.own.requests > 0 {
-			out[id] = Load{Requests: n.own.requests, PrefillTokens: n.own.prefill, KVTokens: n.own.kv}
+			out[id] = Load{Requests: n.own.requests, PrefillTokens: n.own.prefill, KVTokens: n.own.kv, Running: maps.Clone(n.running)}
 		}
 	}
 	return out
@@ -46,7 +62,7 @@
 	for id, n := range s.nodes {
 		if n.ready(now) {
 			t := n.total(now, defaultPerToken)
-			out[id] = Load{Requests: t.requests, PrefillTokens: t.prefill, KVTokens: t.kv}
+			out[id] = Load{Requests: t.requests, PrefillTokens: t.prefill, KVTokens: t.kv, Running: n.totalRunning(now)}
 		}
 	}
 	return out
@@ -59,6 +75,7 @@
 	n.own.requests++
 	n.own.prefill += uncached
 	n.own.kv += c.kv
+	n.running[a.Model]++
 	n.waiting[c] = struct{}{}
 	if a.Adapter != "" {
 		s.inUse[itemName(a.Model, a.Adapter)]++
@@ -132,6 +149,9 @@
 	}
 	n.own.requests--
 	n.own.kv -= c.kv
+	if n.running[c.ask.Model]--; n.running[c.ask.Model] <= 0 {
+		delete(n.running, c.ask.Model)
+	}
 	s.release(c.ask)
 	s.signal()
 	switch o {
--- a/internal/residency/state.go
+++ b/internal/residency/state.go
@@ -17,6 +17,10 @@
 	Usable bool
 	// Load is the work that waits there, in tokens to be read.
 	Load int
+	// Waiting is a model whose load waits for an unload that takes too long, "" if none.
+	Waiting string
+	// Running is how many requests are in flight by model, as far as is known.
+	Running map[string]int
 	// Quick names the models that it can load without the weight store.
 	Quick map[string]bool
 }
--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -13,11 +13,7 @@
 // become free, brings a missing adapter through the leader, and returns an
 // *assign.Refused, or ctx's error, once it is clear that the request gets none.
 func (j *job) acquire(ctx context.Context) (*assign.Choice, error) {
-	ask := j.ask()
-	hold := ask.HoldUntil(j.request.Arrived)
-	if j.sends > 0 {
-		hold = time.Now().Add(j.due.Sub(j.request.Arrived) / 4)
-	}
+	ask, began := j.ask(), time.Now()
 	ensured := 0
 	for {
 		if err := ctx.Err(); err != nil {
@@ -28,28 +24,48 @@
 		if err == nil {
 			return choice, nil
 		}
-		if errors.Is(err, assign.ErrAdapterNotLoaded) {
+		if errors.Is(err, assign.ErrAdapterNotLoaded) && ensured < maxEnsures {
 			ensured++
-			if ensured <= maxEnsures && j.ensure(ctx, ask) {
+			if j.ensure(ctx, ask) {
 				continue
 			}
-			if !time.Now().Before(hold) {
-				return nil, err
-			}
-			await(ctx, freed)
-			continue
 		}
-		var refused *assign.Refused
-		if !errors.As(err, &refused) || !refused.Wait || !time.Now().Before(hold) {
+		if !j.mayHold(ask, began, err) {
 			return nil, err
 		}
 		await(ctx, freed)
 	}
 }
 
-// maxEnsures bounds how often one request asks the leader for an adapter: engines
-// may drop one again before the request reaches it.
-const maxEnsures = 5
+// mayHold reports whether a request that looks for a place since began is held for what it
+// was refused for just now.
+func (j *job) mayHold(ask assign.Ask, began time.Time, err error) bool {
+	var refused *assign.Refused
+	if !errors.As(err, &refused) || !refused.Wait {
+		return false
+	}
+	until := ask.HoldUntil(j.request.Arrived, err)
+	if j.sends > 0 {
+		until = later(until, began.Add(j.due.Sub(j.request.Arrived)/repeatHoldShare))
+	}
+	return time.Now().Before(until)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+const (
+	// maxEnsures bounds how often one request asks the leader for an adapter: engines
+	// may drop one again before the request reaches it.
+	maxEnsures = 5
+	// repeatHoldShare is the part of its objective for which a request that an upstream
+	// has failed may wait for a place at another one.
+	repeatHoldShare = 4
+)
 
 func (j *job) ask() assign.Ask {
 	if j.parts == nil && len(j.request.Parts) > 0 {
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -117,7 +117,7 @@
 		}
 		j.team = team.Name
 		if team.HasPriority {
-			j.teamPriority = team.Priority
+			j.urgency = team.Priority
 		}
 	}
 	j.setTimes()
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -43,7 +43,8 @@
 	team    string
 	units   float64
 
-	urgency, teamPriority int
+	// urgency is the team's priority where it has one, else the route's: 0 goes first.
+	urgency int
 	// due is when the answer or its first event is due; deadline when the caller
 	// or the route gives up.
 	due, deadline time.Time
@@ -226,10 +227,14 @@
 func (j *job) refusedByUpstream(choice *assign.Choice, reply *Reply) *failure {
 	_, err := io.Copy(io.Discard, io.LimitReader(reply.Body, maxRefusalBody))
 	reply.Close(err == nil)
-	if reply.Misdirected && j.request.Model != "" {
+	switch {
+	case j.request.Model == "":
+		j.avoidInstance(choice.Instance)
+	case reply.Misdirected:
 		j.core.options.Assigner.RemoveItem(choice.Instance, j.request.Model, j.request.Adapter)
-	} else {
+	default:
 		j.avoidInstance(choice.Instance)
+		j.core.options.Assigner.TurnedAway(choice.Instance, j.request.Model, time.Now())
 	}
 	j.finish(choice, assign.Neutral)
 	return &failure{kind: notExecuted, err: errors.Wrapf(ErrRefused, "%s: status %d", choice.Instance, reply.Status)}
--- a/internal/vm/adapters.go
+++ b/internal/vm/adapters.go
@@ -87,7 +87,7 @@
 	if evict != "" {
 		oldModel, oldAdapter, _ := strings.Cut(evict, "/")
 		if err := l.order(ctx, b, platform.Unload, oldModel, oldAdapter); err != nil {
-			return err
+			return l.busyUnknown(b, err)
 		}
 		l.p.assigner.RemoveItem(b.instance.ID, oldModel, oldAdapter)
 	}
@@ -98,9 +98,14 @@
 	if full || gone {
 		return errors.WithStack(ErrNoPlace)
 	}
-	err := l.order(ctx, b, platform.Load, model, adapter)
+	return l.busyUnknown(b, l.order(ctx, b, platform.Load, model, adapter))
+}
+
+// busyUnknown closes the book of an engine that carries out an order which the book does not
+// know, such as a late one of an earlier leader. With the book open, every request for
+// another adapter would send the engine one more order that it refuses.
+func (l *planner) busyUnknown(b *book, err error) error {
 	if errors.Is(err, errBusy) {
-		// Something is under way that the book does not know.
 		l.closeBook(b)
 	}
 	return err
--- a/internal/vm/contents.go
+++ b/internal/vm/contents.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"github.com/chestnutarch/chestnutarch/internal/assign"
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 )
 
@@ -41,7 +42,8 @@
 }
 
 func sameContents(a, b *peerpb.EngineContents) bool {
-	return a.OrdersAccepted == b.OrdersAccepted && slices.Equal(a.Models, b.Models) && slices.Equal(a.Adapters, b.Adapters)
+	return a.OrdersAccepted == b.OrdersAccepted && slices.Equal(a.Models, b.Models) && slices.Equal(a.Adapters, b.Adapters) &&
+		slices.Equal(a.Leaving, b.Leaving)
 }
 
 // hear takes what another VM passes on, and returns what is new. What stems from an
@@ -97,10 +99,14 @@
 	token := l.token
 	engines := make([]*peerpb.EngineContents, 0, len(l.books))
 	for id, b := range l.books {
-		engines = append(engines, &peerpb.EngineContents{
+		e := &peerpb.EngineContents{
 			Instance: id, OrdersAccepted: b.accepted,
 			Adapters: slices.Collect(maps.Keys(b.adapters)), Models: slices.Collect(maps.Keys(b.models)),
-		})
+		}
+		if b.leaving != "" {
+			e.Leaving = []string{b.leaving}
+		}
+		engines = append(engines, e)
 	}
 	l.mu.Unlock()
 	if token == 0 {
@@ -122,6 +128,8 @@
 
 func (l *planner) believe(engines []*peerpb.EngineContents) {
 	for _, e := range engines {
-		l.p.assigner.SetContents(e.Instance, e.OrdersAccepted, slices.Concat(e.Models, e.Adapters))
+		l.p.assigner.SetContents(e.Instance, assign.Contents{
+			Orders: e.OrdersAccepted, Items: slices.Concat(e.Models, e.Adapters), Leaving: e.Leaving,
+		})
 	}
 }
--- a/internal/vm/orders.go
+++ b/internal/vm/orders.go
@@ -106,6 +106,9 @@
 	}
 	item := residency.Item(model, adapter)
 	switch {
+	case adapter == "" && op == platform.Load:
+		// It would not have taken the order if the unload before it still waited.
+		b.leaving = ""
 	case adapter != "" && op == platform.Load:
 		b.adapters[item] = true
 	case adapter != "":
--- a/internal/vm/plan.go
+++ b/internal/vm/plan.go
@@ -3,15 +3,11 @@
 import (
 	"context"
 	"math"
-	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/chestnutarch/chestnutarch/internal/assign"
 	"github.com/chestnutarch/chestnutarch/internal/catalog"
 	"github.com/chestnutarch/chestnutarch/internal/residency"
-	"github.com/chestnutarch/chestnutarch/platform"
 )
 
 // itemRate is the demand for an item, averaged over rateMemory.
@@ -111,17 +107,6 @@
 	// settleTime is how long a model stays on an engine at least: a few times what a
 	// load from disk takes.
 	settleTime = 3 * time.Second
-	// confirmAfter is how long after the expected end of a load the engine is asked:
-	// its reports are some hundred milliseconds old.
-	confirmAfter = 250 * time.Millisecond
-	// moveTimeout is how long a move may take beyond three times its expected time
-	// before the engine is read anew.
-	moveTimeout = 2 * time.Second
-	// maxUnread is how many questions may go without an answer before an engine is
-	// taken to be gone.
-	maxUnread = 3
-	// unloadPoll is how often a load is tried while the model before it is unloaded.
-	unloadPoll = 120 * time.Millisecond
 )
 
 // plan moves models.
@@ -203,79 +188,14 @@
 	go func() {
 		err := l.move(ctx, b, move, spec)
 		l.mu.Lock()
-		b.busy, b.fromStore, b.coming = false, false, ""
+		b.busy, b.fromStore, b.coming, b.waiting = false, false, "", ""
 		l.mu.Unlock()
 		if err != nil {
 			l.p.log.Warn().Str("event", "model_move_failed").Str("instance", move.Engine).Str("load", move.Load).AnErr("cause", err).Send()
 		}
 		l.publish()
+		// Callers wait for what has come, and the next report may be a quarter of a
+		// second away.
+		l.p.fleet.announce()
 	}()
 }
-
-// move unloads one model if need be, loads the other and waits until the engine has
-// it.
-func (l *planner) move(ctx context.Context, b *book, move residency.ModelMove, spec *catalog.EngineSpec) error {
-	b.orders.Lock()
-	defer b.orders.Unlock()
-	if move.Evict != "" {
-		l.drop(b, move.Evict)
-		l.publish()
-		if err := l.order(ctx, b, platform.Unload, move.Evict, ""); err != nil {
-			l.closeBook(b)
-			return err
-		}
-	}
-	expected := l.loadTime(b, move, spec)
-	limit := time.Now().Add(3*expected + moveTimeout)
-	for {
-		err := l.order(ctx, b, platform.Load, move.Load, "")
-		if err == nil {
-			break
-		}
-		if !errors.Is(err, errBusy) || time.Now().After(limit) || ctx.Err() != nil {
-			l.closeBook(b)
-			return err
-		}
-		sleep(ctx, unloadPoll)
-	}
-	sleep(ctx, expected+confirmAfter)
-	unread := 0
-	for {
-		if !l.reread(ctx, b) {
-			unread++
-		} else if l.holds(b, platform.Load, move.Load, "") {
-			return nil
-		}
-		if time.Now().After(limit) || ctx.Err() != nil || unread >= maxUnread {
-			l.closeBook(b)
-			return errors.Wrapf(ErrOrder, "%s is not there after %v", move.Load, 3*expected+moveTimeout)
-		}
-		sleep(ctx, confirmAfter)
-	}
-}
-
-// drop notes that a model is on its way out, with its adapters, so that no more
-// requests go there for it.
-func (l *planner) drop(b *book, model string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(b.models, model)
-	for item := range b.adapters {
-		if strings.HasPrefix(item, model+"/") {
-			delete(b.adapters, item)
-		}
-	}
-}
-
-func (l *planner) loadTime(b *book, move residency.ModelMove, spec *catalog.EngineSpec) time.Duration {
-	m := spec.Models[move.Load]
-	if move.FromStore {
-		return m.LoadTime
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if b.inMemory[move.Load] {
-		return m.WarmTime
-	}
-	return m.DiskTime
-}
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -78,8 +78,12 @@
 	// busy means that a model is being moved, fromStore that its weights come from
 	// the weight store.
 	busy, fromStore bool
-	// coming is the model that is being loaded.
-	coming string
+	// coming is the model that is being loaded, leaving the one that is being unloaded: it
+	// is not among models any more, though the engine goes on to name it.
+	coming, leaving string
+	// waiting is a model that no longer counts as coming, since the unload before it takes
+	// too long.
+	waiting string
 }
 
 type reportedDemand struct {
@@ -235,7 +239,7 @@
 		load, usable := loads[id]
 		e := residency.Engine{
 			ID: id, Models: maps.Clone(b.models), Adapters: make(map[string]time.Time, len(b.adapters)), Busy: b.busy, Coming: b.coming,
-			Usable: usable && !l.draining(id), Load: load.PrefillTokens, Quick: b.quick,
+			Usable: usable && !l.draining(id), Load: load.PrefillTokens, Quick: b.quick, Running: load.Running, Waiting: b.waiting,
 		}
 		for item := range b.adapters {
 			e.Adapters[item] = l.used[item]
--- a/internal/vm/planner_test.go
+++ b/internal/vm/planner_test.go
@@ -161,3 +161,101 @@
 	require.ErrorIs(t, v.planner.order(t.Context(), b, "unload", "m0", "a1"), errBusy)
 	require.Nil(t, v.planner.book("engine-1"))
 }
+
+// An engine carries out a load that an earlier leader ordered, late, when callers ask for
+// adapters. The first order to make room for one is refused. Without closing the book each
+// further caller would cost one more order in vain, a hundred of them in a few seconds.
+func TestEngineBusyWithAnUnknownOrderIsLeftInPeace(t *testing.T) {
+	engine := standin.NewReplica("engine-1", 2, "m0")
+	engine.SetLoadTime(time.Minute)
+	c := newCluster(t, engine)
+	v := c.start("a")
+	c.waitLeader()
+	b := v.planner.book("engine-1")
+	response, err := http.Post(c.servers["engine-1"].URL+"/order", "application/json",
+		strings.NewReader(`{"operation":"load","model":"m1","holder":"gone","fencing-token":1}`))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	spec := v.core.Catalog().Services["engine"].Engine
+	require.Error(t, v.planner.swapAdapter(t.Context(), b, "m0/a1", "m0", "a2", spec))
+	require.Nil(t, v.planner.book("engine-1"))
+	for range 5 {
+		_, err := v.planner.bring(t.Context(), "engine", "m0", "a2")
+		require.ErrorIs(t, err, ErrNoPlace)
+	}
+	refused, _ := engine.Refused()
+	require.Equal(t, 1, refused)
+}
+
+// A missing model is to take the place of another one whose streams still run, so the
+// unload waits for seconds. The model is brought to another engine meanwhile: its callers
+// would be refused until the last stream has ended. The engine that waits is left in peace,
+// and gets no requests for the model that leaves it.
+func TestMissingModelGoesElsewhereWhenAnUnloadWaits(t *testing.T) {
+	one, two := standin.NewReplica("engine-1", 2, "m0", "m1"), standin.NewReplica("engine-2", 2, "m0", "m1")
+	one.HoldUnloads(true)
+	two.HoldUnloads(true)
+	c := newCluster(t, one, two)
+	c.describeModels("engine-1", "m0", "m1")
+	c.describeModels("engine-2", "m0", "m1")
+	v := c.start("a")
+	c.waitLeader()
+	c.eventually(func() bool { return unloads(one)+unloads(two) > 0 })
+	waits, other := one, two
+	if unloads(two) > 0 {
+		waits, other = two, one
+	}
+	other.HoldUnloads(false)
+	c.eventually(func() bool {
+		return c.ask(v, call{method: "POST", path: "/draft/", model: "m2"}).status == http.StatusOK
+	})
+	require.NotNil(t, v.planner.book(waits.ID), "its unload still waits")
+	orders, _ := waits.Orders()
+	require.Len(t, orders, 1)
+	refusedOrders, _ := waits.Refused()
+	require.Equal(t, 1, refusedOrders, "the engine is asked how far it is, not ordered again and again")
+	for range 6 {
+		require.Equal(t, http.StatusOK, c.ask(v, call{method: "POST", path: "/draft/", model: modelThatStays(waits)}).status)
+		c.ask(v, call{method: "POST", path: "/draft/", model: modelThatLeaves(waits)})
+	}
+	_, requests := waits.Refused()
+	require.Zero(t, requests)
+	waits.HoldUnloads(false)
+	c.eventually(func() bool { b := v.planner.book(waits.ID); return b != nil && !v.planner.engines("engine")[0].Busy })
+}
+
+func unloads(r *standin.Replica) int {
+	orders, _ := r.Orders()
+	n := 0
+	for _, o := range orders {
+		if strings.HasPrefix(o, "unload") {
+			n++
+		}
+	}
+	return n
+}
+
+func modelThatLeaves(r *standin.Replica) string {
+	orders, _ := r.Orders()
+	return strings.TrimPrefix(orders[0], "unload ")
+}
+
+func modelThatStays(r *standin.Replica) string {
+	if modelThatLeaves(r) == "m0" {
+		return "m1"
+	}
+	return "m0"
+}
+
+// A tenant of a team with a priority of its own comes on a route of another priority. The
+// team's goes first, or its requests wait behind others in an engine that has much to do.
+func TestTeamsPriorityGoesBeforeTheRoutes(t *testing.T) {
+	engine := standin.NewReplica("engine-1", 2, "m0")
+	c := newCluster(t, engine)
+	c.configure(func(config map[string]any) {
+		config["tenants"].([]any)[0].(map[string]any)["priority"] = 0
+	})
+	v := c.start("a")
+	require.Equal(t, http.StatusOK, c.ask(v, call{method: "POST", path: "/chat/", model: "m0"}).status)
+	require.Equal(t, "1", engine.Runs()[0].Header.Get("X-Chestnutarch-Request-Priority"))
+}
--- a/internal/vm/sums.go
+++ b/internal/vm/sums.go
@@ -82,9 +82,7 @@
 	out.Admitted, out.InUse = w.admitted, w.inUse
 	out.Demand = demandReport(s.changed(receiver, incarnation, w.demand))
 	for id, l := range w.loads {
-		out.Engines = append(out.Engines, &peerpb.EngineLoad{
-			Instance: id, PrefillTokens: int64(l.PrefillTokens), KvTokens: int64(l.KVTokens), Requests: int32(l.Requests),
-		})
+		out.Engines = append(out.Engines, engineLoad(id, l))
 	}
 }
 
@@ -118,10 +116,7 @@
 		}
 		inUse = append(inUse, r.inUse...)
 		for id, l := range r.loads {
-			sum := loads[id]
-			loads[id] = assign.Load{
-				Requests: sum.Requests + l.Requests, PrefillTokens: sum.PrefillTokens + l.PrefillTokens, KVTokens: sum.KVTokens + l.KVTokens,
-			}
+			loads[id] = loads[id].Add(l)
 		}
 	}
 	slices.Sort(inUse)
@@ -152,10 +147,30 @@
 	return out
 }
 
+func engineLoad(instance string, l assign.Load) *peerpb.EngineLoad {
+	out := &peerpb.EngineLoad{
+		Instance: instance, PrefillTokens: int64(l.PrefillTokens), KvTokens: int64(l.KVTokens), Requests: int32(l.Requests),
+		Running: make(map[string]int32, len(l.Running)),
+	}
+	for model, n := range l.Running {
+		if model != "" {
+			out.Running[model] = int32(n)
+		}
+	}
+	return out
+}
+
 func loadsOf(r *peerpb.VMReport) map[string]assign.Load {
 	out := make(map[string]assign.Load, len(r.Engines))
 	for _, e := range r.Engines {
-		out[e.Instance] = assign.Load{Requests: int(e.Requests), PrefillTokens: int(e.PrefillTokens), KVTokens: int(e.KvTokens)}
+		l := assign.Load{
+			Requests: int(e.Requests), PrefillTokens: int(e.PrefillTokens), KVTokens: int(e.KvTokens),
+			Running: make(map[string]int, len(e.Running)),
+		}
+		for model, n := range e.Running {
+			l.Running[model] = int(n)
+		}
+		out[e.Instance] = l
 	}
 	return out
 }
