vm: in a large fleet only the hubs watch the store

Cause: each of 61 or 82 VMs watched the store itself.

Change: VMs of a fleet that reports through hubs follow the view of their hub (Follow, one gRPC call at a time: what has changed since, or everything). A VM whose hub does not answer, or has not heard the store for half of the time in which a configuration has to be in force, watches the store itself for 3 to 12 s. Only hubs, or VMs that have lost theirs, stand for election: each vacancy cost three calls of every VM. Registrations are renewed every 1.8 s instead of every second. The hub of a domain is the VM with the widest link.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -44,6 +44,8 @@
 	// Settle is how long a leader waits before it acts if another VM led before.
 	Settle time.Duration
 	Clock  clock.Func
+	// Stands reports whether this VM stands for election now. Nil means always.
+	Stands func() bool
 	Log    zerolog.Logger
 }
 
@@ -150,7 +152,7 @@
 	switch {
 	case leading:
 		c.renew(ctx)
-	case vacant:
+	case vacant && (c.options.Stands == nil || c.options.Stands()):
 		c.elect(ctx)
 	}
 }
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -12,6 +12,8 @@
 // VM is one VM as another one knows it.
 type VM struct {
 	Name, Domain string
+	// Capacity is the bandwidth of the VM's link in Mbit/s. The widest is the hub.
+	Capacity float64
 	// Silent VMs have not been heard for so long that they cannot serve as hubs.
 	Silent bool
 }
@@ -55,10 +57,11 @@
 		}
 		return p
 	}
-	sizes := make(map[string]int)
+	sizes, best := make(map[string]int), make(map[string]VM)
 	for _, vm := range append([]VM{self}, others...) {
 		sizes[vm.Domain]++
-		if hub := p.hubs[vm.Domain]; !vm.Silent && (hub == "" || vm.Name < hub) {
+		if hub, ok := best[vm.Domain]; !vm.Silent && (!ok || vm.goesBefore(hub)) {
+			best[vm.Domain] = vm
 			p.hubs[vm.Domain] = vm.Name
 		}
 	}
@@ -88,21 +91,42 @@
 // them can be reached when that is needed. Where many VMs are cut off at once, trying one
 // after the other would take seconds.
 func (p *Plan) addStandbys(others []VM) {
-	var names []string
+	var next []VM
 	for _, vm := range others {
 		if vm.Domain == p.self.Domain && !vm.Silent && vm.Name != p.hubs[p.self.Domain] {
-			names = append(names, vm.Name)
+			next = append(next, vm)
 		}
 	}
-	slices.Sort(names)
-	for _, name := range names[:min(standbys, len(names))] {
-		p.Partners = append(p.Partners, Partner{Name: name, Call: true})
+	slices.SortFunc(next, func(a, b VM) int {
+		if a.goesBefore(b) {
+			return -1
+		}
+		return 1
+	})
+	for _, vm := range next[:min(standbys, len(next))] {
+		p.Partners = append(p.Partners, Partner{Name: vm.Name, Call: true})
+	}
+}
+
+// goesBefore orders the VMs of a domain by how well they serve as its hub.
+func (vm VM) goesBefore(other VM) bool {
+	if vm.Capacity != other.Capacity {
+		return vm.Capacity > other.Capacity
 	}
+	return vm.Name < other.Name
 }
 
 // IsHub reports whether the VM is the hub of its domain. In a mesh nobody is.
 func (p *Plan) IsHub() bool { return !p.Mesh && p.hubs[p.self.Domain] == p.self.Name }
 
+// Hub returns the hub of the VM's domain, "" in a mesh or if the VM is the hub itself.
+func (p *Plan) Hub() string {
+	if p.Mesh || p.IsHub() {
+		return ""
+	}
+	return p.hubs[p.self.Domain]
+}
+
 // ScopeFor returns what a report to another VM has to cover: a hub tells its own VMs of
 // everyone, and other hubs of its domain.
 func (p *Plan) ScopeFor(receiver VM) Scope {
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -73,6 +73,17 @@
 	}
 }
 
+// The VMs of a domain have links of different width. The hub passes on everything that the
+// others learn, and a narrow link would be full with that alone.
+func TestWidestVMIsTheHub(t *testing.T) {
+	all := vms(40, 4)
+	all[8].Capacity = 200
+	require.True(t, planOf(all, 8).IsHub())
+	require.Equal(t, "vm-08", planOf(all, 0).Hub())
+	require.Empty(t, planOf(all, 8).Hub())
+	require.Empty(t, planOf(vms(7, 4), 0).Hub())
+}
+
 func TestScopes(t *testing.T) {
 	all := vms(40, 4)
 	hub := planOf(all, 0)
--- a/internal/vm/cluster_test.go
+++ b/internal/vm/cluster_test.go
@@ -118,7 +118,9 @@
 }
 
 // start adds a VM.
-func (c *cluster) start(name string) *testVM {
+func (c *cluster) start(name string) *testVM { return c.startIn(name, "a") }
+
+func (c *cluster) startIn(name, domain string) *testVM {
 	v := &testVM{}
 	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if v.turnedAway.Load() {
@@ -130,7 +132,7 @@
 	c.t.Cleanup(store.Close)
 	first := freePorts(c.t, 6)
 	s := &platform.Settings{
-		VM: name, FailureDomain: "a", IP: "127.0.0.1", FirstPort: first[0], LastPort: first[1],
+		VM: name, FailureDomain: domain, IP: "127.0.0.1", FirstPort: first[0], LastPort: first[1],
 		Callers: loopback(first[2]), Readiness: loopback(first[3]), Directory: loopback(first[4]), Domains: 1,
 		Bounds: platform.Bounds{
 			OrderLease: 500 * time.Millisecond, Configuration: 2 * time.Second, Grace: 1800 * time.Millisecond, Draining: 2 * time.Second,
--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/topology"
@@ -224,6 +227,15 @@
 	return &peerpb.ConfigurationResponse{Revision: revision, Value: value}, nil
 }
 
+// Follow implements peerpb.VMsServer.
+func (s *vmServer) Follow(ctx context.Context, in *peerpb.FollowRequest) (*peerpb.FollowResponse, error) {
+	answer, err := s.p.tracker.tell(ctx, s.p.fleet.incarnation, in)
+	if errors.Is(err, ErrNotWatching) {
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return answer, err
+}
+
 // EnsureAdapter implements peerpb.VMsServer.
 func (s *vmServer) EnsureAdapter(ctx context.Context, in *peerpb.EnsureAdapterRequest) (*peerpb.EnsureAdapterResponse, error) {
 	instance, err := s.p.planner.ensure(ctx, in.Service, in.Model, in.Adapter)
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -21,8 +21,9 @@
 	// vmLease is how long a VM that died stays registered. VMs that all start again at once
 	// learn from these entries how many they are, before the others have registered anew.
 	vmLease = 6 * time.Second
-	// renewEvery is how often the registration is renewed: three may be lost.
-	renewEvery = time.Second
+	// renewEvery is how often the registration is renewed: two may be lost. Renewals are
+	// most of what a large fleet asks of the store.
+	renewEvery = 1800 * time.Millisecond
 	// exchangeEvery is how often a VM exchanges reports with each other one. Rates
 	// and the choice of engines work on what is this old.
 	exchangeEvery = 250 * time.Millisecond
@@ -46,6 +47,8 @@
 	Callers     string `json:"callers"`
 	Peers       string `json:"peers"`
 	Domain      string `json:"domain"`
+	// LinkMbps is the bandwidth of the VM's link in Mbit/s.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
 // fleet knows the other VMs.
@@ -114,6 +117,7 @@
 func (f *fleet) enroll(ctx context.Context) store.LeaseID {
 	value, err := json.Marshal(registration{
 		Incarnation: f.incarnation, Callers: f.p.settings.Callers, Peers: f.p.peerAddress(), Domain: f.p.settings.FailureDomain,
+		LinkMbps: f.p.settings.LinkMbps,
 	})
 	if err != nil {
 		return 0
@@ -173,7 +177,7 @@
 func (f *fleet) arrange(now time.Time) {
 	others := make([]topology.VM, 0, len(f.members))
 	for vm, m := range f.members {
-		others = append(others, topology.VM{Name: vm, Domain: m.Domain, Silent: m.silentHub(now)})
+		others = append(others, topology.VM{Name: vm, Domain: m.Domain, Capacity: m.LinkMbps, Silent: m.silentHub(now)})
 	}
 	f.plan = topology.New(f.selfVM(), others)
 	weights := make(map[string]int, len(f.plan.Partners))
@@ -186,7 +190,7 @@
 }
 
 func (f *fleet) selfVM() topology.VM {
-	return topology.VM{Name: f.p.settings.VM, Domain: f.p.settings.FailureDomain}
+	return topology.VM{Name: f.p.settings.VM, Domain: f.p.settings.FailureDomain, Capacity: f.p.settings.LinkMbps}
 }
 
 // silentHub reports whether the VM cannot serve as a hub: its process is known to be gone,
@@ -202,6 +206,29 @@
 	hubSilence  = 600 * time.Millisecond
 )
 
+// hub returns the VM through which this one follows the store, with its address; ok is
+// false if this VM watches the store itself.
+func (f *fleet) hub() (address string, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.plan == nil {
+		return "", false
+	}
+	m := f.members[f.plan.Hub()]
+	if m == nil {
+		return "", false
+	}
+	return m.Peers, true
+}
+
+// mayLead reports whether this VM stands for election: the hubs do, or all VMs of a small
+// fleet. If all of many VMs did, each vacancy would cost three calls of the store a VM.
+func (f *fleet) mayLead() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.plan != nil && f.plan.Hub() == ""
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- /dev/null
+++ b/internal/vm/follow.go
@@ -0,0 +1,223 @@
+package vm
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+	"github.com/chestnutarch/chestnutarch/internal/store"
+)
+
+// In a large fleet only the hubs watch the store; the others follow their hub's view. At
+// 61 VMs that is 4 watches instead of 61, and the calls of the store, which are priced,
+// cost a tenth of a day's worth less. A VM whose hub cannot be reached, or hears nothing
+// from the store itself, watches the store until that has passed.
+
+var (
+	// ErrNotWatching means that a VM does not watch the store itself, so that nobody can
+	// follow it.
+	ErrNotWatching = errors.New("vm: this VM does not watch the store")
+	// ErrHubStale means that a hub has not heard the store for too long.
+	ErrHubStale = errors.New("vm: the hub does not hear the store")
+)
+
+const (
+	// followWait is how long a hub waits for a change before it answers all the same, and
+	// followPause the time between an answer and the next question. Together with
+	// followTimeout they bound how long a silent hub goes unnoticed.
+	followWait    = 300 * time.Millisecond
+	followPause   = 150 * time.Millisecond
+	followTimeout = 800 * time.Millisecond
+	// aloneFirst and aloneMost bound how long a VM watches the store itself after its hub
+	// failed it. The time doubles with every failure in a row: when the hub is cut off
+	// from the store, each return to it costs a reading of everything.
+	aloneFirst = 3 * time.Second
+	aloneMost  = 12 * time.Second
+	// staleShare is the divisor of the time in which a configuration has to be in force
+	// that gives the largest age of a hub's view: the rest is for noticing it and for
+	// reading the store.
+	staleShare = 2
+	// hubPauseShare is the same for the pause between two watches of a hub, which has to
+	// be well below that age.
+	hubPauseShare = 8
+)
+
+// relay is how a tracker reaches hubs.
+type relay struct {
+	// hub returns the address of the VM to follow; ok is false if there is none.
+	hub func() (address string, ok bool)
+	ask func(ctx context.Context, address string, in *peerpb.FollowRequest) (*peerpb.FollowResponse, error)
+}
+
+// mayFollow returns the hub to follow now.
+func (t *tracker) mayFollow(now time.Time) (address string, ok bool) {
+	t.mu.Lock()
+	alone := now.Before(t.aloneUntil)
+	t.mu.Unlock()
+	if alone {
+		return "", false
+	}
+	return t.relay.hub()
+}
+
+// alone reports whether this VM watches the store since its hub failed it.
+func (t *tracker) alone() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Now().Before(t.aloneUntil)
+}
+
+// followHub takes the view of a hub over until that fails or this VM has none to follow.
+func (t *tracker) followHub(ctx context.Context, address string) {
+	t.setWatching(false)
+	in := &peerpb.FollowRequest{}
+	for ctx.Err() == nil {
+		answer, err := t.relay.ask(ctx, address, in)
+		taken := false
+		if err == nil {
+			taken, err = t.takeView(answer, time.Now())
+		}
+		if err != nil {
+			t.leaveHub(address, err)
+			return
+		}
+		if taken {
+			in = &peerpb.FollowRequest{Incarnation: answer.Incarnation, Change: answer.Change}
+		}
+		sleep(ctx, followPause)
+		next, ok := t.relay.hub()
+		if !ok {
+			return
+		}
+		if next != address {
+			address, in = next, &peerpb.FollowRequest{}
+		}
+	}
+}
+
+// takeView takes a hub's answer in. It returns false if the hub's view is older than this
+// VM's own, and ErrHubStale if it is too old to follow.
+func (t *tracker) takeView(answer *peerpb.FollowResponse, now time.Time) (taken bool, err error) {
+	age := time.Duration(answer.AgeMs) * time.Millisecond
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if age > t.stale {
+		return false, errors.Wrapf(ErrHubStale, "for %v", age)
+	}
+	if answer.Revision < t.view.revision {
+		if now.Sub(t.fresh) > t.stale {
+			return false, errors.Wrapf(ErrHubStale, "at revision %d, %d is known", answer.Revision, t.view.revision)
+		}
+		return false, nil
+	}
+	if answer.FailedMs >= 0 {
+		t.failedAt = later(t.failedAt, now.Add(-time.Duration(answer.FailedMs)*time.Millisecond))
+	}
+	t.aloneTime = 0
+	t.merge(answer, now)
+	t.fresh = now.Add(-age)
+	return true, nil
+}
+
+// merge puts what a hub tells into the view. It must be called with the lock held.
+func (t *tracker) merge(answer *peerpb.FollowResponse, now time.Time) {
+	if !answer.Whole && len(answer.Items) == 0 && len(answer.Removed) == 0 {
+		t.view.revision = answer.Revision
+		return
+	}
+	next := make(map[string]store.Item, len(answer.Items))
+	if !answer.Whole {
+		next = maps.Clone(t.view.items)
+	}
+	for _, i := range answer.Items {
+		next[i.Key] = store.Item{Key: i.Key, Value: i.Value, Revision: i.Revision}
+	}
+	for _, key := range answer.Removed {
+		delete(next, key)
+	}
+	clear(t.lapsed)
+	t.publish(view{items: next, revision: answer.Revision}, now)
+}
+
+// leaveHub makes this VM watch the store itself for a while.
+func (t *tracker) leaveHub(address string, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.aloneTime = min(max(aloneFirst, 2*t.aloneTime), aloneMost)
+	t.aloneUntil = time.Now().Add(t.aloneTime)
+	t.log.Warn().Str("event", "hub_lost").Str("peers", address).AnErr("cause", err).Dur("age_ms", time.Since(t.fresh)).
+		Dur("alone_ms", t.aloneTime).Send()
+}
+
+func (t *tracker) setWatching(watching bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.watching = watching
+}
+
+// tell answers a VM that follows this one.
+func (t *tracker) tell(ctx context.Context, incarnation int64, in *peerpb.FollowRequest) (*peerpb.FollowResponse, error) {
+	if in.Incarnation != incarnation {
+		in = &peerpb.FollowRequest{}
+	}
+	t.awaitChange(ctx, in.Change)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.watching {
+		return nil, errors.WithStack(ErrNotWatching)
+	}
+	out := &peerpb.FollowResponse{
+		Incarnation: incarnation, Change: t.changes.number, Revision: t.view.revision,
+		AgeMs: time.Since(t.fresh).Milliseconds(), FailedMs: -1,
+	}
+	if !t.failedAt.IsZero() {
+		out.FailedMs = time.Since(t.failedAt).Milliseconds()
+	}
+	changed, removed, known := t.changes.since(in.Change)
+	if !known {
+		out.Whole = true
+		for _, item := range t.view.items {
+			out.Items = append(out.Items, storeItem(item))
+		}
+		return out, nil
+	}
+	out.Removed = removed
+	for _, key := range changed {
+		out.Items = append(out.Items, storeItem(t.view.items[key]))
+	}
+	return out, nil
+}
+
+// awaitChange returns when the view has changed since, or after followWait.
+func (t *tracker) awaitChange(ctx context.Context, since int64) {
+	t.mu.Lock()
+	fresh, waits := t.changes.fresh, t.watching && since == t.changes.number
+	t.mu.Unlock()
+	if !waits {
+		return
+	}
+	timer := time.NewTimer(followWait)
+	defer timer.Stop()
+	select {
+	case <-fresh:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func storeItem(i store.Item) *peerpb.StoreItem {
+	return &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision}
+}
+
+// askHub asks a hub for what has changed in its view.
+func (p *Process) askHub(ctx context.Context, address string, in *peerpb.FollowRequest) (answer *peerpb.FollowResponse, err error) {
+	err = p.pool.Call(ctx, address, followTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
+		answer, err = peerpb.NewVMsClient(conn).Follow(ctx, in)
+		return err
+	})
+	return answer, err
+}
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -77,10 +77,13 @@
 			Dur("for_ms", time.Until(until)).Send()
 	})
 	p.budget = retrybudget.New(retryLimitsOf(s), time.Now())
-	p.tracker = newTracker(p.store, log, p.follow, func() int { return p.fleet.size() }, s.Bounds.Configuration*2/3)
+	p.tracker = newTracker(p.store, log, p.follow, func() int { return p.fleet.size() }, s.Bounds.Configuration, relay{
+		hub: func() (string, bool) { return p.fleet.hub() }, ask: p.askHub,
+	})
 	p.candidate = leadership.New(leadership.Options{
 		Store: p.store, VM: s.VM, Prefix: ownPrefix, LeaseMin: s.Store.LeaseMin,
 		Settle: s.Bounds.OrderLease, Clock: clock.Boot(), Log: log,
+		Stands: func() bool { return p.fleet.mayLead() || p.tracker.alone() },
 	})
 	empty := make(map[string]*upstream.Instance)
 	p.instances.Store(&empty)
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -39,17 +39,27 @@
 	revision int64
 }
 
-// tracker follows all keys of the store with one watch.
+// tracker follows all keys of the store, with one watch or through a hub.
 type tracker struct {
 	store   store.Store
 	log     zerolog.Logger
 	changed func(view)
+	relay   relay
 	// vms is the number of VMs, longest the longest pause between two watches.
 	vms     func() int
 	longest time.Duration
-
-	mu   sync.Mutex
-	view view
+	// stale is the largest age of a hub's view, hubPause the time between two watches of
+	// a hub.
+	stale, hubPause time.Duration
+
+	mu      sync.Mutex
+	view    view
+	changes *changes
+	// watching says that this VM watches the store itself.
+	watching bool
+	// aloneUntil is until when it does so since its hub failed, aloneTime for how long.
+	aloneUntil time.Time
+	aloneTime  time.Duration
 	// lapsed holds entries that disappeared while the store was away or had just
 	// returned, with the time at which they are given up.
 	lapsed map[string]time.Time
@@ -60,8 +70,14 @@
 	fresh time.Time
 }
 
-func newTracker(s store.Store, log zerolog.Logger, changed func(view), vms func() int, longest time.Duration) *tracker {
-	return &tracker{store: s, log: log, changed: changed, vms: vms, longest: longest, lapsed: make(map[string]time.Time)}
+// newTracker returns a tracker of a store whose configurations have to be in force within
+// some time.
+func newTracker(s store.Store, log zerolog.Logger, changed func(view), vms func() int, inForce time.Duration, r relay) *tracker {
+	return &tracker{
+		store: s, log: log, changed: changed, vms: vms, relay: r,
+		longest: inForce * 2 / 3, stale: inForce / staleShare, hubPause: inForce / hubPauseShare,
+		changes: newChanges(), lapsed: make(map[string]time.Time),
+	}
 }
 
 // run follows the store until ctx ends.
@@ -77,9 +93,13 @@
 	return nil
 }
 
-// follow watches until the history is gone.
+// follow watches until the history is gone, or follows a hub until that fails.
 func (t *tracker) follow(ctx context.Context) {
 	for ctx.Err() == nil {
+		if hub, ok := t.mayFollow(time.Now()); ok {
+			t.followHub(ctx, hub)
+			return
+		}
 		events, err := t.store.Watch(ctx, "", t.at(), watchWait)
 		switch {
 		case errors.Is(err, store.ErrCompacted):
@@ -97,6 +117,10 @@
 // pause is the time between two watches. It grows with the fleet, so that the calls of
 // all VMs grow more slowly: VMs tell each other what the one has seen that watched last.
 func (t *tracker) pause() time.Duration {
+	if _, follows := t.relay.hub(); !follows && t.vms() > pauseFleet {
+		// Others follow this VM.
+		return t.hubPause
+	}
 	scaled := watchPause * time.Duration(t.vms()) / pauseFleet
 	return min(max(watchPause, scaled), max(watchPause, t.longest))
 }
@@ -131,6 +155,7 @@
 			delete(t.lapsed, key)
 		}
 	}
+	t.watching = true
 	t.publish(view{items: next, revision: listing.Revision}, now)
 	return nil
 }
@@ -180,6 +205,7 @@
 		t.lost = false
 		t.log.Info().Str("event", "store_regained").Int64("revision", next.revision).Send()
 	}
+	t.changes.note(t.view.items, next.items)
 	t.view, t.fresh = next, now
 	t.changed(next)
 }
