vm: callers of each failure domain are told of others of many VMs; stand-ins for a soak

Cause: an answer names 64 addresses, and at 82 VMs all callers were told of the same 64: eighteen VMs stood idle. Change: each failure domain's callers get a selection of their own, stable while VMs come and go. Test: TestEveryVMIsNamedToCallersOfSomeDomain, which fails with the old selection.

--- /dev/null
+++ b/internal/vm/addresses_test.go
@@ -0,0 +1,31 @@
+package vm
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Eighty-two VMs are ready and an answer names sixty-four. If all callers were told of the
+// same ones, eighteen VMs would stand idle while the others turn callers away.
+func TestEveryVMIsNamedToCallersOfSomeDomain(t *testing.T) {
+	var all []string
+	for i := range 82 {
+		all = append(all, fmt.Sprintf("10.0.0.%d:80", i))
+	}
+	named := map[string]int{}
+	for _, domain := range []string{"a", "b", "c", "d"} {
+		selected := selectAddresses(slices.Clone(all), domain)
+		require.Len(t, selected, maxAddresses)
+		require.Equal(t, selected, selectAddresses(slices.Clone(all), domain))
+		for _, address := range selected {
+			named[address]++
+		}
+		without := selectAddresses(slices.DeleteFunc(slices.Clone(all), func(a string) bool { return a == selected[0] }), domain)
+		require.Subset(t, without, selected[1:], "callers keep their other connections")
+	}
+	require.Greater(t, len(named), 80)
+	require.Len(t, selectAddresses(all[:7], "a"), 7)
+}
--- a/internal/vm/cluster_test.go
+++ b/internal/vm/cluster_test.go
@@ -84,33 +84,10 @@
 // configure writes a configuration, changed by edit.
 func (c *cluster) configure(edit func(map[string]any)) {
 	c.version++
-	route := func(name, kind, service string, attempts int, resume bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": testHost, "path-prefix": "/" + name + "/", "kind": kind, "timeout-ms": 8000,
-			"target-latency-ms": 2000, "priority": 1, "service": service, "attempts": attempts, "can-resume": resume,
-		}
-	}
-	model := func(name string) map[string]any {
-		return map[string]any{"name": name, "weights-mb": 50000.0, "load-time-s": 0.1, "warm-s": 0.05, "disk-s": 0.05, "adapters": 3, "adapter-mb": 10.0}
-	}
-	config := map[string]any{
-		"version": c.version,
-		"routes": []any{
-			route("chat", "streaming", "engine", 1, false), route("draft", "streaming", "engine", 2, true),
-			route("file", "non_idempotent", "clerk", 1, false), route("look", "idempotent", "clerk", 2, false),
-		},
-		"services": []any{
-			map[string]any{"name": "clerk", "max-connections": 100},
-			map[string]any{"name": "engine", "max-connections": 100, "engine": map[string]any{
-				"slots": 8, "kv-capacity-tokens": 100000, "weights-mb": 120000.0, "adapter-slots": 2, "stride": 4,
-				"loads-per-s": 5.0, "models": []any{model("m0"), model("m1"), model("m2")},
-			}},
-		},
-		"tenants": []any{map[string]any{
-			"name": "writers", "keys": []string{testKey}, "unit": "tokens", "plain-tokens": 200, "rate-per-s": 1e6, "burst": 1e6,
-		}},
-		"limits": map[string]any{"header-bytes": 16384, "body-bytes": 1 << 20},
-	}
+	config := standin.Manifest{
+		Version: c.version, Host: testHost, Models: []string{"m0", "m1", "m2"},
+		Teams: []standin.Team{{Name: "writers", Keys: []string{testKey}, Rate: 1e6, Burst: 1e6}},
+	}.Value()
 	if edit != nil {
 		edit(config)
 	}
