soak: random faults against the real processes

Processes of chestnut-vm between stand-ins, with proxies on loopback in all ways between them. The seed decides a storm of kills, stops, pauses, hangups, cuts (also one way), delays, resets and silent connections, a store that is away, loses answers, forgets or lapses, replicas that crash, drain, fail or are cut off, and new configurations. Then calm: all is served again, a key is withdrawn and a route added everywhere, and a rolling restart cuts nothing. An oracle holds what callers and replicas saw against the promises; each promise is broken once in TestOracleSeesEachBrokenPromise.

Not covered: clocks that jump (processes cannot be given a clock of their own without privileges; pauses make steady and boot time differ), one process of many on a machine.

--- /dev/null
+++ b/test/soak/oracle_cases_test.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/platform/standin"
+)
+
+// An oracle that sees nothing passes every run. Each promise is broken once here, and the
+// oracle has to name just that one.
+func TestOracleSeesEachBrokenPromise(t *testing.T) {
+	served := func(a *attempt) {
+		a.answer = standin.Answer{Status: http.StatusOK, Signed: true, ID: a.ID, Body: "done by clerk-1 for " + a.ID}
+	}
+	run := func(a *attempt) standin.Run {
+		return standin.Run{ID: a.ID, Tenant: a.team, Target: a.Path, Body: a.Body, Header: http.Header{}, Tokens: 200}
+	}
+	for promise, breaks := range map[string]func(a *attempt) []standin.Run{
+		"": func(a *attempt) []standin.Run {
+			served(a)
+			return []standin.Run{run(a)}
+		},
+		"at most once": func(a *attempt) []standin.Run {
+			served(a)
+			return []standin.Run{run(a), run(a)}
+		},
+		"team": func(a *attempt) []standin.Run {
+			served(a)
+			other := run(a)
+			other.Tenant = "small"
+			return []standin.Run{other}
+		},
+		"unchanged": func(a *attempt) []standin.Run {
+			served(a)
+			other := run(a)
+			other.Body = "another"
+			return []standin.Run{other}
+		},
+		"key": func(a *attempt) []standin.Run {
+			served(a)
+			other := run(a)
+			other.Header.Set("Authorization", "Token large-key")
+			return []standin.Run{other}
+		},
+		"refusal": func(a *attempt) []standin.Run {
+			a.answer.Status = http.StatusServiceUnavailable
+			return []standin.Run{run(a)}
+		},
+		"whole answer": func(a *attempt) []standin.Run {
+			served(a)
+			a.answer.Body = "done by clerk-1 for another"
+			return []standin.Run{run(a)}
+		},
+		"denied": func(a *attempt) []standin.Run {
+			a.answer.Status = http.StatusUnauthorized
+			return nil
+		},
+		"planned stop": func(a *attempt) []standin.Run {
+			a.quiet, a.answer.Err = true, http.ErrServerClosed
+			return []standin.Run{run(a)}
+		},
+	} {
+		a := &attempt{kind: file, team: "large", vm: &vm{}, Call: standin.Call{ID: "id1", Path: "/file/id1", Body: "b"}}
+		o := newOracle()
+		runs := breaks(a)
+		o.checkRuns(a, runs)
+		o.checkAnswer(a, runs)
+		if promise == "" {
+			require.Empty(t, o.faults)
+			continue
+		}
+		require.Len(t, o.faults, 1, promise)
+		require.Contains(t, o.faults[0], promise+":")
+	}
+}
+
+func TestOracleSeesTooMuchOfARate(t *testing.T) {
+	o, now := newOracle(), time.Now()
+	runs := make(map[string][]standin.Run)
+	for i := range 100 {
+		id := string(rune('a' + i))
+		runs[id] = []standin.Run{{ID: id, Tenant: "small", Tokens: 440, At: now.Add(time.Duration(i) * 100 * time.Millisecond)}}
+	}
+	o.checkRate(runs)
+	require.Empty(t, o.faults, "35,640 in eight seconds")
+	for id := range runs {
+		runs[id][0].Tokens = 600
+	}
+	o.checkRate(runs)
+	require.Len(t, o.faults, 1)
+}
+
+func TestOracleSeesTwoHolders(t *testing.T) {
+	for _, second := range []standin.Order{{Holder: "b", Token: 9, At: time.Now()}, {Holder: "a", Token: 4, At: time.Now()}} {
+		o, u := newOracle(), &upstream{Replica: standin.NewReplica("engine-0", 2)}
+		o.checkOrderLog(u.ID, []standin.Order{{Holder: "a", Token: 5, At: time.Now()}, second})
+		require.Len(t, o.faults, 1)
+	}
+}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,239 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/platform/standin"
+)
+
+var (
+	seeds = flag.Int("seeds", 0, "how many fresh seeds to play")
+	seed  = flag.Uint64("seed", 0, "one seed to play again")
+	vms   = flag.Int("vms", 4, "how many VMs a world has")
+	storm = flag.Duration("storm", 6*time.Second, "how long faults are injected")
+)
+
+// regressions are seeds that failed once, each with its cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// fixed are the seeds that CI plays.
+var fixed = []uint64{1, 2}
+
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "soak")
+	if err == nil {
+		binary = filepath.Join(dir, "chestnut-vm")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", binary, "../../cmd/chestnut-vm").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// Processes are killed, stopped and paused, ways between them are cut, delayed, reset or
+// silenced, replicas fail and leave, the store is away and forgets, all at once and in
+// series. Whatever callers and replicas see then has to keep the promises, and when the
+// faults end everything is served again.
+func TestSoak(t *testing.T) {
+	played := slices.Clone(fixed)
+	for _, r := range regressions {
+		played = append(played, r.seed)
+	}
+	if *seeds > 0 {
+		played = nil
+		for range *seeds {
+			played = append(played, rand.Uint64())
+		}
+	}
+	if *seed != 0 {
+		played = []uint64{*seed}
+	}
+	for _, s := range played {
+		t.Run(fmt.Sprint(s), func(t *testing.T) {
+			t.Parallel()
+			play(t, s)
+		})
+	}
+}
+
+// play is one run: a storm of faults, then the calm in which all has to come back and a
+// rolling restart has to cut nothing.
+func play(t *testing.T, s uint64) {
+	r := rand.New(rand.NewPCG(s, 0))
+	w := newWorld(t, binary, *vms)
+	t.Cleanup(func() { w.keepLogs(s) })
+	w.eventually("all VMs are ready", w.allReady)
+	stop := make(chan struct{})
+	go w.keepDescribing(stop)
+	l := startLoad(w, s)
+	w.inject(w.storm(r, *storm))
+	w.heal()
+	w.calm(l)
+	l.end()
+	close(stop)
+	w.oracle.check(w)
+	w.report(s)
+}
+
+// inject plays faults and mends each.
+func (w *world) inject(all []fault) {
+	began := time.Now()
+	ends := make(chan struct{})
+	for _, f := range all {
+		time.Sleep(f.at - time.Since(began))
+		w.t.Logf("%6.2f s: %s for %v", time.Since(began).Seconds(), f.name, f.lasts.Round(time.Millisecond))
+		f.begin()
+		go func() {
+			time.Sleep(f.lasts)
+			if f.end != nil {
+				f.end()
+			}
+			ends <- struct{}{}
+		}()
+	}
+	for range all {
+		<-ends
+	}
+}
+
+// calm checks what has to hold again once the faults have ended.
+func (w *world) calm(l *load) {
+	w.eventually("all VMs are ready again", w.allReady)
+	for _, k := range []kind{chat, draft, file, look} {
+		before := w.oracle.servedOf(k)
+		w.eventually(fmt.Sprintf("%s is served again", k), func() bool { return w.oracle.servedOf(k) > before+5 })
+	}
+	w.withdrawKey()
+	w.addRoute()
+	w.rollingRestart(l)
+}
+
+// withdrawKey takes a key away and holds that it stops working everywhere, for good.
+func (w *world) withdrawKey() {
+	w.configure(func(m *standin.Manifest) { m.Teams[0].Keys = m.Teams[0].Keys[:1] })
+	for _, v := range w.vms {
+		w.eventually("the key is withdrawn at "+v.Name, func() bool { return w.probe(v, "look", "large-second") == http.StatusUnauthorized })
+	}
+}
+
+func (w *world) addRoute() {
+	w.configure(func(m *standin.Manifest) { m.Extra = append(m.Extra, "newest") })
+	for _, v := range w.vms {
+		w.eventually("the route is there at "+v.Name, func() bool { return w.probe(v, "newest", "large-key") == http.StatusOK })
+	}
+}
+
+// rollingRestart stops one VM after the other while callers ask, and holds that what is in
+// force stays so.
+func (w *world) rollingRestart(l *load) {
+	time.Sleep(resolveEvery)
+	l.quiet.Store(true)
+	for _, v := range w.vms {
+		v.term()
+		time.Sleep(500 * time.Millisecond)
+		w.eventually(v.Name+" is ready after its restart", w.allReady)
+		if got := w.probe(v, "look", "large-second"); got == http.StatusOK {
+			w.oracle.broken("configuration", "%s takes the withdrawn key again", v.Name)
+		}
+		if got := w.probe(v, "newest", "large-key"); got == http.StatusNotFound {
+			w.oracle.broken("configuration", "%s has lost the newest route", v.Name)
+		}
+	}
+	l.quiet.Store(false)
+}
+
+// probe asks one VM directly, with nothing in between.
+func (w *world) probe(v *vm, route, key string) int {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	id := fmt.Sprintf("probe%x", rand.Uint64())
+	return standin.Ask(w.t.Context(), client, v.Callers, standin.Call{
+		ID: id, Method: "GET", Host: host, Path: "/" + route + "/" + id, Key: key, Wait: 2 * time.Second,
+	}).Status
+}
+
+func (w *world) allReady() bool {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	for _, v := range w.vms {
+		response, err := client.Get("http://" + v.Readiness + "/readiness")
+		if err != nil {
+			w.unready = v.Name + ": " + err.Error()
+			return false
+		}
+		w.unready = v.Name + ": " + response.Status
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// patience is how long the world may take for what has to come in the end.
+const patience = 20 * time.Second
+
+func (w *world) eventually(what string, condition func() bool) {
+	w.t.Helper()
+	for began := time.Now(); !condition(); time.Sleep(50 * time.Millisecond) {
+		if time.Since(began) > patience {
+			require.Fail(w.t, what, "not within %v; last not ready: %s", patience, w.unready)
+		}
+	}
+}
+
+// report fails the run if a promise was broken.
+func (w *world) report(s uint64) {
+	o := w.oracle
+	w.t.Logf("seed %d: %d attempts, served %v", s, len(o.attempts), o.served)
+	if len(o.faults) > 0 {
+		require.Fail(w.t, "promises broken", "%s\nagain: go test ./test/soak -args -seed %d", strings.Join(o.faults, "\n"), s)
+	}
+}
+
+// keepLogs saves what the processes wrote if the run has failed.
+func (w *world) keepLogs(s uint64) {
+	if !w.t.Failed() {
+		return
+	}
+	kept, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", s))
+	if err != nil {
+		w.t.Logf("the logs are lost: %v", err)
+		return
+	}
+	for _, v := range w.vms {
+		text, err := os.ReadFile(filepath.Join(w.dir, v.Name+".log"))
+		if err == nil {
+			err = os.WriteFile(filepath.Join(kept, v.Name+".log"), text, 0o600)
+		}
+		if err != nil {
+			w.t.Logf("the log of %s is lost: %v", v.Name, err)
+		}
+	}
+	w.t.Logf("logs are kept in %s", kept)
+}
--- /dev/null
+++ b/test/soak/world_test.go
@@ -0,0 +1,245 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/platform/standin"
+)
+
+const (
+	host = "callers.example"
+	// configMs, leaseMs and quotaSlack are bounds of the platform.
+	configMs   = 2000
+	leaseMs    = 1000
+	quotaSlack = 20_000
+	// smallRate and smallBurst are of the team that asks for more than it may have.
+	smallRate  = 2_000.0
+	smallBurst = 2_000.0
+)
+
+// world is the processes with everything around them.
+type world struct {
+	t        *testing.T
+	dir      string
+	store    *standin.Store
+	storeAt  string
+	vms      []*vm
+	upstream []*upstream
+	oracle   *oracle
+
+	mu       sync.Mutex
+	manifest standin.Manifest
+	// unready is the last VM that was not ready.
+	unready string
+}
+
+// upstream is one replica behind a proxy.
+type upstream struct {
+	*standin.Replica
+	service, zone string
+	server        *httptest.Server
+	way           *proxy
+	mu            sync.Mutex
+	// state is "ready", "draining" or "" for one whose entry is gone.
+	state string
+}
+
+func newWorld(t *testing.T, binary string, vms int) *world {
+	w := &world{t: t, dir: t.TempDir(), store: standin.NewStore(), oracle: newOracle()}
+	w.manifest = standin.Manifest{
+		Version: 1, Host: host, Models: []string{"m0", "m1", "m2", "m3"},
+		Teams: []standin.Team{
+			{Name: "large", Keys: []string{"large-key", "large-second"}, Rate: 1e6, Burst: 1e6},
+			{Name: "small", Keys: []string{"small-key"}, Rate: smallRate, Burst: smallBurst},
+		},
+	}
+	w.store.Put("op/config", w.manifest.Value())
+	server := httptest.NewServer(w.store)
+	t.Cleanup(func() {
+		w.store.Away(nil)
+		server.CloseClientConnections()
+		server.Close()
+	})
+	w.storeAt = server.Listener.Addr().String()
+	for i := range 3 {
+		w.addUpstream("engine", fmt.Sprintf("engine-%d", i), "m0", "m1")
+		w.addUpstream("clerk", fmt.Sprintf("clerk-%d", i))
+	}
+	w.store.Rewrite(w.throughPeerProxies)
+	for i := range vms {
+		w.addVM(binary, fmt.Sprintf("vm-%d", i), []string{"a", "b"}[i%2])
+	}
+	return w
+}
+
+func (w *world) addUpstream(service, id string, models ...string) {
+	r := standin.NewReplica(id, 2, models...)
+	r.Mark, r.Work, r.Born = true, 5*time.Millisecond, time.Now().UnixMilli()
+	r.SetLoadTime(200 * time.Millisecond)
+	u := &upstream{Replica: r, service: service, zone: "a", server: httptest.NewServer(r), state: "ready"}
+	way, err := newProxy(u.server.Listener.Addr().String())
+	require.NoError(w.t, err)
+	u.way = way
+	w.upstream = append(w.upstream, u)
+	w.t.Cleanup(func() {
+		u.way.close()
+		u.server.CloseClientConnections()
+		u.server.Close()
+	})
+	w.describe(u)
+}
+
+// describe writes the entry of a replica as it is now.
+func (w *world) describe(u *upstream) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.state == "" {
+		w.store.Delete("servers/" + u.ID)
+		return
+	}
+	w.store.Put("servers/"+u.ID, u.Entry(u.service, u.way.address(), u.zone, u.state))
+}
+
+func (w *world) setState(u *upstream, state string) {
+	u.mu.Lock()
+	u.state = state
+	u.mu.Unlock()
+	w.describe(u)
+}
+
+func (w *world) addVM(binary, name, zone string) {
+	ports := freePorts(w.t, 5)
+	at := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", ports[i]) }
+	v := &vm{binary: binary, dir: w.dir, Machine: standin.Machine{
+		Name: name, Zone: zone, IP: "127.0.0.1", FirstPort: min(ports[0], ports[1]), LastPort: max(ports[0], ports[1]),
+		Callers: at(2), Readiness: at(3), Directory: at(4),
+		ConfigMs: configMs, LeaseMs: leaseMs, GraceS: int(graceTime.Seconds()), QuotaSlack: quotaSlack,
+	}}
+	for _, way := range []struct {
+		into   **proxy
+		target string
+	}{{&v.callers, v.Callers}, {&v.peers, fmt.Sprintf("127.0.0.1:%d", v.FirstPort)}, {&v.store, w.storeAt}} {
+		p, err := newProxy(way.target)
+		require.NoError(w.t, err)
+		*way.into = p
+	}
+	v.Store = v.store.address()
+	w.vms = append(w.vms, v)
+	require.NoError(w.t, v.run())
+	w.t.Cleanup(v.stop)
+}
+
+// throughPeerProxies makes VMs reach each other through proxies: a registration names the
+// proxy in place of the VM.
+func (w *world) throughPeerProxies(key string, value []byte) []byte {
+	name, ok := strings.CutPrefix(key, "chestnutarch/vms/")
+	if !ok {
+		return value
+	}
+	var registration map[string]any
+	if json.Unmarshal(value, &registration) != nil {
+		return value
+	}
+	for _, v := range w.vms {
+		if v.Name == name {
+			registration["peers"] = v.peers.address()
+		}
+	}
+	changed, err := json.Marshal(registration)
+	if err != nil {
+		return value
+	}
+	return changed
+}
+
+// nextPort is the last port that was given out. The ports lie below those that the system
+// hands out by itself, so that no proxy takes one before its process has started.
+var nextPort atomic.Int64
+
+const (
+	firstPort = 12_000
+	lastPort  = 30_000
+)
+
+func freePorts(t *testing.T, n int) []int {
+	var out []int
+	for len(out) < n {
+		port := firstPort + int(nextPort.Add(1)+int64(os.Getpid())*97)%(lastPort-firstPort)
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		require.NoError(t, l.Close())
+		out = append(out, port)
+	}
+	return out
+}
+
+// configure writes a newer configuration.
+func (w *world) configure(change func(m *standin.Manifest)) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.manifest.Version += 1 + len(w.manifest.Extra)%3
+	change(&w.manifest)
+	w.store.Put("op/config", w.manifest.Value())
+	return w.manifest.Version
+}
+
+// keepDescribing writes the entries of the replicas anew as orders change what they hold.
+func (w *world) keepDescribing(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(500 * time.Millisecond):
+		}
+		for _, u := range w.upstream {
+			u.mu.Lock()
+			ready := u.state != ""
+			u.mu.Unlock()
+			if ready {
+				w.describe(u)
+			}
+		}
+	}
+}
+
+// heal ends every fault that lasts.
+func (w *world) heal() {
+	w.store.Away(nil)
+	w.store.LoseAnswers(false)
+	for _, v := range w.vms {
+		for _, p := range []*proxy{v.callers, v.peers, v.store} {
+			p.heal()
+			p.reset()
+		}
+	}
+	for _, u := range w.upstream {
+		u.way.heal()
+		u.way.reset()
+		u.SetFail(nil)
+	}
+}
+
+func pick[T any](r *rand.Rand, all []T) T { return all[r.IntN(len(all))] }
+
+// client keeps connections as a caller does, and sends nothing twice by itself.
+func newClient() *http.Client {
+	return &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second, DisableCompression: true,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}
+}
