leadership: an election whose answer was lost does not spare the wait

A VM stood for election, the store carried it out, the answer was lost, and the VM took it back. The store then named that VM as the last leader, so that its next election took it for its own successor and waited for nothing, while another VM had led a moment before. Beside it, read in the code: whether to wait was decided by a view that may be a second old.

Change: an election holds only on the last election that the VM knows of, and the wait is spared only if that is one this process has won itself. A VM whose process starts again waits too.

Tests: TestElectionWhoseAnswerWasLostDoesNotSpareTheWait and TestElectionByAnOldViewFails fail without the change.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -35,7 +35,7 @@
 // Options configures a Candidate.
 type Options struct {
 	Store store.Store
-	// VM is this VM's ID. The same VM counts as the same holder after a restart.
+	// VM is this VM's ID.
 	VM string
 	// Prefix is the prefix of the keys.
 	Prefix string
@@ -63,10 +63,13 @@
 	settled clock.Reading
 	settle  time.Duration
 	// seen is the leader by the newest state of the store.
-	seen     store.Item
-	hasSeen  bool
-	previous record
-	known    bool
+	seen    store.Item
+	hasSeen bool
+	// last is the item of the last election that took effect, won the token of the last
+	// one that this process knows to have won.
+	last  store.Item
+	won   int64
+	known bool
 }
 
 // record is the value of both keys.
@@ -92,9 +95,7 @@
 	defer c.mu.Unlock()
 	c.seen, c.hasSeen = items[c.leaderKey()]
 	c.known = true
-	if last, ok := items[c.lastKey()]; ok {
-		_ = json.Unmarshal(last.Value, &c.previous)
-	}
+	c.last = items[c.lastKey()]
 }
 
 // Leader returns the leader that the store names.
@@ -104,11 +105,8 @@
 	if !c.hasSeen {
 		return Term{}, false
 	}
-	var r record
-	if json.Unmarshal(c.seen.Value, &r) != nil {
-		return Term{}, false
-	}
-	return Term{VM: r.VM, Token: c.seen.Revision}, true
+	vm := vmOf(c.seen)
+	return Term{VM: vm, Token: c.seen.Revision}, vm != ""
 }
 
 // Authority returns the token under which this VM may act now. Before every order
@@ -182,8 +180,12 @@
 	if err != nil {
 		return
 	}
+	c.mu.Lock()
+	last := c.last
+	c.mu.Unlock()
 	revision, err := c.options.Store.Commit(ctx, store.Change{
-		Conditions: []store.Condition{{Key: c.leaderKey(), Revision: 0}},
+		// Whether to settle is decided by the last election, so it has to be the last one.
+		Conditions: []store.Condition{{Key: c.leaderKey(), Revision: 0}, {Key: c.lastKey(), Revision: last.Revision}},
 		Puts: []store.Put{
 			{Key: c.leaderKey(), Value: value, Lease: id},
 			{Key: c.lastKey(), Value: value},
@@ -196,22 +198,32 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.token, c.leaseID = revision, id
+	c.settled, c.settle = c.options.Clock(), c.settleTime(last)
+	c.token, c.leaseID, c.won = revision, id, revision
 	c.renewed, c.valid = sent, ttl-margin
-	c.settled, c.settle = c.options.Clock(), c.settleTime()
 	c.options.Log.Info().Str("event", "leadership_won").Int64("token", revision).
-		Str("previous", c.previous.VM).Dur("settle_ms", c.settle).Send()
+		Str("previous", vmOf(last)).Dur("settle_ms", c.settle).Send()
 }
 
-// settleTime is the wait before the first act: none if nobody led before, or this
-// VM did.
-func (c *Candidate) settleTime() time.Duration {
-	if c.previous.VM == "" || c.previous.VM == c.options.VM {
+// settleTime is the wait before the first act after an election that follows last: none if
+// nobody led before, or this process did. That last names this VM is not enough: an election
+// whose answer was lost leaves it, although another VM may have given orders a moment before.
+func (c *Candidate) settleTime(last store.Item) time.Duration {
+	if last.Revision == 0 || last.Revision == c.won {
 		return 0
 	}
 	return c.options.Settle
 }
 
+// vmOf returns the VM that an item of an election names, "" if it names none.
+func vmOf(i store.Item) string {
+	var r record
+	if json.Unmarshal(i.Value, &r) != nil {
+		return ""
+	}
+	return r.VM
+}
+
 func (c *Candidate) resign(ctx context.Context) {
 	c.mu.Lock()
 	token, id := c.token, c.leaseID
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"testing"
 	"time"
 
@@ -21,6 +22,8 @@
 	items    map[string]store.Item
 	away     bool
 	revoked  int
+	// loseCommits makes commits take effect without an answer.
+	loseCommits bool
 }
 
 func (f *fakeStore) Grant(context.Context, time.Duration) (store.LeaseID, time.Duration, error) {
@@ -52,6 +55,9 @@
 	for _, p := range c.Puts {
 		f.items[p.Key] = store.Item{Key: p.Key, Value: p.Value, Revision: f.revision, Lease: p.Lease}
 	}
+	if f.loseCommits {
+		return 0, errors.WithStack(store.ErrUnknown)
+	}
 	return f.revision, nil
 }
 
@@ -135,6 +141,62 @@
 	require.True(t, ok)
 }
 
+// Another VM led a moment ago. An election of this VM takes effect, its answer is lost, and
+// it is taken back. The store then names this VM as the last leader, and one that went by
+// that would give its first order right after the other VM's last one.
+func TestElectionWhoseAnswerWasLostDoesNotSpareTheWait(t *testing.T) {
+	s := &fakeStore{items: map[string]store.Item{}}
+	newWorld("a", s).elect()
+	delete(s.items, "x/leader")
+	b := newWorld("b", s)
+	s.loseCommits = true
+	b.elect()
+	require.False(t, b.Leads())
+	s.loseCommits = false
+	delete(s.items, "x/leader")
+	b.elect()
+	require.True(t, b.Leads())
+	_, ok := b.Authority()
+	require.False(t, ok)
+}
+
+// A VM that led before stands again with a view of the store that is a second old: another
+// VM has led since. It must not win by that view, or it would not wait.
+func TestElectionByAnOldViewFails(t *testing.T) {
+	s := &fakeStore{items: map[string]store.Item{}}
+	a := newWorld("a", s)
+	a.elect()
+	delete(s.items, "x/leader")
+	old := maps.Clone(s.items)
+	a.pass(lease)
+	a.step(context.Background())
+	newWorld("b", s).elect()
+	delete(s.items, "x/leader")
+	a.Observe(old)
+	a.step(context.Background())
+	require.False(t, a.Leads())
+	a.elect()
+	require.True(t, a.Leads())
+	_, ok := a.Authority()
+	require.False(t, ok)
+}
+
+// The VM that led last leads again, and nobody else has stood since. It need not wait for
+// its own orders.
+func TestSameLeaderActsAtOnceAgain(t *testing.T) {
+	s := &fakeStore{items: map[string]store.Item{}}
+	a := newWorld("a", s)
+	a.elect()
+	delete(s.items, "x/leader")
+	a.pass(lease)
+	s.away = true
+	a.step(context.Background())
+	s.away = false
+	a.elect()
+	_, ok := a.Authority()
+	require.True(t, ok)
+}
+
 func TestOneOfTwoCandidatesWins(t *testing.T) {
 	s := &fakeStore{items: map[string]store.Item{}}
 	a, b := newWorld("a", s), newWorld("b", s)
