assign: others' usual work ranks engines; soak: VMs hear each other

Test: TestEngineThatOthersKeepBusyIsNotIdleBetweenReports.

Runs now begin only when all VMs hear each other. A stand-in that hangs reads the request first, or its end is never noticed.

--- a/internal/assign/assigner_test.go
+++ b/internal/assign/assigner_test.go
@@ -240,6 +240,33 @@
 	require.ErrorIs(t, err, ErrNoUpstream)
 }
 
+// Other VMs keep one of two engines busy. Each report is some hundred milliseconds old and
+// tells of work that has been done since; new work has come instead. Taken for idle, the
+// engine would get as many requests as the one that is, and they would wait.
+func TestEngineThatOthersKeepBusyIsNotIdleBetweenReports(t *testing.T) {
+	s, now := testAssigner("engines", 2), time.Now()
+	for i := range 12 {
+		busy := map[string]Load{"i-0": {Requests: 2, PrefillTokens: 9000}}
+		if i%3 == 2 {
+			busy = nil
+		}
+		s.SetOthers("b", busy, now)
+		now = now.Add(250 * time.Millisecond)
+	}
+	for own := range 3 {
+		a := draft(own, own, now)
+		a.Parts, a.PromptTokens = nil, 600
+		c, err := s.Choose(a, now)
+		require.NoError(t, err)
+		require.Equal(t, "i-1", c.Instance)
+	}
+	for range 40 {
+		s.SetOthers("b", nil, now)
+		now = now.Add(250 * time.Millisecond)
+	}
+	require.Zero(t, s.Totals(now)["i-0"].PrefillTokens, "they have gone elsewhere")
+}
+
 func TestPlacesAreGivenBack(t *testing.T) {
 	s, now := testAssigner("engines", 3), time.Now()
 	var all []*Choice
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -138,7 +138,9 @@
 			continue
 		}
 		start := s.startAfter(n, a, uncached, perToken, now)
-		cost := start + crowding(n.total(now, perToken))
+		current := n.total(now, perToken)
+		unheard := max(0, n.usual(now)-(current.prefill-n.own.prefill))
+		cost := start + crowding(current) + time.Duration(unheard)*perToken
 		if best == nil || cost < bestCost {
 			best, bestCost, bestStart, bestUncached = n, cost, start, uncached
 		}
--- a/internal/assign/node.go
+++ b/internal/assign/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
@@ -68,7 +69,26 @@
 type reported struct {
 	load
 	running map[string]int
-	at      time.Time
+	// mean is the average of the reported prefill, in tokens.
+	mean float64
+	at   time.Time
+}
+
+const (
+	// meanMemory is the time over which reported work is averaged: a few reports, less
+	// than the time in which demand moves.
+	meanMemory = 1500 * time.Millisecond
+	// leastMean is the average in tokens below which another VM counts as idle.
+	leastMean = 50.0
+)
+
+// meanWith returns the average with one more report.
+func (r reported) meanWith(prefill int, now time.Time) float64 {
+	if r.at.IsZero() {
+		return float64(prefill)
+	}
+	kept := math.Exp(-now.Sub(r.at).Seconds() / meanMemory.Seconds())
+	return float64(prefill) + kept*(r.mean-float64(prefill))
 }
 
 func newNode(i upstream.Instance) *node {
@@ -172,6 +192,21 @@
 	return sum
 }
 
+// usual is the work of other VMs on the instance as it is on average, in tokens. Among many
+// VMs a report is up to a second old; what it told of has been read since, and new work has
+// come that nobody has heard of yet. By total alone an engine looks idle then, and gets as
+// much as one that is: of 4,110 chats that were expected to start in time 1,195 started late
+// at 82 VMs. It ranks engines and refuses nothing.
+func (n *node) usual(now time.Time) int {
+	sum := 0.0
+	for _, r := range n.others {
+		if now.Sub(r.at) <= reportLifetime {
+			sum += r.mean
+		}
+	}
+	return int(sum)
+}
+
 // totalRunning counts the requests in flight of all VMs by model.
 func (n *node) totalRunning(now time.Time) map[string]int {
 	sum := maps.Clone(n.running)
--- a/internal/assign/work.go
+++ b/internal/assign/work.go
@@ -12,11 +12,14 @@
 	defer s.mu.Unlock()
 	for id, n := range s.nodes {
 		l, ok := loads[id]
-		if !ok {
+		mean := n.others[vm].meanWith(l.PrefillTokens, now)
+		if !ok && mean < leastMean {
 			delete(n.others, vm)
 			continue
 		}
-		n.others[vm] = reported{load: load{requests: l.Requests, prefill: l.PrefillTokens, kv: l.KVTokens}, running: l.Running, at: now}
+		n.others[vm] = reported{
+			load: load{requests: l.Requests, prefill: l.PrefillTokens, kv: l.KVTokens}, running: l.Running, mean: mean, at: now,
+		}
 	}
 }
 
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -131,9 +131,6 @@
 	a.Call = standin.Call{
 		ID: id, Host: host, Key: a.Key, Method: "POST", Path: "/" + string(a.kind) + "/" + id, Body: "body of " + id, Wait: 2 * time.Second,
 	}
-	if a.kind == look {
-		a.Method, a.Body = "GET", ""
-	}
 	if a.kind.streams() {
 		a.Model, a.Prompt, a.Output, a.Wait = fmt.Sprintf("m%d", r.IntN(4)), 400, 40, 6*time.Second
 		if r.IntN(3) == 0 {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -142,7 +143,7 @@
 		w.store.Away(func(out http.ResponseWriter, in *http.Request) {
 			switch status {
 			case 0:
-				<-in.Context().Done()
+				hang(in)
 			case -1:
 				panic(http.ErrAbortHandler)
 			default:
@@ -162,8 +163,12 @@
 	return fault{name: "the store forgets its history", begin: w.store.Compact}
 }
 
+// storeLapses makes the store refuse everything while leases run on: those that are due
+// meanwhile end.
 func (w *world) storeLapses(*rand.Rand) fault {
-	return fault{name: "all leases lapse", begin: w.store.Lapse}
+	return fault{name: "the store is away and leases lapse", begin: func() {
+		w.store.Away(func(out http.ResponseWriter, _ *http.Request) { out.WriteHeader(http.StatusServiceUnavailable) })
+	}, end: func() { w.store.Away(nil) }}
 }
 
 // storeTurnsAway resets every connection of one VM to the store.
@@ -227,10 +232,17 @@
 		standin.Refuse(out, in, http.StatusOK)
 		panic(http.ErrAbortHandler)
 	default:
-		<-in.Context().Done()
+		hang(in)
 	}
 }
 
+// hang leaves a request without an answer until its connection is gone. That is noticed only
+// once the request has been read to its end.
+func hang(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
 func (w *world) cutReplica(r *rand.Rand) fault {
 	u := pick(r, w.upstream)
 	in := r.IntN(2) == 0
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -25,11 +24,16 @@
 	storm = flag.Duration("storm", 6*time.Second, "how long faults are injected")
 )
 
-// regressions are seeds that failed once, each with its cause.
+// regressions are runs that failed once, each with its cause.
 var regressions = []struct {
 	seed  uint64
+	storm time.Duration
 	cause string
-}{}
+}{
+	{9655802739353177708, 12 * time.Second, "the client of the soak itself sent a lookup again when a kept connection broke"},
+	{14714426412605572254, 12 * time.Second, "an election whose answer was lost spared the next one the wait, and two VMs gave orders"},
+	{13262059493199150863, 12 * time.Second, "no report between VMs counted, since the soak wrote their incarnations with too few digits"},
+}
 
 // fixed are the seeds that CI plays.
 var fixed = []uint64{1, 2}
@@ -60,44 +64,48 @@
 // series. Whatever callers and replicas see then has to keep the promises, and when the
 // faults end everything is served again.
 func TestSoak(t *testing.T) {
-	played := slices.Clone(fixed)
-	for _, r := range regressions {
-		played = append(played, r.seed)
-	}
-	if *seeds > 0 {
-		played = nil
+	switch {
+	case *seed != 0:
+		start(t, *seed, *storm)
+	case *seeds > 0:
 		for range *seeds {
-			played = append(played, rand.Uint64())
+			start(t, rand.Uint64(), *storm)
+		}
+	default:
+		for _, s := range fixed {
+			start(t, s, *storm)
+		}
+		for _, r := range regressions {
+			start(t, r.seed, r.storm)
 		}
 	}
-	if *seed != 0 {
-		played = []uint64{*seed}
-	}
-	for _, s := range played {
-		t.Run(fmt.Sprint(s), func(t *testing.T) {
-			t.Parallel()
-			play(t, s)
-		})
-	}
+}
+
+func start(t *testing.T, s uint64, length time.Duration) {
+	t.Run(fmt.Sprint(s), func(t *testing.T) {
+		t.Parallel()
+		play(t, s, length)
+	})
 }
 
 // play is one run: a storm of faults, then the calm in which all has to come back and a
 // rolling restart has to cut nothing.
-func play(t *testing.T, s uint64) {
+func play(t *testing.T, s uint64, length time.Duration) {
 	r := rand.New(rand.NewPCG(s, 0))
 	w := newWorld(t, binary, *vms)
 	t.Cleanup(func() { w.keepLogs(s) })
 	w.eventually("all VMs are ready", w.allReady)
+	w.eventually("all VMs hear each other", w.allHear)
 	stop := make(chan struct{})
 	go w.keepDescribing(stop)
 	l := startLoad(w, s)
-	w.inject(w.storm(r, *storm))
+	w.inject(w.storm(r, length))
 	w.heal()
 	w.calm(l)
 	l.end()
 	close(stop)
 	w.oracle.check(w)
-	w.report(s)
+	w.report(s, length)
 }
 
 // inject plays faults and mends each.
@@ -124,6 +132,7 @@
 // calm checks what has to hold again once the faults have ended.
 func (w *world) calm(l *load) {
 	w.eventually("all VMs are ready again", w.allReady)
+	w.eventually("all VMs hear each other again", w.allHear)
 	for _, k := range []kind{chat, draft, file, look} {
 		before := w.oracle.servedOf(k)
 		w.eventually(fmt.Sprintf("%s is served again", k), func() bool { return w.oracle.servedOf(k) > before+5 })
@@ -195,6 +204,21 @@
 	return true
 }
 
+// allHear reports whether every VM names all of them to callers, which it does only while it
+// hears them.
+func (w *world) allHear() bool {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	for _, v := range w.vms {
+		named, err := standin.Resolve(w.t.Context(), client, v.Directory, host, "a")
+		if err != nil || len(named) < min(len(w.vms), 64) {
+			w.unready = fmt.Sprintf("%s names %v", v.Name, named)
+			return false
+		}
+	}
+	return true
+}
+
 // patience is how long the world may take for what has to come in the end.
 const patience = 20 * time.Second
 
@@ -208,11 +232,11 @@
 }
 
 // report fails the run if a promise was broken.
-func (w *world) report(s uint64) {
+func (w *world) report(s uint64, length time.Duration) {
 	o := w.oracle
 	w.t.Logf("seed %d: %d attempts, served %v", s, len(o.attempts), o.served)
 	if len(o.faults) > 0 {
-		require.Fail(w.t, "promises broken", "%s\nagain: go test ./test/soak -args -seed %d", strings.Join(o.faults, "\n"), s)
+		require.Fail(w.t, "promises broken", "%s\nagain: go test ./test/soak -args -seed %d -storm %v", strings.Join(o.faults, "\n"), s, length)
 	}
 }
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -149,13 +150,13 @@
 	if !ok {
 		return value
 	}
-	var registration map[string]any
+	var registration map[string]json.RawMessage
 	if json.Unmarshal(value, &registration) != nil {
 		return value
 	}
 	for _, v := range w.vms {
 		if v.Name == name {
-			registration["peers"] = v.peers.address()
+			registration["peers"] = json.RawMessage(strconv.Quote(v.peers.address()))
 		}
 	}
 	changed, err := json.Marshal(registration)
