assign: among many VMs a request compares its home and three engines

Reports reach 82 VMs at about the same moment, and each sends its next request to the engine that looks best in them.

Change: beyond twelve VMs a request compares the home of its prompt and three engines drawn by its own part, and all of them only if none of these can begin in time.

Open: the busy models' copies still get most of their prompts cold after a shift (a third of the tokens read are shared parts read again).

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -24,6 +24,8 @@
 	// believe is told when an instance is left alone, with its failure rate and until
 	// when.
 	believe func(instance string, failures float64, until time.Time)
+	// vms is how many VMs choose.
+	vms int
 	// freed is closed when work ends or starts, and replaced.
 	freed chan struct{}
 }
@@ -56,6 +58,13 @@
 	s.freed = make(chan struct{})
 }
 
+// SetVMs says how many VMs choose beside each other, this one included.
+func (s *Assigner) SetVMs(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = n
+}
+
 // SetCatalog takes a newer configuration.
 func (s *Assigner) SetCatalog(c *catalog.Catalog) {
 	s.mu.Lock()
--- a/internal/assign/assigner_test.go
+++ b/internal/assign/assigner_test.go
@@ -267,6 +267,34 @@
 	require.Zero(t, s.Totals(now)["i-0"].PrefillTokens, "they have gone elsewhere")
 }
 
+// Sixty VMs have heard the same of sixteen engines, a moment ago, and each has one chat to
+// send. By the same ranking they would all send it to the same engine, where most of them
+// would wait while others stand idle.
+func TestManyVMsDoNotAllChooseTheSameEngine(t *testing.T) {
+	now := time.Now()
+	got := map[string]int{}
+	for vm := range 60 {
+		s := testAssigner("engines", 16)
+		s.SetVMs(60)
+		busy := map[string]Load{}
+		for i := range 15 {
+			busy[fmt.Sprint("i-", i)] = Load{Requests: 1, PrefillTokens: 500}
+		}
+		s.SetOthers("hub", busy, now)
+		a := draft(vm, vm, now)
+		a.Parts = Parts("m", "", []string{fmt.Sprint("own", vm)}, []int{600})
+		a.PromptTokens = 600
+		c, err := s.Choose(a, now)
+		require.NoError(t, err)
+		got[c.Instance]++
+	}
+	most := 0
+	for _, n := range got {
+		most = max(most, n)
+	}
+	require.Less(t, most, 20, "%v", got)
+}
+
 func TestPlacesAreGivenBack(t *testing.T) {
 	s, now := testAssigner("engines", 3), time.Now()
 	var all []*Choice
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -1,6 +1,8 @@
 package assign
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -125,45 +127,88 @@
 		coming := err == ErrNotLoaded || err == ErrAdapterNotLoaded
 		return nil, &Refused{Cause: err, RetryAfter: retryIn(now, a, waitFor(err)), Wait: coming}
 	}
-	perToken := s.pace(a.Model)
+	perToken, due := s.pace(a.Model), a.Start.Sub(now)
 	home := homeOf(candidates, a)
-	var best *node
-	var bestCost, bestStart time.Duration
-	bestUncached := 0
-	full := 0
-	for _, n := range candidates {
+	best := s.cheapest(s.sample(candidates, home, a), home, a, perToken, now)
+	if best == nil || best.start > due {
+		best = s.cheapest(candidates, home, a, perToken, now)
+	}
+	if best == nil {
+		return nil, &Refused{Cause: ErrOverloaded, RetryAfter: retryIn(now, a, 500*time.Millisecond), Wait: true}
+	}
+	if best.start <= due {
+		return s.place(best.node, a, best.uncached, best.start, now), nil
+	}
+	left := a.Deadline.Sub(now)
+	backlog := time.Duration(best.node.total(now, perToken).prefill) * perToken
+	if best.start < left && (due <= 0 || best.start-backlog > due) && backlog <= lateBacklog {
+		c := s.place(best.node, a, best.uncached, best.start, now)
+		c.Late = true
+		return c, nil
+	}
+	return nil, &Refused{
+		Cause: ErrOverloaded, RetryAfter: retryIn(now, a, best.start-max(due, 0)), Wait: best.start < left, Best: best.start,
+	}
+}
+
+// offer is what an engine can do for a request: it reads so many tokens, has the first
+// event after start, and ranks by its cost.
+type offer struct {
+	node        *node
+	uncached    int
+	start, cost time.Duration
+}
+
+// cheapest returns the best offer of the engines that have a place, nil if none has.
+func (s *Assigner) cheapest(engines []*node, home *node, a Ask, perToken time.Duration, now time.Time) *offer {
+	var best *offer
+	for _, n := range engines {
 		uncached := s.uncached(n, a, n == home, now)
 		if now.Before(n.pausedUntil[a.Model]) || s.full(n, a, uncached, now) {
-			full++
 			continue
 		}
 		start := s.startAfter(n, a, uncached, perToken, now)
 		current := n.total(now, perToken)
 		unheard := max(0, n.usual(now)-(current.prefill-n.own.prefill))
 		cost := start + crowding(current) + time.Duration(unheard)*perToken
-		if best == nil || cost < bestCost {
-			best, bestCost, bestStart, bestUncached = n, cost, start, uncached
+		if best == nil || cost < best.cost {
+			best = &offer{node: n, uncached: uncached, start: start, cost: cost}
 		}
 	}
-	if best == nil {
-		return nil, &Refused{Cause: ErrOverloaded, RetryAfter: retryIn(now, a, 500*time.Millisecond), Wait: true}
-	}
-	due := a.Start.Sub(now)
-	if bestStart <= due {
-		return s.place(best, a, bestUncached, bestStart, now), nil
-	}
-	left := a.Deadline.Sub(now)
-	backlog := time.Duration(best.total(now, perToken).prefill) * perToken
-	if bestStart < left && (due <= 0 || bestStart-backlog > due) && backlog <= lateBacklog {
-		c := s.place(best, a, bestUncached, bestStart, now)
-		c.Late = true
-		return c, nil
+	return best
+}
+
+// sample is the engines that a request is compared at: all of them in a small fleet, else
+// its home and a few that are drawn by the request. Reports reach all of many VMs at about
+// the same moment, and each would send its next requests to the one engine that looks best
+// in them: at 82 VMs 22,000 tokens came to an engine within a quarter of a second, while
+// the idlest of sixteen that held the model had 200.
+func (s *Assigner) sample(engines []*node, home *node, a Ask) []*node {
+	if s.vms <= smallFleet || len(engines) <= sampleSize || len(a.Parts) == 0 {
+		return engines
 	}
-	return nil, &Refused{
-		Cause: ErrOverloaded, RetryAfter: retryIn(now, a, bestStart-max(due, 0)), Wait: bestStart < left, Best: bestStart,
+	own := a.Parts[len(a.Parts)-1].Hash
+	drawn := slices.Clone(engines)
+	slices.SortFunc(drawn, func(x, y *node) int { return cmp.Compare(x.draw(own), y.draw(own)) })
+	drawn = drawn[:sampleSize]
+	if home != nil && !slices.Contains(drawn, home) {
+		drawn = append(drawn, home)
 	}
+	return drawn
 }
 
+// draw is a number for an engine and a hash, the same at all VMs.
+func (n *node) draw(hash uint64) uint64 { return mix(xxhash.Sum64String(n.instance.ID) ^ hash) }
+
+const (
+	// smallFleet is the number of VMs up to which each compares all engines: what another
+	// VM does is heard within a quarter of a second there.
+	smallFleet = 12
+	// sampleSize is how many engines are compared in a larger one. Two draws already
+	// spread as well as the age of the reports allows; the third finds parts that are kept.
+	sampleSize = 3
+)
+
 // candidates are the engines that hold the item and take work.
 func (s *Assigner) candidates(a Ask, now time.Time) ([]*node, error) {
 	var out []*node
@@ -207,7 +252,7 @@
 	var home *node
 	var top uint64
 	for _, n := range candidates {
-		weight := mix(xxhash.Sum64String(n.instance.ID) ^ shared)
+		weight := n.draw(shared)
 		if home == nil || weight > top {
 			home, top = n, weight
 		}
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -194,6 +194,7 @@
 		}
 	}
 	f.p.limiter.SetPeers(weights, now)
+	f.p.assigner.SetVMs(len(others) + 1)
 }
 
 func (f *fleet) selfVM() topology.VM {
