vm: a leader that is stopped leads on to the end of its grace period

The leader resigned at SIGTERM, its successor was stopped next, and each waits three seconds before its first order: from 3.0 to 14.4 s nobody gave orders, and some 170 requests ended with "no engine holds the adapter".

Change: the leader goes on giving orders, through its whole grace period, and resigns then. The wait after it is the platform's rule and stays.

Test: TestStoppingLeaderLeadsOn, fails without the change.

--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -60,14 +60,20 @@
 }
 
 // UsedMB is the memory that an engine's models and adapters take, in 10^6 bytes.
-func UsedMB(e Engine, spec *catalog.EngineSpec) float64 {
+func UsedMB(e Engine, spec *catalog.EngineSpec) float64 { return usedWithout(e, spec, "") }
+
+// usedWithout is the same without one model and its adapters.
+func usedWithout(e Engine, spec *catalog.EngineSpec, evicted string) float64 {
 	sum := 0.0
 	for m := range e.Models {
-		sum += spec.Models[m].MemoryMB
+		if m != evicted {
+			sum += spec.Models[m].MemoryMB
+		}
 	}
 	for item := range e.Adapters {
-		model, _, _ := strings.Cut(item, "/")
-		sum += spec.Models[model].AdapterMB
+		if model, _, _ := strings.Cut(item, "/"); model != evicted {
+			sum += spec.Models[model].AdapterMB
+		}
 	}
 	return sum
 }
--- a/internal/vm/planner_test.go
+++ b/internal/vm/planner_test.go
@@ -187,6 +187,28 @@
 	require.Equal(t, 1, refused)
 }
 
+// The VM that leads is told to stop, as in a rolling restart. Its successor will give no
+// orders for seconds, so the leader goes on as long as it may: callers who need an adapter
+// get it all the while.
+func TestStoppingLeaderLeadsOn(t *testing.T) {
+	c := newCluster(t, standin.NewReplica("engine-1", 2, "m0"))
+	a, b := c.start("a"), c.start("b")
+	c.eventually(func() bool { return a.fleet.size() == 2 && b.fleet.size() == 2 })
+	leader := c.waitLeader()
+	other := a
+	if leader == a {
+		other = b
+	}
+	c.eventually(func() bool { _, known := other.candidate.Leader(); return known })
+	c.eventually(func() bool { e := leader.planner.engines("engine")[0]; return !e.Busy && len(e.Models) == 2 })
+	go leader.stop()
+	c.eventually(func() bool { return leader.leaving.Load() })
+	instance, err := other.ensureAdapter(t.Context(), "engine", "m0", "a1")
+	require.NoError(t, err)
+	require.Equal(t, "engine-1", instance)
+	c.eventually(func() bool { return c.waitLeader() == other })
+}
+
 // A missing model is to take the place of another one whose streams still run, so the
 // unload waits for seconds. The model is brought to another engine meanwhile: its callers
 // would be refused until the last stream has ended. The engine that waits is left in peace,
