--- a/internal/assign/assigner_test.go
+++ b/internal/assign/assigner_test.go
@@ -295,6 +295,22 @@
 	require.Less(t, most, 20, "%v", got)
 }
 
+// A caller asks for a model that the configuration does not know. No load will ever bring it,
+// so the answer comes at once; one for a model that can be loaded is held.
+func TestOnlyWhatCanComeIsWaitedFor(t *testing.T) {
+	s, now := testAssigner("engines", 1), time.Now()
+	s.SetContents("i-0", Contents{Orders: 1})
+	for model, waits := range map[string]bool{"m": true, "nobody-knows": false} {
+		a := draft(1, 1, now)
+		a.Model = model
+		_, err := s.Choose(a, now)
+		var refused *Refused
+		require.ErrorAs(t, err, &refused)
+		require.ErrorIs(t, err, ErrNotLoaded)
+		require.Equal(t, waits, refused.Wait, model)
+	}
+}
+
 func TestPlacesAreGivenBack(t *testing.T) {
 	s, now := testAssigner("engines", 3), time.Now()
 	var all []*Choice
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -124,7 +124,7 @@
 func (s *Assigner) chooseEngine(a Ask, now time.Time) (*Choice, error) {
 	candidates, err := s.candidates(a, now)
 	if err != nil {
-		coming := err == ErrNotLoaded || err == ErrAdapterNotLoaded
+		coming := (err == ErrNotLoaded || err == ErrAdapterNotLoaded) && s.canLoad(a)
 		return nil, &Refused{Cause: err, RetryAfter: retryIn(now, a, waitFor(err)), Wait: coming}
 	}
 	perToken, due := s.pace(a.Model), a.Start.Sub(now)
@@ -151,6 +151,16 @@
 	}
 }
 
+// canLoad reports whether engines of the service can load the request's model at all.
+func (s *Assigner) canLoad(a Ask) bool {
+	spec := s.spec(a.Service)
+	if spec == nil {
+		return false
+	}
+	_, ok := spec.Models[a.Model]
+	return ok
+}
+
 // offer is what an engine can do for a request: it reads so many tokens, has the first
 // event after start, and ranks by its cost.
 type offer struct {
--- a/internal/residency/doc.go
+++ b/internal/residency/doc.go
@@ -5,5 +5,6 @@
 // a time, and models whose demand comes and goes within seconds while a load from
 // the weight store takes as long. So adapters are brought when they are asked for,
 // to an engine with little to do, and models are moved only for a reason that
-// outlasts the move.
+// outlasts the move. Memory goes to the models that are asked for: of one that is not,
+// some engine keeps the weights at hand, and its first request brings it back.
 package residency
--- a/internal/vm/move.go
+++ b/internal/vm/move.go
@@ -106,7 +106,7 @@
 		case rested:
 			return nil
 		case ctx.Err() != nil || time.Since(began) > unloadLimit || l.book(b.instance.ID) != b:
-			return errors.Wrapf(ErrOrder, "%s: %s is not unloaded", b.instance.ID, move.Evict)
+			return errors.Wrapf(ErrOrder, "%s: it still carries out an earlier order", b.instance.ID)
 		case err != nil:
 			if unread++; unread >= maxUnread {
 				return err
