explain: a failure that is written before its sending is the end

Failures have room of their own in the log and are written first, and times have whole seconds, so the end stood before the sending. Change: at the same second the end goes last. Test: TestEndThatIsWrittenBeforeTheSendingIsTheEnd, fails without the change.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -37,6 +37,19 @@
 	require.ErrorIs(t, err, ErrUnknownRequest)
 }
 
+// An upstream fails a request within milliseconds. The failure's line is written before the
+// line that tells of the sending, in the same second. Taken in that order the log seems to
+// have no end of the request, and whoever is on call would look for a VM that stopped.
+func TestEndThatIsWrittenBeforeTheSendingIsTheEnd(t *testing.T) {
+	events, err := Read(strings.NewReader(
+		`{"event":"request_ended","request":"r","vm":"a","outcome":"upstream_failure","status":500,"upstream":"i-1","time":"2026-02-05T12:30:53Z"}` + "\n" +
+			`{"event":"request_sent","request":"r","vm":"a","send":1,"upstream":"i-1","time":"2026-02-05T12:30:53Z"}` + "\n"))
+	require.NoError(t, err)
+	story, err := Tell(events, "r")
+	require.NoError(t, err)
+	require.Equal(t, "upstream i-1 ran it and answered 500", story.Verdict)
+}
+
 func TestLinesThatAreNoEventsArePassedOver(t *testing.T) {
 	events, err := Read(strings.NewReader("plain text\n{broken\n{\"event\":\"start\",\"vm\":\"a\"}\n\n"))
 	require.NoError(t, err)
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -46,10 +46,23 @@
 		if c := a.Time.Compare(b.Time); c != 0 {
 			return c
 		}
+		if c := a.rank() - b.rank(); c != 0 {
+			return c
+		}
 		return a.order - b.order
 	})
 }
 
+// rank puts the end of a request behind its other lines of the same second. Failures have
+// room of their own in the log and are written before the successes of the same moment, so
+// that a request which failed at once seems to have ended before it was sent.
+func (e Event) rank() int {
+	if e.Name == "request_ended" || e.Name == "request_refused" {
+		return 1
+	}
+	return 0
+}
+
 func (s *Story) addContext(events []Event) {
 	upstreams, models := make(map[string]bool), make(map[string]bool)
 	for _, e := range s.Own {
