assign: an engine's load is summed once a look; small repeats gone

Cause, read in the whole change: for each engine that a request looked at, the work of all VMs there was added up three times; traffic had its own copy of vm's later; loadWhenFree shadowed its named error; a test set a field twice. Change: the load is summed once and passed on; the rest as named. Behaviour and assertions as before. Tests of assign and vm with the race detector pass.

--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -173,12 +173,11 @@
 func (s *Assigner) cheapest(engines []*node, home *node, a Ask, perToken time.Duration, now time.Time) *offer {
 	var best *offer
 	for _, n := range engines {
-		uncached := s.uncached(n, a, n == home, now)
-		if now.Before(n.pausedUntil[a.Model]) || s.full(n, a, uncached, now) {
+		uncached, current := s.uncached(n, a, n == home, now), n.total(now, perToken)
+		if now.Before(n.pausedUntil[a.Model]) || s.full(current, a, uncached) {
 			continue
 		}
-		start := s.startAfter(n, a, uncached, perToken, now)
-		current := n.total(now, perToken)
+		start := startAfter(n, a, uncached, current, perToken)
 		unheard := max(0, n.usual(now)-(current.prefill-n.own.prefill))
 		cost := start + crowding(current) + time.Duration(unheard)*perToken
 		if best == nil || cost < best.cost {
@@ -288,13 +287,12 @@
 	return max(0, a.PromptTokens-kept)
 }
 
-// full reports whether the engine has no place or no memory for the request.
-func (s *Assigner) full(n *node, a Ask, uncached int, now time.Time) bool {
+// full reports whether an engine with a load has no place or no memory for the request.
+func (s *Assigner) full(l load, a Ask, uncached int) bool {
 	spec := s.spec(a.Service)
 	if spec == nil {
 		return false
 	}
-	l := n.total(now, 0)
 	if l.requests >= spec.BatchSlots {
 		return true
 	}
@@ -309,9 +307,9 @@
 	return s.catalog.Services[service].Engine
 }
 
-// startAfter is the expected time to the first event.
-func (s *Assigner) startAfter(n *node, a Ask, uncached int, perToken time.Duration, now time.Time) time.Duration {
-	backlog := time.Duration(n.total(now, perToken).prefill) * perToken
+// startAfter is the expected time to the first event at an engine with a load.
+func startAfter(n *node, a Ask, uncached int, l load, perToken time.Duration) time.Duration {
+	backlog := time.Duration(l.prefill) * perToken
 	if a.Urgency == 0 {
 		backlog = time.Duration(urgentShare * float64(backlog))
 	}
--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -45,19 +45,13 @@
 		return false
 	}
 	until := ask.HoldUntil(j.request.Arrived, err)
-	if j.sends > 0 {
-		until = later(until, began.Add(j.due.Sub(j.request.Arrived)/repeatHoldShare))
+	repeated := began.Add(j.due.Sub(j.request.Arrived) / repeatHoldShare)
+	if j.sends > 0 && repeated.After(until) {
+		until = repeated
 	}
 	return time.Now().Before(until)
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 const (
 	// maxEnsures bounds how often one request asks the leader for an adapter: engines
 	// may drop one again before the request reaches it.
--- a/internal/vm/follow_test.go
+++ b/internal/vm/follow_test.go
@@ -136,9 +136,7 @@
 }
 
 func testTracker() *tracker {
-	t := newTracker(nil, zerolog.Nop(), func(view) {}, func() int { return 60 }, 3*time.Second, relay{})
-	t.changed = func(view) {}
-	return t
+	return newTracker(nil, zerolog.Nop(), func(view) {}, func() int { return 60 }, 3*time.Second, relay{})
 }
 
 // replace makes items the view.
--- a/internal/vm/move.go
+++ b/internal/vm/move.go
@@ -75,7 +75,7 @@
 func (l *planner) loadWhenFree(ctx context.Context, b *book, move residency.ModelMove) (wanted bool, err error) {
 	began := time.Now()
 	for {
-		err := l.order(ctx, b, platform.Load, move.Load, "")
+		err = l.order(ctx, b, platform.Load, move.Load, "")
 		if err == nil {
 			return true, nil
 		}
@@ -83,7 +83,7 @@
 			l.closeBook(b)
 			return false, err
 		}
-		if err := l.awaitRest(ctx, b, move, began); err != nil {
+		if err = l.awaitRest(ctx, b, move, began); err != nil {
 			l.closeBook(b)
 			return false, err
 		}
