traffic: an exchange is ended only once a place elsewhere is booked

Cause: a stream that may be resumed was closed after 1.2 s of silence, and only then another engine was looked for. Ruled out: the engine's crash; it was running both traced requests. Change: a watch over each exchange that may go elsewhere books a place and the retry budget first and ends the exchange only then. An engine that passes on events of other streams counts as alive and keeps a silent one for half of its caller's patience. The same watch replaces the one before the first event. Pauses between events are measured.

--- a/internal/assign/types.go
+++ b/internal/assign/types.go
@@ -62,6 +62,16 @@
 	Avoid map[string]bool
 }
 
+// Beside is the work that was known of at an upstream when it was chosen.
+type Beside struct {
+	// Requests are those in flight, Others those of them that other VMs reported.
+	Requests, Others int
+	// PrefillTokens are the prompt tokens that waited to be read.
+	PrefillTokens int
+	// ReportAge is the age of the oldest report that counts, 0 if there is none.
+	ReportAge time.Duration
+}
+
 // Choice is a place at an upstream. It must be finished.
 type Choice struct {
 	// Instance is the ID of the upstream.
@@ -72,6 +82,8 @@
 	Expected time.Duration
 	// Late means that the objective can no longer be met.
 	Late bool
+	// Beside is the work at the upstream that was known of when it was chosen.
+	Beside Beside
 
 	node    *node
 	ask     Ask
--- a/internal/assign/work.go
+++ b/internal/assign/work.go
@@ -73,7 +73,7 @@
 
 // place books the work.
 func (s *Assigner) place(n *node, a Ask, uncached int, expected time.Duration, now time.Time) *Choice {
-	c := &Choice{Instance: n.instance.ID, Uncached: uncached, Expected: expected, node: n, ask: a, at: now}
+	c := &Choice{Instance: n.instance.ID, Uncached: uncached, Expected: expected, Beside: s.beside(n, a, now), node: n, ask: a, at: now}
 	c.kv = uncached + a.OutputTokens/2
 	n.own.requests++
 	n.own.prefill += uncached
@@ -86,6 +86,18 @@
 	return c
 }
 
+// beside is what is known of the work at an instance.
+func (s *Assigner) beside(n *node, a Ask, now time.Time) Beside {
+	total := n.total(now, s.pace(a.Model))
+	b := Beside{Requests: total.requests, Others: total.requests - n.own.requests, PrefillTokens: total.prefill}
+	for _, r := range n.others {
+		if age := now.Sub(r.at); age <= reportLifetime {
+			b.ReportAge = max(b.ReportAge, age)
+		}
+	}
+	return b
+}
+
 // Started notes a choice's first event, or the answer of a plain service.
 func (s *Assigner) Started(c *Choice, now time.Time) {
 	s.mu.Lock()
@@ -113,6 +125,14 @@
 	c.node.heard = now
 }
 
+// Lives reports whether an instance gave a sign of life lately, by any request of this VM.
+func (s *Assigner) Lives(instance string, within time.Duration, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.nodes[instance]
+	return n != nil && now.Sub(n.heard) < within
+}
+
 // learn compares the time to the first event with what was expected.
 func (s *Assigner) learn(n *node, c *Choice, took time.Duration) {
 	ratio := float64(took) / float64(max(c.Expected, stepTime))
--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -13,6 +13,10 @@
 // become free, brings a missing adapter through the leader, and returns an
 // *assign.Refused, or ctx's error, once it is clear that the request gets none.
 func (j *job) acquire(ctx context.Context) (*assign.Choice, error) {
+	if booked := j.booked; booked != nil {
+		j.booked = nil
+		return booked, nil
+	}
 	ask, began := j.ask(), time.Now()
 	ensured := 0
 	for {
--- /dev/null
+++ b/internal/traffic/fakes_test.go
@@ -0,0 +1,175 @@
+package traffic
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chestnutarch/chestnutarch/internal/assign"
+	"github.com/chestnutarch/chestnutarch/internal/catalog"
+	"github.com/chestnutarch/chestnutarch/internal/retrybudget"
+	"github.com/chestnutarch/chestnutarch/internal/teamrate"
+	"github.com/chestnutarch/chestnutarch/internal/upstream"
+)
+
+// script is what an upstream does with one attempt: it writes events to out, and
+// returns nil to end the stream whole.
+type script func(ctx context.Context, a Attempt, out io.Writer) error
+
+// fakeUpstreams plays upstreams by script.
+type fakeUpstreams struct {
+	scripts map[string]script
+	mu      sync.Mutex
+	sent    []Attempt
+	closed  []string
+}
+
+func (f *fakeUpstreams) Send(ctx context.Context, a Attempt) (*Reply, error) {
+	f.mu.Lock()
+	f.sent = append(f.sent, a)
+	f.mu.Unlock()
+	read, write := io.Pipe()
+	stop := context.AfterFunc(ctx, func() {
+		f.mu.Lock()
+		f.closed = append(f.closed, a.Instance.ID)
+		f.mu.Unlock()
+		read.CloseWithError(context.Canceled)
+	})
+	go func() {
+		err := f.scripts[a.Instance.ID](ctx, a, write)
+		stop()
+		if err == nil {
+			err = io.EOF
+		}
+		write.CloseWithError(err)
+	}()
+	return &Reply{
+		Status: http.StatusOK, Header: http.Header{}, Signed: true, Body: read,
+		Close: func(bool) { read.Close() },
+	}, nil
+}
+
+// events writes events from first to last, one every gap, until ctx ends.
+func events(ctx context.Context, out io.Writer, first, last int, gap time.Duration) error {
+	for id := first; id <= last; id++ {
+		if _, err := fmt.Fprintf(out, "id: %d\ndata: x\n\n", id); err != nil {
+			return err
+		}
+		if id == last {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(gap):
+		}
+	}
+	return nil
+}
+
+// fakeSink keeps what a caller gets.
+type fakeSink struct {
+	status  int
+	refusal *Refusal
+	text    string
+}
+
+func (s *fakeSink) Refuse(r Refusal)                          { s.status, s.refusal = r.Status, &r }
+func (s *fakeSink) Whole(status int, _ http.Header, b []byte) { s.status, s.text = status, string(b) }
+func (s *fakeSink) Begin(status int, _ http.Header)           { s.status = status }
+func (s *fakeSink) Pass(piece []byte) error                   { s.text += string(piece); return nil }
+func (s *fakeSink) Flush() error                              { return nil }
+
+// world is a Core before engines that hold model "m".
+type world struct {
+	core      *Core
+	instances map[string]*upstream.Instance
+	upstreams *fakeUpstreams
+	assigner  *assign.Assigner
+	log       *logLines
+}
+
+func newWorld(route catalog.Route, scripts map[string]script) *world {
+	route.Host, route.PathPrefix, route.Name = "h", "/", "r"
+	route.Shares = []catalog.Share{{Service: "engines", Weight: 1}}
+	k := catalog.New(1, []*catalog.Route{&route}, nil)
+	k.Services["engines"] = &catalog.Service{Name: "engines", Engine: &catalog.EngineSpec{
+		BatchSlots: 8, KVTokens: 100_000, Models: map[string]catalog.Model{"m": {Name: "m"}},
+	}}
+	w := &world{upstreams: &fakeUpstreams{scripts: scripts}, assigner: assign.New(), log: &logLines{}, instances: make(map[string]*upstream.Instance)}
+	w.assigner.SetCatalog(k)
+	for id, play := range scripts {
+		addEngine(w, id, play)
+	}
+	now := time.Now()
+	w.core = New(Options{
+		Upstreams: w.upstreams, Assigner: w.assigner,
+		Limiter:      teamrate.New(teamrate.Tolerance{}, 1),
+		Budget:       retrybudget.New(retrybudget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, now),
+		Instance:     func(id string) *upstream.Instance { return w.instances[id] },
+		VMs:          func() int { return 1 },
+		UpstreamsAge: func() time.Duration { return 0 },
+		EnsureAdapter: func(context.Context, string, string, string) (string, error) {
+			return "", ErrNotSent
+		},
+		Log: zerolog.New(w.log),
+	})
+	w.core.SetCatalog(k)
+	return w
+}
+
+// addEngine adds an engine that plays a script.
+func addEngine(w *world, id string, play script) {
+	w.upstreams.scripts[id] = play
+	w.instances[id] = &upstream.Instance{ID: id, Service: "engines", Slots: 8, Models: []upstream.Loaded{{Model: "m"}}}
+	var all []upstream.Instance
+	for _, i := range w.instances {
+		all = append(all, *i)
+	}
+	w.assigner.SetInstances(all)
+}
+
+func (w *world) ask(ctx context.Context, id string) (*fakeSink, error) {
+	sink := &fakeSink{}
+	err := w.core.Serve(ctx, &Request{
+		ID: id, Host: "h", Path: "/", Method: http.MethodPost, Arrived: time.Now(), Wait: 20 * time.Second, Model: "m",
+		PromptTokens: 100, OutputTokens: 100, Counted: true,
+	}, sink)
+	return sink, err
+}
+
+// logLines collects a log.
+type logLines struct {
+	mu    sync.Mutex
+	lines []map[string]any
+}
+
+func (l *logLines) Write(line []byte) (int, error) {
+	fields := make(map[string]any)
+	if err := json.Unmarshal(line, &fields); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, fields)
+	return len(line), nil
+}
+
+// of returns the last line of an event about a request.
+func (l *logLines) of(event, request string) map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, line := range slices.Backward(l.lines) {
+		if line["event"] == event && line["request"] == request {
+			return line
+		}
+	}
+	return nil
+}
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -56,6 +56,10 @@
 	// last is the ID of the last event passed on, begun says that an answer began.
 	last  string
 	begun bool
+	// booked is a place that was found while an exchange was silent, and paid for out of the
+	// retry budget.
+	booked *assign.Choice
+	pauses pauses
 	// kept is a failure of an upstream that is passed on if nothing better comes.
 	kept *wholeReply
 
@@ -120,15 +124,26 @@
 		}
 		failed := j.attempt(ctx, choice)
 		if failed == nil {
+			j.dropBooked()
 			return nil
 		}
 		j.cause = failed.err
-		if ctx.Err() != nil || !j.mayRepeat(failed.kind) {
+		if ctx.Err() != nil || (j.booked == nil && !j.mayRepeat(failed.kind)) {
+			j.dropBooked()
 			return j.giveUp(ctx, failed.err)
 		}
 	}
 }
 
+// dropBooked gives back a place that is not needed: the exchange ended by itself at the
+// moment at which it was to be ended here.
+func (j *job) dropBooked() {
+	if j.booked != nil {
+		j.finish(j.booked, assign.Neutral)
+		j.booked = nil
+	}
+}
+
 // attempt sends the request once. It returns nil once the caller has its answer.
 func (j *job) attempt(ctx context.Context, choice *assign.Choice) *failure {
 	instance := j.core.options.Instance(choice.Instance)
@@ -142,8 +157,8 @@
 	j.core.logSent(j, choice)
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
-	patience := j.patience(cancel)
-	defer patience.Stop()
+	silence := j.watchSilence(choice, cancel)
+	defer func() { j.booked = silence.stop() }()
 	reply, err := j.core.options.Upstreams.Send(inner, Attempt{
 		Request: j.request, Instance: instance, Team: j.team, Left: time.Until(j.deadline),
 		Priority: j.enginePriority(choice), ResumeAfter: j.last,
@@ -160,8 +175,8 @@
 		return j.failedBy(choice, errors.Wrapf(ErrForeignReply, "%s: a success without a signature", choice.Instance))
 	}
 	if j.route.Kind == catalog.Streaming && reply.Status == http.StatusOK {
-		patience.Stop()
-		return j.stream(ctx, choice, reply)
+		silence.noteEvent(time.Now())
+		return j.stream(ctx, choice, reply, silence)
 	}
 	if j.begun {
 		// The answer has begun with an upstream's headers; a failure cannot follow.
@@ -171,19 +186,6 @@
 	return j.whole(choice, reply)
 }
 
-// patience ends the wait for an upstream where another one may be asked.
-func (j *job) patience(cancel context.CancelFunc) *time.Timer {
-	if !j.route.Repeatable() || j.ran+1 >= j.route.Attempts || j.route.Objective == 0 {
-		never := time.NewTimer(time.Hour)
-		never.Stop()
-		return never
-	}
-	if j.route.Kind == catalog.Streaming {
-		return time.AfterFunc(j.firstSilence(), cancel)
-	}
-	return time.AfterFunc(time.Duration(repeatAfter*float64(j.route.Objective)), cancel)
-}
-
 // enginePriority ranks the request among those in an engine: by route first, and
 // behind all that are still in time if it is late.
 func (j *job) enginePriority(c *assign.Choice) int {
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -36,7 +36,8 @@
 	c.options.Log.Info().Str("event", "request_sent").Str("request", j.request.ID).Int("send", j.sends).
 		Str("route", j.route.Name).Str("team", j.team).Str("service", j.service).Str("upstream", choice.Instance).
 		Str("model", j.request.Model).Str("adapter", j.request.Adapter).Int("prompt", j.request.PromptTokens).
-		Int("uncached", choice.Uncached).Dur("expected_ms", choice.Expected).Bool("late", choice.Late).
+		Int("uncached", choice.Uncached).Int("beside", choice.Beside.Requests).Int("beside_others", choice.Beside.Others).
+		Int("prefill_ahead", choice.Beside.PrefillTokens).Dur("report_age_ms", choice.Beside.ReportAge).Dur("expected_ms", choice.Expected).Bool("late", choice.Late).
 		Dur("held_ms", time.Since(j.request.Arrived)).Dur("left_ms", time.Until(j.deadline)).
 		Str("resume_after", j.last).Dur("upstreams_age_ms", c.options.UpstreamsAge()).
 		Int64("configuration", j.catalog.Version).Send()
@@ -47,6 +48,7 @@
 func (c *Core) logEnd(j *job) {
 	took := time.Since(j.request.Arrived)
 	c.count(j.outcome, took, j.first)
+	c.countLateness(j)
 	level := zerolog.WarnLevel
 	if j.outcome == outcomeAnswered {
 		level = zerolog.InfoLevel
@@ -56,6 +58,8 @@
 		Str("route", j.route.Name).Str("team", j.team).Str("upstream", j.upstream).
 		Str("model", j.request.Model).Str("adapter", j.request.Adapter).
 		Int("sends", j.sends).Int("ran", j.ran).Dur("first_ms", j.first).Dur("expected_ms", j.expected).Dur("objective_ms", j.due.Sub(j.request.Arrived)).
+		Str("late", j.lateness()).Dur("longest_pause_ms", j.pauses.longest).Dur("pause_at_ms", j.pauses.at(j.request.Arrived)).
+		Str("pause_after", j.pauses.after).Dur("pause_objective_ms", j.route.GapObjective).
 		Dur("took_ms", took).Str("last_event", j.last).Int64("configuration", j.catalog.Version)
 	if j.cause != nil {
 		e = e.AnErr("cause", j.cause)
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -22,3 +22,19 @@
 		telemetry.NewTimer(c.options.Metrics, "first_event_seconds."+outcome).Update(first)
 	}
 }
+
+// countLateness counts in what way an answer was late, and the longest pause of a stream
+// in percent of its route's objective.
+func (c *Core) countLateness(j *job) {
+	if c.options.Metrics == nil {
+		return
+	}
+	if late := j.lateness(); late != "" {
+		metrics.GetOrRegisterCounter("requests.late_"+late+"."+j.route.Name, c.options.Metrics).Inc(1)
+	}
+	if j.outcome != outcomeAnswered || j.route.GapObjective == 0 || j.pauses.longest == 0 {
+		return
+	}
+	percent := 100 * j.pauses.longest / j.route.GapObjective
+	telemetry.NewHistogram(c.options.Metrics, "longest_pause_percent."+j.route.Name).Update(int64(percent))
+}
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -20,17 +20,12 @@
 	maxEvent = 1 << 20
 	// heardEvery is how often a stream that goes on is noted as a sign of life.
 	heardEvery = 100 * time.Millisecond
-	// resumeSilence is how long a stream that can go on elsewhere may be silent.
-	// Callers leave after two seconds.
-	resumeSilence = 1200 * time.Millisecond
 )
 
 // stream passes an upstream's events on, one by one. A stream that breaks is
 // resumed at another upstream if the route allows it, after its last whole event.
-func (j *job) stream(ctx context.Context, choice *assign.Choice, reply *Reply) *failure {
+func (j *job) stream(ctx context.Context, choice *assign.Choice, reply *Reply, silence *handover) *failure {
 	reader := bufio.NewReaderSize(reply.Body, eventBuffer)
-	watch := j.watchSilence(reply)
-	defer watch.Stop()
 	heard := time.Now()
 	for {
 		event, err := readEvent(reader)
@@ -41,7 +36,6 @@
 			reply.Close(false)
 			return j.streamBroke(ctx, choice, err)
 		}
-		watch.Reset(resumeSilence)
 		if id := eventID(event); id != "" {
 			j.last = id
 		}
@@ -50,29 +44,16 @@
 			j.finish(choice, assign.Neutral)
 			return &failure{kind: unknown, err: err}
 		}
-		if now := time.Now(); now.Sub(heard) > heardEvery {
+		now := time.Now()
+		silence.noteEvent(now)
+		j.pauses.event(now, j.last)
+		if now.Sub(heard) > heardEvery {
 			heard = now
 			j.core.options.Assigner.Heard(choice, now)
 		}
 	}
 }
 
-// watchSilence closes the exchange of a stream that can be resumed when nothing
-// comes for too long. An upstream that has gone dark sends no reset.
-func (j *job) watchSilence(reply *Reply) *time.Timer {
-	if !j.route.CanResume || j.ran >= j.route.Attempts {
-		idle := time.NewTimer(time.Hour)
-		idle.Stop()
-		return idle
-	}
-	return time.AfterFunc(j.firstSilence(), func() { reply.Close(false) })
-}
-
-// firstSilence is how long the first event of a stream that can be resumed may take.
-func (j *job) firstSilence() time.Duration {
-	return max(resumeSilence, 3*j.expected)
-}
-
 // pass gives one event to the caller. Events that are already here go out with it.
 func (j *job) pass(choice *assign.Choice, reply *Reply, event []byte, reader *bufio.Reader) error {
 	if !j.begun {
