explain, logs: a stream that pauses too long is late, and says why

Change: request_ended tells the longest pause, when it began and in what way an answer was late; request_sent what was known of the upstream's work and how old it was. Lines carry milliseconds. explain names the work that came around the pause and what other VMs had sent unheard.

--- a/internal/explain/event.go
+++ b/internal/explain/event.go
@@ -15,7 +15,7 @@
 
 // Event is one line of a log.
 type Event struct {
-	// Time is the VM's wall clock, in whole seconds; lines of one VM keep their order.
+	// Time is the VM's wall clock; lines of one VM keep their order.
 	Time time.Time `json:"time"`
 	VM   string    `json:"vm"`
 	Name string    `json:"event"`
@@ -42,7 +42,15 @@
 	Send    int    `json:"send"`
 
 	Draining bool `json:"draining"`
-	Late     bool `json:"late"`
+	// Lateness is the way in which an answer was late: "start", "pause" or "". The line of a
+	// sending has a true or false under the same name, which is not read.
+	Lateness lateness `json:"late"`
+
+	// Beside is the work known of at the upstream when it was chosen, in requests, and
+	// BesideOthers the part that other VMs had reported. PrefillAhead is in prompt tokens.
+	Beside       int `json:"beside"`
+	BesideOthers int `json:"beside_others"`
+	PrefillAhead int `json:"prefill_ahead"`
 
 	Units         float64 `json:"units"`
 	RateLevel     float64 `json:"rate_level"`
@@ -61,6 +69,12 @@
 	Objective    float64 `json:"objective_ms"`
 	Took         float64 `json:"took_ms"`
 	UpstreamsAge float64 `json:"upstreams_age_ms"`
+	ReportAge    float64 `json:"report_age_ms"`
+	// LongestPause began PauseAt after the request came, behind the event PauseAfter.
+	LongestPause   float64 `json:"longest_pause_ms"`
+	PauseAt        float64 `json:"pause_at_ms"`
+	PauseObjective float64 `json:"pause_objective_ms"`
+	PauseAfter     string  `json:"pause_after"`
 
 	LastEvent string `json:"last_event"`
 	// Line is the whole line.
@@ -69,6 +83,17 @@
 	order int
 }
 
+// lateness is a text; a value of another type is read as "".
+type lateness string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *lateness) UnmarshalJSON(value []byte) error {
+	if len(value) > 0 && value[0] == '"' {
+		return errors.WithStack(json.Unmarshal(value, (*string)(l)))
+	}
+	return nil
+}
+
 // maxLine bounds a line in bytes.
 const maxLine = 1 << 20
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -55,3 +55,23 @@
 	require.NoError(t, err)
 	require.Len(t, events, 1)
 }
+
+// An engine reads ten prompts that come at once between two events of a stream, and its
+// caller waits 210 ms where 150 are allowed. The answer is worth little by then; whoever is
+// on call has to be told that it was late, and what came to the engine meanwhile.
+func TestStreamWithALongPauseIsNotInTime(t *testing.T) {
+	lines := `{"event":"request_sent","request":"r","vm":"a","send":1,"upstream":"i-1","late":false,"beside":41,"beside_others":30,"prefill_ahead":2300,"report_age_ms":240,"time":"2026-02-05T12:30:53.000Z"}
+{"event":"request_sent","request":"early","vm":"b","send":1,"upstream":"i-1","uncached":500,"time":"2026-02-05T12:30:52.900Z"}
+{"event":"request_sent","request":"other","vm":"b","send":1,"upstream":"i-1","uncached":4000,"time":"2026-02-05T12:30:53.400Z"}
+{"event":"request_sent","request":"own","vm":"a","send":1,"upstream":"i-1","uncached":1500,"time":"2026-02-05T12:30:53.450Z"}
+{"event":"request_sent","request":"elsewhere","vm":"b","send":1,"upstream":"i-2","uncached":9000,"time":"2026-02-05T12:30:53.450Z"}
+{"event":"request_ended","request":"r","vm":"a","outcome":"answered","status":200,"upstream":"i-1","first_ms":40,"objective_ms":500,"late":"pause","longest_pause_ms":210,"pause_at_ms":420,"pause_after":"4","pause_objective_ms":150,"took_ms":1500,"time":"2026-02-05T12:30:54.500Z"}
+`
+	events, err := Read(strings.NewReader(lines))
+	require.NoError(t, err)
+	story, err := Tell(events, "r")
+	require.NoError(t, err)
+	require.Contains(t, story.Verdict, `late by a pause of 210 ms behind event "4", objective 150 ms`)
+	require.Contains(t, story.Verdict, "i-1 had 41 requests in flight (30 of other VMs, heard up to 240 ms before; 1 sent by them since) and 2300 prompt tokens to read")
+	require.Contains(t, story.Verdict, "2 requests with 5500 prompt tokens came there")
+}
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -20,6 +20,8 @@
 	Own []Event
 	// Context are lines about the upstreams it was sent to and the model it asked for.
 	Context []Event
+	// rivals are the sendings of other requests to the upstream that answered.
+	rivals []Event
 	// Verdict names the input that decided how it ended.
 	Verdict string
 }
@@ -37,6 +39,7 @@
 	}
 	sortEvents(s.Own)
 	s.addContext(events)
+	s.addRivals(events)
 	s.Verdict = verdict(s)
 	return s, nil
 }
@@ -137,17 +140,6 @@
 	return e.Reason
 }
 
-// answeredVerdict compares the first event with the objective and says where the time
-// went.
-func answeredVerdict(s *Story, last Event) string {
-	if last.Objective == 0 || last.First <= last.Objective {
-		return fmt.Sprintf("answered in time: first event after %.0f of %.0f ms", last.First, last.Objective)
-	}
-	sent := s.lastSent()
-	return fmt.Sprintf("late by %.0f ms: held %.0f ms here, then %.0f ms at %s where %.0f were expected for %d unread prompt tokens; %d sendings%s",
-		last.First-last.Objective, sent.Held, last.First-sent.Held, last.Upstream, sent.Expected, sent.Uncached, last.Sends, s.about(last))
-}
-
 func (s *Story) lastSent() Event {
 	for _, e := range slices.Backward(s.Own) {
 		if e.Name == "request_sent" {
--- a/internal/telemetry/exposition.go
+++ b/internal/telemetry/exposition.go
@@ -46,21 +46,32 @@
 		out.Metric = []*dto.Metric{{Gauge: &dto.Gauge{Value: proto.Float64(m.Value())}}}
 	case metrics.Timer:
 		out.Type = dto.MetricType_SUMMARY.Enum()
-		out.Metric = []*dto.Metric{{Summary: summaryOf(m.Snapshot())}}
+		out.Metric = []*dto.Metric{{Summary: summaryOf(m.Snapshot(), nanoseconds)}}
+	case metrics.Histogram:
+		out.Type = dto.MetricType_SUMMARY.Enum()
+		out.Metric = []*dto.Metric{{Summary: summaryOf(m.Snapshot(), 1)}}
 	default:
 		return nil
 	}
 	return out
 }
 
-// summaryOf gives a timer in seconds.
-func summaryOf(t metrics.Timer) *dto.Summary {
-	const nanoseconds = 1e9
-	out := &dto.Summary{
-		SampleCount: proto.Uint64(uint64(t.Count())), SampleSum: proto.Float64(float64(t.Sum()) / nanoseconds),
-	}
-	for i, v := range t.Percentiles(quantiles) {
-		out.Quantile = append(out.Quantile, &dto.Quantile{Quantile: proto.Float64(quantiles[i]), Value: proto.Float64(v / nanoseconds)})
+// nanoseconds is how many of them a second has: timers count in nanoseconds, and are
+// exposed in seconds.
+const nanoseconds = 1e9
+
+// sample is what timers and histograms have in common.
+type sample interface {
+	Count() int64
+	Sum() int64
+	Percentiles([]float64) []float64
+}
+
+// summaryOf gives a sample in a larger unit.
+func summaryOf(s sample, unit float64) *dto.Summary {
+	out := &dto.Summary{SampleCount: proto.Uint64(uint64(s.Count())), SampleSum: proto.Float64(float64(s.Sum()) / unit)}
+	for i, v := range s.Percentiles(quantiles) {
+		out.Quantile = append(out.Quantile, &dto.Quantile{Quantile: proto.Float64(quantiles[i]), Value: proto.Float64(v / unit)})
 	}
 	return out
 }
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -50,6 +50,12 @@
 	return nil
 }
 
+// timeFormat gives the wall clock in milliseconds: what VMs sent to one upstream within a
+// second has to be put in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // NewLogger returns a logger that writes one event a line to w. The settings
 // must be valid.
 func NewLogger(w io.Writer, s LogSettings) zerolog.Logger {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -19,6 +19,12 @@
 	return r.GetOrRegister(name, timer).(metrics.Timer)
 }
 
+// NewHistogram registers a histogram of plain numbers under name and returns it.
+func NewHistogram(r metrics.Registry, name string) metrics.Histogram {
+	histogram := metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	return r.GetOrRegister(name, histogram).(metrics.Histogram)
+}
+
 // MetricsHandler serves every metric of r as one JSON object: counters with
 // "count", timers with percentiles in nanoseconds.
 func MetricsHandler(r metrics.Registry) http.Handler {
