assign: other VMs are taken to send what this one sends until they report

Cause: eight VMs compare the same engines and hear of each other's work four times a second. An engine that has just got a busy model looks idle to all of them: within a report's age it gets some twenty prompts, and every stream there stands still while they are read. Change: in fleets where every VM compares all engines, the cost of an engine counts this VM's sendings since the others' reports once for each of them.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -24,8 +24,9 @@
 	// believe is told when an instance is left alone, with its failure rate and until
 	// when.
 	believe func(instance string, failures float64, until time.Time)
-	// vms is how many VMs choose.
-	vms int
+	// vms is how many VMs choose, heardOf when each reported last.
+	vms     int
+	heardOf map[string]time.Time
 	// freed is closed when work ends or starts, and replaced.
 	freed chan struct{}
 }
@@ -34,7 +35,7 @@
 func New() *Assigner {
 	return &Assigner{
 		nodes: make(map[string]*node), perToken: make(map[string]time.Duration), demand: make(map[string]Demand), inUse: make(map[string]int),
-		freed: make(chan struct{}),
+		heardOf: make(map[string]time.Time), freed: make(chan struct{}),
 	}
 }
 
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -172,6 +172,7 @@
 // cheapest returns the best offer of the engines that have a place, nil if none has.
 func (s *Assigner) cheapest(engines []*node, home *node, a Ask, perToken time.Duration, now time.Time) *offer {
 	var best *offer
+	others, heard := s.unheardFrom(now)
 	for _, n := range engines {
 		uncached, current := s.uncached(n, a, n == home, now), n.total(now, perToken)
 		if now.Before(n.pausedUntil[a.Model]) || s.full(current, a, uncached) {
@@ -180,6 +181,10 @@
 		start := startAfter(n, a, uncached, current, perToken)
 		unheard := max(0, n.usual(now)-(current.prefill-n.own.prefill))
 		cost := start + crowding(current) + time.Duration(unheard)*perToken
+		if others > 0 {
+			alike := n.sentSince(heard)
+			cost += time.Duration(others) * (crowding(alike) + time.Duration(alike.prefill)*perToken)
+		}
 		if best == nil || cost < best.cost {
 			best = &offer{node: n, uncached: uncached, start: start, cost: cost}
 		}
@@ -187,6 +192,32 @@
 	return best
 }
 
+// unheardFrom returns from how many other VMs, and since when on average, nothing was
+// heard. They see the same engines and have callers of the same kind, so they are taken to
+// have sent since then what this VM sent. Without that all VMs choose the one engine that
+// looks idlest, such as one that has just got the model, until the next reports come: it
+// reads twenty prompts in a row, and every stream that it has stands still meanwhile.
+// Many VMs compare different engines each and need no such guess.
+func (s *Assigner) unheardFrom(now time.Time) (vms int, since time.Time) {
+	if s.vms > smallFleet {
+		return 0, now
+	}
+	sum := time.Duration(0)
+	for vm, at := range s.heardOf {
+		age := now.Sub(at)
+		if age > reportLifetime {
+			delete(s.heardOf, vm)
+			continue
+		}
+		vms++
+		sum += age
+	}
+	if vms == 0 {
+		return 0, now
+	}
+	return vms, now.Add(-sum / time.Duration(vms))
+}
+
 // sample is the engines that a request is compared at: all of them in a small fleet, else
 // its home and a few that are drawn by the request. Reports reach all of many VMs at about
 // the same moment, and each would send its next requests to the one engine that looks best
--- a/internal/assign/node.go
+++ b/internal/assign/node.go
@@ -55,6 +55,8 @@
 	// pausedUntil says until when the engine gets no requests for a model, after it has
 	// turned one away.
 	pausedUntil map[string]time.Time
+	// sent is what this VM sent lately, oldest first.
+	sent []sending
 	// cached holds the parts of prompts that the engine was sent, with the time.
 	cached map[uint64]time.Time
 }
@@ -66,6 +68,12 @@
 	kv       int
 }
 
+// sending is work that was sent to an instance.
+type sending struct {
+	at      time.Time
+	prefill int
+}
+
 type reported struct {
 	load
 	running map[string]int
@@ -207,6 +215,24 @@
 	return int(sum)
 }
 
+// noteSent remembers a sending for as long as other VMs may not have reported theirs.
+func (n *node) noteSent(prefill int, now time.Time) {
+	for len(n.sent) > 0 && now.Sub(n.sent[0].at) > reportLifetime {
+		n.sent = n.sent[1:]
+	}
+	n.sent = append(n.sent, sending{at: now, prefill: prefill})
+}
+
+// sentSince is what this VM sent since a time.
+func (n *node) sentSince(from time.Time) load {
+	var sum load
+	for i := len(n.sent) - 1; i >= 0 && n.sent[i].at.After(from); i-- {
+		sum.requests++
+		sum.prefill += n.sent[i].prefill
+	}
+	return sum
+}
+
 // totalRunning counts the requests in flight of all VMs by model.
 func (n *node) totalRunning(now time.Time) map[string]int {
 	sum := maps.Clone(n.running)
