planner: work in engine time; terms that outlive an outage; successors that need not wait

Change: demand is engine time (reading, and a part of the steps, by paces learned from streams); the planner deals it to holders by water level, waits for a whole first look, takes widely placed models for busy until requests tell, keeps a model for ten seconds after its last request, gives a last copy a second home where only last copies keep an idle engine from a busy model, and stages weights of models that may become busy. A renewed lease continues its term however long the store was away. A leader whose term is over for good tells when it gave its last orders; its successor waits only for those. TestSameLeaderActsAtOnceAgain takes one step more, in which the lease turns out to have ended; what it demands is unchanged. Tests of residency state demand in engine time.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -13,10 +13,10 @@
 
 // Assigner chooses upstreams. It is safe for concurrent use.
 type Assigner struct {
-	mu       sync.Mutex
-	nodes    map[string]*node
-	catalog  *catalog.Catalog
-	perToken map[string]time.Duration
+	mu      sync.Mutex
+	nodes   map[string]*node
+	catalog *catalog.Catalog
+	paces   map[string]pace
 	// demand counts what was asked for by item since the start.
 	demand map[string]Demand
 	// inUse counts the requests in flight by adapter.
@@ -34,7 +34,7 @@
 // New returns an Assigner that knows no upstreams.
 func New() *Assigner {
 	return &Assigner{
-		nodes: make(map[string]*node), perToken: make(map[string]time.Duration), demand: make(map[string]Demand), inUse: make(map[string]int),
+		nodes: make(map[string]*node), paces: make(map[string]pace), demand: make(map[string]Demand), inUse: make(map[string]int),
 		heardOf: make(map[string]time.Time), freed: make(chan struct{}),
 	}
 }
@@ -140,7 +140,9 @@
 
 // Demand is what was asked for of one item.
 type Demand struct {
-	Tokens, Requests int64
+	// Work is the engine time that the requests take.
+	Work     time.Duration
+	Requests int64
 }
 
 // Demand returns what was asked for by item since the start.
@@ -151,21 +153,22 @@
 }
 
 // Offered counts a request towards the demand for its item.
-func (s *Assigner) Offered(model, adapter string, tokens int) {
+func (s *Assigner) Offered(service, model, adapter string, promptTokens, outputTokens int) {
 	if model == "" {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.count(model, tokens)
+	work := s.work(s.spec(service), model, promptTokens, outputTokens)
+	s.count(model, work)
 	if adapter != "" {
-		s.count(itemName(model, adapter), tokens)
+		s.count(itemName(model, adapter), work)
 	}
 }
 
-func (s *Assigner) count(item string, tokens int) {
+func (s *Assigner) count(item string, work time.Duration) {
 	d := s.demand[item]
-	d.Tokens += int64(tokens)
+	d.Work += work
 	d.Requests++
 	s.demand[item] = d
 }
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -12,15 +12,6 @@
 )
 
 const (
-	// defaultPerToken is the time in which an engine reads a token of a prompt
-	// until it has been measured: some 30,000 tokens a second, as large models do
-	// on one accelerator.
-	defaultPerToken = 30 * time.Microsecond
-	// perTokenMemory is the weight that an observation keeps in that figure.
-	perTokenMemory = 0.9
-	// measureFrom is the number of tokens from which the time to the first event
-	// tells of the pace at which prompts are read.
-	measureFrom = 1000
 	// stepTime is the shortest time to a first event: one step of a batch beside
 	// other requests' prompts.
 	stepTime = 25 * time.Millisecond
@@ -127,7 +118,7 @@
 		coming := (err == ErrNotLoaded || err == ErrAdapterNotLoaded) && s.canLoad(a)
 		return nil, &Refused{Cause: err, RetryAfter: retryIn(now, a, waitFor(err)), Wait: coming}
 	}
-	perToken, due := s.pace(a.Model), a.Start.Sub(now)
+	perToken, due := s.paceOf(a.Model).read, a.Start.Sub(now)
 	home := homeOf(candidates, a)
 	best := s.cheapest(s.sample(candidates, home, a), home, a, perToken, now)
 	if best == nil || best.start > due {
@@ -351,13 +342,6 @@
 // crowding prefers engines with fewer requests: each makes every step longer.
 func crowding(l load) time.Duration { return time.Duration(l.requests) * 2 * time.Millisecond }
 
-func (s *Assigner) pace(model string) time.Duration {
-	if p, ok := s.perToken[model]; ok {
-		return p
-	}
-	return defaultPerToken
-}
-
 // waitFor is the usual time until an item is there that is not.
 func waitFor(err error) time.Duration {
 	if err == ErrAdapterNotLoaded {
--- a/internal/assign/work.go
+++ b/internal/assign/work.go
@@ -65,7 +65,7 @@
 	out := make(map[string]Load, len(s.nodes))
 	for id, n := range s.nodes {
 		if n.ready(now) {
-			t := n.total(now, defaultPerToken)
+			t := n.total(now, defaultRead)
 			out[id] = Load{Requests: t.requests, PrefillTokens: t.prefill, KVTokens: t.kv, Running: n.totalRunning(now)}
 		}
 	}
@@ -90,7 +90,7 @@
 
 // beside is what is known of the work at an instance.
 func (s *Assigner) beside(n *node, a Ask, now time.Time) Beside {
-	total := n.total(now, s.pace(a.Model))
+	total := n.total(now, s.paceOf(a.Model).read)
 	b := Beside{Requests: total.requests, Others: total.requests - n.own.requests, PrefillTokens: total.prefill}
 	for _, r := range n.others {
 		if age := now.Sub(r.at); age <= reportLifetime {
@@ -143,10 +143,9 @@
 	if c.Uncached < measureFrom || len(n.waiting) > 0 {
 		return
 	}
-	seen := (took - stepTime) / time.Duration(c.Uncached)
-	seen = min(max(seen, defaultPerToken/8), defaultPerToken*8)
-	old := s.pace(c.ask.Model)
-	s.perToken[c.ask.Model] = time.Duration(perTokenMemory*float64(old) + (1-perTokenMemory)*float64(seen))
+	p := s.paces[c.ask.Model]
+	p.learnRead((took-stepTime)/time.Duration(c.Uncached), s.paceOf(c.ask.Model).read)
+	s.paces[c.ask.Model] = p
 }
 
 // Outcome is how an exchange ended for the upstream.
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -90,7 +90,7 @@
 	switch e.Name {
 	case "store_lost", "store_regained", "start", "stop", "draining", "configuration_in_force":
 		return e.VM == vm
-	case "leadership_lost", "leadership_won":
+	case "leadership_lost", "leadership_lapsed", "leadership_regained", "leadership_won":
 		return true
 	}
 	return false
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -62,6 +62,13 @@
 	valid   time.Duration
 	settled clock.Reading
 	settle  time.Duration
+	// previous is the token of the term before this one, 0 if there was none.
+	previous int64
+	// elected is when this term began, ended the last one of this process that is over.
+	elected clock.Reading
+	ended   Ended
+	// lapsed says that the log has told of the end of authority.
+	lapsed bool
 	// seen is the leader by the newest state of the store.
 	seen    store.Item
 	hasSeen bool
@@ -155,18 +162,28 @@
 	}
 }
 
+// renew keeps the lease. A lease that is renewed has not ended, so that nobody else can have
+// led meanwhile, however long the store was away: the term goes on. Until then its authority
+// has lapsed by this VM's own clock.
 func (c *Candidate) renew(ctx context.Context) {
 	sent := c.options.Clock()
 	err := c.options.Store.Renew(ctx, c.leaseID)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err == nil && clock.Elapsed(c.renewed, sent) < c.valid {
+	switch {
+	case err == nil:
 		c.renewed = sent
-		return
-	}
-	if errors.Is(err, store.ErrLeaseGone) || clock.Elapsed(c.renewed, c.options.Clock()) >= c.valid {
+		if c.lapsed {
+			c.options.Log.Info().Str("event", "leadership_regained").Int64("token", c.token).Send()
+		}
+		c.lapsed = false
+	case errors.Is(err, store.ErrLeaseGone):
 		c.options.Log.Warn().Str("event", "leadership_lost").Int64("token", c.token).AnErr("cause", err).Send()
-		c.token, c.known = 0, false
+		c.end()
+		c.known = false
+	case !c.lapsed && clock.Elapsed(c.renewed, c.options.Clock()) >= c.valid:
+		c.options.Log.Warn().Str("event", "leadership_lapsed").Int64("token", c.token).AnErr("cause", err).Send()
+		c.lapsed = true
 	}
 }
 
@@ -200,7 +217,7 @@
 	defer c.mu.Unlock()
 	c.settled, c.settle = c.options.Clock(), c.settleTime(last)
 	c.token, c.leaseID, c.won = revision, id, revision
-	c.renewed, c.valid = sent, ttl-margin
+	c.renewed, c.valid, c.elected, c.previous = sent, ttl-margin, sent, last.Revision
 	c.options.Log.Info().Str("event", "leadership_won").Int64("token", revision).
 		Str("previous", vmOf(last)).Dur("settle_ms", c.settle).Send()
 }
@@ -227,7 +244,7 @@
 func (c *Candidate) resign(ctx context.Context) {
 	c.mu.Lock()
 	token, id := c.token, c.leaseID
-	c.token = 0
+	c.end()
 	c.mu.Unlock()
 	if token != 0 {
 		_ = c.options.Store.Revoke(ctx, id)
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -22,6 +22,7 @@
 	items    map[string]store.Item
 	away     bool
 	revoked  int
+	leases   store.LeaseID
 	// loseCommits makes commits take effect without an answer.
 	loseCommits bool
 }
@@ -30,14 +31,21 @@
 	if f.away {
 		return 0, 0, store.ErrUnknown
 	}
-	return 1, lease, nil
+	f.leases++
+	return f.leases, lease, nil
 }
 
-func (f *fakeStore) Renew(context.Context, store.LeaseID) error {
+// Renew finds a lease as long as a key is bound to it.
+func (f *fakeStore) Renew(_ context.Context, id store.LeaseID) error {
 	if f.away {
 		return store.ErrUnknown
 	}
-	return nil
+	for _, item := range f.items {
+		if item.Lease == id {
+			return nil
+		}
+	}
+	return errors.WithStack(store.ErrLeaseGone)
 }
 
 func (f *fakeStore) Revoke(context.Context, store.LeaseID) error {
@@ -111,6 +119,45 @@
 	require.False(t, w.Leads())
 }
 
+// The store is away for longer than a lease, and leases pause meanwhile. Nobody else can
+// have been elected while the lease was there. A leader that gave up at its first failure
+// would stand for election again, or another VM would and wait for its last orders: models
+// stay where they are for five seconds more.
+func TestLeaderGoesOnWhenItsLeaseOutlivedAnOutage(t *testing.T) {
+	w := newWorld("a", &fakeStore{items: map[string]store.Item{}})
+	w.elect()
+	before, _ := w.Authority()
+	w.store.away = true
+	for range 5 {
+		w.pass(time.Second)
+		w.step(context.Background())
+		_, ok := w.Authority()
+		require.False(t, ok && w.mono >= lease)
+	}
+	w.store.away = false
+	w.step(context.Background())
+	after, ok := w.Authority()
+	require.True(t, ok)
+	require.Equal(t, before, after)
+}
+
+// The same outage, but the lease ended in it, and another VM has led since.
+func TestLeaderWhoseLeaseEndedInAnOutageIsNone(t *testing.T) {
+	s := &fakeStore{items: map[string]store.Item{}}
+	a := newWorld("a", s)
+	a.elect()
+	s.away = true
+	a.pass(5 * time.Second)
+	a.step(context.Background())
+	s.away = false
+	delete(s.items, "x/leader")
+	newWorld("b", s).elect()
+	a.step(context.Background())
+	require.False(t, a.Leads())
+	_, ok := a.Authority()
+	require.False(t, ok)
+}
+
 // A leader's VM is suspended for seconds. Its monotonic clock stands still meanwhile, so
 // by that clock its lease is young when it wakes, while another VM leads already.
 func TestSuspendedLeaderHasNoAuthority(t *testing.T) {
@@ -192,6 +239,8 @@
 	s.away = true
 	a.step(context.Background())
 	s.away = false
+	a.step(context.Background())
+	require.False(t, a.Leads(), "its lease has ended")
 	a.elect()
 	_, ok := a.Authority()
 	require.True(t, ok)
--- a/internal/residency/bring.go
+++ b/internal/residency/bring.go
@@ -90,7 +90,7 @@
 	if m == "" {
 		return 0
 	}
-	return s.share(m) + runningCost*float64(e.Running[m])
+	return s.parts[m][e.ID] + runningCost*float64(e.Running[m])
 }
 
 // SettledKey names a model on an engine in Fleet.Settled.
--- a/internal/residency/models.go
+++ b/internal/residency/models.go
@@ -9,33 +9,35 @@
 )
 
 const (
-	// worthMoving is the part of the busiest holder's load below which an engine has
-	// to stay with a new copy. Closer than that, a copy would move load about
-	// without making the slowest engine faster.
-	worthMoving = 0.8
-	// leastShare is the demand in tokens a second for one copy from which another
-	// one is worth an order: about a sixth of what an engine reads. Below it a busy
-	// engine is better relieved of something else.
-	leastShare = 6000.0
-	// leastStoreShare is the same for a copy from the weight store: a third of what an
-	// engine reads. Such loads are few, take seconds and push other weights off the
-	// engine's disk.
-	leastStoreShare = 12000.0
-	// storePenalty is by how much an engine that needs the weight store has to be
-	// emptier than one that has the weights at hand, in tokens a second.
-	storePenalty = 6000.0
+	// worthMoving is the part of a model's level below which an engine's load has to be for
+	// a new copy. Closer than that, a copy would move load about without making the slowest
+	// engine faster.
+	worthMoving = 0.65
+	// leastLevel is the load of an engine from which its streams begin to stand still while
+	// prompts are read: below it another copy serves nobody better.
+	leastLevel = 0.25
+	// leastShare is the part of an engine's time that one copy of a model has to take for
+	// another one to be worth an order. Below it a busy engine is better relieved of
+	// something else.
+	leastShare = 0.16
+	// leastStoreShare is the same for a copy from the weight store. Such loads are few, take
+	// seconds and push other weights off the engine's disk.
+	leastStoreShare = 0.32
+	// storePenalty is by how much an engine that needs the weight store has to be emptier
+	// than one that has the weights at hand, as a part of its time.
+	storePenalty = 0.16
 	// victimShare is the part of a copy's gain that its victim may be worth.
 	victimShare = 0.4
-	// idleDemand is the demand in tokens a second below which nobody asks for a model at
-	// present: what is left of the longest prompt after some ten seconds.
-	idleDemand = 50.0
+	// idleDemand is the demand, as a part of an engine's time, below which nobody asks for a
+	// model at present: what is left of the longest prompt after some ten seconds.
+	idleDemand = 0.0013
 	// fewRunning is how many requests a model that makes way may have in flight: most
 	// streams take two to three seconds, so that few are done when its load is due.
 	fewRunning = 3
-	// runningCost is what a request in flight adds to the cost of unloading its model, in
-	// tokens a second: a chat of some 300 tokens that runs for a second. While an unload
-	// waits for requests the engine takes no other order.
-	runningCost = 300.0
+	// runningCost is what a request in flight adds to the cost of unloading its model, as a
+	// part of an engine's time. While an unload waits for requests the engine takes no other
+	// order.
+	runningCost = 0.008
 )
 
 // ModelMove brings a model to an engine. Evict names the model that makes way, ""
@@ -52,8 +54,14 @@
 type Fleet struct {
 	Engines []Engine
 	Spec    *catalog.EngineSpec
-	// Demand is in tokens a second by model, Certain what it is at least.
+	// Demand is the engine time asked for in a second by model, in seconds: 1 is what one
+	// engine can do. Certain is what it is at least.
 	Demand, Certain map[string]float64
+	// Idle names the models that nobody has asked for of late.
+	Idle map[string]bool
+	// Prone names the models that may become busy: those that were, and those with callers
+	// of several kinds.
+	Prone map[string]bool
 	// Settled says until when a model on an engine stays, by engine and model, so
 	// that no copy is dropped right after it came.
 	Settled map[string]time.Time
@@ -68,7 +76,11 @@
 	// copies counts the engines that hold a model or load it, ready those that can be
 	// used.
 	copies, ready map[string]int
-	load          map[string]float64
+	// load is the engine time that is asked of each engine in a second, parts what each model
+	// brings to its holders of it, level the load up to which a model fills them.
+	load  map[string]float64
+	parts map[string]map[string]float64
+	level map[string]float64
 	// waiting names the models whose loads wait for unloads that take too long.
 	waiting map[string]bool
 	moves   []ModelMove
@@ -110,22 +122,12 @@
 	s.restoreDistant()
 	s.spreadAhead()
 	s.fillFree()
+	s.stage()
 	return s.moves
 }
 
 // idle reports whether nobody asks for a model at present.
-func (s *planState) idle(m string) bool { return s.Demand[m] < idleDemand }
-
-// weigh works out the load of every engine: each model's demand, divided evenly
-// over its copies.
-func (s *planState) weigh() {
-	s.load = make(map[string]float64, len(s.Engines))
-	for _, e := range s.Engines {
-		for m := range e.Models {
-			s.load[e.ID] += s.Demand[m] / float64(max(1, s.copies[m]))
-		}
-	}
-}
+func (s *planState) idle(m string) bool { return s.Idle[m] }
 
 // byDemand returns all models of the service, those asked for most first.
 func (s *planState) byDemand() []string {
--- a/internal/residency/models_test.go
+++ b/internal/residency/models_test.go
@@ -49,9 +49,9 @@
 		b.Quick["m3"], b.Quick["m0"] = true, true
 		b.Running = map[string]int{"m3": running}
 		return Fleet{
-			Engines: []Engine{a, b}, Spec: testSpec(4), Now: time.Now(),
-			Demand:  map[string]float64{"m0": 60_000, "m1": 2_000, "m2": 2_000},
-			Certain: map[string]float64{"m0": 50_000, "m1": 1_000, "m2": 1_000},
+			Engines: []Engine{a, b}, Spec: testSpec(4), Now: time.Now(), Idle: map[string]bool{"m3": true},
+			Demand:  map[string]float64{"m0": 1.6, "m1": 0.05333, "m2": 0.05333},
+			Certain: map[string]float64{"m0": 1.333, "m1": 0.02667, "m2": 0.02667},
 		}
 	}
 	moves := PlanModels(f(0))
@@ -62,7 +62,8 @@
 	asked.Engines[1] = engine("b", "m2", "m0")
 	asked.Engines[1].Quick["m3"] = true
 	require.Empty(t, PlanModels(asked), "nobody asks for it")
-	asked.Demand["m3"] = 9_000
+	asked.Idle["m3"] = false
+	asked.Demand["m3"] = 0.24
 	moves = PlanModels(asked)
 	require.Len(t, moves, 1)
 	require.Equal(t, "m3", moves[0].Load)
@@ -99,7 +100,7 @@
 	busy.Busy, busy.Coming = true, "m1"
 	f := Fleet{
 		Spec: testSpec(3), StoreLoads: 5, Engines: []Engine{busy, engine("b", "m0", "m1")},
-		Demand: map[string]float64{"m2": 90_000}, Certain: map[string]float64{"m2": 80_000},
+		Demand: map[string]float64{"m2": 2.4}, Certain: map[string]float64{"m2": 2.133},
 	}
 	for _, m := range PlanModels(f) {
 		require.NotEqual(t, "m1", m.Evict)
@@ -107,12 +108,12 @@
 }
 
 // One long prompt comes for a model that is asked for rarely. It looks like a demand of
-// thousands of tokens a second, and bringing the model elsewhere would cost a load that
+// a part of an engine, and bringing the model elsewhere would cost a load that
 // a model with real demand needs.
 func TestSinglePromptMovesNothing(t *testing.T) {
 	f := Fleet{
 		Spec: testSpec(2), StoreLoads: 5, Engines: []Engine{engine("a", "m0", "m1"), engine("b", "m0")},
-		Demand: map[string]float64{"m1": 30_000, "m0": 40_000}, Certain: map[string]float64{"m1": 0, "m0": 30_000},
+		Demand: map[string]float64{"m1": 0.8, "m0": 1.067}, Certain: map[string]float64{"m1": 0, "m0": 0.8},
 	}
 	require.Empty(t, PlanModels(f))
 }
@@ -128,7 +129,7 @@
 		engines = append(engines, e)
 	}
 	engines[0].Models["m1"] = true
-	demand := map[string]float64{"m0": 3_000, "m1": 120_000}
+	demand := map[string]float64{"m0": 0.08, "m1": 3.2}
 	before := busiest(engines, demand)
 	for range 10 {
 		for _, m := range PlanModels(Fleet{Spec: testSpec(2), Engines: clone(engines), Demand: demand, Certain: demand}) {
@@ -140,7 +141,6 @@
 			}
 		}
 	}
-	// 120,500 tokens a second at first, 20,500 when all hold it.
 	require.Less(t, busiest(engines, demand), before/5)
 }
 
@@ -188,14 +188,16 @@
 		}
 		f := Fleet{
 			Spec: spec, StoreLoads: rapid.IntRange(0, 3).Draw(t, "loads"), Demand: map[string]float64{}, Certain: map[string]float64{},
-			Settled: map[string]time.Time{}, Now: time.Now(),
+			Idle: map[string]bool{}, Prone: map[string]bool{}, Settled: map[string]time.Time{}, Now: time.Now(),
 		}
 		for i := range rapid.IntRange(1, 7).Draw(t, "engines") {
 			f.Engines = append(f.Engines, drawEngine(t, fmt.Sprint(i), spec))
 		}
 		for m := range spec.Models {
-			f.Demand[m] = rapid.SampledFrom([]float64{0, 1, 100, 5_000, 50_000, 200_000}).Draw(t, "demand")
+			f.Demand[m] = rapid.SampledFrom([]float64{0, 0.00003, 0.003, 0.13, 1.3, 5}).Draw(t, "demand")
 			f.Certain[m] = f.Demand[m] * rapid.Float64Range(0, 1).Draw(t, "certain")
+			f.Idle[m] = f.Demand[m] < idleDemand && rapid.Bool().Draw(t, "idle")
+			f.Prone[m] = rapid.Bool().Draw(t, "prone")
 		}
 		before, ready := clone(f.Engines), map[string]int{}
 		for _, e := range before {
@@ -237,7 +239,7 @@
 			seen[e.ID] = true
 			if move.Evict != "" {
 				ready[move.Evict]--
-				wanted := f.Demand[move.Evict] >= idleDemand || e.Running[move.Evict] > 0
+				wanted := !f.Idle[move.Evict] || e.Running[move.Evict] > 0
 				if ready[move.Evict] < 1 && (wanted || !e.Quick[move.Evict]) {
 					t.Fatalf("the last usable copy goes: %+v", move)
 				}
--- a/internal/residency/spread.go
+++ b/internal/residency/spread.go
@@ -1,7 +1,13 @@
 package residency
 
-// spreadBusy adds copies of the models whose holders have the most to do, always the
-// one next whose copies carry most: loads from the weight store are few.
+import (
+	"cmp"
+	"slices"
+)
+
+// spreadBusy adds copies of the models whose engines have the most to do, always the one
+// next whose engines are fullest: loads from the weight store are few. Where nothing can
+// make way on an engine with time to spare, room is made there for the next plan.
 func (s *planState) spreadBusy() {
 	done := make(map[string]bool)
 	for {
@@ -9,39 +15,99 @@
 		if m == "" {
 			return
 		}
-		gain := s.certainShare(m)
-		busiest := s.busiestHolder(m)
-		added := s.Demand[m] / float64(s.copies[m]+1)
+		level := s.level[m]
 		ok := s.bring(m, "busy", func(e Engine) float64 {
-			return s.load[e.ID] + added - worthMoving*busiest
-		}, s.quiet(victimShare*gain))
+			return s.load[e.ID] - worthMoving*level
+		}, s.quiet(victimShare*s.certainShare(m)))
+		if !ok {
+			s.makeRoom(m)
+		}
 		done[m] = !ok
 	}
 }
 
-// busiestModel returns the model whose copies carry most, of those that are not done
-// and carry enough.
+// busiestModel returns the model whose engines are fullest, of those that are not done and
+// whose copies carry enough.
 func (s *planState) busiestModel(done map[string]bool) string {
 	best := ""
 	for m := range s.Spec.Models {
-		if done[m] || s.certainShare(m) <= leastShare {
+		if done[m] || s.copies[m] == 0 || s.certainShare(m) <= leastShare || s.level[m] <= leastLevel {
+			continue
+		}
+		if best == "" || s.level[m] > s.level[best] || (s.level[m] == s.level[best] && m < best) {
+			best = m
+		}
+	}
+	return best
+}
+
+// makeRoom gives the only copy of a rarely used model a second home. The engine that is
+// idlest often is so because it holds nothing but models that few ask for, each the last
+// copy, and none of them can make way for a busy one.
+func (s *planState) makeRoom(m string) {
+	for _, e := range s.idlest() {
+		if s.load[e.ID] > worthMoving*s.level[m] {
+			return
+		}
+		if !s.free(*e) || e.Models[m] {
+			continue
+		}
+		if rare := s.rarest(*e); rare != "" && s.bring(rare, "apart", s.besides(*e), s.but(m)) {
+			return
+		}
+	}
+}
+
+// idlest lists the engines, those with the least load first.
+func (s *planState) idlest() []*Engine {
+	out := make([]*Engine, len(s.Engines))
+	for i := range s.Engines {
+		out[i] = &s.Engines[i]
+	}
+	slices.SortStableFunc(out, func(a, b *Engine) int { return cmp.Compare(s.load[a.ID], s.load[b.ID]) })
+	return out
+}
+
+// rarest is the model of which an engine has the last copy and that is asked for least, ""
+// if there is none or another copy is on its way.
+func (s *planState) rarest(e Engine) string {
+	best := ""
+	for m := range e.Models {
+		if s.copies[m] != 1 || s.waiting[m] {
 			continue
 		}
-		if best == "" || s.certainShare(m) > s.certainShare(best) || (s.certainShare(m) == s.certainShare(best) && m < best) {
+		if best == "" || s.Demand[m] < s.Demand[best] || (s.Demand[m] == s.Demand[best] && m < best) {
 			best = m
 		}
 	}
 	return best
 }
 
-func (s *planState) busiestHolder(m string) float64 {
-	most := 0.0
-	for _, e := range s.Engines {
-		if e.Usable && e.Models[m] {
-			most = max(most, s.load[e.ID])
+// besides admits engines other than one that are not yet full of last copies themselves.
+func (s *planState) besides(except Engine) func(Engine) float64 {
+	return func(e Engine) float64 {
+		if e.ID == except.ID || s.lastCopies(e) >= s.lastCopies(except)-1 {
+			return 1
 		}
+		return 0
 	}
-	return most
+}
+
+// lastCopies counts the models of which an engine has the only copy.
+func (s *planState) lastCopies(e Engine) int {
+	n := 0
+	for m := range e.Models {
+		if s.copies[m] == 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// but lets models make way that few use, other than one.
+func (s *planState) but(m string) victims {
+	quiet := s.quiet(leastShare)
+	return func(e Engine, v string) bool { return v != m && quiet(e, v) }
 }
 
 // fillFree uses free memory for further copies: demand for a model comes within
--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -76,20 +76,11 @@
 	}
 	return assign.Ask{
 		Service: j.service, Model: j.request.Model, Adapter: j.request.Adapter, Parts: j.parts,
-		PromptTokens: j.request.PromptTokens, OutputTokens: j.expectedOutput(),
+		PromptTokens: j.request.PromptTokens, OutputTokens: j.request.expectedOutput(),
 		Start: j.due, Deadline: j.deadline, Urgency: j.urgency, Avoid: j.avoid,
 	}
 }
 
-// expectedOutput is the caller's estimate of the tokens generated where there is
-// one, else the most that may be.
-func (j *job) expectedOutput() int {
-	if hint := j.request.LengthHint; hint > 0 {
-		return min(hint, j.request.OutputTokens)
-	}
-	return j.request.OutputTokens
-}
-
 func (j *job) ensure(ctx context.Context, ask assign.Ask) bool {
 	ctx, cancel := context.WithTimeout(ctx, min(ensureTimeout, time.Until(j.deadline)))
 	defer cancel()
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -134,7 +134,7 @@
 		}
 	}
 	c.options.Budget.Request(j.service, now)
-	c.options.Assigner.Offered(q.Model, q.Adapter, q.PromptTokens+q.OutputTokens)
+	c.options.Assigner.Offered(j.service, q.Model, q.Adapter, q.PromptTokens, q.expectedOutput())
 	return j, nil
 }
 
--- a/internal/traffic/pauses.go
+++ b/internal/traffic/pauses.go
@@ -4,7 +4,9 @@
 
 // pauses measures the time between the events of a stream as they go to the caller.
 type pauses struct {
-	last time.Time
+	first, last time.Time
+	// count is the number of events.
+	count int
 	// longest is the longest pause so far, after the event named, begun at began.
 	longest time.Duration
 	after   string
@@ -18,6 +20,10 @@
 	if pause := now.Sub(p.last); !p.last.IsZero() && pause > p.longest {
 		p.longest, p.after, p.began = pause, p.lastID, p.last
 	}
+	if p.count == 0 {
+		p.first = now
+	}
+	p.count++
 	p.last, p.lastID = now, id
 }
 
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -46,6 +46,15 @@
 	LengthHint int
 }
 
+// expectedOutput is the caller's estimate of the tokens generated where there is
+// one, else the most that may be.
+func (q *Request) expectedOutput() int {
+	if q.LengthHint > 0 {
+		return min(q.LengthHint, q.OutputTokens)
+	}
+	return q.OutputTokens
+}
+
 // Attempt is one sending of a request to an upstream.
 type Attempt struct {
 	Request  *Request
--- a/internal/vm/hubs_test.go
+++ b/internal/vm/hubs_test.go
@@ -100,7 +100,7 @@
 		return
 	}
 	r := &peerpb.VMReport{Vm: w.vms[from].Name, Incarnation: w.born[from]}
-	demand := map[string]assign.Demand{"m": {Tokens: int64(from), Requests: 1}}
+	demand := map[string]assign.Demand{"m": {Work: time.Duration(from) * time.Microsecond, Requests: 1}}
 	w.sums[from].fill(r, scope, w.vms[to].Name, w.born[to], work{admitted: w.limiters[from].Admitted(), demand: demand})
 	w.sums[to].take(r, w.vms[from].Domain == w.vms[to].Domain, w.now)
 	w.limiters[to].Report(r.Vm, r.Incarnation, r.Admitted, w.now)
--- a/internal/vm/orders.go
+++ b/internal/vm/orders.go
@@ -18,17 +18,10 @@
 func (l *planner) order(ctx context.Context, b *book, op platform.Operation, model, adapter string) error {
 	var last error
 	for range orderTries {
-		token, ok := l.p.candidate.Authority()
-		if !ok || l.book(b.instance.ID) != b {
-			// A book of an earlier term, or one that was closed, is no ground for orders.
-			return errors.WithStack(ErrNotLeader)
+		result, token, accepted, err := l.send(ctx, b, op, model, adapter)
+		if errors.Is(err, ErrNotLeader) {
+			return err
 		}
-		l.mu.Lock()
-		accepted := b.accepted
-		l.mu.Unlock()
-		result, err := l.p.replicas.Order(ctx, b.instance, platform.Order{
-			Operation: op, Model: model, Adapter: adapter, Holder: l.p.settings.VM, Token: token, Accepted: accepted,
-		})
 		l.p.counter("orders." + string(op) + "." + result.String())
 		l.p.log.Info().Str("event", "order").Str("instance", b.instance.ID).Str("operation", string(op)).Str("model", model).
 			Str("adapter", adapter).Int64("token", token).Int64("accepted", accepted).Stringer("result", result).AnErr("cause", err).Send()
@@ -56,6 +49,36 @@
 	return last
 }
 
+// send sends an order once, if this VM may give orders and the book is of its present term.
+func (l *planner) send(
+	ctx context.Context, b *book, op platform.Operation, model, adapter string,
+) (result platform.OrderResult, token, accepted int64, err error) {
+	l.mu.Lock()
+	l.ordered.begin()
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if token != 0 {
+			l.ordered.sent(token, b.instance.ID, time.Now())
+		}
+		l.ordered.done()
+	}()
+	token, ok := l.p.candidate.Authority()
+	if !ok || l.book(b.instance.ID) != b {
+		// A book of an earlier term, or one that was closed, is no ground for orders.
+		return platform.OrderUnknown, 0, 0, errors.WithStack(ErrNotLeader)
+	}
+	l.mu.Lock()
+	accepted = b.accepted
+	l.ordered.sent(token, b.instance.ID, time.Now())
+	l.mu.Unlock()
+	result, err = l.p.replicas.Order(ctx, b.instance, platform.Order{
+		Operation: op, Model: model, Adapter: adapter, Holder: l.p.settings.VM, Token: token, Accepted: accepted,
+	})
+	return result, token, accepted, err
+}
+
 // conflict tells the reasons for a conflict apart. Another order is under way: errBusy.
 // An order was accepted that the book does not know: if that was this one, whose answer
 // was lost, its effect is there; else the book is closed, since the decision rests on
--- a/internal/vm/plan.go
+++ b/internal/vm/plan.go
@@ -12,9 +12,10 @@
 
 // itemRate is the demand for an item, averaged over rateMemory.
 type itemRate struct {
-	// tokens is in tokens a second, requests the number that the average rests on.
-	tokens, requests float64
-	at               time.Time
+	// share is the engine time asked for in a second, in seconds, requests the number that
+	// the average rests on.
+	share, requests float64
+	at              time.Time
 }
 
 // rateMemory is the time over which demand is averaged.
@@ -22,13 +23,13 @@
 
 func (r *itemRate) add(d assign.Demand, now time.Time) {
 	r.decay(now)
-	r.tokens += float64(d.Tokens) / rateMemory.Seconds()
+	r.share += d.Work.Seconds() / rateMemory.Seconds()
 	r.requests += float64(d.Requests)
 }
 
 func (r *itemRate) decay(now time.Time) {
 	left := math.Exp(-now.Sub(r.at).Seconds() / rateMemory.Seconds())
-	r.tokens *= left
+	r.share *= left
 	r.requests *= left
 	r.at = now
 }
@@ -40,7 +41,7 @@
 	if r.requests <= 1 {
 		return 0
 	}
-	return r.tokens * (1 - 1/math.Sqrt(r.requests))
+	return r.share * (1 - 1/math.Sqrt(r.requests))
 }
 
 // loadBudget is what the weight store allows: a bucket of loads.
@@ -67,6 +68,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.first.requested(now)
 	known := l.demand[vm]
 	if known == nil || known.incarnation != incarnation {
 		// What was asked for before this VM heard of it is no demand of now.
@@ -77,7 +79,7 @@
 		before := known.items[item]
 		if total.Requests > before.Requests {
 			l.used[item] = now
-			l.rate(item, now).add(assign.Demand{Tokens: total.Tokens - before.Tokens, Requests: total.Requests - before.Requests}, now)
+			l.rate(item, now).add(assign.Demand{Work: total.Work - before.Work, Requests: total.Requests - before.Requests}, now)
 		}
 		known.items[item] = total
 	}
@@ -126,22 +128,42 @@
 	l.publish()
 }
 
+const (
+	// busyShare is the part of an engine's time from which a model counts as busy.
+	busyShare = 0.15
+	// idleTime is how long a model is kept somewhere after its last request. Rare models are
+	// asked for every few seconds, and each time one has made way its next caller waits for
+	// a load.
+	idleTime = 10 * time.Second
+	// proneTime is how long a model that was busy is taken to become so again.
+	proneTime = 5 * time.Minute
+)
+
 // decide makes the plan of one service.
 func (l *planner) decide(service string, spec *catalog.EngineSpec) []residency.ModelMove {
 	now := time.Now()
 	engines := l.engines(service)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.first.incomplete(now) {
+		return nil
+	}
 	l.loads.refill(spec.LoadsPerSecond*loadCaution, now)
 	f := residency.Fleet{
-		Engines: engines, Spec: spec, Demand: make(map[string]float64), Certain: make(map[string]float64), Settled: l.settledUntil,
+		Engines: engines, Spec: spec, Demand: make(map[string]float64), Certain: make(map[string]float64), Prone: make(map[string]bool), Idle: make(map[string]bool), Settled: l.settledUntil,
 		StoreLoads: l.storeLoads(spec), Now: now,
 	}
-	for m := range spec.Models {
+	for m, model := range spec.Models {
 		if r := l.rates[m]; r != nil {
 			r.decay(now)
-			f.Demand[m], f.Certain[m] = r.tokens, r.certain()
+			f.Demand[m], f.Certain[m] = r.share, r.certain()
+			if f.Certain[m] > busyShare {
+				l.busyAt[m] = now
+			}
 		}
+		f.Demand[m] = max(f.Demand[m], l.first.demand(m, now))
+		f.Idle[m] = l.first.over(now) && now.Sub(l.used[m]) > idleTime
+		f.Prone[m] = model.Adapters > 0 || l.first.wide(m) || now.Sub(l.busyAt[m]) < proneTime
 	}
 	return residency.PlanModels(f)
 }
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -56,6 +56,14 @@
 	loads    loadBudget
 	// settledUntil says until when a model stays on an engine.
 	settledUntil map[string]time.Time
+	// busyAt is when a model was last busy.
+	busyAt map[string]time.Time
+	// ordered is when this VM sent orders, restUntil until when an engine gets none after
+	// those of the leader before.
+	ordered   orderTimes
+	restUntil map[string]time.Time
+	// first is what is known of the engines before anybody asks for a model.
+	first firstLook
 	// notBefore says when an engine without a book may be asked again.
 	notBefore map[string]time.Time
 }
@@ -95,7 +103,7 @@
 	return &planner{
 		p: p, books: make(map[string]*book), pending: make(map[string]*pendingAdapter),
 		demand: make(map[string]*reportedDemand), used: make(map[string]time.Time), rates: make(map[string]*itemRate), contents: newContentsTable(),
-		settledUntil: make(map[string]time.Time), notBefore: make(map[string]time.Time),
+		settledUntil: make(map[string]time.Time), notBefore: make(map[string]time.Time), busyAt: make(map[string]time.Time), restUntil: make(map[string]time.Time), first: firstLook{copies: make(map[string]int)},
 	}
 }
 
@@ -158,7 +166,7 @@
 	}
 	for id, i := range instances {
 		s := k.Services[i.Service]
-		if s != nil && s.Engine != nil && l.books[id] == nil && !i.Draining && now.After(l.notBefore[id]) {
+		if s != nil && s.Engine != nil && l.books[id] == nil && !i.Draining && now.After(l.notBefore[id]) && now.After(l.restUntil[id]) {
 			l.notBefore[id] = now.Add(openPause)
 			fresh = append(fresh, i)
 		}
@@ -191,6 +199,7 @@
 	defer l.mu.Unlock()
 	if l.token == token {
 		l.books[i.ID] = b
+		l.found(b, time.Now())
 	}
 }
 
--- a/internal/vm/sums.go
+++ b/internal/vm/sums.go
@@ -17,9 +17,9 @@
 
 // sums adds up what other VMs report, for the reports in which this VM stands for them.
 type sums struct {
-	mu                         sync.Mutex
-	admitted, tokens, requests *aggregate.Counters
-	loads                      map[string]loadReport
+	mu                       sync.Mutex
+	admitted, work, requests *aggregate.Counters
+	loads                    map[string]loadReport
 	// told is what each VM was told last, so that demand that stands still is left out.
 	told map[string]*told
 }
@@ -49,7 +49,7 @@
 
 func newSums(started int64) *sums {
 	return &sums{
-		admitted: aggregate.NewCounters(started), tokens: aggregate.NewCounters(started),
+		admitted: aggregate.NewCounters(started), work: aggregate.NewCounters(started),
 		requests: aggregate.NewCounters(started), loads: make(map[string]loadReport),
 		told: make(map[string]*told),
 	}
@@ -57,14 +57,14 @@
 
 // take takes a report in. near says that its sender is of the own failure domain.
 func (s *sums) take(r *peerpb.VMReport, near bool, now time.Time) {
-	tokens, requests := make(map[string]float64, len(r.Demand)), make(map[string]float64, len(r.Demand))
+	work, requests := make(map[string]float64, len(r.Demand)), make(map[string]float64, len(r.Demand))
 	for item, d := range r.Demand {
-		tokens[item], requests[item] = float64(d.GetTokens()), float64(d.GetRequests())
+		work[item], requests[item] = float64(d.GetWorkUs()), float64(d.GetRequests())
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.admitted.Take(r.Vm, r.Incarnation, near, r.Admitted, now)
-	s.tokens.Take(r.Vm, r.Incarnation, near, tokens, now)
+	s.work.Take(r.Vm, r.Incarnation, near, work, now)
 	s.requests.Take(r.Vm, r.Incarnation, near, requests, now)
 	s.loads[r.Vm] = loadReport{at: now, near: near, loads: loadsOf(r), inUse: r.InUse}
 }
@@ -87,14 +87,14 @@
 }
 
 func (s *sums) demand(own map[string]assign.Demand, near bool, except string) map[string]assign.Demand {
-	tokens, requests := make(map[string]float64, len(own)), make(map[string]float64, len(own))
+	work, requests := make(map[string]float64, len(own)), make(map[string]float64, len(own))
 	for item, d := range own {
-		tokens[item], requests[item] = float64(d.Tokens), float64(d.Requests)
+		work[item], requests[item] = float64(d.Work.Microseconds()), float64(d.Requests)
 	}
-	tokens, requests = s.tokens.Sum(tokens, near, except), s.requests.Sum(requests, near, except)
-	out := make(map[string]assign.Demand, len(tokens))
-	for item, n := range tokens {
-		out[item] = assign.Demand{Tokens: int64(n), Requests: int64(requests[item])}
+	work, requests = s.work.Sum(work, near, except), s.requests.Sum(requests, near, except)
+	out := make(map[string]assign.Demand, len(work))
+	for item, n := range work {
+		out[item] = assign.Demand{Work: time.Duration(n) * time.Microsecond, Requests: int64(requests[item])}
 	}
 	return out
 }
@@ -178,7 +178,7 @@
 func demandReport(demand map[string]assign.Demand) map[string]*peerpb.Demand {
 	out := make(map[string]*peerpb.Demand, len(demand))
 	for item, d := range demand {
-		out[item] = &peerpb.Demand{Tokens: d.Tokens, Requests: d.Requests}
+		out[item] = &peerpb.Demand{WorkUs: d.Work.Microseconds(), Requests: d.Requests}
 	}
 	return out
 }
@@ -186,7 +186,7 @@
 func demandOf(report map[string]*peerpb.Demand) map[string]assign.Demand {
 	out := make(map[string]assign.Demand, len(report))
 	for item, d := range report {
-		out[item] = assign.Demand{Tokens: d.GetTokens(), Requests: d.GetRequests()}
+		out[item] = assign.Demand{Work: time.Duration(d.GetWorkUs()) * time.Microsecond, Requests: d.GetRequests()}
 	}
 	return out
 }
