assign, vm: prompts are sent by the pace of reading; VMs tell each other of sendings at once

Cause: an engine reads the prompts that have come between two steps, up to 4,096 tokens at once here, and every stream that it has stands still meanwhile. Change: once two in a hundred of a service's streams pause too long, an engine gets a prompt only if the steps of an event and the reading of the last pause objective leave room for it; a request waits for that up to half of its objective. VMs of a small fleet tell each other of sendings as they happen (one call for what came within 8 ms). Engines that read in small pieces never come to that. Staging weights of models that may become busy is taken back out.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -24,9 +24,13 @@
 	// believe is told when an instance is left alone, with its failure rate and until
 	// when.
 	believe func(instance string, failures float64, until time.Time)
+	// placed is told of every engine that is given a request.
+	placed func(instance string)
 	// vms is how many VMs choose, heardOf when each reported last.
 	vms     int
 	heardOf map[string]time.Time
+	// pausing is what is known of the pauses of streams by service.
+	pausing map[string]pausing
 	// freed is closed when work ends or starts, and replaced.
 	freed chan struct{}
 }
@@ -35,7 +39,7 @@
 func New() *Assigner {
 	return &Assigner{
 		nodes: make(map[string]*node), paces: make(map[string]pace), demand: make(map[string]Demand), inUse: make(map[string]int),
-		heardOf: make(map[string]time.Time), freed: make(chan struct{}),
+		heardOf: make(map[string]time.Time), pausing: make(map[string]pausing), freed: make(chan struct{}),
 	}
 }
 
@@ -47,6 +51,13 @@
 	s.believe = f
 }
 
+// OnPlace sets what is told of every engine that is given a request. It must not block.
+func (s *Assigner) OnPlace(f func(instance string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.placed = f
+}
+
 // Freed returns a channel that is closed when a place may have become free.
 func (s *Assigner) Freed() <-chan struct{} {
 	s.mu.Lock()
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -36,6 +36,9 @@
 	// brought as soon as it is asked for, from an engine's own disk within a second, and
 	// a caller who is refused comes back later than that.
 	loadShare = 2
+	// pacedShare is the same for a request that waits for engines to read what they have: its
+	// turn comes within a few prompts.
+	pacedShare = 2
 	// loadWait is what a caller is told whose model or adapter is on no engine: the
 	// time of a load from an engine's own disk.
 	loadWait = time.Second
@@ -125,7 +128,11 @@
 		best = s.cheapest(candidates, home, a, perToken, now)
 	}
 	if best == nil {
-		return nil, &Refused{Cause: ErrOverloaded, RetryAfter: retryIn(now, a, 500*time.Millisecond), Wait: true}
+		cause := ErrOverloaded
+		if s.cheapestOf(candidates, home, a, perToken, now, true) != nil {
+			cause = ErrPaced
+		}
+		return nil, &Refused{Cause: cause, RetryAfter: retryIn(now, a, 500*time.Millisecond), Wait: true}
 	}
 	if best.start <= due {
 		return s.place(best.node, a, best.uncached, best.start, now), nil
@@ -162,6 +169,12 @@
 
 // cheapest returns the best offer of the engines that have a place, nil if none has.
 func (s *Assigner) cheapest(engines []*node, home *node, a Ask, perToken time.Duration, now time.Time) *offer {
+	return s.cheapestOf(engines, home, a, perToken, now, false)
+}
+
+// cheapestOf is the same, of engines whose streams would stand still as well if stalling is
+// set.
+func (s *Assigner) cheapestOf(engines []*node, home *node, a Ask, perToken time.Duration, now time.Time, stalling bool) *offer {
 	var best *offer
 	others, heard := s.unheardFrom(now)
 	for _, n := range engines {
@@ -169,9 +182,12 @@
 		if now.Before(n.pausedUntil[a.Model]) || s.full(current, a, uncached) {
 			continue
 		}
+		if !stalling && s.stalls(n, a, uncached, now) {
+			continue
+		}
 		start := startAfter(n, a, uncached, current, perToken)
 		unheard := max(0, n.usual(now)-(current.prefill-n.own.prefill))
-		cost := start + crowding(current) + time.Duration(unheard)*perToken
+		cost := start + crowding(current) + time.Duration(unheard)*perToken + n.readSince(now.Add(-a.Pause))
 		if others > 0 {
 			alike := n.sentSince(heard)
 			cost += time.Duration(others) * (crowding(alike) + time.Duration(alike.prefill)*perToken)
@@ -360,6 +376,9 @@
 // HoldUntil is until when a request may be held that was refused for a cause.
 func (a *Ask) HoldUntil(arrived time.Time, cause error) time.Time {
 	objective := a.Start.Sub(arrived)
+	if errors.Is(cause, ErrPaced) {
+		return arrived.Add(objective / pacedShare)
+	}
 	if errors.Is(cause, ErrNotLoaded) || errors.Is(cause, ErrAdapterNotLoaded) {
 		return arrived.Add(objective / loadShare)
 	}
--- a/internal/assign/node.go
+++ b/internal/assign/node.go
@@ -57,6 +57,11 @@
 	pausedUntil map[string]time.Time
 	// sent is what this VM sent lately, oldest first.
 	sent []sending
+	// readings is the reading that all VMs gave it lately, oldest first; readTotal what this
+	// VM gave it since the start, readTotals what the others told.
+	readings   []reading
+	readTotal  time.Duration
+	readTotals map[string]time.Duration
 	// cached holds the parts of prompts that the engine was sent, with the time.
 	cached map[uint64]time.Time
 }
@@ -104,7 +109,7 @@
 		contents: contents{added: make(map[string]bool), missing: make(map[string]bool)},
 		others:   make(map[string]reported), slow: 1,
 		waiting: make(map[*Choice]struct{}), cached: make(map[uint64]time.Time),
-		running: make(map[string]int), pausedUntil: make(map[string]time.Time),
+		running: make(map[string]int), pausedUntil: make(map[string]time.Time), readTotals: make(map[string]time.Duration),
 	}
 	n.describe(i)
 	return n
--- a/internal/assign/pace.go
+++ b/internal/assign/pace.go
@@ -76,10 +76,12 @@
 	return time.Duration(promptTokens)*p.read + time.Duration(steps)
 }
 
-// Streamed notes a whole stream: its events, and the time from the first to the last.
-func (s *Assigner) Streamed(c *Choice, events int, span time.Duration) {
+// Streamed notes a whole stream: its events, the time from the first to the last, and
+// the longest pause between two.
+func (s *Assigner) Streamed(c *Choice, events int, span, longest time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteStream(c.ask.Service, c.ask.Pause > 0 && longest > c.ask.Pause)
 	spec := s.spec(c.ask.Service)
 	if spec == nil || events < 1 {
 		return
--- a/internal/assign/types.go
+++ b/internal/assign/types.go
@@ -13,6 +13,9 @@
 	ErrNotLoaded = errors.New("assign: no engine holds the model")
 	// ErrAdapterNotLoaded means that engines hold the model but none the adapter.
 	ErrAdapterNotLoaded = errors.New("assign: no engine holds the adapter")
+	// ErrPaced means that streams of the engines would stand still too long if they read the
+	// prompt now.
+	ErrPaced = errors.New("assign: the engines read as many prompts as their streams can bear")
 	// ErrOverloaded means that the work would begin too late to be of use.
 	ErrOverloaded = errors.New("assign: the upstreams have too much to do")
 )
@@ -54,6 +57,8 @@
 	OutputTokens int
 	// Start is when the first event, or a plain service's answer, is due.
 	Start time.Time
+	// Pause is the longest time between two events of the answer, 0 if that is not bounded.
+	Pause time.Duration
 	// Deadline is when the caller gives up.
 	Deadline time.Time
 	// Urgency is the request's rank, 0 first.
--- a/internal/assign/work.go
+++ b/internal/assign/work.go
@@ -13,20 +13,38 @@
 	s.heardOf[vm] = now
 	for id, n := range s.nodes {
 		l, ok := loads[id]
-		mean := n.others[vm].meanWith(l.PrefillTokens, now)
-		if !ok && mean < leastMean {
+		if ok {
+			n.hearReading(vm, l.ReadTotal, now)
+		}
+		if !ok && n.others[vm].meanWith(l.PrefillTokens, now) < leastMean {
 			delete(n.others, vm)
 			continue
 		}
-		n.others[vm] = reported{
-			load: load{requests: l.Requests, prefill: l.PrefillTokens, kv: l.KVTokens}, running: l.Running, mean: mean, at: now,
-		}
+		n.hear(vm, l, now)
+	}
+}
+
+// hear takes another VM's work.
+func (n *node) hear(vm string, l Load, now time.Time) {
+	n.others[vm] = reported{
+		load: load{requests: l.Requests, prefill: l.PrefillTokens, kv: l.KVTokens}, running: l.Running,
+		mean: n.others[vm].meanWith(l.PrefillTokens, now), at: now,
+	}
+}
+
+// ownLoad is this VM's work.
+func (n *node) ownLoad() Load {
+	return Load{
+		Requests: n.own.requests, PrefillTokens: n.own.prefill, KVTokens: n.own.kv, ReadTotal: n.readTotal, Running: maps.Clone(n.running),
 	}
 }
 
 // Load is work in flight at an instance.
 type Load struct {
 	Requests, PrefillTokens, KVTokens int
+	// ReadTotal is the engine time for reading prompts that one VM has given to the instance
+	// since it started. It is no part of sums.
+	ReadTotal time.Duration
 	// Running counts the requests by model.
 	Running map[string]int
 }
@@ -52,12 +70,37 @@
 	out := make(map[string]Load)
 	for id, n := range s.nodes {
 		if n.own.requests > 0 {
-			out[id] = Load{Requests: n.own.requests, PrefillTokens: n.own.prefill, KVTokens: n.own.kv, Running: maps.Clone(n.running)}
+			out[id] = n.ownLoad()
+		}
+	}
+	return out
+}
+
+// LoadsOf returns this VM's work at some instances.
+func (s *Assigner) LoadsOf(instances []string) map[string]Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]Load, len(instances))
+	for _, id := range instances {
+		if n := s.nodes[id]; n != nil {
+			out[id] = n.ownLoad()
 		}
 	}
 	return out
 }
 
+// HearSent takes another VM's work at the engines that it has just sent something.
+func (s *Assigner) HearSent(vm string, loads map[string]Load, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, l := range loads {
+		if n := s.nodes[id]; n != nil {
+			n.hearReading(vm, l.ReadTotal, now)
+			n.hear(vm, l, now)
+		}
+	}
+}
+
 // Totals returns the work of all VMs at the instances that take work.
 func (s *Assigner) Totals(now time.Time) map[string]Load {
 	s.mu.Lock()
@@ -77,6 +120,12 @@
 	c := &Choice{Instance: n.instance.ID, Uncached: uncached, Expected: expected, Beside: s.beside(n, a, now), node: n, ask: a, at: now}
 	c.kv = uncached + a.OutputTokens/2
 	n.noteSent(uncached, now)
+	read := time.Duration(uncached) * s.paceOf(a.Model).read
+	n.noteReading(read, now)
+	n.readTotal += read
+	if s.placed != nil && a.Model != "" {
+		s.placed(n.instance.ID)
+	}
 	n.own.requests++
 	n.own.prefill += uncached
 	n.own.kv += c.kv
--- a/internal/residency/models.go
+++ b/internal/residency/models.go
@@ -59,9 +59,6 @@
 	Demand, Certain map[string]float64
 	// Idle names the models that nobody has asked for of late.
 	Idle map[string]bool
-	// Prone names the models that may become busy: those that were, and those with callers
-	// of several kinds.
-	Prone map[string]bool
 	// Settled says until when a model on an engine stays, by engine and model, so
 	// that no copy is dropped right after it came.
 	Settled map[string]time.Time
@@ -122,7 +119,6 @@
 	s.restoreDistant()
 	s.spreadAhead()
 	s.fillFree()
-	s.stage()
 	return s.moves
 }
 
--- a/internal/residency/models_test.go
+++ b/internal/residency/models_test.go
@@ -188,7 +188,7 @@
 		}
 		f := Fleet{
 			Spec: spec, StoreLoads: rapid.IntRange(0, 3).Draw(t, "loads"), Demand: map[string]float64{}, Certain: map[string]float64{},
-			Idle: map[string]bool{}, Prone: map[string]bool{}, Settled: map[string]time.Time{}, Now: time.Now(),
+			Idle: map[string]bool{}, Settled: map[string]time.Time{}, Now: time.Now(),
 		}
 		for i := range rapid.IntRange(1, 7).Draw(t, "engines") {
 			f.Engines = append(f.Engines, drawEngine(t, fmt.Sprint(i), spec))
@@ -197,7 +197,6 @@
 			f.Demand[m] = rapid.SampledFrom([]float64{0, 0.00003, 0.003, 0.13, 1.3, 5}).Draw(t, "demand")
 			f.Certain[m] = f.Demand[m] * rapid.Float64Range(0, 1).Draw(t, "certain")
 			f.Idle[m] = f.Demand[m] < idleDemand && rapid.Bool().Draw(t, "idle")
-			f.Prone[m] = rapid.Bool().Draw(t, "prone")
 		}
 		before, ready := clone(f.Engines), map[string]int{}
 		for _, e := range before {
--- a/internal/residency/weigh.go
+++ b/internal/residency/weigh.go
@@ -79,14 +79,3 @@
 	}
 	return level
 }
-
-// levelWith is the level of a model with a copy on one more engine.
-func (s *planState) levelWith(m, engine string) float64 {
-	engines := []string{engine}
-	load := maps.Clone(s.load)
-	for id, part := range s.parts[m] {
-		engines = append(engines, id)
-		load[id] -= part
-	}
-	return waterLevel(s.Demand[m], engines, load)
-}
--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -77,7 +77,7 @@
 	return assign.Ask{
 		Service: j.service, Model: j.request.Model, Adapter: j.request.Adapter, Parts: j.parts,
 		PromptTokens: j.request.PromptTokens, OutputTokens: j.request.expectedOutput(),
-		Start: j.due, Deadline: j.deadline, Urgency: j.urgency, Avoid: j.avoid,
+		Start: j.due, Deadline: j.deadline, Pause: j.route.GapObjective, Urgency: j.urgency, Avoid: j.avoid,
 	}
 }
 
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -25,7 +25,7 @@
 	leastWork = 5 * time.Millisecond
 	// waitTick is how often a held request looks for a place even if none was
 	// reported free.
-	waitTick = 40 * time.Millisecond
+	waitTick = 20 * time.Millisecond
 	// ensureTimeout bounds the wait for the leader to bring an adapter.
 	ensureTimeout = 1500 * time.Millisecond
 	// maxWholeBody bounds an answer that is passed on whole, in bytes.
@@ -367,7 +367,7 @@
 		return "model_not_loaded"
 	case errors.Is(err, assign.ErrAdapterNotLoaded):
 		return "adapter_not_loaded"
-	case errors.Is(err, assign.ErrOverloaded):
+	case errors.Is(err, assign.ErrOverloaded), errors.Is(err, assign.ErrPaced):
 		return "overloaded"
 	case errors.Is(err, ErrRefused):
 		return "upstream_refused"
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -84,7 +84,7 @@
 		j.begun = true
 		j.sink.Begin(reply.Status, reply.Header)
 	}
-	j.core.options.Assigner.Streamed(choice, j.pauses.count, j.pauses.last.Sub(j.pauses.first))
+	j.core.options.Assigner.Streamed(choice, j.pauses.count, j.pauses.last.Sub(j.pauses.first), j.pauses.longest)
 	j.finish(choice, assign.Succeeded)
 	j.outcome, j.status = outcomeAnswered, reply.Status
 	return nil
--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -203,7 +203,7 @@
 	if !mesh {
 		f.sums.take(r, near, now)
 	}
-	f.p.assigner.SetOthers(r.Vm, loadsOf(r), now)
+	f.p.assigner.SetOthers(r.Vm, loadsOf(r.Engines), now)
 	f.p.limiter.Report(r.Vm, r.Incarnation, r.Admitted, now)
 	f.p.planner.heardDemand(r.Vm, r.Incarnation, demandOf(r.Demand), now)
 	f.p.planner.heardUse(r.InUse, now)
--- a/internal/vm/firstlook.go
+++ b/internal/vm/firstlook.go
@@ -13,6 +13,8 @@
 	expectedTime = 3 * time.Second
 	// wideCopies is the number of engines from which a model counts as placed for demand.
 	wideCopies = 3
+	// wideShare is the part of an engine's time that a copy of such a model is taken to need.
+	wideShare = 0.15
 )
 
 // firstLook is what this VM found on the engines before it heard of any request. The
@@ -66,5 +68,5 @@
 	if f.over(now) || !f.wide(model) {
 		return 0
 	}
-	return busyShare * float64(f.copies[model])
+	return wideShare * float64(f.copies[model])
 }
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -59,6 +59,7 @@
 	now         chan struct{}
 
 	sums *sums
+	sent *sendings
 
 	mu      sync.Mutex
 	members map[string]*member
@@ -84,6 +85,8 @@
 func newFleet(p *Process) *fleet {
 	started := time.Now().UnixNano()
 	f := &fleet{p: p, incarnation: started, sums: newSums(started), members: make(map[string]*member), now: make(chan struct{}, 1)}
+	f.sent = newSendings(f)
+	p.assigner.OnPlace(f.sent.note)
 	peerpb.RegisterVMsServer(p.peerServer.Registrar(), &vmServer{p: p})
 	return f
 }
--- a/internal/vm/plan.go
+++ b/internal/vm/plan.go
@@ -129,14 +129,10 @@
 }
 
 const (
-	// busyShare is the part of an engine's time from which a model counts as busy.
-	busyShare = 0.15
 	// idleTime is how long a model is kept somewhere after its last request. Rare models are
 	// asked for every few seconds, and each time one has made way its next caller waits for
 	// a load.
 	idleTime = 10 * time.Second
-	// proneTime is how long a model that was busy is taken to become so again.
-	proneTime = 5 * time.Minute
 )
 
 // decide makes the plan of one service.
@@ -150,20 +146,16 @@
 	}
 	l.loads.refill(spec.LoadsPerSecond*loadCaution, now)
 	f := residency.Fleet{
-		Engines: engines, Spec: spec, Demand: make(map[string]float64), Certain: make(map[string]float64), Prone: make(map[string]bool), Idle: make(map[string]bool), Settled: l.settledUntil,
+		Engines: engines, Spec: spec, Demand: make(map[string]float64), Certain: make(map[string]float64), Idle: make(map[string]bool), Settled: l.settledUntil,
 		StoreLoads: l.storeLoads(spec), Now: now,
 	}
-	for m, model := range spec.Models {
+	for m := range spec.Models {
 		if r := l.rates[m]; r != nil {
 			r.decay(now)
 			f.Demand[m], f.Certain[m] = r.share, r.certain()
-			if f.Certain[m] > busyShare {
-				l.busyAt[m] = now
-			}
 		}
 		f.Demand[m] = max(f.Demand[m], l.first.demand(m, now))
 		f.Idle[m] = l.first.over(now) && now.Sub(l.used[m]) > idleTime
-		f.Prone[m] = model.Adapters > 0 || l.first.wide(m) || now.Sub(l.busyAt[m]) < proneTime
 	}
 	return residency.PlanModels(f)
 }
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -56,8 +56,6 @@
 	loads    loadBudget
 	// settledUntil says until when a model stays on an engine.
 	settledUntil map[string]time.Time
-	// busyAt is when a model was last busy.
-	busyAt map[string]time.Time
 	// ordered is when this VM sent orders, restUntil until when an engine gets none after
 	// those of the leader before.
 	ordered   orderTimes
@@ -103,7 +101,7 @@
 	return &planner{
 		p: p, books: make(map[string]*book), pending: make(map[string]*pendingAdapter),
 		demand: make(map[string]*reportedDemand), used: make(map[string]time.Time), rates: make(map[string]*itemRate), contents: newContentsTable(),
-		settledUntil: make(map[string]time.Time), notBefore: make(map[string]time.Time), busyAt: make(map[string]time.Time), restUntil: make(map[string]time.Time), first: firstLook{copies: make(map[string]int)},
+		settledUntil: make(map[string]time.Time), notBefore: make(map[string]time.Time), restUntil: make(map[string]time.Time), first: firstLook{copies: make(map[string]int)},
 	}
 }
 
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -149,6 +149,7 @@
 	group.Go(func() error { return p.measure(background) })
 	group.Go(func() error { return p.fleet.register(background) })
 	group.Go(func() error { return p.fleet.run(background) })
+	group.Go(func() error { return p.fleet.sent.run(background) })
 	group.Go(func() error { return p.candidate.Run(leading) })
 	group.Go(func() error { return p.planner.run(leading) })
 	group.Go(func() error { return p.peerServer.Serve(background, peers, peerGrace) })
--- a/internal/vm/sums.go
+++ b/internal/vm/sums.go
@@ -66,7 +66,7 @@
 	s.admitted.Take(r.Vm, r.Incarnation, near, r.Admitted, now)
 	s.work.Take(r.Vm, r.Incarnation, near, work, now)
 	s.requests.Take(r.Vm, r.Incarnation, near, requests, now)
-	s.loads[r.Vm] = loadReport{at: now, near: near, loads: loadsOf(r), inUse: r.InUse}
+	s.loads[r.Vm] = loadReport{at: now, near: near, loads: loadsOf(r.Engines), inUse: r.InUse}
 }
 
 // fill puts the counters and loads into a report, as far as its scope goes.
@@ -150,7 +150,8 @@
 func engineLoad(instance string, l assign.Load) *peerpb.EngineLoad {
 	out := &peerpb.EngineLoad{
 		Instance: instance, PrefillTokens: int64(l.PrefillTokens), KvTokens: int64(l.KVTokens), Requests: int32(l.Requests),
-		Running: make(map[string]int32, len(l.Running)),
+		ReadTotalUs: l.ReadTotal.Microseconds(),
+		Running:     make(map[string]int32, len(l.Running)),
 	}
 	for model, n := range l.Running {
 		if model != "" {
@@ -160,12 +161,13 @@
 	return out
 }
 
-func loadsOf(r *peerpb.VMReport) map[string]assign.Load {
-	out := make(map[string]assign.Load, len(r.Engines))
-	for _, e := range r.Engines {
+func loadsOf(engines []*peerpb.EngineLoad) map[string]assign.Load {
+	out := make(map[string]assign.Load, len(engines))
+	for _, e := range engines {
 		l := assign.Load{
 			Requests: int(e.Requests), PrefillTokens: int(e.PrefillTokens), KVTokens: int(e.KvTokens),
-			Running: make(map[string]int, len(e.Running)),
+			ReadTotal: time.Duration(e.ReadTotalUs) * time.Microsecond,
+			Running:   make(map[string]int, len(e.Running)),
 		}
 		for model, n := range e.Running {
 			l.Running[model] = int(n)
