residency, leadership: last copies stay while others can be spared; successors are told at once

A leader that was cut off learned of its successor only when that one published what engines hold, after the wait that its word was to spare.

--- a/internal/leadership/succession.go
+++ b/internal/leadership/succession.go
@@ -34,6 +34,16 @@
 	c.end()
 }
 
+// Elected returns the token of the present term, settled or not, 0 if there is none.
+func (c *Candidate) Elected() int64 {
+	if !c.Leads() {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.token
+}
+
 // Ended returns the last term of this process that is over, if its leader did not have to
 // settle until the end of it: what it says of its own last orders then says enough of those
 // of its predecessors.
--- a/internal/residency/bring.go
+++ b/internal/residency/bring.go
@@ -85,12 +85,17 @@
 }
 
 // leavingCost is what it costs to unload a model from an engine: the demand that its copy
-// carries, and the requests that the unload has to wait for.
+// carries, the requests that the unload has to wait for, and the wait of the next caller if
+// it is the last copy.
 func (s *planState) leavingCost(e Engine, m string) float64 {
 	if m == "" {
 		return 0
 	}
-	return s.parts[m][e.ID] + runningCost*float64(e.Running[m])
+	cost := s.parts[m][e.ID] + runningCost*float64(e.Running[m])
+	if s.copies[m] <= 1 {
+		cost += lastCopyCost
+	}
+	return cost
 }
 
 // SettledKey names a model on an engine in Fleet.Settled.
--- a/internal/residency/models.go
+++ b/internal/residency/models.go
@@ -38,6 +38,10 @@
 	// part of an engine's time. While an unload waits for requests the engine takes no other
 	// order.
 	runningCost = 0.008
+	// lastCopyCost is what the last copy of a model adds, as a part of an engine's time.
+	// Demand comes back within seconds, and all of it is refused while the model is loaded;
+	// another copy of a model that is little used can be spared more easily.
+	lastCopyCost = 0.1
 )
 
 // ModelMove brings a model to an engine. Evict names the model that makes way, ""
--- a/internal/residency/models_test.go
+++ b/internal/residency/models_test.go
@@ -70,6 +70,21 @@
 	require.False(t, moves[0].FromStore)
 }
 
+// An engine holds the only copy of a model that nobody has asked for of late, and one of
+// three copies of a model whose demand has just gone. A third model is missing. If the only
+// copy made way, the next shift of demand would find its model nowhere, and all its callers
+// would be refused for as long as a load takes.
+func TestLastCopyStaysWhileAnotherModelHasSpareOnes(t *testing.T) {
+	a, b, c := engine("a", "m0", "m1"), engine("b", "m0", "m3"), engine("c", "m0", "m4")
+	a.Quick["m1"], a.Quick["m2"] = true, true
+	moves := PlanModels(Fleet{
+		Engines: []Engine{a, b, c}, Spec: testSpec(5), Now: time.Now(), Idle: map[string]bool{"m1": true},
+		Demand: map[string]float64{"m0": 0.02, "m2": 0.3, "m3": 0.2, "m4": 0.2}, Certain: map[string]float64{"m2": 0.2},
+	})
+	require.Len(t, moves, 1)
+	require.Equal(t, ModelMove{Engine: "a", Load: "m2", Evict: "m0", Reason: "missing"}, moves[0])
+}
+
 // A load from the weight store takes seconds, and a plan is made several times a second.
 // Without counting what is under way each plan would order one more copy.
 func TestModelUnderWayIsNotOrderedAgain(t *testing.T) {
--- a/internal/vm/plan.go
+++ b/internal/vm/plan.go
@@ -199,12 +199,15 @@
 	l.mu.Unlock()
 	l.p.log.Info().Str("event", "model_move").Str("instance", move.Engine).Str("load", move.Load).Str("evict", move.Evict).
 		Bool("from_store", move.FromStore).Str("reason", move.Reason).Send()
+	began := time.Now()
 	go func() {
 		err := l.move(ctx, b, move, spec)
 		l.mu.Lock()
 		b.busy, b.fromStore, b.coming, b.waiting = false, false, "", ""
 		l.mu.Unlock()
-		if err != nil {
+		if err == nil {
+			l.p.log.Info().Str("event", "model_moved").Str("instance", b.instance.ID).Str("load", move.Load).Dur("took_ms", time.Since(began)).Send()
+		} else {
 			l.p.log.Warn().Str("event", "model_move_failed").Str("instance", move.Engine).Str("load", move.Load).AnErr("cause", err).Send()
 		}
 		l.publish()
