residency: a busy model gives up no copy to a rare one; copies somewhat sooner

Change: for a missing model a copy makes way only if its model's engines are not full, or if it carries less than eight times what the missing one is asked for.

--- a/internal/residency/models.go
+++ b/internal/residency/models.go
@@ -12,14 +12,14 @@
 	// worthMoving is the part of a model's level below which an engine's load has to be for
 	// a new copy. Closer than that, a copy would move load about without making the slowest
 	// engine faster.
-	worthMoving = 0.65
+	worthMoving = 0.8
 	// leastLevel is the load of an engine from which its streams begin to stand still while
 	// prompts are read: below it another copy serves nobody better.
 	leastLevel = 0.25
 	// leastShare is the part of an engine's time that one copy of a model has to take for
 	// another one to be worth an order. Below it a busy engine is better relieved of
 	// something else.
-	leastShare = 0.16
+	leastShare = 0.1
 	// leastStoreShare is the same for a copy from the weight store. Such loads are few, take
 	// seconds and push other weights off the engine's disk.
 	leastStoreShare = 0.32
@@ -31,6 +31,12 @@
 	// idleDemand is the demand, as a part of an engine's time, below which nobody asks for a
 	// model at present: what is left of the longest prompt after some ten seconds.
 	idleDemand = 0.0013
+	// pressedLevel is the load of its engines from which a model gives up no copy to one that is
+	// asked for far less.
+	pressedLevel = 0.5
+	// missingWorth is how much more a copy has to carry than a missing model is asked for to
+	// stay in its place: of the one some callers are refused, of the other all.
+	missingWorth = 8
 	// fewRunning is how many requests a model that makes way may have in flight: most
 	// streams take two to three seconds, so that few are done when its load is due.
 	fewRunning = 3
@@ -166,11 +172,20 @@
 			continue
 		}
 		if !s.bring(m, "missing", anywhere, s.quiet(s.Demand[m])) && !s.waiting[m] {
-			s.bring(m, "missing", anywhere, s.mayLeave)
+			s.bring(m, "missing", anywhere, s.unpressed(m))
 		}
 	}
 }
 
+// unpressed lets models make way for a missing one whose engines are not full, or whose copies
+// do not carry many times what it is asked for: a copy that carries twenty requests a second
+// is worth more than one that carries one, although the other one's callers find none.
+func (s *planState) unpressed(m string) victims {
+	return func(e Engine, v string) bool {
+		return s.mayLeave(e, v) && (s.level[v] <= pressedLevel || s.share(v) <= missingWorth*s.Demand[m])
+	}
+}
+
 // restoreDistant brings every model to an engine that neither an engine holds nor has at
 // hand: its first caller would wait for a load from the weight store.
 func (s *planState) restoreDistant() {
--- a/internal/residency/models_test.go
+++ b/internal/residency/models_test.go
@@ -85,6 +85,22 @@
 	require.Equal(t, ModelMove{Engine: "a", Load: "m2", Evict: "m0", Reason: "missing"}, moves[0])
 }
 
+// Every engine serves a model whose callers fill them all, and a model that is asked for every
+// few seconds is missing. In place of a copy of the busy one it would serve one caller while
+// twenty were refused.
+func TestBusyModelGivesUpNoCopyToARareOne(t *testing.T) {
+	f := Fleet{
+		Engines: []Engine{engine("a", "m0", "m1"), engine("b", "m0", "m2")}, Spec: testSpec(4), StoreLoads: 1, Now: time.Now(),
+		Demand:  map[string]float64{"m0": 1.8, "m1": 0.02, "m2": 0.02, "m3": 0.02},
+		Certain: map[string]float64{"m0": 1.6},
+	}
+	require.Empty(t, PlanModels(f))
+	f.Demand["m0"] = 0.4
+	moves := PlanModels(f)
+	require.Len(t, moves, 1)
+	require.Equal(t, "m3", moves[0].Load)
+}
+
 // A load from the weight store takes seconds, and a plan is made several times a second.
 // Without counting what is under way each plan would order one more copy.
 func TestModelUnderWayIsNotOrderedAgain(t *testing.T) {
