assign: ranking has a file of its own; no guess of what other VMs send

Change: the guess is gone; rank.go holds what ranks engines; comments lose two figures (design/062 has them).

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -26,9 +26,8 @@
 	believe func(instance string, failures float64, until time.Time)
 	// placed is told of every engine that is given a request.
 	placed func(instance string)
-	// vms is how many VMs choose, heardOf when each reported last.
-	vms     int
-	heardOf map[string]time.Time
+	// vms is how many VMs choose.
+	vms int
 	// pausing is what is known of the pauses of streams by service.
 	pausing map[string]pausing
 	// freed is closed when work ends or starts, and replaced.
@@ -39,7 +38,7 @@
 func New() *Assigner {
 	return &Assigner{
 		nodes: make(map[string]*node), paces: make(map[string]pace), demand: make(map[string]Demand), inUse: make(map[string]int),
-		heardOf: make(map[string]time.Time), pausing: make(map[string]pausing), freed: make(chan struct{}),
+		pausing: make(map[string]pausing), freed: make(chan struct{}),
 	}
 }
 
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -1,8 +1,6 @@
 package assign
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,19 +10,9 @@
 )
 
 const (
-	// stepTime is the shortest time to a first event: one step of a batch beside
-	// other requests' prompts.
-	stepTime = 25 * time.Millisecond
 	// kvFill is the part of an engine's KV cache that requests in flight may take.
 	// Beyond it an engine preempts requests in the middle of their streams.
 	kvFill = 0.85
-	// homeBelief is the part of a prompt's shared parts that the engine is taken to
-	// keep to which all VMs send such prompts first, although this VM has not sent
-	// one lately.
-	homeBelief = 0.7
-	// urgentShare is the part of the waiting prompts that delays an urgent request:
-	// engines let it pass those that wait, not those that are being read.
-	urgentShare = 0.5
 	// lateBacklog is how much work may wait at an engine that is given a request
 	// whose objective is missed already. The work is worth little, so it only fills
 	// gaps.
@@ -128,10 +116,7 @@
 		best = s.cheapest(candidates, home, a, perToken, now)
 	}
 	if best == nil {
-		cause := ErrOverloaded
-		if s.cheapestOf(candidates, home, a, perToken, now, true) != nil {
-			cause = ErrPaced
-		}
+		cause := s.causeOfNoOffer(candidates, home, a, perToken, now)
 		return nil, &Refused{Cause: cause, RetryAfter: retryIn(now, a, 500*time.Millisecond), Wait: true}
 	}
 	if best.start <= due {
@@ -149,113 +134,32 @@
 	}
 }
 
-// canLoad reports whether engines of the service can load the request's model at all.
-func (s *Assigner) canLoad(a Ask) bool {
-	spec := s.spec(a.Service)
-	if spec == nil {
-		return false
-	}
-	_, ok := spec.Models[a.Model]
-	return ok
-}
-
-// offer is what an engine can do for a request: it reads so many tokens, has the first
-// event after start, and ranks by its cost.
-type offer struct {
-	node        *node
-	uncached    int
-	start, cost time.Duration
-}
-
-// cheapest returns the best offer of the engines that have a place, nil if none has.
-func (s *Assigner) cheapest(engines []*node, home *node, a Ask, perToken time.Duration, now time.Time) *offer {
-	return s.cheapestOf(engines, home, a, perToken, now, false)
-}
-
-// cheapestOf is the same, of engines whose streams would stand still as well if stalling is
-// set.
-func (s *Assigner) cheapestOf(engines []*node, home *node, a Ask, perToken time.Duration, now time.Time, stalling bool) *offer {
-	var best *offer
-	others, heard := s.unheardFrom(now)
+// causeOfNoOffer says why no engine makes an offer: all are full, or one has a place but its
+// streams would stand still.
+func (s *Assigner) causeOfNoOffer(engines []*node, home *node, a Ask, perToken time.Duration, now time.Time) error {
 	for _, n := range engines {
-		uncached, current := s.uncached(n, a, n == home, now), n.total(now, perToken)
-		if now.Before(n.pausedUntil[a.Model]) || s.full(current, a, uncached) {
-			continue
-		}
-		if !stalling && s.stalls(n, a, uncached, now) {
-			continue
-		}
-		start := startAfter(n, a, uncached, current, perToken)
-		unheard := max(0, n.usual(now)-(current.prefill-n.own.prefill))
-		cost := start + crowding(current) + time.Duration(unheard)*perToken + n.readSince(now.Add(-a.Pause))
-		if others > 0 {
-			alike := n.sentSince(heard)
-			cost += time.Duration(others) * (crowding(alike) + time.Duration(alike.prefill)*perToken)
-		}
-		if best == nil || cost < best.cost {
-			best = &offer{node: n, uncached: uncached, start: start, cost: cost}
+		if s.hasPlace(n, a, s.uncached(n, a, n == home, now), n.total(now, perToken), now) {
+			return ErrPaced
 		}
 	}
-	return best
+	return ErrOverloaded
 }
 
-// unheardFrom returns from how many other VMs, and since when on average, nothing was
-// heard. They see the same engines and have callers of the same kind, so they are taken to
-// have sent since then what this VM sent. Without that all VMs choose the one engine that
-// looks idlest, such as one that has just got the model, until the next reports come: it
-// reads twenty prompts in a row, and every stream that it has stands still meanwhile.
-// Many VMs compare different engines each and need no such guess.
-func (s *Assigner) unheardFrom(now time.Time) (vms int, since time.Time) {
-	if s.vms > smallFleet {
-		return 0, now
-	}
-	sum := time.Duration(0)
-	for vm, at := range s.heardOf {
-		age := now.Sub(at)
-		if age > reportLifetime {
-			delete(s.heardOf, vm)
-			continue
-		}
-		vms++
-		sum += age
-	}
-	if vms == 0 {
-		return 0, now
-	}
-	return vms, now.Add(-sum / time.Duration(vms))
+// hasPlace reports whether an engine with a load can take a request.
+func (s *Assigner) hasPlace(n *node, a Ask, uncached int, l load, now time.Time) bool {
+	return !now.Before(n.pausedUntil[a.Model]) && !s.full(l, a, uncached)
 }
 
-// sample is the engines that a request is compared at: all of them in a small fleet, else
-// its home and a few that are drawn by the request. Reports reach all of many VMs at about
-// the same moment, and each would send its next requests to the one engine that looks best
-// in them: at 82 VMs 22,000 tokens came to an engine within a quarter of a second, while
-// the idlest of sixteen that held the model had 200.
-func (s *Assigner) sample(engines []*node, home *node, a Ask) []*node {
-	if s.vms <= smallFleet || len(engines) <= sampleSize || len(a.Parts) == 0 {
-		return engines
-	}
-	own := a.Parts[len(a.Parts)-1].Hash
-	drawn := slices.Clone(engines)
-	slices.SortFunc(drawn, func(x, y *node) int { return cmp.Compare(x.draw(own), y.draw(own)) })
-	drawn = drawn[:sampleSize]
-	if home != nil && !slices.Contains(drawn, home) {
-		drawn = append(drawn, home)
+// canLoad reports whether engines of the service can load the request's model at all.
+func (s *Assigner) canLoad(a Ask) bool {
+	spec := s.spec(a.Service)
+	if spec == nil {
+		return false
 	}
-	return drawn
+	_, ok := spec.Models[a.Model]
+	return ok
 }
 
-// draw is a number for an engine and a hash, the same at all VMs.
-func (n *node) draw(hash uint64) uint64 { return mix(xxhash.Sum64String(n.instance.ID) ^ hash) }
-
-const (
-	// smallFleet is the number of VMs up to which each compares all engines: what another
-	// VM does is heard within a quarter of a second there.
-	smallFleet = 12
-	// sampleSize is how many engines are compared in a larger one. Two draws already
-	// spread as well as the age of the reports allows; the third finds parts that are kept.
-	sampleSize = 3
-)
-
 // candidates are the engines that hold the item and take work.
 func (s *Assigner) candidates(a Ask, now time.Time) ([]*node, error) {
 	var out []*node
@@ -288,43 +192,6 @@
 	return nil, ErrAdapterNotLoaded
 }
 
-// homeOf is the engine to which all VMs send prompts that begin alike, so that
-// their shared parts are read once. It is drawn by rendezvous hashing: a change of
-// the engines moves only the prompts of those that came or went.
-func homeOf(candidates []*node, a Ask) *node {
-	if len(a.Parts) < 2 {
-		return nil
-	}
-	shared := a.Parts[len(a.Parts)-2].Hash
-	var home *node
-	var top uint64
-	for _, n := range candidates {
-		weight := n.draw(shared)
-		if home == nil || weight > top {
-			home, top = n, weight
-		}
-	}
-	return home
-}
-
-// mix spreads the bits of a hash (the finalizer of MurmurHash3).
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
-
-// uncached is how many tokens of the prompt the engine would have to read.
-func (s *Assigner) uncached(n *node, a Ask, home bool, now time.Time) int {
-	kept := n.cachedTokens(a, now)
-	if home && len(a.Parts) >= 2 {
-		kept = max(kept, int(homeBelief*float64(a.Parts[len(a.Parts)-2].Tokens)))
-	}
-	return max(0, a.PromptTokens-kept)
-}
-
 // full reports whether an engine with a load has no place or no memory for the request.
 func (s *Assigner) full(l load, a Ask, uncached int) bool {
 	spec := s.spec(a.Service)
@@ -345,19 +212,6 @@
 	return s.catalog.Services[service].Engine
 }
 
-// startAfter is the expected time to the first event at an engine with a load.
-func startAfter(n *node, a Ask, uncached int, l load, perToken time.Duration) time.Duration {
-	backlog := time.Duration(l.prefill) * perToken
-	if a.Urgency == 0 {
-		backlog = time.Duration(urgentShare * float64(backlog))
-	}
-	work := backlog + time.Duration(uncached)*perToken + stepTime
-	return time.Duration(float64(work) * n.slow)
-}
-
-// crowding prefers engines with fewer requests: each makes every step longer.
-func crowding(l load) time.Duration { return time.Duration(l.requests) * 2 * time.Millisecond }
-
 // waitFor is the usual time until an item is there that is not.
 func waitFor(err error) time.Duration {
 	if err == ErrAdapterNotLoaded {
--- a/internal/assign/node.go
+++ b/internal/assign/node.go
@@ -55,8 +55,6 @@
 	// pausedUntil says until when the engine gets no requests for a model, after it has
 	// turned one away.
 	pausedUntil map[string]time.Time
-	// sent is what this VM sent lately, oldest first.
-	sent []sending
 	// readings is the reading that all VMs gave it lately, oldest first; readTotal what this
 	// VM gave it since the start, readTotals what the others told.
 	readings   []reading
@@ -73,12 +71,6 @@
 	kv       int
 }
 
-// sending is work that was sent to an instance.
-type sending struct {
-	at      time.Time
-	prefill int
-}
-
 type reported struct {
 	load
 	running map[string]int
@@ -208,8 +200,7 @@
 // usual is the work of other VMs on the instance as it is on average, in tokens. Among many
 // VMs a report is up to a second old; what it told of has been read since, and new work has
 // come that nobody has heard of yet. By total alone an engine looks idle then, and gets as
-// much as one that is: of 4,110 chats that were expected to start in time 1,195 started late
-// at 82 VMs. It ranks engines and refuses nothing.
+// much as one that is. It ranks engines and refuses nothing.
 func (n *node) usual(now time.Time) int {
 	sum := 0.0
 	for _, r := range n.others {
@@ -220,24 +211,6 @@
 	return int(sum)
 }
 
-// noteSent remembers a sending for as long as other VMs may not have reported theirs.
-func (n *node) noteSent(prefill int, now time.Time) {
-	for len(n.sent) > 0 && now.Sub(n.sent[0].at) > reportLifetime {
-		n.sent = n.sent[1:]
-	}
-	n.sent = append(n.sent, sending{at: now, prefill: prefill})
-}
-
-// sentSince is what this VM sent since a time.
-func (n *node) sentSince(from time.Time) load {
-	var sum load
-	for i := len(n.sent) - 1; i >= 0 && n.sent[i].at.After(from); i-- {
-		sum.requests++
-		sum.prefill += n.sent[i].prefill
-	}
-	return sum
-}
-
 // totalRunning counts the requests in flight of all VMs by model.
 func (n *node) totalRunning(now time.Time) map[string]int {
 	sum := maps.Clone(n.running)
--- a/internal/assign/work.go
+++ b/internal/assign/work.go
@@ -10,7 +10,6 @@
 func (s *Assigner) SetOthers(vm string, loads map[string]Load, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.heardOf[vm] = now
 	for id, n := range s.nodes {
 		l, ok := loads[id]
 		if ok {
@@ -119,7 +118,6 @@
 func (s *Assigner) place(n *node, a Ask, uncached int, expected time.Duration, now time.Time) *Choice {
 	c := &Choice{Instance: n.instance.ID, Uncached: uncached, Expected: expected, Beside: s.beside(n, a, now), node: n, ask: a, at: now}
 	c.kv = uncached + a.OutputTokens/2
-	n.noteSent(uncached, now)
 	read := time.Duration(uncached) * s.paceOf(a.Model).read
 	n.noteReading(read, now)
 	n.readTotal += read
