traffic: tests read what fakes have noted under its lock

Change: the tests read it through a lock; what they demand is unchanged. Conclusion: a fault of the test.

--- a/internal/traffic/fakes_test.go
+++ b/internal/traffic/fakes_test.go
@@ -56,6 +56,19 @@
 	}, nil
 }
 
+// ended names the upstreams whose exchanges were ended here, attempts is what was sent.
+func (f *fakeUpstreams) ended() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.closed)
+}
+
+func (f *fakeUpstreams) attempts() []Attempt {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.sent)
+}
+
 // events writes events from first to last, one every gap, until ctx ends.
 func events(ctx context.Context, out io.Writer, first, last int, gap time.Duration) error {
 	for id := first; id <= last; id++ {
--- a/internal/traffic/handover_test.go
+++ b/internal/traffic/handover_test.go
@@ -43,8 +43,8 @@
 		sink, err := w.ask(t.Context(), "a")
 		require.NoError(t, err)
 		require.Equal(t, whole(1, 8), sink.text)
-		require.Empty(t, w.upstreams.closed)
-		require.Len(t, w.upstreams.sent, 1)
+		require.Empty(t, w.upstreams.ended())
+		require.Len(t, w.upstreams.attempts(), 1)
 	})
 }
 
@@ -59,7 +59,7 @@
 		sink, err := w.ask(t.Context(), "a")
 		require.NoError(t, err)
 		require.Equal(t, whole(1, 3), sink.text)
-		require.Empty(t, w.upstreams.closed)
+		require.Empty(t, w.upstreams.ended())
 	})
 }
 
@@ -82,10 +82,10 @@
 		sink, err := w.ask(t.Context(), "a")
 		require.NoError(t, err)
 		require.Equal(t, whole(1, 8), sink.text)
-		require.Len(t, w.upstreams.sent, 2)
-		require.Equal(t, "5", w.upstreams.sent[1].ResumeAfter)
-		require.NotEqual(t, w.upstreams.sent[0].Instance.ID, w.upstreams.sent[1].Instance.ID)
-		require.Equal(t, []string{w.upstreams.sent[0].Instance.ID}, w.upstreams.closed)
+		require.Len(t, w.upstreams.attempts(), 2)
+		require.Equal(t, "5", w.upstreams.attempts()[1].ResumeAfter)
+		require.NotEqual(t, w.upstreams.attempts()[0].Instance.ID, w.upstreams.attempts()[1].Instance.ID)
+		require.Equal(t, []string{w.upstreams.attempts()[0].Instance.ID}, w.upstreams.ended())
 	})
 }
 
@@ -116,7 +116,7 @@
 		sink, err := w.ask(t.Context(), "silent")
 		require.NoError(t, err)
 		require.Equal(t, whole(1, 8), sink.text)
-		require.Empty(t, w.upstreams.closed)
+		require.Empty(t, w.upstreams.ended())
 		require.NoError(t, <-beside)
 		require.NoError(t, <-beside)
 	})
@@ -140,7 +140,7 @@
 		}
 		_, err := w.ask(t.Context(), "a")
 		require.ErrorIs(t, err, ErrCut)
-		require.Empty(t, w.upstreams.closed)
-		require.Len(t, w.upstreams.sent, 1)
+		require.Empty(t, w.upstreams.ended())
+		require.Len(t, w.upstreams.attempts(), 1)
 	})
 }
