traffic: a fake notes an ended exchange only if its upstream had not ended it

The fake noted every end of a request's context, also after a whole stream, at a moment that the test did not wait for. Change: the upstream's own script notes that it was cut off, and the test waits for it. What the tests demand is unchanged. Conclusion: a fault of the test, two ways.

--- a/internal/traffic/fakes_test.go
+++ b/internal/traffic/fakes_test.go
@@ -36,20 +36,18 @@
 	f.sent = append(f.sent, a)
 	f.mu.Unlock()
 	read, write := io.Pipe()
-	stop := context.AfterFunc(ctx, func() {
-		f.mu.Lock()
-		f.closed = append(f.closed, a.Instance.ID)
-		f.mu.Unlock()
-		read.CloseWithError(context.Canceled)
-	})
 	go func() {
 		err := f.scripts[a.Instance.ID](ctx, a, write)
-		stop()
 		if err == nil {
 			err = io.EOF
+		} else if ctx.Err() != nil {
+			f.mu.Lock()
+			f.closed = append(f.closed, a.Instance.ID)
+			f.mu.Unlock()
 		}
 		write.CloseWithError(err)
 	}()
+	context.AfterFunc(ctx, func() { read.CloseWithError(context.Canceled) })
 	return &Reply{
 		Status: http.StatusOK, Header: http.Header{}, Signed: true, Body: read,
 		Close: func(bool) { read.Close() },
--- a/internal/traffic/handover_test.go
+++ b/internal/traffic/handover_test.go
@@ -85,6 +85,7 @@
 		require.Len(t, w.upstreams.attempts(), 2)
 		require.Equal(t, "5", w.upstreams.attempts()[1].ResumeAfter)
 		require.NotEqual(t, w.upstreams.attempts()[0].Instance.ID, w.upstreams.attempts()[1].Instance.ID)
+		synctest.Wait()
 		require.Equal(t, []string{w.upstreams.attempts()[0].Instance.ID}, w.upstreams.ended())
 	})
 }
