--- a/internal/assign/doc.go
+++ b/internal/assign/doc.go
@@ -8,4 +8,8 @@
 // kept until the work that waits there outweighs that. What cannot be begun
 // within its objective is refused at once, since an engine that reads prompts
 // nobody waits for any more makes the next ones late as well.
+//
+// A stream also has to keep its pace. An engine reads prompts between the steps that make
+// the tokens of its streams, so several prompts at once make all of them stand still; they
+// are sent one after the other, by what all VMs have given the engine to read.
 package assign
