leadership: a successor waits for its predecessor's orders again

The first one's order had had no answer and was given up after 250 ms; its word counted the time from there, but the engine took the order 0.4 s later, as orders without an answer may be. Ruled out: the age of the word, an order under way at that moment; both were counted. Change: the predecessor's word and the settling it spared are gone, with their tests; a term that outlives an outage stays, and so does the wait of a successor as it was before.

--- a/internal/leadership/doc.go
+++ b/internal/leadership/doc.go
@@ -6,6 +6,5 @@
 // then crashes with everything that it serves. So a leader counts its time from
 // before it asked for its lease, by the clock on which more has passed, and stops
 // before the lease can end; a successor waits once more for as long as an order of
-// its predecessor may be under way, unless the predecessor tells when it gave its last
-// ones.
+// its predecessor may be under way.
 package leadership
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -62,11 +62,6 @@
 	valid   time.Duration
 	settled clock.Reading
 	settle  time.Duration
-	// previous is the token of the term before this one, 0 if there was none.
-	previous int64
-	// elected is when this term began, ended the last one of this process that is over.
-	elected clock.Reading
-	ended   Ended
 	// lapsed says that the log has told of the end of authority.
 	lapsed bool
 	// seen is the leader by the newest state of the store.
@@ -179,8 +174,7 @@
 		c.lapsed = false
 	case errors.Is(err, store.ErrLeaseGone):
 		c.options.Log.Warn().Str("event", "leadership_lost").Int64("token", c.token).AnErr("cause", err).Send()
-		c.end()
-		c.known = false
+		c.token, c.known, c.lapsed = 0, false, false
 	case !c.lapsed && clock.Elapsed(c.renewed, c.options.Clock()) >= c.valid:
 		c.options.Log.Warn().Str("event", "leadership_lapsed").Int64("token", c.token).AnErr("cause", err).Send()
 		c.lapsed = true
@@ -217,7 +211,7 @@
 	defer c.mu.Unlock()
 	c.settled, c.settle = c.options.Clock(), c.settleTime(last)
 	c.token, c.leaseID, c.won = revision, id, revision
-	c.renewed, c.valid, c.elected, c.previous = sent, ttl-margin, sent, last.Revision
+	c.renewed, c.valid = sent, ttl-margin
 	c.options.Log.Info().Str("event", "leadership_won").Int64("token", revision).
 		Str("previous", vmOf(last)).Dur("settle_ms", c.settle).Send()
 }
@@ -244,7 +238,7 @@
 func (c *Candidate) resign(ctx context.Context) {
 	c.mu.Lock()
 	token, id := c.token, c.leaseID
-	c.end()
+	c.token, c.lapsed = 0, false
 	c.mu.Unlock()
 	if token != 0 {
 		_ = c.options.Store.Revoke(ctx, id)
--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -99,7 +99,6 @@
 		CallerAddress: f.p.settings.Callers, PeerAddress: f.p.peerAddress(), Ready: f.p.ready(),
 		Scope: int32(scope), ConfigurationRevision: revision, ViewRevision: f.p.tracker.at(),
 		Leaving: f.p.gone.names(), Alive: f.alive(scope, receiver),
-		Ended: f.p.planner.endedTerm(time.Now()), Elected: f.p.candidate.Elected(),
 	}
 	f.sums.fill(out, scope, receiver, f.incarnationOf(receiver), f.own())
 	f.p.planner.contents.describe(out, receiver)
@@ -176,8 +175,6 @@
 	if plan != nil && plan.Accepts(topology.VM{Name: r.Vm, Domain: domain}, topology.Scope(r.Scope)) {
 		f.takeWork(r, plan.Mesh, near, now)
 	}
-	f.p.candidate.Superseded(r.Elected)
-	f.p.planner.hearEnded(r.Ended, now)
 	f.p.planner.hearContents(r)
 	if r.ViewRevision > f.p.tracker.at() {
 		f.p.peerDepartures(r.Leaving)
--- a/internal/vm/orders.go
+++ b/internal/vm/orders.go
@@ -53,17 +53,6 @@
 func (l *planner) send(
 	ctx context.Context, b *book, op platform.Operation, model, adapter string,
 ) (result platform.OrderResult, token, accepted int64, err error) {
-	l.mu.Lock()
-	l.ordered.begin()
-	l.mu.Unlock()
-	defer func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		if token != 0 {
-			l.ordered.sent(token, b.instance.ID, time.Now())
-		}
-		l.ordered.done()
-	}()
 	token, ok := l.p.candidate.Authority()
 	if !ok || l.book(b.instance.ID) != b {
 		// A book of an earlier term, or one that was closed, is no ground for orders.
@@ -71,7 +60,6 @@
 	}
 	l.mu.Lock()
 	accepted = b.accepted
-	l.ordered.sent(token, b.instance.ID, time.Now())
 	l.mu.Unlock()
 	result, err = l.p.replicas.Order(ctx, b.instance, platform.Order{
 		Operation: op, Model: model, Adapter: adapter, Holder: l.p.settings.VM, Token: token, Accepted: accepted,
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -56,10 +56,6 @@
 	loads    loadBudget
 	// settledUntil says until when a model stays on an engine.
 	settledUntil map[string]time.Time
-	// ordered is when this VM sent orders, restUntil until when an engine gets none after
-	// those of the leader before.
-	ordered   orderTimes
-	restUntil map[string]time.Time
 	// first is what is known of the engines before anybody asks for a model.
 	first firstLook
 	// notBefore says when an engine without a book may be asked again.
@@ -101,7 +97,7 @@
 	return &planner{
 		p: p, books: make(map[string]*book), pending: make(map[string]*pendingAdapter),
 		demand: make(map[string]*reportedDemand), used: make(map[string]time.Time), rates: make(map[string]*itemRate), contents: newContentsTable(),
-		settledUntil: make(map[string]time.Time), notBefore: make(map[string]time.Time), restUntil: make(map[string]time.Time), first: firstLook{copies: make(map[string]int)},
+		settledUntil: make(map[string]time.Time), notBefore: make(map[string]time.Time), first: firstLook{copies: make(map[string]int)},
 	}
 }
 
@@ -164,7 +160,7 @@
 	}
 	for id, i := range instances {
 		s := k.Services[i.Service]
-		if s != nil && s.Engine != nil && l.books[id] == nil && !i.Draining && now.After(l.notBefore[id]) && now.After(l.restUntil[id]) {
+		if s != nil && s.Engine != nil && l.books[id] == nil && !i.Draining && now.After(l.notBefore[id]) {
 			l.notBefore[id] = now.Add(openPause)
 			fresh = append(fresh, i)
 		}
