explain, residency: one count of what came to an engine; sorting by the library

Cause: the last reading of the change: sentByOthers repeated sentWithin with one more condition, waterLevel spelt out a comparison that cmp has, and a comment named work wrongly. Change: one function counts, cmp.Compare sorts; behaviour as before.

--- a/internal/assign/pace.go
+++ b/internal/assign/pace.go
@@ -62,7 +62,7 @@
 	return min(max(seen, usual/paceSpread), usual*paceSpread)
 }
 
-// Work is the engine time that a request takes: the reading of its prompt, and its part of
+// work is the engine time that a request takes: the reading of its prompt, and its part of
 // the steps that generate its answer, which all places of the batch share. An engine is used
 // up when the work that comes in a second is a second: reading stretches the steps, and
 // stretched steps keep the places taken for longer.
--- a/internal/explain/late.go
+++ b/internal/explain/late.go
@@ -51,8 +51,8 @@
 	sent := s.lastSent()
 	came := last.Time.Add(-milliseconds(last.Took))
 	from := came.Add(milliseconds(last.PauseAt))
-	requests, tokens := s.sentWithin(from.Add(-pauseLead), from.Add(milliseconds(last.LongestPause)))
-	unseen, _ := s.sentByOthers(sent.VM, sent.Time.Add(-milliseconds(sent.ReportAge)), sent.Time)
+	requests, tokens := s.sentWithin("", from.Add(-pauseLead), from.Add(milliseconds(last.LongestPause)))
+	unseen, _ := s.sentWithin(sent.VM, sent.Time.Add(-milliseconds(sent.ReportAge)), sent.Time)
 	return fmt.Sprintf("late by a pause of %.0f ms behind event %q, objective %.0f ms: when it was chosen, %s had %d requests in flight "+
 		"(%d of other VMs, heard up to %.0f ms before; %d sent by them since) and %d prompt tokens to read; "+
 		"around the pause %d requests with %d prompt tokens came there%s",
@@ -63,21 +63,11 @@
 // pauseLead is how long before a pause prompts came that may be read in it.
 const pauseLead = 150 * time.Millisecond
 
-// sentWithin counts what was sent to the upstream, with the prompt tokens to be read.
-func (s *Story) sentWithin(from, to time.Time) (requests, tokens int) {
+// sentWithin counts what was sent to the upstream by VMs other than one, "" for all of them,
+// with the prompt tokens to be read.
+func (s *Story) sentWithin(except string, from, to time.Time) (requests, tokens int) {
 	for _, e := range s.rivals {
-		if !e.Time.Before(from) && !e.Time.After(to) {
-			requests++
-			tokens += e.Uncached
-		}
-	}
-	return requests, tokens
-}
-
-// sentByOthers counts what other VMs sent to the upstream.
-func (s *Story) sentByOthers(vm string, from, to time.Time) (requests, tokens int) {
-	for _, e := range s.rivals {
-		if e.VM != vm && !e.Time.Before(from) && !e.Time.After(to) {
+		if (except == "" || e.VM != except) && !e.Time.Before(from) && !e.Time.After(to) {
 			requests++
 			tokens += e.Uncached
 		}
--- a/internal/residency/weigh.go
+++ b/internal/residency/weigh.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
@@ -59,15 +60,7 @@
 // waterLevel is the load up to which demand fills the engines.
 func waterLevel(demand float64, engines []string, load map[string]float64) float64 {
 	order := slices.Clone(engines)
-	slices.SortFunc(order, func(a, b string) int {
-		switch {
-		case load[a] < load[b]:
-			return -1
-		case load[a] > load[b]:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(order, func(a, b string) int { return cmp.Compare(load[a], load[b]) })
 	sum := demand
 	level := 0.0
 	for i, id := range order {
