platform, vm: a call of the store that breaks off says how much had arrived

Cause: "context deadline exceeded" read the same for a store that says nothing and for one whose answer was half here, so the hypotheses on large configurations could not be told apart.

--- a/internal/vm/gauges.go
+++ b/internal/vm/gauges.go
@@ -8,6 +8,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/chestnutarch/chestnutarch/internal/store"
+	"github.com/chestnutarch/chestnutarch/platform"
 )
 
 // measureEvery is how often gauges are read: the pace at which metrics are fetched is
@@ -47,8 +48,10 @@
 	metrics.GetOrRegisterGauge(name, p.metrics).Update(value)
 }
 
-func (p *Process) counter(name string) {
-	metrics.GetOrRegisterCounter(name, p.metrics).Inc(1)
+func (p *Process) counter(name string) { p.add(name, 1) }
+
+func (p *Process) add(name string, by int64) {
+	metrics.GetOrRegisterCounter(name, p.metrics).Inc(by)
 }
 
 func boolean(b bool) int64 {
@@ -58,16 +61,18 @@
 	return 0
 }
 
-// countStoreCall counts the calls of the store by name and outcome.
-func (p *Process) countStoreCall(call string, err error) {
+// countStoreCall counts the calls of the store by name and outcome, and the bytes of their
+// answers, those of answers that broke off included.
+func (p *Process) countStoreCall(call platform.StoreCall) {
 	outcome := "ok"
 	switch {
-	case errors.Is(err, store.ErrUnknown):
+	case errors.Is(call.Err, store.ErrUnknown):
 		outcome = "no_answer"
-	case errors.Is(err, store.ErrRefused):
+	case errors.Is(call.Err, store.ErrRefused):
 		outcome = "turned_away"
-	case err != nil:
+	case call.Err != nil:
 		outcome = "refused"
 	}
-	p.counter("store_calls." + call + "." + outcome)
+	p.counter("store_calls." + call.Name + "." + outcome)
+	p.add("store_calls."+call.Name+".received_bytes", call.Received)
 }
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -291,7 +291,7 @@
 	p.assigner.SetCatalog(next)
 	p.core.SetCatalog(next)
 	p.log.Info().Str("event", "configuration_in_force").Int64("version", next.Version).Int64("revision", revision).
-		Int("routes", len(next.Routes())).Interface("rates", limitsOf(next)).Send()
+		Int("routes", len(next.Routes())).Int("bytes", len(value)).Interface("rates", limitsOf(next)).Send()
 }
 
 func limitsOf(c *catalog.Catalog) map[string]teamrate.Limit {
