vm: a VM that loses its hub reads what leases keep, not the configuration again

Cause: each VM that lost its hub read the whole store, the configuration with it, at the same moment as all VMs behind that hub. A hub that was slow for a moment made all of its VMs fill their links, and the failure of one try made the next dearer for everybody. Change: it reads the keys under leases, of which a hub may have held some longer than the store did, and watches the rest from its view's revision. Events that a read has overtaken are left out. Conclusion: a lost hub costs a VM the instances' entries.

--- a/internal/vm/large_configuration_test.go
+++ b/internal/vm/large_configuration_test.go
@@ -93,6 +93,33 @@
 	require.Less(t, float64(toHubs.received.Load()-before), controlBytes*took.Seconds()*float64(len(links)))
 }
 
+// Both hubs are lost while the configuration is as large as the store takes. All VMs behind
+// them turn to the store at the same moment; if each read the configuration again, which has
+// not changed, their links would be full and callers' streams would pause.
+func TestVMsThatLoseTheirHubDoNotReadTheConfigurationAgain(t *testing.T) {
+	c := newCluster(t)
+	_, links := c.startNarrow()
+	c.configure(enlarge)
+	for _, v := range c.vms {
+		c.eventually(func() bool { return v.core.Catalog().Version == int64(c.version) })
+	}
+	before := make([]int64, len(links))
+	for i, l := range links {
+		before[i] = l.received.Load()
+	}
+	for _, hub := range c.vms[:2] {
+		hub.turnedAway.Store(true)
+	}
+	c.eventually(func() bool { return c.followers() == 0 })
+	for i, l := range links {
+		require.Less(t, l.received.Load()-before[i], int64(largestValue), "link %d", i)
+	}
+	c.configure(nil)
+	for _, v := range c.vms {
+		c.eventually(func() bool { return v.core.Catalog().Version == int64(c.version) })
+	}
+}
+
 // controlBytes is what a VM may send and receive for control, in bytes a second.
 const controlBytes = 9 << 10
 
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chestnutarch/chestnutarch/internal/store"
+	"github.com/chestnutarch/chestnutarch/platform"
 )
 
 const (
@@ -86,28 +88,33 @@
 
 // run follows the store until ctx ends.
 func (t *tracker) run(ctx context.Context) error {
+	read := t.list
 	for ctx.Err() == nil {
-		if err := t.list(ctx); err != nil {
+		if err := read(ctx); err != nil {
 			t.failed(err)
 			sleep(ctx, retryPause)
 			continue
 		}
-		t.follow(ctx)
+		read = t.list
+		if t.follow(ctx) == nil {
+			read = t.listLeased
+		}
 	}
 	return nil
 }
 
-// follow watches until the history is gone, or follows a hub until that fails.
-func (t *tracker) follow(ctx context.Context) {
+// follow watches until the history is gone, or follows a hub until that fails. It returns
+// store.ErrCompacted, wrapped, if the view lacks changes that a watch will not tell.
+func (t *tracker) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if hub, ok := t.mayFollow(time.Now()); ok {
 			t.followHub(ctx, hub)
-			return
+			return nil
 		}
 		events, err := t.store.Watch(ctx, "", t.at(), watchWait)
 		switch {
 		case errors.Is(err, store.ErrCompacted):
-			return
+			return err
 		case err != nil:
 			t.failed(err)
 			sleep(ctx, retryPause)
@@ -116,6 +123,7 @@
 		t.apply(events)
 		sleep(ctx, t.pause())
 	}
+	return nil
 }
 
 // pause is the time between two watches. It grows with the fleet, so that the calls of
@@ -144,9 +152,48 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.adopt(listing.Items, listing.Revision)
+	return nil
+}
+
+// listLeased reads the keys that leases keep, after this VM has followed a hub: a hub may
+// have told it of keys that the store had dropped. A watch from the view's revision tells
+// what has happened to the others. All VMs behind a hub that is lost do this at once, and
+// the configuration is most of what the store holds.
+func (t *tracker) listLeased(ctx context.Context) error {
+	var items []store.Item
+	for _, prefix := range leasedPrefixes {
+		listing, err := t.store.Range(ctx, prefix)
+		if err != nil {
+			return err
+		}
+		items = append(items, listing.Items...)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, item := range t.view.items {
+		if !leased(item.Key) {
+			items = append(items, item)
+		}
+	}
+	complete := t.fresh
+	t.adopt(items, t.view.revision)
+	t.fresh = complete
+	return nil
+}
+
+// leasedPrefixes are the prefixes of keys that the store drops when their leases end.
+var leasedPrefixes = []string{platform.InstancePrefix, ownPrefix}
+
+func leased(key string) bool {
+	return slices.ContainsFunc(leasedPrefixes, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
+}
+
+// adopt makes the items that were read the view. It must be called with the lock held.
+func (t *tracker) adopt(items []store.Item, revision int64) {
 	now := time.Now()
-	next := make(map[string]store.Item, len(listing.Items))
-	for _, item := range listing.Items {
+	next := make(map[string]store.Item, len(items))
+	for _, item := range items {
 		next[item.Key] = item
 	}
 	for key, old := range t.view.items {
@@ -160,8 +207,7 @@
 		}
 	}
 	t.watching = true
-	t.publish(view{items: next, revision: listing.Revision}, now)
-	return nil
+	t.publish(view{items: next, revision: revision}, now)
 }
 
 func (t *tracker) apply(events store.Events) {
@@ -170,6 +216,10 @@
 	now := time.Now()
 	next := maps.Clone(t.view.items)
 	for _, e := range events.Events {
+		if e.Revision < next[e.Key].Revision {
+			// The key was read after this.
+			continue
+		}
 		if !e.Deleted {
 			next[e.Key] = e.Item
 			delete(t.lapsed, e.Key)
