kv, vmlist, configsync: a call ends when its answer goes silent, not when it is long

Change: transport.Idle bounds the silence in these calls; configsync leaves the bound of a read to the client. Figures: TestHTTPReadsALargeValueOverANarrowLink: context deadline exceeded before, the whole value now. What a VM asks a peer for when it knows nothing (FetchConfig) has a timeout as a whole still.

--- a/internal/configsync/loops.go
+++ b/internal/configsync/loops.go
@@ -119,11 +119,10 @@
 	return k.read(ctx, "poll")
 }
 
-// read takes the stored envelope.
+// read takes the stored envelope. It takes as long as its size asks for; the store ends a call
+// that goes silent.
 func (k *Keeper) read(ctx context.Context, source string) error {
-	call, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
-	defer cancel()
-	entry, err := k.options.Store.Get(call, k.key)
+	entry, err := k.options.Store.Get(ctx, k.key)
 	if errors.Is(err, kv.ErrNotFound) {
 		return nil
 	}
--- a/internal/kv/http.go
+++ b/internal/kv/http.go
@@ -27,7 +27,8 @@
 	// Timeout must be zero, since a watch has no end. The default is a client
 	// with its own transport.
 	Client *http.Client
-	// CallTimeout bounds every call but a watch. The default is 2s.
+	// CallTimeout bounds how long the service may be silent in every call but a watch:
+	// before its answer, and within it. The default is 2s.
 	CallTimeout time.Duration
 	// Budget bounds the calls of this process.
 	Budget Budget
@@ -130,16 +131,18 @@
 // Unwrap returns ErrUnavailable.
 func (e *lostError) Unwrap() error { return ErrUnavailable }
 
-// do makes one bounded call and decodes its answer.
+// do makes one bounded call and decodes its answer. A large value may take longer than the
+// call's timeout as long as it arrives.
 func (h *HTTP) do(ctx context.Context, c call, request, answer any) error {
-	ctx, cancel := context.WithTimeout(ctx, h.timeout)
-	defer cancel()
+	ctx, idle := transport.WithIdle(ctx, h.timeout, h.timeout)
+	defer idle.Stop()
 	response, err := h.send(ctx, c, request)
 	if err != nil {
 		return err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	idle.Received()
+	body, err := io.ReadAll(idle.Reader(io.LimitReader(response.Body, maxAnswerBytes)))
 	if err != nil {
 		h.suspect()
 		return &lostError{cause: err}
--- a/internal/kv/http_test.go
+++ b/internal/kv/http_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -180,3 +181,30 @@
 	require.ErrorIs(t, err, kv.ErrUnavailable)
 	require.Equal(t, 1, transport.dropped)
 }
+
+// A link is so narrow that the environment document takes several times a call's timeout. A
+// call that ended by then would read it from its beginning for ever, and withdrawn keys would
+// go on working.
+func TestHTTPReadsALargeValueOverANarrowLink(t *testing.T) {
+	service := standin.NewKV(standin.KVOptions{})
+	t.Cleanup(service.Close)
+	const timeout = 2 * time.Second
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		whole := httptest.NewRecorder()
+		service.ServeHTTP(whole, r)
+		body := whole.Body.Bytes()
+		for part := range slices.Chunk(body, len(body)/4+1) {
+			time.Sleep(timeout / 3)
+			_, _ = w.Write(part)
+			w.(http.Flusher).Flush()
+		}
+	}))
+	t.Cleanup(server.Close)
+	s, err := kv.NewHTTP(kv.Options{URLs: []string{server.URL}, CallTimeout: timeout})
+	require.NoError(t, err)
+	_, err = s.CompareAndSwap(t.Context(), "/k", kv.RevisionAbsent, make([]byte, 64<<10), kv.NoLease)
+	require.NoError(t, err)
+	entry, err := s.Get(t.Context(), "/k")
+	require.NoError(t, err)
+	require.Len(t, entry.Value, 64<<10)
+}
--- a/internal/vmlist/client.go
+++ b/internal/vmlist/client.go
@@ -10,13 +10,15 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+
+	"github.com/chestnutarch/chestnutarch/internal/transport"
 )
 
 // ErrUnavailable means that the platform gave no list.
 var ErrUnavailable = errors.New("vmlist: list unavailable")
 
 const (
-	// callTimeout bounds one read.
+	// callTimeout bounds how long the platform may be silent in one read.
 	callTimeout = 2 * time.Second
 	// maxListBytes bounds a list: 12,000 upstreams at some hundred bytes each.
 	maxListBytes = 8 << 20
@@ -32,8 +34,8 @@
 
 // Read returns the platform's list. Errors wrap ErrUnavailable.
 func (c *Client) Read(ctx context.Context) (*List, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+	ctx, idle := transport.WithIdle(ctx, callTimeout, callTimeout)
+	defer idle.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.URL+"/v1/vms", nil)
 	if err != nil {
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
@@ -47,7 +49,7 @@
 		return nil, errors.Wrapf(ErrUnavailable, "status %d", answer.StatusCode)
 	}
 	list := &List{}
-	if err := json.NewDecoder(io.LimitReader(answer.Body, maxListBytes)).Decode(list); err != nil {
+	if err := json.NewDecoder(idle.Reader(io.LimitReader(answer.Body, maxListBytes))).Decode(list); err != nil {
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
 	return list, nil
