peer: a message that arrives is not ended by other calls' timeouts

Cause: two calls in a row without an answer replace a peer's connection. Change: each piece that arrives counts as an answer of the peer. Conclusion: only silence ends a message and its connection.

--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -136,6 +136,8 @@
 		return fmt.Sprintf("no team held its key in configuration %d", e.Configuration)
 	case "unknown_route":
 		return "no route had its host and path"
+	case "configuration_outdated":
+		return fmt.Sprintf("configuration %d lacked its route or key, and this VM knew that a newer one was in force elsewhere", e.Configuration)
 	}
 	return e.Reason
 }
--- a/internal/peer/pieces.go
+++ b/internal/peer/pieces.go
@@ -59,7 +59,11 @@
 	}
 	ctx, idle := transport.WithIdle(ctx, silence, silence)
 	defer idle.Stop()
-	took, err = receive(ctx, idle, c.conn, open, message)
+	arrived := func() {
+		idle.Received()
+		p.heard(c)
+	}
+	took, err = receive(ctx, arrived, c.conn, open, message)
 	if errors.Is(context.Cause(ctx), transport.ErrIdle) {
 		err = status.Error(codes.DeadlineExceeded, transport.ErrIdle.Error())
 	}
@@ -67,7 +71,7 @@
 	return took, callError(address, err)
 }
 
-func receive(ctx context.Context, idle *transport.Idle, conn grpc.ClientConnInterface,
+func receive(ctx context.Context, arrived func(), conn grpc.ClientConnInterface,
 	open func(context.Context, grpc.ClientConnInterface) (Pieces, error), message proto.Message,
 ) (took time.Duration, err error) {
 	stream, err := open(ctx, conn)
@@ -87,7 +91,7 @@
 		if first.IsZero() {
 			first = time.Now()
 		}
-		idle.Received()
+		arrived()
 		encoded = append(encoded, piece.Data...)
 		if len(encoded) > maxPieces {
 			return 0, errors.Wrapf(ErrTooLarge, "%d bytes and more", len(encoded))
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -80,6 +80,14 @@
 	return c, nil
 }
 
+// heard notes that something arrives on a connection. Other calls on it may end without an
+// answer meanwhile, since a large message fills the link.
+func (p *Pool) heard(c *pooled) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.timeouts = 0
+}
+
 // settle counts calls without an answer and drops the connection after a few.
 func (p *Pool) settle(address string, c *pooled, err error) {
 	p.mu.Lock()
--- a/internal/vm/large_configuration_test.go
+++ b/internal/vm/large_configuration_test.go
@@ -17,9 +17,9 @@
 const largestValue = 1<<20 - 8<<10
 
 // keysUpTo returns random keys, which compress badly, of so many bytes as JSON.
-func keysUpTo(bytes int) []string {
+func keysUpTo(bytes int, seed uint64) []string {
 	const each = 32 + len(`"",`)
-	r := rand.New(rand.NewPCG(1, 2))
+	r := rand.New(rand.NewPCG(1, seed))
 	keys := []string{testKey}
 	for range bytes / each {
 		keys = append(keys, fmt.Sprintf("%016x%016x", r.Uint64(), r.Uint64()))
@@ -29,7 +29,12 @@
 
 // enlarge makes a configuration as large as the store takes.
 func enlarge(config map[string]any) {
-	config["tenants"].([]any)[0].(map[string]any)["keys"] = keysUpTo(largestValue)
+	config["tenants"].([]any)[0].(map[string]any)["keys"] = keysUpTo(largestValue, 1)
+}
+
+// enlargeAnew does so with other keys.
+func enlargeAnew(config map[string]any) {
+	config["tenants"].([]any)[0].(map[string]any)["keys"] = keysUpTo(largestValue, 2)
 }
 
 // Callers were served by routes that had been taken away seconds before, and most requests
@@ -114,7 +119,7 @@
 	for i, l := range links {
 		require.Less(t, l.received.Load()-before[i], int64(largestValue), "link %d", i)
 	}
-	c.configure(nil)
+	c.configure(enlargeAnew)
 	for _, v := range c.vms {
 		c.eventually(func() bool { return v.core.Catalog().Version == int64(c.version) })
 	}
