vm: a configuration in force is not taken for a newer one; slow answers of hubs count

A report that named a configuration which the VM put in force at the same moment could mark it as lacking, for good; it would have left the answers after the bound. And a hub's answer that took longer than a view may be old was thrown away once it was complete. Change: what is known of newer configurations keeps the own revision beside the newest, under one lock. The age of a hub's view is judged as the hub told it, and the time of the transfer only makes the view less fresh. Figures: TestConfigurationThatIsInForceIsNotNewer and TestAnswerThatTookLongIsTaken fail without it.

--- a/internal/peer/pieces.go
+++ b/internal/peer/pieces.go
@@ -29,6 +29,9 @@
 // Pieces is a stream of a message's pieces, as its receiver sees it.
 type Pieces = grpc.ServerStreamingClient[peerpb.Piece]
 
+// Open begins a call whose answer comes in pieces.
+type Open func(context.Context, grpc.ClientConnInterface) (Pieces, error)
+
 // SendPieces sends a message in pieces, at least one.
 func SendPieces(stream grpc.ServerStreamingServer[peerpb.Piece], message proto.Message) error {
 	encoded, err := proto.Marshal(message)
@@ -50,9 +53,7 @@
 // Receive calls the peer at address and reads a message that comes in pieces. The call ends
 // when no piece arrives for silence, not when the whole takes long. It returns how long
 // after the first piece the last one came, and the errors of Call.
-func (p *Pool) Receive(ctx context.Context, address string, silence time.Duration,
-	open func(context.Context, grpc.ClientConnInterface) (Pieces, error), message proto.Message,
-) (took time.Duration, err error) {
+func (p *Pool) Receive(ctx context.Context, address string, silence time.Duration, open Open, message proto.Message) (took time.Duration, err error) {
 	c, err := p.get(address)
 	if err != nil {
 		return 0, err
@@ -63,7 +64,7 @@
 		idle.Received()
 		p.heard(c)
 	}
-	took, err = receive(ctx, arrived, c.conn, open, message)
+	took, err = receive(ctx, c.conn, open, message, arrived)
 	if errors.Is(context.Cause(ctx), transport.ErrIdle) {
 		err = status.Error(codes.DeadlineExceeded, transport.ErrIdle.Error())
 	}
@@ -71,9 +72,8 @@
 	return took, callError(address, err)
 }
 
-func receive(ctx context.Context, arrived func(), conn grpc.ClientConnInterface,
-	open func(context.Context, grpc.ClientConnInterface) (Pieces, error), message proto.Message,
-) (took time.Duration, err error) {
+// receive reads a message's pieces and tells arrived of each.
+func receive(ctx context.Context, conn grpc.ClientConnInterface, open Open, message proto.Message, arrived func()) (took time.Duration, err error) {
 	stream, err := open(ctx, conn)
 	if err != nil {
 		return 0, err
--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -181,12 +181,9 @@
 	if r.ViewRevision > f.p.tracker.at() {
 		f.p.peerDepartures(r.Leaving)
 	}
-	if r.ConfigurationRevision <= f.p.configuration().Revision {
-		return
-	}
 	f.p.newer.heard(r.ConfigurationRevision, now)
 	// A hub tells this VM of the same configuration in its next answer.
-	if !f.p.tracker.followsHub() {
+	if r.ConfigurationRevision > f.p.configuration().Revision && !f.p.tracker.followsHub() {
 		f.fetchConfiguration(ctx, address)
 	}
 }
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -54,7 +54,7 @@
 type relay struct {
 	// hub returns the address of the VM to follow; ok is false if there is none.
 	hub func() (address string, ok bool)
-	// ask returns a hub's answer, and how old it is by the time that it is here as a whole.
+	// ask returns a hub's answer, and how long ago it began to arrive.
 	ask func(ctx context.Context, address string, in *peerpb.FollowRequest) (answer *peerpb.FollowResponse, took time.Duration, err error)
 }
 
@@ -90,8 +90,7 @@
 		answer, took, err := t.relay.ask(ctx, address, in)
 		taken := false
 		if err == nil {
-			answer.AgeMs += took.Milliseconds()
-			taken, err = t.takeView(answer, time.Now())
+			taken, err = t.takeView(answer, time.Now().Add(-took))
 		}
 		if err != nil {
 			t.leaveHub(address, err)
@@ -111,7 +110,7 @@
 	}
 }
 
-// takeView takes a hub's answer in. It returns false if the hub's view is older than this
+// takeView takes in a hub's answer that began to arrive at now. It returns false if the hub's view is older than this
 // VM's own, and ErrHubStale if it is too old to follow.
 func (t *tracker) takeView(answer *peerpb.FollowResponse, now time.Time) (taken bool, err error) {
 	age := time.Duration(answer.AgeMs) * time.Millisecond
--- a/internal/vm/follow_test.go
+++ b/internal/vm/follow_test.go
@@ -108,6 +108,25 @@
 	require.ErrorIs(t, err, ErrHubStale)
 }
 
+// A large answer takes longer over a narrow link than a hub's view may be old. Thrown away
+// when it is complete, it would be asked for again and again; it is just not as fresh.
+func TestAnswerThatTookLongIsTaken(t *testing.T) {
+	f := testTracker()
+	ctx, cancel := context.WithCancel(t.Context())
+	took := 2 * f.stale
+	f.relay = relay{
+		hub: func() (string, bool) { return "hub", true },
+		ask: func(context.Context, string, *peerpb.FollowRequest) (*peerpb.FollowResponse, time.Duration, error) {
+			cancel()
+			return &peerpb.FollowResponse{Revision: 9, Whole: true, FailedMs: -1}, took, nil
+		},
+	}
+	f.followHub(ctx, "hub")
+	require.Equal(t, int64(9), f.at())
+	require.GreaterOrEqual(t, f.age(), took)
+	require.False(t, f.alone())
+}
+
 // A VM has read the store itself when it returns to its hub, which has not seen as much yet.
 // What the VM knows must not be undone: a replica that left would get requests again.
 func TestHubThatLagsBehindUndoesNothing(t *testing.T) {
--- a/internal/vm/newer.go
+++ b/internal/vm/newer.go
@@ -9,20 +9,21 @@
 // While it lacks one it cannot tell an unknown route or key from one that was added.
 type newerConfiguration struct {
 	mu sync.Mutex
-	// revision is the store's of the newest one that another VM has in force, since is
-	// when this VM began to be behind; zero if it is not.
-	revision int64
-	since    time.Time
+	// own and newest are the store's revisions of the configuration in force here, and of
+	// the newest one that is in force at any VM.
+	own, newest int64
+	// since is when this VM began to lack the newest one.
+	since time.Time
 }
 
-// heard notes that another VM has a configuration in force that is newer than own.
+// heard notes that another VM has a configuration in force.
 func (n *newerConfiguration) heard(revision int64, now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.revision = max(n.revision, revision)
-	if n.since.IsZero() {
+	if n.own >= n.newest && revision > n.own {
 		n.since = now
 	}
+	n.newest = max(n.newest, revision)
 }
 
 // applied notes that this VM has a configuration in force. While changes follow each other
@@ -30,13 +31,7 @@
 func (n *newerConfiguration) applied(revision int64, now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.since.IsZero() {
-		return
-	}
-	n.since = now
-	if revision >= n.revision {
-		n.since = time.Time{}
-	}
+	n.own, n.since = revision, now
 }
 
 // behind returns for how long this VM has lacked a configuration that others have; zero if
@@ -44,7 +39,7 @@
 func (n *newerConfiguration) behind(now time.Time) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.since.IsZero() {
+	if n.own >= n.newest {
 		return 0
 	}
 	return max(now.Sub(n.since), time.Nanosecond)
--- a/internal/vm/newer_test.go
+++ b/internal/vm/newer_test.go
@@ -28,7 +28,7 @@
 	require.Equal(t, http.StatusServiceUnavailable, c.ask(v, withKey).status)
 	require.Equal(t, http.StatusOK, c.ask(v, call{method: "GET", path: "/look/"}).status, "a route that it knows")
 
-	v.newer = newerConfiguration{}
+	v.newer = newerConfiguration{own: newer - 1}
 	v.newer.heard(newer, time.Now().Add(-v.settings.Bounds.Configuration-time.Second))
 	require.False(t, v.ready())
 	c.configure(nil)
@@ -50,3 +50,14 @@
 	n.applied(200, now)
 	require.Zero(t, n.behind(now))
 }
+
+// A report names a configuration that this VM has put in force a moment before. Taken for a
+// newer one, it would take the VM out of service until the next change.
+func TestConfigurationThatIsInForceIsNotNewer(t *testing.T) {
+	var n newerConfiguration
+	now := time.Now()
+	n.applied(7, now)
+	n.heard(7, now)
+	n.heard(5, now)
+	require.Zero(t, n.behind(now.Add(time.Minute)))
+}
