soak: worlds with a large configuration over narrow links

Cause: the soak's configurations had a few kilobytes and its ways no width, so it could not find what the incident showed. What seeds draw is unchanged.

--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -26,6 +26,9 @@
 	// in is the flow towards the target, out the other way.
 	in, out flow
 	delay   time.Duration
+	// rate bounds what a connection carries away from the target, in bytes a second; zero
+	// for no bound.
+	rate int
 	// refuse resets new connections.
 	refuse bool
 	pairs  map[*pair]bool
@@ -84,8 +87,8 @@
 	p.pairs[c] = true
 	p.mu.Unlock()
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(c, target, caller, func() flow { return p.in }) })
-	both.Go(func() { p.copy(c, caller, target, func() flow { return p.out }) })
+	both.Go(func() { p.copy(c, target, caller, func() flow { return p.in }, 0) })
+	both.Go(func() { p.copy(c, caller, target, func() flow { return p.out }, p.rate) })
 	both.Wait()
 	p.mu.Lock()
 	delete(p.pairs, c)
@@ -93,13 +96,16 @@
 }
 
 // copy forwards one direction. An end is passed on as an end, a reset as a reset.
-func (p *proxy) copy(c *pair, to, from net.Conn, way func() flow) {
+func (p *proxy) copy(c *pair, to, from net.Conn, way func() flow, rate int) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		if !p.wait(c, way) {
 			continue
 		}
+		if rate > 0 {
+			time.Sleep(time.Duration(n) * time.Second / time.Duration(rate))
+		}
 		if n > 0 {
 			if _, werr := to.Write(buffer[:n]); werr != nil {
 				break
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -18,10 +18,11 @@
 )
 
 var (
-	seeds = flag.Int("seeds", 0, "how many fresh seeds to play")
-	seed  = flag.Uint64("seed", 0, "one seed to play again")
-	vms   = flag.Int("vms", 4, "how many VMs a world has")
-	storm = flag.Duration("storm", 6*time.Second, "how long faults are injected")
+	seeds  = flag.Int("seeds", 0, "how many fresh seeds to play")
+	seed   = flag.Uint64("seed", 0, "one seed to play again")
+	vms    = flag.Int("vms", 4, "how many VMs a world has")
+	routes = flag.Int("routes", 0, "how many routes more a configuration has, over narrow links")
+	storm  = flag.Duration("storm", 6*time.Second, "how long faults are injected")
 )
 
 // regressions are runs that failed once, each with its cause.
@@ -35,9 +36,15 @@
 	{13262059493199150863, 12 * time.Second, "no report between VMs counted, since the soak wrote their incarnations with too few digits"},
 }
 
-// fixed are the seeds that CI plays.
+// fixed are the seeds that CI plays, and fixedLarge the one with largeRoutes.
 var fixed = []uint64{1, 2}
 
+const (
+	fixedLarge = 3
+	// largeRoutes make a configuration of most of a megabyte.
+	largeRoutes = 4000
+)
+
 var binary string
 
 func TestMain(m *testing.M) {
@@ -66,33 +73,34 @@
 func TestSoak(t *testing.T) {
 	switch {
 	case *seed != 0:
-		start(t, *seed, *storm)
+		start(t, *seed, *storm, *routes)
 	case *seeds > 0:
 		for range *seeds {
-			start(t, rand.Uint64(), *storm)
+			start(t, rand.Uint64(), *storm, *routes)
 		}
 	default:
 		for _, s := range fixed {
-			start(t, s, *storm)
+			start(t, s, *storm, 0)
 		}
 		for _, r := range regressions {
-			start(t, r.seed, r.storm)
+			start(t, r.seed, r.storm, 0)
 		}
+		start(t, fixedLarge, *storm, largeRoutes)
 	}
 }
 
-func start(t *testing.T, s uint64, length time.Duration) {
+func start(t *testing.T, s uint64, length time.Duration, routes int) {
 	t.Run(fmt.Sprint(s), func(t *testing.T) {
 		t.Parallel()
-		play(t, s, length)
+		play(t, s, length, routes)
 	})
 }
 
 // play is one run: a storm of faults, then the calm in which all has to come back and a
 // rolling restart has to cut nothing.
-func play(t *testing.T, s uint64, length time.Duration) {
+func play(t *testing.T, s uint64, length time.Duration, routes int) {
 	r := rand.New(rand.NewPCG(s, 0))
-	w := newWorld(t, binary, *vms)
+	w := newWorld(t, binary, *vms, routes)
 	t.Cleanup(func() { w.keepLogs(s) })
 	w.eventually("all VMs are ready", w.allReady)
 	w.eventually("all VMs hear each other", w.allHear)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -43,6 +43,9 @@
 
 	mu       sync.Mutex
 	manifest standin.Manifest
+	// rate is what connections to the store and between VMs carry, in bytes a second; zero
+	// for no bound.
+	rate int
 	// unready is the last VM that was not ready.
 	unready string
 }
@@ -58,8 +61,16 @@
 	state string
 }
 
-func newWorld(t *testing.T, binary string, vms int) *world {
+// narrowRate is what a link of 10 Mbit/s carries, in bytes a second.
+const narrowRate = 10_000_000 / 8
+
+// newWorld starts VMs. With routes beyond those that callers use, the configuration is large
+// and the ways that it takes are narrow.
+func newWorld(t *testing.T, binary string, vms, routes int) *world {
 	w := &world{t: t, dir: t.TempDir(), store: standin.NewStore(), oracle: newOracle()}
+	if routes > 0 {
+		w.rate = narrowRate
+	}
 	w.manifest = standin.Manifest{
 		Version: 1, Host: host, Models: []string{"m0", "m1", "m2", "m3"},
 		Teams: []standin.Team{
@@ -67,6 +78,9 @@
 			{Name: "small", Keys: []string{"small-key"}, Rate: smallRate, Burst: smallBurst},
 		},
 	}
+	for i := range routes {
+		w.manifest.Extra = append(w.manifest.Extra, fmt.Sprintf("unused-%d", i))
+	}
 	w.store.Put("op/config", w.manifest.Value())
 	server := httptest.NewServer(w.store)
 	t.Cleanup(func() {
@@ -137,6 +151,7 @@
 		require.NoError(w.t, err)
 		*way.into = p
 	}
+	v.peers.rate, v.store.rate = w.rate, w.rate
 	v.Store = v.store.address()
 	w.vms = append(w.vms, v)
 	require.NoError(w.t, v.run())
