soak: VMs start once all of them are listed

The race was there before; a busy machine shows it. Change: all VMs are listed before the first one starts.

--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -98,6 +98,11 @@
 	for i := range vms {
 		w.addVM(binary, fmt.Sprintf("vm-%d", i), []string{"a", "b"}[i%2])
 	}
+	// The store reads the list of VMs as soon as the first one registers.
+	for _, v := range w.vms {
+		require.NoError(t, v.run())
+		t.Cleanup(v.stop)
+	}
 	return w
 }
 
@@ -157,8 +162,6 @@
 	}
 	v.Store = v.store.address()
 	w.vms = append(w.vms, v)
-	require.NoError(w.t, v.run())
-	w.t.Cleanup(v.stop)
 }
 
 // throughPeerProxies makes VMs reach each other through proxies: a registration names the
