vm: a VM is ready once it knows upstreams, not once it has a configuration

Cause: a VM that starts, or that the store turns away, has a configuration in force before its first view of the store, from its own listing in two steps or from another VM. It said that it was ready and refused the callers that came with "no upstream". Change: ready() also asks whether a view has been taken in. Before: TestVMIsNotReadyBeforeItKnowsUpstreams fails (the check taken out again to see it). After: it passes, three times with the race detector.

--- a/internal/vm/path_test.go
+++ b/internal/vm/path_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/chestnutarch/chestnutarch/platform/standin"
@@ -58,6 +59,22 @@
 	require.Empty(t, c.replicas["clerk-1"].Runs())
 }
 
+// A VM starts, and has a configuration in force a moment before it knows any upstream, or has it
+// from another VM while the store turns it away. Callers that were sent there by then were
+// refused although upstreams were free.
+func TestVMIsNotReadyBeforeItKnowsUpstreams(t *testing.T) {
+	c := newCluster(t, standin.NewReplica("clerk-1", 0))
+	running := c.start("a")
+	p, err := New(running.settings, zerolog.Nop())
+	require.NoError(t, err)
+	p.configure(running.configuration())
+	require.NotNil(t, p.core.Catalog())
+	require.False(t, p.ready())
+	p.follow(running.tracker.view)
+	require.True(t, p.ready())
+	require.NotNil(t, p.instance("clerk-1"))
+}
+
 // A clerk replica loses its connection while it files a deed. Nobody can know whether
 // the deed was filed. The caller is told so, and the filing is not sent again: a second
 // one would be a rejected case.
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -55,6 +55,8 @@
 
 	instances atomic.Pointer[map[string]*upstream.Instance]
 	leaving   atomic.Bool
+	// viewed says that a view of the store was taken in, so that upstreams are known.
+	viewed atomic.Bool
 	// gone holds instances that were seen draining or gone, by incarnation.
 	gone *departures
 
@@ -203,7 +205,7 @@
 
 // ready reports whether callers may be sent here.
 func (p *Process) ready() bool {
-	return !p.leaving.Load() && p.core.Catalog() != nil && p.newer.behind(time.Now()) <= p.settings.Bounds.Configuration
+	return !p.leaving.Load() && p.viewed.Load() && p.core.Catalog() != nil && p.newer.behind(time.Now()) <= p.settings.Bounds.Configuration
 }
 
 type server struct {
@@ -269,6 +271,7 @@
 	p.candidate.Observe(own)
 	p.fleet.observe(own)
 	p.setInstances(v)
+	p.viewed.Store(true)
 }
 
 // configure puts a configuration in force if it is newer than the one that is. A
