vm: a change of one entry does not cost the reading of the whole view

Cause: each view of the store that a VM took in made it decode the entries of all upstreams, compare what each engine holds, and take in all VMs' registrations anew. Change: entries are kept by key and revision (instanceEntries); an engine whose description is the same is not merged again; keys of this project are taken in only if one has changed. TestOneChangedEntryIsReadAlone does not compile without the table; with one that reads all entries it fails.

--- a/internal/assign/node.go
+++ b/internal/assign/node.go
@@ -109,7 +109,11 @@
 
 // describe takes a newer description of the same incarnation.
 func (n *node) describe(i upstream.Instance) {
+	same := n.instance.HoldsSame(&i)
 	n.instance = i
+	if same {
+		return
+	}
 	var items []string
 	for _, l := range i.Models {
 		items = append(items, l.Model)
--- a/internal/upstream/instance.go
+++ b/internal/upstream/instance.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Loaded is a model that an engine holds.
 type Loaded struct {
@@ -49,3 +52,13 @@
 	}
 	return false
 }
+
+// HoldsSame reports whether two descriptions name the same models and adapters after the
+// same number of orders.
+func (i *Instance) HoldsSame(other *Instance) bool {
+	return i.OrdersAccepted == other.OrdersAccepted && slices.EqualFunc(i.Models, other.Models, Loaded.same)
+}
+
+func (l Loaded) same(other Loaded) bool {
+	return l.Model == other.Model && l.Version == other.Version && slices.Equal(l.Adapters, other.Adapters)
+}
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -3,29 +3,72 @@
 import (
 	"time"
 
+	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
 	"github.com/chestnutarch/chestnutarch/platform"
 )
 
-// setInstances translates the entries of instances.
-func (p *Process) setInstances(v view) {
-	now := time.Now()
-	away := p.tracker.awayWithin(now, revivalTime)
-	next := make(map[string]*upstream.Instance)
-	for key, item := range v.items {
+// instanceEntries keeps what the entries of instances say, by key. A large fleet's view has
+// hundreds of entries and changes several times a second, mostly in one of them. Its values
+// are not changed once they are read.
+type instanceEntries struct {
+	read  func(store.Item) (*upstream.Instance, error)
+	known map[string]instanceEntry
+}
+
+// instanceEntry is one revision of an entry; instance is nil if it cannot be read.
+type instanceEntry struct {
+	revision    int64
+	instance    *upstream.Instance
+	incarnation string
+}
+
+func newInstanceEntries(read func(store.Item) (*upstream.Instance, error)) *instanceEntries {
+	return &instanceEntries{read: read, known: make(map[string]instanceEntry)}
+}
+
+// take reads the entries that have changed and forgets those that are gone. The errors are of
+// entries that cannot be read.
+func (e *instanceEntries) take(items map[string]store.Item) (unreadable []error) {
+	next := make(map[string]instanceEntry, len(e.known))
+	for key, item := range items {
 		if _, ok := platform.InstanceID(key); !ok {
 			continue
 		}
-		i, err := platform.Instance(item)
-		if err != nil {
-			p.log.Debug().Str("event", "instance_unreadable").AnErr("cause", err).Send()
+		if known, ok := e.known[key]; ok && known.revision == item.Revision {
+			next[key] = known
+			continue
+		}
+		entry := instanceEntry{revision: item.Revision}
+		i, err := e.read(item)
+		if err == nil {
+			entry.instance, entry.incarnation = i, incarnationOf(i)
+		} else {
+			unreadable = append(unreadable, err)
+		}
+		next[key] = entry
+	}
+	e.known = next
+	return unreadable
+}
+
+// setInstances translates the entries of instances. It is called by one view after the other.
+func (p *Process) setInstances(v view) {
+	now := time.Now()
+	away := p.tracker.awayWithin(now, revivalTime)
+	for _, err := range p.entries.take(v.items) {
+		p.log.Debug().Str("event", "instance_unreadable").AnErr("cause", err).Send()
+	}
+	next := make(map[string]*upstream.Instance, len(p.entries.known))
+	for _, entry := range p.entries.known {
+		i := entry.instance
+		if i == nil {
 			continue
 		}
-		name := incarnationOf(i)
 		if i.Draining {
-			p.gone.left(name, true, now)
-		} else if p.gone.barred(name, item.Revision, away) {
-			i.Draining = true
+			p.gone.left(entry.incarnation, true, now)
+		} else if p.gone.barred(entry.incarnation, entry.revision, away) {
+			i = draining(i)
 		}
 		next[i.ID] = i
 	}
@@ -58,6 +101,13 @@
 	p.assigner.SetInstances(list)
 }
 
+// draining returns an instance that takes no new work.
+func draining(i *upstream.Instance) *upstream.Instance {
+	copied := *i
+	copied.Draining = true
+	return &copied
+}
+
 // peerDepartures takes what a VM with a newer view of the store has seen leaving.
 func (p *Process) peerDepartures(names []string) {
 	if len(names) == 0 {
@@ -70,12 +120,11 @@
 	next := make(map[string]*upstream.Instance)
 	changed := false
 	for id, i := range *p.instances.Load() {
-		copied := *i
 		if !i.Draining && left[incarnationOf(i)] {
 			p.gone.left(incarnationOf(i), false, time.Now())
-			copied.Draining, changed = true, true
+			i, changed = draining(i), true
 		}
-		next[id] = &copied
+		next[id] = i
 	}
 	if changed {
 		p.putInForce(next)
--- /dev/null
+++ b/internal/vm/instances_test.go
@@ -0,0 +1,44 @@
+package vm
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/store"
+	"github.com/chestnutarch/chestnutarch/internal/upstream"
+	"github.com/chestnutarch/chestnutarch/platform"
+)
+
+// A view of hundreds of upstreams changes several times a second, mostly in one entry. A VM
+// that read all of them anew each time spent most of its processor on it.
+func TestOneChangedEntryIsReadAlone(t *testing.T) {
+	reads := 0
+	e := newInstanceEntries(func(item store.Item) (*upstream.Instance, error) {
+		reads++
+		return platform.Instance(item)
+	})
+	items := make(map[string]store.Item)
+	for _, id := range []string{"e1", "e2", "e3"} {
+		items[platform.InstancePrefix+id] = store.Item{
+			Key: platform.InstancePrefix + id, Revision: 1,
+			Value: []byte(`{"service":"engine","address":"10.0.0.1:80","state":"ready"}`),
+		}
+	}
+	items["other"] = store.Item{Key: "other", Revision: 1}
+	require.Empty(t, e.take(items))
+	require.Equal(t, 3, reads)
+
+	e2 := items[platform.InstancePrefix+"e2"]
+	e2.Revision, e2.Value = 2, []byte(`{`)
+	items[e2.Key] = e2
+	require.Len(t, e.take(items), 1)
+	require.Empty(t, e.take(items), "an entry that cannot be read is told of once")
+	require.Equal(t, 4, reads)
+	require.Nil(t, e.known[e2.Key].instance)
+
+	delete(items, e2.Key)
+	require.Empty(t, e.take(items))
+	require.Len(t, e.known, 2)
+	require.Equal(t, 4, reads)
+}
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -54,6 +54,11 @@
 	peerServer *peer.Server
 
 	instances atomic.Pointer[map[string]*upstream.Instance]
+	entries   *instanceEntries
+	// ownKeys is how many keys of this project the last view had, ownNewest the newest
+	// revision of them.
+	ownKeys   int
+	ownNewest int64
 	leaving   atomic.Bool
 	// viewed says that a view of the store was taken in, so that upstreams are known.
 	viewed atomic.Bool
@@ -69,7 +74,7 @@
 
 // New builds a process.
 func New(s *platform.Settings, log zerolog.Logger) (*Process, error) {
-	p := &Process{settings: s, log: log, metrics: metrics.NewRegistry(), gone: newDepartures()}
+	p := &Process{settings: s, log: log, metrics: metrics.NewRegistry(), gone: newDepartures(), entries: newInstanceEntries(platform.Instance)}
 	p.store = platform.NewStore(s.Store.Address, p.countStoreCall)
 	p.replicas = platform.NewReplicas()
 	p.assigner = assign.New()
@@ -262,7 +267,26 @@
 	if item, ok := v.items[platform.ConfigurationKey]; ok {
 		p.configure(item)
 	}
-	own := make(map[string]store.Item)
+	p.followOwn(v)
+	p.setInstances(v)
+	p.viewed.Store(true)
+}
+
+// followOwn takes in the keys of this project if they have changed. A revision is never given
+// twice, so that each change shows in the newest one or in the number of keys.
+func (p *Process) followOwn(v view) {
+	keys, newest := 0, int64(0)
+	for key, item := range v.items {
+		if strings.HasPrefix(key, ownPrefix) {
+			keys++
+			newest = max(newest, item.Revision)
+		}
+	}
+	if p.viewed.Load() && keys == p.ownKeys && newest == p.ownNewest {
+		return
+	}
+	p.ownKeys, p.ownNewest = keys, newest
+	own := make(map[string]store.Item, keys)
 	for key, item := range v.items {
 		if strings.HasPrefix(key, ownPrefix) {
 			own[key] = item
@@ -270,8 +294,6 @@
 	}
 	p.candidate.Observe(own)
 	p.fleet.observe(own)
-	p.setInstances(v)
-	p.viewed.Store(true)
 }
 
 // configure puts a configuration in force if it is newer than the one that is. A
