vm, aggregate: reports tell what has changed, and only what the receiver needs

Cause: a hub made each of some 200 reports a second by adding up what all its sources had told, for each receiver anew (1,000 items, 40 teams, 160 engines, 300 VMs), and told every VM all of it four times a second: demand and adapters in use, which only a leader needs, the name of every VM, every engine's load by model. Standbys got and gave as much as a hub, and each VM worked out its place among all others four times a second. By a profile this was half of what control costs. Change: sums are kept as reports come and number their changes (aggregate.Counters, Levels); a report tells what has changed since the version that the receiver has acknowledged in its own last report, so that a lost one is told again. A hub names who takes callers once, and who no longer does (roster). VMs that do not lead are not told of demand, adapters in use or loads by model; a VM that leads says so. Standbys are asked once a second, or as soon as the hub fails, and told nothing. The plan of partners is made anew when a VM has changed. An engine's contents are compared only after a change. Reports are taken in before they are answered, so that the answer acknowledges them. The world of hubs_test plays reports with acknowledgements now; its bounds are as they were.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -155,6 +155,19 @@
 	Requests int64
 }
 
+// Add returns the sum of two demands.
+func (d Demand) Add(other Demand) Demand {
+	return Demand{Work: d.Work + other.Work, Requests: d.Requests + other.Requests}
+}
+
+// Sub returns the difference of two demands.
+func (d Demand) Sub(other Demand) Demand {
+	return Demand{Work: d.Work - other.Work, Requests: d.Requests - other.Requests}
+}
+
+// IsZero reports whether nothing was asked for.
+func (d Demand) IsZero() bool { return d == Demand{} }
+
 // Demand returns what was asked for by item since the start.
 func (s *Assigner) Demand() map[string]Demand {
 	s.mu.Lock()
--- a/internal/assign/work.go
+++ b/internal/assign/work.go
@@ -42,24 +42,36 @@
 type Load struct {
 	Requests, PrefillTokens, KVTokens int
 	// ReadTotal is the engine time for reading prompts that one VM has given to the instance
-	// since it started. It is no part of sums.
+	// since it started.
 	ReadTotal time.Duration
 	// Running counts the requests by model.
 	Running map[string]int
 }
 
 // Add returns the sum of two loads.
-func (l Load) Add(other Load) Load {
-	sum := Load{
-		Requests: l.Requests + other.Requests, PrefillTokens: l.PrefillTokens + other.PrefillTokens, KVTokens: l.KVTokens + other.KVTokens,
+func (l Load) Add(other Load) Load { return l.combine(other, 1) }
+
+// Sub returns the difference of two loads.
+func (l Load) Sub(other Load) Load { return l.combine(other, -1) }
+
+func (l Load) combine(other Load, sign int) Load {
+	out := Load{
+		Requests: l.Requests + sign*other.Requests, PrefillTokens: l.PrefillTokens + sign*other.PrefillTokens,
+		KVTokens: l.KVTokens + sign*other.KVTokens, ReadTotal: l.ReadTotal + time.Duration(sign)*other.ReadTotal,
 		Running: make(map[string]int, len(l.Running)+len(other.Running)),
 	}
-	for _, running := range []map[string]int{l.Running, other.Running} {
-		for model, n := range running {
-			sum.Running[model] += n
+	maps.Copy(out.Running, l.Running)
+	for model, n := range other.Running {
+		if out.Running[model] += sign * n; out.Running[model] == 0 {
+			delete(out.Running, model)
 		}
 	}
-	return sum
+	return out
+}
+
+// IsZero reports whether nothing is in flight.
+func (l Load) IsZero() bool {
+	return l.Requests == 0 && l.PrefillTokens == 0 && l.KVTokens == 0 && l.ReadTotal == 0 && len(l.Running) == 0
 }
 
 // Loads returns this VM's work by instance.
--- a/internal/teamrate/limiter.go
+++ b/internal/teamrate/limiter.go
@@ -1,6 +1,7 @@
 package teamrate
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -165,7 +166,8 @@
 	}
 }
 
-// Report takes what another VM has admitted by team since its start.
+// Report takes what another VM has admitted by team since its start. Teams that are missing
+// have admitted nothing since its last report.
 func (l *Limiter) Report(vm string, incarnation int64, admitted map[string]float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -177,13 +179,15 @@
 	if p.incarnation != incarnation {
 		l.meet(p, incarnation, admitted)
 	}
-	for team, total := range admitted {
-		if b := l.teams[team]; b != nil {
-			b.noteOthers(total-p.admitted[team], now)
-			b.level = min(b.level+p.assumed[team]-(total-p.admitted[team]), l.depth(b.limit))
+	for team, b := range l.teams {
+		used := 0.0
+		if total, told := admitted[team]; told {
+			used = total - p.admitted[team]
+			b.noteOthers(used, now)
 		}
-		p.admitted[team] = total
+		b.level = min(b.level+p.assumed[team]-used, l.depth(b.limit))
 	}
+	maps.Copy(p.admitted, admitted)
 	p.incarnation, p.heard = incarnation, now
 	if p.weight > 1 {
 		l.heardMany = now
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -16,6 +16,8 @@
 	Capacity float64
 	// Silent VMs have not been heard for so long that they cannot serve as hubs.
 	Silent bool
+	// Leads says that the VM gives orders to engines.
+	Leads bool
 }
 
 // Partner is a VM to exchange reports with.
@@ -32,11 +34,14 @@
 type Scope int
 
 // The scopes. ScopeOwn is this VM alone, ScopeDomain the VMs that report to it, and
-// ScopeAll everyone it knows of but the receiver.
+// ScopeAll everyone it knows of but the receiver. ScopeAllForLeader is the same with what only
+// a leader needs. ScopePresence says no more than that the sender is there.
 const (
 	ScopeOwn Scope = iota
 	ScopeDomain
 	ScopeAll
+	ScopeAllForLeader
+	ScopePresence
 )
 
 // Plan is the place of one VM among the others.
@@ -128,11 +133,15 @@
 }
 
 // ScopeFor returns what a report to another VM has to cover: a hub tells its own VMs of
-// everyone, and other hubs of its domain.
+// everyone, and other hubs of its domain. A VM that is no hub tells only its hub what it does.
 func (p *Plan) ScopeFor(receiver VM) Scope {
 	switch {
-	case !p.IsHub():
+	case p.Mesh || p.Hub() == receiver.Name:
 		return ScopeOwn
+	case !p.IsHub():
+		return ScopePresence
+	case receiver.Domain == p.self.Domain && receiver.Leads:
+		return ScopeAllForLeader
 	case receiver.Domain == p.self.Domain:
 		return ScopeAll
 	}
@@ -152,5 +161,5 @@
 	case p.IsHub():
 		return scope == ScopeDomain
 	}
-	return scope == ScopeAll && sender.Name == p.hubs[p.self.Domain]
+	return (scope == ScopeAll || scope == ScopeAllForLeader) && sender.Name == p.hubs[p.self.Domain]
 }
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -90,5 +90,11 @@
 	require.Equal(t, ScopeAll, hub.ScopeFor(all[4]))
 	require.Equal(t, ScopeDomain, hub.ScopeFor(all[1]))
 	require.Equal(t, ScopeOwn, planOf(all, 4).ScopeFor(all[0]))
+	require.Equal(t, ScopePresence, planOf(all, 4).ScopeFor(all[8]))
+	leader := all[4]
+	leader.Leads = true
+	require.Equal(t, ScopeAllForLeader, hub.ScopeFor(leader))
+	require.True(t, planOf(all, 4).Accepts(all[0], ScopeAllForLeader))
+	require.False(t, hub.Accepts(all[4], ScopePresence))
 	require.Equal(t, ScopeOwn, planOf(vms(7, 4), 0).ScopeFor(all[1]))
 }
--- a/internal/vm/addresses.go
+++ b/internal/vm/addresses.go
@@ -19,7 +19,7 @@
 		out = append(out, f.p.settings.Callers)
 	}
 	for _, m := range f.members {
-		if m.ready && now.Sub(later(m.heard, m.started)) < unheardAfter {
+		if m.ready && now.Sub(f.lastSign(m)) < unheardAfter {
 			out = append(out, m.Callers)
 		}
 	}
--- a/internal/vm/contents.go
+++ b/internal/vm/contents.go
@@ -17,12 +17,20 @@
 	// token is of the leader that it stems from.
 	token   int64
 	engines map[string]*peerpb.EngineContents
-	// told is what each VM was told last, by instance.
-	told map[string]map[string]*peerpb.EngineContents
+	// changes counts the changes of engines.
+	changes uint64
+	told    map[string]toldContents
+}
+
+// toldContents is what a VM was told last, by instance, and the number of the last change if
+// that was everything.
+type toldContents struct {
+	engines map[string]*peerpb.EngineContents
+	changes uint64
 }
 
 func newContentsTable() contentsTable {
-	return contentsTable{engines: make(map[string]*peerpb.EngineContents), told: make(map[string]map[string]*peerpb.EngineContents)}
+	return contentsTable{engines: make(map[string]*peerpb.EngineContents), told: make(map[string]toldContents)}
 }
 
 // set replaces the table, on the leader. Engines that have not changed keep their value.
@@ -38,6 +46,9 @@
 			next[e.Instance] = old
 		}
 	}
+	if token != c.token || !maps.Equal(next, c.engines) {
+		c.changes++
+	}
 	c.token, c.engines = token, next
 }
 
@@ -56,6 +67,7 @@
 	}
 	if token > c.token {
 		c.token, c.engines = token, make(map[string]*peerpb.EngineContents)
+		c.changes++
 	}
 	var fresh []*peerpb.EngineContents
 	for _, e := range engines {
@@ -66,6 +78,9 @@
 		c.engines[e.Instance] = e
 		fresh = append(fresh, e)
 	}
+	if len(fresh) > 0 {
+		c.changes++
+	}
 	return fresh
 }
 
@@ -82,15 +97,22 @@
 		return
 	}
 	out.LeaderToken = c.token
-	told, now := c.told[receiver], make(map[string]*peerpb.EngineContents, len(c.engines))
+	told := c.told[receiver]
+	if told.changes == c.changes {
+		return
+	}
+	now := toldContents{engines: make(map[string]*peerpb.EngineContents, len(c.engines))}
 	for id, e := range c.engines {
-		if told[id] != e {
+		if told.engines[id] != e {
 			if len(out.Contents) == maxContents {
 				continue
 			}
 			out.Contents = append(out.Contents, e)
 		}
-		now[id] = e
+		now.engines[id] = e
+	}
+	if len(now.engines) == len(c.engines) {
+		now.changes = c.changes
 	}
 	c.told[receiver] = now
 }
--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -47,25 +47,34 @@
 // due names the VMs to exchange with. Of two partners one calls, so that each pair
 // exchanges once; the other one calls too when it hears nothing.
 func (f *fleet) due(everyone bool) []string {
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.arrange(time.Now())
+	f.forget(now)
+	f.noteRoster(now)
 	var out []string
 	for _, partner := range f.plan.Partners {
 		m := f.members[partner.Name]
-		if m == nil || m.calling {
-			continue
-		}
-		quiet := time.Since(later(m.heard, m.started)) > unheardAfter/2
-		if !everyone && !quiet && !partner.Call {
+		if m == nil || m.calling || (!everyone && !f.dueWith(partner, m, now)) {
 			continue
 		}
-		m.calling = true
+		m.calling, m.called = true, now
 		out = append(out, partner.Name)
 	}
 	return out
 }
 
+// dueWith reports whether it is time for an exchange with a partner. A standby only has to be
+// known to be there, unless the hub fails. It must be called with the lock held.
+func (f *fleet) dueWith(partner topology.Partner, m *member, now time.Time) bool {
+	if partner.Weight == 0 {
+		hub := f.members[f.plan.Hub()]
+		return hub == nil || hub.failures > 0 || now.Sub(m.called) >= standbyEvery
+	}
+	quiet := now.Sub(later(m.heard, m.started)) > unheardAfter/2
+	return partner.Call || quiet
+}
+
 func (f *fleet) exchange(ctx context.Context, vm string) {
 	f.mu.Lock()
 	m := f.members[vm]
@@ -87,7 +96,6 @@
 	}
 	f.mu.Unlock()
 	if err != nil {
-		f.sums.forget(vm)
 		f.p.planner.contents.forget(vm)
 		return
 	}
@@ -96,27 +104,40 @@
 
 // report is what this VM tells another one.
 func (f *fleet) report(receiver string) *peerpb.VMReport {
-	scope := f.scopeFor(receiver)
+	_, leads := f.p.candidate.Authority()
 	out := &peerpb.VMReport{
 		Vm: f.p.settings.VM, Incarnation: f.incarnation, Sequence: f.sequence.Add(1),
-		CallerAddress: f.p.settings.Callers, PeerAddress: f.p.peerAddress(), Ready: f.p.ready(),
-		Scope: int32(scope), ConfigurationRevision: f.p.configuration().Revision, ViewRevision: f.p.tracker.at(),
-		Leaving: f.p.gone.names(), Alive: f.alive(scope, receiver),
+		CallerAddress: f.p.settings.Callers, PeerAddress: f.p.peerAddress(), Ready: f.p.ready(), Leads: leads,
+		ConfigurationRevision: f.p.configuration().Revision, ViewRevision: f.p.tracker.at(),
+		Leaving: f.p.gone.names(),
+	}
+	scope, since := f.address(out, receiver)
+	out.Scope = int32(scope)
+	now := time.Now()
+	f.sums.setOwn(f.own, now)
+	f.sums.fill(out, scope, receiver, since, now)
+	if leads || (scope != topology.ScopeOwn && scope != topology.ScopePresence) {
+		f.p.planner.contents.describe(out, receiver)
 	}
-	f.sums.fill(out, scope, receiver, f.incarnationOf(receiver), f.own())
-	f.p.planner.contents.describe(out, receiver)
 	return out
 }
 
-// scopeFor returns what a report to another VM covers.
-func (f *fleet) scopeFor(receiver string) topology.Scope {
+// address puts into a report what was taken in of the receiver's reports. It returns the
+// report's scope, and the version that the receiver has acknowledged in that scope.
+func (f *fleet) address(out *peerpb.VMReport, receiver string) (scope topology.Scope, since uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[receiver]
 	if m == nil || f.plan == nil {
-		return topology.ScopeOwn
+		return topology.ScopePresence, 0
+	}
+	out.AcknowledgedIncarnation = m.Incarnation
+	out.Acknowledged, out.AcknowledgedScope = m.taken.version, int32(m.taken.scope)
+	scope = f.plan.ScopeFor(topology.VM{Name: receiver, Domain: m.Domain, Leads: m.leads})
+	if m.acknowledged.scope == scope {
+		since = m.acknowledged.version
 	}
-	return f.plan.ScopeFor(topology.VM{Name: receiver, Domain: m.Domain})
+	return scope, since
 }
 
 // own is the work of this VM.
@@ -126,36 +147,36 @@
 	}
 }
 
-func (f *fleet) incarnationOf(vm string) int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if m := f.members[vm]; m != nil {
-		return m.Incarnation
+// noteRoster notes on a hub which VMs take callers. It must be called with the lock held.
+func (f *fleet) noteRoster(now time.Time) {
+	if !f.plan.IsHub() {
+		return
 	}
-	return 0
+	f.sums.setRoster(func(r *roster) {
+		for vm, m := range f.members {
+			near := m.Domain == f.p.settings.FailureDomain
+			r.set(vm, near, m.ready && f.vouches(m, near, now))
+		}
+		r.keep(func(vm string) bool { return f.members[vm] != nil })
+	})
 }
 
-// alive names the VMs that take callers, as far as the scope goes.
-func (f *fleet) alive(scope topology.Scope, receiver string) []string {
-	if scope == topology.ScopeOwn {
-		return nil
-	}
-	now := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []string
-	for vm, m := range f.members {
-		near := m.Domain == f.p.settings.FailureDomain
-		if vm != receiver && m.ready && now.Sub(m.heard) < unheardAfter/2 && (near || scope == topology.ScopeAll) {
-			out = append(out, vm)
-		}
+// vouches reports whether a hub can say that a VM lives: it heard itself those of its own
+// domain, and hears of the others through their hubs.
+func (f *fleet) vouches(m *member, near bool, now time.Time) bool {
+	heard := m.heard
+	if hub := f.members[m.vouched]; !near && hub != nil {
+		heard = later(heard, hub.heard)
 	}
-	return out
+	return now.Sub(heard) < unheardAfter/2
 }
 
 // take takes in what another VM tells.
 func (f *fleet) take(ctx context.Context, r *peerpb.VMReport) {
 	now := time.Now()
+	// What two reports of a VM tell has to be taken in in the order of their acceptance.
+	f.taking.Lock()
+	defer f.taking.Unlock()
 	f.mu.Lock()
 	m := f.members[r.Vm]
 	if m != nil && r.Incarnation > m.Incarnation {
@@ -165,18 +186,20 @@
 		f.mu.Unlock()
 		return
 	}
-	m.sequence, m.heard, m.ready = r.Sequence, now, r.Ready
-	for _, vm := range r.Alive {
-		if other := f.members[vm]; other != nil {
-			other.heard, other.ready = now, true
-		}
+	m.sequence, m.heard, m.ready, m.leads = r.Sequence, now, r.Ready, r.Leads
+	m.acknowledged = progress{}
+	if r.AcknowledgedIncarnation == f.incarnation {
+		m.acknowledged = progress{topology.Scope(r.AcknowledgedScope), r.Acknowledged}
+	}
+	accepted := f.accepts(m, r)
+	if accepted {
+		f.takeRoster(r)
 	}
-	address, domain := m.Peers, m.Domain
-	near := domain == f.p.settings.FailureDomain
-	plan := f.plan
+	address := m.Peers
+	near := m.Domain == f.p.settings.FailureDomain
 	f.mu.Unlock()
-	if plan != nil && plan.Accepts(topology.VM{Name: r.Vm, Domain: domain}, topology.Scope(r.Scope)) {
-		f.takeWork(r, plan.Mesh, near, now)
+	if accepted {
+		f.takeWork(r, near, now)
 	}
 	f.p.planner.hearContents(r)
 	if r.ViewRevision > f.p.tracker.at() {
@@ -185,7 +208,43 @@
 	f.p.newer.heard(r.ConfigurationRevision, now)
 	// A hub tells this VM of the same configuration in its next answer.
 	if r.ConfigurationRevision > f.p.configuration().Revision && !f.p.tracker.followsHub() {
-		f.fetchConfiguration(ctx, address)
+		go f.fetchConfiguration(context.WithoutCancel(ctx), address)
+	}
+}
+
+// accepts reports whether what a report covers counts here, and notes that it is taken in. A
+// report that builds on what was not taken in is of no use. It must be called with the lock
+// held.
+func (f *fleet) accepts(m *member, r *peerpb.VMReport) bool {
+	scope := topology.Scope(r.Scope)
+	if f.plan == nil || !f.plan.Accepts(topology.VM{Name: r.Vm, Domain: m.Domain}, scope) {
+		return false
+	}
+	if r.Since > 0 && (m.taken.scope != scope || r.Since > m.taken.version) {
+		return false
+	}
+	m.taken = progress{scope, r.Version}
+	return true
+}
+
+// takeRoster takes in which VMs a hub vouches for. It must be called with the lock held.
+func (f *fleet) takeRoster(r *peerpb.VMReport) {
+	if r.Since == 0 {
+		for _, other := range f.members {
+			if other.vouched == r.Vm {
+				other.vouched = ""
+			}
+		}
+	}
+	for _, vm := range r.Alive {
+		if other := f.members[vm]; other != nil {
+			other.vouched, other.ready = r.Vm, true
+		}
+	}
+	for _, vm := range r.Silent {
+		if other := f.members[vm]; other != nil && other.vouched == r.Vm {
+			other.vouched, other.ready = "", false
+		}
 	}
 }
 
@@ -197,20 +256,31 @@
 	next := &member{registration: m.registration, registered: m.registered, revision: m.revision, started: now, calling: m.calling}
 	next.Incarnation, next.Callers, next.Peers = r.Incarnation, r.CallerAddress, r.PeerAddress
 	f.members[r.Vm] = next
+	f.rearrange = true
 	return next
 }
 
 // takeWork takes in what the VMs do that a report covers.
-func (f *fleet) takeWork(r *peerpb.VMReport, mesh, near bool, now time.Time) {
-	if !mesh {
-		f.sums.take(r, near, now)
+func (f *fleet) takeWork(r *peerpb.VMReport, near bool, now time.Time) {
+	if !f.sums.take(r, near, now) {
+		f.askForAll(r.Vm)
+		return
 	}
-	f.p.assigner.SetOthers(r.Vm, loadsOf(r.Engines), now)
+	f.p.assigner.SetOthers(r.Vm, f.sums.loadsAt(r.Vm), now)
 	f.p.limiter.Report(r.Vm, r.Incarnation, r.Admitted, now)
 	f.p.planner.heardDemand(r.Vm, r.Incarnation, demandOf(r.Demand), now)
 	f.p.planner.heardUse(r.InUse, now)
 }
 
+// askForAll makes a VM tell everything in its next report.
+func (f *fleet) askForAll(vm string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[vm]; m != nil {
+		m.taken = progress{}
+	}
+}
+
 // fetchConfiguration reads a newer configuration from another VM. The store may
 // turn this VM away while others have learnt of a key that was withdrawn. Every report that
 // names a newer one calls this, and all of them at once would take the link from each other.
@@ -243,7 +313,7 @@
 
 // Exchange implements peerpb.VMsServer.
 func (s *vmServer) Exchange(ctx context.Context, in *peerpb.VMReport) (*peerpb.VMReport, error) {
-	go s.p.fleet.take(context.WithoutCancel(ctx), in)
+	s.p.fleet.take(ctx, in)
 	return s.p.fleet.report(in.Vm), nil
 }
 
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -27,6 +27,9 @@
 	// exchangeEvery is how often a VM exchanges reports with each other one. Rates
 	// and the choice of engines work on what is this old.
 	exchangeEvery = 250 * time.Millisecond
+	// standbyEvery is how often a VM exchanges reports with those that would take its hub's
+	// place.
+	standbyEvery = time.Second
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 700 * time.Millisecond
 	// unheardAfter is how long a VM may be silent before callers are no longer sent
@@ -63,9 +66,14 @@
 	sums *sums
 	sent *sendings
 
+	// taking serializes the taking in of reports.
+	taking sync.Mutex
+
 	mu      sync.Mutex
 	members map[string]*member
 	plan    *topology.Plan
+	// rearrange says that the members have changed since the plan was made.
+	rearrange bool
 }
 
 // member is another VM.
@@ -80,8 +88,25 @@
 	sequence       uint64
 	ready          bool
 	calling        bool
+	// called is when the last exchange with it began.
+	called time.Time
 	// failures counts the exchanges in a row that failed.
 	failures int
+	// silent says that it cannot serve as a hub.
+	silent bool
+	// vouched names the hub that says that it takes callers, "" if none does.
+	vouched string
+	// leads says that it gives orders to engines.
+	leads bool
+	// taken is what was taken in of its reports, acknowledged what it has taken in of ours.
+	taken, acknowledged progress
+}
+
+// progress is how much of a VM's reports another one has taken in. It begins anew when the
+// scope of the reports changes.
+type progress struct {
+	scope   topology.Scope
+	version uint64
 }
 
 func newFleet(p *Process) *fleet {
@@ -169,6 +194,7 @@
 			f.p.log.Info().Str("event", "vm_known").Str("peer", vm).Str("peers", r.Peers).Send()
 		}
 		m.registration, m.registered, m.revision = r, true, item.Revision
+		f.rearrange = true
 	}
 	f.forget(now)
 }
@@ -177,19 +203,30 @@
 // partners anew. It must be called with the lock held.
 func (f *fleet) forget(now time.Time) {
 	for vm, m := range f.members {
-		if !m.registered && now.Sub(later(m.heard, m.started)) > forgetAfter {
+		if !m.registered && now.Sub(f.lastSign(m)) > forgetAfter {
 			delete(f.members, vm)
+			f.rearrange = true
 			f.p.log.Info().Str("event", "vm_forgotten").Str("peer", vm).Send()
 		}
 	}
 	f.arrange(now)
 }
 
-// arrange works out with whom to exchange. It must be called with the lock held.
+// arrange works out with whom to exchange, if anything has changed that this depends on. It
+// must be called with the lock held.
 func (f *fleet) arrange(now time.Time) {
+	for _, m := range f.members {
+		if silent := m.silentHub(now); silent != m.silent {
+			m.silent, f.rearrange = silent, true
+		}
+	}
+	if f.plan != nil && !f.rearrange {
+		return
+	}
+	f.rearrange = false
 	others := make([]topology.VM, 0, len(f.members))
 	for vm, m := range f.members {
-		others = append(others, topology.VM{Name: vm, Domain: m.Domain, Capacity: m.LinkMbps, Silent: m.silentHub(now)})
+		others = append(others, topology.VM{Name: vm, Domain: m.Domain, Capacity: m.LinkMbps, Silent: m.silent})
 	}
 	f.plan = topology.New(f.selfVM(), others)
 	weights := make(map[string]int, len(f.plan.Partners))
@@ -198,6 +235,12 @@
 			weights[partner.Name] = partner.Weight
 		}
 	}
+	for vm, m := range f.members {
+		if weights[vm] == 0 {
+			// What it tells is not counted, and what it told is forgotten.
+			m.taken = progress{}
+		}
+	}
 	f.p.limiter.SetPeers(weights, now)
 	f.p.assigner.SetVMs(len(others) + 1)
 }
@@ -242,6 +285,16 @@
 	return f.plan != nil && f.plan.Hub() == ""
 }
 
+// lastSign returns when a VM was last known to live: heard itself, or through the hub that
+// vouches for it. It must be called with the lock held.
+func (f *fleet) lastSign(m *member) time.Time {
+	sign := later(m.heard, m.started)
+	if hub := f.members[m.vouched]; hub != nil {
+		sign = later(sign, hub.heard)
+	}
+	return sign
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/vm/hubs_test.go
+++ b/internal/vm/hubs_test.go
@@ -29,6 +29,8 @@
 	limiters []*teamrate.Limiter
 	sums     []*sums
 	admitted []float64
+	// taken is what one VM has taken in of another one's reports.
+	taken map[[2]int]progress
 	// asked and refused count units.
 	asked, refused float64
 	// unheard says which VMs do not hear which others.
@@ -36,7 +38,7 @@
 }
 
 func newHubWorld() *hubWorld {
-	w := &hubWorld{now: time.Now(), unheard: func(int, int) bool { return false }}
+	w := &hubWorld{now: time.Now(), taken: make(map[[2]int]progress), unheard: func(int, int) bool { return false }}
 	for i := range hubTestVMs {
 		born := w.now.UnixNano() + int64(i)
 		l := teamrate.New(teamrate.Tolerance{Units: hubTestSlack, Window: hubTestWindow}, born)
@@ -75,6 +77,11 @@
 			weights[p.Name] = p.Weight
 		}
 		w.limiters[i].SetPeers(weights, w.now)
+		for j := range w.vms {
+			if weights[w.vms[j].Name] == 0 {
+				delete(w.taken, [2]int{i, j})
+			}
+		}
 		for _, p := range plan.Partners {
 			j := w.index(p.Name)
 			if p.Call && !w.vms[i].Silent && !w.vms[j].Silent && !w.unheard(i, j) {
@@ -101,8 +108,17 @@
 	}
 	r := &peerpb.VMReport{Vm: w.vms[from].Name, Incarnation: w.born[from]}
 	demand := map[string]assign.Demand{"m": {Work: time.Duration(from) * time.Microsecond, Requests: 1}}
-	w.sums[from].fill(r, scope, w.vms[to].Name, w.born[to], work{admitted: w.limiters[from].Admitted(), demand: demand})
-	w.sums[to].take(r, w.vms[from].Domain == w.vms[to].Domain, w.now)
+	w.sums[from].setOwn(func() work { return work{admitted: w.limiters[from].Admitted(), demand: demand} }, w.now)
+	taken := w.taken[[2]int{to, from}]
+	if taken.scope != scope {
+		taken = progress{}
+	}
+	w.sums[from].fill(r, scope, w.vms[to].Name, taken.version, w.now)
+	if !w.sums[to].take(r, w.vms[from].Domain == w.vms[to].Domain, w.now) {
+		delete(w.taken, [2]int{to, from})
+		return
+	}
+	w.taken[[2]int{to, from}] = progress{scope, r.Version}
 	w.limiters[to].Report(r.Vm, r.Incarnation, r.Admitted, w.now)
 }
 
--- a/internal/vm/sums.go
+++ b/internal/vm/sums.go
@@ -1,7 +1,6 @@
 package vm
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -12,24 +11,33 @@
 	"github.com/chestnutarch/chestnutarch/internal/topology"
 )
 
-// loadsLifetime is how long another VM's loads are passed on.
-const loadsLifetime = time.Second
+const (
+	// loadsLifetime is how long another VM's loads are passed on.
+	loadsLifetime = time.Second
+	// ownLifetime is how old this VM's own work may be in a report. A hub makes hundreds of
+	// reports a second.
+	ownLifetime = 25 * time.Millisecond
+)
 
 // sums adds up what other VMs report, for the reports in which this VM stands for them.
 type sums struct {
-	mu                       sync.Mutex
-	admitted, work, requests *aggregate.Counters
-	loads                    map[string]loadReport
-	// told is what each VM was told last, so that demand that stands still is left out.
-	told map[string]*told
+	mu       sync.Mutex
+	version  aggregate.Version
+	admitted *aggregate.Counters[aggregate.Count]
+	demand   *aggregate.Counters[assign.Demand]
+	loads    *aggregate.Levels[assign.Load]
+	roster   *roster
+	// inUse names the adapters that other VMs use.
+	inUse map[string]adaptersInUse
+	own   work
+	ownAt time.Time
 }
 
-// loadReport is what a VM has in flight.
-type loadReport struct {
+// adaptersInUse is what a VM told of adapters that its requests in flight use.
+type adaptersInUse struct {
 	at    time.Time
 	near  bool
-	loads map[string]assign.Load
-	inUse []string
+	items []string
 }
 
 // work is what one VM does, or many.
@@ -41,108 +49,126 @@
 	inUse []string
 }
 
-// told is what an incarnation of a VM was told.
-type told struct {
-	incarnation int64
-	items       map[string]assign.Demand
+func newSums(started int64) *sums {
+	s := &sums{inUse: make(map[string]adaptersInUse)}
+	s.admitted = aggregate.NewCounters[aggregate.Count](started, &s.version)
+	s.demand = aggregate.NewCounters[assign.Demand](started, &s.version)
+	s.loads = aggregate.NewLevels[assign.Load](loadsLifetime, &s.version)
+	s.roster = newRoster(&s.version)
+	return s
 }
 
-func newSums(started int64) *sums {
-	return &sums{
-		admitted: aggregate.NewCounters(started), work: aggregate.NewCounters(started),
-		requests: aggregate.NewCounters(started), loads: make(map[string]loadReport),
-		told: make(map[string]*told),
+// take takes a report in. near says that its sender is of the own failure domain. It returns
+// false if the sender has to tell everything anew.
+func (s *sums) take(r *peerpb.VMReport, near bool, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.loads.Take(r.Vm, near, r.Since == 0, loadsOf(r.Engines), now) {
+		return false
 	}
+	s.admitted.Take(r.Vm, r.Incarnation, near, countsOf(r.Admitted), now)
+	s.demand.Take(r.Vm, r.Incarnation, near, demandOf(r.Demand), now)
+	s.inUse[r.Vm] = adaptersInUse{at: now, near: near, items: r.InUse}
+	return true
+}
+
+// loadsAt returns the work in flight of another VM, or of those for which it reports.
+func (s *sums) loadsAt(vm string) map[string]assign.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loads.Of(vm)
 }
 
-// take takes a report in. near says that its sender is of the own failure domain.
-func (s *sums) take(r *peerpb.VMReport, near bool, now time.Time) {
-	work, requests := make(map[string]float64, len(r.Demand)), make(map[string]float64, len(r.Demand))
-	for item, d := range r.Demand {
-		work[item], requests[item] = float64(d.GetWorkUs()), float64(d.GetRequests())
+// setOwn takes this VM's own work if what is known of it is old.
+func (s *sums) setOwn(own func() work, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.ownAt) < ownLifetime {
+		return
 	}
+	s.own, s.ownAt = own(), now
+	s.admitted.SetOwn(countsOf(s.own.admitted))
+	s.demand.SetOwn(s.own.demand)
+	s.loads.SetOwn(s.own.loads)
+}
+
+// setRoster notes which VMs take callers.
+func (s *sums) setRoster(note func(*roster)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.admitted.Take(r.Vm, r.Incarnation, near, r.Admitted, now)
-	s.work.Take(r.Vm, r.Incarnation, near, work, now)
-	s.requests.Take(r.Vm, r.Incarnation, near, requests, now)
-	s.loads[r.Vm] = loadReport{at: now, near: near, loads: loadsOf(r.Engines), inUse: r.InUse}
+	note(s.roster)
 }
 
-// fill puts the counters and loads into a report, as far as its scope goes.
-func (s *sums) fill(out *peerpb.VMReport, scope topology.Scope, receiver string, incarnation int64, w work) {
+// fill puts the counters and loads into a report, as far as its scope goes and as they have
+// changed since a number that the receiver has acknowledged.
+func (s *sums) fill(out *peerpb.VMReport, scope topology.Scope, receiver string, since uint64, now time.Time) {
+	if scope == topology.ScopePresence {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if since > s.version.Number() || !s.loads.Known(since) || !s.roster.remembers(since) {
+		since = 0
+	}
+	covered := min(scope, topology.ScopeAll)
+	// The changes that expire now are part of the version that is told.
+	loads := s.loads.Since(covered, since, receiver, now)
+	out.Since, out.Version = since, s.version.Number()
+	out.Admitted = floatsOf(s.admitted.Since(covered, since, receiver))
+	for id, l := range loads {
+		out.Engines = append(out.Engines, engineLoad(id, reported(l, scope)))
+	}
 	if scope != topology.ScopeOwn {
-		near := scope == topology.ScopeDomain
-		w.admitted = s.admitted.Sum(w.admitted, near, receiver)
-		w.demand = s.demand(w.demand, near, receiver)
-		w.loads, w.inUse = s.inFlight(w, near, receiver)
+		out.Alive, out.Silent = s.roster.since(scope, since, receiver)
 	}
-	out.Admitted, out.InUse = w.admitted, w.inUse
-	out.Demand = demandReport(s.changed(receiver, incarnation, w.demand))
-	for id, l := range w.loads {
-		out.Engines = append(out.Engines, engineLoad(id, l))
+	if scope != topology.ScopeAll {
+		out.Demand = demandReport(s.demand.Since(covered, since, receiver))
+		out.InUse = s.adaptersInUse(scope, receiver, now)
 	}
 }
 
-func (s *sums) demand(own map[string]assign.Demand, near bool, except string) map[string]assign.Demand {
-	work, requests := make(map[string]float64, len(own)), make(map[string]float64, len(own))
-	for item, d := range own {
-		work[item], requests[item] = float64(d.Work.Microseconds()), float64(d.Requests)
+// reported is the part of a load that a report of a scope tells.
+func reported(l assign.Load, scope topology.Scope) assign.Load {
+	if scope != topology.ScopeOwn {
+		l.ReadTotal = 0
 	}
-	work, requests = s.work.Sum(work, near, except), s.requests.Sum(requests, near, except)
-	out := make(map[string]assign.Demand, len(work))
-	for item, n := range work {
-		out[item] = assign.Demand{Work: time.Duration(n) * time.Microsecond, Requests: int64(requests[item])}
+	if scope == topology.ScopeAll {
+		l.Running = nil
 	}
-	return out
+	return l
 }
 
-// inFlight adds up what is in flight.
-func (s *sums) inFlight(own work, near bool, except string) (map[string]assign.Load, []string) {
-	now := time.Now()
-	loads, inUse := maps.Clone(own.loads), slices.Clone(own.inUse)
-	if loads == nil {
-		loads = make(map[string]assign.Load)
+// adaptersInUse names the adapters in use as far as a scope goes.
+func (s *sums) adaptersInUse(scope topology.Scope, except string, now time.Time) []string {
+	out := slices.Clone(s.own.inUse)
+	if scope == topology.ScopeOwn {
+		return out
 	}
-	for vm, r := range s.loads {
+	for vm, r := range s.inUse {
 		if now.Sub(r.at) > loadsLifetime {
-			delete(s.loads, vm)
-			continue
-		}
-		if vm == except || (near && !r.near) {
+			delete(s.inUse, vm)
 			continue
 		}
-		inUse = append(inUse, r.inUse...)
-		for id, l := range r.loads {
-			loads[id] = loads[id].Add(l)
+		if vm != except && (r.near || scope != topology.ScopeDomain) {
+			out = append(out, r.items...)
 		}
 	}
-	slices.Sort(inUse)
-	return loads, slices.Compact(inUse)
+	slices.Sort(out)
+	return slices.Compact(out)
 }
 
-// forget makes the next report to a VM whole: it may not have got the last one.
-func (s *sums) forget(vm string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.told, vm)
+func countsOf(totals map[string]float64) map[string]aggregate.Count {
+	out := make(map[string]aggregate.Count, len(totals))
+	for name, n := range totals {
+		out[name] = aggregate.Count(n)
+	}
+	return out
 }
 
-// changed is the part of the demand that the receiver was not told yet.
-func (s *sums) changed(receiver string, incarnation int64, demand map[string]assign.Demand) map[string]assign.Demand {
-	t := s.told[receiver]
-	if t == nil || t.incarnation != incarnation {
-		t = &told{incarnation: incarnation, items: make(map[string]assign.Demand)}
-		s.told[receiver] = t
-	}
-	out := make(map[string]assign.Demand)
-	for item, d := range demand {
-		if t.items[item] != d {
-			out[item] = d
-			t.items[item] = d
-		}
+func floatsOf(counts map[string]aggregate.Count) map[string]float64 {
+	out := make(map[string]float64, len(counts))
+	for name, n := range counts {
+		out[name] = float64(n)
 	}
 	return out
 }
