teamrate: a low bucket is shared by what all VMs are asked for

Cause: while a team's bucket is low each VM admitted what its own part of the rate gives in 0.3 s. In a large fleet a VM sees a request of a team every few seconds, and one request is larger than that part: nearly all were refused, though all VMs together were asked for half of the rate.

--- a/internal/teamrate/limiter.go
+++ b/internal/teamrate/limiter.go
@@ -76,7 +76,9 @@
 	vms float64
 	// heardMany is when a VM that reports for many was last heard.
 	heardMany time.Time
-	draw      *rand.Rand
+	// started is when the VM first knew of others.
+	started time.Time
+	draw    *rand.Rand
 }
 
 type bucket struct {
@@ -90,6 +92,10 @@
 	heard  time.Time
 	// pace is what this VM may admit while the bucket is low.
 	pace float64
+	// asked is what all VMs are asked for, offered what this one was asked for since it
+	// started.
+	asked   asking
+	offered float64
 }
 
 // peer is another VM that reports.
@@ -98,8 +104,10 @@
 	weight      float64
 	incarnation int64
 	heard       time.Time
-	// admitted is what it has reported by team.
-	admitted map[string]float64
+	// admitted is what it has reported by team, asked what it was asked for.
+	admitted, asked map[string]float64
+	// since is when it was first heard.
+	since time.Time
 	// assumed is what was taken from the buckets for it while it was silent.
 	assumed map[string]float64
 }
@@ -151,11 +159,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refillAll(now)
+	if l.started.IsZero() {
+		l.started = now
+	}
 	l.vms = 1
 	for vm, weight := range weights {
 		l.vms += float64(weight)
 		if l.peers[vm] == nil {
-			l.peers[vm] = &peer{admitted: make(map[string]float64), assumed: make(map[string]float64)}
+			l.peers[vm] = &peer{admitted: make(map[string]float64), asked: make(map[string]float64), assumed: make(map[string]float64)}
 		}
 		l.peers[vm].weight = float64(weight)
 	}
@@ -166,9 +177,9 @@
 	}
 }
 
-// Report takes what another VM has admitted by team since its start. Teams that are missing
-// have admitted nothing since its last report.
-func (l *Limiter) Report(vm string, incarnation int64, admitted map[string]float64, now time.Time) {
+// Report takes what another VM has admitted and was asked for by team since its start. Teams
+// that are missing have the same totals as in its last report.
+func (l *Limiter) Report(vm string, incarnation int64, admitted, asked map[string]float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.peers[vm]
@@ -178,7 +189,11 @@
 	l.refillAll(now)
 	if p.incarnation != incarnation {
 		l.meet(p, incarnation, admitted)
+		p.since = now
+		clear(p.asked)
+		maps.Copy(p.asked, asked)
 	}
+	l.noteAsked(p, asked, now)
 	for team, b := range l.teams {
 		used := 0.0
 		if total, told := admitted[team]; told {
@@ -225,6 +240,17 @@
 	return out
 }
 
+// Asked returns what this VM was asked for by team since it started.
+func (l *Limiter) Asked() map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]float64, len(l.teams))
+	for team, b := range l.teams {
+		out[team] = b.offered
+	}
+	return out
+}
+
 // Take admits a request of so many units, or says when there will be enough. A
 // request larger than the bucket passes when the bucket is full.
 func (l *Limiter) Take(team string, units float64, now time.Time) (ok bool, retryAfter time.Duration) {
@@ -235,16 +261,15 @@
 		return true, 0
 	}
 	l.refill(team, b, now)
+	b.offered += units
+	b.asked.add(units, now)
 	need := min(units, l.depth(b.limit))
 	if b.level < need {
 		wait := time.Duration((need - b.level) / l.flow(b.limit) * float64(time.Second))
 		return false, min(max(wait, shortestWait), largestWait)
 	}
 	low := b.level < pressed*l.depth(b.limit)
-	if low && l.draw.Float64()*units >= b.pace {
-		// A request larger than the pace passes with the chance that makes up for its
-		// size. If each VM let one pass whatever its size, sixty VMs together would let
-		// through twice a team's rate in the moment in which they start.
+	if low && l.draw.Float64() >= l.chance(b, units, now) {
 		wait := time.Duration((units - b.pace) / l.paceRate(b.limit) * float64(time.Second))
 		return false, min(max(wait, shortestWait), largestWait)
 	}
@@ -258,11 +283,15 @@
 
 // paceRate is what this VM may admit a second while the bucket is low.
 func (l *Limiter) paceRate(limit Limit) float64 {
-	share := paceShare
-	if !l.heardMany.IsZero() {
-		share = paceShareMany
+	return l.flow(limit) * min(1, l.share()/max(1, l.vms))
+}
+
+// share is how much of the rate all VMs together may admit while a bucket is low.
+func (l *Limiter) share() float64 {
+	if l.heardMany.IsZero() {
+		return paceShare
 	}
-	return l.flow(limit) * min(1, share/max(1, l.vms))
+	return paceShareMany
 }
 
 // Return gives back what a request took that did not run.
@@ -306,7 +335,13 @@
 		return
 	}
 	part := accrued / l.vms
+	starting := now.Sub(l.started) < startTime
 	for _, p := range l.peers {
+		if starting && p.heard.IsZero() {
+			// It may have started too. Until they hear each other, startChance bounds what
+			// all admit.
+			continue
+		}
 		if now.Sub(p.heard) > silentAfter {
 			used := part * p.weight
 			if p.weight > 1 && now.Sub(l.heardMany) < handover {
--- a/internal/teamrate/limiter_test.go
+++ b/internal/teamrate/limiter_test.go
@@ -46,6 +46,7 @@
 	from, to int
 	born     int64
 	admitted map[string]float64
+	asked    map[string]float64
 }
 
 func newVMs(n int, rate float64) *vms {
@@ -105,7 +106,7 @@
 		for i, l := range w.limiters {
 			for j := range w.limiters {
 				if i != j && !w.cut[i] && !w.cut[j] {
-					w.inflight = append(w.inflight, report{w.now.Add(testLag + time.Duration(r.Int64N(int64(testJitter)))), w.now, i, j, w.born[i], l.Admitted()})
+					w.inflight = append(w.inflight, report{w.now.Add(testLag + time.Duration(r.Int64N(int64(testJitter)))), w.now, i, j, w.born[i], l.Admitted(), l.Asked()})
 				}
 			}
 		}
@@ -118,7 +119,7 @@
 		}
 		if m.born == w.born[m.from] && m.at.After(w.newest[[2]int{m.from, m.to}]) {
 			w.newest[[2]int{m.from, m.to}] = m.at
-			w.limiters[m.to].Report(fmt.Sprint(m.from), m.born, m.admitted, w.now)
+			w.limiters[m.to].Report(fmt.Sprint(m.from), m.born, m.admitted, m.asked, w.now)
 		}
 	}
 	w.inflight = later
@@ -253,3 +254,67 @@
 		require.Less(t, w.worst(), w.allowed(), "rate %v, seed %d", rate, seed)
 	}
 }
+
+// All VMs of a large fleet lose power and start again while a team asks for little more than
+// half of its rate. Each VM sees one of its requests every few seconds, and one that admits
+// only what its own part of the rate gives in a moment refuses nearly all of them until the
+// bucket has filled: callers at the counter wait for seconds beside an idle fleet.
+func TestTeamInsideItsRateIsServedSoonAfterAllVMsStartAgain(t *testing.T) {
+	const fleet, rate = 60, 100_000.0
+	asked, refused := 0.0, 0.0
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 6))
+		w := newVMs(fleet, rate)
+		for range 300 {
+			w.step(r, even(fleet, rate/1.8), 3500)
+		}
+		for vm := range w.limiters {
+			w.restart(vm)
+		}
+		w.asked, w.refused = 0, 0
+		for range 150 {
+			w.step(r, even(fleet, rate/1.8), 3500)
+		}
+		asked, refused = asked+w.asked, refused+w.refused
+	}
+	require.Less(t, refused/asked, 0.25, "three of four are served within a second and a half")
+}
+
+// A team of a large fleet asks for several times its rate. Its rate is its own all the same:
+// a VM that sees few of its requests must not refuse what the rate has room for.
+func TestHotTeamOfALargeFleetGetsItsRate(t *testing.T) {
+	const fleet, rate = 60, 100_000.0
+	for seed := range uint64(4) {
+		r := rand.New(rand.NewPCG(seed, 7))
+		w := newVMs(fleet, rate)
+		for range 300 {
+			w.step(r, even(fleet, rate/1.8), 3500)
+		}
+		before := len(w.admitted)
+		for range 1200 {
+			w.step(r, even(fleet, 4*rate), 3500)
+		}
+		served := 0.0
+		for _, u := range w.admitted[before:] {
+			served += u
+		}
+		require.Less(t, w.worst(), w.allowed(), "seed %d", seed)
+		require.Greater(t, served, 0.9*rate*12, "seed %d", seed)
+	}
+}
+
+// A VM reports before anybody has asked it for anything, so that its first report names no
+// team. The next one must be taken in like any other.
+func TestReportWithoutTeamsIsFollowedByOthers(t *testing.T) {
+	now := time.Now()
+	levelAfter := func(used float64) float64 {
+		l := New(Tolerance{Units: testSlack, Window: testWindow}, 1)
+		l.SetLimits(map[string]Limit{"team": {Rate: 1000, Burst: 1000}}, now)
+		l.SetPeers(map[string]int{"b": 1}, now)
+		l.Report("b", 2, nil, nil, now)
+		l.Report("b", 2, map[string]float64{"team": used}, map[string]float64{"team": used}, now.Add(testReport))
+		level, _ := l.Level("team")
+		return level
+	}
+	require.InDelta(t, levelAfter(0)-200, levelAfter(200), 1e-6)
+}
--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -143,7 +143,7 @@
 // own is the work of this VM.
 func (f *fleet) own() work {
 	return work{
-		admitted: f.p.limiter.Admitted(), demand: f.p.assigner.Demand(), loads: f.p.assigner.Loads(), inUse: f.p.assigner.InUse(),
+		admitted: f.p.limiter.Admitted(), asked: f.p.limiter.Asked(), demand: f.p.assigner.Demand(), loads: f.p.assigner.Loads(), inUse: f.p.assigner.InUse(),
 	}
 }
 
@@ -267,7 +267,7 @@
 		return
 	}
 	f.p.assigner.SetOthers(r.Vm, f.sums.loadsAt(r.Vm), now)
-	f.p.limiter.Report(r.Vm, r.Incarnation, r.Admitted, now)
+	f.p.limiter.Report(r.Vm, r.Incarnation, r.Admitted, r.Asked, now)
 	f.p.planner.heardDemand(r.Vm, r.Incarnation, demandOf(r.Demand), now)
 	f.p.planner.heardUse(r.InUse, now)
 }
--- a/internal/vm/sums.go
+++ b/internal/vm/sums.go
@@ -24,6 +24,7 @@
 	mu       sync.Mutex
 	version  aggregate.Version
 	admitted *aggregate.Counters[aggregate.Count]
+	asked    *aggregate.Counters[aggregate.Count]
 	demand   *aggregate.Counters[assign.Demand]
 	loads    *aggregate.Levels[assign.Load]
 	roster   *roster
@@ -43,8 +44,10 @@
 // work is what one VM does, or many.
 type work struct {
 	admitted map[string]float64
-	demand   map[string]assign.Demand
-	loads    map[string]assign.Load
+	// asked is what teams asked for, admitted or not.
+	asked  map[string]float64
+	demand map[string]assign.Demand
+	loads  map[string]assign.Load
 	// inUse names adapters that requests in flight use.
 	inUse []string
 }
@@ -52,6 +55,7 @@
 func newSums(started int64) *sums {
 	s := &sums{inUse: make(map[string]adaptersInUse)}
 	s.admitted = aggregate.NewCounters[aggregate.Count](started, &s.version)
+	s.asked = aggregate.NewCounters[aggregate.Count](started, &s.version)
 	s.demand = aggregate.NewCounters[assign.Demand](started, &s.version)
 	s.loads = aggregate.NewLevels[assign.Load](loadsLifetime, &s.version)
 	s.roster = newRoster(&s.version)
@@ -67,6 +71,7 @@
 		return false
 	}
 	s.admitted.Take(r.Vm, r.Incarnation, near, countsOf(r.Admitted), now)
+	s.asked.Take(r.Vm, r.Incarnation, near, countsOf(r.Asked), now)
 	s.demand.Take(r.Vm, r.Incarnation, near, demandOf(r.Demand), now)
 	s.inUse[r.Vm] = adaptersInUse{at: now, near: near, items: r.InUse}
 	return true
@@ -88,6 +93,7 @@
 	}
 	s.own, s.ownAt = own(), now
 	s.admitted.SetOwn(countsOf(s.own.admitted))
+	s.asked.SetOwn(countsOf(s.own.asked))
 	s.demand.SetOwn(s.own.demand)
 	s.loads.SetOwn(s.own.loads)
 }
@@ -115,6 +121,7 @@
 	loads := s.loads.Since(covered, since, receiver, now)
 	out.Since, out.Version = since, s.version.Number()
 	out.Admitted = floatsOf(s.admitted.Since(covered, since, receiver))
+	out.Asked = floatsOf(s.asked.Since(covered, since, receiver))
 	for id, l := range loads {
 		out.Engines = append(out.Engines, engineLoad(id, reported(l, scope)))
 	}
