residency, vm: plans for hundreds of engines leave the processor to callers

The memory kept for adapters was worked out over all models for each pair of engine and victim, the engines were sorted by load and their last copies counted for each candidate. Change: these are worked out once a plan, or once a move; decisions are the same. The pause after a plan grows with what it took, so that plans take a quarter of the time at most. TestPlansLeaveTheProcessorToCallers does not compile without the pause. A sixth of a plan is still dealing demand to engines anew after each move.

--- a/internal/residency/bring.go
+++ b/internal/residency/bring.go
@@ -104,19 +104,7 @@
 // fitsModel reports whether a model fits beside what the engine holds without the
 // evicted one, whose adapters go with it.
 func (s *planState) fitsModel(e Engine, m, evict string) bool {
-	return usedWithout(e, s.Spec, evict)+s.Spec.Models[m].MemoryMB+s.reserve() <= s.Spec.WeightsMB
-}
-
-// reserve is the memory kept for adapters, so that a model that is brought does not
-// leave an engine without room for any.
-func (s *planState) reserve() float64 {
-	largest := 0.0
-	for _, m := range s.Spec.Models {
-		if m.Adapters > 0 {
-			largest = max(largest, m.AdapterMB)
-		}
-	}
-	return largest * float64(s.Spec.AdapterSlots)
+	return usedWithout(e, s.Spec, evict)+s.Spec.Models[m].MemoryMB+s.reserve <= s.Spec.WeightsMB
 }
 
 func (s *planState) apply(e *Engine, move ModelMove) {
@@ -132,5 +120,6 @@
 	e.Models[move.Load] = true
 	e.Busy = true
 	s.copies[move.Load]++
+	s.last, s.byLoad = nil, nil
 	s.weigh()
 }
--- a/internal/residency/models.go
+++ b/internal/residency/models.go
@@ -90,7 +90,14 @@
 	level map[string]float64
 	// waiting names the models whose loads wait for unloads that take too long.
 	waiting map[string]bool
-	moves   []ModelMove
+	// reserve is the memory in MB that is kept for adapters on each engine.
+	reserve float64
+	// last counts the models of which an engine has the only copy; nil until it is asked for
+	// after a move.
+	last map[string]int
+	// byLoad lists the engines, those with the least load first; nil as last is.
+	byLoad []*Engine
+	moves  []ModelMove
 }
 
 // PlanModels returns moves for engines that have none under way, at most one for
@@ -103,7 +110,9 @@
 // request. Of some thirty models a few are busy at a time, and keeping one copy of each of
 // the others would leave the busy ones half of the engines.
 func PlanModels(f Fleet) []ModelMove {
-	s := &planState{Fleet: f, copies: make(map[string]int), ready: make(map[string]int), waiting: make(map[string]bool)}
+	s := &planState{
+		Fleet: f, copies: make(map[string]int), ready: make(map[string]int), waiting: make(map[string]bool), reserve: adapterReserve(f.Spec),
+	}
 	for _, e := range f.Engines {
 		if e.Waiting != "" {
 			s.waiting[e.Waiting] = true
@@ -132,6 +141,18 @@
 	return s.moves
 }
 
+// adapterReserve is the memory kept for adapters, so that a model that is brought does not
+// leave an engine without room for any.
+func adapterReserve(spec *catalog.EngineSpec) float64 {
+	largest := 0.0
+	for _, m := range spec.Models {
+		if m.Adapters > 0 {
+			largest = max(largest, m.AdapterMB)
+		}
+	}
+	return largest * float64(spec.AdapterSlots)
+}
+
 // idle reports whether nobody asks for a model at present.
 func (s *planState) idle(m string) bool { return s.Idle[m] }
 
--- a/internal/residency/spread.go
+++ b/internal/residency/spread.go
@@ -60,12 +60,15 @@
 
 // idlest lists the engines, those with the least load first.
 func (s *planState) idlest() []*Engine {
-	out := make([]*Engine, len(s.Engines))
+	if s.byLoad != nil {
+		return s.byLoad
+	}
+	s.byLoad = make([]*Engine, len(s.Engines))
 	for i := range s.Engines {
-		out[i] = &s.Engines[i]
+		s.byLoad[i] = &s.Engines[i]
 	}
-	slices.SortStableFunc(out, func(a, b *Engine) int { return cmp.Compare(s.load[a.ID], s.load[b.ID]) })
-	return out
+	slices.SortStableFunc(s.byLoad, func(a, b *Engine) int { return cmp.Compare(s.load[a.ID], s.load[b.ID]) })
+	return s.byLoad
 }
 
 // rarest is the model of which an engine has the last copy and that is asked for least, ""
@@ -85,23 +88,29 @@
 
 // besides admits engines other than one that are not yet full of last copies themselves.
 func (s *planState) besides(except Engine) func(Engine) float64 {
+	last := s.lastCopies()
 	return func(e Engine) float64 {
-		if e.ID == except.ID || s.lastCopies(e) >= s.lastCopies(except)-1 {
+		if e.ID == except.ID || last[e.ID] >= last[except.ID]-1 {
 			return 1
 		}
 		return 0
 	}
 }
 
-// lastCopies counts the models of which an engine has the only copy.
-func (s *planState) lastCopies(e Engine) int {
-	n := 0
-	for m := range e.Models {
-		if s.copies[m] == 1 {
-			n++
+// lastCopies counts by engine the models of which it has the only copy.
+func (s *planState) lastCopies() map[string]int {
+	if s.last != nil {
+		return s.last
+	}
+	s.last = make(map[string]int, len(s.Engines))
+	for _, e := range s.Engines {
+		for m := range e.Models {
+			if s.copies[m] == 1 {
+				s.last[e.ID]++
+			}
 		}
 	}
-	return n
+	return s.last
 }
 
 // but lets models make way that few use, other than one.
--- a/internal/vm/hubs_test.go
+++ b/internal/vm/hubs_test.go
@@ -108,7 +108,9 @@
 	}
 	r := &peerpb.VMReport{Vm: w.vms[from].Name, Incarnation: w.born[from]}
 	demand := map[string]assign.Demand{"m": {Work: time.Duration(from) * time.Microsecond, Requests: 1}}
-	w.sums[from].setOwn(func() work { return work{admitted: w.limiters[from].Admitted(), asked: w.limiters[from].Asked(), demand: demand} }, w.now)
+	w.sums[from].setOwn(func() work {
+		return work{admitted: w.limiters[from].Admitted(), asked: w.limiters[from].Asked(), demand: demand}
+	}, w.now)
 	taken := w.taken[[2]int{to, from}]
 	if taken.scope != scope {
 		taken = progress{}
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -26,8 +26,11 @@
 )
 
 const (
-	// planEvery is how often the leader looks at the engines.
+	// planEvery is how often the leader looks at the engines, and planShare the part of its
+	// time that it spends on that at most: a plan for hundreds of engines takes tens of
+	// milliseconds of a whole processor.
 	planEvery = 120 * time.Millisecond
+	planShare = 0.25
 	// adapterTime is how long an adapter takes from the order to its use.
 	adapterTime = 11 * time.Millisecond
 	// orderTries bounds the sendings of one order.
@@ -103,15 +106,14 @@
 
 // run looks after the engines while this VM leads.
 func (l *planner) run(ctx context.Context) error {
-	ticker := time.NewTicker(planEvery)
-	defer ticker.Stop()
+	pause := planEvery
 	for {
-		select {
-		case <-ctx.Done():
+		sleep(ctx, pause)
+		if ctx.Err() != nil {
 			l.forget()
 			return nil
-		case <-ticker.C:
 		}
+		pause = planEvery
 		token, ok := l.p.candidate.Authority()
 		if !ok {
 			l.forget()
@@ -120,10 +122,17 @@
 		l.heardUse(l.p.assigner.InUse(), time.Now())
 		l.heardDemand(l.p.settings.VM, l.p.fleet.incarnation, l.p.assigner.Demand(), time.Now())
 		l.adopt(ctx, token)
+		began := time.Now()
 		l.plan(ctx)
+		pause = planPause(time.Since(began))
 	}
 }
 
+// planPause is the time between two plans of which the last took some time.
+func planPause(took time.Duration) time.Duration {
+	return max(planEvery, time.Duration(float64(took)*(1-planShare)/planShare))
+}
+
 // forget drops the books of a term that has ended: another leader's orders will
 // have changed what they say.
 func (l *planner) forget() {
--- a/internal/vm/planner_test.go
+++ b/internal/vm/planner_test.go
@@ -281,3 +281,11 @@
 	require.Equal(t, http.StatusOK, c.ask(v, call{method: "POST", path: "/chat/", model: "m0"}).status)
 	require.Equal(t, "1", engine.Runs()[0].Header.Get("X-Chestnutarch-Request-Priority"))
 }
+
+// A leader of hundreds of engines has a fifth of a processor. If it began its next plan a
+// moment after the last one, callers of that VM would wait for it all day.
+func TestPlansLeaveTheProcessorToCallers(t *testing.T) {
+	require.Equal(t, planEvery, planPause(time.Millisecond))
+	took := 300 * time.Millisecond
+	require.InDelta(t, planShare, took.Seconds()/(took+planPause(took)).Seconds(), 1e-6)
+}
