peer: windows of a fixed size between VMs

Cause: with windows that adapt, gRPC adds a ping and its answer to nearly every call, two more frames and their system calls beside a request and an answer of some hundred bytes. Change: fixed windows of 1 MB, which is more than any message between VMs but a whole large configuration.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -25,6 +25,10 @@
 	// a connection is replaced. The client's own pings come too seldom to find a
 	// silent connection within the few seconds that leases live.
 	maxTimeouts = 2
+	// windowBytes is how much a peer may send before it is acknowledged. With a window that
+	// adapts, gRPC adds a ping and its answer to nearly every call, and most calls between
+	// VMs are a few hundred bytes.
+	windowBytes = 1 << 20
 )
 
 // Pool keeps one connection for each peer address. It is safe for concurrent use.
@@ -53,6 +57,8 @@
 			grpc.WithTransportCredentials(transport),
 			grpc.WithStatsHandler(otelgrpc.NewClientHandler()),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+			grpc.WithStaticStreamWindowSize(windowBytes),
+			grpc.WithStaticConnWindowSize(windowBytes),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: clientPingAfter, Timeout: clientPingTimeout, PermitWithoutStream: true}),
 			grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: time.Second}),
 			// A retry inside the library could deliver a call twice.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -44,6 +44,8 @@
 		grpc.Creds(transport),
 		grpc.StatsHandler(otelgrpc.NewServerHandler()),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minClientPing, PermitWithoutStream: true}),
 	)}, nil
