vm, peer, leadership: VMs that do not lead do not look whether they do; reports have no spans

Cause: each VM asked eight times a second whether it may give orders, and made spans for each of some ten reports a second, which are no hop of any request; it also gathered its own work for reports to standbys, which do not tell it. Change: the planner sleeps until its VM has won an election (leadership.Candidate.Elected) and holds on while authority may come back; calls that VMs make all the time are not traced; nothing is gathered for a report that tells nothing. Tests: TestElectionWakesWhoWaitsForIt, TestOnlyHopsOfRequestsAreTraced.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -72,6 +72,8 @@
 	last  store.Item
 	won   int64
 	known bool
+	// elected is signalled when this VM has won an election.
+	elected chan struct{}
 }
 
 // record is the value of both keys.
@@ -82,9 +84,13 @@
 
 // New returns a candidate that leads nothing.
 func New(o Options) *Candidate {
-	return &Candidate{options: o, ttl: max(lease, o.LeaseMin)}
+	return &Candidate{options: o, ttl: max(lease, o.LeaseMin), elected: make(chan struct{}, 1)}
 }
 
+// Elected returns a channel that gets a value when this VM has won an election. It may not
+// act yet: see Authority.
+func (c *Candidate) Elected() <-chan struct{} { return c.elected }
+
 func (c *Candidate) leaderKey() string { return c.options.Prefix + "leader" }
 
 // lastKey outlives every leader. It tells a successor that somebody led before.
@@ -123,6 +129,14 @@
 	return c.token, true
 }
 
+// Holds reports whether this VM has won an election and does not know of its end: authority
+// may come back.
+func (c *Candidate) Holds() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.token != 0
+}
+
 // Leads reports whether this VM holds the lease, settled or not.
 func (c *Candidate) Leads() bool {
 	c.mu.Lock()
@@ -212,6 +226,10 @@
 	c.settled, c.settle = c.options.Clock(), c.settleTime(last)
 	c.token, c.leaseID, c.won = revision, id, revision
 	c.renewed, c.valid = sent, ttl-margin
+	select {
+	case c.elected <- struct{}{}:
+	default:
+	}
 	c.options.Log.Info().Str("event", "leadership_won").Int64("token", revision).
 		Str("previous", vmOf(last)).Dur("settle_ms", c.settle).Send()
 }
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -263,3 +263,18 @@
 	require.NoError(t, json.Unmarshal(s.items["x/last-leader"].Value, &r))
 	require.Equal(t, "a", r.VM)
 }
+
+// Hundreds of VMs wait until they lead instead of looking all the time. One that was not woken
+// by its election would lead and give no orders for as long as its lease lasts.
+func TestElectionWakesWhoWaitsForIt(t *testing.T) {
+	w := newWorld("a", &fakeStore{items: map[string]store.Item{}})
+	require.False(t, w.Holds())
+	require.Empty(t, w.Elected())
+	w.elect()
+	require.True(t, w.Holds())
+	require.Len(t, w.Elected(), 1)
+	w.store.away = true
+	w.pass(lease)
+	w.step(context.Background())
+	require.True(t, w.Holds(), "authority may come back")
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -55,7 +55,7 @@
 		conns: make(map[string]*pooled),
 		options: []grpc.DialOption{
 			grpc.WithTransportCredentials(transport),
-			grpc.WithStatsHandler(otelgrpc.NewClientHandler()),
+			grpc.WithStatsHandler(otelgrpc.NewClientHandler(otelgrpc.WithFilter(traced))),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 			grpc.WithStaticStreamWindowSize(windowBytes),
 			grpc.WithStaticConnWindowSize(windowBytes),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -42,7 +42,7 @@
 	}
 	return &Server{grpc: grpc.NewServer(
 		grpc.Creds(transport),
-		grpc.StatsHandler(otelgrpc.NewServerHandler()),
+		grpc.StatsHandler(otelgrpc.NewServerHandler(otelgrpc.WithFilter(traced))),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.StaticStreamWindowSize(windowBytes),
 		grpc.StaticConnWindowSize(windowBytes),
--- /dev/null
+++ b/internal/peer/traced_test.go
@@ -0,0 +1,17 @@
+package peer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc/stats"
+
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+)
+
+// An operator looks for the hops of one request among spans of reports, which each VM makes
+// several times a second.
+func TestOnlyHopsOfRequestsAreTraced(t *testing.T) {
+	require.False(t, traced(&stats.RPCTagInfo{FullMethodName: peerpb.VMs_Exchange_FullMethodName}))
+	require.True(t, traced(&stats.RPCTagInfo{FullMethodName: peerpb.VMs_EnsureAdapter_FullMethodName}))
+}
--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -113,9 +113,11 @@
 	}
 	scope, since := f.address(out, receiver)
 	out.Scope = int32(scope)
-	now := time.Now()
-	f.sums.setOwn(f.own, now)
-	f.sums.fill(out, scope, receiver, since, now)
+	if scope != topology.ScopePresence {
+		now := time.Now()
+		f.sums.setOwn(f.own, now)
+		f.sums.fill(out, scope, receiver, since, now)
+	}
 	if leads || (scope != topology.ScopeOwn && scope != topology.ScopePresence) {
 		f.p.planner.contents.describe(out, receiver)
 	}
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -108,6 +108,10 @@
 func (l *planner) run(ctx context.Context) error {
 	pause := planEvery
 	for {
+		if !l.p.candidate.Holds() {
+			l.forget()
+			l.awaitElection(ctx)
+		}
 		sleep(ctx, pause)
 		if ctx.Err() != nil {
 			l.forget()
@@ -128,6 +132,15 @@
 	}
 }
 
+// awaitElection returns when this VM has won an election, or ctx has ended. A fleet of hundreds
+// has one leader, and the others need not look every planEvery whether they are it.
+func (l *planner) awaitElection(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-l.p.candidate.Elected():
+	}
+}
+
 // planPause is the time between two plans of which the last took some time.
 func planPause(took time.Duration) time.Duration {
 	return max(planEvery, time.Duration(float64(took)*(1-planShare)/planShare))
--- a/internal/vm/sums.go
+++ b/internal/vm/sums.go
@@ -108,9 +108,6 @@
 // fill puts the counters and loads into a report, as far as its scope goes and as they have
 // changed since a number that the receiver has acknowledged.
 func (s *sums) fill(out *peerpb.VMReport, scope topology.Scope, receiver string, since uint64, now time.Time) {
-	if scope == topology.ScopePresence {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if since > s.version.Number() || !s.loads.Known(since) || !s.roster.remembers(since) {
