vm: a VM whose hub fails follows another domain's; retries of a large fleet grow rarer

Cause: when a hub dies, or the store turns it away, all VMs of its domain listed the store twice each and watched it themselves for 3 to 12 s: 49 VMs of 295 fell on the store at once, while the hubs of five other domains knew as much. Change: a VM turns to the hubs of two other domains, in an order of its own, before it watches the store; a hub that has failed is avoided for 3 to 12 s. In fleets of more than a dozen VMs failed calls of the tracker and of the registration are repeated after 150 ms doubling up to twice a hub's pause. TestVMsFollowTheirHubAndDoWithoutIt asserted that VMs watch the store once their hub is turned away. They follow the other domain's hub now, so it asserts that, and turns the second hub away as well: VMs then watch the store, as before, and a withdrawn key stops working both times. It is as strict and one step longer. Tests: TestVMWhoseHubFailsFollowsAnotherDomains, TestRetriesOfALargeFleetGrowRarer, TestVMsTurnToDifferentHubs.

--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -1,8 +1,11 @@
 package topology
 
 import (
+	"cmp"
 	"slices"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // MeshLimit is the number of VMs up to which all exchange with all: 66 pairs, each four
@@ -132,6 +135,20 @@
 	return p.hubs[p.self.Domain]
 }
 
+// OtherHubs names the hubs of the other domains, in an order of this VM's own: VMs whose hub
+// fails turn to different ones.
+func (p *Plan) OtherHubs() []string {
+	var out []string
+	for domain, hub := range p.hubs {
+		if domain != p.self.Domain {
+			out = append(out, hub)
+		}
+	}
+	draw := func(hub string) uint64 { return xxhash.Sum64String(p.self.Name + " " + hub) }
+	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(draw(a), draw(b)) })
+	return out
+}
+
 // ScopeFor returns what a report to another VM has to cover: a hub tells its own VMs of
 // everyone, and other hubs of its domain. A VM that is no hub tells only its hub what it does.
 func (p *Plan) ScopeFor(receiver VM) Scope {
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -84,6 +84,21 @@
 	require.Empty(t, planOf(vms(7, 4), 0).Hub())
 }
 
+// A hub dies and its VMs turn to the hubs of other domains. If all took the same one, that one
+// would have to serve a second domain at once.
+func TestVMsTurnToDifferentHubs(t *testing.T) {
+	all := vms(60, 6)
+	turned := make(map[string]int)
+	for i := 6; i < 60; i += 6 {
+		others := planOf(all, i).OtherHubs()
+		require.Len(t, others, 5)
+		require.NotContains(t, others, planOf(all, i).Hub())
+		require.Equal(t, others, planOf(all, i).OtherHubs())
+		turned[others[0]]++
+	}
+	require.Greater(t, len(turned), 2)
+}
+
 func TestScopes(t *testing.T) {
 	all := vms(40, 4)
 	hub := planOf(all, 0)
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -128,6 +128,7 @@
 // register keeps this VM's key in the store.
 func (f *fleet) register(ctx context.Context) error {
 	var lease store.LeaseID
+	failures := 0
 	for ctx.Err() == nil {
 		if lease == 0 {
 			lease = f.enroll(ctx)
@@ -136,9 +137,11 @@
 			continue
 		}
 		if lease == 0 {
-			sleep(ctx, retryPause)
+			sleep(ctx, f.p.tracker.retryAfter(failures))
+			failures++
 			continue
 		}
+		failures = 0
 		sleep(ctx, renewEvery)
 	}
 	if lease != 0 {
@@ -262,19 +265,25 @@
 	hubSilence  = 600 * time.Millisecond
 )
 
-// hub returns the VM through which this one follows the store, with its address; ok is
-// false if this VM watches the store itself.
-func (f *fleet) hub() (address string, ok bool) {
+// otherHubs is how many hubs of other domains a VM turns to when its own one fails it.
+const otherHubs = 2
+
+// hubs returns the addresses of the VMs through which this one follows the store, the first
+// one first; none if this VM watches the store itself.
+func (f *fleet) hubs() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.plan == nil {
-		return "", false
+	if f.plan == nil || f.plan.Hub() == "" {
+		return nil
 	}
-	m := f.members[f.plan.Hub()]
-	if m == nil {
-		return "", false
+	others := f.plan.OtherHubs()
+	var out []string
+	for _, vm := range append([]string{f.plan.Hub()}, others[:min(otherHubs, len(others))]...) {
+		if m := f.members[vm]; m != nil {
+			out = append(out, m.Peers)
+		}
 	}
-	return m.Peers, true
+	return out
 }
 
 // mayLead reports whether this VM stands for election: the hubs do, or all VMs of a small
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -15,10 +15,9 @@
 	"github.com/chestnutarch/chestnutarch/internal/store"
 )
 
-// In a large fleet only the hubs watch the store; the others follow their hub's view. At
-// 82 VMs the calls of the store fell from 76 a second on a quiet day to 20 on a busy one. A
-// VM whose hub cannot be reached, or hears nothing from the store itself, watches the store
-// until that has passed.
+// In a large fleet only the hubs watch the store; the others follow their hub's view. A VM
+// whose hub cannot be reached, or hears nothing from the store itself, follows the hub of
+// another domain until that has passed, and watches the store if none serves it.
 
 var (
 	// ErrNotWatching means that a VM does not watch the store itself, so that nobody can
@@ -36,11 +35,11 @@
 	followWait    = 300 * time.Millisecond
 	followPause   = 150 * time.Millisecond
 	followTimeout = 800 * time.Millisecond
-	// aloneFirst and aloneMost bound how long a VM watches the store itself after its hub
-	// failed it. The time doubles with every failure in a row: when the hub is cut off
-	// from the store, each return to it costs a reading of everything.
-	aloneFirst = 3 * time.Second
-	aloneMost  = 12 * time.Second
+	// avoidFirst and avoidMost bound how long a VM does without a hub that has failed it. The
+	// time doubles with every failure in a row: when the hub is cut off from the store, each
+	// return to it costs a reading of everything.
+	avoidFirst = 3 * time.Second
+	avoidMost  = 12 * time.Second
 	// staleShare is the divisor of the time in which a configuration has to be in force
 	// that gives the largest age of a hub's view: the rest is for noticing it and for
 	// reading the store.
@@ -52,34 +51,46 @@
 
 // relay is how a tracker reaches hubs.
 type relay struct {
-	// hub returns the address of the VM to follow; ok is false if there is none.
-	hub func() (address string, ok bool)
+	// hubs returns the addresses of the VMs to follow, the first one first; none if this VM
+	// has to watch the store.
+	hubs func() []string
 	// ask returns a hub's answer, and how long ago it began to arrive.
 	ask func(ctx context.Context, address string, in *peerpb.FollowRequest) (answer *peerpb.FollowResponse, took time.Duration, err error)
 }
 
+// avoidance is for how long a hub is not followed, and until when.
+type avoidance struct {
+	time  time.Duration
+	until time.Time
+}
+
 // mayFollow returns the hub to follow now.
 func (t *tracker) mayFollow(now time.Time) (address string, ok bool) {
+	hubs := t.relay.hubs()
 	t.mu.Lock()
-	alone := now.Before(t.aloneUntil)
-	t.mu.Unlock()
-	if alone {
-		return "", false
+	defer t.mu.Unlock()
+	for _, hub := range hubs {
+		if now.After(t.avoided[hub].until) {
+			return hub, true
+		}
 	}
-	return t.relay.hub()
+	return "", false
 }
 
-// alone reports whether this VM watches the store since its hub failed it.
+// alone reports whether this VM watches the store since all its hubs have failed it.
 func (t *tracker) alone() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return time.Now().Before(t.aloneUntil)
+	if len(t.relay.hubs()) == 0 {
+		return false
+	}
+	_, follows := t.mayFollow(time.Now())
+	return !follows
 }
 
 // followsHub reports whether this VM learns of the store through a hub.
 func (t *tracker) followsHub() bool { return t.following.Load() }
 
-// followHub takes the view of a hub over until that fails or this VM has none to follow.
+// followHub takes the view of a hub over until that fails or this VM has none to follow. It
+// turns to a hub that comes before the one that it follows as soon as it may.
 func (t *tracker) followHub(ctx context.Context, address string) {
 	t.setWatching(false)
 	t.following.Store(true)
@@ -97,10 +108,11 @@
 			return
 		}
 		if taken {
+			t.forgive(address)
 			in = &peerpb.FollowRequest{Incarnation: answer.Incarnation, Change: answer.Change}
 		}
 		sleep(ctx, followPause)
-		next, ok := t.relay.hub()
+		next, ok := t.mayFollow(time.Now())
 		if !ok {
 			return
 		}
@@ -131,7 +143,6 @@
 	if err := t.merge(answer, now); err != nil {
 		return false, err
 	}
-	t.aloneTime = 0
 	t.fresh = now.Add(-age)
 	return true, nil
 }
@@ -174,14 +185,26 @@
 	return nil
 }
 
-// leaveHub makes this VM watch the store itself for a while.
+// leaveHub makes this VM do without a hub for a while.
 func (t *tracker) leaveHub(address string, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.aloneTime = min(max(aloneFirst, 2*t.aloneTime), aloneMost)
-	t.aloneUntil = time.Now().Add(t.aloneTime)
+	for hub, a := range t.avoided {
+		if time.Since(a.until) > avoidMost {
+			delete(t.avoided, hub)
+		}
+	}
+	pause := min(max(avoidFirst, 2*t.avoided[address].time), avoidMost)
+	t.avoided[address] = avoidance{time: pause, until: time.Now().Add(pause)}
 	t.log.Warn().Str("event", "hub_lost").Str("peers", address).AnErr("cause", err).Dur("age_ms", time.Since(t.fresh)).
-		Dur("alone_ms", t.aloneTime).Send()
+		Dur("avoided_ms", pause).Send()
+}
+
+// forgive makes the next failure of a hub count as its first.
+func (t *tracker) forgive(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.avoided, address)
 }
 
 func (t *tracker) setWatching(watching bool) {
--- a/internal/vm/follow_test.go
+++ b/internal/vm/follow_test.go
@@ -34,7 +34,8 @@
 // failure domain watches, and the others learn of a new configuration and of a replica that
 // leaves through it. Then the store turns the hub away, and the VMs behind it would go on
 // with what they know: a key that is withdrawn meanwhile has to stop working there all the
-// same.
+// same, first through the other domain's hub, and without any hub once that is turned away
+// too.
 func TestVMsFollowTheirHubAndDoWithoutIt(t *testing.T) {
 	c := newCluster(t, standin.NewReplica("clerk-1", 0), standin.NewReplica("clerk-2", 0))
 	for i := range pauseFleet + 2 {
@@ -48,15 +49,38 @@
 		c.eventually(func() bool { return v.instance("clerk-2").Draining })
 	}
 	c.vms[0].turnedAway.Store(true)
+	behind := c.vms[2:]
+	c.eventually(func() bool { return c.avoiding(behind, c.vms[0]) == pauseFleet/2 })
+	c.withdrawKeys("another")
+	c.vms[1].turnedAway.Store(true)
 	c.eventually(func() bool { return c.followers() < pauseFleet-2 })
+	c.withdrawKeys("a third")
+}
+
+// withdrawKeys gives the team another key, and returns once all VMs have that in force.
+func (c *cluster) withdrawKeys(key string) {
 	c.configure(func(config map[string]any) {
-		config["tenants"].([]any)[0].(map[string]any)["keys"] = []string{"another"}
+		config["tenants"].([]any)[0].(map[string]any)["keys"] = []string{key}
 	})
 	for _, v := range c.vms {
 		c.eventually(func() bool { return v.core.Catalog().Version == int64(c.version) })
 	}
 }
 
+// avoiding counts the VMs that do without a hub, but not alone.
+func (c *cluster) avoiding(vms []*testVM, hub *testVM) int {
+	n := 0
+	for _, v := range vms {
+		v.tracker.mu.Lock()
+		a := v.tracker.avoided[hub.peerAddress()]
+		v.tracker.mu.Unlock()
+		if time.Now().Before(a.until) && !v.tracker.alone() {
+			n++
+		}
+	}
+	return n
+}
+
 // TestFollowerSeesWhatTheHubSees plays changes of a hub's view: whatever is written and
 // removed, and however many changes a follower misses, its view is the hub's after it has
 // asked once more.
@@ -115,7 +139,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	took := 2 * f.stale
 	f.relay = relay{
-		hub: func() (string, bool) { return "hub", true },
+		hubs: func() []string { return []string{"hub"} },
 		ask: func(context.Context, string, *peerpb.FollowRequest) (*peerpb.FollowResponse, time.Duration, error) {
 			cancel()
 			return &peerpb.FollowResponse{Revision: 9, Whole: true, FailedMs: -1}, took, nil
@@ -127,6 +151,42 @@
 	require.False(t, f.alone())
 }
 
+// The hub of a domain dies, or the store turns it away. Fifty VMs that read the store
+// themselves from then on would cost it more than all hubs do in a minute; the other domains'
+// hubs know as much. When none of them serves, the VM has to watch the store after all.
+func TestVMWhoseHubFailsFollowsAnotherDomains(t *testing.T) {
+	f := testTracker()
+	f.relay = relay{hubs: func() []string { return []string{"own", "far"} }}
+	now := time.Now()
+	first := func(at time.Time) string {
+		hub, _ := f.mayFollow(at)
+		return hub
+	}
+	require.Equal(t, "own", first(now))
+	f.leaveHub("own", ErrHubStale)
+	require.Equal(t, "far", first(now))
+	require.False(t, f.alone())
+	f.leaveHub("far", ErrHubStale)
+	require.Empty(t, first(now))
+	require.True(t, f.alone())
+	back := now.Add(avoidFirst + time.Second)
+	require.Equal(t, "own", first(back))
+	f.leaveHub("own", ErrHubStale)
+	require.Equal(t, "far", first(back), "the second failure in a row counts for longer")
+	f.forgive("own")
+	require.Equal(t, "own", first(now))
+}
+
+// The store turns away a third of three hundred VMs for nine seconds. Each of them asked it
+// again seven times a second, which the store had to answer.
+func TestRetriesOfALargeFleetGrowRarer(t *testing.T) {
+	f := testTracker()
+	require.Equal(t, retryPause, f.retryAfter(0))
+	require.Equal(t, 2*f.hubPause, f.retryAfter(9))
+	f.vms = func() int { return pauseFleet }
+	require.Equal(t, retryPause, f.retryAfter(9))
+}
+
 // A VM has read the store itself when it returns to its hub, which has not seen as much yet.
 // What the VM knows must not be undone: a replica that left would get requests again.
 func TestHubThatLagsBehindUndoesNothing(t *testing.T) {
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -85,7 +85,7 @@
 	})
 	p.budget = retrybudget.New(retryLimitsOf(s), time.Now())
 	p.tracker = newTracker(p.store, log, p.follow, func() int { return p.fleet.size() }, s.Bounds.Configuration, relay{
-		hub: func() (string, bool) { return p.fleet.hub() }, ask: p.askHub,
+		hubs: func() []string { return p.fleet.hubs() }, ask: p.askHub,
 	})
 	p.candidate = leadership.New(leadership.Options{
 		Store: p.store, VM: s.VM, Prefix: ownPrefix, LeaseMin: s.Store.LeaseMin,
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -63,9 +63,8 @@
 	changes *changes
 	// watching says that this VM watches the store itself.
 	watching bool
-	// aloneUntil is until when it does so since its hub failed, aloneTime for how long.
-	aloneUntil time.Time
-	aloneTime  time.Duration
+	// avoided holds the hubs that have failed this VM lately, by address.
+	avoided map[string]avoidance
 	// lapsed holds entries that disappeared while the store was away or had just
 	// returned, with the time at which they are given up.
 	lapsed map[string]time.Time
@@ -82,20 +81,21 @@
 	return &tracker{
 		store: s, log: log, changed: changed, vms: vms, relay: r, values: newValues(),
 		longest: inForce * 2 / 3, stale: inForce / staleShare, hubPause: inForce / hubPauseShare,
-		changes: newChanges(), lapsed: make(map[string]time.Time),
+		changes: newChanges(), avoided: make(map[string]avoidance), lapsed: make(map[string]time.Time),
 	}
 }
 
 // run follows the store until ctx ends.
 func (t *tracker) run(ctx context.Context) error {
-	read := t.list
+	read, failures := t.list, 0
 	for ctx.Err() == nil {
 		if err := read(ctx); err != nil {
 			t.failed(err)
-			sleep(ctx, retryPause)
+			sleep(ctx, t.retryAfter(failures))
+			failures++
 			continue
 		}
-		read = t.list
+		read, failures = t.list, 0
 		if t.follow(ctx) == nil {
 			read = t.listLeased
 		}
@@ -106,9 +106,13 @@
 // follow watches until the history is gone, or follows a hub until that fails. It returns
 // store.ErrCompacted, wrapped, if the view lacks changes that a watch will not tell.
 func (t *tracker) follow(ctx context.Context) error {
+	failures := 0
 	for ctx.Err() == nil {
 		if hub, ok := t.mayFollow(time.Now()); ok {
 			t.followHub(ctx, hub)
+			if _, another := t.mayFollow(time.Now()); another {
+				continue
+			}
 			return nil
 		}
 		events, err := t.store.Watch(ctx, "", t.at(), watchWait)
@@ -117,9 +121,11 @@
 			return err
 		case err != nil:
 			t.failed(err)
-			sleep(ctx, retryPause)
+			sleep(ctx, t.retryAfter(failures))
+			failures++
 			continue
 		}
+		failures = 0
 		t.apply(events)
 		sleep(ctx, t.pause())
 	}
@@ -129,7 +135,7 @@
 // pause is the time between two watches. It grows with the fleet, so that the calls of
 // all VMs grow more slowly: VMs tell each other what the one has seen that watched last.
 func (t *tracker) pause() time.Duration {
-	if _, follows := t.relay.hub(); !follows && t.vms() > pauseFleet {
+	if len(t.relay.hubs()) == 0 && t.vms() > pauseFleet {
 		// Others follow this VM.
 		return t.hubPause
 	}
@@ -137,6 +143,15 @@
 	return min(max(watchPause, scaled), max(watchPause, t.longest))
 }
 
+// retryAfter is the time until the next try after so many in a row that failed. In a large
+// fleet it grows: a store that turns VMs away answers each of their tries.
+func (t *tracker) retryAfter(failures int) time.Duration {
+	if t.vms() <= pauseFleet {
+		return retryPause
+	}
+	return min(retryPause<<min(failures, 4), max(retryPause, 2*t.hubPause))
+}
+
 func (t *tracker) at() int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
