--- a/internal/teamrate/limiter.go
+++ b/internal/teamrate/limiter.go
@@ -231,22 +231,20 @@
 
 // Admitted returns what this VM has admitted by team since it started.
 func (l *Limiter) Admitted() map[string]float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	out := make(map[string]float64, len(l.teams))
-	for team, b := range l.teams {
-		out[team] = b.admitted
-	}
-	return out
+	return l.totals(func(b *bucket) float64 { return b.admitted })
 }
 
 // Asked returns what this VM was asked for by team since it started.
 func (l *Limiter) Asked() map[string]float64 {
+	return l.totals(func(b *bucket) float64 { return b.offered })
+}
+
+func (l *Limiter) totals(of func(*bucket) float64) map[string]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make(map[string]float64, len(l.teams))
 	for team, b := range l.teams {
-		out[team] = b.offered
+		out[team] = of(b)
 	}
 	return out
 }
