vm, leadership: a successor takes what it finds on engines for asked for

Cause: a model makes way when nobody has asked for it for ten seconds, by what the leader has heard itself. After a start of all VMs the new leader has heard for three seconds, so that models which are asked for every few seconds seemed idle. Change: unless it has heard requests for ten seconds, a leader that succeeds another one counts models that it finds as just used. Test: TestSuccessorTakesWhatItFindsForAskedFor does not compile without it.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -72,6 +72,8 @@
 	last  store.Item
 	won   int64
 	known bool
+	// succeeds says that another process led before this VM won its election.
+	succeeds bool
 	// elected is signalled when this VM has won an election.
 	elected chan struct{}
 }
@@ -129,6 +131,13 @@
 	return c.token, true
 }
 
+// Succeeds reports whether another process led before this VM won its last election.
+func (c *Candidate) Succeeds() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.succeeds
+}
+
 // Holds reports whether this VM has won an election and does not know of its end: authority
 // may come back.
 func (c *Candidate) Holds() bool {
@@ -224,6 +233,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.settled, c.settle = c.options.Clock(), c.settleTime(last)
+	c.succeeds = last.Revision != 0 && last.Revision != c.won
 	c.token, c.leaseID, c.won = revision, id, revision
 	c.renewed, c.valid = sent, ttl-margin
 	select {
--- a/internal/vm/firstlook.go
+++ b/internal/vm/firstlook.go
@@ -29,9 +29,17 @@
 	began, last, asked time.Time
 }
 
-// found notes an engine that was read. It must be called with the lock held.
-func (l *planner) found(b *book, now time.Time) {
+// found notes an engine that was read. What a leader before has left there was asked for lately,
+// as far as a VM can tell that has not heard of requests for long itself: all VMs have started
+// again, and models that nobody has asked for since would make way for others by the dozen. It
+// must be called with the lock held.
+func (l *planner) found(b *book, succeeds bool, now time.Time) {
 	f := &l.first
+	if succeeds && !f.heardFor(idleTime, now) {
+		for m := range b.models {
+			l.used[m] = now
+		}
+	}
 	if !f.asked.IsZero() {
 		return
 	}
@@ -55,11 +63,14 @@
 	return f.asked.IsZero() && now.Sub(f.last) < lookPause && now.Sub(f.began) < lookMost
 }
 
-// over reports whether requests have come for long enough to tell what is asked for.
-func (f *firstLook) over(now time.Time) bool {
-	return !f.asked.IsZero() && now.Sub(f.asked) > expectedTime
+// heardFor reports whether requests have been heard of for some time.
+func (f *firstLook) heardFor(d time.Duration, now time.Time) bool {
+	return !f.asked.IsZero() && now.Sub(f.asked) > d
 }
 
+// over reports whether requests have come for long enough to tell what is asked for.
+func (f *firstLook) over(now time.Time) bool { return f.heardFor(expectedTime, now) }
+
 // wide reports whether a model was placed for demand.
 func (f *firstLook) wide(model string) bool { return f.copies[model] >= wideCopies }
 
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -215,7 +215,7 @@
 	defer l.mu.Unlock()
 	if l.token == token {
 		l.books[i.ID] = b
-		l.found(b, time.Now())
+		l.found(b, l.p.candidate.Succeeds(), time.Now())
 	}
 }
 
--- a/internal/vm/planner_test.go
+++ b/internal/vm/planner_test.go
@@ -289,3 +289,20 @@
 	took := 300 * time.Millisecond
 	require.InDelta(t, planShare, took.Seconds()/(took+planPause(took)).Seconds(), 1e-6)
 }
+
+// All VMs lose power and start again, and one of them leads three seconds later. It has heard of
+// requests for a moment only, and models that are asked for every few seconds seem to be asked
+// for by nobody: they made way by the dozen, and their next callers were refused.
+func TestSuccessorTakesWhatItFindsForAskedFor(t *testing.T) {
+	now := time.Now()
+	used := func(succeeds bool, asked time.Time) bool {
+		l := newPlanner(nil)
+		l.first.asked = asked
+		l.found(&book{models: map[string]bool{"m0": true}}, succeeds, now)
+		return now.Sub(l.used["m0"]) <= idleTime
+	}
+	require.True(t, used(true, time.Time{}))
+	require.True(t, used(true, now.Add(-idleTime/2)))
+	require.False(t, used(true, now.Add(-2*idleTime)), "it knows by itself")
+	require.False(t, used(false, time.Time{}), "nobody has placed anything by demand")
+}
