traffic, teamrate: a VM that starts holds requests until it knows its configuration

From 12 to 16 s 1,519 requests were refused with not_ready, more than arrive in a second: VMs listen a moment after their start and read the configuration half a second later, when 295 of them read some 250 KB each through the store's link. A caller who is refused comes back once, to another VM that knows nothing yet. The buckets of all teams were empty at the first request besides. Change: a request that comes before the first configuration is held for 0.6 s at most, and for a quarter of its caller's time; upstreams and VMs of a view are taken in before its configuration; a bucket starts with what flows in 0.2 s. Before and after: TestRequestIsHeldWhileTheVMStarts fails without it (503), and the tests of rates after a start of all VMs pass unchanged.

--- a/internal/teamrate/chance.go
+++ b/internal/teamrate/chance.go
@@ -16,6 +16,9 @@
 	// once stays inside the tolerance until VMs hear each other.
 	startTime   = 1500 * time.Millisecond
 	startChance = 0.4
+	// startLevel is for how long a rate has flowed into a bucket when a VM starts: a bucket
+	// that is empty refuses all but the smallest requests.
+	startLevel = 200 * time.Millisecond
 )
 
 // asking is what a team asks of all VMs that are heard, in units a second.
--- a/internal/teamrate/limiter.go
+++ b/internal/teamrate/limiter.go
@@ -132,9 +132,9 @@
 	for team, limit := range limits {
 		b := l.teams[team]
 		if b == nil {
-			// Empty: the VM does not know what was admitted before it started, and if all
-			// have just started, what each held would add up.
-			b = &bucket{at: now, heard: now}
+			// Nearly empty: the VM does not know what was admitted before it started, and if
+			// all have just started, what each held would add up.
+			b = &bucket{at: now, heard: now, level: startLevel.Seconds() * l.flow(limit)}
 			l.teams[team] = b
 		}
 		l.refill(team, b, now)
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,11 @@
 	// startingRetry is what a caller is told while this VM knows no configuration:
 	// about the time in which a VM starts.
 	startingRetry = 400 * time.Millisecond
+	// startingHold is how long a request is held at most while this VM knows no configuration,
+	// startingShare the divisor of its caller's time that bounds it too: a caller who is
+	// refused needs some of that to come back.
+	startingHold  = 600 * time.Millisecond
+	startingShare = 4
 	// outdatedRetry is what a caller is told while this VM lacks a configuration: about the
 	// time in which one reaches all VMs.
 	outdatedRetry = 300 * time.Millisecond
@@ -52,17 +58,23 @@
 
 // Core serves requests. It is safe for concurrent use.
 type Core struct {
-	options  Options
-	catalog  atomic.Pointer[catalog.Catalog]
-	closing  atomic.Bool
-	refusing atomic.Bool
+	options Options
+	catalog atomic.Pointer[catalog.Catalog]
+	// configured is closed once there is a configuration.
+	configured chan struct{}
+	configure  sync.Once
+	closing    atomic.Bool
+	refusing   atomic.Bool
 }
 
 // New returns a Core that knows no configuration.
-func New(o Options) *Core { return &Core{options: o} }
+func New(o Options) *Core { return &Core{options: o, configured: make(chan struct{})} }
 
 // SetCatalog puts a configuration in force.
-func (c *Core) SetCatalog(next *catalog.Catalog) { c.catalog.Store(next) }
+func (c *Core) SetCatalog(next *catalog.Catalog) {
+	c.catalog.Store(next)
+	c.configure.Do(func() { close(c.configured) })
+}
 
 // Catalog returns the configuration in force, or nil.
 func (c *Core) Catalog() *catalog.Catalog { return c.catalog.Load() }
@@ -87,6 +99,7 @@
 // Serve answers a request through sink. It returns ErrCut, wrapped, if an answer
 // that had begun could not be ended; the caller must then see it broken off.
 func (c *Core) Serve(ctx context.Context, q *Request, sink Sink) error {
+	c.awaitConfiguration(ctx, q)
 	j, refusal := c.admit(q)
 	if refusal != nil {
 		c.logRefusal(q, j, refusal)
@@ -101,6 +114,27 @@
 	return err
 }
 
+// awaitConfiguration holds a request while this VM starts. All VMs of a fleet may start at once,
+// and callers, who have nowhere else to go, come before their VM has read what is in force.
+func (c *Core) awaitConfiguration(ctx context.Context, q *Request) {
+	select {
+	case <-c.configured:
+		return
+	default:
+	}
+	hold := startingHold
+	if q.Wait > 0 {
+		hold = min(hold, q.Wait/startingShare)
+	}
+	timer := time.NewTimer(hold)
+	defer timer.Stop()
+	select {
+	case <-c.configured:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // admit decides whether a request may run at all: its route, its key, its team's
 // rate.
 func (c *Core) admit(q *Request) (*job, *Refusal) {
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -264,11 +264,12 @@
 
 // follow takes a newer view of the store.
 func (p *Process) follow(v view) {
+	p.followOwn(v)
+	p.setInstances(v)
+	// Requests that wait for the first configuration need the rest by then.
 	if item, ok := v.items[platform.ConfigurationKey]; ok {
 		p.configure(item)
 	}
-	p.followOwn(v)
-	p.setInstances(v)
 	p.viewed.Store(true)
 }
 
