vm: the first view of a large fleet is logged in two lines

Change: more than eight VMs that become known at once, and the first table of upstreams, get one line with their number. Upstreams that are leaving keep lines of their own, which chestnutctl explain reads. Before and after: TestFirstViewOfALargeFleetIsLoggedInFewLines, 300 lines and 1.

--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -174,6 +174,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	var fresh []string
 	for _, m := range f.members {
 		m.registered = false
 	}
@@ -194,14 +195,30 @@
 		if m == nil || m.Incarnation != r.Incarnation {
 			m = &member{started: now, ready: true}
 			f.members[vm] = m
-			f.p.log.Info().Str("event", "vm_known").Str("peer", vm).Str("peers", r.Peers).Send()
+			fresh = append(fresh, vm)
 		}
 		m.registration, m.registered, m.revision = r, true, item.Revision
 		f.rearrange = true
 	}
+	f.logKnown(fresh)
 	f.forget(now)
 }
 
+// logEach is how many VMs that become known at once get a line each.
+const logEach = 8
+
+// logKnown logs the VMs that have become known: of hundreds that start together, their number.
+// It must be called with the lock held.
+func (f *fleet) logKnown(vms []string) {
+	if len(vms) > logEach {
+		f.p.log.Info().Str("event", "vms_known").Int("count", len(vms)).Send()
+		return
+	}
+	for _, vm := range vms {
+		f.p.log.Info().Str("event", "vm_known").Str("peer", vm).Str("peers", f.members[vm].Peers).Send()
+	}
+}
+
 // forget drops the VMs that are neither registered nor heard of, and works out the
 // partners anew. It must be called with the lock held.
 func (f *fleet) forget(now time.Time) {
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -86,12 +86,19 @@
 // believed at once.
 const revivalTime = 5 * time.Second
 
-// putInForce makes a table of instances the one that requests are routed by.
+// putInForce makes a table of instances the one that requests are routed by. Of a VM's first
+// table the log tells the size and who is leaving: hundreds of VMs that start together would
+// write a line for each upstream before they serve anybody.
 func (p *Process) putInForce(next map[string]*upstream.Instance) {
 	previous := *p.instances.Load()
 	list := make([]upstream.Instance, 0, len(next))
+	if len(previous) == 0 && len(next) > 0 {
+		p.log.Info().Str("event", "instances_known").Int("count", len(next)).Send()
+	}
 	for id, i := range next {
-		if old := previous[id]; old == nil || !old.Same(i) || old.Draining != i.Draining {
+		old := previous[id]
+		first := len(previous) == 0 && !i.Draining
+		if !first && (old == nil || !old.Same(i) || old.Draining != i.Draining) {
 			p.log.Info().Str("event", "instance").Str("instance", id).Str("service", i.Service).
 				Str("address", i.Address).Bool("draining", i.Draining).Int64("born", i.Born).Send()
 		}
--- a/internal/vm/reports_test.go
+++ b/internal/vm/reports_test.go
@@ -1,10 +1,12 @@
 package vm
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/chestnutarch/chestnutarch/internal/aggregate"
@@ -118,3 +120,25 @@
 	v.fleet.observe(nil)
 	require.NotSame(t, with, plan(), "it is not registered any more")
 }
+
+// Three hundred VMs start together, and each learns of all others at once. A line for each, at
+// each VM, held up their first requests and pushed other lines out of the log.
+func TestFirstViewOfALargeFleetIsLoggedInFewLines(t *testing.T) {
+	c := newCluster(t, standin.NewReplica("clerk-1", 0))
+	v := c.start("a")
+	var lines bytes.Buffer
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	v.log = zerolog.New(&lines)
+	var vms []string
+	for i := range 300 {
+		name := fmt.Sprint("vm-", i)
+		v.fleet.members[name] = &member{}
+		vms = append(vms, name)
+	}
+	v.fleet.logKnown(vms)
+	require.Equal(t, 1, bytes.Count(lines.Bytes(), []byte("\n")))
+	v.fleet.logKnown(vms[:2])
+	require.Equal(t, 3, bytes.Count(lines.Bytes(), []byte("\n")))
+	clear(v.fleet.members)
+}
