vm: a VM that the store turns away returns to its hub

Cause: once all its hubs had failed a VM, it read the store until that succeeded, and did not look at its hubs again meanwhile. Where the store is away for all and then turns some VMs away, these routed by what was known before the outage although their hubs heard the store again. Change: after a reading that failed, a hub is followed again as soon as it may be. Test: TestVMThatTheStoreTurnsAwayReturnsToItsHub, which does not end without the change.

--- a/internal/vm/follow_test.go
+++ b/internal/vm/follow_test.go
@@ -177,6 +177,31 @@
 	require.Equal(t, "own", first(now))
 }
 
+// deafStore answers nothing.
+type deafStore struct{ store.Store }
+
+func (deafStore) Range(context.Context, string) (store.Listing, error) {
+	return store.Listing{}, store.ErrUnknown
+}
+
+// The store is silent for all VMs, so that hubs cannot be followed either. When they hear it
+// again and this VM does not, it must not go on asking the store alone: it would route by what
+// was known before the outage for as long as the store turns it away.
+func TestVMThatTheStoreTurnsAwayReturnsToItsHub(t *testing.T) {
+	f := testTracker()
+	f.store = deafStore{}
+	ctx, cancel := context.WithCancel(t.Context())
+	f.relay = relay{
+		hubs: func() []string { return []string{"hub"} },
+		ask: func(context.Context, string, *peerpb.FollowRequest) (*peerpb.FollowResponse, time.Duration, error) {
+			cancel()
+			return &peerpb.FollowResponse{Revision: 9, Whole: true, FailedMs: -1}, 0, nil
+		},
+	}
+	require.NoError(t, f.run(ctx))
+	require.Equal(t, int64(9), f.at())
+}
+
 // The store turns away a third of three hundred VMs for nine seconds. Each of them asked it
 // again seven times a second, which the store had to answer.
 func TestRetriesOfALargeFleetGrowRarer(t *testing.T) {
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -93,10 +93,13 @@
 			t.failed(err)
 			sleep(ctx, t.retryAfter(failures))
 			failures++
-			continue
+			if _, ok := t.mayFollow(time.Now()); !ok {
+				continue
+			}
+			// The store goes on to turn this VM away, and a hub may know more by now.
 		}
 		read, failures = t.list, 0
-		if t.follow(ctx) == nil {
+		if t.follow(ctx) == nil && t.at() > 0 {
 			read = t.listLeased
 		}
 	}
