vm: whom a hub vouches for outlives what is known of a VM

Cause: a hub names a VM that takes callers once. A VM behind it kept that with what it knows of the named VM, and lost it when that VM started anew within the 0.75 s in which its hub did not miss it, or became known from the store only after it was named: it was left out of the answers to callers for good. Change: what hubs vouch for is kept by VM beside the members, and dropped when its hub is no partner any more. Contents are told anew to a VM that has started again.

--- a/internal/vm/addresses.go
+++ b/internal/vm/addresses.go
@@ -18,8 +18,8 @@
 	if f.p.ready() {
 		out = append(out, f.p.settings.Callers)
 	}
-	for _, m := range f.members {
-		if m.ready && now.Sub(f.lastSign(m)) < unheardAfter {
+	for vm, m := range f.members {
+		if m.ready && now.Sub(f.lastSign(vm, m)) < unheardAfter {
 			out = append(out, m.Callers)
 		}
 	}
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -71,6 +73,10 @@
 
 	mu      sync.Mutex
 	members map[string]*member
+	// vouched names the hub that says of a VM that it takes callers. It outlives what is
+	// known of a VM, which may start anew unnoticed by its hub, or become known later than
+	// the hub says so: the hub says it once.
+	vouched map[string]string
 	plan    *topology.Plan
 	// rearrange says that the members have changed since the plan was made.
 	rearrange bool
@@ -94,8 +100,6 @@
 	failures int
 	// silent says that it cannot serve as a hub.
 	silent bool
-	// vouched names the hub that says that it takes callers, "" if none does.
-	vouched string
 	// leads says that it gives orders to engines.
 	leads bool
 	// taken is what was taken in of its reports, acknowledged what it has taken in of ours.
@@ -111,7 +115,7 @@
 
 func newFleet(p *Process) *fleet {
 	started := time.Now().UnixNano()
-	f := &fleet{p: p, incarnation: started, sums: newSums(started), members: make(map[string]*member), now: make(chan struct{}, 1)}
+	f := &fleet{p: p, incarnation: started, sums: newSums(started), members: make(map[string]*member), vouched: make(map[string]string), now: make(chan struct{}, 1)}
 	f.sent = newSendings(f)
 	p.assigner.OnPlace(f.sent.note)
 	peerpb.RegisterVMsServer(p.peerServer.Registrar(), &vmServer{p: p})
@@ -194,6 +198,7 @@
 		}
 		if m == nil || m.Incarnation != r.Incarnation {
 			m = &member{started: now, ready: true}
+			f.p.planner.contents.forget(vm)
 			f.members[vm] = m
 			fresh = append(fresh, vm)
 		}
@@ -223,7 +228,7 @@
 // partners anew. It must be called with the lock held.
 func (f *fleet) forget(now time.Time) {
 	for vm, m := range f.members {
-		if !m.registered && now.Sub(f.lastSign(m)) > forgetAfter {
+		if !m.registered && now.Sub(f.lastSign(vm, m)) > forgetAfter {
 			delete(f.members, vm)
 			f.rearrange = true
 			f.p.log.Info().Str("event", "vm_forgotten").Str("peer", vm).Send()
@@ -261,6 +266,11 @@
 			m.taken = progress{}
 		}
 	}
+	hubs := f.plan.OtherHubs()
+	if !f.plan.IsHub() {
+		hubs = []string{f.plan.Hub()}
+	}
+	maps.DeleteFunc(f.vouched, func(_, hub string) bool { return !slices.Contains(hubs, hub) })
 	f.p.limiter.SetPeers(weights, now)
 	f.p.assigner.SetVMs(len(others) + 1)
 }
@@ -313,9 +323,9 @@
 
 // lastSign returns when a VM was last known to live: heard itself, or through the hub that
 // vouches for it. It must be called with the lock held.
-func (f *fleet) lastSign(m *member) time.Time {
+func (f *fleet) lastSign(vm string, m *member) time.Time {
 	sign := later(m.heard, m.started)
-	if hub := f.members[m.vouched]; hub != nil {
+	if hub := f.members[f.vouched[vm]]; hub != nil {
 		sign = later(sign, hub.heard)
 	}
 	return sign
--- a/internal/vm/reports.go
+++ b/internal/vm/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
@@ -63,7 +64,7 @@
 	f.sums.setRoster(func(r *roster) {
 		for vm, m := range f.members {
 			near := m.Domain == f.p.settings.FailureDomain
-			r.set(vm, near, m.ready && f.vouches(m, near, now))
+			r.set(vm, near, m.ready && f.vouches(vm, m, near, now))
 		}
 		r.keep(func(vm string) bool { return f.members[vm] != nil })
 	})
@@ -71,9 +72,9 @@
 
 // vouches reports whether a hub can say that a VM lives: it heard itself those of its own
 // domain, and hears of the others through their hubs.
-func (f *fleet) vouches(m *member, near bool, now time.Time) bool {
+func (f *fleet) vouches(vm string, m *member, near bool, now time.Time) bool {
 	heard := m.heard
-	if hub := f.members[m.vouched]; !near && hub != nil {
+	if hub := f.members[f.vouched[vm]]; !near && hub != nil {
 		heard = later(heard, hub.heard)
 	}
 	return now.Sub(heard) < unheardAfter/2
@@ -138,20 +139,21 @@
 // takeRoster takes in which VMs a hub vouches for. It must be called with the lock held.
 func (f *fleet) takeRoster(r *peerpb.VMReport) {
 	if r.Since == 0 {
-		for _, other := range f.members {
-			if other.vouched == r.Vm {
-				other.vouched = ""
-			}
-		}
+		maps.DeleteFunc(f.vouched, func(_, hub string) bool { return hub == r.Vm })
 	}
 	for _, vm := range r.Alive {
+		f.vouched[vm] = r.Vm
 		if other := f.members[vm]; other != nil {
-			other.vouched, other.ready = r.Vm, true
+			other.ready = true
 		}
 	}
 	for _, vm := range r.Silent {
-		if other := f.members[vm]; other != nil && other.vouched == r.Vm {
-			other.vouched, other.ready = "", false
+		if f.vouched[vm] != r.Vm {
+			continue
+		}
+		delete(f.vouched, vm)
+		if other := f.members[vm]; other != nil {
+			other.ready = false
 		}
 	}
 }
@@ -165,6 +167,7 @@
 	next.Incarnation, next.Callers, next.Peers = r.Incarnation, r.CallerAddress, r.PeerAddress
 	f.members[r.Vm] = next
 	f.rearrange = true
+	f.p.planner.contents.forget(r.Vm)
 	return next
 }
 
--- a/internal/vm/reports_test.go
+++ b/internal/vm/reports_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -142,3 +143,48 @@
 	require.Equal(t, 3, bytes.Count(lines.Bytes(), []byte("\n")))
 	clear(v.fleet.members)
 }
+
+// A VM starts anew so fast that its hub never missed it, and another one becomes known from the
+// store after the hub has named it. The hub does not name either of them again. VMs behind it
+// left them out of their answers to callers for good.
+func TestVMThatTheHubNamedOnceStaysNamed(t *testing.T) {
+	c := newCluster(t, standin.NewReplica("clerk-1", 0))
+	v := c.start("a")
+	entry := func(incarnation int) store.Item {
+		return store.Item{Revision: int64(incarnation), Value: fmt.Appendf(nil,
+			`{"incarnation":%d,"callers":"10.0.0.9:%d","peers":"127.0.0.1:2","domain":"a"}`, incarnation, incarnation)}
+	}
+	f := v.fleet
+	fleet := func(more map[string]store.Item) {
+		own := map[string]store.Item{vmPrefix + "0-hub": entry(1)}
+		for i := range topology.MeshLimit {
+			own[fmt.Sprint(vmPrefix, "z-", i)] = entry(1)
+		}
+		maps.Copy(own, more)
+		f.observe(own)
+	}
+	named := func() []string {
+		f.mu.Lock()
+		for _, m := range f.members {
+			m.started = m.started.Add(-time.Minute)
+		}
+		f.members["0-hub"].heard = time.Now()
+		f.mu.Unlock()
+		addresses, _ := f.Addresses("a")
+		return addresses
+	}
+	roster := func(r *peerpb.VMReport) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.takeRoster(r)
+	}
+	fleet(map[string]store.Item{vmPrefix + "b": entry(2)})
+	roster(&peerpb.VMReport{Vm: "0-hub", Alive: []string{"b", "c"}})
+	require.Contains(t, named(), "10.0.0.9:2")
+	fleet(map[string]store.Item{vmPrefix + "b": entry(3), vmPrefix + "c": entry(4)})
+	require.Subset(t, named(), []string{"10.0.0.9:3", "10.0.0.9:4"})
+	roster(&peerpb.VMReport{Vm: "0-hub", Since: 1, Silent: []string{"b"}})
+	require.NotContains(t, named(), "10.0.0.9:3")
+	fleet(map[string]store.Item{vmPrefix + "c": entry(4), vmPrefix + "0-a-hub": entry(5)})
+	require.NotContains(t, named(), "10.0.0.9:4", "another hub has taken the place")
+}
