vm: what hubs vouch for is kept by hub

Cause: while a domain has two hubs for a moment, the second one names the same VMs, and what the first one had said of them was overwritten. When the second one stood down its word went, and the first one, which names a VM once, did not say it again: two or three VMs of fourteen were left out of the answers for good. Change: what is vouched for is kept by hub, and a VM counts while any hub that vouches for it is heard. Before and after: the added step of TestVMThatTheHubNamedOnceStaysNamed fails before.

--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -73,10 +72,10 @@
 
 	mu      sync.Mutex
 	members map[string]*member
-	// vouched names the hub that says of a VM that it takes callers. It outlives what is
-	// known of a VM, which may start anew unnoticed by its hub, or become known later than
-	// the hub says so: the hub says it once.
-	vouched map[string]string
+	// vouched names the VMs of which a hub says that they take callers, by hub: two may say so
+	// for a while. It outlives what is known of a VM, which may start anew unnoticed by its
+	// hub, or become known later than the hub says so: the hub says it once.
+	vouched map[string]map[string]bool
 	plan    *topology.Plan
 	// rearrange says that the members have changed since the plan was made.
 	rearrange bool
@@ -115,7 +114,7 @@
 
 func newFleet(p *Process) *fleet {
 	started := time.Now().UnixNano()
-	f := &fleet{p: p, incarnation: started, sums: newSums(started), members: make(map[string]*member), vouched: make(map[string]string), now: make(chan struct{}, 1)}
+	f := &fleet{p: p, incarnation: started, sums: newSums(started), members: make(map[string]*member), vouched: make(map[string]map[string]bool), now: make(chan struct{}, 1)}
 	f.sent = newSendings(f)
 	p.assigner.OnPlace(f.sent.note)
 	peerpb.RegisterVMsServer(p.peerServer.Registrar(), &vmServer{p: p})
@@ -270,15 +269,15 @@
 	if !f.plan.IsHub() {
 		hubs = []string{f.plan.Hub()}
 	}
-	maps.DeleteFunc(f.vouched, func(_, hub string) bool {
+	for hub := range f.vouched {
 		if slices.Contains(hubs, hub) {
-			return false
+			continue
 		}
+		delete(f.vouched, hub)
 		if m := f.members[hub]; m != nil {
 			m.taken = progress{}
 		}
-		return true
-	})
+	}
 	f.p.limiter.SetPeers(weights, now)
 	f.p.assigner.SetVMs(len(others) + 1)
 }
@@ -335,13 +334,16 @@
 	return later(later(m.heard, m.started), f.vouchedAt(vm))
 }
 
-// vouchedAt returns when the hub that vouches for a VM was last heard, zero if none does. It
+// vouchedAt returns when a hub that vouches for a VM was last heard, zero if none does. It
 // must be called with the lock held.
 func (f *fleet) vouchedAt(vm string) time.Time {
-	if hub := f.members[f.vouched[vm]]; hub != nil {
-		return hub.heard
+	at := time.Time{}
+	for hub, vms := range f.vouched {
+		if m := f.members[hub]; m != nil && vms[vm] {
+			at = later(at, m.heard)
+		}
 	}
-	return time.Time{}
+	return at
 }
 
 // takesCallers reports whether callers may be sent to a VM: a hub says so, or it said so itself
--- a/internal/vm/reports.go
+++ b/internal/vm/reports.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
@@ -128,17 +127,14 @@
 
 // takeRoster takes in which VMs a hub vouches for. It must be called with the lock held.
 func (f *fleet) takeRoster(r *peerpb.VMReport) {
-	if r.Since == 0 {
-		maps.DeleteFunc(f.vouched, func(_, hub string) bool { return hub == r.Vm })
+	if r.Since == 0 || f.vouched[r.Vm] == nil {
+		f.vouched[r.Vm] = make(map[string]bool)
 	}
 	for _, vm := range r.Alive {
-		f.vouched[vm] = r.Vm
+		f.vouched[r.Vm][vm] = true
 	}
 	for _, vm := range r.Silent {
-		if f.vouched[vm] != r.Vm {
-			continue
-		}
-		delete(f.vouched, vm)
+		delete(f.vouched[r.Vm], vm)
 		if other := f.members[vm]; other != nil {
 			other.ready = false
 		}
--- a/internal/vm/reports_test.go
+++ b/internal/vm/reports_test.go
@@ -187,6 +187,10 @@
 	require.Contains(t, named(), "10.0.0.9:3", "what it said as it started does not count for good")
 	roster(&peerpb.VMReport{Vm: "0-hub", Since: 1, Silent: []string{"b"}})
 	require.NotContains(t, named(), "10.0.0.9:3")
+	roster(&peerpb.VMReport{Vm: "z-1", Alive: []string{"c"}})
+	roster(&peerpb.VMReport{Vm: "z-1", Since: 1, Silent: []string{"c"}})
+	fleet(map[string]store.Item{vmPrefix + "c": entry(4), vmPrefix + "b": entry(6)})
+	require.Contains(t, named(), "10.0.0.9:4", "what a hub of a moment says undoes nothing")
 	fleet(map[string]store.Item{vmPrefix + "c": entry(4), vmPrefix + "0-a-hub": entry(5)})
 	require.NotContains(t, named(), "10.0.0.9:4", "another hub has taken the place")
 }
