--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -7,16 +7,15 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chestnutarch/chestnutarch/internal/portblock"
 	"github.com/chestnutarch/chestnutarch/platform/standin"
 )
 
@@ -142,10 +141,10 @@
 }
 
 func (w *world) addVM(binary, name, zone string) {
-	ports := freePorts(w.t, 5)
-	at := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", ports[i]) }
+	given := freePorts(w.t, 5)
+	at := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", given[i]) }
 	v := &vm{binary: binary, dir: w.dir, Machine: standin.Machine{
-		Name: name, Zone: zone, IP: "127.0.0.1", FirstPort: min(ports[0], ports[1]), LastPort: max(ports[0], ports[1]),
+		Name: name, Zone: zone, IP: "127.0.0.1", FirstPort: min(given[0], given[1]), LastPort: max(given[0], given[1]),
 		Callers: at(2), Readiness: at(3), Directory: at(4),
 		ConfigMs: configMs, LeaseMs: leaseMs, GraceS: int(graceTime.Seconds()), QuotaSlack: quotaSlack,
 	}}
@@ -187,25 +186,15 @@
 	return changed
 }
 
-// nextPort is the last port that was given out. The ports lie below those that the system
-// hands out by itself, so that no proxy takes one before its process has started.
-var nextPort atomic.Int64
-
-const (
-	firstPort = 12_000
-	lastPort  = 30_000
-)
+// ports gives out the ports of all worlds.
+var ports portblock.Ports
 
 func freePorts(t *testing.T, n int) []int {
-	var out []int
-	for len(out) < n {
-		port := firstPort + int(nextPort.Add(1)+int64(os.Getpid())*97)%(lastPort-firstPort)
-		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		require.NoError(t, l.Close())
-		out = append(out, port)
+	out := make([]int, n)
+	for i := range out {
+		port, err := ports.Next()
+		require.NoError(t, err)
+		out[i] = port
 	}
 	return out
 }
--- a/test/state_test.go
+++ b/test/state_test.go
@@ -5,17 +5,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/chestnutarch/chestnutarch/internal/portblock"
 )
 
 type stateKey struct{}
@@ -172,22 +172,15 @@
 	return d.start()
 }
 
-// nextPort counts up below the range that the system gives to outgoing
-// connections, so that no other connection takes a port between its choice and
-// its use. Different processes begin at different places.
-var nextPort atomic.Int64
+// ports gives out the ports of all scenarios.
+var ports portblock.Ports
 
 func freePort() int {
-	const low, span = 12_000, 18_000
-	nextPort.CompareAndSwap(0, int64(os.Getpid()*97%span)+1)
-	for {
-		port := low + int(nextPort.Add(1))%span
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err == nil {
-			_ = l.Close()
-			return port
-		}
+	port, err := ports.Next()
+	if err != nil {
+		panic(err)
 	}
+	return port
 }
 
 // fresh is a client that never reuses a connection, for questions to stand-ins.
