vm: tests of reports use a VM that does not run

The VM of the test ran, its own exchanges found that the hub of the test does not answer, and it turned to another one. The other new tests of reports depend on the moment in the same way: TestReportThatBuildsOnAnUnknownOneIsNotCounted failed in one of eight runs. Change: these tests and TestVMIsNotReadyBeforeItKnowsUpstreams use a process that is built and not run. Their assertions are as they were.

--- a/internal/vm/cluster_test.go
+++ b/internal/vm/cluster_test.go
@@ -156,6 +156,13 @@
 	return v
 }
 
+// idle returns a process with the VM's settings that does not run.
+func (v *testVM) idle(t *testing.T) *Process {
+	p, err := New(v.settings, zerolog.Nop())
+	require.NoError(t, err)
+	return p
+}
+
 func freePorts(t *testing.T, n int) []int {
 	out := make([]int, n)
 	for i := range out {
--- a/internal/vm/path_test.go
+++ b/internal/vm/path_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/chestnutarch/chestnutarch/platform/standin"
@@ -65,8 +64,7 @@
 func TestVMIsNotReadyBeforeItKnowsUpstreams(t *testing.T) {
 	c := newCluster(t, standin.NewReplica("clerk-1", 0))
 	running := c.start("a")
-	p, err := New(running.settings, zerolog.Nop())
-	require.NoError(t, err)
+	p := running.idle(t)
 	p.configure(running.configuration())
 	require.NotNil(t, p.core.Catalog())
 	require.False(t, p.ready())
--- a/internal/vm/reports_test.go
+++ b/internal/vm/reports_test.go
@@ -45,12 +45,17 @@
 	require.Zero(t, restarted.Since, "a version of an earlier process says nothing")
 }
 
+// idleVM is a VM that does not run: its own exchanges would find that the VMs of a test do not
+// answer.
+func idleVM(t *testing.T) *Process {
+	return newCluster(t, standin.NewReplica("clerk-1", 0)).start("a").idle(t)
+}
+
 // A report tells what has changed since another one that this VM has not taken in, as after its
 // hub has changed. Counted all the same, a team's use before would be lost, or all of it would
 // count as used just now.
 func TestReportThatBuildsOnAnUnknownOneIsNotCounted(t *testing.T) {
-	c := newCluster(t, standin.NewReplica("clerk-1", 0))
-	v := c.start("a")
+	v := idleVM(t)
 	v.fleet.observe(map[string]store.Item{vmPrefix + "b": {
 		Revision: 1, Value: []byte(`{"incarnation":5,"callers":"127.0.0.1:1","peers":"127.0.0.1:2","domain":"a"}`),
 	}})
@@ -101,8 +106,7 @@
 // Nothing has changed among the VMs. Three hundred of them that worked out their places among
 // all others four times a second spent as much on that as on callers.
 func TestPlanIsMadeAnewOnlyWhenVMsChange(t *testing.T) {
-	c := newCluster(t, standin.NewReplica("clerk-1", 0))
-	v := c.start("a")
+	v := idleVM(t)
 	plan := func() *topology.Plan {
 		v.fleet.due(false)
 		v.fleet.mu.Lock()
@@ -125,8 +129,7 @@
 // Three hundred VMs start together, and each learns of all others at once. A line for each, at
 // each VM, held up their first requests and pushed other lines out of the log.
 func TestFirstViewOfALargeFleetIsLoggedInFewLines(t *testing.T) {
-	c := newCluster(t, standin.NewReplica("clerk-1", 0))
-	v := c.start("a")
+	v := idleVM(t)
 	var lines bytes.Buffer
 	v.fleet.mu.Lock()
 	defer v.fleet.mu.Unlock()
@@ -148,8 +151,7 @@
 // store after the hub has named it. The hub does not name either of them again. VMs behind it
 // left them out of their answers to callers for good.
 func TestVMThatTheHubNamedOnceStaysNamed(t *testing.T) {
-	c := newCluster(t, standin.NewReplica("clerk-1", 0))
-	v := c.start("a")
+	v := idleVM(t)
 	entry := func(incarnation int) store.Item {
 		return store.Item{Revision: int64(incarnation), Value: fmt.Appendf(nil,
 			`{"incarnation":%d,"callers":"10.0.0.9:%d","peers":"127.0.0.1:2","domain":"a"}`, incarnation, incarnation)}
