vm: a candidate sees every view of the store again

Cause: since the keys of this project are taken in only if one has changed, the candidate's with them. A leader that finds its lease gone waits for a further view before it stands again; if the end of its key had been seen before, and no key changed after it, it did not stand any more. Where it is the only VM that can, nobody would have led. Change: the candidate gets each view as it did before; it reads two keys of it, so that no map is made for it. VMs are taken in on a change only, as before this commit. Conclusion: restores what was.

--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -273,9 +273,11 @@
 	p.viewed.Store(true)
 }
 
-// followOwn takes in the keys of this project if they have changed. A revision is never given
-// twice, so that each change shows in the newest one or in the number of keys.
+// followOwn takes in the keys of this project, those of the VMs if any key has changed. A revision
+// is never given twice, so that each change shows in the newest one or in the number of keys.
 func (p *Process) followOwn(v view) {
+	// A candidate that has lost its lease stands again only once it has seen a further view.
+	p.candidate.Observe(v.items)
 	keys, newest := 0, int64(0)
 	for key, item := range v.items {
 		if strings.HasPrefix(key, ownPrefix) {
@@ -293,7 +295,6 @@
 			own[key] = item
 		}
 	}
-	p.candidate.Observe(own)
 	p.fleet.observe(own)
 }
 
