test/soak: a 401 is excused if the key's withdrawal may have been in force

Cause: withdrawKey withdraws a key while callers send with it. Change: the oracle knows when a withdrawal began and excuses a 401 with just that key whose answer came later. Other statuses, other keys and earlier answers count as before; a test has one case of each.

--- a/test/soak/oracle_cases_test.go
+++ b/test/soak/oracle_cases_test.go
@@ -78,6 +78,30 @@
 	}
 }
 
+// A key is withdrawn while a request with it is on its way. Only a 401 that came after the
+// withdrawal began may be excused.
+func TestOracleExcusesOnlyRefusalsOfWithdrawnKeys(t *testing.T) {
+	withdrawn := time.Now()
+	for _, c := range []struct {
+		key     string
+		status  int
+		ended   time.Time
+		excused bool
+	}{
+		{"large-second", http.StatusUnauthorized, withdrawn.Add(time.Millisecond), true},
+		{"large-second", http.StatusUnauthorized, withdrawn.Add(-time.Millisecond), false},
+		{"large-second", http.StatusNotFound, withdrawn.Add(time.Millisecond), false},
+		{"large-key", http.StatusUnauthorized, withdrawn.Add(time.Millisecond), false},
+	} {
+		o := newOracle()
+		o.withdrawals["large-second"] = withdrawn
+		a := &attempt{kind: file, team: "large", vm: &vm{}, Call: standin.Call{ID: "id1", Key: c.key}, ended: c.ended}
+		a.answer.Status = c.status
+		o.checkAnswer(a, nil)
+		require.Equal(t, c.excused, len(o.violations) == 0, "%v", c)
+	}
+}
+
 func TestOracleDetectsExceededRate(t *testing.T) {
 	o, now := newOracle(), time.Now()
 	runs := make(map[string][]standin.Run)
--- a/test/soak/oracle_test.go
+++ b/test/soak/oracle_test.go
@@ -20,10 +20,12 @@
 	attempts   map[string]*attempt
 	served     map[kind]int
 	violations []string
+	// withdrawals holds, by key, the time just before its withdrawal was written to the store.
+	withdrawals map[string]time.Time
 }
 
 func newOracle() *oracle {
-	return &oracle{attempts: make(map[string]*attempt), served: make(map[kind]int)}
+	return &oracle{attempts: make(map[string]*attempt), served: make(map[kind]int), withdrawals: make(map[string]time.Time)}
 }
 
 // record adds a finished attempt.
@@ -36,6 +38,22 @@
 	}
 }
 
+// recordWithdrawal records that a key is about to be withdrawn.
+func (o *oracle) recordWithdrawal(key string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.withdrawals[key] = time.Now()
+}
+
+// withdrawnBeforeAnswer reports whether the VM that answered an attempt may have had the withdrawal
+// of its key in force: callers that chose a key just before its withdrawal are rightly refused.
+func (o *oracle) withdrawnBeforeAnswer(a *attempt) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	at, ok := o.withdrawals[a.Key]
+	return ok && at.Before(a.ended)
+}
+
 // servedCount returns the number of attempts of a kind that got status 200 without an error.
 func (o *oracle) servedCount(k kind) int {
 	o.mu.Lock()
@@ -113,7 +131,9 @@
 			o.reportViolation("whole answer", "%s %s got answer %q with ID %q, signed %v", a.kind, a.ID, a.answer.Body, a.answer.ID, a.answer.Signed)
 		}
 	case http.StatusUnauthorized, http.StatusNotFound, http.StatusBadRequest, http.StatusRequestEntityTooLarge:
-		o.reportViolation("denied", "%s %s with key %s was answered %d at %s", a.kind, a.ID, a.Key, a.answer.Status, a.vm.Name)
+		if a.answer.Status != http.StatusUnauthorized || !o.withdrawnBeforeAnswer(a) {
+			o.reportViolation("denied", "%s %s with key %s was answered %d at %s", a.kind, a.ID, a.Key, a.answer.Status, a.vm.Name)
+		}
 	}
 	if a.onlyPlannedStops && len(runs) > 0 && a.interrupted() {
 		o.reportViolation("planned stop", "%s %s ran and its answer was interrupted at %s: %v", a.kind, a.ID, a.vm.Name, a.answer.Err)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -189,6 +189,7 @@
 // withdrawKey removes a key and waits until every VM refuses it. rollingRestart checks that it
 // stays refused.
 func (w *world) withdrawKey() {
+	w.oracle.recordWithdrawal("large-second")
 	w.configure(func(m *standin.Manifest) { m.Teams[0].Keys = m.Teams[0].Keys[:1] })
 	for _, v := range w.vms {
 		w.eventually("the withdrawn key is refused at "+v.Name, func() bool { return w.probe(v, "look", "large-second") == http.StatusUnauthorized })
