vm, assign: evacuated failure domains get no more requests

Cause: the code had no word for evacuation. Change: platform/ reads the keys of evacuations; a VM keeps the set of evacuated domains as of one revision of the store and never goes back to an older one. The set comes with its view of the store (hubs pass it on like any key) and with the reports of other VMs, for a VM that the store turns away. The planner counts their copies as gone. A key without a domain is logged and ignored. Only entries of instances are kept after they lapse in an outage, so that the end of an evacuation is not held up by one.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -26,8 +26,11 @@
 	onEjection func(instance string, failures float64, until time.Time)
 	// onPlace is called with every engine that is given a request.
 	onPlace func(instance string)
-	// vms is the number of VMs that choose upstreams, this one included.
-	vms int
+	// self is this VM, others are the other VMs that choose upstreams. fleetKnownSince is when
+	// they first became known.
+	self            string
+	others          []string
+	fleetKnownSince time.Time
 	// stallStats holds the stall statistics of streams by service.
 	stallStats map[string]stallStats
 	// freed is closed and replaced when a request ends, its first event arrives, or the
@@ -71,11 +74,14 @@
 	s.freed = make(chan struct{})
 }
 
-// SetVMs sets the number of VMs that choose upstreams concurrently, this one included.
-func (s *Assigner) SetVMs(n int) {
+// SetFleet sets the VMs that choose upstreams concurrently: this one and the others.
+func (s *Assigner) SetFleet(self string, others []string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.vms = n
+	s.self, s.others = self, others
+	if s.fleetKnownSince.IsZero() {
+		s.fleetKnownSince = now
+	}
 }
 
 // SetCatalog replaces the configuration.
--- a/internal/assign/assigner_test.go
+++ b/internal/assign/assigner_test.go
@@ -25,6 +25,15 @@
 	}
 }
 
+// otherVMs returns the names of all but one of n VMs.
+func otherVMs(n int) []string {
+	var out []string
+	for i := range n - 1 {
+		out = append(out, fmt.Sprintf("vm-%d", i))
+	}
+	return out
+}
+
 func testAssigner(service string, n int) *Assigner {
 	s := New()
 	s.SetCatalog(testCatalog())
@@ -276,7 +285,7 @@
 	got := map[string]int{}
 	for vm := range 60 {
 		s := testAssigner("engines", 16)
-		s.SetVMs(60)
+		s.SetFleet("self", otherVMs(60), time.Now())
 		busy := map[string]Load{}
 		for i := range 15 {
 			busy[fmt.Sprint("i-", i)] = Load{Requests: 1, PrefillTokens: 500}
--- /dev/null
+++ b/internal/assign/availability.go
@@ -0,0 +1,34 @@
+package assign
+
+import "time"
+
+// availability says which requests an instance may be given.
+type availability int
+
+const (
+	// unavailable instances get no requests.
+	unavailable availability = iota
+	// lastChoice instances get only requests that no available instance can take.
+	lastChoice
+	// available instances get any request.
+	available
+)
+
+// availability returns which requests an instance may be given now. Whether it answers is another
+// matter, which node.responsive tells.
+func (s *Assigner) availability(n *node, now time.Time) availability {
+	switch i := &n.instance; {
+	case i.Draining:
+		return unavailable
+	case i.Evacuated() && !now.Before(i.EvacuateBy):
+		return unavailable
+	case i.Evacuated():
+		return lastChoice
+	}
+	return available
+}
+
+// usable reports whether an instance may be given any requests and answers them.
+func (s *Assigner) usable(n *node, now time.Time) bool {
+	return n.responsive(now) && s.availability(n, now) != unavailable
+}
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -50,10 +50,25 @@
 // choosePlain chooses the instance with the least work for its speed, for a service without
 // engines.
 func (s *Assigner) choosePlain(req Request, now time.Time) (*Choice, error) {
+	best := s.cheapestPlain(available, req, now)
+	if best == nil {
+		best = s.cheapestPlain(lastChoice, req, now)
+	}
+	if best == nil {
+		best = s.lastResort(req, now)
+	}
+	if best == nil {
+		return nil, &Refused{Cause: ErrNoUpstream, RetryAfter: retryAfter(now, req, 300*time.Millisecond)}
+	}
+	return s.place(best, req, 0, plainExpected, now), nil
+}
+
+// cheapestPlain returns the instance of an availability with the lowest cost, nil if there is none.
+func (s *Assigner) cheapestPlain(wanted availability, req Request, now time.Time) *node {
 	var best *node
 	bestCost := 0.0
 	for _, n := range s.nodes {
-		if n.instance.Service != req.Service || req.Avoid[n.instance.ID] || !n.ready(now) {
+		if n.instance.Service != req.Service || req.Avoid[n.instance.ID] || !n.responsive(now) || s.availability(n, now) != wanted {
 			continue
 		}
 		cost := plainCost(n, now, req)
@@ -61,13 +76,7 @@
 			best, bestCost = n, cost
 		}
 	}
-	if best == nil {
-		best = s.lastResort(req, now)
-	}
-	if best == nil {
-		return nil, &Refused{Cause: ErrNoUpstream, RetryAfter: retryAfter(now, req, 300*time.Millisecond)}
-	}
-	return s.place(best, req, 0, plainExpected, now), nil
+	return best
 }
 
 // plainExpected is the assumed answer time of a service without engines.
@@ -89,7 +98,7 @@
 func (s *Assigner) lastResort(req Request, now time.Time) *node {
 	var best *node
 	for _, n := range s.nodes {
-		if n.instance.Service != req.Service || n.instance.Draining || req.Avoid[n.instance.ID] {
+		if n.instance.Service != req.Service || req.Avoid[n.instance.ID] || s.availability(n, now) == unavailable {
 			continue
 		}
 		if req.Model != "" && !n.holds(itemName(req.Model, req.Adapter)) {
@@ -106,11 +115,52 @@
 }
 
 func (s *Assigner) chooseEngine(req Request, now time.Time) (*Choice, error) {
-	candidates, err := s.candidates(req, now)
+	engines, err := s.candidates(req, now)
 	if err != nil {
-		loadable := (err == ErrNotLoaded || err == ErrAdapterNotLoaded) && s.canLoad(req)
-		return nil, &Refused{Cause: err, RetryAfter: retryAfter(now, req, loadTimeFor(err)), Holdable: loadable}
+		if choice, ok := s.chooseLast(req, now); ok {
+			return choice, nil
+		}
+		return nil, s.refuseWithoutEngine(req, err, now)
+	}
+	choice, err := s.chooseAmong(engines, req, now)
+	if err == nil {
+		return choice, nil
+	}
+	if last, ok := s.chooseLast(req, now); ok {
+		return last, nil
+	}
+	return nil, err
+}
+
+// refuseWithoutEngine refuses a request for which no engine is available, for the reason cause.
+func (s *Assigner) refuseWithoutEngine(req Request, cause error, now time.Time) *Refused {
+	wait := loadTimeFor(cause)
+	holdable := (cause == ErrNotLoaded || cause == ErrAdapterNotLoaded) && s.canLoad(req)
+	return &Refused{Cause: cause, RetryAfter: retryAfter(now, req, wait), Holdable: holdable}
+}
+
+// chooseLast chooses among the engines that get only requests which no available engine can take.
+// It returns false if none of them can start the request in time.
+func (s *Assigner) chooseLast(req Request, now time.Time) (*Choice, bool) {
+	var engines []*node
+	for _, n := range s.nodes {
+		if s.canServe(n, req, now) && s.availability(n, now) == lastChoice {
+			engines = append(engines, n)
+		}
+	}
+	if len(engines) == 0 {
+		return nil, false
+	}
+	perToken := s.speedOf(req.Model).prefillPerToken
+	best := s.cheapest(engines, nil, req, perToken, now)
+	if best == nil || best.start > req.StartBy.Sub(now) {
+		return nil, false
 	}
+	return s.place(best.node, req, best.uncached, best.start, now), true
+}
+
+// chooseAmong chooses among available engines that hold the item.
+func (s *Assigner) chooseAmong(candidates []*node, req Request, now time.Time) (*Choice, error) {
 	perToken, due := s.speedOf(req.Model).prefillPerToken, req.StartBy.Sub(now)
 	preferred := preferredEngine(candidates, req)
 	best := s.cheapest(s.sample(candidates, preferred, req), preferred, req, perToken, now)
@@ -162,18 +212,20 @@
 	return ok
 }
 
-// candidates returns the engines that hold the item and accept requests.
+// candidates returns the available engines that hold the item.
 func (s *Assigner) candidates(req Request, now time.Time) ([]*node, error) {
 	var out []*node
-	item := itemName(req.Model, req.Adapter)
 	hasInstance, holdsModel := false, false
 	for _, n := range s.nodes {
 		if n.instance.Service != req.Service || n.instance.Draining {
 			continue
 		}
 		hasInstance = true
-		holdsModel = holdsModel || (n.holds(req.Model) && n.ready(now))
-		if n.holds(item) && n.holds(req.Model) && n.ready(now) && !req.Avoid[n.instance.ID] {
+		if !n.holds(req.Model) || !n.responsive(now) || s.availability(n, now) != available {
+			continue
+		}
+		holdsModel = true
+		if s.canServe(n, req, now) {
 			out = append(out, n)
 		}
 	}
@@ -194,6 +246,13 @@
 	return nil, ErrAdapterNotLoaded
 }
 
+// canServe reports whether an instance of the service answers requests, holds the item, and has not
+// failed this request before.
+func (s *Assigner) canServe(n *node, req Request, now time.Time) bool {
+	return n.instance.Service == req.Service && n.responsive(now) && !req.Avoid[n.instance.ID] &&
+		n.holds(req.Model) && n.holds(itemName(req.Model, req.Adapter))
+}
+
 // full reports whether an engine with the load l has no free batch slot or not enough KV
 // cache for the request.
 func (s *Assigner) full(l load, req Request, uncached int) bool {
--- a/internal/assign/node.go
+++ b/internal/assign/node.go
@@ -129,10 +129,9 @@
 
 func (n *node) holds(item string) bool { return n.contents.items[item] }
 
-// ready reports whether the instance may get requests: it is not draining, not ejected, and
-// not unresponsive.
-func (n *node) ready(now time.Time) bool {
-	return !n.instance.Draining && !now.Before(n.ejectedUntil) && !n.unresponsive(now)
+// responsive reports whether the instance is neither ejected nor unresponsive.
+func (n *node) responsive(now time.Time) bool {
+	return !now.Before(n.ejectedUntil) && !n.unresponsive(now)
 }
 
 // unresponsive reports whether a request has waited far longer than expected while nothing
--- a/internal/assign/pacing_test.go
+++ b/internal/assign/pacing_test.go
@@ -28,7 +28,7 @@
 		s := New()
 		s.SetCatalog(c)
 		s.SetInstances(all)
-		s.SetVMs(vms)
+		s.SetFleet("self", otherVMs(vms), time.Now())
 		f.vms = append(f.vms, s)
 	}
 	return f
--- a/internal/assign/rank.go
+++ b/internal/assign/rank.go
@@ -57,7 +57,7 @@
 // requests to the one engine that looks best in them, while other engines that hold the
 // model are almost idle.
 func (s *Assigner) sample(engines []*node, preferred *node, req Request) []*node {
-	if s.vms <= smallFleet || len(engines) <= sampleSize || len(req.Prefixes) == 0 {
+	if len(s.others)+1 <= smallFleet || len(engines) <= sampleSize || len(req.Prefixes) == 0 {
 		return engines
 	}
 	requestHash := req.Prefixes[len(req.Prefixes)-1].Hash
--- a/internal/assign/work.go
+++ b/internal/assign/work.go
@@ -120,7 +120,7 @@
 	defer s.mu.Unlock()
 	out := make(map[string]Load, len(s.nodes))
 	for id, n := range s.nodes {
-		if n.ready(now) {
+		if !n.instance.Draining && !n.instance.Evacuated() && n.responsive(now) {
 			t := n.total(now, defaultPrefillPerToken)
 			out[id] = Load{Requests: t.requests, PrefillTokens: t.prefillTokens, KVTokens: t.kvTokens, Running: n.totalRunning(now)}
 		}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -100,6 +100,11 @@
 	// MaxConnections is the number of connections that one upstream accepts from all
 	// VMs together. Zero means that it is not configured.
 	MaxConnections int
+	// ColdStart is how long an upstream is cold after it has started while requests arrive.
+	ColdStart time.Duration
+	// ColdRate is the number of requests per second that a cold upstream bears from all VMs
+	// together. Zero means that a cold upstream bears as many as any other.
+	ColdRate float64
 	// Engine is nil for plain services.
 	Engine *EngineSpec
 }
--- a/internal/upstream/instance.go
+++ b/internal/upstream/instance.go
@@ -29,6 +29,16 @@
 	// DrainTimeLeft is the longest time that a draining instance has left, counted from
 	// when it published this. Zero means that it publishes none.
 	DrainTimeLeft time.Duration
+	// ColdFor is how long the instance remains cold, counted from when it published this.
+	// ColdUntil is the same as a time, counted from when this VM received it.
+	ColdFor   time.Duration
+	ColdUntil time.Time
+	// EvacuateBy is set if the instance's failure domain is being evacuated: from then on the
+	// instance must get no requests, and before it only those that no other instance can take.
+	EvacuateBy time.Time
+	// ReturnedAt is when this VM learned that the evacuation of the instance's failure domain
+	// had ended, zero if it was not evacuated lately.
+	ReturnedAt time.Time
 	// Models lists the models that an engine holds.
 	Models []LoadedModel
 	// InMemory and OnDisk list the models whose weights an engine can load from its
@@ -44,6 +54,9 @@
 	return i.ID == other.ID && i.Incarnation == other.Incarnation && i.Address == other.Address
 }
 
+// Evacuated reports whether the instance's failure domain is being evacuated.
+func (i *Instance) Evacuated() bool { return !i.EvacuateBy.IsZero() }
+
 // HoldsModel reports whether an engine holds a model.
 func (i *Instance) HoldsModel(model string) bool {
 	for _, l := range i.Models {
--- a/internal/vm/cluster_test.go
+++ b/internal/vm/cluster_test.go
@@ -34,9 +34,11 @@
 	store    *standin.Store
 	replicas map[string]*standin.Replica
 	servers  map[string]*httptest.Server
-	vms      []*testVM
-	version  int
-	ids      atomic.Int64
+	// domains holds the failure domains of the replicas that are not in domain "a".
+	domains map[string]string
+	vms     []*testVM
+	version int
+	ids     atomic.Int64
 }
 
 // testVM is one process with its own connection to the store.
@@ -71,12 +73,16 @@
 
 func (c *cluster) putReplica(id, state string, models ...string) {
 	service, _, _ := strings.Cut(id, "-")
+	domain := c.domains[id]
+	if domain == "" {
+		domain = "a"
+	}
 	held := []any{}
 	for _, m := range models {
 		held = append(held, map[string]any{"name": m, "version": 1, "adapters": []string{}})
 	}
 	c.store.Put("servers/"+id, map[string]any{
-		"service": service, "address": c.servers[id].Listener.Addr().String(), "zone": "a", "slots": 8, "state": state,
+		"service": service, "address": c.servers[id].Listener.Addr().String(), "zone": domain, "slots": 8, "state": state,
 		"sequence": 0, "born": 1, "models": held,
 	})
 }
--- /dev/null
+++ b/internal/vm/evacuation.go
@@ -0,0 +1,157 @@
+package vm
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+	"github.com/chestnutarch/chestnutarch/internal/upstream"
+	"github.com/chestnutarch/chestnutarch/platform"
+)
+
+// evacuations holds the failure domains that the operator has asked to evacuate, as of one
+// revision of the store. The set comes from this VM's view of the store, or from another VM whose
+// set is newer. It is never replaced by an older one.
+type evacuations struct {
+	// phaseOut is how long upstreams of a domain may still get the requests that no other
+	// upstream can take, after this VM has learned of the evacuation.
+	phaseOut time.Duration
+
+	mu       sync.Mutex
+	revision int64
+	// until holds the domains that are being evacuated, with the end of the phase-out.
+	until map[string]time.Time
+	// returned holds when this VM learned that the evacuation of a domain had ended.
+	returned map[string]time.Time
+}
+
+// evacuationChange lists the domains whose evacuation a VM has just learned to have begun or ended.
+type evacuationChange struct {
+	begun, ended []string
+}
+
+func (c evacuationChange) isEmpty() bool { return len(c.begun) == 0 && len(c.ended) == 0 }
+
+// newEvacuations returns an empty set. The platform counts the time for an evacuation from when the
+// store accepted it; a VM may learn of it as late as of a configuration.
+func newEvacuations(b platform.Bounds) *evacuations {
+	return &evacuations{
+		phaseOut: max(0, b.Evacuation-b.Configuration), until: make(map[string]time.Time), returned: make(map[string]time.Time),
+	}
+}
+
+// update replaces the set by one of a later revision.
+func (e *evacuations) update(revision int64, domains []string, now time.Time) evacuationChange {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var change evacuationChange
+	if revision <= e.revision {
+		return change
+	}
+	e.revision = revision
+	for _, domain := range domains {
+		if _, ok := e.until[domain]; !ok {
+			e.until[domain] = now.Add(e.phaseOut)
+			delete(e.returned, domain)
+			change.begun = append(change.begun, domain)
+		}
+	}
+	for domain := range e.until {
+		if !slices.Contains(domains, domain) {
+			delete(e.until, domain)
+			e.returned[domain] = now
+			change.ended = append(change.ended, domain)
+		}
+	}
+	return change
+}
+
+// current returns the set and its revision.
+func (e *evacuations) current() (domains []string, revision int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Sorted(maps.Keys(e.until)), e.revision
+}
+
+// apply returns an instance with the state of its failure domain's evacuation. Instances of other
+// domains are returned unchanged.
+func (e *evacuations) apply(i *upstream.Instance) *upstream.Instance {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	until, returned := e.until[i.FailureDomain], e.returned[i.FailureDomain]
+	if i.EvacuateBy.Equal(until) && i.ReturnedAt.Equal(returned) {
+		return i
+	}
+	copied := *i
+	copied.EvacuateBy, copied.ReturnedAt = until, returned
+	return &copied
+}
+
+// updateEvacuations takes the evacuations from a view of the store. They apply to the instances with
+// the next call of setInstances.
+func (p *Process) updateEvacuations(v view) evacuationChange {
+	var domains []string
+	for key, item := range v.items {
+		domain, ok, err := platform.EvacuatedDomain(key)
+		if err != nil && p.unreadableEvacuations[key] != item.Revision {
+			p.unreadableEvacuations[key] = item.Revision
+			p.log.Warn().Str("event", "evacuation_unreadable").Int64("revision", item.Revision).AnErr("cause", err).Send()
+		}
+		if ok {
+			domains = append(domains, domain)
+		}
+	}
+	return p.evacuations.update(v.revision, domains, time.Now())
+}
+
+// applyPeerEvacuations applies the evacuations that another VM reports, if its set is newer.
+func (p *Process) applyPeerEvacuations(r *peerpb.VMReport) {
+	if r.EvacuatedRevision == 0 {
+		return
+	}
+	change := p.evacuations.update(r.EvacuatedRevision, r.Evacuated, time.Now())
+	if change.isEmpty() {
+		return
+	}
+	defer p.logEvacuations(change, r.Vm)
+	p.instancesMu.Lock()
+	defer p.instancesMu.Unlock()
+	next := make(map[string]*upstream.Instance)
+	for id, i := range *p.instances.Load() {
+		next[id] = p.evacuations.apply(i)
+	}
+	p.applyInstances(next)
+}
+
+// logEvacuations logs a change of the evacuations. peer names the VM that reported it, empty if it
+// comes from the view of the store.
+func (p *Process) logEvacuations(change evacuationChange, peer string) {
+	for _, domain := range change.begun {
+		p.logEvacuation(p.log.Info().Str("event", "evacuation_in_force"), domain, peer)
+	}
+	for _, domain := range change.ended {
+		p.logEvacuation(p.log.Info().Str("event", "evacuation_ended"), domain, peer)
+	}
+}
+
+// logEvacuation completes a log line about a domain.
+func (p *Process) logEvacuation(line *zerolog.Event, domain, peer string) {
+	_, revision := p.evacuations.current()
+	line.Str("domain", domain).Bool("known", p.settings.Regions[domain] != "").Int("instances", p.instancesIn(domain)).
+		Int64("revision", revision).Str("peer", peer).Send()
+}
+
+// instancesIn returns the number of known upstreams in a failure domain.
+func (p *Process) instancesIn(domain string) int {
+	n := 0
+	for _, i := range *p.instances.Load() {
+		if i.FailureDomain == domain {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -285,7 +286,7 @@
 		}
 	}
 	f.process.limiter.SetPeers(weights, now)
-	f.process.assigner.SetVMs(len(others) + 1)
+	f.process.assigner.SetFleet(f.process.settings.VM, slices.Collect(maps.Keys(f.members)), now)
 }
 
 func (f *fleet) selfVM() topology.VM {
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -29,7 +29,7 @@
 
 // update parses the entries that have changed and drops those that are gone. It returns an error
 // for each changed entry that cannot be parsed.
-func (e *instanceEntries) update(items map[string]store.Item) (unreadable []error) {
+func (e *instanceEntries) update(items map[string]store.Item, now time.Time) (unreadable []error) {
 	next := make(map[string]instanceEntry, len(e.byKey))
 	for key, item := range items {
 		if _, ok := platform.InstanceID(key); !ok {
@@ -42,6 +42,9 @@
 		entry := instanceEntry{revision: item.Revision}
 		i, err := e.parse(item)
 		if err == nil {
+			if i.ColdFor > 0 {
+				i.ColdUntil = now.Add(i.ColdFor)
+			}
 			entry.instance, entry.incarnation = i, incarnationOf(i)
 		} else {
 			unreadable = append(unreadable, err)
@@ -52,11 +55,13 @@
 	return unreadable
 }
 
-// setInstances updates the instances from a view of the store. Calls must not be concurrent.
+// setInstances updates the instances from a view of the store.
 func (p *Process) setInstances(v view) {
+	p.instancesMu.Lock()
+	defer p.instancesMu.Unlock()
 	now := time.Now()
 	storeFailed := p.tracker.failedWithin(now, immediateReturnTime)
-	for _, err := range p.entries.update(v.items) {
+	for _, err := range p.entries.update(v.items, now) {
 		p.log.Debug().Str("event", "instance_unreadable").AnErr("cause", err).Send()
 	}
 	next := make(map[string]*upstream.Instance, len(p.entries.byKey))
@@ -70,7 +75,7 @@
 		} else if p.departures.excluded(entry.incarnation, entry.revision, storeFailed) {
 			i = asDraining(i)
 		}
-		next[i.ID] = i
+		next[i.ID] = p.evacuations.apply(i)
 	}
 	for id, old := range *p.instances.Load() {
 		if i, ok := next[id]; !ok || !i.SameIncarnation(old) {
@@ -86,7 +91,8 @@
 // as available at once.
 const immediateReturnTime = 5 * time.Second
 
-// applyInstances makes a table of instances the one that requests are routed by. Of a VM's first
+// applyInstances makes a table of instances the one that requests are routed by. It must be called
+// with instancesMu held. Of a VM's first
 // table it logs only the size and the draining instances: hundreds of VMs that start together
 // would otherwise log a line for each upstream before they serve a request.
 func (p *Process) applyInstances(next map[string]*upstream.Instance) {
@@ -121,6 +127,8 @@
 	if len(incarnations) == 0 {
 		return
 	}
+	p.instancesMu.Lock()
+	defer p.instancesMu.Unlock()
 	left := make(map[string]bool, len(incarnations))
 	for _, n := range incarnations {
 		left[n] = true
--- a/internal/vm/instances_test.go
+++ b/internal/vm/instances_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -26,19 +27,19 @@
 		}
 	}
 	items["other"] = store.Item{Key: "other", Revision: 1}
-	require.Empty(t, e.update(items))
+	require.Empty(t, e.update(items, time.Now()))
 	require.Equal(t, 3, parses)
 
 	e2 := items[platform.InstancePrefix+"e2"]
 	e2.Revision, e2.Value = 2, []byte(`{`)
 	items[e2.Key] = e2
-	require.Len(t, e.update(items), 1)
-	require.Empty(t, e.update(items), "an entry that cannot be parsed must be returned only once per revision")
+	require.Len(t, e.update(items, time.Now()), 1)
+	require.Empty(t, e.update(items, time.Now()), "an entry that cannot be parsed must be returned only once per revision")
 	require.Equal(t, 4, parses)
 	require.Nil(t, e.byKey[e2.Key].instance)
 
 	delete(items, e2.Key)
-	require.Empty(t, e.update(items))
+	require.Empty(t, e.update(items, time.Now()))
 	require.Len(t, e.byKey, 2)
 	require.Equal(t, 4, parses)
 }
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -65,6 +65,12 @@
 	viewReceived atomic.Bool
 	// departures holds the incarnations of instances that were seen draining or gone.
 	departures *departures
+	// evacuations holds the failure domains that are being evacuated. unreadableEvacuations holds
+	// the revisions of the keys that were logged as unreadable.
+	evacuations           *evacuations
+	unreadableEvacuations map[string]int64
+	// instancesMu serializes changes of instances.
+	instancesMu sync.Mutex
 
 	mu sync.Mutex
 	// config is the configuration in force as stored, kept so that it can be served to VMs
@@ -75,7 +81,10 @@
 
 // New returns a process built from its settings.
 func New(s *platform.Settings, log zerolog.Logger) (*Process, error) {
-	p := &Process{settings: s, log: log, metrics: metrics.NewRegistry(), departures: newDepartures(), entries: newInstanceEntries(platform.Instance)}
+	p := &Process{
+		settings: s, log: log, metrics: metrics.NewRegistry(), departures: newDepartures(), entries: newInstanceEntries(platform.Instance),
+		evacuations: newEvacuations(s.Bounds), unreadableEvacuations: make(map[string]int64),
+	}
 	p.store = platform.NewStore(s.Store.Address, p.countStoreCall)
 	p.replicas = platform.NewReplicas()
 	p.assigner = assign.New()
@@ -268,7 +277,9 @@
 // applyView applies a newer view of the store.
 func (p *Process) applyView(v view) {
 	p.applyProjectKeys(v)
+	evacuations := p.updateEvacuations(v)
 	p.setInstances(v)
+	p.logEvacuations(evacuations, "")
 	// Applied last: requests that wait for the first configuration need the members and
 	// instances as soon as it is in force.
 	if item, ok := v.items[platform.ConfigurationKey]; ok {
--- a/internal/vm/reports.go
+++ b/internal/vm/reports.go
@@ -17,6 +17,7 @@
 		ConfigurationRevision: f.process.configuration().Revision, ViewRevision: f.process.tracker.viewRevision(),
 		Leaving: f.process.departures.incarnations(),
 	}
+	out.Evacuated, out.EvacuatedRevision = f.process.evacuations.current()
 	scope, since := f.addAcknowledgement(out, receiver)
 	out.Scope = int32(scope)
 	if scope != topology.ScopePresence {
@@ -106,6 +107,7 @@
 	if r.ViewRevision > f.process.tracker.viewRevision() {
 		f.process.applyPeerDepartures(r.Leaving)
 	}
+	f.process.applyPeerEvacuations(r)
 	f.process.configurationLag.recordPeerRevision(r.ConfigurationRevision, now)
 	// A VM that follows a hub gets the same configuration in the hub's next answer.
 	if r.ConfigurationRevision > f.process.configuration().Revision && !f.process.tracker.followsHub() {
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -263,11 +263,12 @@
 
 // keepLapsed reports whether an entry that has disappeared is to be kept for now: if a call of
 // the store failed recently, the entry's lease may have expired although the instance lives. It
-// records the key in lapsed, with the time until which the entry is kept. This project's own keys
-// are never kept: no election starts while the leader's key is in the view, and a VM without a
-// registration stays a member while its reports arrive. It must be called with the lock held.
+// records the key in lapsed, with the time until which the entry is kept. Only entries of instances
+// are kept: what the operator removes takes effect at once, no election starts while the leader's
+// key is in the view, and a VM without a registration stays a member while its reports arrive. It
+// must be called with the lock held.
 func (t *tracker) keepLapsed(key string, now time.Time) bool {
-	if strings.HasPrefix(key, projectPrefix) || t.failedAt.IsZero() {
+	if !strings.HasPrefix(key, platform.InstancePrefix) || t.failedAt.IsZero() {
 		return false
 	}
 	until, ok := t.lapsed[key]
