assign, warmup: few VMs send to a cold engine, and only what no warm one can take

Cause: on the shifted deployment a cold engine bears 6.5 requests a second, and tolerates 14.75 in any second from all 65 VMs together. Change: entries tell how long an engine remains cold; an engine whose domain was evacuated counts as cold for its cold start from when the evacuation ended, since its entry may tell it a heartbeat later. Package warmup gives the rate to as many VMs as it has requests a second (6), chosen by rendezvous hashing, each with a share; other VMs send nothing. A VM uses a share only for what no warm engine can start in time, and none for three seconds after it has learned of the fleet. Adapters are not brought to cold engines for callers that wait. A request for which only cold engines are left is refused with the time until the first is warm. Without a bound in the configuration nothing changes.

--- a/internal/assign/availability.go
+++ b/internal/assign/availability.go
@@ -24,8 +24,12 @@
 		return unavailable
 	case i.Evacuated():
 		return lastChoice
+	case !s.isCold(n, now):
+		return available
+	case s.maySendCold(n, now):
+		return lastChoice
 	}
-	return available
+	return unavailable
 }
 
 // usable reports whether an instance may be given any requests and answers them.
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -58,7 +58,7 @@
 		best = s.lastResort(req, now)
 	}
 	if best == nil {
-		return nil, &Refused{Cause: ErrNoUpstream, RetryAfter: retryAfter(now, req, 300*time.Millisecond)}
+		return nil, &Refused{Cause: ErrNoUpstream, RetryAfter: retryAfter(now, req, max(s.warmIn(req, now), 300*time.Millisecond))}
 	}
 	return s.place(best, req, 0, plainExpected, now), nil
 }
@@ -135,7 +135,10 @@
 // refuseWithoutEngine refuses a request for which no engine is available, for the reason cause.
 func (s *Assigner) refuseWithoutEngine(req Request, cause error, now time.Time) *Refused {
 	wait := loadTimeFor(cause)
-	holdable := (cause == ErrNotLoaded || cause == ErrAdapterNotLoaded) && s.canLoad(req)
+	if warm := s.warmIn(req, now); warm > 0 && cause != ErrAdapterNotLoaded {
+		cause, wait = ErrCold, warm
+	}
+	holdable := cause == ErrCold || ((cause == ErrNotLoaded || cause == ErrAdapterNotLoaded) && s.canLoad(req))
 	return &Refused{Cause: cause, RetryAfter: retryAfter(now, req, wait), Holdable: holdable}
 }
 
@@ -297,7 +300,7 @@
 	if errors.Is(cause, ErrPrefillPaced) {
 		return arrived.Add(objective / pacedHoldDivisor)
 	}
-	if errors.Is(cause, ErrNotLoaded) || errors.Is(cause, ErrAdapterNotLoaded) {
+	if errors.Is(cause, ErrNotLoaded) || errors.Is(cause, ErrAdapterNotLoaded) || errors.Is(cause, ErrCold) {
 		return arrived.Add(objective / loadHoldDivisor)
 	}
 	return arrived.Add(objective / holdDivisor)
--- /dev/null
+++ b/internal/assign/cold.go
@@ -0,0 +1,74 @@
+package assign
+
+import (
+	"time"
+
+	"github.com/chestnutarch/chestnutarch/internal/warmup"
+)
+
+// fleetSettleTime is how long a VM has to know other VMs before it sends requests to cold upstreams:
+// a VM that has just started may know only a few of the VMs and would take shares that belong to
+// the others.
+const fleetSettleTime = 3 * time.Second
+
+// coldUntil returns until when an instance is cold, zero if it is not. An instance whose failure
+// domain was evacuated may have become cold with its return, before its entry tells.
+func (s *Assigner) coldUntil(n *node) time.Time {
+	if s.catalog == nil || s.catalog.Services[n.instance.Service] == nil {
+		return time.Time{}
+	}
+	service := s.catalog.Services[n.instance.Service]
+	if service.ColdRate <= 0 {
+		return time.Time{}
+	}
+	until := n.instance.ColdUntil
+	if returned := n.instance.ReturnedAt; !returned.IsZero() && returned.Add(service.ColdStart).After(until) {
+		until = returned.Add(service.ColdStart)
+	}
+	return until
+}
+
+func (s *Assigner) isCold(n *node, now time.Time) bool { return now.Before(s.coldUntil(n)) }
+
+// maySendCold reports whether this VM may send a request to a cold instance now.
+func (s *Assigner) maySendCold(n *node, now time.Time) bool {
+	if s.fleetKnownSince.IsZero() || now.Sub(s.fleetKnownSince) < fleetSettleTime {
+		return false
+	}
+	shares := warmup.Divide(s.catalog.Services[n.instance.Service].ColdRate, len(s.others)+1)
+	if now.Sub(n.sentColdAt) < shares.Interval {
+		return false
+	}
+	return shares.Holds(n.instance.ID, s.self, s.others)
+}
+
+// ColdUntil returns until when the instances that are cold now remain so.
+func (s *Assigner) ColdUntil(now time.Time) map[string]time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]time.Time)
+	for id, n := range s.nodes {
+		if s.isCold(n, now) {
+			out[id] = s.coldUntil(n)
+		}
+	}
+	return out
+}
+
+// warmIn returns the time until the first of the cold instances that hold an item is warm, zero if
+// there is none.
+func (s *Assigner) warmIn(req Request, now time.Time) time.Duration {
+	first := time.Duration(0)
+	for _, n := range s.nodes {
+		if n.instance.Service != req.Service || n.instance.Draining || n.instance.Evacuated() || !s.isCold(n, now) {
+			continue
+		}
+		if req.Model != "" && !n.holds(itemName(req.Model, req.Adapter)) {
+			continue
+		}
+		if left := s.coldUntil(n).Sub(now); first == 0 || left < first {
+			first = left
+		}
+	}
+	return first
+}
--- a/internal/assign/node.go
+++ b/internal/assign/node.go
@@ -50,6 +50,8 @@
 	unanswered map[*Choice]struct{}
 	// lastActivity is when the instance last sent anything for a request of this VM.
 	lastActivity time.Time
+	// sentColdAt is when this VM last sent a request to the instance while it was cold.
+	sentColdAt time.Time
 	// running counts this VM's requests in flight by model.
 	running map[string]int
 	// backoffUntil holds by model until when the engine gets no requests, after it has
--- a/internal/assign/types.go
+++ b/internal/assign/types.go
@@ -14,6 +14,9 @@
 	ErrNotLoaded = errors.New("assign: no engine holds the model")
 	// ErrAdapterNotLoaded means that engines hold the model but none the adapter.
 	ErrAdapterNotLoaded = errors.New("assign: no engine holds the adapter")
+	// ErrCold means that all instances which could serve the request have just started, and get
+	// few requests until they are warm.
+	ErrCold = errors.New("assign: every upstream that could serve the request is cold")
 	// ErrPrefillPaced means that streams of the engines would stall for too long if the engines
 	// prefilled the prompt now.
 	ErrPrefillPaced = errors.New("assign: prefilling the prompt now would stall the streams of every engine with a free place")
--- a/internal/assign/work.go
+++ b/internal/assign/work.go
@@ -114,7 +114,8 @@
 	}
 }
 
-// Totals returns the work of all VMs at the instances that accept requests.
+// Totals returns the work of all VMs at the instances that accept requests, now or once they are
+// warm.
 func (s *Assigner) Totals(now time.Time) map[string]Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -143,6 +144,9 @@
 	n.local.kvTokens += c.kvTokens
 	n.running[req.Model]++
 	n.unanswered[c] = struct{}{}
+	if s.isCold(n, now) {
+		n.sentColdAt = now
+	}
 	if req.Adapter != "" {
 		s.inUse[itemName(req.Model, req.Adapter)]++
 	}
--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -22,14 +22,15 @@
 
 // PlaceAdapter chooses an engine for an adapter of a model: the one with the smallest prefill
 // backlog among those with a free slot and the memory for it, else the one whose least recently
-// used adapter was used longest ago, at least minAdapterIdleTime. It returns false if no engine
-// can load the adapter now.
+// used adapter was used longest ago, at least minAdapterIdleTime. Cold engines are not chosen: the
+// caller that waits for the adapter could not be sent there. It returns false if no engine can load
+// the adapter now.
 func PlaceAdapter(engines []Engine, spec *catalog.EngineSpec, model string, now time.Time) (AdapterMove, bool) {
 	var best AdapterMove
 	bestFree, bestBacklog, found := false, 0, false
 	var bestVictimUsed time.Time
 	for _, e := range engines {
-		if !e.Usable || e.Busy || !e.Models[model] {
+		if !e.Usable || e.Cold || e.Busy || !e.Models[model] {
 			continue
 		}
 		if fitsAdapter(e, spec, model) {
--- a/internal/residency/state.go
+++ b/internal/residency/state.go
@@ -15,6 +15,8 @@
 	Busy bool
 	// Usable reports that the engine is neither draining nor silent.
 	Usable bool
+	// Cold reports that the engine has just started and gets few requests for now.
+	Cold bool
 	// PrefillBacklog is the number of prompt tokens that await prefill.
 	PrefillBacklog int
 	// DelayedLoad is a model whose load waits for an unload that takes too long, "" if none.
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -371,6 +371,8 @@
 	switch {
 	case errors.Is(err, assign.ErrNotLoaded):
 		return "model_not_loaded"
+	case errors.Is(err, assign.ErrCold):
+		return "upstreams_cold"
 	case errors.Is(err, assign.ErrAdapterNotLoaded):
 		return "adapter_not_loaded"
 	case errors.Is(err, assign.ErrOverloaded), errors.Is(err, assign.ErrPrefillPaced):
--- a/internal/vm/adapters.go
+++ b/internal/vm/adapters.go
@@ -58,7 +58,7 @@
 	l.mu.Lock()
 	l.lastUsed[item] = time.Now()
 	for _, e := range engines {
-		if e.Usable && e.Models[model] {
+		if e.Usable && !e.Cold && e.Models[model] {
 			if _, ok := e.Adapters[item]; ok {
 				l.mu.Unlock()
 				return e.ID, nil
