test/soak, platform/standin: evacuations and cold engines

Change: with -evacuations a third of the upstreams lies in a zone that is evacuated during the faults, and engines are cold after a restart and after their zone is given back. After the faults a calm evacuation is checked: nothing runs in the zone once the bound has passed, requests run there again after its end, and no engine gets more than 14 requests within a second while it is cold. Draws of other seeds are unchanged: evacuations are drawn after all other faults.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -38,6 +38,11 @@
 			all = append(all, repeat)
 		}
 	}
+	return sortFaults(all)
+}
+
+// sortFaults sorts faults by their start.
+func sortFaults(all []fault) []fault {
 	slices.SortStableFunc(all, func(a, b fault) int { return int(a.start - b.start) })
 	return all
 }
@@ -185,6 +190,14 @@
 	}, end: v.storeProxy.heal}
 }
 
+// restartReplica restarts a replica under its ID, without its models and its count of accepted orders.
+func (w *world) restartReplica(u *upstream) {
+	u.Restart(time.Now().UnixMilli())
+	if w.evacuations && u.service == "engine" {
+		u.BecomeCold(coldStart)
+	}
+}
+
 // crashReplica resets a replica's connections. At the end the replica restarts under its
 // ID, without its models and its count of accepted orders.
 func (w *world) crashReplica(r *rand.Rand) fault {
@@ -193,7 +206,7 @@
 		u.proxy.update(func() { u.proxy.refuse = true })
 		u.proxy.reset()
 	}, end: func() {
-		u.Restart(time.Now().UnixMilli())
+		w.restartReplica(u)
 		u.proxy.heal()
 		w.setState(u, "ready")
 	}}
@@ -211,7 +224,7 @@
 		}
 		w.setState(u, "draining")
 	}, end: func() {
-		u.Restart(time.Now().UnixMilli())
+		w.restartReplica(u)
 		w.setState(u, "ready")
 	}}
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -21,6 +21,7 @@
 	seedCount      = flag.Int("seeds", 0, "number of random seeds to run")
 	seed           = flag.Uint64("seed", 0, "a single seed to run")
 	vmCount        = flag.Int("vms", 4, "number of VMs in a run")
+	evacuations    = flag.Bool("evacuations", false, "evacuate zones, and make engines cold after a restart")
 	extraRoutes    = flag.Int("routes", 0, "number of additional routes in the configuration; links are narrow if it is above 0")
 	faultTime      = flag.Duration("storm", 6*time.Second, "time during which faults are injected")
 	allRegressions = flag.Bool("regressions", false, "run all regressions, those that CI leaves out included")
@@ -46,11 +47,13 @@
 	{seed: 4380780653052717364, faultTime: 15 * time.Second, cause: "a VM that restarted without being noticed was missing in the answers of VMs behind a hub", vms: 14, manualOnly: true},
 }
 
-// ciSeeds are the seeds that CI runs. ciSeedLarge is the one that runs with largeRoutes.
+// ciSeeds are the seeds that CI runs. ciSeedLarge is the one that runs with largeRoutes,
+// ciSeedEvacuations the one that runs with evacuations.
 var ciSeeds = []uint64{1, 2}
 
 const (
-	ciSeedLarge = 3
+	ciSeedLarge       = 3
+	ciSeedEvacuations = 4
 	// largeRoutes is the number of additional routes with which a configuration takes a second
 	// over a narrow link.
 	largeRoutes = 700
@@ -99,19 +102,20 @@
 func TestSoak(t *testing.T) {
 	switch {
 	case *seed != 0:
-		startSeed(t, *seed, *faultTime, *extraRoutes, *vmCount)
+		startSeed(t, *seed, *faultTime, *extraRoutes, *vmCount, *evacuations)
 	case *seedCount > 0:
 		for range *seedCount {
-			startSeed(t, rand.Uint64(), *faultTime, *extraRoutes, *vmCount)
+			startSeed(t, rand.Uint64(), *faultTime, *extraRoutes, *vmCount, *evacuations)
 		}
 	case *allRegressions:
 		runRegressions(t, true)
 	default:
 		for _, s := range ciSeeds {
-			startSeed(t, s, *faultTime, 0, *vmCount)
+			startSeed(t, s, *faultTime, 0, *vmCount, false)
 		}
 		runRegressions(t, false)
-		startSeed(t, ciSeedLarge, *faultTime, largeRoutes, *vmCount)
+		startSeed(t, ciSeedLarge, *faultTime, largeRoutes, *vmCount, false)
+		startSeed(t, ciSeedEvacuations, *faultTime, 0, *vmCount, true)
 	}
 }
 
@@ -119,30 +123,30 @@
 func runRegressions(t *testing.T, includeManual bool) {
 	for _, r := range regressions {
 		if !r.manualOnly || includeManual {
-			startSeed(t, r.seed, r.faultTime, 0, max(r.vms, *vmCount))
+			startSeed(t, r.seed, r.faultTime, 0, max(r.vms, *vmCount), false)
 		}
 	}
 }
 
-func startSeed(t *testing.T, s uint64, length time.Duration, routes, vms int) {
+func startSeed(t *testing.T, s uint64, length time.Duration, routes, vms int, evacuations bool) {
 	t.Run(fmt.Sprint(s), func(t *testing.T) {
 		t.Parallel()
-		runSeed(t, s, length, routes, vms)
+		runSeed(t, s, length, routes, vms, evacuations)
 	})
 }
 
 // runSeed performs one run: it injects faults, checks the recovery after their end, and checks that
 // a rolling restart interrupts no request.
-func runSeed(t *testing.T, s uint64, length time.Duration, routes, vms int) {
+func runSeed(t *testing.T, s uint64, length time.Duration, routes, vms int, evacuations bool) {
 	r := rand.New(rand.NewPCG(s, 0))
-	w := newWorld(t, vms, routes)
+	w := newWorld(t, vms, routes, evacuations)
 	t.Cleanup(func() { w.keepLogs(s) })
 	w.eventually("all VMs are ready", w.allReady)
 	w.eventually("the directory of every VM names all VMs", w.allListed)
 	stop := make(chan struct{})
 	go w.refreshEntries(stop)
 	l := startLoad(w, s)
-	w.injectFaults(w.drawFaults(r, length))
+	w.injectFaults(sortFaults(append(w.drawFaults(r, length), w.drawEvacuations(r, length)...)))
 	w.heal()
 	w.checkRecovery(l)
 	l.stopAndWait()
@@ -181,6 +185,9 @@
 		before := w.oracle.servedCount(k)
 		w.eventually(fmt.Sprintf("%s is served after the faults", k), func() bool { return w.oracle.servedCount(k) > before+5 })
 	}
+	if w.evacuations {
+		w.checkEvacuation()
+	}
 	w.withdrawKey()
 	w.addRoute()
 	w.rollingRestart(l)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -22,9 +22,15 @@
 const (
 	host = "callers.example"
 	// configMs, leaseMs and quotaSlack are limits that the platform sets.
-	configMs   = 2000
-	leaseMs    = 1000
-	quotaSlack = 20_000
+	configMs = 2000
+	// evacuationMs is the time within which an evacuated zone gets no more requests.
+	evacuationMs = 3000
+	// coldStart is how long an engine is cold after a restart, coldPerSecond the number of
+	// requests per second that it bears meanwhile.
+	coldStart     = 2 * time.Second
+	coldPerSecond = 6.5
+	leaseMs       = 1000
+	quotaSlack    = 20_000
 	// smallRate and smallBurst are the limits of the team "small", which exceeds its rate, in
 	// tokens a second and in tokens.
 	smallRate  = 2_000.0
@@ -41,6 +47,8 @@
 	vms          []*vm
 	upstreams    []*upstream
 	oracle       *oracle
+	// evacuations is set if zones are evacuated and engines are cold after a restart.
+	evacuations bool
 
 	mu       sync.Mutex
 	manifest standin.Manifest
@@ -69,9 +77,9 @@
 
 // newWorld starts a world with a number of VMs. routes is the number of additional routes that no
 // caller uses: they make the configuration large, and then the links to the store and between VMs
-// are narrow.
-func newWorld(t *testing.T, vms, routes int) *world {
-	w := &world{t: t, dir: t.TempDir(), store: standin.NewStore(), oracle: newOracle()}
+// are narrow. With evacuations a third of the upstreams is in evacuatedZone.
+func newWorld(t *testing.T, vms, routes int, evacuations bool) *world {
+	w := &world{t: t, dir: t.TempDir(), store: standin.NewStore(), oracle: newOracle(), evacuations: evacuations}
 	if routes > 0 {
 		w.rate = narrowLinkRate
 	}
@@ -82,6 +90,9 @@
 			{Name: "small", Keys: []string{"small-key"}, Rate: smallRate, Burst: smallBurst},
 		},
 	}
+	if evacuations {
+		w.manifest.ColdStartS, w.manifest.ColdPerS = coldStart.Seconds(), coldPerSecond
+	}
 	for i := range routes {
 		w.manifest.Extra = append(w.manifest.Extra, fmt.Sprintf("unused-%d", i))
 	}
@@ -94,8 +105,12 @@
 	})
 	w.storeAddress = server.Listener.Addr().String()
 	for i := range 3 {
-		w.addUpstream("engine", fmt.Sprintf("engine-%d", i), "m0", "m1")
-		w.addUpstream("clerk", fmt.Sprintf("clerk-%d", i))
+		zone := "a"
+		if evacuations && i == 2 {
+			zone = evacuatedZone
+		}
+		w.addUpstream("engine", zone, fmt.Sprintf("engine-%d", i), "m0", "m1")
+		w.addUpstream("clerk", zone, fmt.Sprintf("clerk-%d", i))
 	}
 	w.store.Rewrite(w.publishPeerProxies)
 	for i := range vms {
@@ -110,11 +125,11 @@
 	return w
 }
 
-func (w *world) addUpstream(service, id string, models ...string) {
+func (w *world) addUpstream(service, zone, id string, models ...string) {
 	r := standin.NewReplica(id, 2, models...)
 	r.NameAttempt, r.ServiceTime, r.Born = true, 5*time.Millisecond, time.Now().UnixMilli()
 	r.SetLoadTime(200 * time.Millisecond)
-	u := &upstream{Replica: r, service: service, zone: "a", server: httptest.NewServer(r), state: "ready"}
+	u := &upstream{Replica: r, service: service, zone: zone, server: httptest.NewServer(r), state: "ready"}
 	replicaProxy, err := newProxy(u.server.Listener.Addr().String())
 	require.NoError(w.t, err)
 	u.proxy = replicaProxy
@@ -151,7 +166,7 @@
 	v := &vm{builds: builds, starts: firstBuild, dir: w.dir, VM: standin.VM{
 		Name: name, Zone: zone, IP: "127.0.0.1", FirstPort: min(vmPorts[0], vmPorts[1]), LastPort: max(vmPorts[0], vmPorts[1]),
 		Callers: at(2), Readiness: at(3), Directory: at(4),
-		ConfigMs: configMs, LeaseMs: leaseMs, GraceS: int(gracePeriod.Seconds()), QuotaSlack: quotaSlack,
+		ConfigMs: configMs, EvacuationMs: evacuationMs, LeaseMs: leaseMs, GraceS: int(gracePeriod.Seconds()), QuotaSlack: quotaSlack,
 	}}
 	for _, link := range []struct {
 		proxy  **proxy
