platform, assign, vm: regions of routes and teams, and callers sent to VMs of their own region

Change: the configuration's regions are read; an upstream outside the regions of a request's route or team is not chosen, not even as a last resort; address answers name VMs of the caller's region while it has any.

--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -68,7 +68,7 @@
 	var best *node
 	bestCost := 0.0
 	for _, n := range s.nodes {
-		if n.instance.Service != req.Service || req.Avoid[n.instance.ID] || !n.responsive(now) || s.availability(n, now) != wanted {
+		if !req.admits(n) || !n.responsive(now) || s.availability(n, now) != wanted {
 			continue
 		}
 		cost := plainCost(n, now, req)
@@ -98,7 +98,7 @@
 func (s *Assigner) lastResort(req Request, now time.Time) *node {
 	var best *node
 	for _, n := range s.nodes {
-		if n.instance.Service != req.Service || req.Avoid[n.instance.ID] || s.availability(n, now) == unavailable {
+		if !req.admits(n) || s.availability(n, now) == unavailable {
 			continue
 		}
 		if req.Model != "" && !n.holds(itemName(req.Model, req.Adapter)) {
@@ -220,7 +220,7 @@
 	var out []*node
 	hasInstance, holdsModel := false, false
 	for _, n := range s.nodes {
-		if n.instance.Service != req.Service || n.instance.Draining {
+		if n.instance.Service != req.Service || n.instance.Draining || (req.RegionAllowed != nil && !req.RegionAllowed(n.instance.Region)) {
 			continue
 		}
 		hasInstance = true
@@ -249,11 +249,19 @@
 	return nil, ErrAdapterNotLoaded
 }
 
-// canServe reports whether an instance of the service answers requests, holds the item, and has not
-// failed this request before.
+// canServe reports whether an instance answers requests and holds the item, and the request may be
+// sent there.
 func (s *Assigner) canServe(n *node, req Request, now time.Time) bool {
-	return n.instance.Service == req.Service && n.responsive(now) && !req.Avoid[n.instance.ID] &&
-		n.holds(req.Model) && n.holds(itemName(req.Model, req.Adapter))
+	return req.admits(n) && n.responsive(now) && n.holds(req.Model) && n.holds(itemName(req.Model, req.Adapter))
+}
+
+// admits reports whether an instance belongs to the request's service and to a region in which the
+// request may run, and has not failed the request before.
+func (req *Request) admits(n *node) bool {
+	if n.instance.Service != req.Service || req.Avoid[n.instance.ID] {
+		return false
+	}
+	return req.RegionAllowed == nil || req.RegionAllowed(n.instance.Region)
 }
 
 // full reports whether an engine with the load l has no free batch slot or not enough KV
--- a/internal/assign/types.go
+++ b/internal/assign/types.go
@@ -70,6 +70,9 @@
 	Deadline time.Time
 	// Urgency is the request's priority rank; 0 is the most urgent.
 	Urgency int
+	// RegionAllowed reports whether upstreams of a region may run the request. Nil means that all
+	// regions may.
+	RegionAllowed func(region string) bool
 	// Avoid names instances that failed this request.
 	Avoid map[string]bool
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"slices"
 	"strings"
 	"time"
 )
@@ -53,6 +54,8 @@
 	CanResume bool
 	// PrefixAware means that requests identify the parts of their prompts.
 	PrefixAware bool
+	// Regions are the regions whose upstreams may run the route's requests. Empty means all.
+	Regions []string
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -118,6 +121,8 @@
 	// Priority overrides the route's if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Regions are the regions whose upstreams may run the team's requests. Empty means all.
+	Regions []string
 }
 
 // Unit is the unit of teams' rates.
@@ -197,6 +202,15 @@
 	return len(c.Teams) > 0 && !r.Anonymous
 }
 
+// RegionAllowed reports whether an upstream in a region may run requests of a route and a team, which
+// may be nil.
+func RegionAllowed(r *Route, t *Team, region string) bool {
+	if len(r.Regions) > 0 && !slices.Contains(r.Regions, region) {
+		return false
+	}
+	return t == nil || len(t.Regions) == 0 || slices.Contains(t.Regions, region)
+}
+
 var shareSeed = maphash.MakeSeed()
 
 // Pick selects the service of a request by the weights of the route's shares. For one
--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutarch/chestnutarch/internal/assign"
+	"github.com/chestnutarch/chestnutarch/internal/catalog"
 )
 
 // acquire reserves a slot on an upstream. It holds the request while a slot may become
@@ -78,9 +79,15 @@
 		Service: j.service, Model: j.request.Model, Adapter: j.request.Adapter, Prefixes: j.prefixes,
 		PromptTokens: j.request.PromptTokens, OutputTokens: j.request.expectedOutput(),
 		StartBy: j.due, Deadline: j.deadline, MaxGap: j.route.GapObjective, Urgency: j.urgency, Avoid: j.avoid,
+		RegionAllowed: j.regionAllowed,
 	}
 }
 
+// regionAllowed reports whether upstreams of a region may run the request.
+func (j *job) regionAllowed(region string) bool {
+	return catalog.RegionAllowed(j.route, j.catalog.Teams[j.team], region)
+}
+
 func (j *job) ensureAdapter(ctx context.Context, req assign.Request) bool {
 	ctx, cancel := context.WithTimeout(ctx, min(ensureTimeout, time.Until(j.deadline)))
 	defer cancel()
--- a/internal/upstream/instance.go
+++ b/internal/upstream/instance.go
@@ -22,6 +22,8 @@
 	Service       string
 	Address       string
 	FailureDomain string
+	// Region is the region of the failure domain.
+	Region string
 	// Slots is the number of requests that the instance runs at once.
 	Slots int
 	// Draining instances accept no new requests.
--- a/internal/vm/addresses.go
+++ b/internal/vm/addresses.go
@@ -8,23 +8,35 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Addresses implements platform.Directory. VMs of all failure domains are returned, not
-// only those of the caller's domain: callers choose an address at random, and every VM has to
-// get its share of the load.
-func (f *fleet) Addresses(domain string) ([]string, time.Duration) {
+// Addresses implements platform.Directory. VMs of all failure domains of the caller's region are
+// returned, not only those of its domain: callers choose an address at random, and every VM has to
+// get its share of the load. VMs of other regions are returned only if the caller's region has none:
+// requests are longer on their way there, and may not be sent to every region.
+func (f *fleet) Addresses(region, domain string) ([]string, time.Duration) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []string
+	regions := f.process.settings.Regions
+	var near, far []string
+	add := func(vmDomain, address string) {
+		if regions[vmDomain] == region {
+			near = append(near, address)
+		} else {
+			far = append(far, address)
+		}
+	}
 	if f.process.ready() {
-		out = append(out, f.process.settings.Callers)
+		add(f.process.settings.FailureDomain, f.process.settings.Callers)
 	}
 	for vm, m := range f.members {
 		if f.takesCallers(vm, m, later(m.lastReport, m.firstSeen), peerTimeout, now) {
-			out = append(out, m.Callers)
+			add(m.Domain, m.Callers)
 		}
 	}
-	return selectAddresses(out, domain), min(addressLifetime, f.process.settings.Bounds.AddressLifetime)
+	if len(near) == 0 {
+		near = far
+	}
+	return selectAddresses(near, domain), min(addressLifetime, f.process.settings.Bounds.AddressLifetime)
 }
 
 // selectAddresses returns at most maxAddresses addresses, sorted. If there are more, callers
--- a/internal/vm/cluster_test.go
+++ b/internal/vm/cluster_test.go
@@ -112,6 +112,8 @@
 	name, domain string
 	// link carries the store's answers to the VM; nil for plain loopback.
 	link *link
+	// regions holds the region of each failure domain.
+	regions map[string]string
 	// linkMbps is the bandwidth in the VM's settings, in Mbit/s.
 	linkMbps float64
 	// configurationDeadline is the time in which a configuration has to be in force; zero
@@ -139,7 +141,7 @@
 	first := freePorts(c.t, 6)
 	s := &platform.Settings{
 		VM: spec.name, FailureDomain: spec.domain, LinkMbps: spec.linkMbps, IP: "127.0.0.1", FirstPort: first[0], LastPort: first[1],
-		Callers: loopback(first[2]), Readiness: loopback(first[3]), Directory: loopback(first[4]), Domains: 1,
+		Callers: loopback(first[2]), Readiness: loopback(first[3]), Directory: loopback(first[4]), Domains: 1, Regions: spec.regions,
 		Bounds: platform.Bounds{
 			OrderLease: 500 * time.Millisecond, Configuration: spec.configurationDeadline, Grace: 1800 * time.Millisecond, Draining: 2 * time.Second,
 			AddressLifetime: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
--- a/internal/vm/instances_test.go
+++ b/internal/vm/instances_test.go
@@ -17,7 +17,7 @@
 	parses := 0
 	e := newInstanceEntries(func(item store.Item) (*upstream.Instance, error) {
 		parses++
-		return platform.Instance(item)
+		return platform.Instance(item, nil)
 	})
 	items := make(map[string]store.Item)
 	for _, id := range []string{"e1", "e2", "e3"} {
--- a/internal/vm/path_test.go
+++ b/internal/vm/path_test.go
@@ -28,6 +28,40 @@
 	require.Equal(t, "hello", run.Body)
 }
 
+// A team's requests may run in its own region only, because its data may not leave it. An upstream in
+// another region must not get them, even if it is the only one that is left.
+func TestTeamsRequestsStayInItsRegions(t *testing.T) {
+	c, allowed, other := newTwoDomainCluster(t)
+	c.configure(func(config map[string]any) {
+		config["tenants"].([]any)[0].(map[string]any)["allowed-regions"] = []string{"north"}
+	})
+	v := c.startAs(vmSpec{name: "a", domain: "a", regions: map[string]string{"a": "north", "b": "south"}})
+	c.look(v, 20)
+	require.Len(t, allowed.Runs(), 20)
+	c.setReplicaState(allowed.ID, "draining")
+	c.eventually(func() bool { return v.instance(allowed.ID).Draining })
+	require.Equal(t, http.StatusServiceUnavailable, c.send(v, call{method: "GET", path: "/look/"}).status)
+	require.Empty(t, other.Runs())
+}
+
+// Callers are sent to VMs of their own region; those of another region are farther away, and requests
+// may not be sent to every region. They are named only while the caller's region has no VM.
+func TestAddressesNameVMsOfTheCallersRegion(t *testing.T) {
+	c := newCluster(t)
+	regions := map[string]string{"a": "north", "b": "south"}
+	a := c.startAs(vmSpec{name: "a", domain: "a", regions: regions})
+	b := c.startAs(vmSpec{name: "b", domain: "b", regions: regions})
+	addresses := func(region, domain string) []string {
+		out, _ := a.fleet.Addresses(region, domain)
+		return out
+	}
+	c.eventually(func() bool {
+		return len(addresses("south", "b")) == 1 && addresses("south", "b")[0] == b.settings.Callers
+	})
+	require.Equal(t, []string{a.settings.Callers}, addresses("north", "a"))
+	require.Len(t, addresses("elsewhere", ""), 2)
+}
+
 // A caller sends headers that only the system may set, to pose as another team or use its
 // memory in an engine. They must not be forwarded, and neither must the key.
 func TestCallersCannotSetTheSystemsHeaders(t *testing.T) {
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -82,7 +82,10 @@
 // New returns a process built from its settings.
 func New(s *platform.Settings, log zerolog.Logger) (*Process, error) {
 	p := &Process{
-		settings: s, log: log, metrics: metrics.NewRegistry(), departures: newDepartures(), entries: newInstanceEntries(platform.Instance),
+		settings: s, log: log, metrics: metrics.NewRegistry(), departures: newDepartures(),
+		entries: newInstanceEntries(func(item store.Item) (*upstream.Instance, error) {
+			return platform.Instance(item, s.Regions)
+		}),
 		evacuations: newEvacuations(s.Bounds), unreadableEvacuations: make(map[string]int64),
 	}
 	p.store = platform.NewStore(s.Store.Address, p.countStoreCall)
--- a/internal/vm/reports_test.go
+++ b/internal/vm/reports_test.go
@@ -172,7 +172,7 @@
 		}
 		f.members["0-hub"].lastReport = time.Now()
 		f.mu.Unlock()
-		addresses, _ := f.Addresses("a")
+		addresses, _ := f.Addresses("", "a")
 		return addresses
 	}
 	applyRoster := func(r *peerpb.VMReport) {
