aggregate, teamrate: totals at a change of hubs are not counted again

Three ways to the same fault: a VM that becomes a hub counted the totals of all VMs that had started later than itself, be it by a millisecond, although they had reported them to the hub before; a VM that reports for many and was silent had its totals of that time counted, which others had reported; and totals for one VM were compared with totals for all when a hub became an ordinary VM and back. Change: a first report counts from zero only if its VM started at most 3 s before; a VM that reports for many counts anew after a gap of 1.5 s, with what was assumed for the gap; a change of scope or of the number of VMs begins anew.

--- a/internal/aggregate/counters.go
+++ b/internal/aggregate/counters.go
@@ -11,18 +11,17 @@
 // zero, and the sum continues from its value before the restart. It is not safe for
 // concurrent use.
 type Counters[V Value[V]] struct {
-	// ownIncarnation is the start of this VM. The first report of a VM of the same failure
-	// domain that started later counts from zero.
-	ownIncarnation int64
-	sums           sums[V]
-	own            map[string]V
-	sources        map[string]*source[V]
+	sums    sums[V]
+	own     map[string]V
+	sources map[string]*source[V]
 }
 
 type source[V any] struct {
 	incarnation int64
-	// sameDomain is whether the source is in this VM's failure domain.
+	// sameDomain is whether the source is in this VM's failure domain. covered is the scope of
+	// its reports.
 	sameDomain   bool
+	covered      topology.Scope
 	lastReportAt time.Time
 	// lastTotals holds the totals of the source's last report.
 	lastTotals map[string]V
@@ -30,17 +29,30 @@
 	contribution map[string]V
 }
 
-// NewCounters returns empty counters of a VM with the given incarnation. Changes are
-// numbered by version.
-func NewCounters[V Value[V]](incarnation int64, version *Version) *Counters[V] {
-	return &Counters[V]{ownIncarnation: incarnation, sums: newSums[V](version), own: make(map[string]V), sources: make(map[string]*source[V])}
+// NewCounters returns empty counters of a VM. Changes are numbered by version.
+func NewCounters[V Value[V]](version *Version) *Counters[V] {
+	return &Counters[V]{sums: newSums[V](version), own: make(map[string]V), sources: make(map[string]*source[V])}
 }
 
-// maxReportGap is the longest time between two reports of a source of which the difference
-// is added to the sums. During a longer gap, the source is assumed to have reported to
-// another VM, whose sums have reached the other VMs, so adding the difference would count it
-// twice.
-const maxReportGap = 1500 * time.Millisecond
+const (
+	// MaxReportGap is the longest time between two reports of a source of which the difference
+	// is added to the sums. During a longer gap, the source is assumed to have reported to
+	// another VM, whose sums have reached the other VMs, so adding the difference would count it
+	// twice.
+	MaxReportGap = 1500 * time.Millisecond
+	// maxFirstReportAge is the longest time from the start of a VM to its first report here
+	// for which that report counts from zero. The VM is then assumed to have reported to no
+	// other VM before.
+	maxFirstReportAge = 3 * time.Second
+)
+
+// CountsFromZero reports whether the first report of a VM counts from zero: what the VM has counted
+// since its start, in nanoseconds since 1970, is then in no other VM's sums. A VM that becomes a hub
+// gets the first reports of VMs that have long reported to another one. If it counted their totals,
+// all that they ever admitted would be charged at once.
+func CountsFromZero(incarnation int64, now time.Time) bool {
+	return now.Sub(time.Unix(0, incarnation)) <= maxFirstReportAge
+}
 
 // SetOwn sets the totals that this VM has counted since its start. Names that are missing
 // have not changed.
@@ -51,28 +63,29 @@
 	}
 }
 
-// Record records the totals that a VM has counted since the start of its incarnation. Names
-// that are missing have not changed.
-func (c *Counters[V]) Record(vm string, incarnation int64, sameDomain bool, totals map[string]V, now time.Time) {
+// Record records the totals of a scope that a VM has counted since the start of its incarnation.
+// Names that are missing have not changed.
+func (c *Counters[V]) Record(vm string, incarnation int64, covered topology.Scope, sameDomain bool, totals map[string]V, now time.Time) {
 	s := c.sources[vm]
 	if s == nil {
-		s = &source[V]{sameDomain: sameDomain, contribution: make(map[string]V)}
+		s = &source[V]{sameDomain: sameDomain, covered: covered, contribution: make(map[string]V)}
 		c.sources[vm] = s
 	}
 	if s.incarnation != incarnation {
 		first := s.incarnation == 0
 		s.incarnation, s.lastTotals = incarnation, make(map[string]V)
-		if first && (incarnation < c.ownIncarnation || !sameDomain) {
+		if first && (!CountsFromZero(incarnation, now) || covered != topology.ScopeOwn) {
 			// Counts from before the source's first report are not forwarded by this VM. A
-			// source in another failure domain reports for several VMs, and its incarnation
-			// says nothing about when those started.
+			// source that reports for several VMs says nothing about when those started.
 			maps.Copy(s.lastTotals, totals)
 		}
 	}
-	if sinceLastReport := now.Sub(s.lastReportAt); !s.lastReportAt.IsZero() && sinceLastReport > maxReportGap {
+	gap := !s.lastReportAt.IsZero() && now.Sub(s.lastReportAt) > MaxReportGap
+	if gap || s.covered != covered {
+		// Totals of another scope are sums over other VMs, and cannot be compared.
 		maps.Copy(s.lastTotals, totals)
 	}
-	s.lastReportAt = now
+	s.lastReportAt, s.covered = now, covered
 	for name, total := range totals {
 		difference := total.Sub(s.lastTotals[name])
 		s.contribution[name] = s.contribution[name].Add(difference)
--- a/internal/teamrate/limiter.go
+++ b/internal/teamrate/limiter.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/chestnutarch/chestnutarch/internal/aggregate"
 )
 
 const (
@@ -72,11 +74,10 @@
 
 // Limiter holds one VM's copy of all teams' buckets. It is safe for concurrent use.
 type Limiter struct {
-	mu          sync.Mutex
-	tolerance   Tolerance
-	incarnation int64
-	teams       map[string]*bucket
-	peers       map[string]*peer
+	mu        sync.Mutex
+	tolerance Tolerance
+	teams     map[string]*bucket
+	peers     map[string]*peer
 	// vms is how many VMs share the rates, zero while that is unknown. Nothing is admitted
 	// then, because each of many VMs that start at once would use the whole rate.
 	vms float64
@@ -121,10 +122,9 @@
 	assumedUsage map[string]float64
 }
 
-// New returns a Limiter without teams. incarnation identifies this VM's process; a later
-// start has a larger one.
+// New returns a Limiter without teams. incarnation identifies this VM's process.
 func New(t Tolerance, incarnation int64) *Limiter {
-	return &Limiter{tolerance: t, incarnation: incarnation, teams: make(map[string]*bucket), peers: make(map[string]*peer),
+	return &Limiter{tolerance: t, teams: make(map[string]*bucket), peers: make(map[string]*peer),
 		random: rand.New(rand.NewPCG(uint64(incarnation), 0))}
 }
 
@@ -177,7 +177,8 @@
 	l.vms = 1
 	for vm, weight := range weights {
 		l.vms += float64(weight)
-		if l.peers[vm] == nil {
+		if p := l.peers[vm]; p == nil || (p.weight > 1) != (weight > 1) {
+			// Totals for one VM and for many are different sums, and cannot be compared.
 			l.peers[vm] = &peer{admitted: make(map[string]float64), demand: make(map[string]float64), assumedUsage: make(map[string]float64)}
 		}
 		l.peers[vm].weight = float64(weight)
@@ -201,11 +202,14 @@
 	}
 	l.refillAll(now)
 	if p.incarnation != incarnation {
-		l.setBaseline(p, incarnation, admitted)
+		l.setBaseline(p, incarnation, admitted, now)
 		p.firstReport = now
 		clear(p.demand)
 		maps.Copy(p.demand, demand)
 	}
+	if p.weight > 1 && !p.lastReport.IsZero() && now.Sub(p.lastReport) > aggregate.MaxReportGap {
+		l.resume(p, admitted, demand)
+	}
 	l.recordPeerDemand(p, demand, now)
 	for team, b := range l.teams {
 		used := 0.0
@@ -229,13 +233,22 @@
 	b.peerUsageAt = now
 }
 
+// resume handles the first report of a VM that reports for many after a gap. Those VMs may have
+// reported through another one meanwhile, so that part of their usage is already taken from the
+// buckets. What was assumed for the gap stays taken instead of what the totals say.
+func (l *Limiter) resume(p *peer, admitted, demand map[string]float64) {
+	maps.Copy(p.admitted, admitted)
+	maps.Copy(p.demand, demand)
+	clear(p.assumedUsage)
+}
+
 // setBaseline sets the totals from which the usage of a new incarnation or a newly known VM
-// is counted. What a VM that started after this one has admitted counts in full. What an
-// older VM admitted before its first report to this one does not count, nor does the sum
-// accumulated by a VM that reports for many.
-func (l *Limiter) setBaseline(p *peer, incarnation int64, admitted map[string]float64) {
+// is counted. What a VM that has restarted or has just started admitted counts in full. What
+// an older VM admitted before its first report to this one does not count: it has reported it
+// to another VM. Nor does the sum accumulated by a VM that reports for many.
+func (l *Limiter) setBaseline(p *peer, incarnation int64, admitted map[string]float64, now time.Time) {
 	clear(p.admitted)
-	if p.weight <= 1 && (p.incarnation != 0 || incarnation > l.incarnation) {
+	if p.weight <= 1 && (p.incarnation != 0 || aggregate.CountsFromZero(incarnation, now)) {
 		return
 	}
 	for team, total := range admitted {
--- a/internal/teamrate/limiter_test.go
+++ b/internal/teamrate/limiter_test.go
@@ -308,6 +308,49 @@
 	}
 }
 
+// A VM that has reported for its domain before is cut off, and another one reports for it meanwhile. The
+// totals of its next report hold what has already been taken from the buckets through the other one.
+func TestUsageIsNotCountedTwiceAfterAHubReturns(t *testing.T) {
+	now := testEpoch
+	l := New(Tolerance{Units: testToleranceUnits, Window: testWindow}, 1)
+	l.SetLimits(map[string]Limit{"team": {Rate: 1000, Burst: 1000}}, now)
+	l.SetPeers(map[string]int{"hub": 15}, now)
+	report := func(total float64) {
+		counts := map[string]float64{"team": total}
+		l.ApplyReport("hub", 2, counts, counts, now)
+	}
+	report(10)
+	now = now.Add(testReport)
+	report(20)
+	now = now.Add(5 * time.Second)
+	report(50_000)
+	level, _ := l.Level("team")
+	require.Positive(t, level)
+	now = now.Add(testReport)
+	before, _ := l.Level("team")
+	report(50_300)
+	after, _ := l.Level("team")
+	require.InDelta(t, before-300+l.refillRate(Limit{Rate: 1000})*testReport.Seconds(), after, 1)
+}
+
+// A hub of this VM's domain fails. It reported for all VMs and, once it is back, reports for itself:
+// the difference of the two totals is no use of any team.
+func TestTotalsOfOneVMAndOfManyAreNotCompared(t *testing.T) {
+	now := testEpoch
+	l := New(Tolerance{Units: testToleranceUnits, Window: testWindow}, 1)
+	l.SetLimits(map[string]Limit{"team": {Rate: 1000, Burst: 1000}}, now)
+	level := func() float64 { v, _ := l.Level("team"); return v }
+	l.SetPeers(map[string]int{"hub": 15}, now)
+	l.ApplyReport("hub", 2, map[string]float64{"team": 1e6}, nil, now)
+	l.SetPeers(map[string]int{"hub": 1}, now)
+	before := level()
+	l.ApplyReport("hub", 2, map[string]float64{"team": 100}, nil, now)
+	require.Equal(t, before, level(), "1e6 units must not come back")
+	l.SetPeers(map[string]int{"hub": 15}, now)
+	l.ApplyReport("hub", 2, map[string]float64{"team": 1e6}, nil, now)
+	require.Equal(t, before, level(), "1e6 units must not be taken again")
+}
+
 // A VM reports before it has received any request, so its first report contains no team.
 // The next report must be applied like any other.
 func TestReportAfterOneWithoutTeamsIsApplied(t *testing.T) {
--- a/internal/vm/aggregator.go
+++ b/internal/vm/aggregator.go
@@ -53,11 +53,11 @@
 	inUse []string
 }
 
-func newAggregator(started int64) *aggregator {
+func newAggregator() *aggregator {
 	a := &aggregator{inUse: make(map[string]adaptersInUse)}
-	a.admitted = aggregate.NewCounters[aggregate.Count](started, &a.version)
-	a.requested = aggregate.NewCounters[aggregate.Count](started, &a.version)
-	a.demand = aggregate.NewCounters[assign.Demand](started, &a.version)
+	a.admitted = aggregate.NewCounters[aggregate.Count](&a.version)
+	a.requested = aggregate.NewCounters[aggregate.Count](&a.version)
+	a.demand = aggregate.NewCounters[assign.Demand](&a.version)
 	a.loads = aggregate.NewLevels[assign.Load](loadsLifetime, &a.version)
 	a.roster = newRoster(&a.version)
 	return a
@@ -71,9 +71,10 @@
 	if !a.loads.Record(r.Vm, sameDomain, r.Since == 0, loadsFromProto(r.Engines), now) {
 		return false
 	}
-	a.admitted.Record(r.Vm, r.Incarnation, sameDomain, toCounts(r.Admitted), now)
-	a.requested.Record(r.Vm, r.Incarnation, sameDomain, toCounts(r.Asked), now)
-	a.demand.Record(r.Vm, r.Incarnation, sameDomain, demandFromProto(r.Demand), now)
+	covered := min(topology.Scope(r.Scope), topology.ScopeAll)
+	a.admitted.Record(r.Vm, r.Incarnation, covered, sameDomain, toCounts(r.Admitted), now)
+	a.requested.Record(r.Vm, r.Incarnation, covered, sameDomain, toCounts(r.Asked), now)
+	a.demand.Record(r.Vm, r.Incarnation, covered, sameDomain, demandFromProto(r.Demand), now)
 	a.inUse[r.Vm] = adaptersInUse{at: now, sameDomain: sameDomain, items: r.InUse}
 	return true
 }
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -120,7 +120,7 @@
 
 func newFleet(p *Process) *fleet {
 	started := time.Now().UnixNano()
-	f := &fleet{process: p, incarnation: started, aggregator: newAggregator(started), members: make(map[string]*member), rosters: make(map[string]map[string]bool), exchangeSignal: make(chan struct{}, 1)}
+	f := &fleet{process: p, incarnation: started, aggregator: newAggregator(), members: make(map[string]*member), rosters: make(map[string]map[string]bool), exchangeSignal: make(chan struct{}, 1)}
 	f.notifier = newDispatchNotifier(f)
 	p.assigner.OnPlace(f.notifier.notify)
 	peerpb.RegisterVMsServer(p.peerServer.Registrar(), &vmServer{process: p})
--- a/internal/vm/hubs_test.go
+++ b/internal/vm/hubs_test.go
@@ -47,7 +47,7 @@
 		l.SetLimits(map[string]teamrate.Limit{"team": {Rate: hubTestRate, Burst: hubTestRate}}, s.now)
 		s.vms = append(s.vms, topology.VM{Name: fmt.Sprintf("vm-%02d", i), Domain: fmt.Sprint(i % 4)})
 		s.incarnations = append(s.incarnations, started)
-		s.limiters, s.aggregators = append(s.limiters, l), append(s.aggregators, newAggregator(started))
+		s.limiters, s.aggregators = append(s.limiters, l), append(s.aggregators, newAggregator())
 	}
 	return s
 }
@@ -186,6 +186,31 @@
 	}
 }
 
+// A hub dies and comes back after a fleet has run for a while and while a team sends several times its
+// rate. VMs that had reported to it report to another one, and to it again. If their totals since their
+// start, or those of a hub that was gone for a while, counted as used just now, the team's requests would
+// be refused for seconds, or for hours in a fleet that has run for days.
+func TestTeamGetsItsRateWhileHubsChange(t *testing.T) {
+	const demand, ticks = 7.5 * hubTestRate / 1.8, 400
+	for seed := range uint64(3) {
+		r := rand.New(rand.NewPCG(seed, 12))
+		s := newHubSimulation()
+		s.run(r, 2000, demand)
+		for _, silent := range []bool{true, false, true, false} {
+			s.vms[0].Silent = silent
+			before := len(s.admitted)
+			s.run(r, ticks, demand)
+			served := 0.0
+			for _, u := range s.admitted[before:] {
+				served += u
+			}
+			seconds := float64(ticks) * 0.01
+			require.Greater(t, served, 0.8*hubTestRate*seconds, "seed %d: too few units admitted in the %v s after a change of the hub, silent %v", seed, seconds, silent)
+		}
+		require.Less(t, s.maxWindowAdmitted(), (hubTestRate*hubTestWindow.Seconds()+hubTestRate)*1.1+hubTestSlack, "seed %d: too many units admitted within a window", seed)
+	}
+}
+
 // The same VMs carry the team's usual load. Less than 1 % may be refused.
 func TestUsualLoadPassesThroughHubs(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 10))
--- a/internal/vm/reports_test.go
+++ b/internal/vm/reports_test.go
@@ -22,7 +22,7 @@
 // and an engine's load would stay unknown until they change once more.
 func TestLostReportIsSentAgain(t *testing.T) {
 	now := time.Now()
-	a := newAggregator(1)
+	a := newAggregator()
 	buildReport := func(w work, since uint64) *peerpb.VMReport {
 		now = now.Add(ownWorkMaxAge)
 		a.setOwn(func() work { return w }, now)
