--- a/internal/assign/availability.go
+++ b/internal/assign/availability.go
@@ -31,8 +31,3 @@
 	}
 	return unavailable
 }
-
-// usable reports whether an instance may be given any requests and answers them.
-func (s *Assigner) usable(n *node, now time.Time) bool {
-	return n.responsive(now) && s.availability(n, now) != unavailable
-}
