vm: no phase-out for an evacuation of unknown age

Cause: read-through. A VM that starts or was cut off learns of an evacuation that may be older than its bound, and would have sent requests there for two more seconds. Change: the phase-out applies only if a set of a later revision had arrived within the time that news may take. In assign, the check of a request's service and regions stands once. Figures: TestNoPhaseOutForAnEvacuationOfUnknownAge fails before (2 s of phase-out).

--- a/internal/aggregate/counters.go
+++ b/internal/aggregate/counters.go
@@ -49,7 +49,8 @@
 // CountsFromZero reports whether the first report of a VM counts from zero: what the VM has counted
 // since its start, in nanoseconds since 1970, is then in no other VM's sums. A VM that becomes a hub
 // gets the first reports of VMs that have long reported to another one. If it counted their totals,
-// all that they ever admitted would be charged at once.
+// all that they ever admitted would be charged at once. The two clocks may differ by seconds: an error
+// moves the counts of the VM's first moments only.
 func CountsFromZero(incarnation int64, now time.Time) bool {
 	return now.Sub(time.Unix(0, incarnation)) <= maxFirstReportAge
 }
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -220,7 +220,7 @@
 	var out []*node
 	hasInstance, holdsModel := false, false
 	for _, n := range s.nodes {
-		if n.instance.Service != req.Service || n.instance.Draining || (req.RegionAllowed != nil && !req.RegionAllowed(n.instance.Region)) {
+		if !req.allows(n) || n.instance.Draining {
 			continue
 		}
 		hasInstance = true
@@ -255,13 +255,13 @@
 	return req.admits(n) && n.responsive(now) && n.holds(req.Model) && n.holds(itemName(req.Model, req.Adapter))
 }
 
-// admits reports whether an instance belongs to the request's service and to a region in which the
-// request may run, and has not failed the request before.
-func (req *Request) admits(n *node) bool {
-	if n.instance.Service != req.Service || req.Avoid[n.instance.ID] {
-		return false
-	}
-	return req.RegionAllowed == nil || req.RegionAllowed(n.instance.Region)
+// admits reports whether the request may be sent to an instance that has not failed it before.
+func (req *Request) admits(n *node) bool { return req.allows(n) && !req.Avoid[n.instance.ID] }
+
+// allows reports whether an instance belongs to the request's service and to a region in which the
+// request may run.
+func (req *Request) allows(n *node) bool {
+	return n.instance.Service == req.Service && (req.RegionAllowed == nil || req.RegionAllowed(n.instance.Region))
 }
 
 // full reports whether an engine with the load l has no free batch slot or not enough KV
--- a/internal/vm/evacuation.go
+++ b/internal/vm/evacuation.go
@@ -18,11 +18,14 @@
 // set is newer. It is never replaced by an older one.
 type evacuations struct {
 	// phaseOut is how long upstreams of a domain may still get the requests that no other
-	// upstream can take, after this VM has learned of the evacuation.
-	phaseOut time.Duration
+	// upstream can take, after this VM has learned of the evacuation. maxNewsAge is the longest
+	// time that the news may have taken.
+	phaseOut, maxNewsAge time.Duration
 
 	mu       sync.Mutex
 	revision int64
+	// updatedAt is when a set of a later revision last arrived, changed or not.
+	updatedAt time.Time
 	// until holds the domains that are being evacuated, with the end of the phase-out.
 	until map[string]time.Time
 	// returned holds when this VM learned that the evacuation of a domain had ended.
@@ -40,7 +43,7 @@
 // store accepted it; a VM may learn of it as late as of a configuration.
 func newEvacuations(b platform.Bounds) *evacuations {
 	return &evacuations{
-		phaseOut: max(0, b.Evacuation-b.Configuration), until: make(map[string]time.Time), returned: make(map[string]time.Time),
+		phaseOut: max(0, b.Evacuation-b.Configuration), maxNewsAge: b.Configuration, until: make(map[string]time.Time), returned: make(map[string]time.Time),
 	}
 }
 
@@ -52,10 +55,15 @@
 	if revision <= e.revision {
 		return change
 	}
-	e.revision = revision
+	phaseOut := e.phaseOut
+	if now.Sub(e.updatedAt) > e.maxNewsAge {
+		// This VM has just started or was cut off: the evacuation may be older than the bound.
+		phaseOut = 0
+	}
+	e.revision, e.updatedAt = revision, now
 	for _, domain := range domains {
 		if _, ok := e.until[domain]; !ok {
-			e.until[domain] = now.Add(e.phaseOut)
+			e.until[domain] = now.Add(phaseOut)
 			delete(e.returned, domain)
 			change.begun = append(change.begun, domain)
 		}
--- a/internal/vm/evacuation_test.go
+++ b/internal/vm/evacuation_test.go
@@ -37,6 +37,17 @@
 	return len(domains) > 0
 }
 
+// A VM that starts, or that was cut off, finds an evacuation in force and cannot know since when. It must
+// send nothing there at all.
+func TestNoPhaseOutForAnEvacuationOfUnknownAge(t *testing.T) {
+	now := time.Now()
+	e := newEvacuations(platform.Bounds{Evacuation: 5 * time.Second, Configuration: 3 * time.Second})
+	e.update(7, []string{"b"}, now)
+	require.Equal(t, now, e.apply(&upstream.Instance{FailureDomain: "b"}).EvacuateBy)
+	e.update(8, []string{"b", "c"}, now.Add(4*time.Second))
+	require.Equal(t, now.Add(4*time.Second), e.apply(&upstream.Instance{FailureDomain: "c"}).EvacuateBy)
+}
+
 // The operator evacuates a failure domain for maintenance. A request that still reaches an upstream
 // there is lost when the domain is switched off.
 func TestEvacuatedDomainGetsNoRequests(t *testing.T) {
@@ -106,6 +117,7 @@
 func TestPhaseOutEndsWithinTheBound(t *testing.T) {
 	now := time.Now()
 	e := newEvacuations(platform.Bounds{Evacuation: 5 * time.Second, Configuration: 3 * time.Second})
+	e.update(6, nil, now.Add(-time.Second))
 	change := e.update(7, []string{"b"}, now)
 	require.Equal(t, []string{"b"}, change.begun)
 	i := e.apply(&upstream.Instance{ID: "i", FailureDomain: "b"})
