traffic: request_ended logs units; assign: doc of availability, cold engines of other regions

Change: request_ended has the units of the team's rate. The time until a cold engine is warm counts engines of regions in which the request may run only. The package's doc names availability. Conclusion: no decision changes with one region.

--- a/internal/assign/cold.go
+++ b/internal/assign/cold.go
@@ -60,7 +60,7 @@
 func (s *Assigner) warmIn(req Request, now time.Time) time.Duration {
 	first := time.Duration(0)
 	for _, n := range s.nodes {
-		if n.instance.Service != req.Service || n.instance.Draining || n.instance.Evacuated() || !s.isCold(n, now) {
+		if !req.allows(n) || n.instance.Draining || n.instance.Evacuated() || !s.isCold(n, now) {
 			continue
 		}
 		if req.Model != "" && !n.holds(itemName(req.Model, req.Adapter)) {
--- a/internal/assign/doc.go
+++ b/internal/assign/doc.go
@@ -13,4 +13,8 @@
 // between the steps that generate the tokens of its streams, so several prompts at once
 // stall all of them. Prompts are therefore sent one after the other, paced by the prefill
 // work that all VMs have given the engine.
+//
+// Not every upstream that answers may be given any request. A cold one bears few requests from all VMs
+// together, and those of a failure domain that is being evacuated are to get none: for a while both get
+// only what no other upstream can take.
 package assign
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -56,7 +56,7 @@
 	}
 	e := c.options.Log.WithLevel(level).Str("event", "request_ended").Str("request", j.request.ID).
 		Str("outcome", j.outcome).Int("status", j.status).Dur("retry_after_ms", j.retryAfter).
-		Str("route", j.route.Name).Str("team", j.team).Str("upstream", j.upstream).
+		Str("route", j.route.Name).Str("team", j.team).Float64("units", j.units).Str("upstream", j.upstream).
 		Str("model", j.request.Model).Str("adapter", j.request.Adapter).
 		Int("sends", j.sends).Int("ran", j.possibleRuns).Dur("first_ms", j.timeToFirst).Dur("expected_ms", j.expected).Dur("objective_ms", j.due.Sub(j.request.Arrived)).
 		Str("late", j.lateness()).Dur("longest_pause_ms", j.pauses.longest).Dur("pause_at_ms", j.pauses.longestStart(j.request.Arrived)).
