assign: one look-up of a service, none for instances that are not cold; vm: a test waits for what it checks

The check whether an instance is cold looked its service up for every engine of every choice, beside the same look-up in spec; the planner got times of which it used only whether they lie ahead. Tests of evacuations waited until a VM knew of one, which is a moment before its upstreams show it, and then asserted that nothing is sent. Change: instances without a cold time are told apart first; service() serves spec and the cold checks; Cold gives a set. The tests wait until an upstream shows the evacuation; their assertions are unchanged. Conclusion: no behaviour changes.

--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -278,11 +278,21 @@
 		float64(l.kvTokens+uncached+req.OutputTokens) > maxKVShare*float64(spec.KVTokens)
 }
 
-func (s *Assigner) spec(service string) *catalog.EngineSpec {
-	if s.catalog == nil || s.catalog.Services[service] == nil {
+// service returns a service of the configuration, nil if there is none of that name.
+func (s *Assigner) service(name string) *catalog.Service {
+	if s.catalog == nil {
 		return nil
 	}
-	return s.catalog.Services[service].Engine
+	return s.catalog.Services[name]
+}
+
+// spec returns the properties of a service's engines, nil if it has none.
+func (s *Assigner) spec(name string) *catalog.EngineSpec {
+	service := s.service(name)
+	if service == nil {
+		return nil
+	}
+	return service.Engine
 }
 
 // loadTimeFor returns the usual time until the item that err reports as missing is loaded.
--- a/internal/assign/cold.go
+++ b/internal/assign/cold.go
@@ -14,15 +14,15 @@
 // coldUntil returns until when an instance is cold, zero if it is not. An instance whose failure
 // domain was evacuated may have become cold with its return, before its entry tells.
 func (s *Assigner) coldUntil(n *node) time.Time {
-	if s.catalog == nil || s.catalog.Services[n.instance.Service] == nil {
+	until, returned := n.instance.ColdUntil, n.instance.ReturnedAt
+	if until.IsZero() && returned.IsZero() {
 		return time.Time{}
 	}
-	service := s.catalog.Services[n.instance.Service]
-	if service.ColdRate <= 0 {
+	service := s.service(n.instance.Service)
+	if service == nil || service.ColdRate <= 0 {
 		return time.Time{}
 	}
-	until := n.instance.ColdUntil
-	if returned := n.instance.ReturnedAt; !returned.IsZero() && returned.Add(service.ColdStart).After(until) {
+	if !returned.IsZero() && returned.Add(service.ColdStart).After(until) {
 		until = returned.Add(service.ColdStart)
 	}
 	return until
@@ -35,21 +35,21 @@
 	if s.fleetKnownSince.IsZero() || now.Sub(s.fleetKnownSince) < fleetSettleTime {
 		return false
 	}
-	shares := warmup.Divide(s.catalog.Services[n.instance.Service].ColdRate, len(s.others)+1)
+	shares := warmup.Divide(s.service(n.instance.Service).ColdRate, len(s.others)+1)
 	if now.Sub(n.sentColdAt) < shares.Interval {
 		return false
 	}
 	return shares.Holds(n.instance.ID, s.self, s.others)
 }
 
-// ColdUntil returns until when the instances that are cold now remain so.
-func (s *Assigner) ColdUntil(now time.Time) map[string]time.Time {
+// Cold returns the instances that are cold.
+func (s *Assigner) Cold(now time.Time) map[string]bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]time.Time)
+	out := make(map[string]bool)
 	for id, n := range s.nodes {
 		if s.isCold(n, now) {
-			out[id] = s.coldUntil(n)
+			out[id] = true
 		}
 	}
 	return out
--- a/internal/assign/cold_test.go
+++ b/internal/assign/cold_test.go
@@ -98,8 +98,8 @@
 	returned := testInstance("engines", "returned")
 	returned.ReturnedAt = now
 	s := coldFleet(65, []upstream.Instance{returned}, now)[0]
-	require.Contains(t, s.ColdUntil(now.Add(testColdStart/2)), "returned")
-	require.Empty(t, s.ColdUntil(now.Add(testColdStart)))
+	require.Contains(t, s.Cold(now.Add(testColdStart/2)), "returned")
+	require.Empty(t, s.Cold(now.Add(testColdStart)))
 }
 
 // All VMs start at once and know only themselves. Each would take itself for a holder of all shares of
--- a/internal/vm/evacuation_test.go
+++ b/internal/vm/evacuation_test.go
@@ -31,10 +31,14 @@
 	}
 }
 
-// isEvacuating reports whether a VM knows of an evacuation.
+// isEvacuating reports whether a VM applies an evacuation to an upstream.
 func (v *testVM) isEvacuating() bool {
-	domains, _ := v.evacuations.current()
-	return len(domains) > 0
+	for _, i := range *v.instances.Load() {
+		if i.Evacuated() {
+			return true
+		}
+	}
+	return false
 }
 
 // A VM that starts, or that was cut off, finds an evacuation in force and cannot know since when. It must
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -260,7 +260,7 @@
 // engines returns the engines of a service, ordered by ID, as input of a plan.
 func (l *planner) engines(service string) []residency.Engine {
 	now := time.Now()
-	loads, cold := l.p.assigner.Totals(now), l.p.assigner.ColdUntil(now)
+	loads, cold := l.p.assigner.Totals(now), l.p.assigner.Cold(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make([]residency.Engine, 0, len(l.states))
@@ -271,7 +271,7 @@
 		load, usable := loads[id]
 		e := residency.Engine{
 			ID: id, Models: maps.Clone(state.models), Adapters: make(map[string]time.Time, len(state.adapters)), Busy: state.moving, Loading: state.loading,
-			Cold: now.Before(cold[id]), Usable: usable && !l.isDraining(id), PrefillBacklog: load.PrefillTokens, LocalWeights: state.localWeights, InFlight: load.Running, DelayedLoad: state.delayedLoad,
+			Cold: cold[id], Usable: usable && !l.isDraining(id), PrefillBacklog: load.PrefillTokens, LocalWeights: state.localWeights, InFlight: load.Running, DelayedLoad: state.delayedLoad,
 		}
 		for item := range state.adapters {
 			e.Adapters[item] = l.lastUsed[item]
