platform, traffic, assign: what upstreams say of their rate limits is read and logged

No log told whether an answer named a limit, which one, at which VM and since when, nor whether a choice knew of it; the hypotheses could not be told apart. No decision uses it yet.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -9,6 +9,7 @@
 
 	"github.com/chestnutarch/chestnutarch/internal/catalog"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
+	"github.com/chestnutarch/chestnutarch/internal/upstreamrate"
 )
 
 // Assigner chooses upstreams. It is safe for concurrent use.
@@ -33,6 +34,8 @@
 	fleetKnownSince time.Time
 	// stallStats holds the stall statistics of streams by service.
 	stallStats map[string]stallStats
+	// rateLimits holds the limits that upstreams have named.
+	rateLimits *upstreamrate.Table
 	// freed is closed and replaced when a request ends, its first event arrives, or the
 	// leader's record of an engine changes.
 	freed chan struct{}
@@ -42,7 +45,7 @@
 func New() *Assigner {
 	return &Assigner{
 		nodes: make(map[string]*node), speeds: make(map[string]speed), demand: make(map[string]Demand), inUse: make(map[string]int),
-		stallStats: make(map[string]stallStats), freed: make(chan struct{}),
+		stallStats: make(map[string]stallStats), rateLimits: upstreamrate.NewTable(), freed: make(chan struct{}),
 	}
 }
 
--- a/internal/assign/types.go
+++ b/internal/assign/types.go
@@ -100,6 +100,8 @@
 	Late bool
 	// KnownLoad is the work known to be at the upstream when it was chosen.
 	KnownLoad KnownLoad
+	// RateLimited means that the upstream names a rate limit.
+	RateLimited bool
 
 	node     *node
 	request  Request
--- a/internal/assign/work.go
+++ b/internal/assign/work.go
@@ -133,6 +133,7 @@
 func (s *Assigner) place(n *node, req Request, uncached int, expected time.Duration, now time.Time) *Choice {
 	c := &Choice{Instance: n.instance.ID, Uncached: uncached, Expected: expected, KnownLoad: s.knownLoad(n, req, now), node: n, request: req, placedAt: now}
 	c.kvTokens = uncached + req.OutputTokens/2
+	c.RateLimited = s.rateLimited(n)
 	prefill := time.Duration(uncached) * s.speedOf(req.Model).prefillPerToken
 	n.recordPrefill(prefill, now)
 	n.prefillTotal += prefill
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -170,6 +170,7 @@
 	if err != nil {
 		return j.sendFailed(ctx, choice, err)
 	}
+	j.recordRateLimit(choice, reply)
 	if reply.NotExecuted {
 		return j.refusedByUpstream(choice, reply)
 	}
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chestnutarch/chestnutarch/internal/assign"
+	"github.com/chestnutarch/chestnutarch/internal/upstream"
 )
 
 // Outcomes of a request, as written to logs and metrics.
@@ -38,11 +39,23 @@
 		Str("model", j.request.Model).Str("adapter", j.request.Adapter).Int("prompt", j.request.PromptTokens).
 		Int("uncached", choice.Uncached).Int("beside", choice.KnownLoad.Requests).Int("beside_others", choice.KnownLoad.PeerRequests).
 		Int("prefill_ahead", choice.KnownLoad.PrefillTokens).Dur("report_age_ms", choice.KnownLoad.ReportAge).Dur("expected_ms", choice.Expected).Bool("late", choice.Late).
+		Bool("rate_limited", choice.RateLimited).
 		Dur("held_ms", time.Since(j.request.Arrived)).Dur("left_ms", time.Until(j.deadline)).
 		Str("resume_after", j.lastEventID).Dur("upstreams_age_ms", c.options.UpstreamsAge()).
 		Int64("configuration", j.catalog.Version).Send()
 }
 
+// logRateLimit logs that an upstream has begun or ceased to name a rate limit, or has changed it.
+func (c *Core) logRateLimit(instance string, limit upstream.RateLimit) {
+	c.options.Log.Info().Str("event", "upstream_rate_limit").Str("instance", instance).Bool("named", limit.Named).
+		Float64("per_second", limit.PerSecond).Str("peer", "").Send()
+}
+
+// logRateLimitUnreadable logs that an answer of an upstream names a rate limit that cannot be read.
+func (c *Core) logRateLimitUnreadable(instance string, err error) {
+	c.options.Log.Debug().Str("event", "upstream_rate_limit_unreadable").Str("instance", instance).AnErr("cause", err).Send()
+}
+
 // logEnd logs how a request ended. Lines of requests that were not answered have warn
 // level, for which the log reserves buffer space, so that a flood of successes cannot
 // displace them.
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -84,6 +84,10 @@
 	Misdirected bool
 	// Signed means that the response carries the upstream's signature.
 	Signed bool
+	// RateLimit is what the response says about the upstream's rate limit. RateLimitError is set if
+	// that cannot be read.
+	RateLimit      upstream.RateLimit
+	RateLimitError error
 	// Body ends with io.EOF only if the response is complete.
 	Body io.Reader
 	// Close ends the exchange. keep means that the body was read to its end, so that the
--- a/internal/upstream/instance.go
+++ b/internal/upstream/instance.go
@@ -51,6 +51,14 @@
 	OrdersAccepted int64
 }
 
+// RateLimit is what an answer of an upstream says about the upstream's rate limit.
+type RateLimit struct {
+	// Named reports whether the answer names a limit.
+	Named bool
+	// PerSecond is the number of requests per second that the upstream takes from all VMs together.
+	PerSecond float64
+}
+
 // SameIncarnation reports whether two descriptions belong to the same incarnation.
 func (i *Instance) SameIncarnation(other *Instance) bool {
 	return i.ID == other.ID && i.Incarnation == other.Incarnation && i.Address == other.Address
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -112,6 +112,7 @@
 	}
 	p.instances.Store(&next)
 	p.assigner.SetInstances(list)
+	p.assigner.RetainRateLimits(time.Now())
 }
 
 // asDraining returns a copy of an instance that is marked as draining.
