assign, upstreamrate, vm: requests to an upstream that names a rate limit need a permit

What callers and upstreams saw: an engine that named a limit of 1 request a second went on to get 2 to 3 a second, from all seven VMs, told or not. Cause: VMs choose upstreams by work in flight, each by itself. No part of the system counted requests per second to one upstream over all VMs, and the limit that an answer names was not read. The class: a bound that holds for all VMs together and that nobody keeps for all of them. Change: VMs tell each other what upstreams name (a digest in each report, entries only while digests differ). A request is sent to such an upstream only with a permit from the VM that rendezvous hashing makes its issuer, by a token bucket at the named rate. One permit is kept for requests that no other upstream can take. A denial takes the upstream out of the choice until a permit may be available; a request that nothing else can take is held until then if that is before its answer is due, or refused with that time. A cancelled call no longer counts as evidence that a connection between VMs answers.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -34,8 +34,10 @@
 	fleetKnownSince time.Time
 	// stallStats holds the stall statistics of streams by service.
 	stallStats map[string]stallStats
-	// rateLimits holds the limits that upstreams have named.
-	rateLimits *upstreamrate.Table
+	// rateLimits holds the limits that upstreams have named, rateLimitSnapshot those of the known
+	// upstreams, nil after a change.
+	rateLimits        *upstreamrate.Table
+	rateLimitSnapshot *upstreamrate.Snapshot
 	// freed is closed and replaced when a request ends, its first event arrives, or the
 	// leader's record of an engine changes.
 	freed chan struct{}
@@ -109,7 +111,7 @@
 		}
 		next[i.ID] = newNode(i)
 	}
-	s.nodes = next
+	s.nodes, s.rateLimitSnapshot = next, nil
 }
 
 // AddAdapter records that an engine holds an adapter which its own description does not
--- a/internal/assign/availability.go
+++ b/internal/assign/availability.go
@@ -14,9 +14,14 @@
 	available
 )
 
-// availability returns which requests an instance may be given now. Whether it answers is another
+// availability returns whether an instance may be given a request now. Whether it answers is another
 // matter, which node.responsive tells.
-func (s *Assigner) availability(n *node, now time.Time) availability {
+func (s *Assigner) availability(n *node, req Request, now time.Time) availability {
+	return min(s.stateAvailability(n, now), s.permitAvailability(n, req, now))
+}
+
+// stateAvailability returns the availability of an instance by its own state.
+func (s *Assigner) stateAvailability(n *node, now time.Time) availability {
 	switch i := &n.instance; {
 	case i.Draining:
 		return unavailable
@@ -31,3 +36,18 @@
 	}
 	return unavailable
 }
+
+// permitAvailability returns the availability of an instance by the permits for it.
+func (s *Assigner) permitAvailability(n *node, req Request, now time.Time) availability {
+	if !s.rateLimited(n) {
+		return available
+	}
+	needed, other := s.rateLimits.NextPermits(n.key())
+	switch {
+	case req.WithoutPermit || now.Before(needed):
+		return unavailable
+	case now.Before(other):
+		return lastChoice
+	}
+	return available
+}
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -58,17 +58,32 @@
 		best = s.lastResort(req, now)
 	}
 	if best == nil {
-		return nil, &Refused{Cause: ErrNoUpstream, RetryAfter: retryAfter(now, req, max(s.warmIn(req, now), 300*time.Millisecond))}
+		return nil, s.refuseWithoutInstance(req, now)
 	}
 	return s.place(best, req, 0, plainExpected, now), nil
 }
 
+// refuseWithoutInstance refuses a request to a service without engines for which no instance is
+// available.
+func (s *Assigner) refuseWithoutInstance(req Request, now time.Time) *Refused {
+	if wait := s.permitIn(req, now); wait > 0 {
+		return refuseRateLimited(req, wait, now)
+	}
+	return &Refused{Cause: ErrNoUpstream, RetryAfter: retryAfter(now, req, max(s.warmIn(req, now), 300*time.Millisecond))}
+}
+
+// refuseRateLimited refuses a request for which a permit may be available after a time. It may be held
+// if the permit comes before the answer is due.
+func refuseRateLimited(req Request, wait time.Duration, now time.Time) *Refused {
+	return &Refused{Cause: ErrRateLimited, RetryAfter: retryAfter(now, req, wait), Holdable: now.Add(wait).Before(req.StartBy)}
+}
+
 // cheapestPlain returns the instance of an availability with the lowest cost, nil if there is none.
 func (s *Assigner) cheapestPlain(wanted availability, req Request, now time.Time) *node {
 	var best *node
 	bestCost := 0.0
 	for _, n := range s.nodes {
-		if !req.admits(n) || !n.responsive(now) || s.availability(n, now) != wanted {
+		if !req.admits(n) || !n.responsive(now) || s.availability(n, req, now) != wanted {
 			continue
 		}
 		cost := plainCost(n, now, req)
@@ -98,7 +113,7 @@
 func (s *Assigner) lastResort(req Request, now time.Time) *node {
 	var best *node
 	for _, n := range s.nodes {
-		if !req.admits(n) || s.availability(n, now) == unavailable {
+		if !req.admits(n) || s.availability(n, req, now) == unavailable {
 			continue
 		}
 		if req.Model != "" && !n.holds(itemName(req.Model, req.Adapter)) {
@@ -134,6 +149,9 @@
 
 // refuseWithoutEngine refuses a request for which no engine is available, for the reason cause.
 func (s *Assigner) refuseWithoutEngine(req Request, cause error, now time.Time) *Refused {
+	if wait := s.permitIn(req, now); wait > 0 {
+		return refuseRateLimited(req, wait, now)
+	}
 	wait := loadTimeFor(cause)
 	if warm := s.warmIn(req, now); warm > 0 && cause != ErrAdapterNotLoaded {
 		cause, wait = ErrCold, warm
@@ -147,7 +165,7 @@
 func (s *Assigner) chooseLast(req Request, now time.Time) (*Choice, bool) {
 	var engines []*node
 	for _, n := range s.nodes {
-		if s.canServe(n, req, now) && s.availability(n, now) == lastChoice {
+		if s.canServe(n, req, now) && s.availability(n, req, now) == lastChoice {
 			engines = append(engines, n)
 		}
 	}
@@ -224,7 +242,7 @@
 			continue
 		}
 		hasInstance = true
-		if !n.holds(req.Model) || !n.responsive(now) || s.availability(n, now) != available {
+		if !n.holds(req.Model) || !n.responsive(now) || s.availability(n, req, now) != available {
 			continue
 		}
 		holdsModel = true
@@ -318,7 +336,7 @@
 	if errors.Is(cause, ErrPrefillPaced) {
 		return arrived.Add(objective / pacedHoldDivisor)
 	}
-	if errors.Is(cause, ErrNotLoaded) || errors.Is(cause, ErrAdapterNotLoaded) || errors.Is(cause, ErrCold) {
+	if errors.Is(cause, ErrNotLoaded) || errors.Is(cause, ErrAdapterNotLoaded) || errors.Is(cause, ErrCold) || errors.Is(cause, ErrRateLimited) {
 		return arrived.Add(objective / loadHoldDivisor)
 	}
 	return arrived.Add(objective / holdDivisor)
--- a/internal/assign/node.go
+++ b/internal/assign/node.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
+	"github.com/chestnutarch/chestnutarch/internal/upstreamrate"
 )
 
 const (
@@ -129,6 +130,8 @@
 	n.contents.setEngineItems(i.OrdersAccepted, items)
 }
 
+func (n *node) key() upstreamrate.Key { return upstreamrate.KeyOf(&n.instance) }
+
 func (n *node) holds(item string) bool { return n.contents.items[item] }
 
 // responsive reports whether the instance is neither ejected nor unresponsive.
--- a/internal/assign/ratelimit.go
+++ b/internal/assign/ratelimit.go
@@ -12,34 +12,106 @@
 func (s *Assigner) RecordRateLimit(c *Choice, named upstream.RateLimit, now time.Time) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.rateLimits.Observe(upstreamrate.KeyOf(&c.node.instance), named, c.placedAt, now)
+	changed = s.rateLimits.Observe(c.node.key(), named, c.placedAt, now)
+	if changed {
+		s.rateLimitSnapshot = nil
+	}
+	return changed
 }
 
-// RateLimited returns the number of known upstreams that name a rate limit.
-func (s *Assigner) RateLimited() int {
+// MergeRateLimit applies what another VM knows of an upstream's rate limit, and reports whether that is
+// newer.
+func (s *Assigner) MergeRateLimit(k upstreamrate.Key, l upstreamrate.Limit, now time.Time) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	count := 0
-	for _, n := range s.nodes {
-		if s.rateLimited(n) {
-			count++
-		}
+	changed = s.rateLimits.Merge(k, l, now)
+	if changed {
+		s.rateLimitSnapshot = nil
 	}
-	return count
+	return changed
+}
+
+// RateLimit returns what is known of the rate limit of an upstream, also if it has ended. ok is false if
+// the upstream has never named one.
+func (s *Assigner) RateLimit(k upstreamrate.Key) (l upstreamrate.Limit, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rateLimits.Last(k)
+}
+
+// RateLimits returns the rate limits of the known upstreams.
+func (s *Assigner) RateLimits() *upstreamrate.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rateLimitSnapshot == nil {
+		s.rateLimitSnapshot = s.rateLimits.Snapshot(s.knows)
+	}
+	return s.rateLimitSnapshot
 }
 
 // RetainRateLimits forgets the rate limits of upstreams that have not been known for a while.
 func (s *Assigner) RetainRateLimits(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rateLimits.Retain(func(k upstreamrate.Key) bool {
-		n := s.nodes[k.Instance]
-		return n != nil && upstreamrate.KeyOf(&n.instance) == k
-	}, now)
+	s.rateLimits.Retain(s.knows, now)
+}
+
+// IssuePermit issues a permit to send one request to an upstream, on the VM that issues its permits.
+// needed means that no other upstream can take the request.
+func (s *Assigner) IssuePermit(k upstreamrate.Key, needed bool, now time.Time) upstreamrate.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rateLimits.Issue(k, needed, now)
+}
+
+// RecordPermit records that a permit was granted for a choice.
+func (s *Assigner) RecordPermit(c *Choice, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordPlaced(c, now)
+}
+
+// RecordDenial releases the place of a choice for which no permit was granted.
+func (s *Assigner) RecordDenial(c *Choice, retryAfter time.Duration, now time.Time) {
+	s.mu.Lock()
+	s.rateLimits.RecordDenial(c.node.key(), c.LastChoice, now.Add(retryAfter))
+	s.mu.Unlock()
+	s.Finish(c, Neutral, now)
+}
+
+// Key returns the key of the chosen upstream.
+func (c *Choice) Key() upstreamrate.Key { return c.node.key() }
+
+// knows reports whether an upstream is known. It must be called with the lock held.
+func (s *Assigner) knows(k upstreamrate.Key) bool {
+	n := s.nodes[k.Instance]
+	return n != nil && n.key() == k
 }
 
 // rateLimited reports whether an instance names a rate limit.
 func (s *Assigner) rateLimited(n *node) bool {
-	_, ok := s.rateLimits.Limit(upstreamrate.KeyOf(&n.instance))
+	if s.rateLimits.IsEmpty() {
+		return false
+	}
+	_, ok := s.rateLimits.Limit(n.key())
 	return ok
 }
+
+// permitIn returns the time until a permit may be available for one of the instances that hold an item
+// and name a rate limit, zero if there is none.
+func (s *Assigner) permitIn(req Request, now time.Time) time.Duration {
+	first := time.Duration(0)
+	for _, n := range s.nodes {
+		if !s.rateLimited(n) || !req.admits(n) || !n.responsive(now) || s.stateAvailability(n, now) == unavailable {
+			continue
+		}
+		if req.Model != "" && !n.holds(itemName(req.Model, req.Adapter)) {
+			continue
+		}
+		needed, _ := s.rateLimits.NextPermits(n.key())
+		if left := needed.Sub(now); left > 0 && (first == 0 || left < first) {
+			first = left
+		}
+	}
+	return first
+}
--- a/internal/assign/types.go
+++ b/internal/assign/types.go
@@ -17,6 +17,9 @@
 	// ErrCold means that all instances which could serve the request have just started, and get
 	// few requests until they are warm.
 	ErrCold = errors.New("assign: every upstream that could serve the request is cold")
+	// ErrRateLimited means that all instances which could serve the request name a rate limit, and no
+	// permit is available for them.
+	ErrRateLimited = errors.New("assign: every upstream that could serve the request is at its rate limit")
 	// ErrPrefillPaced means that streams of the engines would stall for too long if the engines
 	// prefilled the prompt now.
 	ErrPrefillPaced = errors.New("assign: prefilling the prompt now would stall the streams of every engine with a free place")
@@ -75,6 +78,8 @@
 	RegionAllowed func(region string) bool
 	// Avoid names instances that failed this request.
 	Avoid map[string]bool
+	// WithoutPermit excludes the upstreams that name a rate limit.
+	WithoutPermit bool
 }
 
 // KnownLoad is the work known to be at an upstream when it was chosen.
@@ -100,8 +105,11 @@
 	Late bool
 	// KnownLoad is the work known to be at the upstream when it was chosen.
 	KnownLoad KnownLoad
-	// RateLimited means that the upstream names a rate limit.
+	// RateLimited means that the upstream names a rate limit, so that the request may be sent only
+	// with a permit.
 	RateLimited bool
+	// LastChoice means that no upstream that is available for any request could be chosen.
+	LastChoice bool
 
 	node     *node
 	request  Request
--- a/internal/assign/work.go
+++ b/internal/assign/work.go
@@ -133,12 +133,9 @@
 func (s *Assigner) place(n *node, req Request, uncached int, expected time.Duration, now time.Time) *Choice {
 	c := &Choice{Instance: n.instance.ID, Uncached: uncached, Expected: expected, KnownLoad: s.knownLoad(n, req, now), node: n, request: req, placedAt: now}
 	c.kvTokens = uncached + req.OutputTokens/2
-	c.RateLimited = s.rateLimited(n)
-	prefill := time.Duration(uncached) * s.speedOf(req.Model).prefillPerToken
-	n.recordPrefill(prefill, now)
-	n.prefillTotal += prefill
-	if s.onPlace != nil && req.Model != "" {
-		s.onPlace(n.instance.ID)
+	c.RateLimited, c.LastChoice = s.rateLimited(n), s.availability(n, req, now) == lastChoice
+	if !c.RateLimited {
+		s.recordPlaced(c, now)
 	}
 	n.local.requests++
 	n.local.prefillTokens += uncached
@@ -154,6 +151,17 @@
 	return c
 }
 
+// recordPlaced adds a choice that will be sent to the prefill work of its instance.
+func (s *Assigner) recordPlaced(c *Choice, now time.Time) {
+	n := c.node
+	prefill := time.Duration(c.Uncached) * s.speedOf(c.request.Model).prefillPerToken
+	n.recordPrefill(prefill, now)
+	n.prefillTotal += prefill
+	if s.onPlace != nil && c.request.Model != "" {
+		s.onPlace(n.instance.ID)
+	}
+}
+
 // knownLoad returns the work that is known to be at an instance.
 func (s *Assigner) knownLoad(n *node, req Request, now time.Time) KnownLoad {
 	total := n.total(now, s.speedOf(req.Model).prefillPerToken)
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -101,7 +101,12 @@
 func (p *Pool) recordOutcome(address string, c *pooledConn, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if status.Code(err) != codes.DeadlineExceeded {
+	switch status.Code(err) {
+	case codes.DeadlineExceeded:
+	case codes.Canceled:
+		// The caller no longer waits, which says nothing about the peer.
+		return
+	default:
 		c.timeouts = 0
 		return
 	}
--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -19,16 +19,21 @@
 		return reserved, nil
 	}
 	req, began := j.assignRequest(), time.Now()
-	adapterRequests := 0
+	adapterRequests, permitRequests := 0, 0
 	for {
 		if err := ctx.Err(); err != nil {
 			return nil, err
 		}
 		freed := j.core.options.Assigner.Freed()
 		choice, err := j.core.options.Assigner.Choose(req, time.Now())
-		if err == nil {
+		if err == nil && (!choice.RateLimited || j.requestPermit(ctx, choice)) {
 			return choice, nil
 		}
+		if err == nil {
+			permitRequests++
+			req.WithoutPermit = permitRequests >= maxPermitRequests
+			continue
+		}
 		if errors.Is(err, assign.ErrAdapterNotLoaded) && adapterRequests < maxAdapterRequests {
 			adapterRequests++
 			if j.ensureAdapter(ctx, req) {
@@ -39,6 +44,7 @@
 			return nil, err
 		}
 		awaitFreed(ctx, freed)
+		permitRequests, req.WithoutPermit = 0, false
 	}
 }
 
@@ -61,9 +67,16 @@
 	// maxAdapterRequests bounds how often one request asks the leader for an adapter:
 	// engines may unload it again before the request reaches them.
 	maxAdapterRequests = 5
+	// maxPermitRequests bounds how often one request asks for a permit before it is sent to an
+	// upstream that names no rate limit.
+	maxPermitRequests = 3
 	// repeatHoldDivisor limits how long a request that has been sent before may wait for a
 	// slot on another upstream: for its objective divided by repeatHoldDivisor.
 	repeatHoldDivisor = 4
+	// permitWaitDivisor and neededPermitWaitDivisor limit the wait for a permit to the objective
+	// divided by them.
+	permitWaitDivisor       = 8
+	neededPermitWaitDivisor = 2
 )
 
 func (j *job) assignRequest() assign.Request {
@@ -99,6 +112,32 @@
 	return true
 }
 
+// requestPermit asks for a permit to send the request to the chosen upstream, which names a rate limit.
+// Without one it releases the choice.
+func (j *job) requestPermit(ctx context.Context, choice *assign.Choice) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(j.permitWait(choice), cancel)
+	defer timer.Stop()
+	decision := j.core.options.Permit(ctx, choice.Key(), choice.LastChoice)
+	j.core.countPermit(decision.Granted)
+	if !decision.Granted {
+		j.core.options.Assigner.RecordDenial(choice, decision.RetryAfter, time.Now())
+		return false
+	}
+	j.core.options.Assigner.RecordPermit(choice, time.Now())
+	return true
+}
+
+// permitWait returns how long to wait for a permit: longer if no other upstream can take the request.
+func (j *job) permitWait(choice *assign.Choice) time.Duration {
+	objective := j.due.Sub(j.request.Arrived)
+	if choice.LastChoice {
+		return objective / neededPermitWaitDivisor
+	}
+	return objective / permitWaitDivisor
+}
+
 // awaitFreed returns when a slot may have become free, after holdPollInterval at the latest.
 func awaitFreed(ctx context.Context, freed <-chan struct{}) {
 	timer := time.NewTimer(holdPollInterval)
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -15,6 +15,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/retrybudget"
 	"github.com/chestnutarch/chestnutarch/internal/teamrate"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
+	"github.com/chestnutarch/chestnutarch/internal/upstreamrate"
 )
 
 const (
@@ -47,6 +48,9 @@
 	VMs func() int
 	// EnsureAdapter has an adapter loaded on an engine and returns the engine's ID.
 	EnsureAdapter func(ctx context.Context, service, model, adapter string) (string, error)
+	// Permit asks for a permit to send a request to an upstream that names a rate limit. needed means
+	// that no other upstream can take the request.
+	Permit func(ctx context.Context, upstream upstreamrate.Key, needed bool) upstreamrate.Decision
 	// UpstreamsAge returns the age of this VM's table of upstreams.
 	UpstreamsAge func() time.Duration
 	// Outdated reports whether a configuration newer than the one in force is known to
--- a/internal/traffic/handover.go
+++ b/internal/traffic/handover.go
@@ -69,6 +69,8 @@
 		h.request.Avoid = make(map[string]bool)
 	}
 	h.request.Avoid[choice.Instance] = true
+	// The reservation holds a lock that the stream needs, so it cannot wait for a permit.
+	h.request.WithoutPermit = true
 	h.silenceTimeout = time.Duration(repeatAfter * float64(j.route.Objective))
 	if j.route.Kind == catalog.Streaming {
 		h.silenceTimeout = max(minStreamSilence, 3*choice.Expected)
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -376,6 +376,8 @@
 		return "upstreams_cold"
 	case errors.Is(err, assign.ErrAdapterNotLoaded):
 		return "adapter_not_loaded"
+	case errors.Is(err, assign.ErrRateLimited):
+		return "upstreams_rate_limited"
 	case errors.Is(err, assign.ErrOverloaded), errors.Is(err, assign.ErrPrefillPaced):
 		return "overloaded"
 	case errors.Is(err, ErrRefused):
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -23,6 +23,18 @@
 	}
 }
 
+// countPermit counts an answer to a request for a permit.
+func (c *Core) countPermit(granted bool) {
+	if c.options.Metrics == nil {
+		return
+	}
+	name := "permits.denied"
+	if granted {
+		name = "permits.granted"
+	}
+	metrics.GetOrRegisterCounter(name, c.options.Metrics).Inc(1)
+}
+
 // countLateness counts the way in which a response was late. For an answered stream with at
 // least two events it also records the longest pause between events, in percent of its route's
 // gap objective, if the route has one.
--- a/internal/upstreamrate/table.go
+++ b/internal/upstreamrate/table.go
@@ -54,8 +54,15 @@
 	limit Limit
 	// learnedAt is when this VM last learned that the limit is in force.
 	learnedAt time.Time
+	// changedAt is the version of the table at which the limit last changed.
+	changedAt uint64
 	// unknownSince is since when the upstream has not been known, zero if it is known.
 	unknownSince time.Time
+	// permits holds the permits that this VM may issue.
+	permits bucket
+	// neededAt and spareAt are from when a permit may be available for a request that no other
+	// upstream can take, and for any other request.
+	neededAt, spareAt time.Time
 }
 
 // NewTable returns an empty table.
@@ -101,8 +108,9 @@
 		e = &entry{}
 		t.entries[k] = e
 	}
-	e.limit, e.learnedAt = l, now
 	t.version++
+	e.limit, e.learnedAt, e.changedAt = l, now, t.version
+	e.neededAt, e.spareAt = time.Time{}, time.Time{}
 }
 
 // Limit returns the limit in force at an upstream. ok is false if there is none.
@@ -114,15 +122,19 @@
 	return e.limit, true
 }
 
-// All returns all limits, also those that have ended, and the version of the table.
-func (t *Table) All() (limits map[Key]Limit, version uint64) {
-	out := make(map[Key]Limit, len(t.entries))
-	for k, e := range t.entries {
-		out[k] = e.limit
+// Last returns what is known of an upstream's limit, also if it has ended. ok is false if the upstream
+// has never named one.
+func (t *Table) Last(k Key) (l Limit, ok bool) {
+	e := t.entries[k]
+	if e == nil {
+		return Limit{}, false
 	}
-	return out, t.version
+	return e.limit, true
 }
 
+// IsEmpty reports whether the table holds no limits.
+func (t *Table) IsEmpty() bool { return len(t.entries) == 0 }
+
 // Retain removes the limits of upstreams that have not been known for a while.
 func (t *Table) Retain(known func(Key) bool, now time.Time) {
 	for k, e := range t.entries {
--- a/internal/upstreamrate/table_test.go
+++ b/internal/upstreamrate/table_test.go
@@ -81,18 +81,20 @@
 				}
 			}
 		}
-		first, _ := tables[0].All()
 		for _, other := range tables[1:] {
-			limits, _ := other.All()
-			require.Equal(t, first, limits)
+			require.Equal(t, tables[0].Snapshot(all).Digest, other.Snapshot(all).Digest)
+			first, _ := tables[0].Limit(engine)
+			limit, _ := other.Limit(engine)
+			require.Equal(t, first, limit)
 		}
 	})
 }
 
+func all(Key) bool { return true }
+
 func mergeAll(to, from *Table, now time.Time) {
-	limits, _ := from.All()
-	for k, l := range limits {
-		to.Merge(k, l, now)
+	for _, e := range from.Snapshot(all).Entries {
+		to.Merge(e.Key, e.Limit, now)
 	}
 }
 
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -82,6 +82,8 @@
 	// was listed.
 	rosters map[string]map[string]bool
 	plan    *topology.Plan
+	// knownSince is since when this VM has had a plan.
+	knownSince time.Time
 	// planOutdated is set when the members have changed since the plan was made.
 	planOutdated bool
 }
@@ -106,6 +108,9 @@
 	unavailableAsHub bool
 	// leads is set if it sends orders to engines.
 	leads bool
+	// rateLimitsDigest is the digest of the rate limits that it last reported. rateLimitsVersion is the
+	// version of this VM's rate limits when both last had the same.
+	rateLimitsDigest, rateLimitsVersion uint64
 	// applied is the position up to which its reports were applied here, acknowledged the
 	// position up to which it has applied reports of this VM.
 	applied, acknowledged progress
@@ -260,6 +265,9 @@
 		others = append(others, topology.VM{Name: vm, Domain: m.Domain, Capacity: m.LinkMbps, Silent: m.unavailableAsHub})
 	}
 	f.plan = topology.New(f.selfVM(), others)
+	if f.knownSince.IsZero() {
+		f.knownSince = now
+	}
 	weights := make(map[string]int, len(f.plan.Partners))
 	for _, partner := range f.plan.Partners {
 		if partner.Weight > 0 {
--- /dev/null
+++ b/internal/vm/permits.go
@@ -0,0 +1,100 @@
+package vm
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+	"github.com/chestnutarch/chestnutarch/internal/upstreamrate"
+)
+
+const (
+	// permitTimeout bounds a call for a permit.
+	permitTimeout = 100 * time.Millisecond
+	// permitRetry is the delay after which a VM asks again that got no answer, or not from the VM that
+	// issues the permits: about the time in which VMs agree which one that is.
+	permitRetry = 500 * time.Millisecond
+	// issuerSettleTime is how long a VM has to know other VMs before it issues permits. A VM that has
+	// just started may know only a few of them.
+	issuerSettleTime = 3 * time.Second
+)
+
+// permit asks for a permit to send a request to an upstream that names a rate limit. needed means that
+// no other upstream can take the request.
+func (f *fleet) permit(ctx context.Context, k upstreamrate.Key, needed bool) upstreamrate.Decision {
+	issuer, address := f.permitIssuer(k.Instance)
+	if issuer == f.process.settings.VM {
+		return f.issuePermit(k, needed)
+	}
+	limit, _ := f.process.assigner.RateLimit(k)
+	request := &peerpb.PermitRequest{Limit: rateLimitToProto(upstreamrate.Entry{Key: k, Limit: limit}), Needed: needed, Vm: f.process.settings.VM}
+	var answer *peerpb.PermitResponse
+	err := f.process.pool.Call(ctx, address, permitTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
+		answer, err = peerpb.NewVMsClient(conn).Permit(ctx, request)
+		return err
+	})
+	if err != nil {
+		return upstreamrate.Decision{RetryAfter: permitRetry}
+	}
+	f.applyRateLimits([]*peerpb.RateLimit{answer.Limit}, issuer)
+	return upstreamrate.Decision{Granted: answer.Granted, RetryAfter: time.Duration(answer.RetryAfterMs) * time.Millisecond}
+}
+
+// Permit implements peerpb.VMsServer.
+func (s *vmServer) Permit(_ context.Context, in *peerpb.PermitRequest) (*peerpb.PermitResponse, error) {
+	f := s.process.fleet
+	f.applyRateLimits([]*peerpb.RateLimit{in.Limit}, in.Vm)
+	k := rateLimitFromProto(in.Limit).Key
+	decision := upstreamrate.Decision{RetryAfter: permitRetry}
+	if issuer, _ := f.permitIssuer(k.Instance); issuer == s.process.settings.VM {
+		decision = f.issuePermit(k, in.Needed)
+	}
+	out := &peerpb.PermitResponse{Granted: decision.Granted, RetryAfterMs: uint32(decision.RetryAfter.Milliseconds())}
+	if limit, ok := s.process.assigner.RateLimit(k); ok {
+		out.Limit = rateLimitToProto(upstreamrate.Entry{Key: k, Limit: limit})
+	}
+	return out, nil
+}
+
+// issuePermit issues a permit on the VM that issues those of the upstream.
+func (f *fleet) issuePermit(k upstreamrate.Key, needed bool) upstreamrate.Decision {
+	now := time.Now()
+	if left := f.settlesIn(now); left > 0 {
+		return upstreamrate.Decision{RetryAfter: left}
+	}
+	return f.process.assigner.IssuePermit(k, needed, now)
+}
+
+// settlesIn returns the time until this VM has known other VMs for issuerSettleTime.
+func (f *fleet) settlesIn(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.knownSince.IsZero() {
+		return issuerSettleTime
+	}
+	return issuerSettleTime - now.Sub(f.knownSince)
+}
+
+// permitIssuer returns the VM that issues the permits of an upstream, and its address: one of the VMs
+// that take callers, or this VM if there is none.
+func (f *fleet) permitIssuer(instance string) (vm, address string) {
+	self, now := f.process.settings.VM, time.Now()
+	var candidates []string
+	if f.process.ready() {
+		candidates = append(candidates, self)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, m := range f.members {
+		if f.takesCallers(name, m, later(m.lastReport, m.firstSeen), peerTimeout, now) {
+			candidates = append(candidates, name)
+		}
+	}
+	issuer := upstreamrate.Issuer(instance, candidates)
+	if issuer == "" || issuer == self {
+		return self, ""
+	}
+	return issuer, f.members[issuer].Peers
+}
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -114,7 +114,7 @@
 	p.core = traffic.New(traffic.Options{
 		Upstreams: p.replicas, Assigner: p.assigner, Limiter: p.limiter,
 		Budget:   p.budget,
-		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, UpstreamsAge: p.tracker.viewAge,
+		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, Permit: p.fleet.permit, UpstreamsAge: p.tracker.viewAge,
 		Outdated: func() bool { return p.configurationLag.behind(time.Now()) > 0 },
 		Log:      log, Metrics: p.metrics,
 	})
--- a/internal/vm/ratelimit_test.go
+++ b/internal/vm/ratelimit_test.go
@@ -57,3 +57,54 @@
 		return inNeed.MostRuns(ended, testLimitWindow) > testLimitTolerance
 	})
 }
+
+// knowsRateLimit reports whether a VM knows that an upstream names a rate limit.
+func (v *testVM) knowsRateLimit() bool { return v.assigner.RateLimits().InForce() > 0 }
+
+// Callers reach an upstream in need through a few VMs of a fleet with hubs. The other VMs would each send it
+// requests at the usual rate until an answer tells them.
+func TestRateLimitReachesVMsThatSentNothing(t *testing.T) {
+	inNeed := standin.NewReplica("clerk-1", 0)
+	inNeed.NameRateLimit(testRateLimit)
+	c := newCluster(t, inNeed)
+	for i := range 14 {
+		c.startIn(string(rune('a'+i)), string(rune('a'+i%2)))
+	}
+	first := c.vms[0]
+	c.eventually(func() bool { c.send(first, call{method: "GET", path: "/look/"}); return first.knowsRateLimit() })
+	for _, v := range c.vms {
+		c.eventually(v.knowsRateLimit)
+	}
+	inNeed.EndRateLimit()
+	c.eventually(func() bool { c.send(first, call{method: "GET", path: "/look/"}); return !first.knowsRateLimit() })
+	for _, v := range c.vms {
+		c.eventually(func() bool { return !v.knowsRateLimit() })
+	}
+}
+
+// The only upstream of a service names a rate limit. Requests through every VM must still be served, also
+// once the VM that issued the permits has stopped.
+func TestUpstreamInNeedStaysReachableThroughEveryVM(t *testing.T) {
+	inNeed := standin.NewReplica("clerk-1", 0)
+	c := newCluster(t, inNeed)
+	for _, name := range []string{"a", "b", "c"} {
+		c.start(name)
+	}
+	inNeed.NameRateLimit(2)
+	for len(c.vms) > 1 {
+		for _, v := range c.vms {
+			c.eventually(func() bool {
+				return c.sendUntilAccepted(v, call{method: "GET", path: "/look/"}).status == http.StatusOK && v.knowsRateLimit()
+			})
+		}
+		issuer, _ := c.vms[0].fleet.permitIssuer("clerk-1")
+		for i, v := range c.vms {
+			if v.settings.VM == issuer {
+				v.stop()
+				c.vms = append(c.vms[:i:i], c.vms[i+1:]...)
+				break
+			}
+		}
+	}
+	require.Equal(t, http.StatusOK, c.sendUntilAccepted(c.vms[0], call{method: "GET", path: "/look/"}).status)
+}
--- a/internal/vm/reports.go
+++ b/internal/vm/reports.go
@@ -6,6 +6,7 @@
 
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/topology"
+	"github.com/chestnutarch/chestnutarch/internal/upstreamrate"
 )
 
 // buildReport returns this VM's report to another VM.
@@ -18,7 +19,8 @@
 		Leaving: f.process.departures.incarnations(),
 	}
 	out.Evacuated, out.EvacuatedRevision = f.process.evacuations.current()
-	scope, since := f.addAcknowledgement(out, receiver)
+	limits := f.process.assigner.RateLimits()
+	scope, since := f.addMemberState(out, receiver, limits)
 	out.Scope = int32(scope)
 	if scope != topology.ScopePresence {
 		now := time.Now()
@@ -31,16 +33,17 @@
 	return out
 }
 
-// addAcknowledgement acknowledges in a report what was applied of the receiver's reports. It
-// returns the report's scope, and the version that the receiver has acknowledged in that
-// scope.
-func (f *fleet) addAcknowledgement(out *peerpb.VMReport, receiver string) (scope topology.Scope, since uint64) {
+// addMemberState acknowledges in a report what was applied of the receiver's reports, and adds the rate
+// limits that the receiver may lack. It returns the report's scope, and the version that the receiver
+// has acknowledged in that scope.
+func (f *fleet) addMemberState(out *peerpb.VMReport, receiver string, limits *upstreamrate.Snapshot) (scope topology.Scope, since uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[receiver]
 	if m == nil || f.plan == nil {
 		return topology.ScopePresence, 0
 	}
+	m.addRateLimits(out, limits)
 	out.AcknowledgedIncarnation = m.Incarnation
 	out.Acknowledged, out.AcknowledgedScope = m.applied.version, int32(m.applied.scope)
 	scope = f.plan.ScopeFor(topology.VM{Name: receiver, Domain: m.Domain, Leader: m.leads})
@@ -89,6 +92,7 @@
 		return
 	}
 	m.sequence, m.lastReport, m.ready, m.leads = r.Sequence, now, r.Ready, r.Leads
+	m.rateLimitsDigest = r.RateLimitsDigest
 	m.acknowledged = progress{}
 	if r.AcknowledgedIncarnation == f.incarnation {
 		m.acknowledged = progress{topology.Scope(r.AcknowledgedScope), r.Acknowledged}
@@ -108,6 +112,7 @@
 		f.process.applyPeerDepartures(r.Leaving)
 	}
 	f.process.applyPeerEvacuations(r)
+	f.applyRateLimits(r.RateLimits, r.Vm)
 	f.process.configurationLag.recordPeerRevision(r.ConfigurationRevision, now)
 	// A VM that follows a hub gets the same configuration in the hub's next answer.
 	if r.ConfigurationRevision > f.process.configuration().Revision && !f.process.tracker.followsHub() {
