residency, vm: adapters and copies of models go to engines that name a rate limit last

Cause: the planner took an engine that names a rate limit for one that takes its whole share. It counted as the idle holder of a busy model, and an adapter was sought or loaded there for callers who then had to wait for permits; a request for an adapter that only such an engine holds asked the leader again and again. Change: an engine's load begins with the part of its time that it does not give to requests (1 less its limit times the mean engine time of a request); adapters are sought on and loaded to other engines first. Nothing changes while no engine names a limit. Conclusion: callers of a model whose engines are in need get a copy elsewhere by the planner's usual rules.

--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -149,7 +149,7 @@
 
 // refuseWithoutEngine refuses a request for which no engine is available, for the reason cause.
 func (s *Assigner) refuseWithoutEngine(req Request, cause error, now time.Time) *Refused {
-	if wait := s.permitIn(req, now); wait > 0 {
+	if wait := s.permitIn(req, now); wait > 0 && cause != ErrAdapterNotLoaded {
 		return refuseRateLimited(req, wait, now)
 	}
 	wait := loadTimeFor(cause)
--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +21,25 @@
 	Evict string
 }
 
+// FindAdapter returns the engine that holds an adapter of a model, or the move that loads it. An engine
+// that names a rate limit takes few requests and is considered only if no other one holds the adapter or
+// can load it. ok is false if no engine can load the adapter now.
+func FindAdapter(engines []Engine, spec *catalog.EngineSpec, model, adapter string, now time.Time) (holder string, move AdapterMove, ok bool) {
+	item := Item(model, adapter)
+	for _, rateLimited := range []bool{false, true} {
+		group := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.RateLimited != rateLimited })
+		for _, e := range group {
+			if _, held := e.Adapters[item]; held && e.Usable && !e.Cold && e.Models[model] {
+				return e.ID, AdapterMove{}, true
+			}
+		}
+		if move, ok := PlaceAdapter(group, spec, model, now); ok {
+			return "", move, true
+		}
+	}
+	return "", AdapterMove{}, false
+}
+
 // PlaceAdapter chooses an engine for an adapter of a model: the one with the smallest prefill
 // backlog among those with a free slot and the memory for it, else the one whose least recently
 // used adapter was used longest ago, at least minAdapterIdleTime. Cold engines are not chosen: the
--- a/internal/residency/balance.go
+++ b/internal/residency/balance.go
@@ -18,6 +18,9 @@
 	s.engineLoad = make(map[string]float64, len(s.Engines))
 	s.modelLoad = make(map[string]map[string]float64, len(s.Spec.Models))
 	s.balancedLoad = make(map[string]float64, len(s.Spec.Models))
+	for _, e := range s.Engines {
+		s.engineLoad[e.ID] = e.Occupied
+	}
 	holders := s.holders()
 	models := slices.Sorted(maps.Keys(holders))
 	for range balanceRounds {
--- a/internal/residency/state.go
+++ b/internal/residency/state.go
@@ -17,6 +17,10 @@
 	Usable bool
 	// Cold reports that the engine has just started and gets few requests for now.
 	Cold bool
+	// RateLimited reports that the engine names a rate limit. Occupied is the part of its time that it
+	// does not give to requests because of that, between 0 and 1.
+	RateLimited bool
+	Occupied    float64
 	// PrefillBacklog is the number of prompt tokens that await prefill.
 	PrefillBacklog int
 	// DelayedLoad is a model whose load waits for an unload that takes too long, "" if none.
--- a/internal/upstreamrate/snapshot.go
+++ b/internal/upstreamrate/snapshot.go
@@ -37,15 +37,15 @@
 	return s
 }
 
-// InForce returns the number of limits that have not ended.
-func (s *Snapshot) InForce() int {
-	count := 0
+// InForce returns the limits that have not ended, in requests per second by instance.
+func (s *Snapshot) InForce() map[string]float64 {
+	out := make(map[string]float64)
 	for _, e := range s.Entries {
 		if !e.Ended {
-			count++
+			out[e.Instance] = e.PerSecond
 		}
 	}
-	return count
+	return out
 }
 
 // Since returns the entries that have changed since a version of the table, or all if none has.
--- a/internal/vm/adapters.go
+++ b/internal/vm/adapters.go
@@ -57,19 +57,14 @@
 	engines := l.engines(service)
 	l.mu.Lock()
 	l.lastUsed[item] = time.Now()
-	for _, e := range engines {
-		if e.Usable && !e.Cold && e.Models[model] {
-			if _, ok := e.Adapters[item]; ok {
-				l.mu.Unlock()
-				return e.ID, nil
-			}
-		}
-	}
 	l.mu.Unlock()
-	move, ok := residency.PlaceAdapter(engines, spec, model, time.Now())
+	holder, move, ok := residency.FindAdapter(engines, spec, model, adapter, time.Now())
 	if !ok {
 		return "", errors.WithStack(ErrNoPlace)
 	}
+	if holder != "" {
+		return holder, nil
+	}
 	state := l.state(move.Engine)
 	if state == nil {
 		return "", errors.WithStack(ErrNoPlace)
--- a/internal/vm/plan.go
+++ b/internal/vm/plan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"strings"
 	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/assign"
@@ -107,6 +108,25 @@
 	return r
 }
 
+// meanWork returns the mean engine time that a request takes, in seconds, zero without recent requests.
+// It must be called with the lock held.
+func (l *planner) meanWork(now time.Time) float64 {
+	engineTime, requests := 0.0, 0.0
+	for item, r := range l.demandRates {
+		if strings.Contains(item, "/") {
+			// The requests for an adapter also count for its model.
+			continue
+		}
+		r.decay(now)
+		engineTime += r.engineTime
+		requests += r.requests / rateTimeConstant.Seconds()
+	}
+	if requests <= 0 {
+		return 0
+	}
+	return engineTime / requests
+}
+
 const (
 	// minResidency is how long a model stays on an engine at least: a few times the duration
 	// of a load from disk.
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -261,8 +261,10 @@
 func (l *planner) engines(service string) []residency.Engine {
 	now := time.Now()
 	loads, cold := l.p.assigner.Totals(now), l.p.assigner.Cold(now)
+	limits := l.p.assigner.RateLimits().InForce()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	work := l.meanWork(now)
 	out := make([]residency.Engine, 0, len(l.states))
 	for id, state := range l.states {
 		if state.instance.Service != service {
@@ -273,6 +275,9 @@
 			ID: id, Models: maps.Clone(state.models), Adapters: make(map[string]time.Time, len(state.adapters)), Busy: state.moving, Loading: state.loading,
 			Cold: cold[id], Usable: usable && !l.isDraining(id), PrefillBacklog: load.PrefillTokens, LocalWeights: state.localWeights, InFlight: load.Running, DelayedLoad: state.delayedLoad,
 		}
+		if perSecond, ok := limits[id]; ok {
+			e.RateLimited, e.Occupied = true, max(0, 1-perSecond*work)
+		}
 		for item := range state.adapters {
 			e.Adapters[item] = l.lastUsed[item]
 		}
--- a/internal/vm/ratelimit_test.go
+++ b/internal/vm/ratelimit_test.go
@@ -59,7 +59,7 @@
 }
 
 // knowsRateLimit reports whether a VM knows that an upstream names a rate limit.
-func (v *testVM) knowsRateLimit() bool { return v.assigner.RateLimits().InForce() > 0 }
+func (v *testVM) knowsRateLimit() bool { return len(v.assigner.RateLimits().InForce()) > 0 }
 
 // Callers reach an upstream in need through a few VMs of a fleet with hubs. The other VMs would each send it
 // requests at the usual rate until an answer tells them.
