test/soak: upstreams that name rate limits

Cause: the soak had no upstream that names a limit. Conclusion: the limit holds through planned restarts of all VMs in turn, and ends with the upstream's.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,6 +23,7 @@
 	seed           = flag.Uint64("seed", 0, "a single seed to run")
 	vmCount        = flag.Int("vms", 4, "number of VMs in a run")
 	evacuations    = flag.Bool("evacuations", false, "evacuate zones, and make engines cold after a restart")
+	rateLimits     = flag.Bool("ratelimits", false, "upstreams name rate limits")
 	extraRoutes    = flag.Int("routes", 0, "number of additional routes in the configuration; links are narrow if it is above 0")
 	faultTime      = flag.Duration("storm", 6*time.Second, "time during which faults are injected")
 	allRegressions = flag.Bool("regressions", false, "run all regressions, those that CI leaves out included")
@@ -48,12 +50,13 @@
 }
 
 // ciSeeds are the seeds that CI runs. ciSeedLarge is the one that runs with largeRoutes,
-// ciSeedEvacuations the one that runs with evacuations.
+// ciSeedEvacuations the one that runs with evacuations, ciSeedRateLimits the one with rate limits.
 var ciSeeds = []uint64{1, 2}
 
 const (
 	ciSeedLarge       = 3
 	ciSeedEvacuations = 4
+	ciSeedRateLimits  = 5
 	// largeRoutes is the number of additional routes with which a configuration takes a second
 	// over a narrow link.
 	largeRoutes = 700
@@ -100,59 +103,75 @@
 // unavailable and compacts its history. What callers and replicas observe must keep the promises
 // throughout, and every kind of request must be served after the faults have ended.
 func TestSoak(t *testing.T) {
+	flags := run{faultTime: *faultTime, routes: *extraRoutes, vms: *vmCount, evacuations: *evacuations, rateLimits: *rateLimits}
 	switch {
 	case *seed != 0:
-		startSeed(t, *seed, *faultTime, *extraRoutes, *vmCount, *evacuations)
+		flags.start(t, *seed)
 	case *seedCount > 0:
 		for range *seedCount {
-			startSeed(t, rand.Uint64(), *faultTime, *extraRoutes, *vmCount, *evacuations)
+			flags.start(t, rand.Uint64())
 		}
 	case *allRegressions:
 		runRegressions(t, true)
 	default:
 		for _, s := range ciSeeds {
-			startSeed(t, s, *faultTime, 0, *vmCount, false)
+			run{faultTime: *faultTime, vms: *vmCount}.start(t, s)
 		}
 		runRegressions(t, false)
-		startSeed(t, ciSeedLarge, *faultTime, largeRoutes, *vmCount, false)
-		startSeed(t, ciSeedEvacuations, *faultTime, 0, *vmCount, true)
+		run{faultTime: *faultTime, vms: *vmCount, routes: largeRoutes}.start(t, ciSeedLarge)
+		run{faultTime: *faultTime, vms: *vmCount, evacuations: true}.start(t, ciSeedEvacuations)
+		run{faultTime: *faultTime, vms: *vmCount, rateLimits: true}.start(t, ciSeedRateLimits)
 	}
 }
 
+// run describes a run beside its seed.
+type run struct {
+	// faultTime is the time during which faults are injected.
+	faultTime time.Duration
+	// routes is the number of routes that no caller uses.
+	routes, vms             int
+	evacuations, rateLimits bool
+}
+
 // runRegressions runs the regressions, those with manualOnly only if includeManual is set.
 func runRegressions(t *testing.T, includeManual bool) {
 	for _, r := range regressions {
 		if !r.manualOnly || includeManual {
-			startSeed(t, r.seed, r.faultTime, 0, max(r.vms, *vmCount), false)
+			run{faultTime: r.faultTime, vms: max(r.vms, *vmCount)}.start(t, r.seed)
 		}
 	}
 }
 
-func startSeed(t *testing.T, s uint64, length time.Duration, routes, vms int, evacuations bool) {
-	t.Run(fmt.Sprint(s), func(t *testing.T) {
+// arguments returns the command-line arguments of the run.
+func (o run) arguments() string {
+	return fmt.Sprintf("-storm %v -routes %d -vms %d -evacuations=%v -ratelimits=%v", o.faultTime, o.routes, o.vms, o.evacuations, o.rateLimits)
+}
+
+func (o run) start(t *testing.T, seed uint64) {
+	t.Run(fmt.Sprint(seed), func(t *testing.T) {
 		t.Parallel()
-		runSeed(t, s, length, routes, vms, evacuations)
+		o.perform(t, seed)
 	})
 }
 
-// runSeed performs one run: it injects faults, checks the recovery after their end, and checks that
+// perform performs the run: it injects faults, checks the recovery after their end, and checks that
 // a rolling restart interrupts no request.
-func runSeed(t *testing.T, s uint64, length time.Duration, routes, vms int, evacuations bool) {
+func (o run) perform(t *testing.T, s uint64) {
 	r := rand.New(rand.NewPCG(s, 0))
-	w := newWorld(t, vms, routes, evacuations)
+	w := newWorld(t, o)
 	t.Cleanup(func() { w.keepLogs(s) })
 	w.eventually("all VMs are ready", w.allReady)
 	w.eventually("the directory of every VM names all VMs", w.allListed)
 	stop := make(chan struct{})
 	go w.refreshEntries(stop)
 	l := startLoad(w, s)
-	w.injectFaults(sortFaults(append(w.drawFaults(r, length), w.drawEvacuations(r, length)...)))
+	w.injectFaults(sortFaults(slices.Concat(w.drawFaults(r, o.faultTime), w.drawEvacuations(r, o.faultTime), w.drawRateLimits(r, o.faultTime))))
 	w.heal()
 	w.checkRecovery(l)
 	l.stopAndWait()
 	close(stop)
 	w.oracle.check(w)
-	w.reportViolations(s, length)
+	w.reportViolations(s, o)
 }
 
 // injectFaults injects faults and repairs each after its duration. It returns when all are
@@ -190,7 +209,7 @@
 	}
 	w.withdrawKey()
 	w.addRoute()
-	w.rollingRestart(l)
+	w.checkRateLimits(func() { w.rollingRestart(l) })
 }
 
 // withdrawKey removes a key and waits until every VM refuses it. rollingRestart checks that it
@@ -289,11 +308,11 @@
 }
 
 // reportViolations fails the run if a promise was broken.
-func (w *world) reportViolations(s uint64, length time.Duration) {
+func (w *world) reportViolations(s uint64, r run) {
 	o := w.oracle
 	w.t.Logf("seed %d: %d attempts, served %v", s, len(o.attempts), o.served)
 	if len(o.violations) > 0 {
-		require.Fail(w.t, "promises broken", "%s\nreproduce with: go test ./test/soak -args -seed %d -storm %v", strings.Join(o.violations, "\n"), s, length)
+		require.Fail(w.t, "promises broken", "%s\nreproduce with: go test ./test/soak -args -seed %d %s", strings.Join(o.violations, "\n"), s, r.arguments())
 	}
 }
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -49,6 +49,8 @@
 	oracle       *oracle
 	// evacuations is set if zones are evacuated and engines are cold after a restart.
 	evacuations bool
+	// rateLimits is set if upstreams name rate limits.
+	rateLimits bool
 
 	mu       sync.Mutex
 	manifest standin.Manifest
@@ -75,12 +77,11 @@
 // such a link.
 const narrowLinkRate = 10_000_000 / 8 / 8
 
-// newWorld starts a world with a number of VMs. routes is the number of additional routes that no
-// caller uses: they make the configuration large, and then the links to the store and between VMs
-// are narrow. With evacuations a third of the upstreams is in evacuatedZone.
-func newWorld(t *testing.T, vms, routes int, evacuations bool) *world {
-	w := &world{t: t, dir: t.TempDir(), store: standin.NewStore(), oracle: newOracle(), evacuations: evacuations}
-	if routes > 0 {
+// newWorld starts the world of a run. Additional routes make the configuration large, and then the links to
+// the store and between VMs are narrow. With evacuations a third of the upstreams is in evacuatedZone.
+func newWorld(t *testing.T, o run) *world {
+	w := &world{t: t, dir: t.TempDir(), store: standin.NewStore(), oracle: newOracle(), evacuations: o.evacuations, rateLimits: o.rateLimits}
+	if o.routes > 0 {
 		w.rate = narrowLinkRate
 	}
 	w.manifest = standin.Manifest{
@@ -90,10 +91,10 @@
 			{Name: "small", Keys: []string{"small-key"}, Rate: smallRate, Burst: smallBurst},
 		},
 	}
-	if evacuations {
+	if o.evacuations {
 		w.manifest.ColdStartS, w.manifest.ColdPerS = coldStart.Seconds(), coldPerSecond
 	}
-	for i := range routes {
+	for i := range o.routes {
 		w.manifest.Extra = append(w.manifest.Extra, fmt.Sprintf("unused-%d", i))
 	}
 	w.store.Put("op/config", w.manifest.Value())
@@ -106,14 +107,14 @@
 	w.storeAddress = server.Listener.Addr().String()
 	for i := range 3 {
 		zone := "a"
-		if evacuations && i == 2 {
+		if o.evacuations && i == 2 {
 			zone = evacuatedZone
 		}
 		w.addUpstream("engine", zone, fmt.Sprintf("engine-%d", i), "m0", "m1")
 		w.addUpstream("clerk", zone, fmt.Sprintf("clerk-%d", i))
 	}
 	w.store.Rewrite(w.publishPeerProxies)
-	for i := range vms {
+	for i := range o.vms {
 		w.addVM(i, fmt.Sprintf("vm-%d", i), []string{"a", "b"}[i%2])
 	}
 	// All VMs are added before one starts: the store calls publishPeerProxies, which reads the
