--- a/internal/vm/ratelimit_test.go
+++ b/internal/vm/ratelimit_test.go
@@ -7,6 +7,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+	"github.com/chestnutarch/chestnutarch/internal/upstreamrate"
+
 	"github.com/chestnutarch/chestnutarch/platform/standin"
 )
 
@@ -108,3 +111,23 @@
 	}
 	require.Equal(t, http.StatusOK, c.sendUntilAccepted(c.vms[0], call{method: "GET", path: "/look/"}).status)
 }
+
+// Two VMs that both issue the permits of an upstream would together send it twice its limit.
+func TestOnlyTheIssuerIssuesPermits(t *testing.T) {
+	c := newCluster(t, standin.NewReplica("clerk-1", 0))
+	a, b := c.start("a"), c.start("b")
+	c.eventually(func() bool { return a.fleet.size() == 2 && b.fleet.size() == 2 })
+	limit := rateLimitToProto(upstreamrate.Entry{Key: upstreamrate.Key{Instance: "clerk-1", Incarnation: 1}, Limit: upstreamrate.Limit{PerSecond: 100, Revision: 1}})
+	issuer, other := a, b
+	if name, _ := a.fleet.permitIssuer("clerk-1"); name == b.settings.VM {
+		issuer, other = b, a
+	}
+	ask := func(v *testVM) bool {
+		answer, err := (&vmServer{process: v.Process}).Permit(t.Context(), &peerpb.PermitRequest{Limit: limit, Needed: true, Vm: "c"})
+		require.NoError(t, err)
+		return answer.Granted
+	}
+	require.False(t, ask(issuer), "a VM that has just started may know only a few of the others")
+	c.eventually(func() bool { return ask(issuer) })
+	require.False(t, ask(other))
+}
