traffic, assign: a request waits only for a permit that comes in time, and asks for permits for a quarter of its objective

Cause: a request for which the next permit comes after the longest hold was held all the same, and was refused when the hold ended; it should be told at once. A count of three calls for permits left out the upstreams that still had a reserved one if three others were denied first. Change: a refusal carries the known time until a place may be free, and mayHold compares it; the calls for permits are bounded by time instead of by number; waits are rounded up to milliseconds. Conclusion: callers who cannot be served here are free to go elsewhere at once.

--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -72,10 +72,9 @@
 	return &Refused{Cause: ErrNoUpstream, RetryAfter: retryAfter(now, req, max(s.warmIn(req, now), 300*time.Millisecond))}
 }
 
-// refuseRateLimited refuses a request for which a permit may be available after a time. It may be held
-// if the permit comes before the answer is due.
+// refuseRateLimited refuses a request for which a permit may be available after a time.
 func refuseRateLimited(req Request, wait time.Duration, now time.Time) *Refused {
-	return &Refused{Cause: ErrRateLimited, RetryAfter: retryAfter(now, req, wait), Holdable: now.Add(wait).Before(req.StartBy)}
+	return &Refused{Cause: ErrRateLimited, RetryAfter: retryAfter(now, req, wait), Wait: wait, Holdable: true}
 }
 
 // cheapestPlain returns the instance of an availability with the lowest cost, nil if there is none.
--- a/internal/assign/types.go
+++ b/internal/assign/types.go
@@ -37,6 +37,8 @@
 	// Holdable means that a place may become free within the time for which the request may be
 	// held: try again soon.
 	Holdable bool
+	// Wait is the known time until a place may become free, 0 if it is not known.
+	Wait time.Duration
 	// EarliestStart is the earliest start that was found, as the time from now to the first event.
 	// It is for logs.
 	EarliestStart time.Duration
--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -19,20 +19,15 @@
 		return reserved, nil
 	}
 	req, began := j.assignRequest(), time.Now()
-	adapterRequests, permitRequests := 0, 0
+	adapterRequests := 0
 	for {
 		if err := ctx.Err(); err != nil {
 			return nil, err
 		}
 		freed := j.core.options.Assigner.Freed()
-		choice, err := j.core.options.Assigner.Choose(req, time.Now())
-		if err == nil && (!choice.RateLimited || j.requestPermit(ctx, choice)) {
-			return choice, nil
-		}
+		choice, err := j.choosePermitted(ctx, req)
 		if err == nil {
-			permitRequests++
-			req.WithoutPermit = permitRequests >= maxPermitRequests
-			continue
+			return choice, nil
 		}
 		if errors.Is(err, assign.ErrAdapterNotLoaded) && adapterRequests < maxAdapterRequests {
 			adapterRequests++
@@ -44,7 +39,6 @@
 			return nil, err
 		}
 		awaitFreed(ctx, freed)
-		permitRequests, req.WithoutPermit = 0, false
 	}
 }
 
@@ -60,16 +54,16 @@
 	if j.sends > 0 && repeatUntil.After(holdUntil) {
 		holdUntil = repeatUntil
 	}
-	return time.Now().Before(holdUntil)
+	return time.Now().Add(refused.Wait).Before(holdUntil)
 }
 
 const (
 	// maxAdapterRequests bounds how often one request asks the leader for an adapter:
 	// engines may unload it again before the request reaches them.
 	maxAdapterRequests = 5
-	// maxPermitRequests bounds how often one request asks for a permit before it is sent to an
-	// upstream that names no rate limit.
-	maxPermitRequests = 3
+	// permitsDivisor limits the time in which a request asks for permits, before only upstreams without
+	// a rate limit are considered, to the objective divided by it.
+	permitsDivisor = 4
 	// repeatHoldDivisor limits how long a request that has been sent before may wait for a
 	// slot on another upstream: for its objective divided by repeatHoldDivisor.
 	repeatHoldDivisor = 4
@@ -112,6 +106,19 @@
 	return true
 }
 
+// choosePermitted reserves a slot on an upstream, and gets a permit for it if the upstream names a rate
+// limit.
+func (j *job) choosePermitted(ctx context.Context, req assign.Request) (*assign.Choice, error) {
+	began := time.Now()
+	for {
+		choice, err := j.core.options.Assigner.Choose(req, time.Now())
+		if err != nil || !choice.RateLimited || j.requestPermit(ctx, choice) {
+			return choice, err
+		}
+		req.WithoutPermit = time.Since(began) > j.due.Sub(j.request.Arrived)/permitsDivisor
+	}
+}
+
 // requestPermit asks for a permit to send the request to the chosen upstream, which names a rate limit.
 // Without one it releases the choice.
 func (j *job) requestPermit(ctx context.Context, choice *assign.Choice) bool {
--- a/internal/traffic/ratelimit_test.go
+++ b/internal/traffic/ratelimit_test.go
@@ -44,21 +44,21 @@
 	})
 }
 
-// The only engine is at its rate limit for longer than the caller can wait. The caller must be told at
+// The only engine is at its rate limit for longer than requests are held. The caller must be told at
 // once, and when a permit may be available.
 func TestRequestThatCannotGetAPermitInTimeIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(resumable, map[string]script{"in-need": answerAtOnce})
 		f.nameRateLimit("in-need")
 		f.core.options.Permit = func(_ context.Context, _ upstreamrate.Key, needed bool) upstreamrate.Decision {
-			return upstreamrate.Decision{RetryAfter: resumable.Objective + time.Second}
+			return upstreamrate.Decision{RetryAfter: 3 * time.Second}
 		}
 		began := time.Now()
 		sink, err := f.serve(t.Context(), "a")
 		require.NoError(t, err)
 		require.Equal(t, http.StatusServiceUnavailable, sink.status)
 		require.Equal(t, "upstreams_rate_limited", sink.refusal.Reason)
-		require.Equal(t, 4*time.Second, sink.refusal.RetryAfter)
+		require.Equal(t, 3*time.Second, sink.refusal.RetryAfter)
 		require.Zero(t, time.Since(began))
 		require.Empty(t, f.upstreams.attempts())
 	})
--- a/internal/vm/permits.go
+++ b/internal/vm/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"google.golang.org/grpc"
@@ -51,7 +52,7 @@
 	if issuer, _ := f.permitIssuer(k.Instance); issuer == s.process.settings.VM {
 		decision = f.issuePermit(k, in.Needed)
 	}
-	out := &peerpb.PermitResponse{Granted: decision.Granted, RetryAfterMs: uint32(decision.RetryAfter.Milliseconds())}
+	out := &peerpb.PermitResponse{Granted: decision.Granted, RetryAfterMs: uint32(math.Ceil(decision.RetryAfter.Seconds() * 1000))}
 	if limit, ok := s.process.assigner.RateLimit(k); ok {
 		out.Limit = rateLimitToProto(upstreamrate.Entry{Key: k, Limit: limit})
 	}
