--- a/internal/assign/ratelimit_test.go
+++ b/internal/assign/ratelimit_test.go
@@ -203,8 +203,7 @@
 	require.Len(t, s.sentBy, 20)
 }
 
-// While other engines can take the requests, the one in need must neither be preferred for its short
-// queue nor be left without the requests that show whether its limit has ended.
+// The engine in need must neither be preferred for its short queue nor get no requests at all.
 func TestUpstreamInNeedGetsNoMoreThanItsLimitBesideOthers(t *testing.T) {
 	for _, vms := range []int{7, 65, 295} {
 		s := newLimitSim(vms, 1, "second", "third")
--- a/internal/residency/ratelimit_test.go
+++ b/internal/residency/ratelimit_test.go
@@ -7,8 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A busy model is held only by an engine that takes a tenth of the requests that it could run. Its callers
-// must not be refused while another engine has room.
+// Callers of a busy model must not be refused for an engine's rate limit while another engine has room.
 func TestBusyModelOfARateLimitedEngineGetsACopyElsewhere(t *testing.T) {
 	fleet := func(occupied float64) Fleet {
 		a, b := engine("a", "m0"), engine("b", "m1")
@@ -31,8 +30,7 @@
 	return out
 }
 
-// An adapter is loaded on an engine that names a rate limit, or is sought there, although another engine
-// with the model has room. Its callers would wait for permits.
+// Callers of an adapter must not wait for permits while another engine with the model has room.
 func TestAdapterIsSoughtOnRateLimitedEnginesLast(t *testing.T) {
 	now := time.Now()
 	limited, free := engine("a", "m0"), engine("b", "m0")
--- a/internal/traffic/ratelimit_test.go
+++ b/internal/traffic/ratelimit_test.go
@@ -44,8 +44,7 @@
 	})
 }
 
-// The only engine is at its rate limit for longer than requests are held. The caller must be told at
-// once, and when a permit may be available.
+// A caller that cannot get a permit in time must be told at once, and when one may be available.
 func TestRequestThatCannotGetAPermitInTimeIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(resumable, map[string]script{"in-need": answerAtOnce})
--- a/internal/upstreamrate/table_test.go
+++ b/internal/upstreamrate/table_test.go
@@ -58,8 +58,7 @@
 	require.False(t, ok)
 }
 
-// VMs observe changes of a limit and tell each other of them in any order, also repeatedly. Once each has
-// heard from each other, all must hold the same limit.
+// VMs that have told each other what they observed, in any order, must hold the same limit.
 func TestTablesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Now()
@@ -98,8 +97,7 @@
 	}
 }
 
-// Entries of upstreams disappear while the platform's store is away. Their limits must still hold when
-// they return.
+// Entries of upstreams disappear while the platform's store is away, and return with their limits.
 func TestLimitOutlivesAShortAbsenceOfItsUpstream(t *testing.T) {
 	table, now := NewTable(), time.Now()
 	table.Observe(engine, named(1), now, now)
--- a/internal/vm/ratelimit_test.go
+++ b/internal/vm/ratelimit_test.go
@@ -37,8 +37,7 @@
 	return statuses
 }
 
-// An upstream in need names the requests per second that it takes from all VMs together. VMs that do not
-// know of it, or that each take the limit for their own, send it several times as many.
+// VMs that ignore a rate limit, or that each take it for their own, together send several times as many.
 func TestAllVMsTogetherKeepAnUpstreamsRateLimit(t *testing.T) {
 	inNeed, other := standin.NewReplica("clerk-1", 0), standin.NewReplica("clerk-2", 0)
 	c := newCluster(t, inNeed, other)
@@ -64,8 +63,7 @@
 // knowsRateLimit reports whether a VM knows that an upstream names a rate limit.
 func (v *testVM) knowsRateLimit() bool { return len(v.assigner.RateLimits().InForce()) > 0 }
 
-// Callers reach an upstream in need through a few VMs of a fleet with hubs. The other VMs would each send it
-// requests at the usual rate until an answer tells them.
+// VMs that learn of a limit only from answers to their own requests go on at the usual rate until then.
 func TestRateLimitReachesVMsThatSentNothing(t *testing.T) {
 	inNeed := standin.NewReplica("clerk-1", 0)
 	inNeed.NameRateLimit(testRateLimit)
@@ -85,8 +83,7 @@
 	}
 }
 
-// The only upstream of a service names a rate limit. Requests through every VM must still be served, also
-// once the VM that issued the permits has stopped.
+// An upstream in need must stay reachable through every VM, also once the issuer of its permits has stopped.
 func TestUpstreamInNeedStaysReachableThroughEveryVM(t *testing.T) {
 	inNeed := standin.NewReplica("clerk-1", 0)
 	c := newCluster(t, inNeed)
