--- a/internal/assign/ratelimit.go
+++ b/internal/assign/ratelimit.go
@@ -79,9 +79,6 @@
 	s.Finish(c, Neutral, now)
 }
 
-// Key returns the key of the chosen upstream.
-func (c *Choice) Key() upstreamrate.Key { return c.node.key() }
-
 // knows reports whether an upstream is known. It must be called with the lock held.
 func (s *Assigner) knows(k upstreamrate.Key) bool {
 	n := s.nodes[k.Instance]
--- a/internal/assign/ratelimit_test.go
+++ b/internal/assign/ratelimit_test.go
@@ -142,7 +142,7 @@
 	if !choice.RateLimited {
 		return true
 	}
-	d := s.fleet[s.issuer(choice.Instance)].IssuePermit(choice.Key(), choice.LastChoice, s.now)
+	d := s.fleet[s.issuer(choice.Instance)].IssuePermit(choice.Key, choice.LastChoice, s.now)
 	if !d.Granted {
 		s.fleet[vm].RecordDenial(choice, d.RetryAfter, s.now)
 		return false
@@ -224,3 +224,17 @@
 	require.LessOrEqual(t, s.mostInWindow(), limitTolerance(2))
 	require.Len(t, s.down, 6)
 }
+
+// A view of the store replaces the descriptions of upstreams while a request asks for a permit.
+func TestChoiceIsReadWhileInstancesChange(t *testing.T) {
+	s, now := testAssigner("engines", 1), time.Now()
+	choice, err := s.Choose(draftRequest(1, 1, now), now)
+	require.NoError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.SetInstances([]upstream.Instance{testInstance("engines", "i-0", "a1")})
+	}()
+	require.Equal(t, "i-0", choice.Key.Instance)
+	<-done
+}
--- a/internal/assign/types.go
+++ b/internal/assign/types.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chestnutarch/chestnutarch/internal/upstreamrate"
 )
 
 var (
@@ -107,6 +109,8 @@
 	Late bool
 	// KnownLoad is the work known to be at the upstream when it was chosen.
 	KnownLoad KnownLoad
+	// Key identifies the upstream's incarnation.
+	Key upstreamrate.Key
 	// RateLimited means that the upstream names a rate limit, so that the request may be sent only
 	// with a permit.
 	RateLimited bool
--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -126,7 +126,7 @@
 	defer cancel()
 	timer := time.AfterFunc(j.permitWait(choice), cancel)
 	defer timer.Stop()
-	decision := j.core.options.Permit(ctx, choice.Key(), choice.LastChoice)
+	decision := j.core.options.Permit(ctx, choice.Key, choice.LastChoice)
 	j.core.countPermit(decision.Granted)
 	if !decision.Granted {
 		j.core.options.Assigner.RecordDenial(choice, decision.RetryAfter, time.Now())
