assign, upstreamrate, vm: one settle time, one rendezvous weight, one sliding window

The fleet kept a second record of how long other VMs have been known, with a constant of its own, beside the one by which cold upstreams wait; the rendezvous weight of warmup stood again in upstreamrate; a sliding window stood twice in the tests of assign; the check of a request's item stood three times. The leader computed the mean work of all items for each adapter that was asked for, and each choice asked for its availability again, also where no upstream names a limit. Change: IssuePermit itself refuses until the VM has settled, by the record that cold upstreams use; upstreamrate.Issuer calls warmup.Weight; mostWithin and node.holdsItemOf serve all their places; the mean work and the last choice are computed only where a limit is in force; the key of a choice is used where it was read from the upstream again. Conclusion: behaviour as before; no test lost an assertion.

--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -115,7 +115,7 @@
 		if !req.admits(n) || s.availability(n, req, now) == unavailable {
 			continue
 		}
-		if req.Model != "" && !n.holds(itemName(req.Model, req.Adapter)) {
+		if !n.holdsItemOf(req) {
 			continue
 		}
 		if best == nil || n.local.requests < best.local.requests {
--- a/internal/assign/cold.go
+++ b/internal/assign/cold.go
@@ -6,11 +6,19 @@
 	"github.com/chestnutarch/chestnutarch/internal/warmup"
 )
 
-// fleetSettleTime is how long a VM has to know other VMs before it sends requests to cold upstreams:
-// a VM that has just started may know only a few of the VMs and would take shares that belong to
-// the others.
+// fleetSettleTime is how long a VM has to know other VMs before it sends requests to cold upstreams or
+// issues permits: a VM that has just started may know only a few of the VMs and would take shares, or
+// issue permits, that belong to the others.
 const fleetSettleTime = 3 * time.Second
 
+// settlesIn returns the time until this VM has known other VMs for fleetSettleTime.
+func (s *Assigner) settlesIn(now time.Time) time.Duration {
+	if s.fleetKnownSince.IsZero() {
+		return fleetSettleTime
+	}
+	return fleetSettleTime - now.Sub(s.fleetKnownSince)
+}
+
 // coldUntil returns until when an instance is cold, zero if it is not. An instance whose failure
 // domain was evacuated may have become cold with its return, before its entry tells.
 func (s *Assigner) coldUntil(n *node) time.Time {
@@ -32,7 +40,7 @@
 
 // maySendCold reports whether this VM may send a request to a cold instance now.
 func (s *Assigner) maySendCold(n *node, now time.Time) bool {
-	if s.fleetKnownSince.IsZero() || now.Sub(s.fleetKnownSince) < fleetSettleTime {
+	if s.settlesIn(now) > 0 {
 		return false
 	}
 	shares := warmup.Divide(s.service(n.instance.Service).ColdRate, len(s.others)+1)
@@ -63,7 +71,7 @@
 		if !req.allows(n) || n.instance.Draining || n.instance.Evacuated() || !s.isCold(n, now) {
 			continue
 		}
-		if req.Model != "" && !n.holds(itemName(req.Model, req.Adapter)) {
+		if !n.holdsItemOf(req) {
 			continue
 		}
 		if left := s.coldUntil(n).Sub(now); first == 0 || left < first {
--- a/internal/assign/cold_test.go
+++ b/internal/assign/cold_test.go
@@ -43,11 +43,11 @@
 	return i
 }
 
-// mostWithinASecond returns the largest number of times within a second. times must be sorted.
-func mostWithinASecond(times []time.Duration) int {
+// mostWithin returns the largest number of times within a window. times must be sorted.
+func mostWithin(times []time.Duration, window time.Duration) int {
 	most, from := 0, 0
 	for i, at := range times {
-		for at-times[from] > time.Second {
+		for at-times[from] > window {
 			from++
 		}
 		most = max(most, i-from+1)
@@ -72,7 +72,7 @@
 		require.ErrorIs(t, err, ErrCold)
 		require.LessOrEqual(t, refusal.RetryAfter, max(minRetryAfter, testColdStart-at), "callers may come back once the engine is warm")
 	}
-	require.LessOrEqual(t, mostWithinASecond(sent), testColdTolerance)
+	require.LessOrEqual(t, mostWithin(sent, time.Second), testColdTolerance)
 	require.NotEmpty(t, sent, "the model must stay reachable")
 	_, err := fleet[0].Choose(draftRequest(1, 1, now.Add(testColdStart)), now.Add(testColdStart))
 	require.NoError(t, err)
--- a/internal/assign/node.go
+++ b/internal/assign/node.go
@@ -134,6 +134,11 @@
 
 func (n *node) holds(item string) bool { return n.contents.items[item] }
 
+// holdsItemOf reports whether the instance holds the model and adapter of a request, if it names any.
+func (n *node) holdsItemOf(req Request) bool {
+	return req.Model == "" || n.holds(itemName(req.Model, req.Adapter))
+}
+
 // responsive reports whether the instance is neither ejected nor unresponsive.
 func (n *node) responsive(now time.Time) bool {
 	return !now.Before(n.ejectedUntil) && !n.unresponsive(now)
--- a/internal/assign/ratelimit.go
+++ b/internal/assign/ratelimit.go
@@ -12,7 +12,7 @@
 func (s *Assigner) RecordRateLimit(c *Choice, named upstream.RateLimit, now time.Time) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed = s.rateLimits.Observe(c.node.key(), named, c.placedAt, now)
+	changed = s.rateLimits.Observe(c.Key, named, c.placedAt, now)
 	if changed {
 		s.rateLimitSnapshot = nil
 	}
@@ -57,10 +57,13 @@
 }
 
 // IssuePermit issues a permit to send one request to an upstream, on the VM that issues its permits.
-// needed means that no other upstream can take the request.
+// needed means that no other upstream can take the request. A VM that has just started issues none.
 func (s *Assigner) IssuePermit(k upstreamrate.Key, needed bool, now time.Time) upstreamrate.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if left := s.settlesIn(now); left > 0 {
+		return upstreamrate.Decision{RetryAfter: left}
+	}
 	return s.rateLimits.Issue(k, needed, now)
 }
 
@@ -74,7 +77,7 @@
 // RecordDenial releases the place of a choice for which no permit was granted.
 func (s *Assigner) RecordDenial(c *Choice, retryAfter time.Duration, now time.Time) {
 	s.mu.Lock()
-	s.rateLimits.RecordDenial(c.node.key(), c.LastChoice, now.Add(retryAfter))
+	s.rateLimits.RecordDenial(c.Key, c.LastChoice, now.Add(retryAfter))
 	s.mu.Unlock()
 	s.Finish(c, Neutral, now)
 }
@@ -102,7 +105,7 @@
 		if !s.rateLimited(n) || !req.admits(n) || !n.responsive(now) || s.stateAvailability(n, now) == unavailable {
 			continue
 		}
-		if req.Model != "" && !n.holds(itemName(req.Model, req.Adapter)) {
+		if !n.holdsItemOf(req) {
 			continue
 		}
 		needed, _ := s.rateLimits.NextPermits(n.key())
--- a/internal/assign/ratelimit_test.go
+++ b/internal/assign/ratelimit_test.go
@@ -171,16 +171,8 @@
 
 // mostInWindow returns the largest number of requests to in-need within limitWindow, after limitGrace.
 func (s *limitSim) mostInWindow() int {
-	most, from := 0, 0
-	for i, at := range s.sent {
-		for s.sent[from] < limitGrace || at-s.sent[from] > limitWindow {
-			if from++; from > i {
-				break
-			}
-		}
-		most = max(most, i-from+1)
-	}
-	return most
+	counted := slices.DeleteFunc(slices.Clone(s.sent), func(at time.Duration) bool { return at < limitGrace })
+	return mostWithin(counted, limitWindow)
 }
 
 // Every VM of a fleet has requests that only the engine in need could take, many times what it takes.
--- a/internal/assign/types.go
+++ b/internal/assign/types.go
@@ -114,7 +114,7 @@
 	// RateLimited means that the upstream names a rate limit, so that the request may be sent only
 	// with a permit.
 	RateLimited bool
-	// LastChoice means that no upstream that is available for any request could be chosen.
+	// LastChoice means that a rate-limited upstream was chosen because no other one could be.
 	LastChoice bool
 
 	node     *node
--- a/internal/assign/work.go
+++ b/internal/assign/work.go
@@ -133,8 +133,10 @@
 func (s *Assigner) place(n *node, req Request, uncached int, expected time.Duration, now time.Time) *Choice {
 	c := &Choice{Instance: n.instance.ID, Uncached: uncached, Expected: expected, KnownLoad: s.knownLoad(n, req, now), node: n, request: req, placedAt: now}
 	c.kvTokens = uncached + req.OutputTokens/2
-	c.Key, c.RateLimited, c.LastChoice = n.key(), s.rateLimited(n), s.availability(n, req, now) == lastChoice
-	if !c.RateLimited {
+	c.Key, c.RateLimited = n.key(), s.rateLimited(n)
+	if c.RateLimited {
+		c.LastChoice = s.availability(n, req, now) == lastChoice
+	} else {
 		s.recordPlaced(c, now)
 	}
 	n.local.requests++
--- a/internal/upstreamrate/permit.go
+++ b/internal/upstreamrate/permit.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/chestnutarch/chestnutarch/internal/warmup"
 )
 
 const (
@@ -88,7 +88,7 @@
 func Issuer(instance string, vms []string) string {
 	issuer, highest := "", uint64(0)
 	for _, vm := range vms {
-		weight := xxhash.Sum64String(instance + "\x00" + vm)
+		weight := warmup.Weight(instance, vm)
 		if issuer == "" || weight > highest || (weight == highest && vm < issuer) {
 			issuer, highest = vm, weight
 		}
--- a/internal/upstreamrate/table.go
+++ b/internal/upstreamrate/table.go
@@ -115,11 +115,8 @@
 
 // Limit returns the limit in force at an upstream. ok is false if there is none.
 func (t *Table) Limit(k Key) (l Limit, ok bool) {
-	e := t.entries[k]
-	if e == nil || e.limit.Ended {
-		return Limit{}, false
-	}
-	return e.limit, true
+	l, ok = t.Last(k)
+	return l, ok && !l.Ended
 }
 
 // Last returns what is known of an upstream's limit, also if it has ended. ok is false if the upstream
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -82,8 +82,6 @@
 	// was listed.
 	rosters map[string]map[string]bool
 	plan    *topology.Plan
-	// knownSince is since when this VM has had a plan.
-	knownSince time.Time
 	// planOutdated is set when the members have changed since the plan was made.
 	planOutdated bool
 }
@@ -265,9 +263,6 @@
 		others = append(others, topology.VM{Name: vm, Domain: m.Domain, Capacity: m.LinkMbps, Silent: m.unavailableAsHub})
 	}
 	f.plan = topology.New(f.selfVM(), others)
-	if f.knownSince.IsZero() {
-		f.knownSince = now
-	}
 	weights := make(map[string]int, len(f.plan.Partners))
 	for _, partner := range f.plan.Partners {
 		if partner.Weight > 0 {
--- a/internal/vm/permits.go
+++ b/internal/vm/permits.go
@@ -17,9 +17,6 @@
 	// permitRetry is the delay after which a VM asks again that got no answer, or not from the VM that
 	// issues the permits: about the time in which VMs agree which one that is.
 	permitRetry = 500 * time.Millisecond
-	// issuerSettleTime is how long a VM has to know other VMs before it issues permits. A VM that has
-	// just started may know only a few of them.
-	issuerSettleTime = 3 * time.Second
 )
 
 // permit asks for a permit to send a request to an upstream that names a rate limit. needed means that
@@ -27,7 +24,7 @@
 func (f *fleet) permit(ctx context.Context, k upstreamrate.Key, needed bool) upstreamrate.Decision {
 	issuer, address := f.permitIssuer(k.Instance)
 	if issuer == f.process.settings.VM {
-		return f.issuePermit(k, needed)
+		return f.process.assigner.IssuePermit(k, needed, time.Now())
 	}
 	limit, _ := f.process.assigner.RateLimit(k)
 	request := &peerpb.PermitRequest{Limit: rateLimitToProto(upstreamrate.Entry{Key: k, Limit: limit}), Needed: needed, Vm: f.process.settings.VM}
@@ -50,7 +47,7 @@
 	k := rateLimitFromProto(in.Limit).Key
 	decision := upstreamrate.Decision{RetryAfter: permitRetry}
 	if issuer, _ := f.permitIssuer(k.Instance); issuer == s.process.settings.VM {
-		decision = f.issuePermit(k, in.Needed)
+		decision = s.process.assigner.IssuePermit(k, in.Needed, time.Now())
 	}
 	out := &peerpb.PermitResponse{Granted: decision.Granted, RetryAfterMs: uint32(math.Ceil(decision.RetryAfter.Seconds() * 1000))}
 	if limit, ok := s.process.assigner.RateLimit(k); ok {
@@ -59,25 +56,6 @@
 	return out, nil
 }
 
-// issuePermit issues a permit on the VM that issues those of the upstream.
-func (f *fleet) issuePermit(k upstreamrate.Key, needed bool) upstreamrate.Decision {
-	now := time.Now()
-	if left := f.settlesIn(now); left > 0 {
-		return upstreamrate.Decision{RetryAfter: left}
-	}
-	return f.process.assigner.IssuePermit(k, needed, now)
-}
-
-// settlesIn returns the time until this VM has known other VMs for issuerSettleTime.
-func (f *fleet) settlesIn(now time.Time) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.knownSince.IsZero() {
-		return issuerSettleTime
-	}
-	return issuerSettleTime - now.Sub(f.knownSince)
-}
-
 // permitIssuer returns the VM that issues the permits of an upstream, and its address: one of the VMs
 // that take callers, or this VM if there is none.
 func (f *fleet) permitIssuer(instance string) (vm, address string) {
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -264,7 +264,10 @@
 	limits := l.p.assigner.RateLimits().InForce()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	work := l.meanWork(now)
+	work := 0.0
+	if len(limits) > 0 {
+		work = l.meanWork(now)
+	}
 	out := make([]residency.Engine, 0, len(l.states))
 	for id, state := range l.states {
 		if state.instance.Service != service {
--- a/internal/warmup/shares.go
+++ b/internal/warmup/shares.go
@@ -32,15 +32,15 @@
 // Holds reports whether the VM self holds a share of an upstream; others are the other VMs that it
 // knows.
 func (s Shares) Holds(upstream, self string, others []string) bool {
-	own := weight(upstream, self)
+	own := Weight(upstream, self)
 	ahead := 0
 	for _, vm := range others {
-		if weight(upstream, vm) > own {
+		if Weight(upstream, vm) > own {
 			ahead++
 		}
 	}
 	return ahead < s.Holders
 }
 
-// weight ranks a VM for an upstream.
-func weight(upstream, vm string) uint64 { return xxhash.Sum64String(upstream + "\x00" + vm) }
+// Weight ranks a VM for an upstream: the VMs with the highest weights come first.
+func Weight(upstream, vm string) uint64 { return xxhash.Sum64String(upstream + "\x00" + vm) }
--- a/internal/warmup/shares_test.go
+++ b/internal/warmup/shares_test.go
@@ -83,7 +83,7 @@
 		most := mostInASecond(6.5, vms, func(vm string) []string {
 			known := slices.Clone(vms)
 			slices.SortFunc(known, func(a, b string) int {
-				x, y := weight(fmt.Sprint(seed, vm), a), weight(fmt.Sprint(seed, vm), b)
+				x, y := Weight(fmt.Sprint(seed, vm), a), Weight(fmt.Sprint(seed, vm), b)
 				if x < y {
 					return -1
 				}
