assign, vm: a report visits only instances with work of its VM; adapters are looked up among the holders of their model

Cause: SetPeerLoads went over all instances for each report, so that a hub with 164 VMs and 4,002 upstreams visits 656 x 4,002 nodes a second. Each call for an adapter copied the state of all engines, though only those that hold the model can take it. Change: the assigner keeps, by VM, the instances at which the VM has work; Totals takes the instances that are asked for; ensureAdapter reads only the engines that hold the model. Conclusion: both costs follow the work, not the fleet.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -14,10 +14,14 @@
 
 // Assigner chooses upstreams. It is safe for concurrent use.
 type Assigner struct {
-	mu      sync.Mutex
-	nodes   map[string]*node
-	catalog *catalog.Catalog
-	speeds  map[string]speed
+	mu    sync.Mutex
+	nodes map[string]*node
+	// peerWork holds by VM the instances at which the VM has work, or had some lately. A report
+	// of a VM is applied to these alone: hundreds of VMs report several times a second, and each
+	// has work at a few of thousands of instances.
+	peerWork map[string]map[string]struct{}
+	catalog  *catalog.Catalog
+	speeds   map[string]speed
 	// demand is the total demand by item since the start.
 	demand map[string]Demand
 	// inUse counts the requests in flight by adapter.
@@ -46,7 +50,7 @@
 // New returns an Assigner without upstreams.
 func New() *Assigner {
 	return &Assigner{
-		nodes: make(map[string]*node), speeds: make(map[string]speed), demand: make(map[string]Demand), inUse: make(map[string]int),
+		nodes: make(map[string]*node), peerWork: make(map[string]map[string]struct{}), speeds: make(map[string]speed), demand: make(map[string]Demand), inUse: make(map[string]int),
 		stallStats: make(map[string]stallStats), rateLimits: upstreamrate.NewTable(), freed: make(chan struct{}),
 	}
 }
--- a/internal/assign/assigner_test.go
+++ b/internal/assign/assigner_test.go
@@ -274,7 +274,7 @@
 		s.SetPeerLoads("b", nil, now)
 		now = now.Add(250 * time.Millisecond)
 	}
-	require.Zero(t, s.Totals(now)["i-0"].PrefillTokens, "the other VM reports no work any more")
+	require.Zero(t, s.Totals([]string{"i-0"}, now)["i-0"].PrefillTokens, "the other VM reports no work any more")
 }
 
 // Sixty VMs have just received the same report about sixteen engines, and each has one chat
@@ -340,7 +340,7 @@
 	}
 	require.Empty(t, s.Loads())
 	require.Empty(t, s.InUse())
-	for _, l := range s.Totals(now) {
+	for _, l := range s.Totals([]string{"i-0", "i-1", "i-2"}, now) {
 		require.Empty(t, l.Running)
 	}
 }
@@ -357,3 +357,17 @@
 		s.Finish(c, Succeeded, now)
 	}
 }
+
+// Hundreds of VMs report several times a second. A report that visits every instance takes time that
+// grows with the fleet.
+func TestReportVisitsOnlyInstancesWithWorkOfItsVM(t *testing.T) {
+	s, now := testAssigner("engines", 40), time.Now()
+	s.SetPeerLoads("b", map[string]Load{"i-0": {Requests: 1}, "i-7": {Requests: 2, PrefillTokens: 9000}}, now)
+	s.SetPeerLoads("c", map[string]Load{"i-7": {Requests: 1}}, now)
+	require.Len(t, s.peerWork["b"], 2)
+	s.SetPeerLoads("b", nil, now.Add(time.Millisecond))
+	require.Len(t, s.peerWork["b"], 1, "the mean backlog of i-7 is not yet negligible")
+	s.SetPeerLoads("b", nil, now.Add(20*meanTimeConstant))
+	require.NotContains(t, s.peerWork, "b")
+	require.Equal(t, 1, s.Totals([]string{"i-7"}, now)["i-7"].Requests)
+}
--- a/internal/assign/work.go
+++ b/internal/assign/work.go
@@ -11,25 +11,58 @@
 func (s *Assigner) SetPeerLoads(vm string, loads map[string]Load, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, n := range s.nodes {
-		l, ok := loads[id]
-		if ok {
-			n.recordPeerPrefill(vm, l.PrefillTotal, now)
+	for id := range s.peerWork[vm] {
+		if _, ok := loads[id]; !ok {
+			s.endPeerWork(vm, id, now)
 		}
-		if !ok && n.peers[vm].updatedMean(l.PrefillTokens, now) < minMeanPrefill {
-			delete(n.peers, vm)
-			continue
+	}
+	s.updatePeerLoads(vm, loads, now)
+}
+
+// UpdatePeerLoads applies another VM's work at the engines to which it has just sent requests. Its
+// work at other instances stays as it was.
+func (s *Assigner) UpdatePeerLoads(vm string, loads map[string]Load, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.updatePeerLoads(vm, loads, now)
+}
+
+func (s *Assigner) updatePeerLoads(vm string, loads map[string]Load, now time.Time) {
+	for id, l := range loads {
+		if n := s.nodes[id]; n != nil {
+			n.recordPeerPrefill(vm, l.PrefillTotal, now)
+			s.setPeerLoad(vm, n, l, now)
 		}
-		n.setPeerLoad(vm, l, now)
 	}
 }
 
-// setPeerLoad replaces another VM's work at the instance.
-func (n *node) setPeerLoad(vm string, l Load, now time.Time) {
+// endPeerWork records that another VM has no more work at an instance. Its mean prefill backlog
+// there is kept until it is negligible.
+func (s *Assigner) endPeerWork(vm, instance string, now time.Time) {
+	n := s.nodes[instance]
+	if n != nil && n.peers[vm].updatedMean(0, now) >= minMeanPrefill {
+		s.setPeerLoad(vm, n, Load{}, now)
+		return
+	}
+	if n != nil {
+		delete(n.peers, vm)
+	}
+	delete(s.peerWork[vm], instance)
+	if len(s.peerWork[vm]) == 0 {
+		delete(s.peerWork, vm)
+	}
+}
+
+// setPeerLoad replaces another VM's work at an instance.
+func (s *Assigner) setPeerLoad(vm string, n *node, l Load, now time.Time) {
 	n.peers[vm] = peerLoad{
 		load: load{requests: l.Requests, prefillTokens: l.PrefillTokens, kvTokens: l.KVTokens}, running: l.Running,
 		meanPrefill: n.peers[vm].updatedMean(l.PrefillTokens, now), receivedAt: now,
 	}
+	if s.peerWork[vm] == nil {
+		s.peerWork[vm] = make(map[string]struct{})
+	}
+	s.peerWork[vm][n.instance.ID] = struct{}{}
 }
 
 // localLoad returns this VM's work at the instance.
@@ -101,27 +134,15 @@
 	return out
 }
 
-// UpdatePeerLoads applies another VM's work at the engines to which it has just sent requests. Its
-// work at other instances stays as it was.
-func (s *Assigner) UpdatePeerLoads(vm string, loads map[string]Load, now time.Time) {
+// Totals returns the work of all VMs at those of the given instances that accept requests, now or
+// once they are warm.
+func (s *Assigner) Totals(instances []string, now time.Time) map[string]Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, l := range loads {
-		if n := s.nodes[id]; n != nil {
-			n.recordPeerPrefill(vm, l.PrefillTotal, now)
-			n.setPeerLoad(vm, l, now)
-		}
-	}
-}
-
-// Totals returns the work of all VMs at the instances that accept requests, now or once they are
-// warm.
-func (s *Assigner) Totals(now time.Time) map[string]Load {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make(map[string]Load, len(s.nodes))
-	for id, n := range s.nodes {
-		if !n.instance.Draining && !n.instance.Evacuated() && n.responsive(now) {
+	out := make(map[string]Load, len(instances))
+	for _, id := range instances {
+		n := s.nodes[id]
+		if n != nil && !n.instance.Draining && !n.instance.Evacuated() && n.responsive(now) {
 			t := n.total(now, defaultPrefillPerToken)
 			out[id] = Load{Requests: t.requests, PrefillTokens: t.prefillTokens, KVTokens: t.kvTokens, Running: n.totalRunning(now)}
 		}
--- a/internal/vm/adapters.go
+++ b/internal/vm/adapters.go
@@ -54,7 +54,7 @@
 	}
 	spec := k.Services[service].Engine
 	item := residency.Item(model, adapter)
-	engines := l.engines(service)
+	engines := l.enginesHolding(service, model)
 	l.mu.Lock()
 	l.lastUsed[item] = time.Now()
 	l.mu.Unlock()
--- a/internal/vm/dispatch_notifier_test.go
+++ b/internal/vm/dispatch_notifier_test.go
@@ -19,7 +19,9 @@
 }
 
 // engineRequests returns the number of all VMs' requests at an engine, as one VM knows it.
-func engineRequests(vm *testVM) int { return vm.assigner.Totals(time.Now())["engine-1"].Requests }
+func engineRequests(vm *testVM) int {
+	return vm.assigner.Totals([]string{"engine-1"}, time.Now())["engine-1"].Requests
+}
 
 // A VM learns of a request that another one has sent to an engine before the next report.
 // Otherwise it would send its own prompt there too, and the engine's streams would stall for
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -95,6 +94,9 @@
 	// delayedLoad is a model that no longer counts as loading, since the unload before it
 	// takes too long.
 	delayedLoad string
+	// published reports that other VMs are told of the state, because it differs or has differed
+	// from the engine's entry in the store.
+	published bool
 }
 
 type reportedDemand struct {
@@ -259,8 +261,20 @@
 
 // engines returns the engines of a service, ordered by ID, as input of a plan.
 func (l *planner) engines(service string) []residency.Engine {
+	return l.enginesWith(func(state *engineState) bool { return state.instance.Service == service })
+}
+
+// enginesHolding returns the engines of a service that hold a model, ordered by ID.
+func (l *planner) enginesHolding(service, model string) []residency.Engine {
+	return l.enginesWith(func(state *engineState) bool { return state.instance.Service == service && state.models[model] })
+}
+
+// enginesWith returns the engines for which wanted returns true, ordered by ID. wanted is called
+// with the lock held.
+func (l *planner) enginesWith(wanted func(*engineState) bool) []residency.Engine {
 	now := time.Now()
-	loads, cold := l.p.assigner.Totals(now), l.p.assigner.Cold(now)
+	ids := l.engineIDs(wanted)
+	loads, cold := l.p.assigner.Totals(ids, now), l.p.assigner.Cold(now)
 	limits := l.p.assigner.RateLimits().InForce()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -268,9 +282,10 @@
 	if len(limits) > 0 {
 		work = l.meanWork(now)
 	}
-	out := make([]residency.Engine, 0, len(l.states))
-	for id, state := range l.states {
-		if state.instance.Service != service {
+	out := make([]residency.Engine, 0, len(ids))
+	for _, id := range ids {
+		state := l.states[id]
+		if state == nil {
 			continue
 		}
 		load, usable := loads[id]
@@ -286,10 +301,23 @@
 		}
 		out = append(out, e)
 	}
-	slices.SortFunc(out, func(a, b residency.Engine) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
+// engineIDs returns the IDs of the engines for which wanted returns true, in order.
+func (l *planner) engineIDs(wanted func(*engineState) bool) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var ids []string
+	for id, state := range l.states {
+		if wanted(state) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // isDraining reports whether an instance is draining or gone.
 func (l *planner) isDraining(id string) bool {
 	i := l.p.instance(id)
