vm, assign: views of the store change by their differences; reports tell only departures that the receiver may lack

Cause: for each change of one entry, every VM copied its view, walked all keys five times, built the table of all instances anew and passed all of them to the assigner; a hub walked all keys for each answer to a follower. Each report named all incarnations that had left in the last thirty seconds. With 985 VMs and 4,002 upstreams both are VMs x upstreams for each change. Change: the tracker owns one map and applies differences; onChange gets the keys that changed, and entries, instances, evacuations and registrations look at these alone. A departure keeps the revision of the view that showed it, and a report names those that the receiver's own view may not show. Conclusion: the work of a change follows the change. The table of instances is still copied as a map of pointers, so that requests read it without a lock.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -105,17 +105,38 @@
 func (s *Assigner) SetInstances(instances []upstream.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next := make(map[string]*node, len(instances))
+	named := make(map[string]bool, len(instances))
 	for _, i := range instances {
-		old := s.nodes[i.ID]
-		if old != nil && old.instance.SameIncarnation(&i) {
-			old.update(i)
-			next[i.ID] = old
-			continue
+		named[i.ID] = true
+		s.setInstance(i)
+	}
+	for id := range s.nodes {
+		if !named[id] {
+			delete(s.nodes, id)
 		}
-		next[i.ID] = newNode(i)
 	}
-	s.nodes, s.rateLimitSnapshot = next, nil
+	s.rateLimitSnapshot = nil
+}
+
+// UpdateInstances replaces the descriptions of some upstreams and removes others, by ID.
+func (s *Assigner) UpdateInstances(changed []upstream.Instance, removed []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range changed {
+		s.setInstance(i)
+	}
+	for _, id := range removed {
+		delete(s.nodes, id)
+	}
+	s.rateLimitSnapshot = nil
+}
+
+func (s *Assigner) setInstance(i upstream.Instance) {
+	if old := s.nodes[i.ID]; old != nil && old.instance.SameIncarnation(&i) {
+		old.update(i)
+		return
+	}
+	s.nodes[i.ID] = newNode(i)
 }
 
 // AddAdapter records that an engine holds an adapter which its own description does not
--- a/internal/vm/departures.go
+++ b/internal/vm/departures.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 type departure struct {
 	recorded time.Time
 	draining bool
+	// seenAt is the revision of the view that showed it.
+	seenAt int64
 	// writes is the number of revisions of the entry seen since the departure, revision the
 	// last one seen.
 	writes   int
@@ -42,15 +45,26 @@
 	return i.ID + "@" + strconv.FormatInt(i.Incarnation, 10) + "@" + i.Address
 }
 
-// record notes that an incarnation is draining or gone.
-func (d *departures) record(incarnation string, draining bool, now time.Time) {
+// instanceOf returns the ID of the instance that an incarnation belongs to.
+func instanceOf(incarnation string) string {
+	id := incarnation
+	for range 2 {
+		if at := strings.LastIndexByte(id, '@'); at >= 0 {
+			id = id[:at]
+		}
+	}
+	return id
+}
+
+// record notes that an incarnation is draining or gone in a view of the given revision.
+func (d *departures) record(incarnation string, draining bool, revision int64, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if old := d.byIncarnation[incarnation]; old != nil {
 		old.draining = old.draining || draining
 		return
 	}
-	d.byIncarnation[incarnation] = &departure{recorded: now, draining: draining}
+	d.byIncarnation[incarnation] = &departure{recorded: now, draining: draining, seenAt: revision}
 	for n, e := range d.byIncarnation {
 		if now.Sub(e.recorded) > departureRetention {
 			delete(d.byIncarnation, n)
@@ -83,13 +97,27 @@
 	return true
 }
 
-// incarnations returns the incarnations that are remembered as draining or gone.
-func (d *departures) incarnations() []string {
+// since returns the incarnations that were seen draining or gone in views of at least the given
+// revision: a VM whose view has that revision may not know them.
+func (d *departures) since(revision int64) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []string
+	for n, e := range d.byIncarnation {
+		if e.seenAt >= revision {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// instances returns the IDs of the instances whose departure is remembered.
+func (d *departures) instances() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := make([]string, 0, len(d.byIncarnation))
 	for n := range d.byIncarnation {
-		out = append(out, n)
+		out = append(out, instanceOf(n))
 	}
 	return out
 }
--- a/internal/vm/departures_test.go
+++ b/internal/vm/departures_test.go
@@ -11,7 +11,7 @@
 // late. Its entry says ready again; requests sent to the instance would be cut off when it exits.
 func TestLateHeartbeatDoesNotReviveADrainingInstance(t *testing.T) {
 	d, now := newDepartures(), time.Now()
-	d.record("i@1", true, now)
+	d.record("i@1", true, 1, now)
 	for revision := range int64(5) {
 		require.True(t, d.excluded("i@1", 10+revision, true))
 	}
@@ -23,7 +23,7 @@
 // may be a delayed heartbeat.
 func TestInstanceThatKeepsWritingIsReadmitted(t *testing.T) {
 	d, now := newDepartures(), time.Now()
-	d.record("i@1", false, now)
+	d.record("i@1", false, 1, now)
 	require.True(t, d.excluded("i@1", 10, false))
 	require.True(t, d.excluded("i@1", 10, false))
 	require.False(t, d.excluded("i@1", 11, false))
@@ -32,6 +32,6 @@
 // Leases ran out while the store was unavailable. Instances whose entries come back are live.
 func TestEntriesThatLapsedInAnOutageComeBackAtOnce(t *testing.T) {
 	d, now := newDepartures(), time.Now()
-	d.record("i@1", false, now)
+	d.record("i@1", false, 1, now)
 	require.False(t, d.excluded("i@1", 10, true))
 }
--- a/internal/vm/evacuation.go
+++ b/internal/vm/evacuation.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
 	"github.com/chestnutarch/chestnutarch/platform"
 )
@@ -101,19 +102,26 @@
 
 // updateEvacuations takes the evacuations from a view of the store. They apply to the instances with
 // the next call of setInstances.
-func (p *Process) updateEvacuations(v view) evacuationChange {
+func (p *Process) updateEvacuations(v view, d viewDelta) evacuationChange {
+	if d.touches(platform.EvacuationPrefix) {
+		p.evacuatedDomains = p.readEvacuations(v.items)
+	}
+	return p.evacuations.update(v.revision, p.evacuatedDomains, time.Now())
+}
+
+// readEvacuations returns the failure domains whose evacuation the items request.
+func (p *Process) readEvacuations(items map[string]store.Item) []string {
 	var domains []string
-	for key, item := range v.items {
+	for key, item := range items {
 		domain, ok, err := platform.EvacuatedDomain(key)
-		if err != nil && p.unreadableEvacuations[key] != item.Revision {
-			p.unreadableEvacuations[key] = item.Revision
+		if err != nil {
 			p.log.Warn().Str("event", "evacuation_unreadable").Int64("revision", item.Revision).AnErr("cause", err).Send()
 		}
 		if ok {
 			domains = append(domains, domain)
 		}
 	}
-	return p.evacuations.update(v.revision, domains, time.Now())
+	return domains
 }
 
 // applyPeerEvacuations applies the evacuations that another VM reports, if its set is newer.
@@ -128,11 +136,13 @@
 	defer p.logEvacuations(change, r.Vm)
 	p.instancesMu.Lock()
 	defer p.instancesMu.Unlock()
-	next := make(map[string]*upstream.Instance)
+	changes := make(map[string]*upstream.Instance)
 	for id, i := range *p.instances.Load() {
-		next[id] = p.evacuations.apply(i)
+		if next := p.evacuations.apply(i); next != i {
+			changes[id] = next
+		}
 	}
-	p.applyInstances(next)
+	p.applyInstances(changes)
 }
 
 // logEvacuations logs a change of the evacuations. peer names the VM that reported it, empty if it
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -106,6 +106,8 @@
 	unavailableAsHub bool
 	// leads is set if it sends orders to engines.
 	leads bool
+	// viewRevision is the revision of its view of the store, as it last reported it.
+	viewRevision int64
 	// rateLimitsDigest is the digest of the rate limits that it last reported. rateLimitsVersion is the
 	// version of this VM's rate limits when both last had the same.
 	rateLimitsDigest, rateLimitsVersion uint64
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -167,25 +167,38 @@
 		t.view.revision = answer.Revision
 		return nil
 	}
-	next := make(map[string]store.Item, len(answer.Items))
-	if !answer.Whole {
-		next = maps.Clone(t.view.items)
-	}
+	written := make([]store.Item, 0, len(answer.Items))
 	for _, i := range answer.Items {
 		value, err := decodeItem(i, t.view.items[i.Key])
 		if err != nil {
 			return err
 		}
-		next[i.Key] = store.Item{Key: i.Key, Value: value, Revision: i.Revision}
+		written = append(written, store.Item{Key: i.Key, Value: value, Revision: i.Revision})
 	}
-	for _, key := range answer.Removed {
-		delete(next, key)
+	removed := answer.Removed
+	if answer.Whole {
+		removed = t.view.missingFrom(written)
 	}
 	clear(t.lapsed)
-	t.publish(view{items: next, revision: answer.Revision}, now)
+	t.publish(written, removed, answer.Revision, now)
 	return nil
 }
 
+// missingFrom returns the keys of the view that are not among the items.
+func (v *view) missingFrom(items []store.Item) []string {
+	named := make(map[string]bool, len(items))
+	for _, item := range items {
+		named[item.Key] = true
+	}
+	var out []string
+	for key := range v.items {
+		if !named[key] {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
 // backOffHub excludes a hub that has failed from use for a while.
 func (t *tracker) backOffHub(address string, err error) {
 	t.mu.Lock()
--- a/internal/vm/follow_test.go
+++ b/internal/vm/follow_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -247,16 +249,56 @@
 }
 
 func testTracker() *tracker {
-	return newTracker(nil, zerolog.Nop(), func(view) {}, func() int { return 60 }, 3*time.Second, hubClient{})
+	return newTracker(nil, zerolog.Nop(), func(view, viewDelta) {}, func() int { return 60 }, 3*time.Second, hubClient{})
 }
 
 // publishItems publishes a view with the items, which are by key.
 func (t *tracker) publishItems(items map[string]store.Item, revision int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	next := make(map[string]store.Item, len(items))
-	for key, item := range items {
-		next[key] = item
+	written := slices.Collect(maps.Values(items))
+	t.publish(written, t.view.missingFrom(written), revision, time.Now())
+}
+
+// One of thousands of entries changes. Neither the hub that tells it nor the VM that learns it may do
+// work for each entry: every VM of the fleet does it for every change.
+func TestChangeOfOneEntryDoesNotCostMoreInALargeView(t *testing.T) {
+	cost := func(entries int) float64 {
+		hub, follower := testTracker(), testTracker()
+		hub.watching = true
+		items := make(map[string]store.Item, entries)
+		for i := range entries {
+			key := fmt.Sprint("servers/", i)
+			items[key] = store.Item{Key: key, Revision: 1}
+		}
+		hub.publishItems(items, 1)
+		follower.publishItems(items, 1)
+		in := &peerpb.FollowRequest{Incarnation: 7, Change: hub.changes.number}
+		revision := int64(1)
+		return testing.AllocsPerRun(50, func() {
+			revision++
+			hub.applyEvents(store.Events{Revision: revision, Events: []store.Event{{Item: store.Item{Key: "servers/5", Revision: revision}}}})
+			answer, err := hub.answerFollow(context.Background(), 7, in)
+			if err != nil || len(answer.Items) != 1 {
+				t.Fatal(err, len(answer.Items))
+			}
+			if applied, err := follower.applyHubView(answer, time.Now()); err != nil || !applied {
+				t.Fatal(applied, err)
+			}
+			in.Change = answer.Change
+		})
 	}
-	t.publish(view{items: next, revision: revision}, time.Now())
+	require.InDelta(t, cost(100), cost(10_000), 2)
+}
+
+// A hub makes four reports a second for each VM behind it. An upstream that left thirty seconds ago is
+// known to all of them.
+func TestReportTellsOnlyDeparturesThatTheReceiverMayLack(t *testing.T) {
+	d, now := newDepartures(), time.Now()
+	d.record("i@1@10.0.0.1:80", true, 5, now)
+	d.record("j@2@10.0.0.2:80", false, 9, now)
+	require.Len(t, d.since(0), 2)
+	require.Equal(t, []string{"j@2@10.0.0.2:80"}, d.since(6))
+	require.Empty(t, d.since(10))
+	require.ElementsMatch(t, []string{"i", "j"}, d.instances())
 }
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -1,6 +1,8 @@
 package vm
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/store"
@@ -8,12 +10,12 @@
 	"github.com/chestnutarch/chestnutarch/platform"
 )
 
-// instanceEntries caches the parsed instance entries of the store, by key. The view of a large
-// fleet has hundreds of entries and changes several times a second, mostly in one of them. Parsed
+// instanceEntries caches the parsed instance entries of the store, by instance ID. The view of a
+// large fleet has thousands of entries and changes several times a second in a few of them. Parsed
 // instances are not modified.
 type instanceEntries struct {
 	parse func(store.Item) (*upstream.Instance, error)
-	byKey map[string]instanceEntry
+	byID  map[string]instanceEntry
 }
 
 // instanceEntry is one revision of an entry; instance is nil if the entry cannot be parsed.
@@ -24,97 +26,151 @@
 }
 
 func newInstanceEntries(parse func(store.Item) (*upstream.Instance, error)) *instanceEntries {
-	return &instanceEntries{parse: parse, byKey: make(map[string]instanceEntry)}
+	return &instanceEntries{parse: parse, byID: make(map[string]instanceEntry)}
 }
 
-// update parses the entries that have changed and drops those that are gone. It returns an error
-// for each changed entry that cannot be parsed.
-func (e *instanceEntries) update(items map[string]store.Item, now time.Time) (unreadable []error) {
-	next := make(map[string]instanceEntry, len(e.byKey))
-	for key, item := range items {
-		if _, ok := platform.InstanceID(key); !ok {
-			continue
+// update parses the entries that have changed and drops those that are gone. It returns the IDs of
+// both, and an error for each changed entry that cannot be parsed.
+func (e *instanceEntries) update(items map[string]store.Item, d viewDelta, now time.Time) (changed []string, unreadable []error) {
+	for _, key := range d.removed {
+		if id, ok := platform.InstanceID(key); ok {
+			delete(e.byID, id)
+			changed = append(changed, id)
 		}
-		if known, ok := e.byKey[key]; ok && known.revision == item.Revision {
-			next[key] = known
+	}
+	for _, key := range d.changed {
+		id, ok := platform.InstanceID(key)
+		if !ok {
 			continue
 		}
-		entry := instanceEntry{revision: item.Revision}
-		i, err := e.parse(item)
-		if err == nil {
-			if i.ColdFor > 0 {
-				i.ColdUntil = now.Add(i.ColdFor)
-			}
-			entry.instance, entry.incarnation = i, incarnationOf(i)
-		} else {
+		entry, err := e.read(items[key], now)
+		if err != nil {
 			unreadable = append(unreadable, err)
 		}
-		next[key] = entry
+		e.byID[id] = entry
+		changed = append(changed, id)
 	}
-	e.byKey = next
-	return unreadable
+	return changed, unreadable
 }
 
-// setInstances updates the instances from a view of the store.
-func (p *Process) setInstances(v view) {
+func (e *instanceEntries) read(item store.Item, now time.Time) (instanceEntry, error) {
+	entry := instanceEntry{revision: item.Revision}
+	i, err := e.parse(item)
+	if err != nil {
+		return entry, err
+	}
+	if i.ColdFor > 0 {
+		i.ColdUntil = now.Add(i.ColdFor)
+	}
+	entry.instance, entry.incarnation = i, incarnationOf(i)
+	return entry, nil
+}
+
+// setInstances updates the instances from a view of the store, whose evacuations have changed or not.
+// An instance is looked at if its entry has changed, if it is draining, or if its departure is remembered:
+// it may be used again.
+func (p *Process) setInstances(v view, d viewDelta, evacuationsChanged bool) {
 	p.instancesMu.Lock()
 	defer p.instancesMu.Unlock()
 	now := time.Now()
 	storeFailed := p.tracker.failedWithin(now, immediateReturnTime)
-	for _, err := range p.entries.update(v.items, now) {
+	ids, unreadable := p.entries.update(v.items, d, now)
+	for _, err := range unreadable {
 		p.log.Debug().Str("event", "instance_unreadable").AnErr("cause", err).Send()
 	}
-	next := make(map[string]*upstream.Instance, len(p.entries.byKey))
-	for _, entry := range p.entries.byKey {
-		i := entry.instance
-		if i == nil {
-			continue
-		}
+	if evacuationsChanged {
+		ids = slices.Collect(maps.Keys(p.entries.byID))
+	}
+	ids = append(ids, p.departures.instances()...)
+	previous := *p.instances.Load()
+	for id, i := range previous {
 		if i.Draining {
-			p.departures.record(entry.incarnation, true, now)
-		} else if p.departures.excluded(entry.incarnation, entry.revision, storeFailed) {
-			i = asDraining(i)
+			ids = append(ids, id)
 		}
-		next[i.ID] = p.evacuations.apply(i)
 	}
-	for id, old := range *p.instances.Load() {
-		if i, ok := next[id]; !ok || !i.SameIncarnation(old) {
-			p.departures.record(incarnationOf(old), false, now)
-			p.replicas.Pool.CloseIdle(old.Address)
-			p.log.Info().Str("event", "instance_gone").Str("instance", id).Str("address", old.Address).Send()
+	slices.Sort(ids)
+	changes := make(map[string]*upstream.Instance)
+	for _, id := range slices.Compact(ids) {
+		next := p.currentInstance(id, v.revision, storeFailed, now)
+		old := previous[id]
+		if old != nil && (next == nil || !next.SameIncarnation(old)) {
+			p.recordGone(old, v.revision, now)
+		}
+		if next != old {
+			changes[id] = next
 		}
 	}
-	p.applyInstances(next)
+	p.applyInstances(changes)
+}
+
+// currentInstance returns an instance as its entry, its departure and the evacuations tell, nil if it
+// has no readable entry. It must be called with instancesMu held.
+func (p *Process) currentInstance(id string, revision int64, storeFailed bool, now time.Time) *upstream.Instance {
+	entry := p.entries.byID[id]
+	i := entry.instance
+	if i == nil {
+		return nil
+	}
+	if i.Draining {
+		p.departures.record(entry.incarnation, true, revision, now)
+	} else if p.departures.excluded(entry.incarnation, entry.revision, storeFailed) {
+		i = asDraining(i)
+	}
+	return p.evacuations.apply(i)
+}
+
+// recordGone records that an instance is no longer in the view.
+func (p *Process) recordGone(old *upstream.Instance, revision int64, now time.Time) {
+	p.departures.record(incarnationOf(old), false, revision, now)
+	p.replicas.Pool.CloseIdle(old.Address)
+	p.log.Info().Str("event", "instance_gone").Str("instance", old.ID).Str("address", old.Address).Send()
 }
 
 // immediateReturnTime is how long after a failed call of the store an entry that reappears counts
 // as available at once.
 const immediateReturnTime = 5 * time.Second
 
-// applyInstances makes a table of instances the one that requests are routed by. It must be called
-// with instancesMu held. Of a VM's first
-// table it logs only the size and the draining instances: hundreds of VMs that start together
-// would otherwise log a line for each upstream before they serve a request.
-func (p *Process) applyInstances(next map[string]*upstream.Instance) {
+// applyInstances changes the table of instances that requests are routed by; a nil instance is removed.
+// It must be called with instancesMu held. Of a VM's first table it logs only the size and the draining
+// instances: hundreds of VMs that start together would otherwise log a line for each upstream before
+// they serve a request.
+func (p *Process) applyInstances(changes map[string]*upstream.Instance) {
+	if len(changes) == 0 {
+		return
+	}
 	previous := *p.instances.Load()
-	list := make([]upstream.Instance, 0, len(next))
-	if len(previous) == 0 && len(next) > 0 {
-		p.log.Info().Str("event", "instances_known").Int("count", len(next)).Send()
+	if len(previous) == 0 {
+		p.log.Info().Str("event", "instances_known").Int("count", len(changes)).Send()
 	}
-	for id, i := range next {
-		old := previous[id]
-		first := len(previous) == 0 && !i.Draining
-		if !first && (old == nil || !old.SameIncarnation(i) || old.Draining != i.Draining) {
-			p.log.Info().Str("event", "instance").Str("instance", id).Str("service", i.Service).
-				Str("address", i.Address).Bool("draining", i.Draining).Int64("born", i.Incarnation).Send()
+	next := maps.Clone(previous)
+	var changed []upstream.Instance
+	var removed []string
+	for id, i := range changes {
+		if i == nil {
+			delete(next, id)
+			removed = append(removed, id)
+			continue
 		}
-		list = append(list, *i)
+		p.logInstance(previous[id], i, len(previous) == 0)
+		next[id] = i
+		changed = append(changed, *i)
 	}
 	p.instances.Store(&next)
-	p.assigner.SetInstances(list)
+	p.assigner.UpdateInstances(changed, removed)
 	p.assigner.RetainRateLimits(time.Now())
 }
 
+// logInstance logs an instance that is new or whose state has changed.
+func (p *Process) logInstance(old, i *upstream.Instance, first bool) {
+	if first && !i.Draining {
+		return
+	}
+	if old == nil || !old.SameIncarnation(i) || old.Draining != i.Draining {
+		p.log.Info().Str("event", "instance").Str("instance", i.ID).Str("service", i.Service).
+			Str("address", i.Address).Bool("draining", i.Draining).Int64("born", i.Incarnation).Send()
+	}
+}
+
 // asDraining returns a copy of an instance that is marked as draining.
 func asDraining(i *upstream.Instance) *upstream.Instance {
 	copied := *i
@@ -123,27 +179,22 @@
 }
 
 // applyPeerDepartures marks the instances as draining whose incarnations a VM with a newer view of the
-// store has seen draining or gone.
-func (p *Process) applyPeerDepartures(incarnations []string) {
+// store, of the given revision, has seen draining or gone.
+func (p *Process) applyPeerDepartures(incarnations []string, revision int64) {
 	if len(incarnations) == 0 {
 		return
 	}
 	p.instancesMu.Lock()
 	defer p.instancesMu.Unlock()
-	left := make(map[string]bool, len(incarnations))
-	for _, n := range incarnations {
-		left[n] = true
-	}
-	next := make(map[string]*upstream.Instance)
-	changed := false
-	for id, i := range *p.instances.Load() {
-		if !i.Draining && left[incarnationOf(i)] {
-			p.departures.record(incarnationOf(i), false, time.Now())
-			i, changed = asDraining(i), true
+	known := *p.instances.Load()
+	changes := make(map[string]*upstream.Instance)
+	for _, incarnation := range incarnations {
+		i := known[instanceOf(incarnation)]
+		if i == nil || i.Draining || incarnationOf(i) != incarnation {
+			continue
 		}
-		next[id] = i
-	}
-	if changed {
-		p.applyInstances(next)
+		p.departures.record(incarnation, false, revision, time.Now())
+		changes[i.ID] = asDraining(i)
 	}
+	p.applyInstances(changes)
 }
--- a/internal/vm/instances_test.go
+++ b/internal/vm/instances_test.go
@@ -1,6 +1,8 @@
 package vm
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,19 +29,23 @@
 		}
 	}
 	items["other"] = store.Item{Key: "other", Revision: 1}
-	require.Empty(t, e.update(items, time.Now()))
+	update := func(d viewDelta) []error {
+		_, unreadable := e.update(items, d, time.Now())
+		return unreadable
+	}
+	require.Empty(t, update(viewDelta{changed: slices.Collect(maps.Keys(items))}))
 	require.Equal(t, 3, parses)
 
 	e2 := items[platform.InstancePrefix+"e2"]
 	e2.Revision, e2.Value = 2, []byte(`{`)
 	items[e2.Key] = e2
-	require.Len(t, e.update(items, time.Now()), 1)
-	require.Empty(t, e.update(items, time.Now()), "an entry that cannot be parsed must be returned only once per revision")
+	require.Len(t, update(viewDelta{changed: []string{e2.Key}}), 1)
+	require.Empty(t, update(viewDelta{}), "an entry that cannot be parsed must be returned only once per revision")
 	require.Equal(t, 4, parses)
-	require.Nil(t, e.byKey[e2.Key].instance)
+	require.Nil(t, e.byID["e2"].instance)
 
 	delete(items, e2.Key)
-	require.Empty(t, e.update(items, time.Now()))
-	require.Len(t, e.byKey, 2)
+	require.Empty(t, update(viewDelta{removed: []string{e2.Key}}))
+	require.Len(t, e.byID, 2)
 	require.Equal(t, 4, parses)
 }
--- a/internal/vm/path_test.go
+++ b/internal/vm/path_test.go
@@ -1,7 +1,9 @@
 package vm
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -103,9 +105,8 @@
 	require.NotNil(t, p.core.Catalog())
 	require.False(t, p.ready())
 	running.tracker.mu.Lock()
-	seen := running.tracker.view
+	p.applyView(running.tracker.view, viewDelta{changed: slices.Collect(maps.Keys(running.tracker.view.items))})
 	running.tracker.mu.Unlock()
-	p.applyView(seen)
 	require.True(t, p.ready())
 	require.NotNil(t, p.instance("clerk-1"))
 }
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -55,20 +55,16 @@
 
 	instances atomic.Pointer[map[string]*upstream.Instance]
 	entries   *instanceEntries
-	// projectKeys is the number of this project's keys in the last view, projectRevision
-	// their newest revision.
-	projectKeys     int
-	projectRevision int64
-	draining        atomic.Bool
+	draining  atomic.Bool
 	// viewReceived is set once a view of the store has been applied, so that upstreams are
 	// known.
 	viewReceived atomic.Bool
 	// departures holds the incarnations of instances that were seen draining or gone.
 	departures *departures
-	// evacuations holds the failure domains that are being evacuated. unreadableEvacuations holds
-	// the revisions of the keys that were logged as unreadable.
-	evacuations           *evacuations
-	unreadableEvacuations map[string]int64
+	// evacuations holds the failure domains that are being evacuated, evacuatedDomains those that
+	// the last view names.
+	evacuations      *evacuations
+	evacuatedDomains []string
 	// instancesMu serializes changes of instances.
 	instancesMu sync.Mutex
 
@@ -86,7 +82,7 @@
 		entries: newInstanceEntries(func(item store.Item) (*upstream.Instance, error) {
 			return platform.Instance(item, s.Regions)
 		}),
-		evacuations: newEvacuations(s.Bounds), unreadableEvacuations: make(map[string]int64),
+		evacuations: newEvacuations(s.Bounds),
 	}
 	p.store = platform.NewStore(s.Store.Address, p.countStoreCall)
 	p.replicas = platform.NewReplicas()
@@ -277,11 +273,11 @@
 	return out, nil
 }
 
-// applyView applies a newer view of the store.
-func (p *Process) applyView(v view) {
-	p.applyProjectKeys(v)
-	evacuations := p.updateEvacuations(v)
-	p.setInstances(v)
+// applyView applies a newer view of the store and its difference from the one before.
+func (p *Process) applyView(v view, d viewDelta) {
+	p.applyProjectKeys(v, d)
+	evacuations := p.updateEvacuations(v, d)
+	p.setInstances(v, d, !evacuations.isEmpty())
 	p.logEvacuations(evacuations, "")
 	// Applied last: requests that wait for the first configuration need the members and
 	// instances as soon as it is in force.
@@ -292,24 +288,15 @@
 }
 
 // applyProjectKeys applies the keys of this project. The registrations of VMs are read only
-// if any of these keys has changed: the store never assigns a revision twice, so every change
-// alters the newest revision or the number of keys.
-func (p *Process) applyProjectKeys(v view) {
+// if any of these keys has changed.
+func (p *Process) applyProjectKeys(v view, d viewDelta) {
 	// Called for every view: a candidate that has lost its lease stands for election again
 	// only once it has seen a further view.
 	p.candidate.Observe(v.items)
-	keys, newest := 0, int64(0)
-	for key, item := range v.items {
-		if strings.HasPrefix(key, projectPrefix) {
-			keys++
-			newest = max(newest, item.Revision)
-		}
-	}
-	if p.viewReceived.Load() && keys == p.projectKeys && newest == p.projectRevision {
+	if p.viewReceived.Load() && !d.touches(projectPrefix) {
 		return
 	}
-	p.projectKeys, p.projectRevision = keys, newest
-	own := make(map[string]store.Item, keys)
+	own := make(map[string]store.Item)
 	for key, item := range v.items {
 		if strings.HasPrefix(key, projectPrefix) {
 			own[key] = item
--- a/internal/vm/reports.go
+++ b/internal/vm/reports.go
@@ -16,7 +16,6 @@
 		Vm: f.process.settings.VM, Incarnation: f.incarnation, Sequence: f.sequence.Add(1),
 		CallerAddress: f.process.settings.Callers, PeerAddress: f.process.peerAddress(), Ready: f.process.ready(), Leads: leads,
 		ConfigurationRevision: f.process.configuration().Revision, ViewRevision: f.process.tracker.viewRevision(),
-		Leaving: f.process.departures.incarnations(),
 	}
 	out.Evacuated, out.EvacuatedRevision = f.process.evacuations.current()
 	limits := f.process.assigner.RateLimits()
@@ -26,6 +25,7 @@
 		now := time.Now()
 		f.aggregator.setOwn(f.ownWork, now)
 		f.aggregator.fillReport(out, scope, receiver, since, now)
+		out.Leaving = f.process.departures.since(f.viewRevisionOf(receiver))
 	}
 	if leads || (scope != topology.ScopeOwn && scope != topology.ScopePresence) {
 		f.process.planner.contents.addUnsent(out, receiver)
@@ -53,6 +53,16 @@
 	return scope, since
 }
 
+// viewRevisionOf returns the revision of another VM's view of the store, as it last reported it.
+func (f *fleet) viewRevisionOf(vm string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[vm]; m != nil {
+		return m.viewRevision
+	}
+	return 0
+}
+
 // ownWork returns the work of this VM itself.
 func (f *fleet) ownWork() work {
 	return work{
@@ -92,7 +102,7 @@
 		return
 	}
 	m.sequence, m.lastReport, m.ready, m.leads = r.Sequence, now, r.Ready, r.Leads
-	m.rateLimitsDigest = r.RateLimitsDigest
+	m.rateLimitsDigest, m.viewRevision = r.RateLimitsDigest, r.ViewRevision
 	m.acknowledged = progress{}
 	if r.AcknowledgedIncarnation == f.incarnation {
 		m.acknowledged = progress{topology.Scope(r.AcknowledgedScope), r.Acknowledged}
@@ -109,7 +119,7 @@
 	}
 	f.process.planner.applyContents(r)
 	if r.ViewRevision > f.process.tracker.viewRevision() {
-		f.process.applyPeerDepartures(r.Leaving)
+		f.process.applyPeerDepartures(r.Leaving, r.ViewRevision)
 	}
 	f.process.applyPeerEvacuations(r)
 	f.applyRateLimits(r.RateLimits, r.Vm)
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -44,12 +43,25 @@
 	revision int64
 }
 
+// viewDelta is the difference between two views: the keys that were added or have another revision,
+// and those that are gone. Neither list names a key twice.
+type viewDelta struct{ changed, removed []string }
+
+func (d viewDelta) isEmpty() bool { return len(d.changed) == 0 && len(d.removed) == 0 }
+
+// touches reports whether the difference contains a key with a prefix.
+func (d viewDelta) touches(prefix string) bool {
+	hasPrefix := func(key string) bool { return strings.HasPrefix(key, prefix) }
+	return slices.ContainsFunc(d.changed, hasPrefix) || slices.ContainsFunc(d.removed, hasPrefix)
+}
+
 // tracker keeps a view of all keys of the store, with one watch or through a hub.
 type tracker struct {
 	store store.Store
 	log   zerolog.Logger
-	// onChange is called with every view that is published, with the lock held.
-	onChange  func(view)
+	// onChange is called with every view that is published, and with its difference from the
+	// one before, with the lock held. It must not keep the view's items.
+	onChange  func(view, viewDelta)
 	hubClient hubClient
 	values    valueHistory
 	// following reports that this VM follows the store through a hub.
@@ -82,11 +94,11 @@
 
 // newTracker returns a tracker of a store whose configurations have to be in force within
 // configurationDeadline. vmCount returns the number of VMs.
-func newTracker(s store.Store, log zerolog.Logger, onChange func(view), vmCount func() int, configurationDeadline time.Duration, hubs hubClient) *tracker {
+func newTracker(s store.Store, log zerolog.Logger, onChange func(view, viewDelta), vmCount func() int, configurationDeadline time.Duration, hubs hubClient) *tracker {
 	return &tracker{
 		store: s, log: log, onChange: onChange, vmCount: vmCount, hubClient: hubs, values: newValueHistory(),
 		maxPause: configurationDeadline * 2 / 3, maxHubViewAge: configurationDeadline / staleDivisor, hubWatchPause: configurationDeadline / hubPauseDivisor,
-		changes: newChangeLog(), hubBackoffs: make(map[string]hubBackoff), lapsed: make(map[string]time.Time),
+		view: view{items: make(map[string]store.Item)}, changes: newChangeLog(), hubBackoffs: make(map[string]hubBackoff), lapsed: make(map[string]time.Time),
 	}
 }
 
@@ -221,44 +233,49 @@
 // called with the lock held.
 func (t *tracker) replaceView(items []store.Item, revision int64) {
 	now := time.Now()
-	next := make(map[string]store.Item, len(items))
+	read := make(map[string]bool, len(items))
 	for _, item := range items {
-		next[item.Key] = item
+		read[item.Key] = true
 	}
-	for key, old := range t.view.items {
-		if _, ok := next[key]; !ok && t.keepLapsed(key, now) {
-			next[key] = old
+	var removed []string
+	for key := range t.view.items {
+		if !read[key] && !t.keepLapsed(key, now) {
+			removed = append(removed, key)
 		}
 	}
-	for key := range t.lapsed {
-		if item, ok := next[key]; ok && item.Revision != t.view.items[key].Revision {
-			delete(t.lapsed, key)
+	for _, item := range items {
+		if _, ok := t.lapsed[item.Key]; ok && item.Revision != t.view.items[item.Key].Revision {
+			delete(t.lapsed, item.Key)
 		}
 	}
 	t.watching = true
-	t.publish(view{items: next, revision: revision}, now)
+	t.publish(items, removed, revision, now)
 }
 
 func (t *tracker) applyEvents(events store.Events) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	next := maps.Clone(t.view.items)
+	// Of several events of a key the last one counts.
+	newest := make(map[string]store.Event, len(events.Events))
 	for _, e := range events.Events {
-		if e.Revision < next[e.Key].Revision {
+		if e.Revision < t.view.items[e.Key].Revision || e.Revision < newest[e.Key].Revision {
 			// The key was read after this change.
 			continue
 		}
+		newest[e.Key] = e
+	}
+	var written []store.Item
+	var removed []string
+	for key, e := range newest {
 		if !e.Deleted {
-			next[e.Key] = e.Item
-			delete(t.lapsed, e.Key)
-			continue
-		}
-		if !t.keepLapsed(e.Key, now) {
-			delete(next, e.Key)
+			written = append(written, e.Item)
+			delete(t.lapsed, key)
+		} else if !t.keepLapsed(key, now) {
+			removed = append(removed, key)
 		}
 	}
-	t.publish(view{items: next, revision: events.Revision}, now)
+	t.publish(written, removed, events.Revision, now)
 }
 
 // keepLapsed reports whether an entry that has disappeared is to be kept for now: if a call of
@@ -279,25 +296,50 @@
 	return now.Before(until)
 }
 
-// publish makes next the current view and calls onChange, without the entries that were kept
-// until the time recorded in lapsed. It must be called with the lock held.
-func (t *tracker) publish(next view, now time.Time) {
+// publish applies changes to the view and calls onChange. It also removes the entries that were
+// kept until the time recorded in lapsed. It must be called with the lock held.
+func (t *tracker) publish(written []store.Item, removed []string, revision int64, now time.Time) {
 	for key, until := range t.lapsed {
 		if now.After(until) {
-			delete(next.items, key)
+			removed = append(removed, key)
 			delete(t.lapsed, key)
 		}
 	}
 	if t.storeLost {
 		t.storeLost = false
-		t.log.Info().Str("event", "store_regained").Int64("revision", next.revision).Send()
+		t.log.Info().Str("event", "store_regained").Int64("revision", revision).Send()
+	}
+	delta := t.view.apply(written, removed)
+	t.view.revision = revision
+	t.changes.record(delta)
+	for _, key := range delta.changed {
+		t.values.record(t.view.items[key])
+	}
+	t.completeAt = now
+	t.onChange(t.view, delta)
+}
+
+// apply writes items, removes keys, and returns the difference. A key that is written and removed
+// is removed.
+func (v *view) apply(written []store.Item, removed []string) viewDelta {
+	var delta viewDelta
+	gone := make(map[string]bool, len(removed))
+	for _, key := range removed {
+		if _, ok := v.items[key]; ok {
+			delete(v.items, key)
+			delta.removed = append(delta.removed, key)
+		}
+		gone[key] = true
 	}
-	t.changes.record(t.view.items, next.items)
-	for _, item := range next.items {
-		t.values.record(item)
+	for _, item := range written {
+		before, ok := v.items[item.Key]
+		if gone[item.Key] || (ok && before.Revision == item.Revision) {
+			continue
+		}
+		v.items[item.Key] = item
+		delta.changed = append(delta.changed, item.Key)
 	}
-	t.view, t.completeAt = next, now
-	t.onChange(next)
+	return delta
 }
 
 func (t *tracker) recordFailure(err error) {
