teamrate: a report refills only the buckets that it names, and silent VMs are found once

Cause: each report refilled the buckets of all teams, and each refill looked at all peers. A hub with 333 teams and 170 partners does 656 x 333 x 170 = 37 million steps a second: teams x VMs x reports, the term that grows fastest with the fleet. Change: the limiter keeps the peers that are silent and the time at which a further one may be; a report refills the teams that it names, and all teams only when a silent peer reports again. Conclusion: a report costs what it tells. First tried: buckets refilled before silent peers are found; TestUsageIsNotCountedTwiceAfterAHubReturns failed, since a gap without any look was charged to nobody.

--- a/internal/teamrate/limiter.go
+++ b/internal/teamrate/limiter.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,6 +79,10 @@
 	tolerance Tolerance
 	teams     map[string]*bucket
 	peers     map[string]*peer
+	// silent holds the peers without a report within reportTimeout, as of the last look.
+	// nextSilence is the earliest time at which a further peer may have become silent.
+	silent      []*peer
+	nextSilence time.Time
 	// vms is how many VMs share the rates, zero while that is unknown. Nothing is admitted
 	// then, because each of many VMs that start at once would use the whole rate.
 	vms float64
@@ -139,6 +144,7 @@
 func (l *Limiter) SetLimits(limits map[string]Limit, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.updateSilent(now)
 	for team, limit := range limits {
 		b := l.teams[team]
 		if b == nil {
@@ -170,7 +176,9 @@
 func (l *Limiter) SetPeers(weights map[string]int, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.updateSilent(now)
 	l.refillAll(now)
+	defer l.findSilent(now)
 	if l.started.IsZero() {
 		l.started = now
 	}
@@ -200,7 +208,12 @@
 	if p == nil {
 		return
 	}
-	l.refillAll(now)
+	l.updateSilent(now)
+	wasSilent := slices.Contains(l.silent, p)
+	if wasSilent {
+		// What is assumed for the peer ends with this report.
+		l.refillAll(now)
+	}
 	if p.incarnation != incarnation {
 		l.setBaseline(p, incarnation, admitted, now)
 		p.firstReport = now
@@ -211,20 +224,58 @@
 		l.resume(p, admitted, demand)
 	}
 	l.recordPeerDemand(p, demand, now)
-	for team, b := range l.teams {
-		used := 0.0
-		if total, reported := admitted[team]; reported {
-			used = total - p.admitted[team]
+	for team, units := range p.assumedUsage {
+		l.credit(team, units, now)
+	}
+	clear(p.assumedUsage)
+	for team, total := range admitted {
+		used := total - p.admitted[team]
+		l.credit(team, -used, now)
+		if b := l.teams[team]; b != nil {
 			b.recordPeerUsage(used, now)
 		}
-		b.level = min(b.level+p.assumedUsage[team]-used, l.capacity(b.limit))
 	}
 	maps.Copy(p.admitted, admitted)
 	p.incarnation, p.lastReport = incarnation, now
 	if p.weight > 1 {
 		l.lastAggregatedReport = now
 	}
-	clear(p.assumedUsage)
+	if wasSilent {
+		l.findSilent(now)
+	}
+}
+
+// credit adds units to a team's bucket, or takes them from it.
+func (l *Limiter) credit(team string, units float64, now time.Time) {
+	b := l.teams[team]
+	if b == nil {
+		return
+	}
+	l.refill(team, b, now)
+	b.level = min(b.level+units, l.capacity(b.limit))
+}
+
+// updateSilent finds the silent peers if there may be others than at the last look, and refills all
+// buckets, so that a peer counts as silent since that look at most.
+func (l *Limiter) updateSilent(now time.Time) {
+	if now.Before(l.nextSilence) {
+		return
+	}
+	l.findSilent(now)
+	l.refillAll(now)
+}
+
+// findSilent finds the silent peers.
+func (l *Limiter) findSilent(now time.Time) {
+	l.silent, l.nextSilence = nil, now.Add(reportTimeout)
+	for _, p := range l.peers {
+		silence := p.lastReport.Add(reportTimeout)
+		if now.After(silence) {
+			l.silent = append(l.silent, p)
+		} else if silence.Before(l.nextSilence) {
+			l.nextSilence = silence
+		}
+	}
 }
 
 // recordPeerUsage adds units to the average usage of the other VMs.
@@ -286,6 +337,7 @@
 	if b == nil || b.limit.Rate <= 0 {
 		return true, 0
 	}
+	l.updateSilent(now)
 	l.refill(team, b, now)
 	b.localDemand += units
 	b.demand.add(units, now)
@@ -364,20 +416,18 @@
 	}
 	equalShare := accrued / l.vms
 	starting := now.Sub(l.started) < startupPeriod
-	for _, p := range l.peers {
+	for _, p := range l.silent {
 		if starting && p.lastReport.IsZero() {
 			// The peer may have started at the same time. Until the VMs receive each
 			// other's reports, startupProbability bounds what all of them admit.
 			continue
 		}
-		if now.Sub(p.lastReport) > reportTimeout {
-			used := equalShare * p.weight
-			if p.weight > 1 && now.Sub(l.lastAggregatedReport) < takeoverPeriod {
-				used = min(used, takeoverMargin*b.peerUsage*elapsed.Seconds())
-			}
-			p.assumedUsage[team] += used
-			accrued -= used
+		used := equalShare * p.weight
+		if p.weight > 1 && now.Sub(l.lastAggregatedReport) < takeoverPeriod {
+			used = min(used, takeoverMargin*b.peerUsage*elapsed.Seconds())
 		}
+		p.assumedUsage[team] += used
+		accrued -= used
 	}
 	b.level = min(b.level+accrued, l.capacity(b.limit))
 	rate := l.localRate(b.limit)
--- a/internal/teamrate/limiter_test.go
+++ b/internal/teamrate/limiter_test.go
@@ -366,3 +366,27 @@
 	}
 	require.InDelta(t, levelAfter(0)-200, levelAfter(200), 1e-6)
 }
+
+// A hub gets hundreds of reports a second, each of a few teams. If each went over all teams and VMs, a
+// hub of hundreds of both would be busy with nothing else.
+func TestReportRefillsOnlyTheBucketsItNames(t *testing.T) {
+	now := testEpoch
+	l := New(Tolerance{Units: testToleranceUnits, Window: testWindow}, 1)
+	limits, weights := make(map[string]Limit), make(map[string]int)
+	for i := range 200 {
+		limits[fmt.Sprint("team-", i)] = Limit{Rate: 1000, Burst: 1000}
+		weights[fmt.Sprint("vm-", i)] = 1
+	}
+	l.SetLimits(limits, now)
+	l.SetPeers(weights, now)
+	for vm := range weights {
+		l.ApplyReport(vm, now.UnixNano(), nil, nil, now)
+	}
+	require.Empty(t, l.silent)
+	later := now.Add(testReport)
+	l.ApplyReport("vm-3", now.UnixNano(), map[string]float64{"team-7": 10}, nil, later)
+	require.Equal(t, later, l.teams["team-7"].refilledAt)
+	require.Equal(t, now, l.teams["team-8"].refilledAt)
+	l.Admit("team-8", 1, now.Add(2*reportTimeout))
+	require.Len(t, l.silent, 200, "peers that stop reporting must count as silent")
+}
