vm, peerpb: VMs that begin to follow a hub share one packed view

Cause: a hub encoded its whole view for each VM that began to follow it. VMs that do not say that they read it get plain items as before. Figures: TestVMsThatStartShareOnePackedView: under a quarter of the plain size, one encoding for 20 VMs.

--- a/internal/vm/change_log.go
+++ b/internal/vm/change_log.go
@@ -64,7 +64,7 @@
 // since returns the keys that have changed and those that were removed since a change number.
 // It returns false if these are no longer known, so that the whole view has to be sent.
 func (c *changeLog) since(number int64) (changed, removed []string, known bool) {
-	if number <= 0 || number < c.compactedNumber || number > c.number {
+	if !c.knows(number) {
 		return nil, nil, false
 	}
 	list := func(l *changelog.Log) (keys []string) {
@@ -76,3 +76,8 @@
 	}
 	return list(c.written), list(c.removed), true
 }
+
+// knows reports whether all changes since a change number are known.
+func (c *changeLog) knows(number int64) bool {
+	return number > 0 && number >= c.compactedNumber && number <= c.number
+}
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -98,7 +98,7 @@
 	defer t.following.Store(false)
 	in := &peerpb.FollowRequest{}
 	for ctx.Err() == nil {
-		in.Held = t.heldRevisions()
+		in.Held, in.ReadsPacked = t.heldRevisions(), true
 		answer, took, err := t.hubClient.follow(ctx, address, in)
 		applied := false
 		if err == nil {
@@ -167,14 +167,22 @@
 		t.view.revision = answer.Revision
 		return nil
 	}
-	written := make([]store.Item, 0, len(answer.Items))
-	for _, i := range answer.Items {
+	packed, err := unpackItems(answer.Packed)
+	if err != nil {
+		return err
+	}
+	byKey := make(map[string]store.Item, len(packed)+len(answer.Items))
+	for _, i := range slices.Concat(packed, answer.Items) {
 		value, err := decodeItem(i, t.view.items[i.Key])
 		if err != nil {
 			return err
 		}
-		written = append(written, store.Item{Key: i.Key, Value: value, Revision: i.Revision})
+		byKey[i.Key] = store.Item{Key: i.Key, Value: value, Revision: i.Revision}
 	}
+	for _, key := range answer.Removed {
+		delete(byKey, key)
+	}
+	written := slices.Collect(maps.Values(byKey))
 	removed := answer.Removed
 	if answer.Whole {
 		removed = t.view.missingFrom(written)
@@ -234,7 +242,11 @@
 		since = 0
 	}
 	t.awaitChange(ctx, since)
-	out, items, err := t.changesSince(incarnation, since)
+	var packed *snapshot
+	if in.ReadsPacked && !t.knowsChangesSince(since) {
+		packed = t.snapshots.get(t.isRecent, t.smallItems)
+	}
+	out, items, err := t.changesSince(incarnation, since, packed)
 	if err != nil {
 		return nil, err
 	}
@@ -244,9 +256,37 @@
 	return out, nil
 }
 
-// changesSince returns the changes of the view since a change number. The changed items are
-// returned separately and are not yet part of the message.
-func (t *tracker) changesSince(incarnation, since int64) (*peerpb.FollowResponse, []store.Item, error) {
+func (t *tracker) knowsChangesSince(change int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changes.knows(change)
+}
+
+// isRecent reports whether few keys have changed since a change number.
+func (t *tracker) isRecent(change int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed, removed, known := t.changes.since(change)
+	return known && float64(len(changed)+len(removed)) <= maxSnapshotChanges*float64(len(t.view.items))
+}
+
+// smallItems returns the items of the view without the large ones, and the number of its newest change.
+func (t *tracker) smallItems() ([]store.Item, int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	items := make([]store.Item, 0, len(t.view.items))
+	for _, i := range t.view.items {
+		if !isLarge(i) {
+			items = append(items, i)
+		}
+	}
+	return items, t.changes.number
+}
+
+// changesSince returns the changes of the view since a change number, or the whole view if they are not
+// known; packed, unless nil, then holds a part of it. The changed items are returned separately and are not
+// yet part of the message.
+func (t *tracker) changesSince(incarnation, since int64, packed *snapshot) (*peerpb.FollowResponse, []store.Item, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.watching {
@@ -259,17 +299,34 @@
 	if !t.failedAt.IsZero() {
 		out.FailedMs = time.Since(t.failedAt).Milliseconds()
 	}
-	changed, removed, known := t.changes.since(since)
+	if changed, removed, known := t.changes.since(since); known {
+		out.Removed = removed
+		return out, t.view.itemsOf(changed), nil
+	}
+	out.Whole = true
+	if packed == nil {
+		return out, slices.Collect(maps.Values(t.view.items)), nil
+	}
+	changed, removed, known := t.changes.since(packed.change)
 	if !known {
-		out.Whole = true
 		return out, slices.Collect(maps.Values(t.view.items)), nil
 	}
-	out.Removed = removed
-	items := make([]store.Item, 0, len(changed))
-	for _, key := range changed {
-		items = append(items, t.view.items[key])
+	out.Packed, out.Removed = packed.packed, removed
+	for key, i := range t.view.items {
+		if isLarge(i) && !slices.Contains(changed, key) {
+			changed = append(changed, key)
+		}
+	}
+	return out, t.view.itemsOf(changed), nil
+}
+
+// itemsOf returns the items of the given keys.
+func (v *view) itemsOf(keys []string) []store.Item {
+	items := make([]store.Item, 0, len(keys))
+	for _, key := range keys {
+		items = append(items, v.items[key])
 	}
-	return out, items, nil
+	return items
 }
 
 // awaitChange returns when the view has changed since a change number, or after followWait.
--- a/internal/vm/follow_test.go
+++ b/internal/vm/follow_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/chestnutarch/chestnutarch/internal/patch"
@@ -112,7 +113,7 @@
 			if rapid.Bool().Draw(t, "misses") {
 				continue
 			}
-			in.Held = follower.heldRevisions()
+			in.Held, in.ReadsPacked = follower.heldRevisions(), rapid.Bool().Draw(t, "reads packed")
 			// 7 is the hub's incarnation.
 			answer, err := hub.answerFollow(noWait, 7, in)
 			if err != nil {
@@ -302,3 +303,35 @@
 	require.Empty(t, d.since(10))
 	require.ElementsMatch(t, []string{"i", "j"}, d.instances())
 }
+
+// Hundreds of VMs start together and follow one hub. Plain items of thousands of upstreams would fill
+// its link for longer than the VMs may take to serve, and one encoding for each VM its memory.
+func TestVMsThatStartShareOnePackedView(t *testing.T) {
+	hub := testTracker()
+	hub.watching = true
+	items, plain := make(map[string]store.Item), 0
+	for i := range 2000 {
+		key := fmt.Sprintf("servers/i-%08x", i*7919)
+		value := fmt.Sprintf(`{"service":"engine","address":"10.0.%d.%d:8080","zone":"zone-%d","version":"v1","slots":64,"state":"ready","models":[{"name":"model-%d","version":1,"adapters":["a%d"]}]}`, i/250, i%250, i%6, i%224, i%40)
+		items[key] = store.Item{Key: key, Value: []byte(value), Revision: int64(i + 1)}
+		plain += len(key) + len(value)
+	}
+	hub.publishItems(items, 2000)
+	var first *peerpb.FollowResponse
+	for vm := range 20 {
+		answer, err := hub.answerFollow(t.Context(), 7, &peerpb.FollowRequest{ReadsPacked: true})
+		require.NoError(t, err)
+		require.Less(t, proto.Size(answer), plain/4)
+		if first == nil {
+			first = answer
+		}
+		require.Same(t, &first.Packed[0], &answer.Packed[0], "VM %d got an encoding of its own", vm)
+		follower := testTracker()
+		_, err = follower.applyHubView(answer, time.Now())
+		require.NoError(t, err)
+		require.Equal(t, hub.view, follower.view)
+		hub.applyEvents(store.Events{Revision: int64(2001 + vm), Events: []store.Event{{Item: store.Item{Key: "servers/i-00000000", Revision: int64(2001 + vm)}}}})
+	}
+	_, err := unpackItems([]byte("no frame"))
+	require.ErrorIs(t, err, ErrPacked)
+}
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -64,6 +64,7 @@
 	onChange  func(view, viewDelta)
 	hubClient hubClient
 	values    valueHistory
+	snapshots snapshots
 	// following reports that this VM follows the store through a hub.
 	following atomic.Bool
 	// vmCount returns the number of VMs. maxPause is the longest pause between two watch calls.
