topology, aggregate, vm: large failure domains have several hubs; VMs that start follow a hub at once

Cause: a failure domain had one hub, which exchanges reports with all of its VMs and sends them its view: at 985 VMs 164 followers, 656 reports and 360 answers a second, and whole views for all of them at start. Every VM that starts read all keys from the store, eleven calls each, and logged a line for each of 4,002 upstreams: 400,000 lines in the lead. Sums say by which scope they were added, so that a VM may be hub and follower in turn. A VM that starts reads the members, follows its hub, which holds the request until it has a view, and reads the store only if no hub serves it.

--- a/internal/aggregate/counters.go
+++ b/internal/aggregate/counters.go
@@ -18,15 +18,14 @@
 
 type source[V any] struct {
 	incarnation int64
-	// sameDomain is whether the source is in this VM's failure domain. covered is the scope of
-	// its reports.
-	sameDomain   bool
+	// covered is the scope of its reports.
 	covered      topology.Scope
 	lastReportAt time.Time
 	// lastTotals holds the totals of the source's last report.
 	lastTotals map[string]V
-	// contribution is the source's part of the sums.
-	contribution map[string]V
+	// contributions holds the source's part of the sums, by the narrowest scope to which it was
+	// added: a VM that was a hub may follow this one later, and the other way round.
+	contributions map[topology.Scope]map[string]V
 }
 
 // NewCounters returns empty counters of a VM. Changes are numbered by version.
@@ -66,10 +65,10 @@
 
 // Record records the totals of a scope that a VM has counted since the start of its incarnation.
 // Names that are missing have not changed.
-func (c *Counters[V]) Record(vm string, incarnation int64, covered topology.Scope, sameDomain bool, totals map[string]V, now time.Time) {
+func (c *Counters[V]) Record(vm string, incarnation int64, covered topology.Scope, follows bool, totals map[string]V, now time.Time) {
 	s := c.sources[vm]
 	if s == nil {
-		s = &source[V]{sameDomain: sameDomain, covered: covered, contribution: make(map[string]V)}
+		s = &source[V]{covered: covered, contributions: make(map[topology.Scope]map[string]V)}
 		c.sources[vm] = s
 	}
 	if s.incarnation != incarnation {
@@ -87,10 +86,16 @@
 		maps.Copy(s.lastTotals, totals)
 	}
 	s.lastReportAt, s.covered = now, covered
+	scope := narrowestScope(follows)
+	contribution := s.contributions[scope]
+	if contribution == nil {
+		contribution = make(map[string]V)
+		s.contributions[scope] = contribution
+	}
 	for name, total := range totals {
 		difference := total.Sub(s.lastTotals[name])
-		s.contribution[name] = s.contribution[name].Add(difference)
-		c.sums.add(narrowestScope(s.sameDomain), name, difference)
+		contribution[name] = contribution[name].Add(difference)
+		c.sums.add(scope, name, difference)
 		s.lastTotals[name] = total
 	}
 }
@@ -98,9 +103,13 @@
 // Since returns the sums of a scope that have changed since a version number, without the
 // contribution of one VM. With number 0 it returns all sums that are not zero.
 func (c *Counters[V]) Since(scope topology.Scope, number uint64, excludedVM string) map[string]V {
-	var part map[string]V
-	if s := c.sources[excludedVM]; s != nil && narrowestScope(s.sameDomain) <= scope {
-		part = s.contribution
+	var parts []map[string]V
+	if s := c.sources[excludedVM]; s != nil {
+		for added, contribution := range s.contributions {
+			if added <= scope {
+				parts = append(parts, contribution)
+			}
+		}
 	}
-	return c.sums.since(scope, number, part)
+	return c.sums.since(scope, number, parts...)
 }
--- a/internal/aggregate/counters_test.go
+++ b/internal/aggregate/counters_test.go
@@ -26,7 +26,7 @@
 func sumsWithOwn(c *Counters[Count], own map[string]Count, domainOnly bool, excludedVM string) map[string]Count {
 	c.SetOwn(own)
 	if domainOnly {
-		return c.Since(topology.ScopeDomain, 0, excludedVM)
+		return c.Since(topology.ScopeFollowers, 0, excludedVM)
 	}
 	return c.Since(topology.ScopeAll, 0, excludedVM)
 }
@@ -36,8 +36,8 @@
 func TestSumsContinueAfterVMRestart(t *testing.T) {
 	c := newTestCounters()
 	c.Record("a", justStarted, topology.ScopeOwn, true, map[string]Count{"x": 5}, testTime)
-	c.Record("b", justStarted, topology.ScopeDomain, false, nil, testTime)
-	c.Record("b", justStarted, topology.ScopeDomain, false, map[string]Count{"x": 7, "y": 1}, testTime)
+	c.Record("b", justStarted, topology.ScopeFollowers, false, nil, testTime)
+	c.Record("b", justStarted, topology.ScopeFollowers, false, map[string]Count{"x": 7, "y": 1}, testTime)
 	require.Equal(t, map[string]Count{"x": 13, "y": 1}, sumsWithOwn(c, map[string]Count{"x": 1}, false, ""))
 	c.Record("a", justStarted+1, topology.ScopeOwn, true, map[string]Count{"x": 2}, testTime)
 	require.Equal(t, Count(15.0), sumsWithOwn(c, map[string]Count{"x": 1}, false, "")["x"])
@@ -91,10 +91,10 @@
 	c.SetOwn(map[string]Count{"x": 3})
 	c.Record("hub", justStarted, topology.ScopeOwn, true, map[string]Count{"x": 1}, testTime)
 	c.Record("hub", justStarted, topology.ScopeOwn, true, map[string]Count{"x": 5}, testTime)
-	c.Record("far", justStarted, topology.ScopeDomain, false, nil, testTime)
-	c.Record("far", justStarted, topology.ScopeDomain, false, map[string]Count{"x": 7}, testTime)
+	c.Record("far", justStarted, topology.ScopeFollowers, false, nil, testTime)
+	c.Record("far", justStarted, topology.ScopeFollowers, false, map[string]Count{"x": 7}, testTime)
 	require.Equal(t, map[string]Count{"x": 3}, c.Since(topology.ScopeOwn, 0, "hub"))
-	require.Equal(t, map[string]Count{"x": 8}, c.Since(topology.ScopeDomain, 0, "far"))
+	require.Equal(t, map[string]Count{"x": 8}, c.Since(topology.ScopeFollowers, 0, "far"))
 	require.Equal(t, map[string]Count{"x": 10}, c.Since(topology.ScopeAll, 0, "hub"))
 }
 
--- a/internal/aggregate/levels.go
+++ b/internal/aggregate/levels.go
@@ -17,7 +17,7 @@
 }
 
 type levelSource[V any] struct {
-	sameDomain   bool
+	follows      bool
 	lastReportAt time.Time
 	values       map[string]V
 }
@@ -58,23 +58,31 @@
 // Record records a VM's levels: all of them if complete, else those that have changed. It
 // returns false if only changes are given and the VM has no levels here, because it is new
 // or has not reported for longer than the lifetime.
-func (l *Levels[V]) Record(vm string, sameDomain, complete bool, changed map[string]V, now time.Time) bool {
+func (l *Levels[V]) Record(vm string, follows, complete bool, changed map[string]V, now time.Time) bool {
 	l.expire(now)
 	s := l.sources[vm]
 	if s == nil && !complete {
 		return false
 	}
 	if s == nil {
-		s = &levelSource[V]{sameDomain: sameDomain, values: make(map[string]V)}
+		s = &levelSource[V]{follows: follows, values: make(map[string]V)}
 		l.sources[vm] = s
 	}
 	s.lastReportAt = now
+	if s.follows != follows {
+		l.replace(narrowestScope(s.follows), s.values, nil)
+		s.follows = follows
+		if !complete {
+			delete(l.sources, vm)
+			return false
+		}
+	}
 	if complete {
-		l.replace(narrowestScope(s.sameDomain), s.values, changed)
+		l.replace(narrowestScope(s.follows), s.values, changed)
 		return true
 	}
 	for name, v := range changed {
-		l.set(narrowestScope(s.sameDomain), s.values, name, v)
+		l.set(narrowestScope(s.follows), s.values, name, v)
 	}
 	return true
 }
@@ -83,7 +91,7 @@
 func (l *Levels[V]) expire(now time.Time) {
 	for vm, s := range l.sources {
 		if now.Sub(s.lastReportAt) > l.lifetime {
-			l.replace(narrowestScope(s.sameDomain), s.values, nil)
+			l.replace(narrowestScope(s.follows), s.values, nil)
 			delete(l.sources, vm)
 		}
 	}
@@ -104,9 +112,8 @@
 // levels of one VM. With number 0 it returns all sums that are not zero.
 func (l *Levels[V]) Since(scope topology.Scope, number uint64, excludedVM string, now time.Time) map[string]V {
 	l.expire(now)
-	var part map[string]V
-	if s := l.sources[excludedVM]; s != nil && narrowestScope(s.sameDomain) <= scope {
-		part = s.values
+	if s := l.sources[excludedVM]; s != nil && narrowestScope(s.follows) <= scope {
+		return l.sums.since(scope, number, s.values)
 	}
-	return l.sums.since(scope, number, part)
+	return l.sums.since(scope, number)
 }
--- a/internal/aggregate/table.go
+++ b/internal/aggregate/table.go
@@ -37,7 +37,7 @@
 	return v.number
 }
 
-// scopeCount is the number of scopes with separate sums: topology.ScopeOwn, ScopeDomain and
+// scopeCount is the number of scopes with separate sums: topology.ScopeOwn, ScopeFollowers and
 // ScopeAll.
 const scopeCount = 3
 
@@ -83,13 +83,15 @@
 }
 
 // since returns the sums of a scope that have changed since a version number, less the
-// excluded values of one source. With number 0 it returns all sums that are not zero.
-func (s *sums[V]) since(scope topology.Scope, number uint64, excluded map[string]V) map[string]V {
+// excluded values. With number 0 it returns all sums that are not zero.
+func (s *sums[V]) since(scope topology.Scope, number uint64, excluded ...map[string]V) map[string]V {
 	changed := make(map[string]V)
 	s.changes[scope].Since(number, func(name string, _ uint64) bool {
 		sum := s.sums[scope][name]
-		if part, ok := excluded[name]; ok {
-			sum = sum.Sub(part)
+		for _, part := range excluded {
+			if value, ok := part[name]; ok {
+				sum = sum.Sub(value)
+			}
 		}
 		if number > 0 || !sum.IsZero() {
 			changed[name] = sum
@@ -120,10 +122,10 @@
 	s.zeroNames, s.prunedUpTo = 0, s.version.Number()
 }
 
-// narrowestScope returns the narrowest scope that covers another VM.
-func narrowestScope(sameDomain bool) topology.Scope {
-	if sameDomain {
-		return topology.ScopeDomain
+// narrowestScope returns the narrowest scope that covers another VM, which follows this one or not.
+func narrowestScope(follows bool) topology.Scope {
+	if follows {
+		return topology.ScopeFollowers
 	}
 	return topology.ScopeAll
 }
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -90,10 +90,10 @@
 	all := vms(60, 6)
 	firstChoices := make(map[string]int)
 	for i := 6; i < 60; i += 6 {
-		others := planOf(all, i).OtherHubs()
+		others := planOf(all, i).FallbackSources()
 		require.Len(t, others, 5)
 		require.NotContains(t, others, planOf(all, i).Hub())
-		require.Equal(t, others, planOf(all, i).OtherHubs())
+		require.Equal(t, others, planOf(all, i).FallbackSources())
 		firstChoices[others[0]]++
 	}
 	require.Greater(t, len(firstChoices), 2)
@@ -103,7 +103,7 @@
 	all := vms(40, 4)
 	hub := planOf(all, 0)
 	require.Equal(t, ScopeAll, hub.ScopeFor(all[4]))
-	require.Equal(t, ScopeDomain, hub.ScopeFor(all[1]))
+	require.Equal(t, ScopeFollowers, hub.ScopeFor(all[1]))
 	require.Equal(t, ScopeOwn, planOf(all, 4).ScopeFor(all[0]))
 	require.Equal(t, ScopePresence, planOf(all, 4).ScopeFor(all[8]))
 	leader := all[4]
@@ -113,3 +113,60 @@
 	require.False(t, hub.Accepts(all[4], ScopePresence))
 	require.Equal(t, ScopeOwn, planOf(vms(7, 4), 0).ScopeFor(all[1]))
 }
+
+// A domain of hundreds of VMs. If one hub sent all of them what it knows, its messages and memory would
+// grow with the fleet, and at twice the size with its square.
+func TestPartnersOfAHubDoNotGrowWithItsDomain(t *testing.T) {
+	for _, fleet := range []int{300, 900, 1800} {
+		all := vms(fleet, 6)
+		sources := 0
+		for _, i := range []int{0, 1, 7, 60, fleet / 2, fleet - 1} {
+			p := planOf(all, i)
+			weight, followers := 0, 0
+			for _, partner := range p.Partners {
+				weight += partner.Weight
+				if p.Follows(partner.Name) {
+					followers++
+				}
+			}
+			require.Equal(t, fleet-1, weight, "the partners of a VM must report for each other VM exactly once")
+			require.Less(t, followers, 2*MaxFollowers)
+			if p.Source() == "" {
+				sources++
+			}
+		}
+		require.LessOrEqual(t, sources, 2, "only the primary hub of a domain watches the store")
+	}
+}
+
+// One of several hubs fails. If all VMs of the domain were divided anew, each would get a whole view.
+func TestOnlyFollowersOfAFailedHubMove(t *testing.T) {
+	all := vms(300, 1)
+	before := planOf(all, 299)
+	all[3].Silent = true
+	after := planOf(all, 299)
+	moved := 0
+	for _, vm := range all[10:] {
+		if before.hubOf[vm.Name] != after.hubOf[vm.Name] && before.hubOf[vm.Name] != all[3].Name && !after.isHub(after.hubOf[vm.Name]) {
+			t.Fatal(vm.Name, "has no hub")
+		}
+		if before.hubOf[vm.Name] != after.hubOf[vm.Name] {
+			moved++
+		}
+	}
+	require.Less(t, moved, 3*MaxFollowers)
+}
+
+// The hubs of a domain follow its primary, and each other's domains if that fails; VMs prefer hubs of their
+// own domain.
+func TestFallbackSources(t *testing.T) {
+	all := vms(400, 2)
+	hub := planOf(all, 2)
+	require.True(t, hub.IsHub())
+	require.Equal(t, "vm-00", hub.Source())
+	require.Equal(t, []string{"vm-01"}, hub.FallbackSources())
+	require.Empty(t, planOf(all, 0).Source())
+	vm := planOf(all, 398)
+	require.Len(t, vm.FallbackSources(), len(vm.Hubs())-1)
+	require.Contains(t, vm.hubs["0"], vm.FallbackSources()[0])
+}
--- a/internal/vm/aggregator.go
+++ b/internal/vm/aggregator.go
@@ -37,9 +37,9 @@
 
 // adaptersInUse is one VM's report of the adapters used by its requests in flight.
 type adaptersInUse struct {
-	at         time.Time
-	sameDomain bool
-	items      []string
+	at      time.Time
+	follows bool
+	items   []string
 }
 
 // work is the work of one VM or the sum of several.
@@ -63,19 +63,18 @@
 	return a
 }
 
-// applyReport applies a report. sameDomain is set if its sender is in this VM's failure
-// domain. It returns false if the sender has to send a full report.
-func (a *aggregator) applyReport(r *peerpb.VMReport, sameDomain bool, now time.Time) bool {
+// applyReport applies a report. follows is set if its sender follows this VM. It returns false if the sender has to send a full report.
+func (a *aggregator) applyReport(r *peerpb.VMReport, follows bool, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.loads.Record(r.Vm, sameDomain, r.Since == 0, loadsFromProto(r.Engines), now) {
+	if !a.loads.Record(r.Vm, follows, r.Since == 0, loadsFromProto(r.Engines), now) {
 		return false
 	}
 	covered := min(topology.Scope(r.Scope), topology.ScopeAll)
-	a.admitted.Record(r.Vm, r.Incarnation, covered, sameDomain, toCounts(r.Admitted), now)
-	a.requested.Record(r.Vm, r.Incarnation, covered, sameDomain, toCounts(r.Asked), now)
-	a.demand.Record(r.Vm, r.Incarnation, covered, sameDomain, demandFromProto(r.Demand), now)
-	a.inUse[r.Vm] = adaptersInUse{at: now, sameDomain: sameDomain, items: r.InUse}
+	a.admitted.Record(r.Vm, r.Incarnation, covered, follows, toCounts(r.Admitted), now)
+	a.requested.Record(r.Vm, r.Incarnation, covered, follows, toCounts(r.Asked), now)
+	a.demand.Record(r.Vm, r.Incarnation, covered, follows, demandFromProto(r.Demand), now)
+	a.inUse[r.Vm] = adaptersInUse{at: now, follows: follows, items: r.InUse}
 	return true
 }
 
@@ -158,7 +157,7 @@
 			delete(a.inUse, vm)
 			continue
 		}
-		if vm != except && (r.sameDomain || scope != topology.ScopeDomain) {
+		if vm != except && (r.follows || scope != topology.ScopeFollowers) {
 			out = append(out, r.items...)
 		}
 	}
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -277,7 +277,7 @@
 			m.applied = progress{}
 		}
 	}
-	hubs := f.plan.OtherHubs()
+	hubs := f.plan.Hubs()
 	if !f.plan.IsHub() {
 		hubs = []string{f.plan.Hub()}
 	}
@@ -311,8 +311,7 @@
 	hubSilenceTimeout   = 600 * time.Millisecond
 )
 
-// maxFallbackHubs is the number of hubs of other failure domains that a VM may follow when
-// its own hub fails.
+// maxFallbackHubs is the number of other hubs that a VM may follow when its own fails.
 const maxFallbackHubs = 2
 
 // hubs returns the addresses of the VMs through which this one follows the store, in order of
@@ -320,12 +319,12 @@
 func (f *fleet) hubs() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.plan == nil || f.plan.Hub() == "" {
+	if f.plan == nil || f.plan.Source() == "" {
 		return nil
 	}
-	others := f.plan.OtherHubs()
+	fallback := f.plan.FallbackSources()
 	var out []string
-	for _, vm := range append([]string{f.plan.Hub()}, others[:min(maxFallbackHubs, len(others))]...) {
+	for _, vm := range append([]string{f.plan.Source()}, fallback[:min(maxFallbackHubs, len(fallback))]...) {
 		if m := f.members[vm]; m != nil {
 			out = append(out, m.Peers)
 		}
@@ -333,6 +332,13 @@
 	return out
 }
 
+// isHub reports whether this VM is a hub.
+func (f *fleet) isHub() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.plan != nil && f.plan.IsHub()
+}
+
 // eligibleToLead reports whether this VM stands for election: hubs do, or all VMs of a small
 // fleet. If all VMs of a large fleet did, each vacancy would cost three store calls per VM.
 func (f *fleet) eligibleToLead() bool {
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -15,14 +15,14 @@
 	"github.com/chestnutarch/chestnutarch/internal/store"
 )
 
-// In a large fleet only the hubs watch the store; the other VMs follow the view of their hub.
-// A VM whose hub is unreachable, or has lost the store itself, follows the hub of another
-// failure domain until its own recovers, and watches the store if no hub serves it.
+// In a large fleet only one hub of each failure domain watches the store. The domain's other hubs
+// follow its view, and the other VMs that of their hub. A VM whose hub is unreachable, or has lost the
+// store itself, follows another hub until its own recovers, and watches the store if no hub serves it.
 
 var (
-	// ErrNotWatching means that a VM does not watch the store itself, so that it cannot be
-	// followed.
-	ErrNotWatching = errors.New("vm: this VM does not watch the store")
+	// ErrNotWatching means that a VM neither watches the store itself nor is a hub, so that it
+	// cannot be followed.
+	ErrNotWatching = errors.New("vm: this VM does not watch the store and is no hub")
 	// ErrHubStale means that the view of a hub is too old to be followed.
 	ErrHubStale = errors.New("vm: the hub's view of the store is too old")
 )
@@ -54,6 +54,10 @@
 	// hubs returns the addresses of the hubs to follow, in order of preference; none if this
 	// VM has to watch the store.
 	hubs func() []string
+	// isHub reports whether this VM is a hub, which may be followed while it follows another one.
+	isHub func() bool
+	// setMembers is called with the keys of this project, by key, before there is a view.
+	setMembers func(map[string]store.Item)
 	// follow returns a hub's answer and the time since its first byte arrived.
 	follow func(ctx context.Context, address string, in *peerpb.FollowRequest) (answer *peerpb.FollowResponse, took time.Duration, err error)
 }
@@ -241,6 +245,9 @@
 	if in.Incarnation != incarnation {
 		since = 0
 	}
+	if err := t.awaitView(ctx); err != nil {
+		return nil, err
+	}
 	t.awaitChange(ctx, since)
 	var packed *snapshot
 	if in.ReadsPacked && !t.knowsChangesSince(since) {
@@ -287,9 +294,10 @@
 // known; packed, unless nil, then holds a part of it. The changed items are returned separately and are not
 // yet part of the message.
 func (t *tracker) changesSince(incarnation, since int64, packed *snapshot) (*peerpb.FollowResponse, []store.Item, error) {
+	serves := t.isHub()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.watching {
+	if !t.watching && !serves {
 		return nil, nil, errors.WithStack(ErrNotWatching)
 	}
 	out := &peerpb.FollowResponse{
@@ -329,10 +337,37 @@
 	return items
 }
 
+// isHub reports whether this VM is a hub.
+func (t *tracker) isHub() bool { return t.hubClient.isHub != nil && t.hubClient.isHub() }
+
+// awaitView waits for the first view of a hub: all VMs of a domain may start together, and if the hub
+// refused those that are faster than itself, they would read the store. It returns ErrNotWatching if this
+// VM does not serve a view.
+func (t *tracker) awaitView(ctx context.Context) error {
+	serves := t.isHub()
+	t.mu.Lock()
+	serves = serves || t.watching
+	t.mu.Unlock()
+	if !serves {
+		return errors.WithStack(ErrNotWatching)
+	}
+	select {
+	case <-t.firstView:
+		return nil
+	default:
+	}
+	select {
+	case <-t.firstView:
+		return nil
+	case <-ctx.Done():
+		return errors.WithStack(ctx.Err())
+	}
+}
+
 // awaitChange returns when the view has changed since a change number, or after followWait.
 func (t *tracker) awaitChange(ctx context.Context, since int64) {
 	t.mu.Lock()
-	nextChange, upToDate := t.changes.nextChange, t.watching && since == t.changes.number
+	nextChange, upToDate := t.changes.nextChange, since == t.changes.number
 	t.mu.Unlock()
 	if !upToDate {
 		return
--- a/internal/vm/hubs_test.go
+++ b/internal/vm/hubs_test.go
@@ -39,13 +39,13 @@
 	partitioned func(i, j int) bool
 }
 
-func newHubSimulation() *hubSimulation {
+func newHubSimulation(domains int) *hubSimulation {
 	s := &hubSimulation{now: time.Now(), applied: make(map[[2]int]progress), partitioned: func(int, int) bool { return false }}
 	for i := range hubTestVMs {
 		started := s.now.UnixNano() + int64(i)
 		l := teamrate.New(teamrate.Tolerance{Units: hubTestSlack, Window: hubTestWindow}, started)
 		l.SetLimits(map[string]teamrate.Limit{"team": {Rate: hubTestRate, Burst: hubTestRate}}, s.now)
-		s.vms = append(s.vms, topology.VM{Name: fmt.Sprintf("vm-%02d", i), Domain: fmt.Sprint(i % 4)})
+		s.vms = append(s.vms, topology.VM{Name: fmt.Sprintf("vm-%02d", i), Domain: fmt.Sprint(i % domains)})
 		s.incarnations = append(s.incarnations, started)
 		s.limiters, s.aggregators = append(s.limiters, l), append(s.aggregators, newAggregator())
 	}
@@ -119,7 +119,7 @@
 		applied = progress{}
 	}
 	s.aggregators[from].fillReport(r, scope, s.vms[to].Name, applied.version, s.now)
-	if !s.aggregators[to].applyReport(r, s.vms[from].Domain == s.vms[to].Domain, s.now) {
+	if !s.aggregators[to].applyReport(r, s.plan(to).Follows(s.vms[from].Name), s.now) {
 		delete(s.applied, [2]int{to, from})
 		return
 	}
@@ -171,7 +171,7 @@
 func TestRatesHoldThroughHubs(t *testing.T) {
 	for seed := range uint64(6) {
 		r := rand.New(rand.NewPCG(seed, 9))
-		s := newHubSimulation()
+		s := newHubSimulation(4)
 		s.run(r, 400, hubTestRate/1.8)
 		before := len(s.admitted)
 		s.run(r, 800, 7.5*hubTestRate/1.8)
@@ -194,7 +194,7 @@
 	const demand, ticks = 7.5 * hubTestRate / 1.8, 400
 	for seed := range uint64(3) {
 		r := rand.New(rand.NewPCG(seed, 12))
-		s := newHubSimulation()
+		s := newHubSimulation(4)
 		s.run(r, 2000, demand)
 		for _, silent := range []bool{true, false, true, false} {
 			s.vms[0].Silent = silent
@@ -214,7 +214,7 @@
 // The same VMs carry the team's usual load. Less than 1 % may be refused.
 func TestUsualLoadPassesThroughHubs(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 10))
-	s := newHubSimulation()
+	s := newHubSimulation(4)
 	s.run(r, 300, hubTestRate/1.8)
 	s.requested, s.refused = 0, 0
 	s.run(r, 3000, hubTestRate/1.8)
@@ -227,7 +227,7 @@
 // of every team would be refused.
 func TestTwoHubsOfADomainDoNotCountEachOther(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 11))
-	s := newHubSimulation()
+	s := newHubSimulation(4)
 	s.run(r, 400, hubTestRate/1.8)
 	s.partitioned = func(i, j int) bool {
 		// vm-00 is cut off from the other failure domains, and from 6 of the 14 other VMs of
@@ -242,3 +242,28 @@
 	s.run(r, 800, hubTestRate/1.8)
 	require.Less(t, s.refused/s.requested, 0.02)
 }
+
+// A failure domain is so large that it has several hubs. One of them dies and comes back while a team
+// sends several times its rate: what was admitted must neither be lost nor counted twice, although VMs
+// that were hubs follow others afterwards.
+func TestRatesHoldThroughSeveralHubsOfADomain(t *testing.T) {
+	const demand, ticks = 7.5 * hubTestRate / 1.8, 500
+	for seed := range uint64(4) {
+		r := rand.New(rand.NewPCG(seed, 13))
+		s := newHubSimulation(1)
+		require.Len(t, s.plan(5).Hubs(), 2)
+		s.run(r, 400, hubTestRate/1.8)
+		for _, silent := range []bool{false, true, false, true, false} {
+			s.vms[0].Silent = silent
+			before := len(s.admitted)
+			s.run(r, ticks, demand)
+			served := 0.0
+			for _, u := range s.admitted[before:] {
+				served += u
+			}
+			seconds := float64(ticks) * 0.01
+			require.Greater(t, served, 0.8*hubTestRate*seconds, "seed %d: too few units admitted in %v s with silent %v", seed, seconds, silent)
+		}
+		require.Less(t, s.maxWindowAdmitted(), (hubTestRate*hubTestWindow.Seconds()+hubTestRate)*1.1+hubTestSlack, "seed %d: too many units admitted within a window", seed)
+	}
+}
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -131,17 +131,13 @@
 const immediateReturnTime = 5 * time.Second
 
 // applyInstances changes the table of instances that requests are routed by; a nil instance is removed.
-// It must be called with instancesMu held. Of a VM's first table it logs only the size and the draining
-// instances: hundreds of VMs that start together would otherwise log a line for each upstream before
-// they serve a request.
+// It must be called with instancesMu held.
 func (p *Process) applyInstances(changes map[string]*upstream.Instance) {
 	if len(changes) == 0 {
 		return
 	}
 	previous := *p.instances.Load()
-	if len(previous) == 0 {
-		p.log.Info().Str("event", "instances_known").Int("count", len(changes)).Send()
-	}
+	quiet := p.summarizeInstances(previous, changes)
 	next := maps.Clone(previous)
 	var changed []upstream.Instance
 	var removed []string
@@ -151,7 +147,7 @@
 			removed = append(removed, id)
 			continue
 		}
-		p.logInstance(previous[id], i, len(previous) == 0)
+		p.logInstance(previous[id], i, quiet)
 		next[id] = i
 		changed = append(changed, *i)
 	}
@@ -160,9 +156,26 @@
 	p.assigner.RetainRateLimits(time.Now())
 }
 
-// logInstance logs an instance that is new or whose state has changed.
-func (p *Process) logInstance(old, i *upstream.Instance, first bool) {
-	if first && !i.Draining {
+// summarizeInstances logs how many instances are new, if there are many, and reports whether it did: when
+// thousands of upstreams start, each of hundreds of VMs would log a line for each.
+func (p *Process) summarizeInstances(previous, changes map[string]*upstream.Instance) bool {
+	added := 0
+	for id, i := range changes {
+		if i != nil && !i.Draining && previous[id] == nil {
+			added++
+		}
+	}
+	if added <= maxIndividualLogs {
+		return false
+	}
+	p.log.Info().Str("event", "instances_known").Int("count", added).Int("before", len(previous)).Send()
+	return true
+}
+
+// logInstance logs an instance that is new or whose state has changed. quiet leaves out new ones that are
+// ready.
+func (p *Process) logInstance(old, i *upstream.Instance, quiet bool) {
+	if quiet && old == nil && !i.Draining {
 		return
 	}
 	if old == nil || !old.SameIncarnation(i) || old.Draining != i.Draining {
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -95,6 +95,8 @@
 	p.budget = retrybudget.New(retryLimitsOf(s), time.Now())
 	p.tracker = newTracker(p.store, log, p.applyView, func() int { return p.fleet.size() }, s.Bounds.Configuration, hubClient{
 		hubs: func() []string { return p.fleet.hubs() }, follow: p.callHub,
+		isHub:      func() bool { return p.fleet.isHub() },
+		setMembers: func(members map[string]store.Item) { p.fleet.updateRegistrations(members) },
 	})
 	p.candidate = leadership.New(leadership.Options{
 		Store: p.store, VM: s.VM, Prefix: projectPrefix, LeaseMin: s.Store.LeaseMin,
--- a/internal/vm/reports.go
+++ b/internal/vm/reports.go
@@ -78,8 +78,7 @@
 	}
 	f.aggregator.updateRoster(func(r *roster) {
 		for vm, m := range f.members {
-			sameDomain := m.Domain == f.process.settings.FailureDomain
-			r.set(vm, sameDomain, f.takesCallers(vm, m, m.lastReport, peerTimeout/2, now))
+			r.set(vm, f.plan.Follows(vm), f.takesCallers(vm, m, m.lastReport, peerTimeout/2, now))
 		}
 		r.removeUnknown(func(vm string) bool { return f.members[vm] != nil })
 	})
@@ -112,10 +111,10 @@
 		f.applyRoster(r)
 	}
 	address := m.Peers
-	sameDomain := m.Domain == f.process.settings.FailureDomain
+	follows := f.plan != nil && f.plan.Follows(r.Vm)
 	f.mu.Unlock()
 	if accepted {
-		f.applyWork(r, sameDomain, now)
+		f.applyWork(r, follows, now)
 	}
 	f.process.planner.applyContents(r)
 	if r.ViewRevision > f.process.tracker.viewRevision() {
@@ -176,8 +175,8 @@
 }
 
 // applyWork applies the counters and loads of a report.
-func (f *fleet) applyWork(r *peerpb.VMReport, sameDomain bool, now time.Time) {
-	if !f.aggregator.applyReport(r, sameDomain, now) {
+func (f *fleet) applyWork(r *peerpb.VMReport, follows bool, now time.Time) {
+	if !f.aggregator.applyReport(r, follows, now) {
 		f.requestFullReport(r.Vm)
 		return
 	}
--- a/internal/vm/reports_test.go
+++ b/internal/vm/reports_test.go
@@ -89,7 +89,7 @@
 	alive, silent := r.since(topology.ScopeAll, 0, "vm-0")
 	require.Len(t, alive, 299)
 	require.Empty(t, silent)
-	alive, _ = r.since(topology.ScopeDomain, 0, "far")
+	alive, _ = r.since(topology.ScopeFollowers, 0, "far")
 	require.Len(t, alive, 50)
 	acknowledged := version.Number()
 	r.set("vm-7", true, true)
--- a/internal/vm/roster.go
+++ b/internal/vm/roster.go
@@ -19,8 +19,8 @@
 }
 
 type rosterEntry struct {
-	// sameDomain is set for VMs of this VM's failure domain.
-	sameDomain, takesCallers bool
+	// follows is set for VMs that follow this one.
+	follows, takesCallers bool
 }
 
 func newRoster(version *aggregate.Version) *roster {
@@ -28,10 +28,10 @@
 }
 
 // set records whether a VM takes callers.
-func (r *roster) set(vm string, sameDomain, takesCallers bool) {
+func (r *roster) set(vm string, follows, takesCallers bool) {
 	e, known := r.vms[vm]
-	if (known || takesCallers) && (e.takesCallers != takesCallers || e.sameDomain != sameDomain) {
-		r.vms[vm] = rosterEntry{sameDomain: sameDomain, takesCallers: takesCallers}
+	if (known || takesCallers) && (e.takesCallers != takesCallers || e.follows != follows) {
+		r.vms[vm] = rosterEntry{follows: follows, takesCallers: takesCallers}
 		r.changes.Record(vm, r.version.Next())
 	}
 }
@@ -48,7 +48,7 @@
 		if e.takesCallers && known(vm) {
 			continue
 		}
-		r.set(vm, e.sameDomain, false)
+		r.set(vm, e.follows, false)
 		inactive++
 	}
 	if inactive <= maxRemovedEntries+len(r.vms)/2 {
@@ -72,7 +72,7 @@
 	r.changes.Since(version, func(vm string, _ uint64) bool {
 		e := r.vms[vm]
 		switch {
-		case vm == except || (scope == topology.ScopeDomain && !e.sameDomain):
+		case vm == except || (scope == topology.ScopeFollowers && !e.follows):
 		case e.takesCallers:
 			alive = append(alive, vm)
 		case version > 0:
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -89,6 +89,8 @@
 	failedAt time.Time
 	// storeLost reports that the loss of the store was logged and no view was published since.
 	storeLost bool
+	// firstView is closed when the first view is published.
+	firstView chan struct{}
 	// completeAt is when the view was last known to be complete.
 	completeAt time.Time
 }
@@ -99,13 +101,13 @@
 	return &tracker{
 		store: s, log: log, onChange: onChange, vmCount: vmCount, hubClient: hubs, values: newValueHistory(),
 		maxPause: configurationDeadline * 2 / 3, maxHubViewAge: configurationDeadline / staleDivisor, hubWatchPause: configurationDeadline / hubPauseDivisor,
-		view: view{items: make(map[string]store.Item)}, changes: newChangeLog(), hubBackoffs: make(map[string]hubBackoff), lapsed: make(map[string]time.Time),
+		view: view{items: make(map[string]store.Item)}, changes: newChangeLog(), firstView: make(chan struct{}), hubBackoffs: make(map[string]hubBackoff), lapsed: make(map[string]time.Time),
 	}
 }
 
 // run follows the store until ctx ends.
 func (t *tracker) run(ctx context.Context) error {
-	read, failures := t.listAll, 0
+	read, failures := t.readFirst, 0
 	for ctx.Err() == nil {
 		if err := read(ctx); err != nil {
 			t.recordFailure(err)
@@ -125,6 +127,62 @@
 	return nil
 }
 
+const (
+	// maxJoinAttempts is how often a VM that starts looks for a hub to follow, joinPause the time
+	// between two attempts: VMs that start together register within some hundred milliseconds.
+	maxJoinAttempts = 4
+	joinPause       = 250 * time.Millisecond
+)
+
+// readFirst gets the first view: from a hub, if there are so many VMs that there is one, or from the
+// store. Hundreds of VMs that start together would need the whole width of the store's link for many
+// seconds if each read all keys itself.
+func (t *tracker) readFirst(ctx context.Context) error {
+	for range maxJoinAttempts {
+		if err := t.listMembers(ctx); err != nil {
+			return err
+		}
+		hub, ok := t.usableHub(time.Now())
+		if !ok {
+			break
+		}
+		t.followHub(ctx, hub)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if t.viewRevision() > 0 {
+			return t.listUnlessFollowing(ctx)
+		}
+		sleep(ctx, joinPause)
+	}
+	return t.listAll(ctx)
+}
+
+// listMembers reads the keys of this project, which tell the hubs.
+func (t *tracker) listMembers(ctx context.Context) error {
+	if t.hubClient.setMembers == nil {
+		return nil
+	}
+	listing, err := t.store.Range(ctx, projectPrefix)
+	if err != nil {
+		return err
+	}
+	members := make(map[string]store.Item, len(listing.Items))
+	for _, item := range listing.Items {
+		members[item.Key] = item
+	}
+	t.hubClient.setMembers(members)
+	return nil
+}
+
+// listUnlessFollowing reads the leased keys after this VM has followed a hub, unless it can follow another.
+func (t *tracker) listUnlessFollowing(ctx context.Context) error {
+	if _, ok := t.usableHub(time.Now()); ok {
+		return nil
+	}
+	return t.listLeased(ctx)
+}
+
 // watchOrFollow follows a hub if one is usable, and otherwise watches the store until a hub is.
 // It returns nil once this VM has followed a hub and no hub is usable any more, or ctx has ended.
 // It returns store.ErrCompacted, wrapped, if the view lacks changes that a watch will no longer
@@ -316,6 +374,9 @@
 	for _, key := range delta.changed {
 		t.values.record(t.view.items[key])
 	}
+	if t.completeAt.IsZero() {
+		close(t.firstView)
+	}
 	t.completeAt = now
 	t.onChange(t.view, delta)
 }
