--- a/internal/vm/hubs_test.go
+++ b/internal/vm/hubs_test.go
@@ -35,6 +35,8 @@
 	applied map[[2]int]progress
 	// requested and refused count units.
 	requested, refused float64
+	// plans caches the plans by VM; run clears it, since tests change VMs and links between runs.
+	plans map[int]*topology.Plan
 	// partitioned reports whether VM i receives nothing from VM j.
 	partitioned func(i, j int) bool
 }
@@ -53,6 +55,9 @@
 }
 
 func (s *hubSimulation) plan(i int) *topology.Plan {
+	if p := s.plans[i]; p != nil {
+		return p
+	}
 	var others []topology.VM
 	for j, vm := range s.vms {
 		if j != i {
@@ -60,7 +65,11 @@
 			others = append(others, vm)
 		}
 	}
-	return topology.New(s.vms[i], others)
+	p := topology.New(s.vms[i], others)
+	if s.plans != nil {
+		s.plans[i] = p
+	}
+	return p
 }
 
 // exchangeTicks is the number of ticks between two exchanges of a pair.
@@ -145,6 +154,7 @@
 }
 
 func (s *hubSimulation) run(r *rand.Rand, steps int, demand float64) {
+	s.plans = make(map[int]*topology.Plan)
 	for i := range steps {
 		s.exchange(i)
 		s.step(r, demand)
