residency, vm: a plan balances loads only when it asks for them; a new leader reads a bounded number of engines at once

Cause: each move of a plan computed the loads of all engines anew, and each engine with free memory looked at all models. A new leader opened a connection to every engine at the same moment. Change: loads are computed when they are read, by index; free memory is filled from the engine's own weights. 64 reads of engines at once.

--- a/internal/residency/balance_test.go
+++ b/internal/residency/balance_test.go
@@ -8,9 +8,9 @@
 )
 
 func TestBalancedLoad(t *testing.T) {
-	load := map[string]float64{"a": 0.6, "b": 0.1, "c": 0.3}
+	b := &balance{engine: []float64{0.6, 0.1, 0.3}}
 	for _, c := range []struct{ demand, balanced float64 }{{0, 0.1}, {0.1, 0.2}, {0.4, 0.4}, {0.8, 0.6}, {1.1, 0.7}} {
-		require.InDelta(t, c.balanced, balancedLoad(c.demand, []string{"a", "b", "c"}, load), 1e-9, c.demand)
+		require.InDelta(t, c.balanced, b.fill(c.demand, []int{0, 1, 2}), 1e-9, c.demand)
 	}
 }
 
@@ -19,12 +19,11 @@
 // split demand evenly would move models away from the first engine without need.
 func TestDemandIsDistributedToLeastLoadedEngines(t *testing.T) {
 	s := &planState{Fleet: Fleet{
-		Engines: []Engine{engine("a", "m0", "m1"), engine("b", "m1")}, Spec: testSpec(2),
+		Engines: indexed(engine("a", "m0", "m1"), engine("b", "m1")), Spec: testSpec(2),
 		Demand: map[string]float64{"m0": 0.5, "m1": 0.4},
 	}}
-	s.balanceLoad()
-	require.InDelta(t, 0.5, s.engineLoad["a"], 0.05)
-	require.InDelta(t, 0.4, s.engineLoad["b"], 0.05)
+	require.InDelta(t, 0.5, s.loads().ofEngine(s.Engines[0]), 0.05)
+	require.InDelta(t, 0.4, s.loads().ofEngine(s.Engines[1]), 0.05)
 }
 
 // A busy model fills its only engine. Another engine is almost idle but has no room: it holds
--- a/internal/residency/large_test.go
+++ b/internal/residency/large_test.go
@@ -5,10 +5,12 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
-// largeFleet has 160 engines and 224 models, of which 80 are in demand.
-func largeFleet(r *rand.Rand) Fleet {
+// largeFleet has the given number of engines and 224 models, of which 80 are in demand.
+func largeFleet(r *rand.Rand, engines int) Fleet {
 	f := Fleet{
 		Spec: testSpec(224), Demand: make(map[string]float64), MinDemand: make(map[string]float64), Idle: make(map[string]bool),
 		PinnedUntil: make(map[string]time.Time), StoreLoadBudget: 2, Now: time.Now(),
@@ -20,7 +22,7 @@
 		m, demand := fmt.Sprint("m", i), 20/float64(1+i)
 		f.Demand[m], f.MinDemand[m], f.Idle[m] = demand, 0.8*demand, false
 	}
-	for i := range 160 {
+	for i := range engines {
 		e := engine(fmt.Sprint("e", i))
 		for range 2 {
 			m := fmt.Sprint("m", min(223, int(r.ExpFloat64()*30)))
@@ -41,7 +43,22 @@
 	var took time.Duration
 	plans := 0
 	for b.Loop() {
-		f := largeFleet(r)
+		f := largeFleet(r, 160)
+		began := time.Now()
+		PlanModels(f)
+		took += time.Since(began)
+		plans++
+	}
+	b.ReportMetric(float64(took.Microseconds())/float64(plans), "us/plan")
+}
+
+// BenchmarkPlanModelsFleet is the same for 4,000 engines.
+func BenchmarkPlanModelsFleet(b *testing.B) {
+	r := rand.New(rand.NewPCG(1, 1))
+	var took time.Duration
+	plans := 0
+	for b.Loop() {
+		f := largeFleet(r, 4000)
 		began := time.Now()
 		PlanModels(f)
 		took += time.Since(began)
@@ -49,3 +66,16 @@
 	}
 	b.ReportMetric(float64(took.Microseconds())/float64(plans), "us/plan")
 }
+
+// Thousands of engines have free memory. If each move made the plan look at all engines again, the leader
+// would take seconds for a plan, and models without a copy would wait for it.
+func TestMovesIntoFreeMemoryDoNotRepeatThePlan(t *testing.T) {
+	const engines = 4000
+	allocations := func(plan func(Fleet)) float64 {
+		return testing.AllocsPerRun(1, func() { plan(largeFleet(rand.New(rand.NewPCG(1, 1)), engines)) })
+	}
+	moves := 0
+	cost := allocations(func(f Fleet) { moves = len(PlanModels(f)) }) - allocations(func(Fleet) {})
+	require.Greater(t, moves, 50)
+	require.Less(t, cost, float64(engines))
+}
--- a/internal/residency/models.go
+++ b/internal/residency/models.go
@@ -86,12 +86,8 @@
 	// copies counts the engines that hold or are loading a model, usableCopies those where
 	// it can be used.
 	copies, usableCopies map[string]int
-	// engineLoad is the engine time requested of each engine per second, by engine.
-	// modelLoad is the part of it that each model contributes, by model and engine.
-	// balancedLoad is the load up to which a model's demand fills its holders, by model.
-	engineLoad   map[string]float64
-	modelLoad    map[string]map[string]float64
-	balancedLoad map[string]float64
+	// balance holds the loads of engines, nil after a move.
+	balance *balance
 	// delayed holds the models whose loads wait for unloads that take too long.
 	delayed map[string]bool
 	// reserveMB is the memory kept free for adapters on each engine.
@@ -115,6 +111,7 @@
 	s := &planState{
 		Fleet: f, copies: make(map[string]int), usableCopies: make(map[string]int), delayed: make(map[string]bool), reserveMB: adapterReserve(f.Spec),
 	}
+	f.Engines = indexed(f.Engines...)
 	for _, e := range f.Engines {
 		if e.DelayedLoad != "" {
 			s.delayed[e.DelayedLoad] = true
@@ -134,7 +131,6 @@
 			s.copies[m]++
 		}
 	}
-	s.balanceLoad()
 	s.restoreMissing()
 	s.scaleOutBusy()
 	s.restoreStoreOnly()
@@ -143,6 +139,14 @@
 	return s.moves
 }
 
+// indexed returns the engines with their places among them.
+func indexed(engines ...Engine) []Engine {
+	for i := range engines {
+		engines[i].index = i
+	}
+	return engines
+}
+
 // adapterReserve returns the memory in MB to keep free for adapters, so that loading a model
 // does not leave an engine without room for any adapter.
 func adapterReserve(spec *catalog.EngineSpec) float64 {
@@ -208,7 +212,7 @@
 // model are refused.
 func (s *planState) evictableForMissing(m string) evictionFilter {
 	return func(e Engine, v string) bool {
-		return s.copyExpendable(e, v) && (s.balancedLoad[v] <= protectedLoad || s.demandPerCopy(v) <= missingModelRatio*s.Demand[m])
+		return s.copyExpendable(e, v) && (s.loads().balanced[v] <= protectedLoad || s.demandPerCopy(v) <= missingModelRatio*s.Demand[m])
 	}
 }
 
--- a/internal/residency/place.go
+++ b/internal/residency/place.go
@@ -18,6 +18,7 @@
 	var best *Engine
 	var move ModelMove
 	bestCost := 0.0
+	loads := s.loads()
 	for i := range s.Engines {
 		e := &s.Engines[i]
 		if !s.available(*e) || e.Models[m] {
@@ -38,7 +39,7 @@
 		if !ok {
 			continue
 		}
-		c += s.evictionCost(*e, victim) + s.engineLoad[e.ID]*1e-3
+		c += s.evictionCost(*e, victim) + loads.ofEngine(*e)*1e-3
 		if best == nil || c < bestCost {
 			best, bestCost = e, c
 			move = ModelMove{Engine: e.ID, Load: m, Evict: victim, FromStore: fromStore, Reason: reason}
@@ -93,7 +94,7 @@
 	if m == "" {
 		return 0
 	}
-	cost := s.modelLoad[m][e.ID] + inFlightCost*float64(e.InFlight[m])
+	cost := s.loads().ofModel(m, e) + inFlightCost*float64(e.InFlight[m])
 	if s.copies[m] <= 1 {
 		cost += lastCopyCost
 	}
@@ -122,6 +123,5 @@
 	e.Models[move.Load] = true
 	e.Busy = true
 	s.copies[move.Load]++
-	s.lastCopyCounts, s.byLoad = nil, nil
-	s.balanceLoad()
+	s.lastCopyCounts, s.byLoad, s.balance = nil, nil, nil
 }
--- a/internal/residency/scaleout.go
+++ b/internal/residency/scaleout.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 )
 
@@ -15,9 +17,9 @@
 		if m == "" {
 			return
 		}
-		balanced := s.balancedLoad[m]
+		loads := s.loads()
 		ok := s.placeModel(m, "busy", func(e Engine) float64 {
-			return s.engineLoad[e.ID] - maxTargetLoadRatio*balanced
+			return loads.ofEngine(e) - maxTargetLoadRatio*loads.balanced[m]
 		}, s.evictableBelow(maxVictimRatio*s.minDemandPerCopy(m)))
 		if !ok {
 			s.makeRoomFor(m)
@@ -29,12 +31,12 @@
 // busiestModel returns the model with the highest balanced load, of those that are not done
 // and whose load and demand per copy justify another copy. It returns "" if there is none.
 func (s *planState) busiestModel(done map[string]bool) string {
-	best := ""
+	best, balanced := "", s.loads().balanced
 	for m := range s.Spec.Models {
-		if done[m] || s.copies[m] == 0 || s.minDemandPerCopy(m) <= minScaleOutDemand || s.balancedLoad[m] <= minScaleOutLoad {
+		if done[m] || s.copies[m] == 0 || s.minDemandPerCopy(m) <= minScaleOutDemand || balanced[m] <= minScaleOutLoad {
 			continue
 		}
-		if best == "" || s.balancedLoad[m] > s.balancedLoad[best] || (s.balancedLoad[m] == s.balancedLoad[best] && m < best) {
+		if best == "" || balanced[m] > balanced[best] || (balanced[m] == balanced[best] && m < best) {
 			best = m
 		}
 	}
@@ -45,8 +47,9 @@
 // copy can be evicted for the busy model m. The least loaded engine often holds only models
 // with little demand, each of them the last copy, so that none can be evicted for a busy one.
 func (s *planState) makeRoomFor(m string) {
+	loads := s.loads()
 	for _, e := range s.leastLoadedFirst() {
-		if s.engineLoad[e.ID] > maxTargetLoadRatio*s.balancedLoad[m] {
+		if loads.ofEngine(*e) > maxTargetLoadRatio*loads.balanced[m] {
 			return
 		}
 		if !s.available(*e) || e.Models[m] {
@@ -67,7 +70,8 @@
 	for i := range s.Engines {
 		s.byLoad[i] = &s.Engines[i]
 	}
-	slices.SortStableFunc(s.byLoad, func(a, b *Engine) int { return cmp.Compare(s.engineLoad[a.ID], s.engineLoad[b.ID]) })
+	loads := s.loads()
+	slices.SortStableFunc(s.byLoad, func(a, b *Engine) int { return cmp.Compare(loads.ofEngine(*a), loads.ofEngine(*b)) })
 	return s.byLoad
 }
 
@@ -129,9 +133,9 @@
 		if !s.available(*e) {
 			continue
 		}
-		if m := s.fewestCopiesFitting(*e, func(m string) bool { return e.LocalWeights[m] }); m != "" {
+		fits := func(m string) bool { return e.LocalWeights[m] && !e.Models[m] && s.fitsModel(*e, m, "") }
+		if m := s.fewestCopies(maps.Keys(e.LocalWeights), fits); m != "" {
 			s.apply(e, ModelMove{Engine: e.ID, Load: m, Reason: "fill"})
-			continue
 		}
 	}
 }
@@ -147,7 +151,7 @@
 		if !s.available(*e) {
 			continue
 		}
-		m := s.fewestCopies(func(m string) bool {
+		m := s.fewestCopies(maps.Keys(s.Spec.Models), func(m string) bool {
 			return s.Spec.Models[m].Adapters > 0 && s.copies[m] < s.preplacedCopies() && !e.Models[m] &&
 				(e.LocalWeights[m] || s.StoreLoadBudget > 0)
 		})
@@ -170,20 +174,14 @@
 // loaded ahead of demand.
 const preplacedEngineDivisor = 4
 
-// fewestCopiesFitting returns the wanted model with the fewest copies that fits into the
-// engine's free memory, "" if there is none.
-func (s *planState) fewestCopiesFitting(e Engine, wanted func(string) bool) string {
-	return s.fewestCopies(func(m string) bool { return !e.Models[m] && wanted(m) && s.fitsModel(e, m, "") })
-}
-
-// fewestCopies returns the wanted model with the fewest copies, "" if none is wanted.
-func (s *planState) fewestCopies(wanted func(string) bool) string {
+// fewestCopies returns the wanted one of some models with the fewest copies, "" if none is wanted.
+func (s *planState) fewestCopies(models iter.Seq[string], wanted func(string) bool) string {
 	best := ""
-	for m := range s.Spec.Models {
-		if !wanted(m) {
+	for m := range models {
+		if best != "" && (s.copies[m] > s.copies[best] || (s.copies[m] == s.copies[best] && m > best)) {
 			continue
 		}
-		if best == "" || s.copies[m] < s.copies[best] || (s.copies[m] == s.copies[best] && m < best) {
+		if wanted(m) {
 			best = m
 		}
 	}
--- a/internal/residency/state.go
+++ b/internal/residency/state.go
@@ -27,6 +27,8 @@
 	DelayedLoad string
 	// InFlight is the known number of requests in flight, by model.
 	InFlight map[string]int
+	// index is the engine's place in the plan.
+	index int
 	// LocalWeights holds the models that the engine can load without the weight store.
 	LocalWeights map[string]bool
 }
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chestnutarch/chestnutarch/internal/assign"
 	"github.com/chestnutarch/chestnutarch/internal/residency"
@@ -39,6 +40,9 @@
 	// without a valid engineState: the engine may be starting, busy with an earlier leader's
 	// order, or gone.
 	readRetryInterval = 600 * time.Millisecond
+	// maxConcurrentReads is how many engines a new leader reads at once. Each read opens a connection
+	// and parses an answer within the time of an engine call; thousands at once would exceed it.
+	maxConcurrentReads = 64
 )
 
 // planner gives orders while this VM leads.
@@ -196,11 +200,15 @@
 		}
 	}
 	l.mu.Unlock()
-	var wg sync.WaitGroup
+	var group errgroup.Group
+	group.SetLimit(maxConcurrentReads)
 	for _, i := range unread {
-		wg.Go(func() { l.readEngine(ctx, token, i) })
+		group.Go(func() error {
+			l.readEngine(ctx, token, i)
+			return nil
+		})
 	}
-	wg.Wait()
+	_ = group.Wait()
 }
 
 func (l *planner) readEngine(ctx context.Context, token int64, i *upstream.Instance) {
