vm, assign: draining instances and this VM's own work are kept up, not looked for

Cause: a profile of 150 VMs in one process (2,000 upstreams, 85 changes a second, trial on a scratch test): 6% of the time looked for draining instances in the table of all, 6% for instances with work of the VM in each report. Change: both are sets that change with what they hold. Conclusion: two of the walks over all upstreams that were left; parsing entries (10%) and the copy of the table (5%) are the next.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -16,6 +16,8 @@
 type Assigner struct {
 	mu    sync.Mutex
 	nodes map[string]*node
+	// ownWork holds the instances at which this VM has work, or had some at the last call of Loads.
+	ownWork map[string]struct{}
 	// peerWork holds by VM the instances at which the VM has work, or had some lately. A report
 	// of a VM is applied to these alone: hundreds of VMs report several times a second, and each
 	// has work at a few of thousands of instances.
@@ -50,7 +52,7 @@
 // New returns an Assigner without upstreams.
 func New() *Assigner {
 	return &Assigner{
-		nodes: make(map[string]*node), peerWork: make(map[string]map[string]struct{}), speeds: make(map[string]speed), demand: make(map[string]Demand), inUse: make(map[string]int),
+		nodes: make(map[string]*node), ownWork: make(map[string]struct{}), peerWork: make(map[string]map[string]struct{}), speeds: make(map[string]speed), demand: make(map[string]Demand), inUse: make(map[string]int),
 		stallStats: make(map[string]stallStats), rateLimits: upstreamrate.NewTable(), freed: make(chan struct{}),
 	}
 }
--- a/internal/assign/work.go
+++ b/internal/assign/work.go
@@ -112,10 +112,12 @@
 func (s *Assigner) Loads() map[string]Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]Load)
-	for id, n := range s.nodes {
-		if n.local.requests > 0 {
+	out := make(map[string]Load, len(s.ownWork))
+	for id := range s.ownWork {
+		if n := s.nodes[id]; n != nil && n.local.requests > 0 {
 			out[id] = n.localLoad()
+		} else {
+			delete(s.ownWork, id)
 		}
 	}
 	return out
@@ -160,6 +162,7 @@
 	} else {
 		s.recordPlaced(c, now)
 	}
+	s.ownWork[n.instance.ID] = struct{}{}
 	n.local.requests++
 	n.local.prefillTokens += uncached
 	n.local.kvTokens += c.kvTokens
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -82,13 +82,9 @@
 		ids = slices.Collect(maps.Keys(p.entries.byID))
 	}
 	ids = append(ids, p.departures.instances()...)
-	previous := *p.instances.Load()
-	for id, i := range previous {
-		if i.Draining {
-			ids = append(ids, id)
-		}
-	}
+	ids = slices.AppendSeq(ids, maps.Keys(p.drainingInstances))
 	slices.Sort(ids)
+	previous := *p.instances.Load()
 	changes := make(map[string]*upstream.Instance)
 	for _, id := range slices.Compact(ids) {
 		next := p.currentInstance(id, v.revision, storeFailed, now)
@@ -142,11 +138,15 @@
 	var changed []*upstream.Instance
 	var removed []string
 	for id, i := range changes {
+		delete(p.drainingInstances, id)
 		if i == nil {
 			delete(next, id)
 			removed = append(removed, id)
 			continue
 		}
+		if i.Draining {
+			p.drainingInstances[id] = true
+		}
 		p.logInstance(previous[id], i, quiet)
 		next[id] = i
 		changed = append(changed, i)
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -65,6 +65,8 @@
 	// the last view names.
 	evacuations      *evacuations
 	evacuatedDomains []string
+	// drainingInstances holds the IDs of the instances that are draining.
+	drainingInstances map[string]bool
 	// instancesMu serializes changes of instances.
 	instancesMu sync.Mutex
 
@@ -82,7 +84,7 @@
 		entries: newInstanceEntries(func(item store.Item) (*upstream.Instance, error) {
 			return platform.Instance(item, s.Regions)
 		}),
-		evacuations: newEvacuations(s.Bounds),
+		evacuations: newEvacuations(s.Bounds), drainingInstances: make(map[string]bool),
 	}
 	p.store = platform.NewStore(s.Store.Address, p.countStoreCall)
 	p.replicas = platform.NewReplicas()
