vm, teamrate: a file for each side of following, for reads and for the view; the log names limits that changed

Each change of the configuration logged the limits of all teams at every VM: 15 KB a line with 333 teams. Change: serve_view.go, read_view.go, view.go, configuration.go and peers.go take over code as it is. The line names the number of teams and the first eight limits that are new. Conclusion: no change but of the log line.

--- a/internal/vm/logs_test.go
+++ b/internal/vm/logs_test.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -8,6 +9,9 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/catalog"
+	"github.com/chestnutarch/chestnutarch/internal/teamrate"
 )
 
 // Every logged event is described in docs/LOGS.md, and every event described there is logged:
@@ -37,3 +41,19 @@
 	}
 	require.Equal(t, documented, logged)
 }
+
+// Each of hundreds of VMs logs each change of the configuration. The limits of hundreds of teams in each line
+// would be most of the log.
+func TestLogNamesOnlyLimitsThatChanged(t *testing.T) {
+	catalogOf := func(rates ...float64) *catalog.Catalog {
+		c := &catalog.Catalog{Teams: make(map[string]*catalog.Team)}
+		for i, rate := range rates {
+			c.Teams[fmt.Sprint("team-", i)] = &catalog.Team{Rate: rate}
+		}
+		return c
+	}
+	many := make([]float64, 300)
+	require.Len(t, firstLimits(changedLimits(nil, catalogOf(many...))), maxIndividualLogs)
+	changed := changedLimits(catalogOf(1, 2, 3), catalogOf(1, 5, 3, 4))
+	require.Equal(t, map[string]teamrate.Limit{"team-1": {Rate: 5}, "team-3": {Rate: 4}}, changed)
+}
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -16,7 +16,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chestnutarch/chestnutarch/internal/assign"
-	"github.com/chestnutarch/chestnutarch/internal/catalog"
 	"github.com/chestnutarch/chestnutarch/internal/clock"
 	"github.com/chestnutarch/chestnutarch/internal/leadership"
 	"github.com/chestnutarch/chestnutarch/internal/peer"
@@ -309,49 +308,6 @@
 	p.fleet.updateRegistrations(own)
 }
 
-// applyConfiguration puts a configuration in force if it is newer than the current one. If it
-// cannot be parsed, the current one stays in force.
-func (p *Process) applyConfiguration(config store.Item) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	revision := config.Revision
-	if revision <= p.config.Revision {
-		return
-	}
-	next, skipped, err := platform.Configuration(config.Value)
-	if err != nil {
-		p.log.Error().Str("event", "configuration_unreadable").Int64("revision", revision).AnErr("cause", err).Send()
-		return
-	}
-	for _, s := range skipped {
-		p.log.Warn().Str("event", "configuration_part_skipped").Int64("revision", revision).AnErr("cause", s).Send()
-	}
-	p.config = config
-	p.configurationLag.apply(revision, time.Now())
-	p.tracker.values.record(config)
-	p.limiter.SetLimits(limitsOf(next), time.Now())
-	p.assigner.SetCatalog(next)
-	p.core.SetCatalog(next)
-	p.log.Info().Str("event", "configuration_in_force").Int64("version", next.Version).Int64("revision", revision).
-		Int("routes", len(next.Routes())).Int("bytes", len(config.Value)).Interface("rates", limitsOf(next)).Send()
-}
-
-func limitsOf(c *catalog.Catalog) map[string]teamrate.Limit {
-	out := make(map[string]teamrate.Limit, len(c.Teams))
-	for name, t := range c.Teams {
-		out[name] = teamrate.Limit{Rate: t.Rate, Burst: t.Burst}
-	}
-	return out
-}
-
-// configuration returns the configuration in force as stored; its revision is zero if there
-// is none yet.
-func (p *Process) configuration() store.Item {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.config
-}
-
 // Reload applies the settings that can change while the process runs: the rate tolerance and
 // the retry budget. Addresses take effect at the next start. If read fails, the old settings
 // stay in force.
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -36,25 +35,6 @@
 	lapsedGrace = 2200 * time.Millisecond
 )
 
-// view is the state of the store as this VM knows it.
-type view struct {
-	items map[string]store.Item
-	// revision is the revision of the store up to which the items contain all changes.
-	revision int64
-}
-
-// viewDelta is the difference between two views: the keys that were added or have another revision,
-// and those that are gone. Neither list names a key twice.
-type viewDelta struct{ changed, removed []string }
-
-func (d viewDelta) isEmpty() bool { return len(d.changed) == 0 && len(d.removed) == 0 }
-
-// touches reports whether the difference contains a key with a prefix.
-func (d viewDelta) touches(prefix string) bool {
-	hasPrefix := func(key string) bool { return strings.HasPrefix(key, prefix) }
-	return slices.ContainsFunc(d.changed, hasPrefix) || slices.ContainsFunc(d.removed, hasPrefix)
-}
-
 // tracker keeps a view of all keys of the store, with one watch or through a hub.
 type tracker struct {
 	store store.Store
@@ -127,62 +107,6 @@
 	return nil
 }
 
-const (
-	// maxJoinAttempts is how often a VM that starts looks for a hub to follow, joinPause the time
-	// between two attempts: VMs that start together register within some hundred milliseconds.
-	maxJoinAttempts = 4
-	joinPause       = 250 * time.Millisecond
-)
-
-// readFirst gets the first view: from a hub, if there are so many VMs that there is one, or from the
-// store. Hundreds of VMs that start together would need the whole width of the store's link for many
-// seconds if each read all keys itself.
-func (t *tracker) readFirst(ctx context.Context) error {
-	for range maxJoinAttempts {
-		if err := t.listMembers(ctx); err != nil {
-			return err
-		}
-		hub, ok := t.usableHub(time.Now())
-		if !ok {
-			break
-		}
-		t.followHub(ctx, hub)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if t.viewRevision() > 0 {
-			return t.listUnlessFollowing(ctx)
-		}
-		sleep(ctx, joinPause)
-	}
-	return t.listAll(ctx)
-}
-
-// listMembers reads the keys of this project, which tell the hubs.
-func (t *tracker) listMembers(ctx context.Context) error {
-	if t.hubClient.setMembers == nil {
-		return nil
-	}
-	listing, err := t.store.Range(ctx, projectPrefix)
-	if err != nil {
-		return err
-	}
-	members := make(map[string]store.Item, len(listing.Items))
-	for _, item := range listing.Items {
-		members[item.Key] = item
-	}
-	t.hubClient.setMembers(members)
-	return nil
-}
-
-// listUnlessFollowing reads the leased keys after this VM has followed a hub, unless it can follow another.
-func (t *tracker) listUnlessFollowing(ctx context.Context) error {
-	if _, ok := t.usableHub(time.Now()); ok {
-		return nil
-	}
-	return t.listLeased(ctx)
-}
-
 // watchOrFollow follows a hub if one is usable, and otherwise watches the store until a hub is.
 // It returns nil once this VM has followed a hub and no hub is usable any more, or ctx has ended.
 // It returns store.ErrCompacted, wrapped, if the view lacks changes that a watch will no longer
@@ -241,53 +165,6 @@
 	return t.view.revision
 }
 
-// listAll reads all keys. An entry of the view that is missing from the listing was deleted while
-// this VM did not watch.
-func (t *tracker) listAll(ctx context.Context) error {
-	listing, err := t.store.Range(ctx, "")
-	if err != nil {
-		return err
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.replaceView(listing.Items, listing.Revision)
-	return nil
-}
-
-// listLeased reads the keys that are bound to leases, after this VM has followed a hub: the hub's
-// view may have held keys that the store had already dropped. A watch from the view's revision
-// returns the changes of all other keys. They are not read, because all VMs behind a lost hub do
-// this at the same time, and the configuration is most of what the store holds.
-func (t *tracker) listLeased(ctx context.Context) error {
-	var items []store.Item
-	for _, prefix := range leasedPrefixes {
-		listing, err := t.store.Range(ctx, prefix)
-		if err != nil {
-			return err
-		}
-		items = append(items, listing.Items...)
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, item := range t.view.items {
-		if !isLeased(item.Key) {
-			items = append(items, item)
-		}
-	}
-	// replaceView sets completeAt to now, but the keys that were not read may be outdated.
-	completeAt := t.completeAt
-	t.replaceView(items, t.view.revision)
-	t.completeAt = completeAt
-	return nil
-}
-
-// leasedPrefixes are the prefixes of keys that the store drops when their leases end.
-var leasedPrefixes = []string{platform.InstancePrefix, projectPrefix}
-
-func isLeased(key string) bool {
-	return slices.ContainsFunc(leasedPrefixes, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
-}
-
 // replaceView replaces the view by the items that were read, and keeps lapsed entries. It must be
 // called with the lock held.
 func (t *tracker) replaceView(items []store.Item, revision int64) {
@@ -381,29 +258,6 @@
 	t.onChange(t.view, delta)
 }
 
-// apply writes items, removes keys, and returns the difference. A key that is written and removed
-// is removed.
-func (v *view) apply(written []store.Item, removed []string) viewDelta {
-	var delta viewDelta
-	gone := make(map[string]bool, len(removed))
-	for _, key := range removed {
-		if _, ok := v.items[key]; ok {
-			delete(v.items, key)
-			delta.removed = append(delta.removed, key)
-		}
-		gone[key] = true
-	}
-	for _, item := range written {
-		before, ok := v.items[item.Key]
-		if gone[item.Key] || (ok && before.Revision == item.Revision) {
-			continue
-		}
-		v.items[item.Key] = item
-		delta.changed = append(delta.changed, item.Key)
-	}
-	return delta
-}
-
 func (t *tracker) recordFailure(err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
