vm: followers of a hub share one packed delta; a new leader keeps no connection to thousands of engines

Change: changed entries from 4 KB on are packed once for all followers that begin at the same change; the leader closes the connections of a first look at more than 256 engines.

--- a/internal/vm/follow_test.go
+++ b/internal/vm/follow_test.go
@@ -335,3 +335,35 @@
 	_, err := unpackItems([]byte("no frame"))
 	require.ErrorIs(t, err, ErrPacked)
 }
+
+// Many upstreams change between two answers of a hub. If it encoded the changes for each of its followers,
+// its link and processor would be busy with copies.
+func TestFollowersShareOnePackedDelta(t *testing.T) {
+	hub := testTracker()
+	hub.watching = true
+	hub.publishItems(map[string]store.Item{"a": {Key: "a", Revision: 1}}, 1)
+	in, changed := &peerpb.FollowRequest{Incarnation: 7, Change: hub.changes.number, ReadsPacked: true}, store.Events{Revision: 90}
+	large := bytes.Repeat([]byte("x"), patch.MinBytes)
+	for i := range int64(80) {
+		value := bytes.Repeat([]byte(fmt.Sprint("model-", i%9)), 20)
+		changed.Events = append(changed.Events, store.Event{Item: store.Item{Key: fmt.Sprint("servers/", i), Value: value, Revision: 10 + i}})
+	}
+	changed.Events = append(changed.Events, store.Event{Item: store.Item{Key: "op/config", Value: large, Revision: 90}})
+	hub.applyEvents(changed)
+	var first []byte
+	for range 3 {
+		answer, err := hub.answerFollow(t.Context(), 7, in)
+		require.NoError(t, err)
+		require.False(t, answer.Whole)
+		require.Len(t, answer.Items, 1, "a large value travels as a patch of its own")
+		if first == nil {
+			first = answer.Packed
+		}
+		require.Same(t, &first[0], &answer.Packed[0])
+		follower := testTracker()
+		follower.publishItems(map[string]store.Item{"a": {Key: "a", Revision: 1}}, 1)
+		_, err = follower.applyHubView(answer, time.Now())
+		require.NoError(t, err)
+		require.Equal(t, hub.view, follower.view)
+	}
+}
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -43,6 +43,9 @@
 	// maxConcurrentReads is how many engines a new leader reads at once. Each read opens a connection
 	// and parses an answer within the time of an engine call; thousands at once would exceed it.
 	maxConcurrentReads = 64
+	// maxKeptConnections is the number of engines up to which the leader keeps the connections over
+	// which it read them. Of thousands, few get an order soon, and each connection takes memory.
+	maxKeptConnections = 256
 )
 
 // planner gives orders while this VM leads.
@@ -205,6 +208,9 @@
 	for _, i := range unread {
 		group.Go(func() error {
 			l.readEngine(ctx, token, i)
+			if len(unread) > maxKeptConnections {
+				l.p.replicas.Pool.CloseIdle(i.Address)
+			}
 			return nil
 		})
 	}
--- a/internal/vm/serve_view.go
+++ b/internal/vm/serve_view.go
@@ -32,6 +32,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if in.ReadsPacked && !out.Whole {
+		out.Packed, items = t.deltas.pack(since, out.Change, items)
+	}
 	for _, item := range items {
 		out.Items = append(out.Items, t.values.itemFor(item, in.Held[item.Key]))
 	}
--- a/internal/vm/snapshot.go
+++ b/internal/vm/snapshot.go
@@ -50,6 +50,51 @@
 	return s.last
 }
 
+// minPackedBytes is the size of changed items from which they are packed.
+const minPackedBytes = 4 << 10
+
+// deltas keeps the packed changes up to the newest one, by the change from which they begin: the VMs that
+// follow a hub are mostly at the same one.
+type deltas struct {
+	mu     sync.Mutex
+	change int64
+	packed map[int64][]byte
+}
+
+// pack packs the changed items since one change up to another, and returns the items that are not in it:
+// large ones, or all if that does not pay.
+func (d *deltas) pack(since, change int64, items []store.Item) (packed []byte, rest []store.Item) {
+	size := 0
+	var small []store.Item
+	for _, i := range items {
+		if isLarge(i) {
+			rest = append(rest, i)
+			continue
+		}
+		size += len(i.Key) + len(i.Value)
+		small = append(small, i)
+	}
+	if size < minPackedBytes {
+		return nil, items
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if change < d.change {
+		return nil, items
+	}
+	if change > d.change {
+		d.change, d.packed = change, make(map[int64][]byte)
+	}
+	if d.packed[since] == nil {
+		made, err := packItems(small)
+		if err != nil {
+			return nil, items
+		}
+		d.packed[since] = made
+	}
+	return d.packed[since], rest
+}
+
 func isLarge(i store.Item) bool { return len(i.Value) >= patch.MinBytes }
 
 func packItems(items []store.Item) ([]byte, error) {
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -45,6 +45,7 @@
 	hubClient hubClient
 	values    valueHistory
 	snapshots snapshots
+	deltas    deltas
 	// following reports that this VM follows the store through a hub.
 	following atomic.Bool
 	// vmCount returns the number of VMs. maxPause is the longest pause between two watch calls.
