--- a/internal/aggregate/counters_test.go
+++ b/internal/aggregate/counters_test.go
@@ -111,3 +111,16 @@
 	require.Empty(t, c.Since(topology.ScopeOwn, acknowledged, ""))
 	require.Equal(t, map[string]Count{"x": 3, "y": 5}, c.Since(topology.ScopeAll, 0, ""))
 }
+
+// A VM that followed this hub becomes a hub itself. What it is told about others must never contain its own
+// part: it would count its use twice, and refuse requests of a team that is within its rate.
+func TestPartsOfAVMThatBecomesAHubAreLeftOut(t *testing.T) {
+	c := newTestCounters()
+	c.Record("b", justStarted, topology.ScopeOwn, true, map[string]Count{"x": 5}, testTime)
+	c.Record("b", justStarted, topology.ScopeFollowers, false, map[string]Count{"x": 100}, testTime)
+	c.Record("b", justStarted, topology.ScopeFollowers, false, map[string]Count{"x": 107}, testTime)
+	require.Equal(t, map[string]Count{"x": 5}, c.Since(topology.ScopeFollowers, 0, ""))
+	require.Equal(t, map[string]Count{"x": 12}, c.Since(topology.ScopeAll, 0, ""))
+	require.Empty(t, c.Since(topology.ScopeFollowers, 0, "b"))
+	require.Empty(t, c.Since(topology.ScopeAll, 0, "b"))
+}
--- a/internal/aggregate/levels_test.go
+++ b/internal/aggregate/levels_test.go
@@ -54,3 +54,13 @@
 	require.False(t, l.RetainsChangesSince(acknowledged))
 	require.True(t, l.RetainsChangesSince(version.Number()))
 }
+
+// A VM that followed this hub becomes a hub itself: its load moves to the sums of all VMs.
+func TestLevelsOfAVMThatBecomesAHubMove(t *testing.T) {
+	l := NewLevels[Count](time.Second, &Version{})
+	require.True(t, l.Record("b", true, true, map[string]Count{"e1": 4}, testTime))
+	require.False(t, l.Record("b", false, false, map[string]Count{"e1": 5}, testTime), "a change cannot be added to levels of another scope")
+	require.True(t, l.Record("b", false, true, map[string]Count{"e1": 6}, testTime))
+	require.Empty(t, l.Since(topology.ScopeFollowers, 0, "", testTime))
+	require.Equal(t, map[string]Count{"e1": 6}, l.Since(topology.ScopeAll, 0, "", testTime))
+}
