--- a/internal/aggregate/counters_test.go
+++ b/internal/aggregate/counters_test.go
@@ -112,8 +112,7 @@
 	require.Equal(t, map[string]Count{"x": 3, "y": 5}, c.Since(topology.ScopeAll, 0, ""))
 }
 
-// A VM that followed this hub becomes a hub itself. What it is told about others must never contain its own
-// part: it would count its use twice, and refuse requests of a team that is within its rate.
+// Guards against a VM that becomes a hub being told its own use as that of others.
 func TestPartsOfAVMThatBecomesAHubAreLeftOut(t *testing.T) {
 	c := newTestCounters()
 	c.Record("b", justStarted, topology.ScopeOwn, true, map[string]Count{"x": 5}, testTime)
--- a/internal/assign/assigner_test.go
+++ b/internal/assign/assigner_test.go
@@ -358,8 +358,7 @@
 	}
 }
 
-// Hundreds of VMs report several times a second. A report that visits every instance takes time that
-// grows with the fleet.
+// Guards against reports that take time for each instance of the fleet.
 func TestReportVisitsOnlyInstancesWithWorkOfItsVM(t *testing.T) {
 	s, now := testAssigner("engines", 40), time.Now()
 	s.SetPeerLoads("b", map[string]Load{"i-0": {Requests: 1}, "i-7": {Requests: 2, PrefillTokens: 9000}}, now)
--- a/internal/residency/large_test.go
+++ b/internal/residency/large_test.go
@@ -67,8 +67,7 @@
 	b.ReportMetric(float64(took.Microseconds())/float64(plans), "us/plan")
 }
 
-// Thousands of engines have free memory. If each move made the plan look at all engines again, the leader
-// would take seconds for a plan, and models without a copy would wait for it.
+// Guards against plans that balance all engines anew for each move into free memory.
 func TestMovesIntoFreeMemoryDoNotRepeatThePlan(t *testing.T) {
 	const engines = 4000
 	allocations := func(plan func(Fleet)) float64 {
--- a/internal/teamrate/limiter_test.go
+++ b/internal/teamrate/limiter_test.go
@@ -367,8 +367,7 @@
 	require.InDelta(t, levelAfter(0)-200, levelAfter(200), 1e-6)
 }
 
-// A hub gets hundreds of reports a second, each of a few teams. If each went over all teams and VMs, a
-// hub of hundreds of both would be busy with nothing else.
+// Guards against reports that take time for each team and VM.
 func TestReportRefillsOnlyTheBucketsItNames(t *testing.T) {
 	now := testEpoch
 	l := New(Tolerance{Units: testToleranceUnits, Window: testWindow}, 1)
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -114,8 +114,7 @@
 	require.Equal(t, ScopeOwn, planOf(vms(7, 4), 0).ScopeFor(all[1]))
 }
 
-// A domain of hundreds of VMs. If one hub sent all of them what it knows, its messages and memory would
-// grow with the fleet, and at twice the size with its square.
+// Guards against a hub whose messages and memory grow with its failure domain.
 func TestPartnersOfAHubDoNotGrowWithItsDomain(t *testing.T) {
 	for _, fleet := range []int{300, 900, 1800} {
 		all := vms(fleet, 6)
@@ -157,8 +156,7 @@
 	require.Less(t, moved, 3*MaxFollowers)
 }
 
-// The hubs of a domain follow its primary, and each other's domains if that fails; VMs prefer hubs of their
-// own domain.
+// Guards against hubs that follow each other, and VMs that leave their domain without need.
 func TestFallbackSources(t *testing.T) {
 	all := vms(400, 2)
 	hub := planOf(all, 2)
--- a/internal/vm/contents_test.go
+++ b/internal/vm/contents_test.go
@@ -39,8 +39,7 @@
 	require.Empty(t, out.Contents, "everything was sent already")
 }
 
-// An adapter is loaded on one of thousands of engines. The report that tells it must not cost more for
-// each engine that has not changed: a hub makes hundreds of reports a second.
+// Guards against reports of one engine that cost more for each engine that has not changed.
 func TestReportOfOneChangeDoesNotGrowWithTheEngines(t *testing.T) {
 	reportCost := func(engines int) float64 {
 		table := newContentsTable()
@@ -64,8 +63,7 @@
 	require.InDelta(t, reportCost(100), reportCost(10_000), 1)
 }
 
-// A new leader reads all engines. If it told what their entries in the store show already, every VM
-// would be sent thousands of engines that it knows.
+// Guards against a new leader that sends every VM all engines.
 func TestLeaderTellsOnlyWhatEntriesDoNotShow(t *testing.T) {
 	entry := &upstream.Instance{OrdersAccepted: 4, Models: []upstream.LoadedModel{{Model: "m", Adapters: []string{"a1"}}}}
 	state := func(orders int64, unloading string, adapters ...string) *engineState {
--- a/internal/vm/follow_test.go
+++ b/internal/vm/follow_test.go
@@ -261,8 +261,7 @@
 	t.publish(written, t.view.missingFrom(written), revision, time.Now())
 }
 
-// One of thousands of entries changes. Neither the hub that tells it nor the VM that learns it may do
-// work for each entry: every VM of the fleet does it for every change.
+// Guards against work for each entry of the view when one of them changes.
 func TestChangeOfOneEntryDoesNotCostMoreInALargeView(t *testing.T) {
 	cost := func(entries int) float64 {
 		hub, follower := testTracker(), testTracker()
@@ -292,8 +291,7 @@
 	require.InDelta(t, cost(100), cost(10_000), 2)
 }
 
-// A hub makes four reports a second for each VM behind it. An upstream that left thirty seconds ago is
-// known to all of them.
+// Guards against naming every departure of the last seconds in each report.
 func TestReportTellsOnlyDeparturesThatTheReceiverMayLack(t *testing.T) {
 	d, now := newDepartures(), time.Now()
 	d.record("i@1@10.0.0.1:80", true, 5, now)
@@ -304,8 +302,7 @@
 	require.ElementsMatch(t, []string{"i", "j"}, d.instances())
 }
 
-// Hundreds of VMs start together and follow one hub. Plain items of thousands of upstreams would fill
-// its link for longer than the VMs may take to serve, and one encoding for each VM its memory.
+// Guards against a hub that sends plain views, each encoded anew, to VMs that start together.
 func TestVMsThatStartShareOnePackedView(t *testing.T) {
 	hub := testTracker()
 	hub.watching = true
@@ -336,8 +333,7 @@
 	require.ErrorIs(t, err, ErrPacked)
 }
 
-// Many upstreams change between two answers of a hub. If it encoded the changes for each of its followers,
-// its link and processor would be busy with copies.
+// Guards against a hub that encodes the same changes for each of its followers.
 func TestFollowersShareOnePackedDelta(t *testing.T) {
 	hub := testTracker()
 	hub.watching = true
--- a/internal/vm/hubs_test.go
+++ b/internal/vm/hubs_test.go
@@ -253,9 +253,7 @@
 	require.Less(t, s.refused/s.requested, 0.02)
 }
 
-// A failure domain is so large that it has several hubs. One of them dies and comes back while a team
-// sends several times its rate: what was admitted must neither be lost nor counted twice, although VMs
-// that were hubs follow others afterwards.
+// Guards against lost or doubled use when one of several hubs of a domain dies and comes back.
 func TestRatesHoldThroughSeveralHubsOfADomain(t *testing.T) {
 	const demand, ticks = 7.5 * hubTestRate / 1.8, 500
 	for seed := range uint64(4) {
--- a/internal/vm/logs_test.go
+++ b/internal/vm/logs_test.go
@@ -42,8 +42,7 @@
 	require.Equal(t, documented, logged)
 }
 
-// Each of hundreds of VMs logs each change of the configuration. The limits of hundreds of teams in each line
-// would be most of the log.
+// Guards against a log line with the limits of all teams at each change.
 func TestLogNamesOnlyLimitsThatChanged(t *testing.T) {
 	catalogOf := func(rates ...float64) *catalog.Catalog {
 		c := &catalog.Catalog{Teams: make(map[string]*catalog.Team)}
--- a/internal/vm/start_test.go
+++ b/internal/vm/start_test.go
@@ -39,8 +39,7 @@
 	return f, s
 }
 
-// Hundreds of VMs start together. If each read all upstreams from the store, its link would be taken for
-// most of the time in which they have to serve again.
+// Guards against hundreds of VMs that each read all upstreams from the store at their start.
 func TestStartingVMGetsItsViewFromAHub(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	f, s := startingTracker(func(context.Context, string, *peerpb.FollowRequest) (*peerpb.FollowResponse, time.Duration, error) {
