vm, changelog, residency: one check for large values, one benchmark of plans, nothing unused

Cause: read again, the change had a twin of isLarge in heldRevisions, two equal benchmarks and Log.Has, which nothing calls. Change: isLarge and benchmarkPlan are used in both places, Has is gone. No behaviour changes. Conclusion: as before, with less to read.

--- a/internal/changelog/log.go
+++ b/internal/changelog/log.go
@@ -28,12 +28,6 @@
 // Len returns the number of keys.
 func (l *Log) Len() int { return len(l.lastChange) }
 
-// Has reports whether the log holds a key.
-func (l *Log) Has(key string) bool {
-	_, ok := l.lastChange[key]
-	return ok
-}
-
 // Record records a change of a key.
 func (l *Log) Record(key string, number uint64) {
 	l.lastChange[key] = number
--- a/internal/residency/large_test.go
+++ b/internal/residency/large_test.go
@@ -38,27 +38,17 @@
 
 // BenchmarkPlanModelsLarge measures the time of one plan for 160 engines. A leader plans several
 // times a second on a fraction of a core.
-func BenchmarkPlanModelsLarge(b *testing.B) {
-	r := rand.New(rand.NewPCG(1, 1))
-	var took time.Duration
-	plans := 0
-	for b.Loop() {
-		f := largeFleet(r, 160)
-		began := time.Now()
-		PlanModels(f)
-		took += time.Since(began)
-		plans++
-	}
-	b.ReportMetric(float64(took.Microseconds())/float64(plans), "us/plan")
-}
+func BenchmarkPlanModelsLarge(b *testing.B) { benchmarkPlan(b, 160) }
 
 // BenchmarkPlanModelsFleet is the same for 4,000 engines.
-func BenchmarkPlanModelsFleet(b *testing.B) {
+func BenchmarkPlanModelsFleet(b *testing.B) { benchmarkPlan(b, 4000) }
+
+func benchmarkPlan(b *testing.B, engines int) {
 	r := rand.New(rand.NewPCG(1, 1))
 	var took time.Duration
 	plans := 0
 	for b.Loop() {
-		f := largeFleet(r, 4000)
+		f := largeFleet(r, engines)
 		began := time.Now()
 		PlanModels(f)
 		took += time.Since(began)
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
-	"github.com/chestnutarch/chestnutarch/internal/patch"
 	"github.com/chestnutarch/chestnutarch/internal/peer"
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/store"
@@ -158,7 +157,7 @@
 	defer t.mu.Unlock()
 	out := make(map[string]int64)
 	for key, item := range t.view.items {
-		if len(item.Value) >= patch.MinBytes {
+		if isLarge(item) {
 			out[key] = item.Revision
 		}
 	}
