platform, traffic: what answers say about later requests is read and logged

Cause: the logs do not tell whether an answer said that its upstream leaves, or for how long it wants no requests. Change: an answer's Server-Leaving and the Retry-After of a 503 or 429 are decoded once, in platform; events upstream_leaving, upstream_retry_after and upstream_retry_after_unreadable. No decision uses them yet. Conclusion: the hypotheses of upstream-pushback can be told apart by logs.

--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -171,6 +171,7 @@
 		return j.sendFailed(ctx, choice, err)
 	}
 	j.recordRateLimit(choice, reply)
+	j.recordPushback(instance, reply)
 	if reply.NotExecuted {
 		return j.refusedByUpstream(choice, reply)
 	}
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -56,6 +56,23 @@
 	c.options.Log.Debug().Str("event", "upstream_rate_limit_unreadable").Str("instance", instance).AnErr("cause", err).Send()
 }
 
+// logLeaving logs that the answer to a request says that its upstream leaves.
+func (c *Core) logLeaving(request string, i *upstream.Instance) {
+	c.options.Log.Info().Str("event", "upstream_leaving").Str("request", request).Str("instance", i.ID).
+		Bool("draining", i.Draining).Dur("upstreams_age_ms", c.options.UpstreamsAge()).Send()
+}
+
+// logRetryAfter logs that an upstream has rejected a request and wants no others for a time.
+func (c *Core) logRetryAfter(request, instance string, d time.Duration) {
+	c.options.Log.Info().Str("event", "upstream_retry_after").Str("request", request).Str("instance", instance).
+		Dur("retry_after_ms", d).Send()
+}
+
+// logRetryAfterUnreadable logs that an upstream has rejected a request for a time that cannot be read.
+func (c *Core) logRetryAfterUnreadable(instance string, err error) {
+	c.options.Log.Debug().Str("event", "upstream_retry_after_unreadable").Str("instance", instance).AnErr("cause", err).Send()
+}
+
 // logEnd logs how a request ended. Lines of requests that were not answered have warn
 // level, for which the log reserves buffer space, so that a flood of successes cannot
 // displace them.
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -88,6 +88,10 @@
 	// that cannot be read.
 	RateLimit      upstream.RateLimit
 	RateLimitError error
+	// Pushback is what the response says about later requests. PushbackError is set if a part of it
+	// cannot be read.
+	Pushback      upstream.Pushback
+	PushbackError error
 	// Body ends with io.EOF only if the response is complete.
 	Body io.Reader
 	// Close ends the exchange. keep means that the body was read to its end, so that the
--- a/internal/upstream/instance.go
+++ b/internal/upstream/instance.go
@@ -59,6 +59,14 @@
 	PerSecond float64
 }
 
+// Pushback is what an answer of an upstream says about the requests that it takes from now on.
+type Pushback struct {
+	// Leaving means that the upstream leaves, and takes no new requests.
+	Leaving bool
+	// RetryAfter is the time for which the upstream wants no requests from this VM, zero if it names none.
+	RetryAfter time.Duration
+}
+
 // SameIncarnation reports whether two descriptions belong to the same incarnation.
 func (i *Instance) SameIncarnation(other *Instance) bool {
 	return i.ID == other.ID && i.Incarnation == other.Incarnation && i.Address == other.Address
