vm, traffic: an upstream whose answer says that it leaves gets no more requests from this VM

What callers saw: with the store away, an engine that left got requests for seconds after VMs had passed on answers which said so; streams that are still there when it exits break off. Cause: a VM learned of a leaving upstream from the store alone. The class: what an upstream says of itself is known at the VM and not kept. Change: an answer, also to an order or a read of an engine's state, that says its upstream leaves is recorded as a departure of kind draining, in the record that the store's entries use, and the instance is draining at once. A departure is remembered as long as its incarnation is known and 30 s longer, in place of 30 s and until the next one: an outage of the store may be longer. A new incarnation is not affected. Why it works: all choices, of first tries, retries, resumed streams and handovers, ask for the availability of an instance, and a draining one has none.

--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -51,6 +51,9 @@
 	// Permit asks for a permit to send a request to an upstream that names a rate limit. needed means
 	// that no other upstream can take the request.
 	Permit func(ctx context.Context, upstream upstreamrate.Key, needed bool) upstreamrate.Decision
+	// RecordLeaving is called with an upstream whose answer says that it leaves. The instance must not be
+	// chosen for any request after it returns.
+	RecordLeaving func(i *upstream.Instance)
 	// UpstreamsAge returns the age of this VM's table of upstreams.
 	UpstreamsAge func() time.Duration
 	// Outdated reports whether a configuration newer than the one in force is known to
--- a/internal/traffic/fakes_test.go
+++ b/internal/traffic/fakes_test.go
@@ -131,6 +131,12 @@
 		VMs:          func() int { return 1 },
 		UpstreamsAge: func() time.Duration { return 0 },
 		Outdated:     func() bool { return false },
+		RecordLeaving: func(i *upstream.Instance) {
+			leaving := *i
+			leaving.Draining = true
+			f.instances[i.ID] = &leaving
+			f.assigner.UpdateInstances([]*upstream.Instance{&leaving}, nil)
+		},
 		EnsureAdapter: func(context.Context, string, string, string) (string, error) {
 			return "", ErrNotSent
 		},
--- a/internal/traffic/pushback.go
+++ b/internal/traffic/pushback.go
@@ -11,6 +11,7 @@
 	}
 	if reply.Pushback.Leaving {
 		j.core.logLeaving(j.request.ID, instance)
+		j.core.options.RecordLeaving(instance)
 	}
 	if reply.Pushback.RetryAfter > 0 {
 		j.core.logRetryAfter(j.request.ID, instance.ID, reply.Pushback.RetryAfter)
--- a/internal/vm/departures.go
+++ b/internal/vm/departures.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// departureRetention is how long an incarnation that left is remembered at least: longer
-	// than an instance goes on serving after it has left. It is dropped when a later departure is
-	// recorded, or earlier if it is used again.
+	// departureRetention is how long an incarnation that left is remembered after its entry was last
+	// known, longer than an instance goes on serving after it has left. It is forgotten earlier if it
+	// is used again.
 	departureRetention = 30 * time.Second
 	// minWritesToReadmit is the number of new revisions of its entry after which an incarnation
 	// that was gone is used again. A single one may be a delayed heartbeat; a live instance keeps
@@ -29,8 +29,9 @@
 }
 
 type departure struct {
-	recorded time.Time
-	draining bool
+	// lastKnown is when the incarnation was last known.
+	lastKnown time.Time
+	draining  bool
 	// seenAt is the revision of the view that showed it.
 	seenAt int64
 	// writes is the number of revisions of the entry seen since the departure, revision the
@@ -64,14 +65,31 @@
 		old.draining = old.draining || draining
 		return
 	}
-	d.byIncarnation[incarnation] = &departure{recorded: now, draining: draining, seenAt: revision}
+	d.byIncarnation[incarnation] = &departure{lastKnown: now, draining: draining, seenAt: revision}
+}
+
+// retain forgets the incarnations that have not been known for a while.
+func (d *departures) retain(known func(incarnation string) bool, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for n, e := range d.byIncarnation {
-		if now.Sub(e.recorded) > departureRetention {
+		switch {
+		case known(n):
+			e.lastKnown = now
+		case now.Sub(e.lastKnown) > departureRetention:
 			delete(d.byIncarnation, n)
 		}
 	}
 }
 
+// isDraining reports whether an incarnation is known to be draining.
+func (d *departures) isDraining(incarnation string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.byIncarnation[incarnation]
+	return e != nil && e.draining
+}
+
 // excluded reports whether an incarnation must get no work although its entry says that it is
 // ready. It counts each new revision of the entry, and forgets an incarnation that may be used
 // again. storeFailed says that a call of the store failed a moment ago, so that leases of live
--- a/internal/vm/departures_test.go
+++ b/internal/vm/departures_test.go
@@ -35,3 +35,19 @@
 	d.record("i@1", false, 1, now)
 	require.False(t, d.excluded("i@1", 10, true))
 }
+
+// A store that is away for minutes still has the entry of an instance that said it leaves, as ready.
+func TestDrainingInstanceIsRememberedWhileItIsKnown(t *testing.T) {
+	d, now := newDepartures(), time.Now()
+	d.record("known@1", true, 1, now)
+	d.record("gone@1", true, 1, now)
+	known := func(incarnation string) bool { return incarnation == "known@1" }
+	for range 10 {
+		now = now.Add(departureRetention)
+		d.retain(known, now)
+	}
+	require.True(t, d.excluded("known@1", 2, true))
+	require.Equal(t, []string{"known"}, d.instances())
+	d.retain(func(string) bool { return false }, now.Add(departureRetention+time.Second))
+	require.Empty(t, d.instances())
+}
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -153,7 +153,12 @@
 	}
 	p.instances.Store(&next)
 	p.assigner.UpdateInstances(changed, removed)
-	p.assigner.RetainRateLimits(time.Now())
+	now := time.Now()
+	p.assigner.RetainRateLimits(now)
+	p.departures.retain(func(incarnation string) bool {
+		i := next[instanceOf(incarnation)]
+		return i != nil && incarnationOf(i) == incarnation
+	}, now)
 }
 
 // summarizeInstances logs how many instances are new, if there are many, and reports whether it did: when
@@ -191,6 +196,23 @@
 	return &copied
 }
 
+// recordLeaving records that an instance itself says that it leaves, which the store may not know for as
+// long as it is unavailable.
+func (p *Process) recordLeaving(i *upstream.Instance) {
+	incarnation := incarnationOf(i)
+	if p.departures.isDraining(incarnation) {
+		return
+	}
+	revision := p.tracker.viewRevision()
+	p.instancesMu.Lock()
+	defer p.instancesMu.Unlock()
+	p.departures.record(incarnation, true, revision, time.Now())
+	known := (*p.instances.Load())[i.ID]
+	if known != nil && known.SameIncarnation(i) && !known.Draining {
+		p.applyInstances(map[string]*upstream.Instance{i.ID: asDraining(known)})
+	}
+}
+
 // applyPeerDepartures marks the instances as draining whose incarnations a VM with a newer view of the
 // store, of the given revision, has seen draining or gone.
 func (p *Process) applyPeerDepartures(incarnations []string, revision int64) {
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -110,10 +110,15 @@
 		return nil, err
 	}
 	p.planner = newPlanner(p)
+	p.replicas.OnCallAnswer = func(i *upstream.Instance, said upstream.Pushback) {
+		if said.Leaving {
+			p.recordLeaving(i)
+		}
+	}
 	p.core = traffic.New(traffic.Options{
 		Upstreams: p.replicas, Assigner: p.assigner, Limiter: p.limiter,
 		Budget:   p.budget,
-		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, Permit: p.fleet.permit, UpstreamsAge: p.tracker.viewAge,
+		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, Permit: p.fleet.permit, RecordLeaving: p.recordLeaving, UpstreamsAge: p.tracker.viewAge,
 		Outdated: func() bool { return p.configurationLag.behind(time.Now()) > 0 },
 		Log:      log, Metrics: p.metrics,
 	})
