assign, traffic: an upstream that asks a VM for no requests for a time gets none from it

What callers saw: engines that shed load got three to five requests of a VM in the three seconds of rest for which they had asked it; each of these costs the caller an exchange and the service a repeat, until its retry budget is used up. Cause: the Retry-After of a rejection was read nowhere. A VM left an engine that rejected a request alone for 0.3 s, for that model only, and a plain service not at all; an upstream that sheds has less in flight than others and is the next choice. The class: a bound that an upstream names and nobody keeps. Change: the Assigner keeps until when an incarnation wants no requests from this VM; until then it is unavailable for first tries, retries, resumed streams, handovers and the last resort, also after its entry has lapsed. A request that only such upstreams could take is held if the first of them takes requests again within half of its objective, and else refused at once with upstreams_retry_later and that time. Such a rejection no longer puts the upstream out of this request's choice for good. Why it works: one function says for which requests an instance is available, and the state is kept by incarnation beside the table of instances, not in it.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -44,6 +44,9 @@
 	// upstreams, nil after a change.
 	rateLimits        *upstreamrate.Table
 	rateLimitSnapshot *upstreamrate.Snapshot
+	// retryAt holds until when upstreams want no requests from this VM. It outlives their entries, which
+	// disappear for a while when the platform's store is away.
+	retryAt map[upstreamrate.Key]time.Time
 	// freed is closed and replaced when a request ends, its first event arrives, or the
 	// leader's record of an engine changes.
 	freed chan struct{}
@@ -53,7 +56,7 @@
 func New() *Assigner {
 	return &Assigner{
 		nodes: make(map[string]*node), ownWork: make(map[string]struct{}), peerWork: make(map[string]map[string]struct{}), speeds: make(map[string]speed), demand: make(map[string]Demand), inUse: make(map[string]int),
-		stallStats: make(map[string]stallStats), rateLimits: upstreamrate.NewTable(), freed: make(chan struct{}),
+		stallStats: make(map[string]stallStats), rateLimits: upstreamrate.NewTable(), retryAt: make(map[upstreamrate.Key]time.Time), freed: make(chan struct{}),
 	}
 }
 
--- a/internal/assign/availability.go
+++ b/internal/assign/availability.go
@@ -23,7 +23,7 @@
 // stateAvailability returns the availability of an instance by its own state.
 func (s *Assigner) stateAvailability(n *node, now time.Time) availability {
 	switch i := n.instance; {
-	case i.Draining:
+	case i.Draining, s.wantsNoRequests(n, now):
 		return unavailable
 	case i.Evacuated() && !now.Before(i.EvacuateBy):
 		return unavailable
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -41,6 +41,7 @@
 func (s *Assigner) Choose(req Request, now time.Time) (*Choice, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.expireRetryAt(now)
 	if req.Model == "" {
 		return s.choosePlain(req, now)
 	}
@@ -66,17 +67,12 @@
 // refuseWithoutInstance refuses a request to a service without engines for which no instance is
 // available.
 func (s *Assigner) refuseWithoutInstance(req Request, now time.Time) *Refused {
-	if wait := s.permitIn(req, now); wait > 0 {
-		return refuseRateLimited(req, wait, now)
+	if refused := s.refuseUntilAccepted(req, now); refused != nil {
+		return refused
 	}
 	return &Refused{Cause: ErrNoUpstream, RetryAfter: retryAfter(now, req, max(s.warmIn(req, now), 300*time.Millisecond))}
 }
 
-// refuseRateLimited refuses a request for which a permit may be available after a time.
-func refuseRateLimited(req Request, wait time.Duration, now time.Time) *Refused {
-	return &Refused{Cause: ErrRateLimited, RetryAfter: retryAfter(now, req, wait), Wait: wait, Holdable: true}
-}
-
 // cheapestPlain returns the instance of an availability with the lowest cost, nil if there is none.
 func (s *Assigner) cheapestPlain(wanted availability, req Request, now time.Time) *node {
 	var best *node
@@ -148,8 +144,10 @@
 
 // refuseWithoutEngine refuses a request for which no engine is available, for the reason cause.
 func (s *Assigner) refuseWithoutEngine(req Request, cause error, now time.Time) *Refused {
-	if wait := s.permitIn(req, now); wait > 0 && cause != ErrAdapterNotLoaded {
-		return refuseRateLimited(req, wait, now)
+	if cause != ErrAdapterNotLoaded {
+		if refused := s.refuseUntilAccepted(req, now); refused != nil {
+			return refused
+		}
 	}
 	wait := loadTimeFor(cause)
 	if warm := s.warmIn(req, now); warm > 0 && cause != ErrAdapterNotLoaded {
@@ -335,7 +333,7 @@
 	if errors.Is(cause, ErrPrefillPaced) {
 		return arrived.Add(objective / pacedHoldDivisor)
 	}
-	if errors.Is(cause, ErrNotLoaded) || errors.Is(cause, ErrAdapterNotLoaded) || errors.Is(cause, ErrCold) || errors.Is(cause, ErrRateLimited) {
+	if errors.Is(cause, ErrNotLoaded) || errors.Is(cause, ErrAdapterNotLoaded) || errors.Is(cause, ErrCold) || errors.Is(cause, ErrRateLimited) || errors.Is(cause, ErrRetryLater) {
 		return arrived.Add(objective / loadHoldDivisor)
 	}
 	return arrived.Add(objective / holdDivisor)
--- a/internal/assign/types.go
+++ b/internal/assign/types.go
@@ -22,6 +22,9 @@
 	// ErrRateLimited means that all instances which could serve the request name a rate limit, and no
 	// permit is available for them.
 	ErrRateLimited = errors.New("assign: every upstream that could serve the request is at its rate limit")
+	// ErrRetryLater means that all instances which could serve the request have asked this VM for no
+	// requests for a time.
+	ErrRetryLater = errors.New("assign: every upstream that could serve the request has asked for no requests for a time")
 	// ErrPrefillPaced means that streams of the engines would stall for too long if the engines
 	// prefilled the prompt now.
 	ErrPrefillPaced = errors.New("assign: prefilling the prompt now would stall the streams of every engine with a free place")
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -171,7 +171,7 @@
 		return j.sendFailed(ctx, choice, err)
 	}
 	j.recordRateLimit(choice, reply)
-	j.recordPushback(instance, reply)
+	j.recordPushback(choice, instance, reply)
 	if reply.NotExecuted {
 		return j.refusedByUpstream(choice, reply)
 	}
@@ -237,6 +237,8 @@
 	_, err := io.Copy(io.Discard, io.LimitReader(reply.Body, maxRefusalBody))
 	reply.Close(err == nil)
 	switch {
+	case reply.Pushback.RetryAfter > 0:
+		// The upstream itself says when it takes requests again, this one included.
 	case j.request.Model == "":
 		j.avoidInstance(choice.Instance)
 	case reply.Misdirected:
@@ -379,6 +381,8 @@
 		return "adapter_not_loaded"
 	case errors.Is(err, assign.ErrRateLimited):
 		return "upstreams_rate_limited"
+	case errors.Is(err, assign.ErrRetryLater):
+		return "upstreams_retry_later"
 	case errors.Is(err, assign.ErrOverloaded), errors.Is(err, assign.ErrPrefillPaced):
 		return "overloaded"
 	case errors.Is(err, ErrRefused):
--- a/internal/traffic/pushback.go
+++ b/internal/traffic/pushback.go
@@ -1,11 +1,14 @@
 package traffic
 
 import (
+	"time"
+
+	"github.com/chestnutarch/chestnutarch/internal/assign"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
 )
 
 // recordPushback records what a response says about the requests that its upstream takes from now on.
-func (j *job) recordPushback(instance *upstream.Instance, reply *Reply) {
+func (j *job) recordPushback(choice *assign.Choice, instance *upstream.Instance, reply *Reply) {
 	if reply.PushbackError != nil {
 		j.core.logRetryAfterUnreadable(instance.ID, reply.PushbackError)
 	}
@@ -15,5 +18,6 @@
 	}
 	if reply.Pushback.RetryAfter > 0 {
 		j.core.logRetryAfter(j.request.ID, instance.ID, reply.Pushback.RetryAfter)
+		j.core.options.Assigner.RecordRetryAfter(choice, reply.Pushback.RetryAfter, time.Now())
 	}
 }
--- a/internal/vm/gauges.go
+++ b/internal/vm/gauges.go
@@ -26,6 +26,7 @@
 		p.setGauge("configuration.behind_ms", p.configurationLag.behind(time.Now()).Milliseconds())
 		p.setGauge("leadership.leads", boolToInt(p.candidate.HoldsLease()))
 		p.setGauge("upstreams.rate_limited", int64(len(p.assigner.RateLimits().InForce())))
+		p.setGauge("upstreams.retry_later", int64(p.assigner.RetryLaterCount(time.Now())))
 		p.updateLoadGauges()
 		sleep(ctx, gaugeInterval)
 	}
