--- a/test/soak/oracle_test.go
+++ b/test/soak/oracle_test.go
@@ -94,6 +94,7 @@
 		o.checkAnswer(a, runs[a.ID])
 	}
 	o.checkRate(runs)
+	o.checkPushback(w, runs)
 	for _, v := range w.vms {
 		v.mu.Lock()
 		for _, end := range v.unexpectedEnds {
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -33,7 +34,9 @@
 	unexpectedEnds []string
 	// disturbed is the time of the last fault of the process or of one of its proxies.
 	disturbed time.Time
-	done      chan struct{}
+	// interruptions are the times of all signals that start, end, pause or resume the process.
+	interruptions []time.Time
+	done          chan struct{}
 }
 
 const (
@@ -82,6 +85,7 @@
 	v.cmd.Env = []string{"CHESTNUTARCH_BOOT=" + v.settingsPath()}
 	v.cmd.Stdout, v.cmd.Stderr = log, log
 	v.endExpected = false
+	v.interruptions = append(v.interruptions, time.Now())
 	if err := v.cmd.Start(); err != nil {
 		v.unexpectedEnds = append(v.unexpectedEnds, err.Error())
 		return false
@@ -114,6 +118,7 @@
 		return
 	}
 	v.disturbed = time.Now()
+	v.interruptions = append(v.interruptions, v.disturbed)
 	switch s {
 	case syscall.SIGTERM, syscall.SIGKILL:
 		v.endExpected = true
@@ -161,6 +166,13 @@
 	}
 }
 
+// interruptedBetween reports whether the process was started, ended, paused or resumed within a time.
+func (v *vm) interruptedBetween(from, to time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.ContainsFunc(v.interruptions, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+}
+
 // markDisturbed records that a fault affects the VM now.
 func (v *vm) markDisturbed() {
 	v.mu.Lock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -24,6 +24,7 @@
 	vmCount        = flag.Int("vms", 4, "number of VMs in a run")
 	evacuations    = flag.Bool("evacuations", false, "evacuate zones, and make engines cold after a restart")
 	rateLimits     = flag.Bool("ratelimits", false, "upstreams name rate limits")
+	pushback       = flag.Bool("pushback", false, "upstreams leave by their answers alone, and shed load")
 	extraRoutes    = flag.Int("routes", 0, "number of additional routes in the configuration; links are narrow if it is above 0")
 	faultTime      = flag.Duration("storm", 6*time.Second, "time during which faults are injected")
 	allRegressions = flag.Bool("regressions", false, "run all regressions, those that CI leaves out included")
@@ -50,13 +51,15 @@
 }
 
 // ciSeeds are the seeds that CI runs. ciSeedLarge is the one that runs with largeRoutes,
-// ciSeedEvacuations the one that runs with evacuations, ciSeedRateLimits the one with rate limits.
+// ciSeedEvacuations the one that runs with evacuations, ciSeedRateLimits the one with rate limits,
+// ciSeedPushback the one in which upstreams leave by their answers alone and shed load.
 var ciSeeds = []uint64{1, 2}
 
 const (
 	ciSeedLarge       = 3
 	ciSeedEvacuations = 4
 	ciSeedRateLimits  = 5
+	ciSeedPushback    = 6
 	// largeRoutes is the number of additional routes with which a configuration takes a second
 	// over a narrow link.
 	largeRoutes = 700
@@ -103,7 +106,7 @@
 // unavailable and compacts its history. What callers and replicas observe must keep the promises
 // throughout, and every kind of request must be served after the faults have ended.
 func TestSoak(t *testing.T) {
-	flags := run{faultTime: *faultTime, routes: *extraRoutes, vms: *vmCount, evacuations: *evacuations, rateLimits: *rateLimits}
+	flags := run{faultTime: *faultTime, routes: *extraRoutes, vms: *vmCount, evacuations: *evacuations, rateLimits: *rateLimits, pushback: *pushback}
 	switch {
 	case *seed != 0:
 		flags.start(t, *seed)
@@ -121,6 +124,7 @@
 		run{faultTime: *faultTime, vms: *vmCount, routes: largeRoutes}.start(t, ciSeedLarge)
 		run{faultTime: *faultTime, vms: *vmCount, evacuations: true}.start(t, ciSeedEvacuations)
 		run{faultTime: *faultTime, vms: *vmCount, rateLimits: true}.start(t, ciSeedRateLimits)
+		run{faultTime: *faultTime, vms: *vmCount, pushback: true}.start(t, ciSeedPushback)
 	}
 }
 
@@ -131,6 +135,7 @@
 	// routes is the number of routes that no caller uses.
 	routes, vms             int
 	evacuations, rateLimits bool
+	pushback                bool
 }
 
 // runRegressions runs the regressions, those with manualOnly only if includeManual is set.
@@ -144,7 +149,7 @@
 
 // arguments returns the command-line arguments of the run.
 func (o run) arguments() string {
-	return fmt.Sprintf("-storm %v -routes %d -vms %d -evacuations=%v -ratelimits=%v", o.faultTime, o.routes, o.vms, o.evacuations, o.rateLimits)
+	return fmt.Sprintf("-storm %v -routes %d -vms %d -evacuations=%v -ratelimits=%v -pushback=%v", o.faultTime, o.routes, o.vms, o.evacuations, o.rateLimits, o.pushback)
 }
 
 func (o run) start(t *testing.T, seed uint64) {
@@ -165,7 +170,7 @@
 	stop := make(chan struct{})
 	go w.refreshEntries(stop)
 	l := startLoad(w, s)
-	w.injectFaults(sortFaults(slices.Concat(w.drawFaults(r, o.faultTime), w.drawEvacuations(r, o.faultTime), w.drawRateLimits(r, o.faultTime))))
+	w.injectFaults(sortFaults(slices.Concat(w.drawFaults(r, o.faultTime), w.drawEvacuations(r, o.faultTime), w.drawRateLimits(r, o.faultTime), w.drawPushback(r, o.faultTime))))
 	w.heal()
 	w.checkRecovery(l)
 	l.stopAndWait()
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -51,6 +51,8 @@
 	evacuations bool
 	// rateLimits is set if upstreams name rate limits.
 	rateLimits bool
+	// pushback is set if upstreams leave by their answers alone, and shed load.
+	pushback bool
 
 	mu       sync.Mutex
 	manifest standin.Manifest
@@ -80,7 +82,7 @@
 // newWorld starts the world of a run. Additional routes make the configuration large, and then the links to
 // the store and between VMs are narrow. With evacuations a third of the upstreams is in evacuatedZone.
 func newWorld(t *testing.T, o run) *world {
-	w := &world{t: t, dir: t.TempDir(), store: standin.NewStore(), oracle: newOracle(), evacuations: o.evacuations, rateLimits: o.rateLimits}
+	w := &world{t: t, dir: t.TempDir(), store: standin.NewStore(), oracle: newOracle(), evacuations: o.evacuations, rateLimits: o.rateLimits, pushback: o.pushback}
 	if o.routes > 0 {
 		w.rate = narrowLinkRate
 	}
