vm: an entry from before an upstream left does not bring it back

What callers saw: a chat ran at an engine 3.4 s after the store had acknowledged that it leaves (DRAIN); whoever is still there when it exits loses the rest of the answer. Cause: the store turns some VMs away while an upstream's entry is removed. VMs in touch see that and tell the others. A hub that was turned away keeps the old entry for 2.2 s after its last failed call, since leases of live upstreams may have lapsed, and forgets what it was told, because its own calls have just failed; the followers of its view do the same. The class: an older state over a newer one, told apart by a failure of calls in place of an order. Change: a departure has the revision of the store at which it was seen; an entry up to that revision never ends it. An entry that is known to be older than its upstream's departure is not kept through an outage. A view never replaces an item by an older one. An upstream that only lost its lease writes its entry again, at a later revision, and is used at once as before. Why it works: revisions of the store order all states of an entry, whatever path they come by.

--- a/internal/vm/departures.go
+++ b/internal/vm/departures.go
@@ -32,10 +32,9 @@
 	// lastKnown is when the incarnation was last known.
 	lastKnown time.Time
 	draining  bool
-	// seenAt is the revision of the view that showed it.
+	// seenAt is the revision of the store at which it was seen. Entries up to that revision are older.
 	seenAt int64
-	// writes is the number of revisions of the entry seen since the departure, revision the
-	// last one seen.
+	// writes is the number of later revisions of the entry that were seen, revision the last one.
 	writes   int
 	revision int64
 }
@@ -57,12 +56,15 @@
 	return id
 }
 
-// record notes that an incarnation is draining or gone in a view of the given revision.
+// record notes that an incarnation is draining or gone at a revision of the store.
 func (d *departures) record(incarnation string, draining bool, revision int64, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if old := d.byIncarnation[incarnation]; old != nil {
 		old.draining = old.draining || draining
+		if revision > old.seenAt {
+			old.seenAt, old.writes, old.revision = revision, 0, 0
+		}
 		return
 	}
 	d.byIncarnation[incarnation] = &departure{lastKnown: now, draining: draining, seenAt: revision}
@@ -93,7 +95,8 @@
 // excluded reports whether an incarnation must get no work although its entry says that it is
 // ready. It counts each new revision of the entry, and forgets an incarnation that may be used
 // again. storeFailed says that a call of the store failed a moment ago, so that leases of live
-// instances may have lapsed.
+// instances may have lapsed. An entry from before the departure shows nothing: a VM that was cut off
+// may still have it, or get it from a hub that was.
 func (d *departures) excluded(incarnation string, revision int64, storeFailed bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -101,7 +104,7 @@
 	if e == nil {
 		return false
 	}
-	if e.draining {
+	if e.draining || revision <= e.seenAt {
 		return true
 	}
 	if revision != e.revision {
@@ -115,6 +118,14 @@
 	return true
 }
 
+// supersedes reports whether an incarnation is known to have left after a revision of its entry was written.
+func (d *departures) supersedes(incarnation string, revision int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.byIncarnation[incarnation]
+	return e != nil && revision <= e.seenAt
+}
+
 // since returns the incarnations that were seen draining or gone in views of at least the given
 // revision: a VM whose view has that revision may not know them.
 func (d *departures) since(revision int64) []string {
--- a/internal/vm/departures_test.go
+++ b/internal/vm/departures_test.go
@@ -51,3 +51,15 @@
 	d.retain(func(string) bool { return false }, now.Add(departureRetention+time.Second))
 	require.Empty(t, d.instances())
 }
+
+// A VM that was cut off still has an entry from before the upstream left; only a newer one shows that it is back.
+func TestOlderEntryDoesNotReviveAnInstanceThatIsGone(t *testing.T) {
+	d, now := newDepartures(), time.Now()
+	d.record("i@1", false, 20, now)
+	for _, revision := range []int64{5, 6, 7, 20} {
+		require.True(t, d.excluded("i@1", revision, true))
+	}
+	d.record("i@1", false, 30, now)
+	require.True(t, d.excluded("i@1", 25, true))
+	require.False(t, d.excluded("i@1", 31, true))
+}
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -53,6 +53,17 @@
 	return changed, unreadable
 }
 
+// revisionsOf returns the revisions of the entries with the given keys, by instance ID.
+func (e *instanceEntries) revisionsOf(keys []string) map[string]int64 {
+	out := make(map[string]int64)
+	for _, key := range keys {
+		if id, ok := platform.InstanceID(key); ok {
+			out[id] = e.byID[id].revision
+		}
+	}
+	return out
+}
+
 func (e *instanceEntries) read(item store.Item, now time.Time) (instanceEntry, error) {
 	entry := instanceEntry{revision: item.Revision}
 	i, err := e.parse(item)
@@ -74,6 +85,7 @@
 	defer p.instancesMu.Unlock()
 	now := time.Now()
 	storeFailed := p.tracker.failedWithin(now, immediateReturnTime)
+	removed := p.entries.revisionsOf(d.removed)
 	ids, unreadable := p.entries.update(v.items, d, now)
 	for _, err := range unreadable {
 		p.log.Debug().Str("event", "instance_unreadable").AnErr("cause", err).Send()
@@ -90,7 +102,7 @@
 		next := p.currentInstance(id, v.revision, storeFailed, now)
 		old := previous[id]
 		if old != nil && (next == nil || !next.SameIncarnation(old)) {
-			p.recordGone(old, v.revision, now)
+			p.recordGone(old, max(v.revision, removed[id], p.entries.byID[id].revision), now)
 		}
 		if next != old {
 			changes[id] = next
@@ -115,7 +127,8 @@
 	return p.evacuations.apply(i)
 }
 
-// recordGone records that an instance is no longer in the view.
+// recordGone records that an incarnation is no longer in the view as of a revision of the store, which
+// may be later than that of the view: entries are also read by themselves.
 func (p *Process) recordGone(old *upstream.Instance, revision int64, now time.Time) {
 	p.departures.record(incarnationOf(old), false, revision, now)
 	p.replicas.Pool.CloseIdle(old.Address)
@@ -189,6 +202,19 @@
 	}
 }
 
+// hasDeparted reports whether the instance that a key of the view describes is known to have left after
+// its entry was written.
+func (p *Process) hasDeparted(key string) bool {
+	id, ok := platform.InstanceID(key)
+	if !ok {
+		return false
+	}
+	p.instancesMu.Lock()
+	defer p.instancesMu.Unlock()
+	entry := p.entries.byID[id]
+	return entry.instance != nil && p.departures.supersedes(entry.incarnation, entry.revision)
+}
+
 // asDraining returns a copy of an instance that is marked as draining.
 func asDraining(i *upstream.Instance) *upstream.Instance {
 	copied := *i
--- a/internal/vm/instances_test.go
+++ b/internal/vm/instances_test.go
@@ -11,6 +11,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
 	"github.com/chestnutarch/chestnutarch/platform"
+	"github.com/chestnutarch/chestnutarch/platform/standin"
 )
 
 // A view of hundreds of upstreams changes several times a second, mostly in one entry. Parsing
@@ -49,3 +50,27 @@
 	require.Len(t, e.byID, 2)
 	require.Equal(t, 4, parses)
 }
+
+// The store turns one VM away while the others see an upstream leave. That VM must not use the entry that it kept, once it reaches the store again.
+func TestEntryThatOthersSawRemovedIsNotUsedAfterAnOutageOfOneVM(t *testing.T) {
+	leaving, other := standin.NewReplica("clerk-1", 0), standin.NewReplica("clerk-2", 0)
+	c := newCluster(t, leaving, other)
+	refused, inTouch := c.start("a"), c.start("b")
+	c.eventually(func() bool { return refused.fleet.size() == 2 && inTouch.fleet.size() == 2 })
+	refused.storeRefuses.Store(true)
+	c.eventually(func() bool { return refused.tracker.viewAge() > minWatchPause+minRetryPause })
+	c.store.Delete("servers/" + leaving.ID)
+	c.eventually(func() bool { return refused.instance(leaving.ID).Draining })
+	refused.storeRefuses.Store(false)
+	for until := time.Now().Add(lapsedGrace + time.Second); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		i := refused.instance(leaving.ID)
+		require.True(t, i == nil || i.Draining)
+	}
+
+	c.setReplicaState(leaving.ID, "ready")
+	c.eventually(func() bool {
+		c.setReplicaState(leaving.ID, "ready")
+		i := refused.instance(leaving.ID)
+		return i != nil && !i.Draining
+	})
+}
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -43,6 +43,9 @@
 	// one before, with the lock held. It must not keep the view's items.
 	onChange  func(view, viewDelta)
 	hubClient hubClient
+	// departed, unless nil, reports whether the instance that a key of the view describes is known to have
+	// left.
+	departed  func(key string) bool
 	values    valueHistory
 	snapshots snapshots
 	deltas    deltas
@@ -222,7 +225,7 @@
 // key is in the view, and a VM without a registration stays a member while its reports arrive. It
 // must be called with the lock held.
 func (t *tracker) keepLapsed(key string, now time.Time) bool {
-	if !strings.HasPrefix(key, platform.InstancePrefix) || t.failedAt.IsZero() {
+	if !strings.HasPrefix(key, platform.InstancePrefix) || t.failedAt.IsZero() || (t.departed != nil && t.departed(key)) {
 		return false
 	}
 	until, ok := t.lapsed[key]
--- a/internal/vm/view.go
+++ b/internal/vm/view.go
@@ -27,7 +27,8 @@
 }
 
 // apply writes items, removes keys, and returns the difference. A key that is written and removed
-// is removed.
+// is removed. An item that is older than the view's is not written: entries may have been read after
+// the revision of a hub's view.
 func (v *view) apply(written []store.Item, removed []string) viewDelta {
 	var delta viewDelta
 	gone := make(map[string]bool, len(removed))
@@ -40,7 +41,7 @@
 	}
 	for _, item := range written {
 		before, ok := v.items[item.Key]
-		if gone[item.Key] || (ok && before.Revision == item.Revision) {
+		if gone[item.Key] || (ok && before.Revision >= item.Revision) {
 			continue
 		}
 		v.items[item.Key] = item
