vm: VMs tell each other which upstreams leave, and keep states that the store has replaced

Cause: what a VM knows of a leaving upstream was lost in two ways. Of several states of an entry in one answer of the store only the last was read, so an upstream that drained and was removed between two readings had only gone, which later writes undo. And reports named departures without their kind, to VMs with an older view of the store alone: a VM that had started since, or whose view was as new, did not learn that an upstream had said it leaves. Change: a departure carries its kind, its revision and for how long its incarnation has been unknown; each VM numbers its changes and tells a partner what that has not acknowledged. A departure that is older than the receiver's entry is ignored, and one that is told counts from when its incarnation was last known to anyone, so VMs forget it together. States of instances that a later event of the same answer replaces are looked at for draining. A report without news carries three numbers more. Conclusion: one record of departures for the store's entries, reports and answers. The field 11 of reports ends; in a fleet of both builds, departures reach VMs by their views alone.

--- a/internal/vm/departures.go
+++ b/internal/vm/departures.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
 )
 
@@ -20,12 +21,14 @@
 	minWritesToReadmit = 2
 )
 
-// departures remembers incarnations that were seen draining or gone. A draining one is not used
-// again while it is remembered. One whose entry was removed may only have been cut off from the
-// store, and is used again once it keeps writing.
+// departures remembers incarnations that were seen draining or gone, whether the store, the upstream
+// itself or another VM told so. A draining one is not used again while it is remembered. One whose entry
+// was removed may only have been cut off from the store, and is used again once it keeps writing.
 type departures struct {
 	mu            sync.Mutex
 	byIncarnation map[string]*departure
+	// version counts the changes that other VMs have to be told.
+	version uint64
 }
 
 type departure struct {
@@ -37,6 +40,8 @@
 	// writes is the number of later revisions of the entry that were seen, revision the last one.
 	writes   int
 	revision int64
+	// changedAt is the version at which it last changed.
+	changedAt uint64
 }
 
 func newDepartures() *departures { return &departures{byIncarnation: make(map[string]*departure)} }
@@ -56,18 +61,26 @@
 	return id
 }
 
-// record notes that an incarnation is draining or gone at a revision of the store.
-func (d *departures) record(incarnation string, draining bool, revision int64, now time.Time) {
+// record notes that an incarnation, last known at a time, is draining or gone at a revision of the store.
+func (d *departures) record(incarnation string, draining bool, revision int64, lastKnown time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if old := d.byIncarnation[incarnation]; old != nil {
-		old.draining = old.draining || draining
-		if revision > old.seenAt {
-			old.seenAt, old.writes, old.revision = revision, 0, 0
-		}
+	e := d.byIncarnation[incarnation]
+	switch {
+	case e == nil:
+		e = &departure{lastKnown: lastKnown, draining: draining, seenAt: revision}
+		d.byIncarnation[incarnation] = e
+	case e.draining:
+		return
+	case draining:
+		e.draining = true
+	case revision > e.seenAt:
+		e.seenAt, e.writes, e.revision = revision, 0, 0
+	default:
 		return
 	}
-	d.byIncarnation[incarnation] = &departure{lastKnown: now, draining: draining, seenAt: revision}
+	d.version++
+	e.changedAt = d.version
 }
 
 // retain forgets the incarnations that have not been known for a while.
@@ -126,18 +139,21 @@
 	return e != nil && revision <= e.seenAt
 }
 
-// since returns the incarnations that were seen draining or gone in views of at least the given
-// revision: a VM whose view has that revision may not know them.
-func (d *departures) since(revision int64) []string {
+// since returns the departures that have changed since a version, and the present version.
+func (d *departures) since(version uint64, now time.Time) (out []*peerpb.Departure, current uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var out []string
+	if version == d.version {
+		return nil, d.version
+	}
 	for n, e := range d.byIncarnation {
-		if e.seenAt >= revision {
-			out = append(out, n)
+		if e.changedAt > version {
+			out = append(out, &peerpb.Departure{
+				Incarnation: n, Draining: e.draining, Revision: e.seenAt, UnknownMs: now.Sub(e.lastKnown).Milliseconds(),
+			})
 		}
 	}
-	return out
+	return out, d.version
 }
 
 // instances returns the IDs of the instances whose departure is remembered.
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -106,14 +106,15 @@
 	unavailableAsHub bool
 	// leads is set if it sends orders to engines.
 	leads bool
-	// viewRevision is the revision of its view of the store, as it last reported it.
-	viewRevision int64
 	// rateLimitsDigest is the digest of the rate limits that it last reported. rateLimitsVersion is the
 	// version of this VM's rate limits when both last had the same.
 	rateLimitsDigest, rateLimitsVersion uint64
 	// applied is the position up to which its reports were applied here, acknowledged the
 	// position up to which it has applied reports of this VM.
 	applied, acknowledged progress
+	// departuresApplied is the version of its departures that was applied here, departuresAcknowledged the
+	// version of this VM's that it has applied.
+	departuresApplied, departuresAcknowledged uint64
 }
 
 // progress is the position up to which one VM has applied another VM's reports. It restarts
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -109,6 +109,13 @@
 		}
 	}
 	p.applyInstances(changes)
+	p.departures.retain(p.knowsIncarnation, now)
+}
+
+// knowsIncarnation reports whether an incarnation of an instance is known.
+func (p *Process) knowsIncarnation(incarnation string) bool {
+	i := p.instance(instanceOf(incarnation))
+	return i != nil && incarnationOf(i) == incarnation
 }
 
 // currentInstance returns an instance as its entry, its departure and the evacuations tell, nil if it
@@ -166,12 +173,7 @@
 	}
 	p.instances.Store(&next)
 	p.assigner.UpdateInstances(changed, removed)
-	now := time.Now()
-	p.assigner.RetainRateLimits(now)
-	p.departures.retain(func(incarnation string) bool {
-		i := next[instanceOf(incarnation)]
-		return i != nil && incarnationOf(i) == incarnation
-	}, now)
+	p.assigner.RetainRateLimits(time.Now())
 }
 
 // summarizeInstances logs how many instances are new, if there are many, and reports whether it did: when
@@ -215,6 +217,19 @@
 	return entry.instance != nil && p.departures.supersedes(entry.incarnation, entry.revision)
 }
 
+// recordSuperseded records what states of instances tell that the store had replaced by the time this VM
+// read them.
+func (p *Process) recordSuperseded(items []store.Item) {
+	p.instancesMu.Lock()
+	defer p.instancesMu.Unlock()
+	for _, item := range items {
+		i, err := p.entries.parse(item)
+		if err == nil && i.Draining {
+			p.departures.record(incarnationOf(i), true, item.Revision, time.Now())
+		}
+	}
+}
+
 // asDraining returns a copy of an instance that is marked as draining.
 func asDraining(i *upstream.Instance) *upstream.Instance {
 	copied := *i
@@ -238,24 +253,3 @@
 		p.applyInstances(map[string]*upstream.Instance{i.ID: asDraining(known)})
 	}
 }
-
-// applyPeerDepartures marks the instances as draining whose incarnations a VM with a newer view of the
-// store, of the given revision, has seen draining or gone.
-func (p *Process) applyPeerDepartures(incarnations []string, revision int64) {
-	if len(incarnations) == 0 {
-		return
-	}
-	p.instancesMu.Lock()
-	defer p.instancesMu.Unlock()
-	known := *p.instances.Load()
-	changes := make(map[string]*upstream.Instance)
-	for _, incarnation := range incarnations {
-		i := known[instanceOf(incarnation)]
-		if i == nil || i.Draining || incarnationOf(i) != incarnation {
-			continue
-		}
-		p.departures.record(incarnation, false, revision, time.Now())
-		changes[i.ID] = asDraining(i)
-	}
-	p.applyInstances(changes)
-}
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -99,7 +99,7 @@
 		isHub:      func() bool { return p.fleet.isHub() },
 		setMembers: func(members map[string]store.Item) { p.fleet.updateRegistrations(members) },
 	})
-	p.tracker.departed = p.hasDeparted
+	p.tracker.departed, p.tracker.onSuperseded = p.hasDeparted, p.recordSuperseded
 	p.candidate = leadership.New(leadership.Options{
 		Store: p.store, VM: s.VM, Prefix: projectPrefix, LeaseMin: s.Store.LeaseMin,
 		TakeoverDelay: s.Bounds.OrderLease, Clock: clock.Boot(), Log: log,
--- a/internal/vm/reports.go
+++ b/internal/vm/reports.go
@@ -25,7 +25,6 @@
 		now := time.Now()
 		f.aggregator.setOwn(f.ownWork, now)
 		f.aggregator.fillReport(out, scope, receiver, since, now)
-		out.Leaving = f.process.departures.since(f.viewRevisionOf(receiver))
 	}
 	if leads || (scope != topology.ScopeOwn && scope != topology.ScopePresence) {
 		f.process.planner.contents.addUnsent(out, receiver)
@@ -34,7 +33,7 @@
 }
 
 // addMemberState acknowledges in a report what was applied of the receiver's reports, and adds the rate
-// limits that the receiver may lack. It returns the report's scope, and the version that the receiver
+// limits and departures of upstreams that the receiver may lack. It returns the report's scope, and the version that the receiver
 // has acknowledged in that scope.
 func (f *fleet) addMemberState(out *peerpb.VMReport, receiver string, limits *upstreamrate.Snapshot) (scope topology.Scope, since uint64) {
 	f.mu.Lock()
@@ -44,6 +43,7 @@
 		return topology.ScopePresence, 0
 	}
 	m.addRateLimits(out, limits)
+	m.addDepartures(out, f.process.departures)
 	out.AcknowledgedIncarnation = m.Incarnation
 	out.Acknowledged, out.AcknowledgedScope = m.applied.version, int32(m.applied.scope)
 	scope = f.plan.ScopeFor(topology.VM{Name: receiver, Domain: m.Domain, Leader: m.leads})
@@ -53,16 +53,6 @@
 	return scope, since
 }
 
-// viewRevisionOf returns the revision of another VM's view of the store, as it last reported it.
-func (f *fleet) viewRevisionOf(vm string) int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if m := f.members[vm]; m != nil {
-		return m.viewRevision
-	}
-	return 0
-}
-
 // ownWork returns the work of this VM itself.
 func (f *fleet) ownWork() work {
 	return work{
@@ -101,10 +91,10 @@
 		return
 	}
 	m.sequence, m.lastReport, m.ready, m.leads = r.Sequence, now, r.Ready, r.Leads
-	m.rateLimitsDigest, m.viewRevision = r.RateLimitsDigest, r.ViewRevision
-	m.acknowledged = progress{}
+	m.rateLimitsDigest = r.RateLimitsDigest
+	m.acknowledged, m.departuresAcknowledged = progress{}, 0
 	if r.AcknowledgedIncarnation == f.incarnation {
-		m.acknowledged = progress{topology.Scope(r.AcknowledgedScope), r.Acknowledged}
+		m.acknowledged, m.departuresAcknowledged = progress{topology.Scope(r.AcknowledgedScope), r.Acknowledged}, r.DeparturesAcknowledged
 	}
 	accepted := f.acceptReport(m, r)
 	if accepted {
@@ -117,9 +107,7 @@
 		f.applyWork(r, follows, now)
 	}
 	f.process.planner.applyContents(r)
-	if r.ViewRevision > f.process.tracker.viewRevision() {
-		f.process.applyPeerDepartures(r.Leaving, r.ViewRevision)
-	}
+	f.applyDepartures(m, r, now)
 	f.process.applyPeerEvacuations(r)
 	f.applyRateLimits(r.RateLimits, r.Vm)
 	f.process.configurationLag.recordPeerRevision(r.ConfigurationRevision, now)
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -43,6 +43,9 @@
 	// one before, with the lock held. It must not keep the view's items.
 	onChange  func(view, viewDelta)
 	hubClient hubClient
+	// onSuperseded, unless nil, is called with the states of instances that a later event of the same answer replaces,
+	// with the lock held.
+	onSuperseded func([]store.Item)
 	// departed, unless nil, reports whether the instance that a key of the view describes is known to have
 	// left.
 	departed  func(key string) bool
@@ -198,13 +201,20 @@
 	now := time.Now()
 	// Of several events of a key the last one counts.
 	newest := make(map[string]store.Event, len(events.Events))
+	var superseded []store.Item
 	for _, e := range events.Events {
 		if e.Revision < t.view.items[e.Key].Revision || e.Revision < newest[e.Key].Revision {
 			// The key was read after this change.
 			continue
 		}
+		if earlier, ok := newest[e.Key]; ok && !earlier.Deleted && strings.HasPrefix(e.Key, platform.InstancePrefix) {
+			superseded = append(superseded, earlier.Item)
+		}
 		newest[e.Key] = e
 	}
+	if len(superseded) > 0 && t.onSuperseded != nil {
+		t.onSuperseded(superseded)
+	}
 	var written []store.Item
 	var removed []string
 	for key, e := range newest {
