vm: the view of a hub that is behind is no departure

Cause: a VM that lost its hub reads the keys under leases, at a later revision than its view's. The next hub may not have seen the newest entries; its view removed these upstreams, which counted as departures at the revision of the entry that was missing. With this VM would have told all others. Change: a view has the revision up to which keys under leases are known; a departure is recorded at that revision, and none if the entry was written after it. Conclusion: a departure is what a view of a later revision shows.

--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -167,7 +167,7 @@
 // merge merges a hub's answer into the view. It must be called with the lock held.
 func (t *tracker) merge(answer *peerpb.FollowResponse, now time.Time) error {
 	if !answer.Whole && len(answer.Items) == 0 && len(answer.Packed) == 0 && len(answer.Removed) == 0 {
-		t.view.revision = answer.Revision
+		t.view.revision, t.view.leasedRevision = answer.Revision, answer.Revision
 		return nil
 	}
 	packed, err := unpackItems(answer.Packed)
@@ -191,7 +191,7 @@
 		removed = t.view.missingFrom(written)
 	}
 	clear(t.lapsed)
-	t.publish(written, removed, answer.Revision, now)
+	t.publish(written, removed, answer.Revision, answer.Revision, now)
 	return nil
 }
 
--- a/internal/vm/follow_test.go
+++ b/internal/vm/follow_test.go
@@ -260,7 +260,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	written := slices.Collect(maps.Values(items))
-	t.publish(written, t.view.missingFrom(written), revision, time.Now())
+	t.publish(written, t.view.missingFrom(written), revision, revision, time.Now())
 }
 
 // Guards against work for each entry of the view when one of them changes.
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -102,7 +102,7 @@
 		next := p.currentInstance(id, v.revision, storeFailed, now)
 		old := previous[id]
 		if old != nil && (next == nil || !next.SameIncarnation(old)) {
-			p.recordGone(old, max(v.revision, removed[id], p.entries.byID[id].revision), now)
+			p.recordGone(old, removed[id], max(v.leasedRevision, p.entries.byID[id].revision), now)
 		}
 		if next != old {
 			changes[id] = next
@@ -134,10 +134,12 @@
 	return p.evacuations.apply(i)
 }
 
-// recordGone records that an incarnation is no longer in the view as of a revision of the store, which
-// may be later than that of the view: entries are also read by themselves.
-func (p *Process) recordGone(old *upstream.Instance, revision int64, now time.Time) {
-	p.departures.record(incarnationOf(old), false, revision, now)
+// recordGone records that an instance, whose entry was last written at a revision, is no longer in the
+// view, which is that of a later revision. An earlier one is the view of a hub that has not seen the entry yet.
+func (p *Process) recordGone(old *upstream.Instance, written, revision int64, now time.Time) {
+	if written <= revision {
+		p.departures.record(incarnationOf(old), false, revision, now)
+	}
 	p.replicas.Pool.CloseIdle(old.Address)
 	p.log.Info().Str("event", "instance_gone").Str("instance", old.ID).Str("address", old.Address).Send()
 }
--- a/internal/vm/peer_departures_test.go
+++ b/internal/vm/peer_departures_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/platform/standin"
 )
@@ -37,6 +38,13 @@
 	require.Equal(t, ran, len(leaving.Runs()))
 }
 
+// entryAt returns a replica's entry as the store holds it after a write at a revision.
+func (c *cluster) entryAt(r *standin.Replica, state string, revision int64) store.Item {
+	value, err := json.Marshal(r.Entry("clerk", c.servers[r.ID].Listener.Addr().String(), "a", state))
+	require.NoError(c.t, err)
+	return store.Item{Key: "servers/" + r.ID, Value: value, Revision: revision}
+}
+
 // An instance drains and its entry is removed before a VM's next reading of the store; a late heartbeat then writes it as ready.
 func TestDrainingStateIsNotLostBetweenTwoReadings(t *testing.T) {
 	r := standin.NewReplica("clerk-1", 0)
@@ -44,10 +52,8 @@
 	p := c.start("a").idle(t)
 	revision := int64(1000)
 	write := func(state string) store.Event {
-		value, err := json.Marshal(r.Entry("clerk", c.servers[r.ID].Listener.Addr().String(), "a", state))
-		require.NoError(t, err)
 		revision++
-		return store.Event{Item: store.Item{Key: "servers/" + r.ID, Value: value, Revision: revision}}
+		return store.Event{Item: c.entryAt(r, state, revision)}
 	}
 	remove := func() store.Event {
 		revision++
@@ -109,3 +115,35 @@
 	v.applyPeerDepartures(told, time.Now())
 	require.True(t, v.instance(r.ID).Draining)
 }
+
+// A VM that lost its hub has read entries that are newer than the view of the next hub. That view neither removes an upstream for good nor brings one back.
+func TestHubThatIsBehindChangesNoUpstream(t *testing.T) {
+	started, left := standin.NewReplica("clerk-1", 0), standin.NewReplica("clerk-2", 0)
+	c := newCluster(t, started, left)
+	p := c.start("a").idle(t)
+	read := func(leasedRevision int64, items ...store.Item) {
+		p.tracker.mu.Lock()
+		defer p.tracker.mu.Unlock()
+		p.tracker.replaceView(items, 40, leasedRevision)
+	}
+	follow := func(revision int64, items ...store.Item) {
+		answer := &peerpb.FollowResponse{Whole: true, Revision: revision, FailedMs: 0}
+		for _, i := range items {
+			answer.Items = append(answer.Items, &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision})
+		}
+		_, err := p.tracker.applyHubView(answer, time.Now())
+		require.NoError(t, err)
+	}
+	read(40, c.entryAt(left, "ready", 30))
+	read(60, c.entryAt(started, "ready", 50))
+	require.NotNil(t, p.instance(started.ID))
+	require.Nil(t, p.instance(left.ID))
+
+	follow(45, c.entryAt(left, "ready", 30))
+	require.Nil(t, p.instance(started.ID))
+	require.True(t, p.instance(left.ID).Draining)
+
+	follow(61, c.entryAt(started, "ready", 50))
+	require.False(t, p.instance(started.ID).Draining)
+	require.Nil(t, p.instance(left.ID))
+}
--- a/internal/vm/read_view.go
+++ b/internal/vm/read_view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -77,7 +78,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.replaceView(listing.Items, listing.Revision)
+	t.replaceView(listing.Items, listing.Revision, listing.Revision)
 	return nil
 }
 
@@ -87,12 +88,14 @@
 // this at the same time, and the configuration is most of what the store holds.
 func (t *tracker) listLeased(ctx context.Context) error {
 	var items []store.Item
+	revision := int64(math.MaxInt64)
 	for _, prefix := range leasedPrefixes {
 		listing, err := t.store.Range(ctx, prefix)
 		if err != nil {
 			return err
 		}
 		items = append(items, listing.Items...)
+		revision = min(revision, listing.Revision)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -103,7 +106,7 @@
 	}
 	// replaceView sets completeAt to now, but the keys that were not read may be outdated.
 	completeAt := t.completeAt
-	t.replaceView(items, t.view.revision)
+	t.replaceView(items, t.view.revision, revision)
 	t.completeAt = completeAt
 	return nil
 }
--- a/internal/vm/reports.go
+++ b/internal/vm/reports.go
@@ -33,8 +33,8 @@
 }
 
 // addMemberState acknowledges in a report what was applied of the receiver's reports, and adds the rate
-// limits and departures of upstreams that the receiver may lack. It returns the report's scope, and the version that the receiver
-// has acknowledged in that scope.
+// limits and departures of upstreams that the receiver may lack. It returns the report's scope, and the
+// version that the receiver has acknowledged in that scope.
 func (f *fleet) addMemberState(out *peerpb.VMReport, receiver string, limits *upstreamrate.Snapshot) (scope topology.Scope, since uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -43,8 +43,8 @@
 	// one before, with the lock held. It must not keep the view's items.
 	onChange  func(view, viewDelta)
 	hubClient hubClient
-	// onSuperseded, unless nil, is called with the states of instances that a later event of the same answer replaces,
-	// with the lock held.
+	// onSuperseded, unless nil, is called with the states of instances that a later event of the same
+	// answer replaces, with the lock held.
 	onSuperseded func([]store.Item)
 	// departed, unless nil, reports whether the instance that a key of the view describes is known to have
 	// left.
@@ -172,9 +172,9 @@
 	return t.view.revision
 }
 
-// replaceView replaces the view by the items that were read, and keeps lapsed entries. It must be
-// called with the lock held.
-func (t *tracker) replaceView(items []store.Item, revision int64) {
+// replaceView replaces the view by the items that were read, those under leases at leasedRevision, and
+// keeps lapsed entries. It must be called with the lock held.
+func (t *tracker) replaceView(items []store.Item, revision, leasedRevision int64) {
 	now := time.Now()
 	read := make(map[string]bool, len(items))
 	for _, item := range items {
@@ -192,7 +192,7 @@
 		}
 	}
 	t.watching = true
-	t.publish(items, removed, revision, now)
+	t.publish(items, removed, revision, leasedRevision, now)
 }
 
 func (t *tracker) applyEvents(events store.Events) {
@@ -225,7 +225,7 @@
 			removed = append(removed, key)
 		}
 	}
-	t.publish(written, removed, events.Revision, now)
+	t.publish(written, removed, events.Revision, max(events.Revision, t.view.leasedRevision), now)
 }
 
 // keepLapsed reports whether an entry that has disappeared is to be kept for now: if a call of
@@ -248,7 +248,7 @@
 
 // publish applies changes to the view and calls onChange. It also removes the entries that were
 // kept until the time recorded in lapsed. It must be called with the lock held.
-func (t *tracker) publish(written []store.Item, removed []string, revision int64, now time.Time) {
+func (t *tracker) publish(written []store.Item, removed []string, revision, leasedRevision int64, now time.Time) {
 	for key, until := range t.lapsed {
 		if now.After(until) {
 			removed = append(removed, key)
@@ -260,7 +260,7 @@
 		t.log.Info().Str("event", "store_regained").Int64("revision", revision).Send()
 	}
 	delta := t.view.apply(written, removed)
-	t.view.revision = revision
+	t.view.revision, t.view.leasedRevision = revision, leasedRevision
 	t.changes.record(delta)
 	for _, key := range delta.changed {
 		t.values.record(t.view.items[key])
--- a/internal/vm/view.go
+++ b/internal/vm/view.go
@@ -10,8 +10,9 @@
 // view is the state of the store as this VM knows it.
 type view struct {
 	items map[string]store.Item
-	// revision is the revision of the store up to which the items contain all changes.
-	revision int64
+	// revision is the revision of the store up to which the items contain all changes, leasedRevision the
+	// same for the keys under leases, which are also read by themselves.
+	revision, leasedRevision int64
 }
 
 // viewDelta is the difference between two views: the keys that were added or have another revision,
