vm, traffic: an adapter is loaded elsewhere while its engine wants no requests from the asking VM

Cause: with the retry times kept, a request for an adapter whose only engine rests asked the leader up to five times, was told the resting engine each time, and was refused with adapter_not_loaded, though other engines held the model. Change: the question to the leader names the engines that hold the item and want no requests from the asking VM; the leader places the adapter on another one. Conclusion: callers are served as long as another engine holds the model and has room.

--- a/internal/assign/retryafter.go
+++ b/internal/assign/retryafter.go
@@ -25,6 +25,21 @@
 	return len(s.retryAt)
 }
 
+// RetryLaterHolders returns the instances that hold the item of a request, and want no requests from this
+// VM at present.
+func (s *Assigner) RetryLaterHolders(req Request, now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireRetryAt(now)
+	var out []string
+	for k := range s.retryAt {
+		if n := s.nodes[k.Instance]; n != nil && n.key() == k && n.holdsItemOf(req) {
+			out = append(out, k.Instance)
+		}
+	}
+	return out
+}
+
 // expireRetryAt forgets the upstreams that may get requests again.
 func (s *Assigner) expireRetryAt(now time.Time) {
 	maps.DeleteFunc(s.retryAt, func(_ upstreamrate.Key, until time.Time) bool { return !now.Before(until) })
--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -98,7 +98,9 @@
 func (j *job) ensureAdapter(ctx context.Context, req assign.Request) bool {
 	ctx, cancel := context.WithTimeout(ctx, min(ensureTimeout, time.Until(j.deadline)))
 	defer cancel()
-	instance, err := j.core.options.EnsureAdapter(ctx, req.Service, req.Model, req.Adapter)
+	instance, err := j.core.options.EnsureAdapter(ctx, AdapterRequest{
+		Service: req.Service, Model: req.Model, Adapter: req.Adapter, Avoid: j.core.options.Assigner.RetryLaterHolders(req, time.Now()),
+	})
 	if err != nil || instance == "" {
 		return false
 	}
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -47,7 +47,7 @@
 	// VMs returns how many VMs share the retry budget.
 	VMs func() int
 	// EnsureAdapter has an adapter loaded on an engine and returns the engine's ID.
-	EnsureAdapter func(ctx context.Context, service, model, adapter string) (string, error)
+	EnsureAdapter func(ctx context.Context, q AdapterRequest) (string, error)
 	// Permit asks for a permit to send a request to an upstream that names a rate limit. needed means
 	// that no other upstream can take the request.
 	Permit func(ctx context.Context, upstream upstreamrate.Key, needed bool) upstreamrate.Decision
@@ -63,6 +63,13 @@
 	Metrics  metrics.Registry
 }
 
+// AdapterRequest asks for an engine that holds an adapter.
+type AdapterRequest struct {
+	Service, Model, Adapter string
+	// Avoid lists the engines that cannot take the request which needs the adapter.
+	Avoid []string
+}
+
 // Core serves requests. It is safe for concurrent use.
 type Core struct {
 	options Options
--- a/internal/traffic/fakes_test.go
+++ b/internal/traffic/fakes_test.go
@@ -137,7 +137,7 @@
 			f.instances[i.ID] = &leaving
 			f.assigner.UpdateInstances([]*upstream.Instance{&leaving}, nil)
 		},
-		EnsureAdapter: func(context.Context, string, string, string) (string, error) {
+		EnsureAdapter: func(context.Context, AdapterRequest) (string, error) {
 			return "", ErrNotSent
 		},
 		Log: zerolog.New(f.log),
--- a/internal/vm/adapters.go
+++ b/internal/vm/adapters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/catalog"
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/residency"
+	"github.com/chestnutarch/chestnutarch/internal/traffic"
 	"github.com/chestnutarch/chestnutarch/platform"
 )
 
@@ -22,23 +24,26 @@
 
 // ensureAdapter makes sure that an engine holds an adapter and returns the engine's ID. Concurrent calls
 // for the same adapter share one load.
-func (l *planner) ensureAdapter(ctx context.Context, service, model, adapter string) (string, error) {
-	item := residency.Item(model, adapter)
+func (l *planner) ensureAdapter(ctx context.Context, q traffic.AdapterRequest) (string, error) {
+	item := residency.Item(q.Model, q.Adapter)
 	l.mu.Lock()
 	if pending := l.pendingAdapters[item]; pending != nil {
 		l.mu.Unlock()
 		select {
 		case <-pending.done:
-			return pending.instance, pending.err
 		case <-ctx.Done():
 			return "", errors.Wrap(ErrOrder, ctx.Err().Error())
 		}
+		if slices.Contains(q.Avoid, pending.instance) {
+			return l.placeAdapter(ctx, q)
+		}
+		return pending.instance, pending.err
 	}
 	pending := &pendingAdapter{done: make(chan struct{})}
 	l.pendingAdapters[item] = pending
 	l.mu.Unlock()
 	// The load continues if the first caller cancels: others may wait for it.
-	pending.instance, pending.err = l.placeAdapter(context.WithoutCancel(ctx), service, model, adapter)
+	pending.instance, pending.err = l.placeAdapter(context.WithoutCancel(ctx), q)
 	close(pending.done)
 	l.mu.Lock()
 	delete(l.pendingAdapters, item)
@@ -47,18 +52,18 @@
 }
 
 // placeAdapter returns an engine that holds an adapter, after loading it if need be.
-func (l *planner) placeAdapter(ctx context.Context, service, model, adapter string) (string, error) {
+func (l *planner) placeAdapter(ctx context.Context, q traffic.AdapterRequest) (string, error) {
 	k := l.p.core.Catalog()
-	if _, ok := l.p.candidate.Authority(); !ok || k == nil || k.Services[service] == nil || k.Services[service].Engine == nil {
+	if _, ok := l.p.candidate.Authority(); !ok || k == nil || k.Services[q.Service] == nil || k.Services[q.Service].Engine == nil {
 		return "", errors.WithStack(ErrNotLeader)
 	}
-	spec := k.Services[service].Engine
-	item := residency.Item(model, adapter)
-	engines := l.enginesHolding(service, model)
+	spec := k.Services[q.Service].Engine
+	item := residency.Item(q.Model, q.Adapter)
+	engines := slices.DeleteFunc(l.enginesHolding(q.Service, q.Model), func(e residency.Engine) bool { return slices.Contains(q.Avoid, e.ID) })
 	l.mu.Lock()
 	l.lastUsed[item] = time.Now()
 	l.mu.Unlock()
-	holder, move, ok := residency.FindAdapter(engines, spec, model, adapter, time.Now())
+	holder, move, ok := residency.FindAdapter(engines, spec, q.Model, q.Adapter, time.Now())
 	if !ok {
 		return "", errors.WithStack(ErrNoPlace)
 	}
@@ -69,11 +74,11 @@
 	if state == nil {
 		return "", errors.WithStack(ErrNoPlace)
 	}
-	if err := l.swapAdapter(ctx, state, move.Evict, model, adapter, spec); err != nil {
+	if err := l.swapAdapter(ctx, state, move.Evict, q.Model, q.Adapter, spec); err != nil {
 		return "", err
 	}
 	sleep(ctx, adapterLoadTime)
-	l.p.assigner.AddAdapter(move.Engine, model, adapter)
+	l.p.assigner.AddAdapter(move.Engine, q.Model, q.Adapter)
 	return move.Engine, nil
 }
 
@@ -112,9 +117,9 @@
 // ensureAdapter makes sure that an engine holds an adapter, through the leader if that is another
 // VM, and returns the engine's ID. It returns ErrNotLeader if this VM does not lead and does not
 // know another leader and its address.
-func (p *Process) ensureAdapter(ctx context.Context, service, model, adapter string) (string, error) {
+func (p *Process) ensureAdapter(ctx context.Context, q traffic.AdapterRequest) (string, error) {
 	if _, ok := p.candidate.Authority(); ok {
-		return p.planner.ensureAdapter(ctx, service, model, adapter)
+		return p.planner.ensureAdapter(ctx, q)
 	}
 	term, ok := p.candidate.Leader()
 	if !ok || term.VM == p.settings.VM {
@@ -126,7 +131,7 @@
 	}
 	var response *peerpb.EnsureAdapterResponse
 	err := p.pool.Call(ctx, address, exchangeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
-		response, err = peerpb.NewVMsClient(conn).EnsureAdapter(ctx, &peerpb.EnsureAdapterRequest{Service: service, Model: model, Adapter: adapter})
+		response, err = peerpb.NewVMsClient(conn).EnsureAdapter(ctx, &peerpb.EnsureAdapterRequest{Service: q.Service, Model: q.Model, Adapter: q.Adapter, Avoid: q.Avoid})
 		return err
 	})
 	if err != nil {
--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/internal/topology"
+	"github.com/chestnutarch/chestnutarch/internal/traffic"
 	"github.com/chestnutarch/chestnutarch/platform"
 )
 
@@ -165,7 +166,7 @@
 
 // EnsureAdapter implements peerpb.VMsServer.
 func (s *vmServer) EnsureAdapter(ctx context.Context, in *peerpb.EnsureAdapterRequest) (*peerpb.EnsureAdapterResponse, error) {
-	instance, err := s.process.planner.ensureAdapter(ctx, in.Service, in.Model, in.Adapter)
+	instance, err := s.process.planner.ensureAdapter(ctx, traffic.AdapterRequest{Service: in.Service, Model: in.Model, Adapter: in.Adapter, Avoid: in.Avoid})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/vm/planner_test.go
+++ b/internal/vm/planner_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chestnutarch/chestnutarch/internal/traffic"
 	"github.com/chestnutarch/chestnutarch/platform/standin"
 )
 
@@ -179,7 +180,7 @@
 	require.Error(t, v.planner.swapAdapter(t.Context(), state, "m0/a1", "m0", "a2", spec))
 	require.Nil(t, v.planner.state("engine-1"))
 	for range 5 {
-		_, err := v.planner.placeAdapter(t.Context(), "engine", "m0", "a2")
+		_, err := v.planner.placeAdapter(t.Context(), traffic.AdapterRequest{Service: "engine", Model: "m0", Adapter: "a2"})
 		require.ErrorIs(t, err, ErrNoPlace)
 	}
 	refused, _ := engine.Rejections()
@@ -202,7 +203,7 @@
 	c.eventually(func() bool { e := leader.planner.engines("engine")[0]; return !e.Busy && len(e.Models) == 2 })
 	go leader.stop()
 	c.eventually(func() bool { return leader.draining.Load() })
-	instance, err := other.ensureAdapter(t.Context(), "engine", "m0", "a1")
+	instance, err := other.ensureAdapter(t.Context(), traffic.AdapterRequest{Service: "engine", Model: "m0", Adapter: "a1"})
 	require.NoError(t, err)
 	require.Equal(t, "engine-1", instance)
 	c.eventually(func() bool { return c.waitLeader() == other })
--- a/internal/vm/pushback_test.go
+++ b/internal/vm/pushback_test.go
@@ -100,3 +100,25 @@
 	}
 	require.Equal(t, 1, len(engine.ShedRequests()))
 }
+
+// The engine with an adapter sheds load. The adapter must be loaded on another engine with its model, or its callers are refused until then.
+func TestAdapterIsLoadedElsewhereWhileItsEngineWantsNoRequests(t *testing.T) {
+	engines := map[string]*standin.Replica{}
+	c := newCluster(t)
+	for _, id := range []string{"engine-1", "engine-2"} {
+		engines[id] = standin.NewReplica(id, 2, "m0")
+		c.add(engines[id])
+	}
+	v := c.start("a")
+	c.eventually(func() bool { return len(c.waitLeader().planner.engines("engine")) == 2 })
+	chat := call{method: "POST", path: "/chat/", model: "m0/a1"}
+	require.Equal(t, http.StatusOK, c.sendUntilAccepted(v, chat).status)
+	holder, other := engines["engine-1"], engines["engine-2"]
+	if len(other.Runs()) > 0 {
+		holder, other = other, holder
+	}
+	holder.ShedLoad(testWait)
+	require.Equal(t, http.StatusOK, c.send(v, chat).status)
+	require.Len(t, holder.ShedRequests(), 1)
+	require.Len(t, other.Runs(), 1)
+}
