vm: the address of a VM is read under the lock before an exchange

Cause: an exchange read the partner's address from its registration without the lock, while a view of the store may replace the registration. Change: the address is copied under the lock. Conclusion: the other readers of the address already hold the lock.

--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -81,13 +81,15 @@
 func (f *fleet) exchange(ctx context.Context, vm string) {
 	f.mu.Lock()
 	m := f.members[vm]
-	f.mu.Unlock()
 	if m == nil {
+		f.mu.Unlock()
 		return
 	}
+	address := m.Peers
+	f.mu.Unlock()
 	var answer *peerpb.VMReport
 	report := f.buildReport(vm)
-	err := f.process.pool.Call(ctx, m.Peers, exchangeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
+	err := f.process.pool.Call(ctx, address, exchangeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
 		answer, err = peerpb.NewVMsClient(conn).Exchange(ctx, report)
 		return err
 	})
--- a/internal/vm/fleet_test.go
+++ b/internal/vm/fleet_test.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -48,3 +49,25 @@
 	}})
 	require.Equal(t, int64(3), memberB().Incarnation)
 }
+
+// A VM registers again while reports are exchanged with it; an address that is read meanwhile may be half of the old and half of the new one.
+func TestRegistrationMayChangeDuringAnExchange(t *testing.T) {
+	c := newCluster(t)
+	a, b := c.start("a"), c.start("b")
+	c.eventually(func() bool { return a.fleet.size() == 2 })
+	a.tracker.mu.Lock()
+	key := vmPrefix + b.settings.VM
+	item := a.tracker.view.items[key]
+	a.tracker.mu.Unlock()
+	var changes sync.WaitGroup
+	changes.Go(func() {
+		for range 200 {
+			item.Revision++
+			a.fleet.updateRegistrations(map[string]store.Item{key: item})
+		}
+	})
+	for range 20 {
+		a.fleet.exchange(t.Context(), b.settings.VM)
+	}
+	changes.Wait()
+}
