--- a/internal/assign/retryafter_test.go
+++ b/internal/assign/retryafter_test.go
@@ -14,12 +14,15 @@
 	return Request{Service: "clerks", StartBy: now.Add(100 * time.Millisecond), Deadline: now.Add(9 * time.Second)}
 }
 
+// requestsByService makes a request to a service without engines, and one to a service with engines.
+var requestsByService = map[string]func(time.Time) Request{
+	"clerks":  plainRequest,
+	"engines": func(now time.Time) Request { return draftRequest(0, 0, now) },
+}
+
 // An upstream sheds load and asks for no requests; as the idlest of all it would be every request's first choice.
 func TestUpstreamThatWantsNoRequestsIsNotChosen(t *testing.T) {
-	for service, request := range map[string]func(time.Time) Request{
-		"clerks":  plainRequest,
-		"engines": func(now time.Time) Request { return draftRequest(0, 0, now) },
-	} {
+	for service, request := range requestsByService {
 		t.Run(service, func(t *testing.T) {
 			s, now := testAssigner(service, 2), time.Now()
 			first, err := s.Choose(request(now), now)
@@ -42,10 +45,7 @@
 
 // The only upstream wants no requests, also after its entry has lapsed and come back; a caller is told when it takes some again.
 func TestOnlyUpstreamThatWantsNoRequestsIsWaitedFor(t *testing.T) {
-	for service, request := range map[string]func(time.Time) Request{
-		"clerks":  plainRequest,
-		"engines": func(now time.Time) Request { return draftRequest(0, 0, now) },
-	} {
+	for service, request := range requestsByService {
 		t.Run(service, func(t *testing.T) {
 			s, now := testAssigner(service, 1), time.Now()
 			c, err := s.Choose(request(now), now)
