teamrate, aggregate, vm: what a VM has admitted counts once, and late VMs are assumed

Cause: aggregate.Counters and teamrate.Limiter dropped what a VM or a hub had admitted since its last report when that was more than 1.5 s old, taking it to be reported through another VM. A hub that stood still had reported nothing to anyone, and a VM that changes hubs lost the difference as well. Two more: demand seemed to fall while reports were late, so that each VM admitted a larger part of it; and localLevel forgave a VM all but one request's debt, so all VMs together admitted twice what "local rate" says.

Change: every process of a VM has its own totals by team, which never decrease and are merged by maximum (aggregate.Totals); refunds are set against the next admissions. Hubs pass them on. Nothing is dropped by the clock, so loss, repetition and changes of hubs need no rule. What is not reported yet is assumed and taken back by the report: VMs that nobody reports for, or that the hub lacks reports of (late_vms), use their equal part; if this VM admits more than its part while reports are late, they are assumed to do the same. A team's debt is at most one window. VMReport.admitted (8) is replaced by usage (34): in a fleet of both builds neither counts what the other admits.

Three tests of totals that a hub adds up are replaced: TestUsageIsNotCountedTwiceAfterAHubReturns checks the same with two hubs and asks for equality where it asked for a positive level; TestTotalsOfOneVMAndOfManyAreNotCompared holds for demand, which alone is still added up. The simulations start at a fixed time, since limiters seed their numbers from it.

--- a/internal/aggregate/table.go
+++ b/internal/aggregate/table.go
@@ -46,7 +46,7 @@
 	version *Version
 	sums    [scopeCount]map[string]V
 	// changes holds the changes of the sums.
-	changes [scopeCount]*changelog.Log
+	changes [scopeCount]*changelog.Log[string]
 	// zeroNames is the number of names whose sum over all VMs is zero.
 	zeroNames int
 	// prunedUpTo is the version number up to which names whose sum is zero have been
@@ -57,7 +57,7 @@
 func newSums[V Value[V]](version *Version) sums[V] {
 	s := sums[V]{version: version}
 	for scope := range s.sums {
-		s.sums[scope], s.changes[scope] = make(map[string]V), changelog.New()
+		s.sums[scope], s.changes[scope] = make(map[string]V), changelog.New[string]()
 	}
 	return s
 }
--- a/internal/changelog/log_test.go
+++ b/internal/changelog/log_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-func (l *Log) keysSince(number uint64) []string {
+func (l *Log[string]) keysSince(number uint64) []string {
 	var out []string
 	l.Since(number, func(key string, _ uint64) bool {
 		out = append(out, key)
@@ -20,7 +20,7 @@
 // Since must list each key once, at its last change, whatever was recorded and removed before.
 func TestSinceListsEachKeyAtItsLastChange(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l, last, number := New(), make(map[string]uint64), uint64(0)
+		l, last, number := New[string](), make(map[string]uint64), uint64(0)
 		for range rapid.IntRange(0, 300).Draw(t, "steps") {
 			key := fmt.Sprint(rapid.IntRange(0, 8).Draw(t, "key"))
 			if rapid.IntRange(0, 4).Draw(t, "removes") == 0 {
@@ -46,7 +46,7 @@
 
 // A hub records thousands of changes a second of the same few keys.
 func TestLogDoesNotGrowWithTheChanges(t *testing.T) {
-	l := New()
+	l := New[string]()
 	for number := range uint64(100_000) {
 		l.Record(fmt.Sprint(number%10), number+1)
 	}
--- a/internal/teamrate/admit_probability.go
+++ b/internal/teamrate/admit_probability.go
@@ -24,27 +24,37 @@
 	initialRefill = 200 * time.Millisecond
 )
 
-// demandRate is the average demand of a team at this VM and at all VMs that report to it, in
-// units per second.
+// demandRate is an average demand in units per second.
 type demandRate struct {
 	perSecond float64
 	updated   time.Time
 }
 
-func (d *demandRate) add(units float64, now time.Time) {
-	d.perSecond = d.decayed(now) + units/demandTimeConstant.Seconds()
+// add adds units that were requested in a period before now.
+func (d *demandRate) add(units float64, period time.Duration, now time.Time) {
+	d.perSecond = d.decayed(now) + units/demandTimeConstant.Seconds()*decayWithin(period, demandTimeConstant)
 	d.updated = now
 }
 
+// decayWithin returns what is left on average, at the end of a period, of units that were added evenly
+// during it to an exponential average.
+func decayWithin(period, timeConstant time.Duration) float64 {
+	if period <= 0 {
+		return 1
+	}
+	x := period.Seconds() / timeConstant.Seconds()
+	return (1 - math.Exp(-x)) / x
+}
+
 func (d *demandRate) decayed(now time.Time) float64 {
-	return d.perSecond * math.Exp(-now.Sub(d.updated).Seconds()/demandTimeConstant.Seconds())
+	return d.perSecond * math.Exp(-max(0, now.Sub(d.updated).Seconds())/demandTimeConstant.Seconds())
 }
 
-// recordPeerDemand adds the demand that a peer received since its last report.
-func (l *Limiter) recordPeerDemand(p *peer, demand map[string]float64, now time.Time) {
+// recordPeerDemand adds the demand that a peer received in the period since its last report.
+func (l *Limiter) recordPeerDemand(p *peer, demand map[string]float64, period time.Duration, now time.Time) {
 	for team, total := range demand {
 		if b := l.teams[team]; b != nil {
-			b.demand.add(total-p.demand[team], now)
+			b.peerDemand.add(total-p.demand[team], period, now)
 		}
 		p.demand[team] = total
 	}
@@ -70,7 +80,16 @@
 	// An average that began when the last of the reporting VMs first reported has reached only
 	// this share of the demand so far.
 	reachedShare := 1 - math.Exp(-observed.Seconds()/demandTimeConstant.Seconds())
-	return b.demand.decayed(now) / reachedShare * l.vms / reporting, true
+	return (b.demand.decayed(now) + l.peerDemand(b, now)) / reachedShare * l.vms / reporting, true
+}
+
+// peerDemand is the demand at the other VMs. While reports are late, it is taken to be as it was: a demand
+// that seemed to fall would let this VM admit a larger part of it.
+func (l *Limiter) peerDemand(b *bucket, now time.Time) float64 {
+	if due := l.lastReport.Add(exchangePeriod); now.After(due) {
+		now = due
+	}
+	return b.peerDemand.decayed(now)
 }
 
 // minDemandObservation is the shortest time over which reports give a usable demand rate.
@@ -85,7 +104,7 @@
 // would be refused. Each VM therefore admits the same part of the requests that it receives:
 // the part of the demand at all VMs that the rate allows.
 func (l *Limiter) admitProbability(b *bucket, units float64, now time.Time) float64 {
-	localProbability := b.localLevel / units
+	localProbability := max(0, b.localLevel) / units
 	if perSecond, ok := l.totalDemand(b, now); ok {
 		return max(localProbability, min(1, l.overcommitFactor()*l.refillRate(b.limit)/max(perSecond, 1)))
 	}
--- a/internal/teamrate/limiter.go
+++ b/internal/teamrate/limiter.go
@@ -1,20 +1,18 @@
 package teamrate
 
 import (
-	"maps"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
-
-	"github.com/chestnutarch/chestnutarch/internal/aggregate"
 )
 
 const (
+	// exchangePeriod is the usual time between two reports of a VM.
+	exchangePeriod = 250 * time.Millisecond
 	// reportTimeout is how long a VM may go without a report before it is assumed to use
 	// its equal part: nearly three report intervals. Until then both sides of a partition
-	// use the whole rate.
+	// use the whole rate. lateAfter is the same for a VM that reports for many.
 	reportTimeout = 700 * time.Millisecond
 	// lowFraction is the part of a full bucket below which a VM limits itself to its local
 	// rate. Below it a team is near its rate, and what all VMs admit before they receive
@@ -86,6 +84,8 @@
 	// vms is how many VMs share the rates, zero while that is unknown. Nothing is admitted
 	// then, because each of many VMs that start at once would use the whole rate.
 	vms float64
+	// lastReport is when the last report arrived.
+	lastReport time.Time
 	// lastAggregatedReport is when the last report of a VM that reports for many arrived.
 	lastAggregatedReport time.Time
 	// started is when the VM first received a list of peers.
@@ -97,34 +97,21 @@
 	limit      Limit
 	level      float64
 	refilledAt time.Time
-	// admitted counts the units that this VM has admitted since it started.
-	admitted float64
+	// admitted counts the units that this VM has admitted since it started. It never decreases:
+	// refunded holds the refunds that the next admissions are counted against.
+	admitted, refunded float64
 	// peerUsage is the average usage of the other VMs in units per second, as of
 	// peerUsageAt.
 	peerUsage   float64
 	peerUsageAt time.Time
 	// localLevel is the number of units that this VM may admit while the bucket is low.
 	localLevel float64
-	// demand is the average demand at all VMs. localDemand counts the units requested at
-	// this VM since it started, admitted or not.
-	demand      demandRate
-	localDemand float64
-}
-
-// peer is another VM that reports to this one.
-type peer struct {
-	// weight is how many VMs it reports for.
-	weight      float64
-	incarnation int64
-	lastReport  time.Time
-	// admitted and demand are the totals by team that it last reported as admitted and as
-	// requested.
-	admitted, demand map[string]float64
-	// firstReport is when the first report of this incarnation arrived.
-	firstReport time.Time
-	// assumedUsage is what was taken from the buckets on its behalf while it did not
-	// report.
-	assumedUsage map[string]float64
+	// recent is what this VM has admitted while reports were late.
+	recent recentUsage
+	// demand is the average demand at this VM, peerDemand at the others. localDemand counts the units
+	// requested at this VM since it started, admitted or not.
+	demand, peerDemand demandRate
+	localDemand        float64
 }
 
 // New returns a Limiter without teams. incarnation identifies this VM's process.
@@ -171,80 +158,6 @@
 	return limit.Burst + toleranceBurstShare*l.tolerance.Units
 }
 
-// SetPeers replaces the VMs that report to this one; weights holds how many VMs each
-// reports for. The state of a VM that is no longer in weights is dropped.
-func (l *Limiter) SetPeers(weights map[string]int, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.updateSilent(now)
-	l.refillAll(now)
-	defer l.findSilent(now)
-	if l.started.IsZero() {
-		l.started = now
-	}
-	l.vms = 1
-	for vm, weight := range weights {
-		l.vms += float64(weight)
-		if p := l.peers[vm]; p == nil || (p.weight > 1) != (weight > 1) {
-			// Totals for one VM and for many are different sums, and cannot be compared.
-			l.peers[vm] = &peer{admitted: make(map[string]float64), demand: make(map[string]float64), assumedUsage: make(map[string]float64)}
-		}
-		l.peers[vm].weight = float64(weight)
-	}
-	for vm := range l.peers {
-		if _, ok := weights[vm]; !ok {
-			delete(l.peers, vm)
-		}
-	}
-}
-
-// ApplyReport applies another VM's totals by team since its start: the units that it admitted,
-// and the units that were requested. Teams that are missing have the same totals as in its
-// last report. Reports of VMs that SetPeers did not name are ignored.
-func (l *Limiter) ApplyReport(vm string, incarnation int64, admitted, demand map[string]float64, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p := l.peers[vm]
-	if p == nil {
-		return
-	}
-	l.updateSilent(now)
-	wasSilent := slices.Contains(l.silent, p)
-	if wasSilent {
-		// What is assumed for the peer ends with this report.
-		l.refillAll(now)
-	}
-	if p.incarnation != incarnation {
-		l.setBaseline(p, incarnation, admitted, now)
-		p.firstReport = now
-		clear(p.demand)
-		maps.Copy(p.demand, demand)
-	}
-	if p.weight > 1 && !p.lastReport.IsZero() && now.Sub(p.lastReport) > aggregate.MaxReportGap {
-		l.resume(p, admitted, demand)
-	}
-	l.recordPeerDemand(p, demand, now)
-	for team, units := range p.assumedUsage {
-		l.credit(team, units, now)
-	}
-	clear(p.assumedUsage)
-	for team, total := range admitted {
-		used := total - p.admitted[team]
-		l.credit(team, -used, now)
-		if b := l.teams[team]; b != nil {
-			b.recordPeerUsage(used, now)
-		}
-	}
-	maps.Copy(p.admitted, admitted)
-	p.incarnation, p.lastReport = incarnation, now
-	if p.weight > 1 {
-		l.lastAggregatedReport = now
-	}
-	if wasSilent {
-		l.findSilent(now)
-	}
-}
-
 // credit adds units to a team's bucket, or takes them from it.
 func (l *Limiter) credit(team string, units float64, now time.Time) {
 	b := l.teams[team]
@@ -252,16 +165,26 @@
 		return
 	}
 	l.refill(team, b, now)
-	b.level = min(b.level+units, l.capacity(b.limit))
+	b.level = max(min(b.level+units, l.capacity(b.limit)), -l.maxDebt(b.limit))
+}
+
+// maxDebt is the largest debt of a bucket: what was admitted before the present window has no part in
+// what may be admitted now.
+func (l *Limiter) maxDebt(limit Limit) float64 {
+	if l.tolerance.Window <= 0 {
+		return math.Inf(1)
+	}
+	return l.refillRate(limit) * l.tolerance.Window.Seconds()
 }
 
-// recordPeerUsage adds units to the average usage of the other VMs.
-func (b *bucket) recordPeerUsage(units float64, now time.Time) {
-	b.peerUsage = b.peerUsage*math.Exp(-now.Sub(b.peerUsageAt).Seconds()/usageTimeConstant.Seconds()) + units/usageTimeConstant.Seconds()
+// recordPeerUsage adds units that the other VMs have used in a period to their average usage.
+func (b *bucket) recordPeerUsage(units float64, period time.Duration, now time.Time) {
+	b.peerUsage = b.peerUsage*math.Exp(-now.Sub(b.peerUsageAt).Seconds()/usageTimeConstant.Seconds()) +
+		units/usageTimeConstant.Seconds()*decayWithin(period, usageTimeConstant)
 	b.peerUsageAt = now
 }
 
-// Admitted returns the units that this VM has admitted by team since it started.
+// Admitted returns the units that this VM has admitted by team since it started. They never decrease.
 func (l *Limiter) Admitted() map[string]float64 {
 	return l.totals(func(b *bucket) float64 { return b.admitted })
 }
@@ -294,7 +217,7 @@
 	l.updateSilent(now)
 	l.refill(team, b, now)
 	b.localDemand += units
-	b.demand.add(units, now)
+	b.demand.add(units, 0, now)
 	need := min(units, l.capacity(b.limit))
 	if b.level < need {
 		wait := time.Duration((need - b.level) / l.refillRate(b.limit) * float64(time.Second))
@@ -306,9 +229,12 @@
 		return false, min(max(wait, minRetryAfter), maxRetryAfter)
 	}
 	b.level -= units
-	b.admitted += units
+	b.countAdmitted(units)
+	b.recent.add(units, b.demand.decayed(now), l.lateVMs(now) > 0, now)
+	l.assumeUsageOfLate(team, b, now)
 	if low {
-		b.localLevel = max(0, b.localLevel-units)
+		// A debt of more than one request would outlast the time for which the bucket is low.
+		b.localLevel = max(b.localLevel-units, -units)
 	}
 	return true, 0
 }
@@ -335,10 +261,16 @@
 	if b == nil {
 		return
 	}
-	b.admitted -= units
+	b.refunded += units
 	b.level = min(b.level+units, l.capacity(b.limit))
 }
 
+func (b *bucket) countAdmitted(units float64) {
+	covered := min(units, b.refunded)
+	b.refunded -= covered
+	b.admitted += units - covered
+}
+
 // Level returns what is left of a team's bucket, and how much this VM may still admit for it
 // while the bucket is low, in units.
 func (l *Limiter) Level(team string) (level, local float64) {
@@ -376,8 +308,8 @@
 			// other's reports, startupProbability bounds what all of them admit.
 			continue
 		}
-		used := equalShare * p.weight
-		if p.weight > 1 && now.Sub(l.lastAggregatedReport) < takeoverPeriod {
+		used := equalShare * p.silentVMs(now)
+		if p.weight > 1 && p.lateVMs == 0 && now.Sub(l.lastAggregatedReport) < takeoverPeriod {
 			used = min(used, takeoverMargin*b.peerUsage*elapsed.Seconds())
 		}
 		p.assumedUsage[team] += used
@@ -385,6 +317,9 @@
 	}
 	b.level = min(b.level+accrued, l.capacity(b.limit))
 	rate := l.localRate(b.limit)
-	b.localLevel = min(b.localLevel+rate*elapsed.Seconds(), rate*localBurst.Seconds())
+	// Nothing is saved up while the bucket is empty, or all VMs would admit it at once afterwards.
+	if b.level > 0 || b.localLevel < 0 {
+		b.localLevel = min(b.localLevel+rate*elapsed.Seconds(), rate*localBurst.Seconds())
+	}
 	b.refilledAt = now
 }
--- a/internal/teamrate/limiter_test.go
+++ b/internal/teamrate/limiter_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/aggregate"
 )
 
 const (
@@ -25,10 +27,12 @@
 
 // simulation runs several limiters that report to each other.
 type simulation struct {
-	now          time.Time
-	start        time.Time
-	rate         float64
-	limiters     []*Limiter
+	now      time.Time
+	start    time.Time
+	rate     float64
+	limiters []*Limiter
+	// totals holds what each VM knows of the others.
+	totals       []*aggregate.Totals
 	incarnations []int64
 	cut          map[int]bool
 	// startIsolated makes VMs start without a list of peers.
@@ -57,6 +61,7 @@
 	now := testEpoch
 	w := &simulation{rate: rate, now: now, start: now, cut: make(map[int]bool), lastDelivered: make(map[[2]int]time.Time)}
 	w.limiters = make([]*Limiter, n)
+	w.totals = make([]*aggregate.Totals, n)
 	w.incarnations = make([]int64, n)
 	for i := range n {
 		w.restart(i)
@@ -67,12 +72,21 @@
 func (w *simulation) restart(i int) {
 	w.incarnations[i] = w.now.UnixNano() + int64(i)
 	w.limiters[i] = New(Tolerance{Units: testToleranceUnits, Window: testWindow}, w.incarnations[i])
+	w.totals[i] = aggregate.NewTotals(w.source(i), &aggregate.Version{}, w.now)
 	w.limiters[i].SetLimits(map[string]Limit{"team": {Rate: w.rate, Burst: w.rate}}, w.now)
+	for j := range w.limiters {
+		delete(w.lastDelivered, [2]int{i, j})
+		delete(w.lastDelivered, [2]int{j, i})
+	}
 	if !w.startIsolated {
-		w.limiters[i].SetPeers(w.others(i), w.now)
+		w.limiters[i].SetPeers(w.others(i), len(w.limiters), w.now)
 	}
 }
 
+func (w *simulation) source(i int) aggregate.Source {
+	return aggregate.Source{VM: fmt.Sprint(i), Incarnation: w.incarnations[i]}
+}
+
 func (w *simulation) others(i int) map[string]int {
 	others := make(map[string]int)
 	for j := range w.limiters {
@@ -122,8 +136,11 @@
 			continue
 		}
 		if m.incarnation == w.incarnations[m.from] && m.sentAt.After(w.lastDelivered[[2]int{m.from, m.to}]) {
+			first := w.lastDelivered[[2]int{m.from, m.to}].IsZero()
 			w.lastDelivered[[2]int{m.from, m.to}] = m.sentAt
-			w.limiters[m.to].ApplyReport(fmt.Sprint(m.from), m.incarnation, m.admitted, m.demand, w.now)
+			admitted := make(map[string]float64)
+			w.totals[m.to].Merge(w.source(m.from), false, first, m.admitted, admitted, w.now)
+			w.limiters[m.to].ApplyReport(Report{VM: fmt.Sprint(m.from), Incarnation: m.incarnation, Admitted: admitted, Demand: m.demand}, w.now)
 		}
 	}
 	w.inflight = later
@@ -249,7 +266,7 @@
 		for tick := range 800 {
 			if tick == 30 {
 				for vm := range w.limiters {
-					w.limiters[vm].SetPeers(w.others(vm), w.now)
+					w.limiters[vm].SetPeers(w.others(vm), len(w.limiters), w.now)
 				}
 			}
 			w.step(r, evenDemand(20, 6*rate/1.8), 9000)
@@ -308,47 +325,50 @@
 	}
 }
 
-// A VM that has reported for its domain before is cut off, and another one reports for it meanwhile. The
-// totals of its next report hold what has already been taken from the buckets through the other one.
+// Guards against use that is counted twice when a hub that was cut off reports what another one has passed on.
 func TestUsageIsNotCountedTwiceAfterAHubReturns(t *testing.T) {
 	now := testEpoch
 	l := New(Tolerance{Units: testToleranceUnits, Window: testWindow}, 1)
+	totals := aggregate.NewTotals(aggregate.Source{VM: "self", Incarnation: now.UnixNano()}, &aggregate.Version{}, now)
 	l.SetLimits(map[string]Limit{"team": {Rate: 1000, Burst: 1000}}, now)
-	l.SetPeers(map[string]int{"hub": 15}, now)
-	report := func(total float64) {
-		counts := map[string]float64{"team": total}
-		l.ApplyReport("hub", 2, counts, counts, now)
+	l.SetPeers(map[string]int{"hub": 15}, 16, now)
+	report := func(hub string, total float64) {
+		admitted := make(map[string]float64)
+		totals.Merge(aggregate.Source{VM: "vm", Incarnation: now.UnixNano() - now.UnixNano()%1e12}, false, false, map[string]float64{"team": total}, admitted, now)
+		l.ApplyReport(Report{VM: hub, Incarnation: 2, Admitted: admitted, Demand: map[string]float64{"team": total}}, now)
 	}
-	report(10)
+	report("hub", 10)
 	now = now.Add(testReport)
-	report(20)
+	report("hub", 20)
 	now = now.Add(5 * time.Second)
-	report(50_000)
-	level, _ := l.Level("team")
-	require.Positive(t, level)
+	l.SetPeers(map[string]int{"hub-2": 15}, 16, now)
+	report("hub-2", 900)
 	now = now.Add(testReport)
+	l.SetPeers(map[string]int{"hub": 15}, 16, now)
+	l.teams["team"].level = 5000
 	before, _ := l.Level("team")
-	report(50_300)
+	report("hub", 900)
 	after, _ := l.Level("team")
+	require.InDelta(t, before, after, 1, "900 units must not be taken again")
+	now = now.Add(testReport)
+	report("hub", 1200)
+	after, _ = l.Level("team")
 	require.InDelta(t, before-300+l.refillRate(Limit{Rate: 1000})*testReport.Seconds(), after, 1)
 }
 
-// A hub of this VM's domain fails. It reported for all VMs and, once it is back, reports for itself:
-// the difference of the two totals is no use of any team.
+// Guards against demand that seems to be new because a VM has reported for itself and for others by turns.
 func TestTotalsOfOneVMAndOfManyAreNotCompared(t *testing.T) {
 	now := testEpoch
 	l := New(Tolerance{Units: testToleranceUnits, Window: testWindow}, 1)
 	l.SetLimits(map[string]Limit{"team": {Rate: 1000, Burst: 1000}}, now)
-	level := func() float64 { v, _ := l.Level("team"); return v }
-	l.SetPeers(map[string]int{"hub": 15}, now)
-	l.ApplyReport("hub", 2, map[string]float64{"team": 1e6}, nil, now)
-	l.SetPeers(map[string]int{"hub": 1}, now)
-	before := level()
-	l.ApplyReport("hub", 2, map[string]float64{"team": 100}, nil, now)
-	require.Equal(t, before, level(), "1e6 units must not come back")
-	l.SetPeers(map[string]int{"hub": 15}, now)
-	l.ApplyReport("hub", 2, map[string]float64{"team": 1e6}, nil, now)
-	require.Equal(t, before, level(), "1e6 units must not be taken again")
+	report := func(weight int, total float64) {
+		l.SetPeers(map[string]int{"hub": weight}, weight+1, now)
+		l.ApplyReport(Report{VM: "hub", Incarnation: 2, Demand: map[string]float64{"team": total}}, now)
+	}
+	report(15, 1e6)
+	report(1, 100)
+	report(15, 1e6)
+	require.Zero(t, l.teams["team"].peerDemand.perSecond)
 }
 
 // A VM reports before it has received any request, so its first report contains no team.
@@ -358,15 +378,34 @@
 	levelAfter := func(used float64) float64 {
 		l := New(Tolerance{Units: testToleranceUnits, Window: testWindow}, 1)
 		l.SetLimits(map[string]Limit{"team": {Rate: 1000, Burst: 1000}}, now)
-		l.SetPeers(map[string]int{"b": 1}, now)
-		l.ApplyReport("b", 2, nil, nil, now)
-		l.ApplyReport("b", 2, map[string]float64{"team": used}, map[string]float64{"team": used}, now.Add(testReport))
+		l.SetPeers(map[string]int{"b": 1}, 2, now)
+		l.ApplyReport(Report{VM: "b", Incarnation: 2}, now)
+		counts := map[string]float64{"team": used}
+		l.ApplyReport(Report{VM: "b", Incarnation: 2, Admitted: counts, Demand: counts}, now.Add(testReport))
 		level, _ := l.Level("team")
 		return level
 	}
 	require.InDelta(t, levelAfter(0)-200, levelAfter(200), 1e-6)
 }
 
+// Guards against a refund that lowers what a VM has reported: other VMs would take the larger total for the newer one.
+func TestRefundDoesNotLowerTheTotal(t *testing.T) {
+	now := testEpoch
+	l := New(Tolerance{}, 1)
+	l.SetLimits(map[string]Limit{"team": {Rate: 1000, Burst: 1000}}, now)
+	l.SetPeers(nil, 1, now)
+	now = now.Add(time.Second)
+	for _, units := range []float64{100, 40, 80} {
+		ok, _ := l.Admit("team", units, now)
+		require.True(t, ok)
+		if units == 100 {
+			l.Refund("team", 60)
+			require.Equal(t, 100.0, l.Admitted()["team"])
+		}
+	}
+	require.Equal(t, 160.0, l.Admitted()["team"], "the refund must be set against what is admitted next")
+}
+
 // Guards against reports that take time for each team and VM.
 func TestReportRefillsOnlyTheBucketsItNames(t *testing.T) {
 	now := testEpoch
@@ -377,13 +416,13 @@
 		weights[fmt.Sprint("vm-", i)] = 1
 	}
 	l.SetLimits(limits, now)
-	l.SetPeers(weights, now)
+	l.SetPeers(weights, len(weights)+1, now)
 	for vm := range weights {
-		l.ApplyReport(vm, now.UnixNano(), nil, nil, now)
+		l.ApplyReport(Report{VM: vm, Incarnation: now.UnixNano()}, now)
 	}
 	require.Empty(t, l.silent)
 	later := now.Add(testReport)
-	l.ApplyReport("vm-3", now.UnixNano(), map[string]float64{"team-7": 10}, nil, later)
+	l.ApplyReport(Report{VM: "vm-3", Incarnation: now.UnixNano(), Admitted: map[string]float64{"team-7": 10}}, later)
 	require.Equal(t, later, l.teams["team-7"].refilledAt)
 	require.Equal(t, now, l.teams["team-8"].refilledAt)
 	l.Admit("team-8", 1, now.Add(2*reportTimeout))
--- a/internal/vm/aggregator.go
+++ b/internal/vm/aggregator.go
@@ -24,7 +24,7 @@
 type aggregator struct {
 	mu        sync.Mutex
 	version   aggregate.Version
-	admitted  *aggregate.Counters[aggregate.Count]
+	admitted  *aggregate.Totals
 	requested *aggregate.Counters[aggregate.Count]
 	demand    *aggregate.Counters[assign.Demand]
 	loads     *aggregate.Levels[assign.Load]
@@ -53,9 +53,9 @@
 	inUse []string
 }
 
-func newAggregator() *aggregator {
+func newAggregator(own aggregate.Source, now time.Time) *aggregator {
 	a := &aggregator{inUse: make(map[string]adaptersInUse)}
-	a.admitted = aggregate.NewCounters[aggregate.Count](&a.version)
+	a.admitted = aggregate.NewTotals(own, &a.version, now)
 	a.requested = aggregate.NewCounters[aggregate.Count](&a.version)
 	a.demand = aggregate.NewCounters[assign.Demand](&a.version)
 	a.loads = aggregate.NewLevels[assign.Load](loadsLifetime, &a.version)
@@ -63,20 +63,25 @@
 	return a
 }
 
-// applyReport applies a report. follows is set if its sender follows this VM. It returns false if the
-// sender has to send a full report.
-func (a *aggregator) applyReport(r *peerpb.VMReport, follows bool, now time.Time) bool {
+// applyReport applies a report and returns the units by team that VMs have admitted beyond what was
+// known. follows is set if its sender follows this VM. It returns false if the sender has to send a full
+// report.
+func (a *aggregator) applyReport(r *peerpb.VMReport, follows bool, now time.Time) (admitted map[string]float64, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.loads.Record(r.Vm, follows, r.Since == 0, loadsFromProto(r.Engines), now) {
-		return false
+		return nil, false
 	}
 	covered := min(topology.Scope(r.Scope), topology.ScopeAll)
-	a.admitted.Record(r.Vm, r.Incarnation, covered, follows, toCounts(r.Admitted), now)
+	admitted = make(map[string]float64)
+	for _, u := range r.Usage {
+		source := aggregate.Source{VM: u.Vm, Incarnation: int64(u.Incarnation)}
+		a.admitted.Merge(source, follows && u.Vm == r.Vm, r.Since == 0, u.Admitted, admitted, now)
+	}
 	a.requested.Record(r.Vm, r.Incarnation, covered, follows, toCounts(r.Asked), now)
 	a.demand.Record(r.Vm, r.Incarnation, covered, follows, demandFromProto(r.Demand), now)
 	a.inUse[r.Vm] = adaptersInUse{at: now, follows: follows, items: r.InUse}
-	return true
+	return admitted, true
 }
 
 // loadsFrom returns the work in flight that another VM has reported, for itself or for the
@@ -95,12 +100,19 @@
 		return
 	}
 	a.own, a.ownAt = own(), now
-	a.admitted.SetOwn(toCounts(a.own.admitted))
+	a.admitted.SetOwn(a.own.admitted, now)
 	a.requested.SetOwn(toCounts(a.own.requested))
 	a.demand.SetOwn(a.own.demand)
 	a.loads.SetOwn(a.own.loads)
 }
 
+// removeUnknown removes what processes that have ended admitted long ago.
+func (a *aggregator) removeUnknown(known func(aggregate.Source) bool, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.admitted.RemoveUnknown(known, now)
+}
+
 // updateRoster updates the roster with the lock held.
 func (a *aggregator) updateRoster(update func(*roster)) {
 	a.mu.Lock()
@@ -121,7 +133,9 @@
 	// Called before the version is read: loads that expire now increase it.
 	loads := a.loads.Since(covered, since, receiver, now)
 	out.Since, out.Version = since, a.version.Number()
-	out.Admitted = toFloats(a.admitted.Since(covered, since, receiver))
+	for source, admitted := range a.admitted.Since(covered, since, receiver) {
+		out.Usage = append(out.Usage, &peerpb.Usage{Vm: source.VM, Incarnation: uint64(source.Incarnation), Admitted: admitted})
+	}
 	out.Asked = toFloats(a.requested.Since(covered, since, receiver))
 	for id, l := range loads {
 		out.Engines = append(out.Engines, loadToProto(id, loadForScope(l, scope)))
--- a/internal/vm/change_log.go
+++ b/internal/vm/change_log.go
@@ -13,7 +13,7 @@
 	// number is the number of the newest change.
 	number int64
 	// written holds the keys of the view, removed those that left it lately.
-	written, removed *changelog.Log
+	written, removed *changelog.Log[string]
 	// compactedNumber is the number up to which removals are no longer known.
 	compactedNumber int64
 	// nextChange is closed at the next change.
@@ -21,7 +21,7 @@
 }
 
 func newChangeLog() *changeLog {
-	return &changeLog{written: changelog.New(), removed: changelog.New(), nextChange: make(chan struct{})}
+	return &changeLog{written: changelog.New[string](), removed: changelog.New[string](), nextChange: make(chan struct{})}
 }
 
 // record adds a difference between two states of the view.
@@ -67,7 +67,7 @@
 	if !c.knows(number) {
 		return nil, nil, false
 	}
-	list := func(l *changelog.Log) (keys []string) {
+	list := func(l *changelog.Log[string]) (keys []string) {
 		l.Since(uint64(number), func(key string, _ uint64) bool {
 			keys = append(keys, key)
 			return true
--- a/internal/vm/contents.go
+++ b/internal/vm/contents.go
@@ -21,13 +21,13 @@
 	engines map[string]*peerpb.EngineContents
 	// version numbers the changes of engines, which log holds.
 	version uint64
-	log     *changelog.Log
+	log     *changelog.Log[string]
 	// sent is the number of the last change that was sent to a VM.
 	sent map[string]uint64
 }
 
 func newContentsTable() contentsTable {
-	return contentsTable{engines: make(map[string]*peerpb.EngineContents), log: changelog.New(), sent: make(map[string]uint64)}
+	return contentsTable{engines: make(map[string]*peerpb.EngineContents), log: changelog.New[string](), sent: make(map[string]uint64)}
 }
 
 // set replaces the table, on the leader, and returns the engines whose contents have changed.
@@ -58,7 +58,7 @@
 
 // reset empties the table for another leader. It must be called with the lock held.
 func (c *contentsTable) reset(token int64) {
-	c.token, c.engines, c.log = token, make(map[string]*peerpb.EngineContents), changelog.New()
+	c.token, c.engines, c.log = token, make(map[string]*peerpb.EngineContents), changelog.New[string]()
 }
 
 // record replaces what an engine holds. It must be called with the lock held.
--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -54,6 +54,7 @@
 	defer f.mu.Unlock()
 	f.expireMembers(now)
 	f.updateRoster(now)
+	f.removeOldUsage(now)
 	var out []string
 	for _, partner := range f.plan.Partners {
 		m := f.members[partner.Name]
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutarch/chestnutarch/internal/aggregate"
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/internal/topology"
@@ -125,8 +126,9 @@
 }
 
 func newFleet(p *Process) *fleet {
-	started := time.Now().UnixNano()
-	f := &fleet{process: p, incarnation: started, aggregator: newAggregator(), members: make(map[string]*member), rosters: make(map[string]map[string]bool), exchangeSignal: make(chan struct{}, 1)}
+	now := time.Now()
+	own := aggregate.Source{VM: p.settings.VM, Incarnation: now.UnixNano()}
+	f := &fleet{process: p, incarnation: own.Incarnation, aggregator: newAggregator(own, now), members: make(map[string]*member), rosters: make(map[string]map[string]bool), exchangeSignal: make(chan struct{}, 1)}
 	f.notifier = newDispatchNotifier(f)
 	p.assigner.OnPlace(f.notifier.notify)
 	peerpb.RegisterVMsServer(p.peerServer.Registrar(), &vmServer{process: p})
@@ -291,7 +293,7 @@
 			m.applied = progress{}
 		}
 	}
-	f.process.limiter.SetPeers(weights, now)
+	f.process.limiter.SetPeers(weights, len(f.members)+1, now)
 	f.process.assigner.SetFleet(f.process.settings.VM, slices.Collect(maps.Keys(f.members)), now)
 }
 
--- a/internal/vm/fleet_test.go
+++ b/internal/vm/fleet_test.go
@@ -25,7 +25,7 @@
 	report := func(incarnation int64, sequence uint64) {
 		v.fleet.applyReport(t.Context(), &peerpb.VMReport{
 			Vm: "b", Incarnation: incarnation, Sequence: sequence, Ready: true,
-			CallerAddress: "127.0.0.1:3", PeerAddress: "127.0.0.1:4", Admitted: map[string]float64{"writers": 1},
+			CallerAddress: "127.0.0.1:3", PeerAddress: "127.0.0.1:4", Usage: []*peerpb.Usage{{Vm: "b", Incarnation: uint64(incarnation), Admitted: map[string]float64{"writers": 1}}},
 		})
 	}
 	memberB := func() member {
--- a/internal/vm/hubs_test.go
+++ b/internal/vm/hubs_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chestnutarch/chestnutarch/internal/aggregate"
 	"github.com/chestnutarch/chestnutarch/internal/assign"
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/teamrate"
@@ -19,6 +20,8 @@
 	hubTestRate   = 900_000.0
 	hubTestSlack  = 110_000.0
 	hubTestWindow = 8 * time.Second
+	// hubTestBound is what all VMs may admit within a window.
+	hubTestBound = (hubTestRate*8+hubTestRate)*1.1 + hubTestSlack
 )
 
 // hubSimulation is a fleet of VMs that report to each other as the topology says, without a
@@ -39,17 +42,30 @@
 	plans map[int]*topology.Plan
 	// partitioned reports whether VM i receives nothing from VM j.
 	partitioned func(i, j int) bool
+	// missed reports whether an exchange fails, lost whether the report of VM i to VM j is lost. stopped
+	// holds the VMs that stand still.
+	missed  func() bool
+	lost    func(i, j int) bool
+	stopped map[int]bool
 }
 
-func newHubSimulation(domains int) *hubSimulation {
-	s := &hubSimulation{now: time.Now(), applied: make(map[[2]int]progress), partitioned: func(int, int) bool { return false }}
-	for i := range hubTestVMs {
+// hubTestEpoch is when every simulation starts, so that runs are repeatable.
+var hubTestEpoch = time.Unix(1_700_000_000, 0)
+
+func newHubSimulation(domains int) *hubSimulation { return newHubSimulationOf(hubTestVMs, domains) }
+
+func newHubSimulationOf(vms, domains int) *hubSimulation {
+	s := &hubSimulation{
+		now: hubTestEpoch, applied: make(map[[2]int]progress), stopped: make(map[int]bool),
+		partitioned: func(int, int) bool { return false }, missed: func() bool { return false }, lost: func(int, int) bool { return false },
+	}
+	for i := range vms {
 		started := s.now.UnixNano() + int64(i)
 		l := teamrate.New(teamrate.Tolerance{Units: hubTestSlack, Window: hubTestWindow}, started)
 		l.SetLimits(map[string]teamrate.Limit{"team": {Rate: hubTestRate, Burst: hubTestRate}}, s.now)
 		s.vms = append(s.vms, topology.VM{Name: fmt.Sprintf("vm-%02d", i), Domain: fmt.Sprint(i % domains)})
 		s.incarnations = append(s.incarnations, started)
-		s.limiters, s.aggregators = append(s.limiters, l), append(s.aggregators, newAggregator())
+		s.limiters, s.aggregators = append(s.limiters, l), append(s.aggregators, newAggregator(aggregate.Source{VM: s.vms[i].Name, Incarnation: started}, s.now))
 	}
 	return s
 }
@@ -72,6 +88,17 @@
 	return p
 }
 
+// restart replaces a VM's process.
+func (s *hubSimulation) restart(i int) {
+	started := s.now.UnixNano() + int64(i)
+	s.incarnations[i], s.limiters[i], s.aggregators[i] = started, teamrate.New(teamrate.Tolerance{Units: hubTestSlack, Window: hubTestWindow}, started), newAggregator(aggregate.Source{VM: s.vms[i].Name, Incarnation: started}, s.now)
+	s.limiters[i].SetLimits(map[string]teamrate.Limit{"team": {Rate: hubTestRate, Burst: hubTestRate}}, s.now)
+	for j := range s.vms {
+		delete(s.applied, [2]int{i, j})
+		delete(s.applied, [2]int{j, i})
+	}
+}
+
 // exchangeTicks is the number of ticks between two exchanges of a pair.
 const exchangeTicks = 25
 
@@ -80,7 +107,7 @@
 // a report has passed two hubs.
 func (s *hubSimulation) exchange(tick int) {
 	for i := range s.vms {
-		if (tick+7*i)%exchangeTicks != 0 {
+		if (tick+7*i)%exchangeTicks != 0 || s.stopped[i] {
 			continue
 		}
 		plan := s.plan(i)
@@ -88,7 +115,7 @@
 		for _, p := range plan.Partners {
 			weights[p.Name] = p.Weight
 		}
-		s.limiters[i].SetPeers(weights, s.now)
+		s.limiters[i].SetPeers(weights, len(s.vms), s.now)
 		for j := range s.vms {
 			if weights[s.vms[j].Name] == 0 {
 				delete(s.applied, [2]int{i, j})
@@ -96,7 +123,7 @@
 		}
 		for _, p := range plan.Partners {
 			j := s.index(p.Name)
-			if p.Initiate && !s.vms[i].Silent && !s.vms[j].Silent && !s.partitioned(i, j) {
+			if p.Initiate && !s.vms[i].Silent && !s.vms[j].Silent && !s.stopped[j] && !s.partitioned(i, j) && !s.missed() {
 				s.report(i, j)
 				s.report(j, i)
 			}
@@ -115,7 +142,7 @@
 
 func (s *hubSimulation) report(from, to int) {
 	scope := s.plan(from).ScopeFor(s.vms[to])
-	if !s.plan(to).Accepts(s.vms[from], scope) {
+	if s.lost(from, to) || !s.plan(to).Accepts(s.vms[from], scope) {
 		return
 	}
 	r := &peerpb.VMReport{Vm: s.vms[from].Name, Incarnation: s.incarnations[from]}
@@ -128,12 +155,14 @@
 		applied = progress{}
 	}
 	s.aggregators[from].fillReport(r, scope, s.vms[to].Name, applied.version, s.now)
-	if !s.aggregators[to].applyReport(r, s.plan(to).Follows(s.vms[from].Name), s.now) {
+	r.LateVms = lateVMs(s.limiters[from], scope, s.now)
+	admitted, ok := s.aggregators[to].applyReport(r, s.plan(to).Follows(s.vms[from].Name), s.now)
+	if !ok {
 		delete(s.applied, [2]int{to, from})
 		return
 	}
 	s.applied[[2]int{to, from}] = progress{scope, r.Version}
-	s.limiters[to].ApplyReport(r.Vm, r.Incarnation, r.Admitted, r.Asked, s.now)
+	s.limiters[to].ApplyReport(rateReport(r, admitted), s.now)
 }
 
 // step requests units from VMs chosen at random, as many per second as demand in total.
@@ -142,6 +171,9 @@
 	total := 0.0
 	for expected := demand * tick.Seconds() / size; expected > 0 && r.Float64() < expected; expected-- {
 		i := r.IntN(len(s.vms))
+		if s.stopped[i] {
+			continue
+		}
 		s.requested += size
 		if ok, _ := s.limiters[i].Admit("team", size, s.now); ok {
 			total += size
--- a/internal/vm/reports.go
+++ b/internal/vm/reports.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/chestnutarch/chestnutarch/internal/aggregate"
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+	"github.com/chestnutarch/chestnutarch/internal/teamrate"
 	"github.com/chestnutarch/chestnutarch/internal/topology"
 	"github.com/chestnutarch/chestnutarch/internal/upstreamrate"
 )
@@ -26,12 +28,25 @@
 		f.aggregator.setOwn(f.ownWork, now)
 		f.aggregator.fillReport(out, scope, receiver, since, now)
 	}
+	out.LateVms = lateVMs(f.process.limiter, scope, time.Now())
 	if leads || (scope != topology.ScopeOwn && scope != topology.ScopePresence) {
 		f.process.planner.contents.addUnsent(out, receiver)
 	}
 	return out
 }
 
+// lateVMs returns how many of the VMs that a report of a scope covers do not report to this VM.
+func lateVMs(l *teamrate.Limiter, scope topology.Scope, now time.Time) int32 {
+	single, all := l.LateVMs(now)
+	switch scope {
+	case topology.ScopeFollowers:
+		return int32(single)
+	case topology.ScopeAll, topology.ScopeAllForLeader:
+		return int32(all)
+	}
+	return 0
+}
+
 // addMemberState acknowledges in a report what was applied of the receiver's reports, and adds the rate
 // limits and departures of upstreams that the receiver may lack. It returns the report's scope, and the
 // version that the receiver has acknowledged in that scope.
@@ -74,6 +89,14 @@
 	})
 }
 
+// removeOldUsage removes what processes that have ended admitted. It must be called with the lock held.
+func (f *fleet) removeOldUsage(now time.Time) {
+	f.aggregator.removeUnknown(func(s aggregate.Source) bool {
+		m := f.members[s.VM]
+		return m != nil && m.Incarnation <= s.Incarnation
+	}, now)
+}
+
 // applyReport applies a report of another VM. Reports of unknown VMs, those of earlier
 // incarnations, and those that are older than the last one are ignored.
 func (f *fleet) applyReport(ctx context.Context, r *peerpb.VMReport) {
@@ -164,16 +187,22 @@
 
 // applyWork applies the counters and loads of a report.
 func (f *fleet) applyWork(r *peerpb.VMReport, follows bool, now time.Time) {
-	if !f.aggregator.applyReport(r, follows, now) {
+	admitted, ok := f.aggregator.applyReport(r, follows, now)
+	if !ok {
 		f.requestFullReport(r.Vm)
 		return
 	}
 	f.process.assigner.SetPeerLoads(r.Vm, f.aggregator.loadsFrom(r.Vm), now)
-	f.process.limiter.ApplyReport(r.Vm, r.Incarnation, r.Admitted, r.Asked, now)
+	f.process.limiter.ApplyReport(rateReport(r, admitted), now)
 	f.process.planner.recordDemand(r.Vm, r.Incarnation, demandFromProto(r.Demand), now)
 	f.process.planner.recordAdapterUse(r.InUse, now)
 }
 
+// rateReport returns the part of a report that concerns rates.
+func rateReport(r *peerpb.VMReport, admitted map[string]float64) teamrate.Report {
+	return teamrate.Report{VM: r.Vm, Incarnation: r.Incarnation, Admitted: admitted, Demand: r.Asked, LateVMs: int(r.LateVms)}
+}
+
 // requestFullReport makes a VM's next report complete instead of incremental.
 func (f *fleet) requestFullReport(vm string) {
 	f.mu.Lock()
--- a/internal/vm/reports_test.go
+++ b/internal/vm/reports_test.go
@@ -22,7 +22,8 @@
 // and an engine's load would stay unknown until they change once more.
 func TestLostReportIsSentAgain(t *testing.T) {
 	now := time.Now()
-	a := newAggregator()
+	own := aggregate.Source{VM: "a", Incarnation: 1}
+	a := newAggregator(own, now)
 	buildReport := func(w work, since uint64) *peerpb.VMReport {
 		now = now.Add(ownWorkMaxAge)
 		a.setOwn(func() work { return w }, now)
@@ -31,15 +32,15 @@
 		return out
 	}
 	first := buildReport(work{admitted: map[string]float64{"x": 1, "y": 1}}, 0)
-	require.Equal(t, map[string]float64{"x": 1, "y": 1}, first.Admitted)
+	require.Equal(t, map[string]float64{"x": 1, "y": 1}, first.Usage[0].Admitted)
 	lost := buildReport(work{admitted: map[string]float64{"x": 2, "y": 1}}, first.Version)
-	require.Equal(t, map[string]float64{"x": 2}, lost.Admitted)
+	require.Equal(t, map[string]float64{"x": 2}, lost.Usage[0].Admitted)
 	w := work{admitted: map[string]float64{"x": 2, "y": 4}, loads: map[string]assign.Load{"e1": {Requests: 1}}}
 	again := buildReport(w, first.Version)
-	require.Equal(t, map[string]float64{"x": 2, "y": 4}, again.Admitted)
+	require.Equal(t, map[string]float64{"x": 2, "y": 4}, again.Usage[0].Admitted)
 	require.Len(t, again.Engines, 1)
 	ended := buildReport(work{admitted: w.admitted}, again.Version)
-	require.Empty(t, ended.Admitted)
+	require.Empty(t, ended.Usage)
 	require.Zero(t, ended.Engines[0].Requests)
 	restarted := buildReport(work{admitted: w.admitted}, ended.Version+1000)
 	require.Zero(t, restarted.Since, "the acknowledged version of an earlier process must be ignored")
--- a/internal/vm/roster.go
+++ b/internal/vm/roster.go
@@ -13,7 +13,7 @@
 	version *aggregate.Version
 	vms     map[string]rosterEntry
 	// changes holds the changes of vms.
-	changes *changelog.Log
+	changes *changelog.Log[string]
 	// compactedVersion is the version up to which removals are no longer known.
 	compactedVersion uint64
 }
@@ -24,7 +24,7 @@
 }
 
 func newRoster(version *aggregate.Version) *roster {
-	return &roster{version: version, vms: make(map[string]rosterEntry), changes: changelog.New()}
+	return &roster{version: version, vms: make(map[string]rosterEntry), changes: changelog.New[string]()}
 }
 
 // set records whether a VM takes callers.
