ratelimit: the test of a long outage drives its own clock

Cause: a lease of 1.5 s of real time. The three VMs of the test are one process; without processor time for half a term all of them lose their authority, and in an outage of the store none can be a witness for another. Evidence: on one core beside 8 busy processes 1 run of 4 fails as recorded ("Condition never satisfied" after the outage), on the code as landed.

Change: the limiters' clock, an option that exists, is advanced by the test, 150 steps a term, with a tick of each VM after each. The outage still lasts two terms, the assertions are the same. Equally strict: with requests for promises switched off in a copy it fails.

--- a/internal/ratelimit/leases_test.go
+++ b/internal/ratelimit/leases_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chestnutarch/chestnutarch/internal/clock"
 	"github.com/chestnutarch/chestnutarch/internal/kv/kvtest"
 	"github.com/chestnutarch/chestnutarch/internal/membership"
 	"github.com/chestnutarch/chestnutarch/internal/peer"
@@ -24,9 +26,35 @@
 	testTerm = 1500 * time.Millisecond
 )
 
+// steppedClock is a clock that advances only with the control goroutines of a fleet, so that no lease ends
+// because a process gets little processor time.
+type steppedClock struct{ elapsed atomic.Int64 }
+
+func (c *steppedClock) read() clock.Reading {
+	elapsed := time.Duration(c.elapsed.Load())
+	return clock.Reading{Mono: elapsed, Wall: time.Unix(1_700_000_000, 0).Add(elapsed)}
+}
+
+// advance advances the clock in steps, and runs a tick of each limiter after every step.
+func (c *steppedClock) advance(t *testing.T, fleet []*Leases, d time.Duration) {
+	t.Helper()
+	const step = testTerm / 150
+	for end := c.elapsed.Load() + int64(d); c.elapsed.Load() < end; {
+		c.elapsed.Add(int64(step))
+		for _, l := range fleet {
+			ticked := make(chan struct{})
+			require.NoError(t, l.post(t.Context(), func(clock.Reading) {
+				l.tick()
+				close(ticked)
+			}))
+			<-ticked
+		}
+	}
+}
+
 // startFleet starts n limiters that communicate over the loopback interface and
 // share an in-memory key-value service.
-func startFleet(t *testing.T, n int) ([]*Leases, *kvtest.Memory) {
+func startFleet(t *testing.T, n int, read clock.Func) ([]*Leases, *kvtest.Memory) {
 	t.Helper()
 	store := kvtest.NewMemory(time.Now)
 	listeners := make([]net.Listener, n)
@@ -58,7 +86,7 @@
 				Prefix: "/quota/", Self: quota.Holder{VM: members[i].VM, Incarnation: 1},
 				Address: members[i].PeerAddress, FailureDomain: members[i].FailureDomain, Term: testTerm,
 			},
-			Store: store, Pool: pool, Log: zerolog.Nop(),
+			Store: store, Pool: pool, Log: zerolog.Nop(), Clock: read,
 			View: func() *membership.View { return &membership.View{Members: others} },
 		})
 		server.RegisterQuota(fleet[i])
@@ -73,7 +101,7 @@
 // other VMs' tokens.
 func TestWholeBurstOverRealConnections(t *testing.T) {
 	const burst = 9_000
-	fleet, _ := startFleet(t, 3)
+	fleet, _ := startFleet(t, 3, nil)
 	for _, l := range fleet {
 		l.SetLimits(1, []Limit{{Team: "a", Rate: 20_000, Burst: burst}})
 	}
@@ -96,12 +124,14 @@
 // key-value service outlasts the lease term. Without renewal by witnesses each
 // VM's authority would end a few seconds into the outage.
 func TestOutageLongerThanTheTerm(t *testing.T) {
-	fleet, store := startFleet(t, 3)
+	var c steppedClock
+	fleet, store := startFleet(t, 3, c.read)
 	for _, l := range fleet {
 		l.SetLimits(1, []Limit{{Team: "a", Rate: 9_000, Burst: 9_000}})
 	}
 	admitted := func(l *Leases) func() bool {
 		return func() bool {
+			c.advance(t, fleet, testTerm/15)
 			_, err := l.Acquire(t.Context(), "a", 100)
 			return err == nil
 		}
@@ -110,7 +140,7 @@
 		require.Eventually(t, admitted(l), waitTimeout, pollInterval)
 	}
 	store.UpdateFaults(func(f *kvtest.Faults) { f.Outage = true })
-	time.Sleep(2 * testTerm)
+	c.advance(t, fleet, 2*testTerm)
 	for _, l := range fleet {
 		require.Eventually(t, admitted(l), waitTimeout, pollInterval)
 	}
