--- a/internal/teamrate/late_test.go
+++ b/internal/teamrate/late_test.go
@@ -16,10 +16,10 @@
 	l.teams["team"].level = 0
 	now = now.Add(startupPeriod)
 	l.SetPeers(nil, 4, now)
-	before, _ := l.Level("team")
+	before := l.State("team", now).Level
 	now = now.Add(time.Second)
 	l.SetPeers(nil, 4, now)
-	after, _ := l.Level("team")
+	after := l.State("team", now).Level
 	require.InDelta(t, 250, after-before, 1)
 }
 
@@ -34,7 +34,7 @@
 	levelAfter := func(lateVMs int) float64 {
 		now = now.Add(testReport)
 		l.ApplyReport(Report{VM: "hub", Incarnation: 2, LateVMs: lateVMs}, now)
-		level, _ := l.Level("team")
+		level := l.State("team", now).Level
 		return level
 	}
 	require.InDelta(t, 250, levelAfter(45), 1)
@@ -53,8 +53,7 @@
 	admit := func(after time.Duration) (level float64) {
 		ok, _ := l.Admit("team", 10, now.Add(after))
 		require.True(t, ok)
-		level, _ = l.Level("team")
-		return level
+		return l.State("team", now).Level
 	}
 	for range 5 {
 		admit(lateAfter)
@@ -65,6 +64,6 @@
 	require.Less(t, admit(late), level-10-4*5*unmatchedRequests)
 	admitted := map[string]float64{"team": 630}
 	l.ApplyReport(Report{VM: "hub", Incarnation: 2, Admitted: admitted}, now.Add(late))
-	level, _ = l.Level("team")
+	level = l.State("team", now).Level
 	require.InDelta(t, 300, level, 5, "what was reported replaces what was assumed")
 }
--- a/internal/teamrate/limiter.go
+++ b/internal/teamrate/limiter.go
@@ -271,15 +271,35 @@
 	b.admitted += units - covered
 }
 
-// Level returns what is left of a team's bucket, and how much this VM may still admit for it
-// while the bucket is low, in units.
-func (l *Limiter) Level(team string) (level, local float64) {
+// State is what a decision on a team's request rests on.
+type State struct {
+	// Level is what is left of the team's bucket, and Local how much this VM may still admit while the
+	// bucket is low, in units.
+	Level, Local float64
+	// LateVMs is the number of VMs whose usage is assumed, since reports of them are late. Assumed is that
+	// usage in units.
+	LateVMs int
+	Assumed float64
+	// OldestReport is the time since the oldest of the last reports of other VMs.
+	OldestReport time.Duration
+}
+
+// State returns the state of a team's rate, the zero value if the team is unknown.
+func (l *Limiter) State(team string, now time.Time) State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b := l.teams[team]; b != nil {
-		return b.level, b.localLevel
+	b := l.teams[team]
+	if b == nil {
+		return State{}
 	}
-	return 0, 0
+	out := State{Level: b.level, Local: b.localLevel, LateVMs: int(l.lateVMs(now))}
+	for _, p := range l.peers {
+		out.Assumed += p.assumedUsage[team]
+		if !p.lastReport.IsZero() {
+			out.OldestReport = max(out.OldestReport, now.Sub(p.lastReport))
+		}
+	}
+	return out
 }
 
 func (l *Limiter) refillAll(now time.Time) {
--- a/internal/teamrate/limiter_test.go
+++ b/internal/teamrate/limiter_test.go
@@ -346,13 +346,13 @@
 	now = now.Add(testReport)
 	l.SetPeers(map[string]int{"hub": 15}, 16, now)
 	l.teams["team"].level = 5000
-	before, _ := l.Level("team")
+	before := l.State("team", now).Level
 	report("hub", 900)
-	after, _ := l.Level("team")
+	after := l.State("team", now).Level
 	require.InDelta(t, before, after, 1, "900 units must not be taken again")
 	now = now.Add(testReport)
 	report("hub", 1200)
-	after, _ = l.Level("team")
+	after = l.State("team", now).Level
 	require.InDelta(t, before-300+l.refillRate(Limit{Rate: 1000})*testReport.Seconds(), after, 1)
 }
 
@@ -382,7 +382,7 @@
 		l.ApplyReport(Report{VM: "b", Incarnation: 2}, now)
 		counts := map[string]float64{"team": used}
 		l.ApplyReport(Report{VM: "b", Incarnation: 2, Admitted: counts, Demand: counts}, now.Add(testReport))
-		level, _ := l.Level("team")
+		level := l.State("team", now).Level
 		return level
 	}
 	require.InDelta(t, levelAfter(0)-200, levelAfter(200), 1e-6)
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -183,7 +183,7 @@
 	if j.team != "" {
 		ok, retry := c.options.Limiter.Admit(j.team, j.units, now)
 		if !ok {
-			j.rateLevel, j.ratePace = c.options.Limiter.Level(j.team)
+			j.rate = c.options.Limiter.State(j.team, now)
 			return j, &Refusal{
 				Status: http.StatusTooManyRequests, Reason: "rate_limited",
 				Detail: "the team's rate is used up; the request was not run", RetryAfter: retry,
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -10,6 +10,7 @@
 
 	"github.com/chestnutarch/chestnutarch/internal/assign"
 	"github.com/chestnutarch/chestnutarch/internal/catalog"
+	"github.com/chestnutarch/chestnutarch/internal/teamrate"
 )
 
 const (
@@ -75,9 +76,8 @@
 	cause       error
 	timeToFirst time.Duration
 	expected    time.Duration
-	// rateLevel and ratePace are the units left in the team's token bucket and in this
-	// VM's pacing bucket when the request was refused.
-	rateLevel, ratePace float64
+	// rate is the state of the team's rate if it refused the request.
+	rate teamrate.State
 }
 
 type bufferedReply struct {
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -27,7 +27,8 @@
 		Str("reason", r.Reason).Dur("retry_after_ms", r.RetryAfter).Str("host", q.Host).Str("path", q.Path)
 	if j != nil {
 		e = e.Str("route", j.route.Name).Str("team", j.team).Float64("units", j.units).
-			Float64("rate_level", j.rateLevel).Float64("rate_pace", j.ratePace).Int64("configuration", j.catalog.Version)
+			Float64("rate_level", j.rate.Level).Float64("rate_pace", j.rate.Local).Int("rate_late_vms", j.rate.LateVMs).
+			Float64("rate_assumed", j.rate.Assumed).Dur("rate_oldest_report_ms", j.rate.OldestReport).Int64("configuration", j.catalog.Version)
 	}
 	e.Send()
 }
--- a/internal/vm/gauges.go
+++ b/internal/vm/gauges.go
@@ -27,6 +27,8 @@
 		p.setGauge("leadership.leads", boolToInt(p.candidate.HoldsLease()))
 		p.setGauge("upstreams.rate_limited", int64(len(p.assigner.RateLimits().InForce())))
 		p.setGauge("upstreams.retry_later", int64(p.assigner.RetryLaterCount(time.Now())))
+		_, late := p.limiter.LateVMs(time.Now())
+		p.setGauge("rates.late_vms", int64(late))
 		p.updateLoadGauges()
 		sleep(ctx, gaugeInterval)
 	}
