--- a/internal/vm/late_reports_test.go
+++ b/internal/vm/late_reports_test.go
@@ -1,8 +1,8 @@
 package vm
 
 import (
-	"github.com/chestnutarch/chestnutarch/internal/topology"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -54,25 +54,9 @@
 	s.missed = func() bool { return r.Float64() < c.missed }
 	s.lost = func(int, int) bool { return r.Float64() < c.lost }
 	s.requested, s.refused = 0, 0
-	var stopped []int
 	for tick := range ticks {
 		if c.stopped > 0 {
-			switch tick % 600 {
-			case 100:
-				for _, hub := range s.plan(0).Hubs()[:c.stopped] {
-					stopped = append(stopped, s.index(hub))
-					s.stopped[s.index(hub)] = true
-				}
-			case 100 + hubSilenceTicks, 100 + c.stopTicks:
-				for _, i := range stopped {
-					s.vms[i].Silent = tick%600 != 100+c.stopTicks
-					s.stopped[i] = s.vms[i].Silent
-				}
-				if tick%600 == 100+c.stopTicks {
-					stopped = nil
-				}
-				s.plans = make(map[int]*topology.Plan)
-			}
+			c.stopHubs(s, tick%600)
 		}
 		if c.restartTicks > 0 && tick%c.restartTicks == 0 {
 			s.restart(tick / c.restartTicks % c.vms)
@@ -83,6 +67,32 @@
 	return s
 }
 
+// stopHubs stops hubs, lets the other VMs find that they are silent, or lets them go on, if that is due at a
+// tick of the period.
+func (c lateReports) stopHubs(s *hubSimulation, tick int) {
+	const begin = 100
+	switch tick {
+	case begin:
+		hubs := s.plan(0).Hubs()
+		slices.Sort(hubs)
+		for _, hub := range hubs[:c.stopped] {
+			s.stopped[s.index(hub)] = true
+		}
+	case begin + hubSilenceTicks:
+		s.setStoppedSilent(true)
+	case begin + c.stopTicks:
+		s.setStoppedSilent(false)
+		clear(s.stopped)
+	}
+}
+
+func (s *hubSimulation) setStoppedSilent(silent bool) {
+	for i := range s.stopped {
+		s.vms[i].Silent = silent
+	}
+	clear(s.plans)
+}
+
 // maxVMsOfSeveralSeeds is the number of VMs below which a case is played with several seeds.
 const maxVMsOfSeveralSeeds = 60
 
