--- a/internal/vm/late_reports_test.go
+++ b/internal/vm/late_reports_test.go
@@ -31,7 +31,7 @@
 	{name: "hubs stop for 1.6 s", vms: 60, domains: 4, demands: []float64{2, 8}, stopped: 2, stopTicks: 160},
 	{name: "hubs stop for 2.4 s", vms: 60, domains: 4, demands: []float64{8}, stopped: 2, stopTicks: 240},
 	{name: "VMs restart", vms: 60, domains: 4, demands: []float64{2, 6}, restartTicks: 45},
-		{name: "mesh, six of ten missed", vms: 6, domains: 3, demands: []float64{2, 10}, missed: 0.6},
+	{name: "mesh, six of ten missed", vms: 6, domains: 3, demands: []float64{2, 10}, missed: 0.6},
 	{name: "18 VMs, three of ten missed", vms: 18, domains: 3, demands: []float64{2, 10}, missed: 0.3},
 	{name: "18 VMs, hubs stop for 1.6 s", vms: 18, domains: 3, demands: []float64{2, 6}, stopped: 1, stopTicks: 160},
 	{name: "295 VMs, hubs stop for 1.6 s", vms: 295, domains: 4, demands: []float64{4}, stopped: 2, stopTicks: 160},
