--- a/internal/aggregate/totals_test.go
+++ b/internal/aggregate/totals_test.go
@@ -68,8 +68,7 @@
 	require.Len(t, totals.Since(topology.ScopeAll, 0, "self"), 1)
 }
 
-// Reports between VMs that get lost, are late or arrive twice must neither hide a unit nor count one twice
-// once all VMs have been in touch.
+// Guards against units that are hidden or counted twice when reports are lost, late or arrive twice.
 func TestTotalsAgreeWhateverIsLostOnTheWay(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const vms = 4
