ratelimit: the clock of the test waits for calls in flight

Cause: advances the clock with the control goroutines alone. On a machine with little processor time 75 steps passed before an exchange with a witness had ended, and all authority lapsed in virtual time, as it had in real time before. Change: after each step the clock waits until no call is in flight.

--- a/internal/ratelimit/leases_test.go
+++ b/internal/ratelimit/leases_test.go
@@ -35,7 +35,8 @@
 	return clock.Reading{Mono: elapsed, Wall: time.Unix(1_700_000_000, 0).Add(elapsed)}
 }
 
-// advance advances the clock in steps, and runs a tick of each limiter after every step.
+// advance advances the clock in steps. After every step it runs a tick of each limiter and waits for the
+// calls that are in flight.
 func (c *steppedClock) advance(t *testing.T, fleet []*Leases, d time.Duration) {
 	t.Helper()
 	const step = testTerm / 150
@@ -49,6 +50,11 @@
 			}))
 			<-ticked
 		}
+		for _, l := range fleet {
+			for len(l.callSlots) > 0 {
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
 	}
 }
 
