aggregate: totals that are told again do not keep an ended process

Cause: lastChanged moved with every mention, so VMs that told each other of an ended process in full reports kept it for longer than others, and one that had removed it counted it anew. Change: it moves with a change only. The test fails before and passes after. Left: two VMs that learned of the last change seconds apart still remove it seconds apart.

--- a/internal/aggregate/totals.go
+++ b/internal/aggregate/totals.go
@@ -90,7 +90,6 @@
 		s = &sourceTotals{scope: scope, totals: make(map[string]float64)}
 		t.sources[source] = s
 	}
-	s.lastChanged = now
 	if scope < s.scope {
 		s.scope = scope
 		for name := range s.totals {
@@ -99,7 +98,7 @@
 	}
 	for name, total := range totals {
 		if total > s.totals[name] {
-			s.totals[name] = total
+			s.totals[name], s.lastChanged = total, now
 			t.recordChange(source, s.scope, name)
 		}
 	}
--- a/internal/aggregate/totals_test.go
+++ b/internal/aggregate/totals_test.go
@@ -68,6 +68,15 @@
 	require.Len(t, totals.Since(topology.ScopeAll, 0, "self"), 1)
 }
 
+// Guards against ended processes that VMs keep alive by telling each other of them: one that had forgotten them would count them anew.
+func TestTotalsThatAreToldAgainAreRemovedInTime(t *testing.T) {
+	totals := newTestTotals("self", testTime)
+	mergeTotals(totals, "gone", testTime, false, true, map[string]float64{"x": 1}, testTime)
+	mergeTotals(totals, "gone", testTime, false, true, map[string]float64{"x": 1}, testTime.Add(totalsRetention))
+	totals.RemoveUnknown(func(Source) bool { return false }, testTime.Add(totalsRetention+1))
+	require.Empty(t, totals.sources)
+}
+
 // Guards against units that are hidden or counted twice when reports are lost, late or arrive twice.
 func TestTotalsAgreeWhateverIsLostOnTheWay(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
