teamrate: one function for VMs that have not been heard of

Cause: silentVMs and latePart differed in their timeout only. Change: both call unheardVMs. Figures: behaviour as before; the tests of late VMs and of totals pass.

--- a/internal/teamrate/late.go
+++ b/internal/teamrate/late.go
@@ -25,16 +25,15 @@
 }
 
 // silentVMs returns how many of the VMs that a peer reports for have not been heard of for too long.
-func (p *peer) silentVMs(now time.Time) float64 {
-	if now.Sub(p.lastReport) > p.timeout() {
-		return p.weight
-	}
-	return p.lateVMs
-}
+func (p *peer) silentVMs(now time.Time) float64 { return p.unheardVMs(p.timeout(), now) }
 
 // latePart returns how many of the VMs that a peer reports for are late.
-func (p *peer) latePart(now time.Time) float64 {
-	if now.Sub(p.lastReport) > lateAfter {
+func (p *peer) latePart(now time.Time) float64 { return p.unheardVMs(lateAfter, now) }
+
+// unheardVMs returns all VMs that a peer reports for if it has not reported for a time, else those that it
+// lacks reports of itself.
+func (p *peer) unheardVMs(timeout time.Duration, now time.Time) float64 {
+	if now.Sub(p.lastReport) > timeout {
 		return p.weight
 	}
 	return p.lateVMs
