soak: upstreams that leave by the store for longer than requests may reach them, and processes that compete for the processors

Cause: the soak had no check that an upstream gets no request once the store has acknowledged that it leaves, its drains were shorter than the bound, and its callers few.

Two checks, both with the bound drain-ms and for VMs and a store that were undisturbed for 4 s before: no request arrives later, and each VM notices in time. -busy, -engines, -callers, -faults, -storefaults, -recovery and -logs choose the run. A violation tells from the VM's log when it sent and when it learned. Fleets with hubs have 3 s for both bounds, as the deployments do. VMs are stopped side by side.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -41,12 +41,8 @@
 	onlyPlannedStops bool
 }
 
-const (
-	// callerCount is the number of concurrent callers. Each has its own connections.
-	callerCount = 10
-	// resolveInterval is how long a caller uses an answer of the directory.
-	resolveInterval = 2 * time.Second
-)
+// resolveInterval is how long a caller uses an answer of the directory.
+const resolveInterval = 2 * time.Second
 
 // load is a set of callers that send requests until they are stopped.
 type load struct {
@@ -57,10 +53,11 @@
 	running          sync.WaitGroup
 }
 
-func startLoad(w *world, seed uint64) *load {
+// startLoad starts concurrent callers. Each has its own connections.
+func startLoad(w *world, seed uint64, callers int) *load {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &load{w: w, cancel: cancel}
-	for i := range callerCount {
+	for i := range callers {
 		l.running.Go(func() { l.runCaller(ctx, rand.New(rand.NewPCG(seed, uint64(i)+100))) })
 	}
 	return l
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -19,6 +19,8 @@
 	begin           func()
 	// end repairs the fault. It may be nil.
 	end func()
+	// ofStore is set if the fault affects the whole store.
+	ofStore bool
 }
 
 // drawFaults draws the faults of a run. The seed determines the faults, their start and their
@@ -130,7 +132,7 @@
 	delay := time.Duration(10+r.IntN(300)) * time.Millisecond
 	return fault{
 		name:  fmt.Sprintf("delay %s %s by %v", v.Name, name, delay),
-		begin: func() { v.markDisturbed(); p.update(func() { p.delay = delay }) }, end: p.heal,
+		begin: func() { v.markDisturbed(); p.update(func() { p.delay = delay }) }, end: func() { p.heal(); v.markDisturbed() },
 	}
 }
 
@@ -148,7 +150,8 @@
 
 func (w *world) storeUnavailable(r *rand.Rand) fault {
 	status := pick(r, []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, 0, -1})
-	return fault{name: fmt.Sprintf("the store is unavailable (%d)", status), begin: func() {
+	return fault{ofStore: true, name: fmt.Sprintf("the store is unavailable (%d)", status), begin: func() {
+		w.disturbStore()
 		w.store.Override(func(out http.ResponseWriter, in *http.Request) {
 			switch status {
 			case 0:
@@ -159,25 +162,38 @@
 				out.WriteHeader(status)
 			}
 		})
-	}, end: func() { w.store.Override(nil) }}
+	}, end: func() {
+		w.store.Override(nil)
+		w.disturbStore()
+	}}
 }
 
 func (w *world) storeDropsCommitAnswers(*rand.Rand) fault {
 	return fault{
-		name: "the store drops the answers of commits", begin: func() { w.store.DropCommitAnswers(true) }, end: func() { w.store.DropCommitAnswers(false) },
+		ofStore: true, name: "the store drops the answers of commits", begin: func() {
+			w.disturbStore()
+			w.store.DropCommitAnswers(true)
+		}, end: func() {
+			w.store.DropCommitAnswers(false)
+			w.disturbStore()
+		},
 	}
 }
 
 func (w *world) storeCompacts(*rand.Rand) fault {
-	return fault{name: "the store compacts its history", begin: w.store.Compact}
+	return fault{ofStore: true, name: "the store compacts its history", begin: w.store.Compact}
 }
 
 // storeRefusesAll makes the store refuse every call, renewals of leases included, while the
 // leases' times run on. Leases that are due meanwhile end.
 func (w *world) storeRefusesAll(*rand.Rand) fault {
-	return fault{name: "the store refuses all calls and leases expire", begin: func() {
+	return fault{ofStore: true, name: "the store refuses all calls and leases expire", begin: func() {
+		w.disturbStore()
 		w.store.Override(func(out http.ResponseWriter, _ *http.Request) { out.WriteHeader(http.StatusServiceUnavailable) })
-	}, end: func() { w.store.Override(nil) }}
+	}, end: func() {
+		w.store.Override(nil)
+		w.disturbStore()
+	}}
 }
 
 // storeRefusesVM resets the connections of one VM to the store, existing and new ones.
@@ -187,7 +203,10 @@
 		v.markDisturbed()
 		v.storeProxy.update(func() { v.storeProxy.refuse = true })
 		v.storeProxy.reset()
-	}, end: v.storeProxy.heal}
+	}, end: func() {
+		v.storeProxy.heal()
+		v.markDisturbed()
+	}}
 }
 
 // restartReplica restarts a replica under its ID, without its models and its count of accepted orders.
--- a/test/soak/oracle_test.go
+++ b/test/soak/oracle_test.go
@@ -95,6 +95,8 @@
 	}
 	o.checkRate(runs)
 	o.checkPushback(w, runs)
+	o.checkDepartures(w)
+	o.checkNotices(w)
 	for _, v := range w.vms {
 		v.mu.Lock()
 		for _, end := range v.unexpectedEnds {
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -32,8 +32,9 @@
 	// unexpectedEnds are the times and errors of ends that the test did not cause,
 	// and the errors of failed starts.
 	unexpectedEnds []string
-	// disturbed is the time of the last fault of the process or of one of its proxies.
-	disturbed time.Time
+	// disturbances are the times of all signals, and of the beginnings and ends of the faults of the
+	// process's proxies.
+	disturbances []time.Time
 	// interruptions are the times of all signals that start, end, pause or resume the process.
 	interruptions []time.Time
 	done          chan struct{}
@@ -117,8 +118,9 @@
 	if v.cmd == nil || v.cmd.Process == nil {
 		return
 	}
-	v.disturbed = time.Now()
-	v.interruptions = append(v.interruptions, v.disturbed)
+	now := time.Now()
+	v.disturbances = append(v.disturbances, now)
+	v.interruptions = append(v.interruptions, now)
 	switch s {
 	case syscall.SIGTERM, syscall.SIGKILL:
 		v.endExpected = true
@@ -152,7 +154,11 @@
 func (v *vm) stop() {
 	v.mu.Lock()
 	v.shouldRun = false
+	started := v.done != nil
 	v.mu.Unlock()
+	if !started {
+		return
+	}
 	v.signal(syscall.SIGCONT)
 	v.signal(syscall.SIGTERM)
 	select {
@@ -170,12 +176,24 @@
 func (v *vm) interruptedBetween(from, to time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return slices.ContainsFunc(v.interruptions, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+	return anyBetween(v.interruptions, from, to)
 }
 
 // markDisturbed records that a fault affects the VM now.
 func (v *vm) markDisturbed() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.disturbed = time.Now()
+	v.disturbances = append(v.disturbances, time.Now())
+}
+
+// disturbedBetween reports whether a fault of the process or of one of its proxies began or ended within
+// a time.
+func (v *vm) disturbedBetween(from, to time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return anyBetween(v.disturbances, from, to)
+}
+
+func anyBetween(times []time.Time, from, to time.Time) bool {
+	return slices.ContainsFunc(times, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
 }
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -34,6 +34,8 @@
 	// refuse resets new connections.
 	refuse      bool
 	connections map[*connection]bool
+	// updates are the times at which faults began or ended.
+	updates []time.Time
 }
 
 // connection is one connection through a proxy, with its two sockets.
@@ -151,10 +153,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	change()
+	p.updates = append(p.updates, time.Now())
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
+// disturbedBetween reports whether a fault of the proxy began or ended within a time.
+func (p *proxy) disturbedBetween(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return anyBetween(p.updates, from, to)
+}
+
 // heal removes all faults except silent connections.
 func (p *proxy) heal() {
 	p.update(func() { p.toTarget, p.toCaller, p.delay, p.refuse = pass, pass, 0, false })
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -25,9 +25,17 @@
 	evacuations    = flag.Bool("evacuations", false, "evacuate zones, and make engines cold after a restart")
 	rateLimits     = flag.Bool("ratelimits", false, "upstreams name rate limits")
 	pushback       = flag.Bool("pushback", false, "upstreams leave by their answers alone, and shed load")
+	departures     = flag.Bool("departures", false, "upstreams leave by the store for longer than requests may reach them")
+	otherFaults    = flag.Bool("faults", true, "inject the faults that belong to no other flag")
+	storeFaults    = flag.Bool("storefaults", true, "let faults of the whole store be among the faults")
+	recovery       = flag.Bool("recovery", true, "check the recovery after the faults, and a rolling restart")
+	busyProcesses  = flag.Int("busy", 0, "number of processes that compete with the VMs for the processors")
+	engineCount    = flag.Int("engines", defaultEngines, "number of engines, and of instances of the plain service")
+	callerCount    = flag.Int("callers", defaultCallers, "number of concurrent callers, each with its own connections")
 	extraRoutes    = flag.Int("routes", 0, "number of additional routes in the configuration; links are narrow if it is above 0")
 	faultTime      = flag.Duration("storm", 6*time.Second, "time during which faults are injected")
 	allRegressions = flag.Bool("regressions", false, "run all regressions, those that CI leaves out included")
+	logFolder      = flag.String("logs", "", "an existing folder for the logs, which are kept")
 	buildFolders   = flag.String("builds", "", "two folders with builds, comma-separated: half of the VMs start with each, and every restart switches to the other")
 )
 
@@ -70,6 +78,10 @@
 var builds []string
 
 func TestMain(m *testing.M) {
+	if os.Getenv(busyVariable) != "" {
+		spin()
+		return
+	}
 	flag.Parse()
 	dir, err := os.MkdirTemp("", "soak")
 	if err == nil {
@@ -106,7 +118,7 @@
 // unavailable and compacts its history. What callers and replicas observe must keep the promises
 // throughout, and every kind of request must be served after the faults have ended.
 func TestSoak(t *testing.T) {
-	flags := run{faultTime: *faultTime, routes: *extraRoutes, vms: *vmCount, evacuations: *evacuations, rateLimits: *rateLimits, pushback: *pushback}
+	flags := run{faultTime: *faultTime, routes: *extraRoutes, vms: *vmCount, evacuations: *evacuations, rateLimits: *rateLimits, pushback: *pushback, departures: *departures, noOtherFaults: !*otherFaults, noStoreFaults: !*storeFaults, noRecovery: !*recovery, busy: *busyProcesses, engines: *engineCount, callers: *callerCount}
 	switch {
 	case *seed != 0:
 		flags.start(t, *seed)
@@ -135,9 +147,25 @@
 	// routes is the number of routes that no caller uses.
 	routes, vms             int
 	evacuations, rateLimits bool
-	pushback                bool
+	pushback, departures    bool
+	// noOtherFaults leaves out the faults that belong to none of the flags above.
+	noOtherFaults bool
+	// noStoreFaults leaves out the faults of the whole store.
+	noStoreFaults bool
+	// noRecovery leaves out the checks of the recovery.
+	noRecovery bool
+	// busy is the number of processes that compete with the VMs for the processors.
+	busy int
+	// engines is the number of engines and of instances of the plain service, defaultEngines if it is 0.
+	// callers is the number of callers, defaultCallers if it is 0.
+	engines, callers int
 }
 
+const (
+	defaultEngines = 3
+	defaultCallers = 10
+)
+
 // runRegressions runs the regressions, those with manualOnly only if includeManual is set.
 func runRegressions(t *testing.T, includeManual bool) {
 	for _, r := range regressions {
@@ -149,7 +177,8 @@
 
 // arguments returns the command-line arguments of the run.
 func (o run) arguments() string {
-	return fmt.Sprintf("-storm %v -routes %d -vms %d -evacuations=%v -ratelimits=%v -pushback=%v", o.faultTime, o.routes, o.vms, o.evacuations, o.rateLimits, o.pushback)
+	return fmt.Sprintf("-storm %v -routes %d -vms %d -evacuations=%v -ratelimits=%v -pushback=%v -departures=%v -faults=%v -storefaults=%v -recovery=%v -busy %d -engines %d -callers %d",
+		o.faultTime, o.routes, o.vms, o.evacuations, o.rateLimits, o.pushback, o.departures, !o.noOtherFaults, !o.noStoreFaults, !o.noRecovery, o.busy, max(o.engines, defaultEngines), max(o.callers, defaultCallers))
 }
 
 func (o run) start(t *testing.T, seed uint64) {
@@ -169,10 +198,20 @@
 	w.eventually("the directory of every VM names all VMs", w.allListed)
 	stop := make(chan struct{})
 	go w.refreshEntries(stop)
-	l := startLoad(w, s)
-	w.injectFaults(sortFaults(slices.Concat(w.drawFaults(r, o.faultTime), w.drawEvacuations(r, o.faultTime), w.drawRateLimits(r, o.faultTime), w.drawPushback(r, o.faultTime))))
+	l := startLoad(w, s, max(o.callers, defaultCallers))
+	startBusy(t, o.busy)
+	faults := w.drawFaults(r, o.faultTime)
+	if o.noStoreFaults {
+		faults = slices.DeleteFunc(faults, func(f fault) bool { return f.ofStore })
+	}
+	if o.noOtherFaults {
+		faults = nil
+	}
+	w.injectFaults(sortFaults(slices.Concat(faults, w.drawEvacuations(r, o.faultTime), w.drawRateLimits(r, o.faultTime), w.drawPushback(r, o.faultTime), w.drawDepartures(r, o.faultTime))))
 	w.heal()
-	w.checkRecovery(l)
+	if !o.noRecovery {
+		w.checkRecovery(l)
+	}
 	l.stopAndWait()
 	close(stop)
 	w.oracle.check(w)
@@ -321,6 +360,16 @@
 	}
 }
 
+// logDirectory returns the directory for the logs of a run.
+func logDirectory(t *testing.T) string {
+	if *logFolder == "" {
+		return t.TempDir()
+	}
+	dir, err := os.MkdirTemp(*logFolder, "soak-")
+	require.NoError(t, err)
+	return dir
+}
+
 // keepLogs copies the logs of the processes to a temporary directory if the run has failed.
 func (w *world) keepLogs(s uint64) {
 	if !w.t.Failed() {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -21,8 +21,9 @@
 
 const (
 	host = "callers.example"
-	// configMs, leaseMs and quotaSlack are limits that the platform sets.
-	configMs = 2000
+	// boundMs is the time within which a configuration has to be in force and within which an upstream
+	// that leaves may still get requests. leaseMs and quotaSlack are further limits that the platform sets.
+	boundMs = 2000
 	// evacuationMs is the time within which an evacuated zone gets no more requests.
 	evacuationMs = 3000
 	// coldStart is how long an engine is cold after a restart, coldPerSecond the number of
@@ -53,6 +54,14 @@
 	rateLimits bool
 	// pushback is set if upstreams leave by their answers alone, and shed load.
 	pushback bool
+	// departures is set if upstreams leave by the store for longer than requests may reach them.
+	departures bool
+	// boundMs is the value of the bounds config-ms and drain-ms.
+	boundMs int
+
+	// storeMu guards storeDisturbances, the times at which faults of the whole store began or ended.
+	storeMu           sync.Mutex
+	storeDisturbances []time.Time
 
 	mu       sync.Mutex
 	manifest standin.Manifest
@@ -72,6 +81,8 @@
 	mu            sync.Mutex
 	// state is "ready", "draining", or "" if the replica has no entry in the store.
 	state string
+	// departures are its departures by the store that last for longer than requests may reach it.
+	departures []departure
 }
 
 // narrowLinkRate is the rate of a narrow link in bytes a second. It is an eighth of a link of 10
@@ -82,7 +93,10 @@
 // newWorld starts the world of a run. Additional routes make the configuration large, and then the links to
 // the store and between VMs are narrow. With evacuations a third of the upstreams is in evacuatedZone.
 func newWorld(t *testing.T, o run) *world {
-	w := &world{t: t, dir: t.TempDir(), store: standin.NewStore(), oracle: newOracle(), evacuations: o.evacuations, rateLimits: o.rateLimits, pushback: o.pushback}
+	w := &world{t: t, dir: logDirectory(t), store: standin.NewStore(), oracle: newOracle(), evacuations: o.evacuations, rateLimits: o.rateLimits, pushback: o.pushback, departures: o.departures, boundMs: boundMs}
+	if o.departures && o.vms > hubFleetVMs {
+		w.boundMs = hubBoundMs
+	}
 	if o.routes > 0 {
 		w.rate = narrowLinkRate
 	}
@@ -107,7 +121,7 @@
 		server.Close()
 	})
 	w.storeAddress = server.Listener.Addr().String()
-	for i := range 3 {
+	for i := range max(o.engines, defaultEngines) {
 		zone := "a"
 		if o.evacuations && i == 2 {
 			zone = evacuatedZone
@@ -121,13 +135,22 @@
 	}
 	// All VMs are added before one starts: the store calls publishPeerProxies, which reads the
 	// list of VMs, as soon as the first one registers.
+	t.Cleanup(w.stopVMs)
 	for _, v := range w.vms {
 		require.NoError(t, v.supervise())
-		t.Cleanup(v.stop)
 	}
 	return w
 }
 
+// stopVMs stops all VMs at once: each takes some seconds.
+func (w *world) stopVMs() {
+	var all sync.WaitGroup
+	for _, v := range w.vms {
+		all.Go(v.stop)
+	}
+	all.Wait()
+}
+
 func (w *world) addUpstream(service, zone, id string, models ...string) {
 	r := standin.NewReplica(id, 2, models...)
 	r.NameAttempt, r.ServiceTime, r.Born = true, 5*time.Millisecond, time.Now().UnixMilli()
@@ -169,7 +192,7 @@
 	v := &vm{builds: builds, starts: firstBuild, dir: w.dir, VM: standin.VM{
 		Name: name, Zone: zone, IP: "127.0.0.1", FirstPort: min(vmPorts[0], vmPorts[1]), LastPort: max(vmPorts[0], vmPorts[1]),
 		Callers: at(2), Readiness: at(3), Directory: at(4),
-		ConfigMs: configMs, EvacuationMs: evacuationMs, LeaseMs: leaseMs, GraceS: int(gracePeriod.Seconds()), QuotaSlack: quotaSlack,
+		ConfigMs: w.boundMs, DrainMs: w.boundMs, EvacuationMs: evacuationMs, LeaseMs: leaseMs, GraceS: int(gracePeriod.Seconds()), QuotaSlack: quotaSlack,
 	}}
 	for _, link := range []struct {
 		proxy  **proxy
@@ -252,6 +275,20 @@
 	}
 }
 
+// disturbStore records that a fault of the whole store begins or ends now.
+func (w *world) disturbStore() {
+	w.storeMu.Lock()
+	defer w.storeMu.Unlock()
+	w.storeDisturbances = append(w.storeDisturbances, time.Now())
+}
+
+// storeDisturbedBetween reports whether a fault of the whole store began or ended within a time.
+func (w *world) storeDisturbedBetween(from, to time.Time) bool {
+	w.storeMu.Lock()
+	defer w.storeMu.Unlock()
+	return anyBetween(w.storeDisturbances, from, to)
+}
+
 // heal ends all faults that are still active.
 func (w *world) heal() {
 	w.store.Override(nil)
