vm, traffic: logs tell how a VM learned that an upstream leaves, why an entry is kept, and the state at the first byte

Change: events departure (source, revision, kind) and entry_kept (for how long, and how old the failure is that it rests on); request_sent has placed_ms and upstreams_revision; request_ended has write_wait_ms and draining_at_write; counters chestnut_departures_SOURCE and chestnut_requests_leaving_at_write. Pool.Do calls back before the first byte.

Conclusion: a late request now sorts itself by its lines.

--- a/internal/assign/types.go
+++ b/internal/assign/types.go
@@ -127,3 +127,6 @@
 	started  bool
 	done     bool
 }
+
+// PlacedAt returns when the place was reserved.
+func (c *Choice) PlacedAt() time.Time { return c.placedAt }
--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -42,7 +42,7 @@
 func exchange(t *testing.T, p *Pool, address, method, body string) (string, error) {
 	r, err := http.NewRequest(method, "http://"+address+"/x", nil)
 	require.NoError(t, err)
-	x, err := p.Do(t.Context(), address, r, []byte(body))
+	x, err := p.Do(t.Context(), address, r, []byte(body), nil)
 	if err != nil {
 		return "", err
 	}
@@ -165,7 +165,7 @@
 	time.AfterFunc(50*time.Millisecond, cancel)
 	r, err := http.NewRequest("GET", "http://"+address+"/", nil)
 	require.NoError(t, err)
-	_, err = NewPool(transport.Limits{}).Do(ctx, address, r, nil)
+	_, err = NewPool(transport.Limits{}).Do(ctx, address, r, nil, nil)
 	require.ErrorIs(t, err, ErrBroken)
 	require.Error(t, <-readErr)
 }
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -54,8 +54,10 @@
 	// RecordLeaving is called with an upstream whose answer says that it leaves. The instance must not be
 	// chosen for any request after it returns.
 	RecordLeaving func(i *upstream.Instance)
-	// UpstreamsAge returns the age of this VM's table of upstreams.
-	UpstreamsAge func() time.Duration
+	// UpstreamsAge returns the age of this VM's table of upstreams, UpstreamsRevision the revision of the
+	// store that it shows.
+	UpstreamsAge      func() time.Duration
+	UpstreamsRevision func() int64
 	// Outdated reports whether a configuration newer than the one in force is known to
 	// exist.
 	Outdated func() bool
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -78,6 +78,10 @@
 	expected    time.Duration
 	// rate is the state of the team's rate if it refused the request.
 	rate teamrate.State
+	// writeWait is the time from the last choice of an upstream to the first byte that was written to it.
+	// drainingAtWrite means that the upstream was known to leave by then.
+	writeWait       time.Duration
+	drainingAtWrite bool
 }
 
 type bufferedReply struct {
@@ -165,7 +169,7 @@
 	defer func() { j.reserved = silence.stop() }()
 	reply, err := j.core.options.Upstreams.Send(inner, Attempt{
 		Request: j.request, Instance: instance, Team: j.team, TimeLeft: time.Until(j.deadline),
-		Priority: j.enginePriority(choice), ResumeAfter: j.lastEventID,
+		Priority: j.enginePriority(choice), ResumeAfter: j.lastEventID, BeforeWrite: func() { j.noteWrite(choice) },
 	})
 	if err != nil {
 		return j.sendFailed(ctx, choice, err)
@@ -192,6 +196,15 @@
 	return j.forwardBuffered(choice, reply)
 }
 
+// noteWrite records that the first byte of the request is about to be written.
+func (j *job) noteWrite(choice *assign.Choice) {
+	instance := j.core.options.Instance(choice.Instance)
+	j.writeWait, j.drainingAtWrite = time.Since(choice.PlacedAt()), instance == nil || instance.Draining
+	if j.drainingAtWrite {
+		j.core.countLeavingWrite()
+	}
+}
+
 // enginePriority returns the request's priority in an engine: by urgency, and after all
 // requests that can still meet their objective if this one cannot.
 func (j *job) enginePriority(c *assign.Choice) int {
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -41,9 +41,9 @@
 		Int("uncached", choice.Uncached).Int("beside", choice.KnownLoad.Requests).Int("beside_others", choice.KnownLoad.PeerRequests).
 		Int("prefill_ahead", choice.KnownLoad.PrefillTokens).Dur("report_age_ms", choice.KnownLoad.ReportAge).Dur("expected_ms", choice.Expected).Bool("late", choice.Late).
 		Bool("rate_limited", choice.RateLimited).
-		Dur("held_ms", time.Since(j.request.Arrived)).Dur("left_ms", time.Until(j.deadline)).
+		Dur("held_ms", time.Since(j.request.Arrived)).Dur("placed_ms", time.Since(choice.PlacedAt())).Dur("left_ms", time.Until(j.deadline)).
 		Str("resume_after", j.lastEventID).Dur("upstreams_age_ms", c.options.UpstreamsAge()).
-		Int64("configuration", j.catalog.Version).Send()
+		Int64("upstreams_revision", c.options.UpstreamsRevision()).Int64("configuration", j.catalog.Version).Send()
 }
 
 // logRateLimit logs that an upstream has begun or ceased to name a rate limit, or has changed it.
@@ -92,7 +92,7 @@
 		Int("sends", j.sends).Int("ran", j.possibleRuns).Dur("first_ms", j.timeToFirst).Dur("expected_ms", j.expected).Dur("objective_ms", j.due.Sub(j.request.Arrived)).
 		Str("late", j.lateness()).Dur("longest_pause_ms", j.pauses.longest).Dur("pause_at_ms", j.pauses.longestStart(j.request.Arrived)).
 		Str("pause_after", j.pauses.longestAfterID).Dur("pause_objective_ms", j.route.GapObjective).
-		Dur("took_ms", took).Str("last_event", j.lastEventID).Int64("configuration", j.catalog.Version)
+		Dur("took_ms", took).Dur("write_wait_ms", j.writeWait).Bool("draining_at_write", j.drainingAtWrite).Str("last_event", j.lastEventID).Int64("configuration", j.catalog.Version)
 	if j.cause != nil {
 		e = e.AnErr("cause", j.cause)
 	}
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -35,6 +35,13 @@
 	metrics.GetOrRegisterCounter(name, c.options.Metrics).Inc(1)
 }
 
+// countLeavingWrite counts a request whose upstream is known to leave when its first byte is to be written.
+func (c *Core) countLeavingWrite() {
+	if c.options.Metrics != nil {
+		metrics.GetOrRegisterCounter("requests.leaving_at_write", c.options.Metrics).Inc(1)
+	}
+}
+
 // countLateness counts the way in which a response was late. For an answered stream with at
 // least two events it also records the longest pause between events, in percent of its route's
 // gap objective, if the route has one.
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -70,6 +70,8 @@
 	// ResumeAfter is the ID of the last event that the caller has received, empty for
 	// a new stream.
 	ResumeAfter string
+	// BeforeWrite, unless nil, is called once there is a connection, before the first byte is written.
+	BeforeWrite func()
 }
 
 // Reply is an upstream's response whose body has not been read yet.
--- a/internal/vm/departures.go
+++ b/internal/vm/departures.go
@@ -61,8 +61,9 @@
 	return id
 }
 
-// record notes that an incarnation, last known at a time, is draining or gone at a revision of the store.
-func (d *departures) record(incarnation string, draining bool, revision int64, lastKnown time.Time) {
+// record notes that an incarnation, last known at a time, is draining or gone at a revision of the store. It
+// reports whether that is new.
+func (d *departures) record(incarnation string, draining bool, revision int64, lastKnown time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e := d.byIncarnation[incarnation]
@@ -71,16 +72,17 @@
 		e = &departure{lastKnown: lastKnown, draining: draining, seenAt: revision}
 		d.byIncarnation[incarnation] = e
 	case e.draining:
-		return
+		return false
 	case draining:
 		e.draining = true
 	case revision > e.seenAt:
 		e.seenAt, e.writes, e.revision = revision, 0, 0
 	default:
-		return
+		return false
 	}
 	d.version++
 	e.changedAt = d.version
+	return true
 }
 
 // retain forgets the incarnations that have not been known for a while.
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -127,7 +127,7 @@
 		return nil
 	}
 	if i.Draining {
-		p.departures.record(entry.incarnation, true, revision, now)
+		p.recordDeparture(entry.incarnation, true, revision, now, sourceEntry)
 	} else if p.departures.excluded(entry.incarnation, entry.revision, storeFailed) {
 		i = asDraining(i)
 	}
@@ -138,7 +138,7 @@
 // view, which is that of a later revision. An earlier one is the view of a hub that has not seen the entry yet.
 func (p *Process) recordGone(old *upstream.Instance, written, revision int64, now time.Time) {
 	if written <= revision {
-		p.departures.record(incarnationOf(old), false, revision, now)
+		p.recordDeparture(incarnationOf(old), false, revision, now, sourceRemoval)
 	}
 	p.replicas.Pool.CloseIdle(old.Address)
 	p.log.Info().Str("event", "instance_gone").Str("instance", old.ID).Str("address", old.Address).Send()
@@ -227,11 +227,34 @@
 	for _, item := range items {
 		i, err := p.entries.parse(item)
 		if err == nil && i.Draining {
-			p.departures.record(incarnationOf(i), true, item.Revision, time.Now())
+			p.recordDeparture(incarnationOf(i), true, item.Revision, time.Now(), sourceSuperseded)
 		}
 	}
 }
 
+// departureSource is the way by which this VM learned that an instance leaves, as logs and metrics name it.
+type departureSource string
+
+// The sources: the entry itself, its removal, a state of it that the store had replaced by the time this VM
+// read it, a report of another VM, and an answer of the instance.
+const (
+	sourceEntry      departureSource = "entry"
+	sourceRemoval    departureSource = "removal"
+	sourceSuperseded departureSource = "superseded"
+	sourceReport     departureSource = "report"
+	sourceAnswer     departureSource = "answer"
+)
+
+// recordDeparture records a departure, and logs it if it is new.
+func (p *Process) recordDeparture(incarnation string, draining bool, revision int64, lastKnown time.Time, source departureSource) {
+	if !p.departures.record(incarnation, draining, revision, lastKnown) {
+		return
+	}
+	p.incrementCounter("departures." + string(source))
+	p.log.Info().Str("event", "departure").Str("instance", instanceOf(incarnation)).Str("incarnation", incarnation).Bool("draining", draining).
+		Str("source", string(source)).Int64("revision", revision).Dur("known_ms", time.Since(lastKnown)).Send()
+}
+
 // asDraining returns a copy of an instance that is marked as draining.
 func asDraining(i *upstream.Instance) *upstream.Instance {
 	copied := *i
@@ -249,7 +272,7 @@
 	revision := p.tracker.viewRevision()
 	p.instancesMu.Lock()
 	defer p.instancesMu.Unlock()
-	p.departures.record(incarnation, true, revision, time.Now())
+	p.recordDeparture(incarnation, true, revision, time.Now(), sourceAnswer)
 	known := (*p.instances.Load())[i.ID]
 	if known != nil && known.SameIncarnation(i) && !known.Draining {
 		p.applyInstances(map[string]*upstream.Instance{i.ID: asDraining(known)})
--- a/internal/vm/peer_departures.go
+++ b/internal/vm/peer_departures.go
@@ -41,7 +41,7 @@
 		if t == nil || p.knowsLaterEntry(t) {
 			continue
 		}
-		p.departures.record(t.Incarnation, t.Draining, t.Revision, now.Add(-time.Duration(t.UnknownMs)*time.Millisecond))
+		p.recordDeparture(t.Incarnation, t.Draining, t.Revision, now.Add(-time.Duration(t.UnknownMs)*time.Millisecond), sourceReport)
 		i := known[instanceOf(t.Incarnation)]
 		if i != nil && !i.Draining && incarnationOf(i) == t.Incarnation {
 			changes[i.ID] = asDraining(i)
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -119,7 +119,7 @@
 	p.core = traffic.New(traffic.Options{
 		Upstreams: p.replicas, Assigner: p.assigner, Limiter: p.limiter,
 		Budget:   p.budget,
-		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, Permit: p.fleet.permit, RecordLeaving: p.recordLeaving, UpstreamsAge: p.tracker.viewAge,
+		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, Permit: p.fleet.permit, RecordLeaving: p.recordLeaving, UpstreamsAge: p.tracker.viewAge, UpstreamsRevision: p.tracker.viewRevision,
 		Outdated: func() bool { return p.configurationLag.behind(time.Now()) > 0 },
 		Log:      log, Metrics: p.metrics,
 	})
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -242,10 +242,18 @@
 	if !ok {
 		until = t.failedAt.Add(lapsedGrace)
 		t.lapsed[key] = until
+		t.logKept(key, now, until)
 	}
 	return now.Before(until)
 }
 
+// logKept logs that an entry that has disappeared is kept. It must be called with the lock held.
+func (t *tracker) logKept(key string, now, until time.Time) {
+	id, _ := platform.InstanceID(key)
+	t.log.Info().Str("event", "entry_kept").Str("instance", id).Int64("revision", t.view.items[key].Revision).Dur("kept_ms", max(0, until.Sub(now))).
+		Dur("failed_ms", now.Sub(t.failedAt)).Dur("age_ms", now.Sub(t.completeAt)).Send()
+}
+
 // publish applies changes to the view and calls onChange. It also removes the entries that were
 // kept until the time recorded in lapsed. It must be called with the lock held.
 func (t *tracker) publish(written []store.Item, removed []string, revision, leasedRevision int64, now time.Time) {
