vm, traffic: failing tests for requests to upstreams that leave

An entry that a VM reads as removed is kept because a call of the store failed a moment ago, be it a single one of its own or one of its hub; and a request is sent to the upstream that was chosen, although the VM has learned meanwhile that it leaves.

--- a/internal/traffic/fakes_test.go
+++ b/internal/traffic/fakes_test.go
@@ -25,13 +25,19 @@
 
 // fakeUpstreams runs a script for each attempt, by instance ID.
 type fakeUpstreams struct {
-	scripts   map[string]script
+	scripts map[string]script
+	// connect, unless nil, is called before the first byte of an attempt is written.
+	connect   func(a Attempt)
 	mu        sync.Mutex
 	sent      []Attempt
 	cancelled []string
 }
 
 func (f *fakeUpstreams) Send(ctx context.Context, a Attempt) (*Reply, error) {
+	if f.connect != nil {
+		f.connect(a)
+	}
+	a.BeforeWrite()
 	f.mu.Lock()
 	f.sent = append(f.sent, a)
 	f.mu.Unlock()
