vm: an entry that disappears is kept only after an outage in which its lease can have ended

What callers saw: requests to upstreams that had left, later than drain-ms after the store had acknowledged it; an upstream that ends meanwhile cuts them.

Cause: an entry that disappears was kept until 2.2 s after the last failed call of the store, whoever's call it was. A VM whose hub the store had turned away read the store itself, saw the removal, and kept the entry because its hub had told of failures; when the hub was back, the VM followed it, and the hub kept the entry once more by its own clock. The same for a single call that times out on a busy machine. The class: a guess from a failed call in place of what the store says.

Change: internal/vm/contact.go decides, without clock or network, whether there was an outage in which the lease of a live instance can have ended: this VM's own calls failed, and its entries were not known to be complete for two heartbeats at least (an entry ends after three without a write; the interval stands in the settings). Only such an outage keeps entries, and only such outages are told to followers, for the return of entries that lapsed.

Evidence: entry_kept stands at every VM that was late, with failures that only its hub had.

TestFollowerLearnsThatStoreWasUnavailable checks the same under the new name.

Why it works: VMs in touch drop the entry when they read its removal, and tell the others, a hub that was turned away among them, before it reads the store again. What is left of the time is the age at which a hub is given up.

--- a/internal/vm/departures.go
+++ b/internal/vm/departures.go
@@ -109,7 +109,7 @@
 
 // excluded reports whether an incarnation must get no work although its entry says that it is
 // ready. It counts each new revision of the entry, and forgets an incarnation that may be used
-// again. storeFailed says that a call of the store failed a moment ago, so that leases of live
+// again. storeFailed says that the store was away a moment ago for so long that leases of live
 // instances may have lapsed. An entry from before the departure shows nothing: a VM that was cut off
 // may still have it, or get it from a hub that was.
 func (d *departures) excluded(incarnation string, revision int64, storeFailed bool) bool {
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -142,12 +142,13 @@
 		return false, nil
 	}
 	if answer.FailedMs >= 0 {
-		t.failedAt = later(t.failedAt, now.Add(-time.Duration(answer.FailedMs)*time.Millisecond))
+		t.hubOutageEnd = later(t.hubOutageEnd, now.Add(-time.Duration(answer.FailedMs)*time.Millisecond))
 	}
 	if err := t.merge(answer, now); err != nil {
 		return false, err
 	}
 	t.completeAt = now.Add(-age)
+	t.contact.recordComplete(t.completeAt)
 	return true, nil
 }
 
--- a/internal/vm/follow_test.go
+++ b/internal/vm/follow_test.go
@@ -239,10 +239,10 @@
 // writes again as one that had left.
 func TestFollowerLearnsThatStoreWasUnavailable(t *testing.T) {
 	f, now := testTracker(), time.Now()
-	require.False(t, f.failedWithin(now, immediateReturnTime))
+	require.False(t, f.outageWithin(now, immediateReturnTime))
 	_, err := f.applyHubView(&peerpb.FollowResponse{Revision: 1, FailedMs: 1000}, now)
 	require.NoError(t, err)
-	require.True(t, f.failedWithin(now, immediateReturnTime))
+	require.True(t, f.outageWithin(now, immediateReturnTime))
 }
 
 func TestVMThatFollowsIsNotFollowed(t *testing.T) {
@@ -252,7 +252,7 @@
 }
 
 func testTracker() *tracker {
-	return newTracker(nil, zerolog.Nop(), func(view, viewDelta) {}, func() int { return 60 }, 3*time.Second, hubClient{})
+	return newTracker(nil, zerolog.Nop(), func(view, viewDelta) {}, func() int { return 60 }, 3*time.Second, time.Second, hubClient{})
 }
 
 // publishItems publishes a view with the items, which are by key.
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -84,7 +84,7 @@
 	p.instancesMu.Lock()
 	defer p.instancesMu.Unlock()
 	now := time.Now()
-	storeFailed := p.tracker.failedWithin(now, immediateReturnTime)
+	storeFailed := p.tracker.outageWithin(now, immediateReturnTime)
 	removed := p.entries.revisionsOf(d.removed)
 	ids, unreadable := p.entries.update(v.items, d, now)
 	for _, err := range unreadable {
@@ -144,7 +144,7 @@
 	p.log.Info().Str("event", "instance_gone").Str("instance", old.ID).Str("address", old.Address).Send()
 }
 
-// immediateReturnTime is how long after a failed call of the store an entry that reappears counts
+// immediateReturnTime is how long after an outage of the store an entry that reappears counts
 // as available at once.
 const immediateReturnTime = 5 * time.Second
 
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -94,7 +94,7 @@
 			Dur("for_ms", time.Until(until)).Send()
 	})
 	p.budget = retrybudget.New(retryLimitsOf(s), time.Now())
-	p.tracker = newTracker(p.store, log, p.applyView, func() int { return p.fleet.size() }, s.Bounds.Configuration, hubClient{
+	p.tracker = newTracker(p.store, log, p.applyView, func() int { return p.fleet.size() }, s.Bounds.Configuration, s.Heartbeat, hubClient{
 		hubs: func() []string { return p.fleet.hubs() }, follow: p.callHub,
 		isHub:      func() bool { return p.fleet.isHub() },
 		setMembers: func(members map[string]store.Item) { p.fleet.updateRegistrations(members) },
--- a/internal/vm/removal_test.go
+++ b/internal/vm/removal_test.go
@@ -17,6 +17,7 @@
 	r, s := standin.NewReplica("clerk-1", 0), standin.NewReplica("clerk-2", 0)
 	c := newCluster(t, r, s)
 	p = c.start("a").idle(t)
+	p.tracker.contact.minOutage = 2 * time.Second
 	leaving, other = c.entryAt(r, "ready", 10), c.entryAt(s, "ready", 20)
 	p.tracker.applyEvents(store.Events{Revision: 20, Events: []store.Event{{Item: leaving}, {Item: other}}})
 	require.NotNil(t, p.instance("clerk-1"))
@@ -47,3 +48,12 @@
 	require.Nil(t, p.instance("clerk-1"))
 	require.NotNil(t, p.instance("clerk-2"))
 }
+
+// The store was away for so long that leases of live upstreams have ended, whose entries come back soon.
+func TestEntryThatMayHaveLapsedInAnOutageIsKept(t *testing.T) {
+	p, leaving, _ := newRemovalFixture(t)
+	p.tracker.contact.completeAt = time.Now().Add(-3 * time.Second)
+	p.tracker.recordFailure(errors.WithStack(store.ErrUnknown))
+	p.tracker.applyEvents(store.Events{Revision: 30, Events: []store.Event{{Item: store.Item{Key: leaving.Key, Revision: 30}, Deleted: true}}})
+	require.False(t, p.instance("clerk-1").Draining)
+}
--- a/internal/vm/serve_view.go
+++ b/internal/vm/serve_view.go
@@ -82,8 +82,8 @@
 		Incarnation: incarnation, Change: t.changes.number, Revision: t.view.revision,
 		AgeMs: time.Since(t.completeAt).Milliseconds(), FailedMs: -1,
 	}
-	if !t.failedAt.IsZero() {
-		out.FailedMs = time.Since(t.failedAt).Milliseconds()
+	if end := t.outageEnd(); !end.IsZero() {
+		out.FailedMs = time.Since(end).Milliseconds()
 	}
 	if changed, removed, known := t.changes.since(since); known {
 		out.Removed = removed
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -29,10 +29,6 @@
 	meshMaxVMs = 12
 	// minRetryPause is the shortest time between attempts while the store does not answer.
 	minRetryPause = 150 * time.Millisecond
-	// lapsedGrace is how long after the last failed call of the store an entry that has
-	// disappeared is kept. Leases may expire while the store is unavailable, and a living
-	// instance writes its entry again within about two seconds of the store's return.
-	lapsedGrace = 2200 * time.Millisecond
 )
 
 // tracker keeps a view of all keys of the store, with one watch or through a hub.
@@ -71,9 +67,10 @@
 	// lapsed holds the keys of entries that disappeared while the store was unavailable or
 	// had just returned, with the time until which the entries are kept.
 	lapsed map[string]time.Time
-	// failedAt is when a call of the store last failed, at this VM or, as far as its hubs report
-	// it, at a hub.
-	failedAt time.Time
+	// contact tells whether leases of live instances may have ended in an outage of the store that this
+	// VM saw. hubOutageEnd is when the last such outage ended that a hub saw, as far as its hubs report it.
+	contact      contact
+	hubOutageEnd time.Time
 	// storeLost reports that the loss of the store was logged and no view was published since.
 	storeLost bool
 	// firstView is closed when the first view is published.
@@ -83,10 +80,10 @@
 }
 
 // newTracker returns a tracker of a store whose configurations have to be in force within
-// configurationDeadline. vmCount returns the number of VMs.
-func newTracker(s store.Store, log zerolog.Logger, onChange func(view, viewDelta), vmCount func() int, configurationDeadline time.Duration, hubs hubClient) *tracker {
+// configurationDeadline, and to which instances write every heartbeat. vmCount returns the number of VMs.
+func newTracker(s store.Store, log zerolog.Logger, onChange func(view, viewDelta), vmCount func() int, configurationDeadline, heartbeat time.Duration, hubs hubClient) *tracker {
 	return &tracker{
-		store: s, log: log, onChange: onChange, vmCount: vmCount, hubClient: hubs, values: newValueHistory(),
+		store: s, log: log, onChange: onChange, vmCount: vmCount, hubClient: hubs, values: newValueHistory(), contact: contact{minOutage: lapseHeartbeats * heartbeat},
 		maxPause: configurationDeadline * 2 / 3, maxHubViewAge: configurationDeadline / staleDivisor, hubWatchPause: configurationDeadline / hubPauseDivisor,
 		view: view{items: make(map[string]store.Item)}, changes: newChangeLog(), firstView: make(chan struct{}), hubBackoffs: make(map[string]hubBackoff), lapsed: make(map[string]time.Time),
 	}
@@ -176,6 +173,7 @@
 // keeps lapsed entries. It must be called with the lock held.
 func (t *tracker) replaceView(items []store.Item, revision, leasedRevision int64) {
 	now := time.Now()
+	t.contact.recordComplete(now)
 	read := make(map[string]bool, len(items))
 	for _, item := range items {
 		read[item.Key] = true
@@ -199,6 +197,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	t.contact.recordComplete(now)
 	// Of several events of a key the last one counts.
 	newest := make(map[string]store.Event, len(events.Events))
 	var superseded []store.Item
@@ -228,30 +227,33 @@
 	t.publish(written, removed, events.Revision, max(events.Revision, t.view.leasedRevision), now)
 }
 
-// keepLapsed reports whether an entry that has disappeared is to be kept for now: if a call of
-// the store failed recently, the entry's lease may have expired although the instance lives. It
+// keepLapsed reports whether an entry that has disappeared is to be kept for now: after an outage of the
+// store, the entry's lease may have ended although the instance lives. It
 // records the key in lapsed, with the time until which the entry is kept. Only entries of instances
 // are kept: what the operator removes takes effect at once, no election starts while the leader's
 // key is in the view, and a VM without a registration stays a member while its reports arrive. It
 // must be called with the lock held.
 func (t *tracker) keepLapsed(key string, now time.Time) bool {
-	if !strings.HasPrefix(key, platform.InstancePrefix) || t.failedAt.IsZero() || (t.departed != nil && t.departed(key)) {
+	if !strings.HasPrefix(key, platform.InstancePrefix) || (t.departed != nil && t.departed(key)) {
 		return false
 	}
-	until, ok := t.lapsed[key]
-	if !ok {
-		until = t.failedAt.Add(lapsedGrace)
-		t.lapsed[key] = until
-		t.logKept(key, now, until)
+	if until, ok := t.lapsed[key]; ok {
+		return now.Before(until)
 	}
-	return now.Before(until)
+	until := t.contact.keepUntil()
+	if !now.Before(until) {
+		return false
+	}
+	t.lapsed[key] = until
+	t.logKept(key, now, until)
+	return true
 }
 
 // logKept logs that an entry that has disappeared is kept. It must be called with the lock held.
 func (t *tracker) logKept(key string, now, until time.Time) {
 	id, _ := platform.InstanceID(key)
-	t.log.Info().Str("event", "entry_kept").Str("instance", id).Int64("revision", t.view.items[key].Revision).Dur("kept_ms", max(0, until.Sub(now))).
-		Dur("failed_ms", now.Sub(t.failedAt)).Dur("age_ms", now.Sub(t.completeAt)).Send()
+	t.log.Info().Str("event", "entry_kept").Str("instance", id).Int64("revision", t.view.items[key].Revision).Dur("kept_ms", until.Sub(now)).
+		Dur("failed_ms", now.Sub(t.contact.failedAt)).Dur("age_ms", now.Sub(t.completeAt)).Send()
 }
 
 // publish applies changes to the view and calls onChange. It also removes the entries that were
@@ -283,7 +285,7 @@
 func (t *tracker) recordFailure(err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.failedAt = time.Now()
+	t.contact.recordFailure(time.Now())
 	if !t.storeLost {
 		t.storeLost = true
 		t.log.Warn().Str("event", "store_lost").AnErr("cause", err).Int64("revision", t.view.revision).
@@ -307,8 +309,14 @@
 	return time.Since(t.completeAt)
 }
 
-// failedWithin reports whether a call of the store failed within some time before now. It must be
-// called with the lock held, as it is in onChange.
-func (t *tracker) failedWithin(now time.Time, within time.Duration) bool {
-	return !t.failedAt.IsZero() && now.Sub(t.failedAt) < within
+// outageEnd returns when the last outage of the store ended in which leases of live instances may have ended,
+// as this VM or its hubs saw it; zero if there was none. It must be called with the lock held, as it is in
+// onChange.
+func (t *tracker) outageEnd() time.Time { return later(t.contact.outageEnd, t.hubOutageEnd) }
+
+// outageWithin reports whether such an outage ended within some time before now. It must be called with the
+// lock held.
+func (t *tracker) outageWithin(now time.Time, within time.Duration) bool {
+	end := t.outageEnd()
+	return !end.IsZero() && now.Sub(end) < within
 }
