traffic: a request is not written to an upstream that is known to leave

What callers saw: requests to upstreams that leave or are gone, which cut or lose them, although the VM knew.

Cause: an upstream was looked up once more after its choice, but only for being gone altogether. Between the choice and the first byte lie the wait for a permit (up to half of the objective), a slot that was reserved while another exchange was silent, and the opening of a connection (up to 0.6 s). The class: a decision that is carried out later than what it rests on holds.

Change: assign.Withdrawn tells whether the upstream of a choice leaves, is gone or another incarnation, sheds load or is evacuated. traffic asks before the connection is looked for and again once there is one, before the first byte (Attempt.BeforeWrite, httpconn.Pool.Do). Such a request has not run: another upstream is chosen for it at once, without a charge to the retry budget. Event request_withdrawn and counter chestnut_requests_withdrawn in place of draining_at_write and chestnut_requests_leaving_at_write.

Why it works: the state that is asked last is the one that every way of learning of a departure changes, under the lock under which it is changed.

--- a/internal/assign/availability.go
+++ b/internal/assign/availability.go
@@ -37,6 +37,16 @@
 	return unavailable
 }
 
+// Withdrawn reports whether the upstream of a choice may not be given the request any more: it leaves, is of
+// another incarnation, wants no requests, or its failure domain has been evacuated. What a choice itself uses
+// up, such as the requests that a cold upstream takes, does not count.
+func (s *Assigner) Withdrawn(c *Choice, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := c.node.instance
+	return s.nodes[c.Instance] != c.node || i.Draining || s.wantsNoRequests(c.node, now) || (i.Evacuated() && !now.Before(i.EvacuateBy))
+}
+
 // permitAvailability returns the availability of an instance by the permits for it.
 func (s *Assigner) permitAvailability(n *node, req Request, now time.Time) availability {
 	if !s.rateLimited(n) {
--- a/internal/assign/availability_test.go
+++ b/internal/assign/availability_test.go
@@ -50,3 +50,31 @@
 	_, err := s.Choose(Request{Service: "clerks", StartBy: now.Add(100 * time.Millisecond), Deadline: now.Add(time.Second)}, now)
 	require.ErrorIs(t, err, ErrNoUpstream)
 }
+
+// Time passes between a choice and the first byte, in which its upstream may begin to leave, end or shed load.
+func TestChoiceIsWithdrawnOnceItsUpstreamTakesNoRequests(t *testing.T) {
+	later := time.Now().Add(time.Second)
+	for name, change := range map[string]func(s *Assigner, c *Choice, i upstream.Instance){
+		"": func(*Assigner, *Choice, upstream.Instance) {},
+		"leaves": func(s *Assigner, _ *Choice, i upstream.Instance) {
+			i.Draining = true
+			s.SetInstances([]upstream.Instance{i})
+		},
+		"gone": func(s *Assigner, _ *Choice, _ upstream.Instance) { s.SetInstances(nil) },
+		"restarted": func(s *Assigner, _ *Choice, i upstream.Instance) {
+			i.Incarnation++
+			s.SetInstances([]upstream.Instance{i})
+		},
+		"evacuated": func(s *Assigner, _ *Choice, i upstream.Instance) {
+			s.SetInstances([]upstream.Instance{evacuatedBy(i, later)})
+		},
+		"sheds load": func(s *Assigner, c *Choice, _ upstream.Instance) { s.RecordRetryAfter(c, 2*time.Second, later) },
+	} {
+		s, i := testAssigner("engines", 0), testInstance("engines", "e")
+		s.SetInstances([]upstream.Instance{i})
+		c, err := s.Choose(draftRequest(1, 1, time.Now()), time.Now())
+		require.NoError(t, err)
+		change(s, c, i)
+		require.Equal(t, name != "", s.Withdrawn(c, later), name)
+	}
+}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -86,9 +86,9 @@
 
 // Do sends the request with body to an address and reads the response headers. It replaces
 // the request's Body and ContentLength. beforeWrite, unless nil, is called once there is a connection,
-// before the first byte is written. Cancelling ctx resets the connection, also while
-// the response body is read. Errors are ErrNotSent or ErrBroken, wrapped.
-func (p *Pool) Do(ctx context.Context, address string, r *http.Request, body []byte, beforeWrite func()) (*Exchange, error) {
+// before the first byte is written; an error of it is returned, and nothing is written. Cancelling ctx resets the connection, also while
+// the response body is read. Other errors are ErrNotSent or ErrBroken, wrapped.
+func (p *Pool) Do(ctx context.Context, address string, r *http.Request, body []byte, beforeWrite func() error) (*Exchange, error) {
 	c := p.idleConn(address)
 	if c == nil {
 		dialled, err := p.dial(ctx, address)
@@ -105,7 +105,10 @@
 		return nil, errors.Wrapf(ErrNotSent, "%v", err)
 	}
 	if beforeWrite != nil {
-		beforeWrite()
+		if err := beforeWrite(); err != nil {
+			x.Close(false)
+			return nil, err
+		}
 	}
 	if err := x.write(wire); err != nil {
 		x.Close(false)
--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -174,3 +174,17 @@
 	_, err := exchange(t, NewPool(transport.Limits{}), "127.0.0.1:1", "GET", "")
 	require.ErrorIs(t, err, ErrNotSent)
 }
+
+// Guards against a request that is sent although it was given up while the connection was opened.
+func TestNothingIsWrittenOnceARequestIsGivenUp(t *testing.T) {
+	received := make(chan error, 1)
+	address, _ := startUpstream(t, func(_ net.Conn, r *bufio.Reader) {
+		_, err := r.ReadByte()
+		received <- err
+	})
+	r, err := http.NewRequest("GET", "http://"+address+"/", nil)
+	require.NoError(t, err)
+	_, err = NewPool(transport.Limits{}).Do(t.Context(), address, r, nil, func() error { return io.ErrNoProgress })
+	require.ErrorIs(t, err, io.ErrNoProgress)
+	require.Error(t, <-received)
+}
--- a/internal/traffic/fakes_test.go
+++ b/internal/traffic/fakes_test.go
@@ -37,7 +37,9 @@
 	if f.connect != nil {
 		f.connect(a)
 	}
-	a.BeforeWrite()
+	if err := a.BeforeWrite(); err != nil {
+		return nil, err
+	}
 	f.mu.Lock()
 	f.sent = append(f.sent, a)
 	f.mu.Unlock()
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -79,9 +79,7 @@
 	// rate is the state of the team's rate if it refused the request.
 	rate teamrate.State
 	// writeWait is the time from the last choice of an upstream to the first byte that was written to it.
-	// drainingAtWrite means that the upstream was known to leave by then.
-	writeWait       time.Duration
-	drainingAtWrite bool
+	writeWait time.Duration
 }
 
 type bufferedReply struct {
@@ -115,6 +113,8 @@
 	notExecuted
 	// unknown: the request may have run.
 	unknown
+	// withdrawn: before the first byte was written, the upstream was found to take no requests any more.
+	withdrawn
 )
 
 // failure is a send that gave no response to forward.
@@ -136,6 +136,9 @@
 			return nil
 		}
 		j.cause = failed.err
+		if failed.kind == withdrawn && ctx.Err() == nil {
+			continue
+		}
 		if ctx.Err() != nil || (j.reserved == nil && !j.mayRepeat(failed.kind)) {
 			j.releaseReserved()
 			return j.endUnanswered(ctx, failed.err)
@@ -160,6 +163,9 @@
 		j.avoidInstance(choice.Instance)
 		return &failure{kind: notSent, err: assign.ErrNoUpstream}
 	}
+	if j.core.options.Assigner.Withdrawn(choice, time.Now()) {
+		return j.withdraw(choice)
+	}
 	j.sends++
 	j.upstream, j.expected = choice.Instance, choice.Expected
 	j.core.logSent(j, choice)
@@ -169,8 +175,12 @@
 	defer func() { j.reserved = silence.stop() }()
 	reply, err := j.core.options.Upstreams.Send(inner, Attempt{
 		Request: j.request, Instance: instance, Team: j.team, TimeLeft: time.Until(j.deadline),
-		Priority: j.enginePriority(choice), ResumeAfter: j.lastEventID, BeforeWrite: func() { j.noteWrite(choice) },
+		Priority: j.enginePriority(choice), ResumeAfter: j.lastEventID, BeforeWrite: func() error { return j.checkWrite(choice) },
 	})
+	if errors.Is(err, ErrWithdrawn) {
+		j.sends--
+		return j.withdraw(choice)
+	}
 	if err != nil {
 		return j.sendFailed(ctx, choice, err)
 	}
@@ -196,13 +206,22 @@
 	return j.forwardBuffered(choice, reply)
 }
 
-// noteWrite records that the first byte of the request is about to be written.
-func (j *job) noteWrite(choice *assign.Choice) {
-	instance := j.core.options.Instance(choice.Instance)
-	j.writeWait, j.drainingAtWrite = time.Since(choice.PlacedAt()), instance == nil || instance.Draining
-	if j.drainingAtWrite {
-		j.core.countLeavingWrite()
+// checkWrite is called when the first byte of the request is about to be written. It returns ErrWithdrawn if
+// the upstream takes no requests any more: the choice may be seconds old.
+func (j *job) checkWrite(choice *assign.Choice) error {
+	now := time.Now()
+	j.writeWait = now.Sub(choice.PlacedAt())
+	if j.core.options.Assigner.Withdrawn(choice, now) {
+		return ErrWithdrawn
 	}
+	return nil
+}
+
+// withdraw gives back a choice whose upstream takes no requests any more.
+func (j *job) withdraw(choice *assign.Choice) *failure {
+	j.core.logWithdrawn(j, choice)
+	j.finish(choice, assign.Neutral)
+	return &failure{kind: withdrawn, err: errors.Wrap(ErrWithdrawn, choice.Instance)}
 }
 
 // enginePriority returns the request's priority in an engine: by urgency, and after all
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -46,6 +46,13 @@
 		Int64("upstreams_revision", c.options.UpstreamsRevision()).Int64("configuration", j.catalog.Version).Send()
 }
 
+// logWithdrawn logs that a request was not sent to the upstream that was chosen for it.
+func (c *Core) logWithdrawn(j *job, choice *assign.Choice) {
+	c.countWithdrawn()
+	c.options.Log.Info().Str("event", "request_withdrawn").Str("request", j.request.ID).Str("upstream", choice.Instance).
+		Dur("placed_ms", time.Since(choice.PlacedAt())).Int64("upstreams_revision", c.options.UpstreamsRevision()).Send()
+}
+
 // logRateLimit logs that an upstream has begun or ceased to name a rate limit, or has changed it.
 func (c *Core) logRateLimit(instance string, limit upstream.RateLimit) {
 	c.options.Log.Info().Str("event", "upstream_rate_limit").Str("instance", instance).Bool("named", limit.Named).
@@ -92,7 +99,7 @@
 		Int("sends", j.sends).Int("ran", j.possibleRuns).Dur("first_ms", j.timeToFirst).Dur("expected_ms", j.expected).Dur("objective_ms", j.due.Sub(j.request.Arrived)).
 		Str("late", j.lateness()).Dur("longest_pause_ms", j.pauses.longest).Dur("pause_at_ms", j.pauses.longestStart(j.request.Arrived)).
 		Str("pause_after", j.pauses.longestAfterID).Dur("pause_objective_ms", j.route.GapObjective).
-		Dur("took_ms", took).Dur("write_wait_ms", j.writeWait).Bool("draining_at_write", j.drainingAtWrite).Str("last_event", j.lastEventID).Int64("configuration", j.catalog.Version)
+		Dur("took_ms", took).Dur("write_wait_ms", j.writeWait).Str("last_event", j.lastEventID).Int64("configuration", j.catalog.Version)
 	if j.cause != nil {
 		e = e.AnErr("cause", j.cause)
 	}
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -35,10 +35,10 @@
 	metrics.GetOrRegisterCounter(name, c.options.Metrics).Inc(1)
 }
 
-// countLeavingWrite counts a request whose upstream is known to leave when its first byte is to be written.
-func (c *Core) countLeavingWrite() {
+// countWithdrawn counts a request that was not sent to the upstream that was chosen for it.
+func (c *Core) countWithdrawn() {
 	if c.options.Metrics != nil {
-		metrics.GetOrRegisterCounter("requests.leaving_at_write", c.options.Metrics).Inc(1)
+		metrics.GetOrRegisterCounter("requests.withdrawn", c.options.Metrics).Inc(1)
 	}
 }
 
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -70,8 +70,9 @@
 	// ResumeAfter is the ID of the last event that the caller has received, empty for
 	// a new stream.
 	ResumeAfter string
-	// BeforeWrite, unless nil, is called once there is a connection, before the first byte is written.
-	BeforeWrite func()
+	// BeforeWrite, unless nil, is called once there is a connection, before the first byte is written. If it
+	// returns an error, nothing is written, and Send returns that error, wrapped.
+	BeforeWrite func() error
 }
 
 // Reply is an upstream's response whose body has not been read yet.
@@ -104,6 +105,8 @@
 var (
 	// ErrNotSent means that the upstream cannot have received the request.
 	ErrNotSent = errors.New("traffic: the request was not sent")
+	// ErrWithdrawn means that the request was not sent because its upstream takes no requests any more.
+	ErrWithdrawn = errors.New("traffic: the upstream takes no requests any more")
 	// ErrUnknown means that the request was sent and may or may not have run.
 	ErrUnknown = errors.New("traffic: the request may have run")
 	// ErrMismatchedReply means that the response belongs to another request, or is a success
@@ -114,8 +117,8 @@
 	ErrTruncated = errors.New("traffic: the response was truncated")
 )
 
-// Upstreams sends attempts. Errors are ErrNotSent, ErrUnknown or ErrMismatchedReply,
-// wrapped. Cancelling ctx closes the connection at once.
+// Upstreams sends attempts. Errors are ErrNotSent, ErrUnknown, ErrMismatchedReply or that of
+// Attempt.BeforeWrite, wrapped. Cancelling ctx closes the connection at once.
 type Upstreams interface {
 	Send(ctx context.Context, a Attempt) (*Reply, error)
 }
