--- a/test/soak/oracle_cases_test.go
+++ b/test/soak/oracle_cases_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -118,6 +120,39 @@
 	require.Len(t, o.violations, 1)
 }
 
+// A request reaches an upstream that has left; nothing disturbed the VM, the store or the upstream's link.
+func TestOracleDetectsRequestsToDepartedUpstreams(t *testing.T) {
+	left := time.Now()
+	for _, c := range []struct {
+		after    time.Duration
+		born     int64
+		disturb  func(w *world, u *upstream, v *vm)
+		detected bool
+	}{
+		{after: (boundMs + 1) * time.Millisecond, detected: true},
+		{after: boundMs * time.Millisecond},
+		{after: (boundMs + 1) * time.Millisecond, born: 2},
+		{after: (boundMs + 1) * time.Millisecond, disturb: func(_ *world, _ *upstream, v *vm) { v.disturbances = []time.Time{left.Add(-time.Second)} }},
+		{after: (boundMs + 1) * time.Millisecond, disturb: func(w *world, _ *upstream, _ *vm) { w.storeDisturbances = []time.Time{left.Add(time.Second)} }},
+		{after: (boundMs + 1) * time.Millisecond, disturb: func(_ *world, u *upstream, _ *vm) { u.proxy.updates = []time.Time{left} }},
+		{after: (boundMs + 1) * time.Millisecond, disturb: func(_ *world, _ *upstream, v *vm) {
+			v.disturbances = []time.Time{left.Add(-contactMs*time.Millisecond - 1)}
+		}, detected: true},
+	} {
+		v := &vm{VM: standin.VM{Name: "vm-0"}}
+		u := &upstream{Replica: standin.NewReplica("engine-0", 2), proxy: &proxy{}}
+		w := &world{t: t, dir: t.TempDir(), boundMs: boundMs}
+		require.NoError(t, os.WriteFile(filepath.Join(w.dir, "vm-0.log"), nil, 0o600))
+		if c.disturb != nil {
+			c.disturb(w, u, v)
+		}
+		o := newOracle()
+		x := arrival{attempt: &attempt{Call: standin.Call{ID: "id1"}, vm: v}, at: left.Add(c.after), born: c.born}
+		o.checkDeparture(w, u, v, departure{acknowledged: left}, boundMs*time.Millisecond, []arrival{x})
+		require.Equal(t, c.detected, len(o.violations) == 1, "%+v", c)
+	}
+}
+
 func TestOracleDetectsTwoLeaseHolders(t *testing.T) {
 	for _, second := range []standin.Order{{Holder: "b", Token: 9, At: time.Now()}, {Holder: "a", Token: 4, At: time.Now()}} {
 		o, u := newOracle(), &upstream{Replica: standin.NewReplica("engine-0", 2)}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -60,7 +60,8 @@
 
 // ciSeeds are the seeds that CI runs. ciSeedLarge is the one that runs with largeRoutes,
 // ciSeedEvacuations the one that runs with evacuations, ciSeedRateLimits the one with rate limits,
-// ciSeedPushback the one in which upstreams leave by their answers alone and shed load.
+// ciSeedPushback the one in which upstreams leave by their answers alone and shed load, ciSeedDepartures
+// the one in which they leave by the store, before a fleet with hubs.
 var ciSeeds = []uint64{1, 2}
 
 const (
@@ -68,6 +69,7 @@
 	ciSeedEvacuations = 4
 	ciSeedRateLimits  = 5
 	ciSeedPushback    = 6
+	ciSeedDepartures  = 7
 	// largeRoutes is the number of additional routes with which a configuration takes a second
 	// over a narrow link.
 	largeRoutes = 700
@@ -137,6 +139,7 @@
 		run{faultTime: *faultTime, vms: *vmCount, evacuations: true}.start(t, ciSeedEvacuations)
 		run{faultTime: *faultTime, vms: *vmCount, rateLimits: true}.start(t, ciSeedRateLimits)
 		run{faultTime: *faultTime, vms: *vmCount, pushback: true}.start(t, ciSeedPushback)
+		run{faultTime: *faultTime, vms: hubFleetVMs + 2, engines: 8, callers: 20, departures: true, noOtherFaults: true, noRecovery: true}.start(t, ciSeedDepartures)
 	}
 }
 
