soak: all VMs stand still from time to time, as on a machine without processor time for them

Change: -stalls stops all processes for 1 to 1.5 of the bound with SIGSTOP and lets them go on, without counting it as a disturbance: a VM cannot tell it from a busy machine, and the users' harness does not excuse it.

--- a/test/soak/departure_test.go
+++ b/test/soak/departure_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"time"
 )
 
@@ -65,11 +66,32 @@
 		})
 	}
 	for range int(length / refusalInterval) {
+		if w.stalls {
+			all = append(all, w.stallVMs(r, length))
+			continue
+		}
 		all = append(all, w.storeRefusesShare(r, length))
 	}
 	return all
 }
 
+// stallVMs stops all processes for a time, as a machine does that has no processor time for them. It does not
+// count as a disturbance: a VM cannot tell it from a machine that is busy.
+func (w *world) stallVMs(r *rand.Rand, length time.Duration) fault {
+	all := func(s syscall.Signal) func() {
+		return func() {
+			for _, v := range w.vms {
+				v.signalUnrecorded(s)
+			}
+		}
+	}
+	bound := time.Duration(w.boundMs) * time.Millisecond
+	return fault{
+		start: time.Duration(r.Int64N(int64(length))), duration: bound + time.Duration(r.Int64N(int64(bound/2))),
+		name: "all VMs stand still", begin: all(syscall.SIGSTOP), end: all(syscall.SIGCONT),
+	}
+}
+
 // storeRefusesShare resets the connections of some VMs to the store for a time, those of a hub among them, while
 // the store serves the others.
 func (w *world) storeRefusesShare(r *rand.Rand, length time.Duration) fault {
@@ -200,7 +222,7 @@
 // checkNotices checks, as far as the logs tell, that VMs which were undisturbed, as the store was, noticed in time
 // that upstreams leave: one that has not goes on sending requests. It logs how long they took.
 func (o *oracle) checkNotices(w *world) {
-	if !w.departures {
+	if !w.departures || w.stalls {
 		return
 	}
 	bound := time.Duration(w.boundMs) * time.Millisecond
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -132,6 +132,15 @@
 	_ = v.cmd.Process.Signal(s)
 }
 
+// signalUnrecorded sends a signal to the process that does not count as a disturbance.
+func (v *vm) signalUnrecorded(s syscall.Signal) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.cmd != nil && v.cmd.Process != nil {
+		_ = v.cmd.Process.Signal(s)
+	}
+}
+
 // terminate stops the process as planned maintenance does: SIGTERM, and SIGKILL after
 // gracePeriod. The process is restarted by supervise.
 func (v *vm) terminate() {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -26,6 +26,7 @@
 	rateLimits     = flag.Bool("ratelimits", false, "upstreams name rate limits")
 	pushback       = flag.Bool("pushback", false, "upstreams leave by their answers alone, and shed load")
 	departures     = flag.Bool("departures", false, "upstreams leave by the store for longer than requests may reach them")
+	stalls         = flag.Bool("stalls", false, "with -departures: all VMs stand still from time to time, in place of a store that turns some away")
 	otherFaults    = flag.Bool("faults", true, "inject the faults that belong to no other flag")
 	storeFaults    = flag.Bool("storefaults", true, "let faults of the whole store be among the faults")
 	recovery       = flag.Bool("recovery", true, "check the recovery after the faults, and a rolling restart")
@@ -120,7 +121,7 @@
 // unavailable and compacts its history. What callers and replicas observe must keep the promises
 // throughout, and every kind of request must be served after the faults have ended.
 func TestSoak(t *testing.T) {
-	flags := run{faultTime: *faultTime, routes: *extraRoutes, vms: *vmCount, evacuations: *evacuations, rateLimits: *rateLimits, pushback: *pushback, departures: *departures, noOtherFaults: !*otherFaults, noStoreFaults: !*storeFaults, noRecovery: !*recovery, busy: *busyProcesses, engines: *engineCount, callers: *callerCount}
+	flags := run{faultTime: *faultTime, routes: *extraRoutes, vms: *vmCount, evacuations: *evacuations, rateLimits: *rateLimits, pushback: *pushback, departures: *departures, stalls: *stalls, noOtherFaults: !*otherFaults, noStoreFaults: !*storeFaults, noRecovery: !*recovery, busy: *busyProcesses, engines: *engineCount, callers: *callerCount}
 	switch {
 	case *seed != 0:
 		flags.start(t, *seed)
@@ -151,6 +152,7 @@
 	routes, vms             int
 	evacuations, rateLimits bool
 	pushback, departures    bool
+	stalls                  bool
 	// noOtherFaults leaves out the faults that belong to none of the flags above.
 	noOtherFaults bool
 	// noStoreFaults leaves out the faults of the whole store.
@@ -180,8 +182,8 @@
 
 // arguments returns the command-line arguments of the run.
 func (o run) arguments() string {
-	return fmt.Sprintf("-storm %v -routes %d -vms %d -evacuations=%v -ratelimits=%v -pushback=%v -departures=%v -faults=%v -storefaults=%v -recovery=%v -busy %d -engines %d -callers %d",
-		o.faultTime, o.routes, o.vms, o.evacuations, o.rateLimits, o.pushback, o.departures, !o.noOtherFaults, !o.noStoreFaults, !o.noRecovery, o.busy, max(o.engines, defaultEngines), max(o.callers, defaultCallers))
+	return fmt.Sprintf("-storm %v -routes %d -vms %d -evacuations=%v -ratelimits=%v -pushback=%v -departures=%v -stalls=%v -faults=%v -storefaults=%v -recovery=%v -busy %d -engines %d -callers %d",
+		o.faultTime, o.routes, o.vms, o.evacuations, o.rateLimits, o.pushback, o.departures, o.stalls, !o.noOtherFaults, !o.noStoreFaults, !o.noRecovery, o.busy, max(o.engines, defaultEngines), max(o.callers, defaultCallers))
 }
 
 func (o run) start(t *testing.T, seed uint64) {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -56,6 +56,8 @@
 	pushback bool
 	// departures is set if upstreams leave by the store for longer than requests may reach them.
 	departures bool
+	// stalls is set if all VMs stand still at the same time, from time to time.
+	stalls bool
 	// boundMs is the value of the bounds config-ms and drain-ms.
 	boundMs int
 
@@ -93,7 +95,7 @@
 // newWorld starts the world of a run. Additional routes make the configuration large, and then the links to
 // the store and between VMs are narrow. With evacuations a third of the upstreams is in evacuatedZone.
 func newWorld(t *testing.T, o run) *world {
-	w := &world{t: t, dir: logDirectory(t), store: standin.NewStore(), oracle: newOracle(), evacuations: o.evacuations, rateLimits: o.rateLimits, pushback: o.pushback, departures: o.departures, boundMs: boundMs}
+	w := &world{t: t, dir: logDirectory(t), store: standin.NewStore(), oracle: newOracle(), evacuations: o.evacuations, rateLimits: o.rateLimits, pushback: o.pushback, departures: o.departures, stalls: o.stalls, boundMs: boundMs}
 	if o.departures && o.vms > hubFleetVMs {
 		w.boundMs = hubBoundMs
 	}
