vm, traffic: a VM that stood still hears of its upstreams before it sends

What callers saw: requests to upstreams that had left seconds before, from VMs that get no processor time for seconds.

A process that stands still goes on with the table it had: requests that wait in its sockets are sent before the answers of the store, of the hub and of other VMs are read, which wait beside them; the first of these may be as old as the stall, and count as new because ages are counted from when an answer is read. A follower takes its hub for failed, since its own call timed out, and leaves it for 3 s. The class: the age of knowledge is measured by a clock that stands still with the process.

An answer whose call began before the stall's end is as old as its call. A call to a hub that failed over a stall is repeated.

Why it works: the first news after a stall is milliseconds away, and the request asks for the state of its upstream once more after it.

--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -58,6 +58,9 @@
 	// store that it shows.
 	UpstreamsAge      func() time.Duration
 	UpstreamsRevision func() int64
+	// AwaitUpstreams returns once the table of upstreams is not older than this VM believes: it waits for
+	// news if the process stood still a moment ago. It returns when ctx ends, and after a bounded time.
+	AwaitUpstreams func(ctx context.Context)
 	// Outdated reports whether a configuration newer than the one in force is known to
 	// exist.
 	Outdated func() bool
--- a/internal/traffic/fakes_test.go
+++ b/internal/traffic/fakes_test.go
@@ -137,7 +137,7 @@
 		Budget:       retrybudget.New(retrybudget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, now),
 		Instance:     func(id string) *upstream.Instance { return f.instances[id] },
 		VMs:          func() int { return 1 },
-		UpstreamsAge: func() time.Duration { return 0 }, UpstreamsRevision: func() int64 { return 0 },
+		UpstreamsAge: func() time.Duration { return 0 }, UpstreamsRevision: func() int64 { return 0 }, AwaitUpstreams: func(context.Context) {},
 		Outdated: func() bool { return false },
 		RecordLeaving: func(i *upstream.Instance) {
 			leaving := *i
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -175,7 +175,7 @@
 	defer func() { j.reserved = silence.stop() }()
 	reply, err := j.core.options.Upstreams.Send(inner, Attempt{
 		Request: j.request, Instance: instance, Team: j.team, TimeLeft: time.Until(j.deadline),
-		Priority: j.enginePriority(choice), ResumeAfter: j.lastEventID, BeforeWrite: func() error { return j.checkWrite(choice) },
+		Priority: j.enginePriority(choice), ResumeAfter: j.lastEventID, BeforeWrite: func() error { return j.checkWrite(inner, choice) },
 	})
 	if errors.Is(err, ErrWithdrawn) {
 		j.sends--
@@ -207,8 +207,9 @@
 }
 
 // checkWrite is called when the first byte of the request is about to be written. It returns ErrWithdrawn if
-// the upstream takes no requests any more: the choice may be seconds old.
-func (j *job) checkWrite(choice *assign.Choice) error {
+// the upstream takes no requests any more: the choice may be seconds old, and so may be what it rests on.
+func (j *job) checkWrite(ctx context.Context, choice *assign.Choice) error {
+	j.core.options.AwaitUpstreams(ctx)
 	now := time.Now()
 	j.writeWait = now.Sub(choice.PlacedAt())
 	if j.core.options.Assigner.Withdrawn(choice, now) {
--- a/internal/traffic/leaving_test.go
+++ b/internal/traffic/leaving_test.go
@@ -59,3 +59,22 @@
 		f.requireOnlySentTo(t, "other")
 	})
 }
+
+// The process stood still, and what it then learns says that the chosen upstream has left.
+func TestRequestIsNotWrittenBeforeNewsAfterAStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(resumable, map[string]script{"leaving": answerAtOnce})
+		told := false
+		f.core.options.AwaitUpstreams = func(context.Context) {
+			if !told {
+				told = true
+				f.leave("leaving")
+				addEngine(f, "other", answerAtOnce)
+			}
+		}
+		sink, err := f.serve(t.Context(), "a")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, sink.status)
+		f.requireOnlySentTo(t, "other")
+	})
+}
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -102,10 +102,17 @@
 	in := &peerpb.FollowRequest{}
 	for ctx.Err() == nil {
 		in.Held, in.ReadsPacked = t.heldRevisions(), true
+		began := time.Now()
 		answer, took, err := t.hubClient.follow(ctx, address, in)
+		arrived := t.stalls.asOf(began, time.Now())
+		if err != nil && arrived.Equal(began) && ctx.Err() == nil {
+			// This process stood still: that the call took too long says nothing about the hub.
+			in = &peerpb.FollowRequest{}
+			continue
+		}
 		applied := false
 		if err == nil {
-			applied, err = t.applyHubView(answer, time.Now().Add(-took))
+			applied, err = t.applyHubView(answer, later(began, arrived.Add(-took)))
 		}
 		if err != nil {
 			t.backOffHub(address, err)
@@ -115,7 +122,9 @@
 			t.resetHubBackoff(address)
 			in = &peerpb.FollowRequest{Incarnation: answer.Incarnation, Change: answer.Change}
 		}
-		sleep(ctx, followPause)
+		if !t.stalls.pending() {
+			sleep(ctx, followPause)
+		}
 		next, ok := t.usableHub(time.Now())
 		if !ok {
 			return
@@ -149,6 +158,7 @@
 	}
 	t.completeAt = now.Add(-age)
 	t.contact.recordComplete(t.completeAt)
+	t.stalls.recordNews(t.completeAt)
 	return true, nil
 }
 
@@ -192,7 +202,7 @@
 		removed = t.view.missingFrom(written)
 	}
 	clear(t.lapsed)
-	t.publish(written, removed, answer.Revision, answer.Revision, now)
+	t.publish(written, removed, answer.Revision, answer.Revision, now, now)
 	return nil
 }
 
--- a/internal/vm/follow_test.go
+++ b/internal/vm/follow_test.go
@@ -252,7 +252,7 @@
 }
 
 func testTracker() *tracker {
-	return newTracker(nil, zerolog.Nop(), func(view, viewDelta) {}, func() int { return 60 }, 3*time.Second, time.Second, hubClient{})
+	return newTracker(nil, zerolog.Nop(), func(view, viewDelta) {}, func() int { return 60 }, 3*time.Second, time.Second, newStalls(time.Hour, zerolog.Nop()), hubClient{})
 }
 
 // publishItems publishes a view with the items, which are by key.
@@ -260,7 +260,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	written := slices.Collect(maps.Values(items))
-	t.publish(written, t.view.missingFrom(written), revision, revision, time.Now())
+	t.publish(written, t.view.missingFrom(written), revision, revision, time.Now(), time.Now())
 }
 
 // Guards against work for each entry of the view when one of them changes.
@@ -279,7 +279,7 @@
 		revision := int64(1)
 		return testing.AllocsPerRun(50, func() {
 			revision++
-			hub.applyEvents(store.Events{Revision: revision, Events: []store.Event{{Item: store.Item{Key: "servers/5", Revision: revision}}}})
+			hub.applyEvents(store.Events{Revision: revision, Events: []store.Event{{Item: store.Item{Key: "servers/5", Revision: revision}}}}, time.Now())
 			answer, err := hub.answerFollow(context.Background(), 7, in)
 			if err != nil || len(answer.Items) != 1 {
 				t.Fatal(err, len(answer.Items))
@@ -342,7 +342,7 @@
 		_, err = follower.applyHubView(answer, time.Now())
 		require.NoError(t, err)
 		require.Equal(t, hub.view, follower.view)
-		hub.applyEvents(store.Events{Revision: int64(2001 + vm), Events: []store.Event{{Item: store.Item{Key: "servers/i-00000000", Revision: int64(2001 + vm)}}}})
+		hub.applyEvents(store.Events{Revision: int64(2001 + vm), Events: []store.Event{{Item: store.Item{Key: "servers/i-00000000", Revision: int64(2001 + vm)}}}}, time.Now())
 	}
 	_, err := unpackItems([]byte("no frame"))
 	require.ErrorIs(t, err, ErrPacked)
@@ -360,7 +360,7 @@
 		changed.Events = append(changed.Events, store.Event{Item: store.Item{Key: fmt.Sprint("servers/", i), Value: value, Revision: 10 + i}})
 	}
 	changed.Events = append(changed.Events, store.Event{Item: store.Item{Key: "op/config", Value: large, Revision: 90}})
-	hub.applyEvents(changed)
+	hub.applyEvents(changed, time.Now())
 	var first []byte
 	for range 3 {
 		answer, err := hub.answerFollow(t.Context(), 7, in)
--- a/internal/vm/peer_departures_test.go
+++ b/internal/vm/peer_departures_test.go
@@ -59,7 +59,9 @@
 		revision++
 		return store.Event{Item: store.Item{Key: "servers/" + r.ID, Revision: revision}, Deleted: true}
 	}
-	read := func(events ...store.Event) { p.tracker.applyEvents(store.Events{Events: events, Revision: revision}) }
+	read := func(events ...store.Event) {
+		p.tracker.applyEvents(store.Events{Events: events, Revision: revision}, time.Now())
+	}
 	read(write("ready"))
 	require.False(t, p.instance(r.ID).Draining)
 	read(write("draining"), remove())
@@ -124,7 +126,7 @@
 	read := func(leasedRevision int64, items ...store.Item) {
 		p.tracker.mu.Lock()
 		defer p.tracker.mu.Unlock()
-		p.tracker.replaceView(items, 40, leasedRevision)
+		p.tracker.replaceView(items, 40, leasedRevision, time.Now())
 	}
 	follow := func(revision int64, items ...store.Item) {
 		answer := &peerpb.FollowResponse{Whole: true, Revision: revision, FailedMs: 0}
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -41,6 +41,7 @@
 	store      store.Store
 	replicas   *platform.Replicas
 	tracker    *tracker
+	stalls     *stalls
 	assigner   *assign.Assigner
 	limiter    *teamrate.Limiter
 	budget     *retrybudget.Budget
@@ -94,7 +95,8 @@
 			Dur("for_ms", time.Until(until)).Send()
 	})
 	p.budget = retrybudget.New(retryLimitsOf(s), time.Now())
-	p.tracker = newTracker(p.store, log, p.applyView, func() int { return p.fleet.size() }, s.Bounds.Configuration, s.Heartbeat, hubClient{
+	p.stalls = newStalls(s.Bounds.Draining, log)
+	p.tracker = newTracker(p.store, log, p.applyView, func() int { return p.fleet.size() }, s.Bounds.Configuration, s.Heartbeat, p.stalls, hubClient{
 		hubs: func() []string { return p.fleet.hubs() }, follow: p.callHub,
 		isHub:      func() bool { return p.fleet.isHub() },
 		setMembers: func(members map[string]store.Item) { p.fleet.updateRegistrations(members) },
@@ -119,7 +121,7 @@
 	p.core = traffic.New(traffic.Options{
 		Upstreams: p.replicas, Assigner: p.assigner, Limiter: p.limiter,
 		Budget:   p.budget,
-		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, Permit: p.fleet.permit, RecordLeaving: p.recordLeaving, UpstreamsAge: p.tracker.viewAge, UpstreamsRevision: p.tracker.viewRevision,
+		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, Permit: p.fleet.permit, RecordLeaving: p.recordLeaving, UpstreamsAge: p.tracker.viewAge, UpstreamsRevision: p.tracker.viewRevision, AwaitUpstreams: p.stalls.awaitNews,
 		Outdated: func() bool { return p.configurationLag.behind(time.Now()) > 0 },
 		Log:      log, Metrics: p.metrics,
 	})
@@ -173,6 +175,7 @@
 	}
 	leading, resign := context.WithCancel(background)
 	group.Go(func() error { return p.tracker.run(background) })
+	group.Go(func() error { return p.stalls.run(background) })
 	group.Go(func() error { return p.updateGauges(background) })
 	group.Go(func() error { return p.fleet.register(background) })
 	group.Go(func() error { return p.fleet.run(background) })
--- a/internal/vm/read_view.go
+++ b/internal/vm/read_view.go
@@ -72,13 +72,14 @@
 // listAll reads all keys. An entry of the view that is missing from the listing was deleted while
 // this VM did not watch.
 func (t *tracker) listAll(ctx context.Context) error {
+	began := time.Now()
 	listing, err := t.store.Range(ctx, "")
 	if err != nil {
 		return err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.replaceView(listing.Items, listing.Revision, listing.Revision)
+	t.replaceView(listing.Items, listing.Revision, listing.Revision, began)
 	return nil
 }
 
@@ -87,6 +88,7 @@
 // returns the changes of all other keys. They are not read, because all VMs behind a lost hub do
 // this at the same time, and the configuration is most of what the store holds.
 func (t *tracker) listLeased(ctx context.Context) error {
+	began := time.Now()
 	var items []store.Item
 	revision := int64(math.MaxInt64)
 	for _, prefix := range leasedPrefixes {
@@ -106,7 +108,7 @@
 	}
 	// replaceView sets completeAt to now, but the keys that were not read may be outdated.
 	completeAt := t.completeAt
-	t.replaceView(items, t.view.revision, revision)
+	t.replaceView(items, t.view.revision, revision, began)
 	t.completeAt = completeAt
 	return nil
 }
--- a/internal/vm/removal_test.go
+++ b/internal/vm/removal_test.go
@@ -19,7 +19,7 @@
 	p = c.start("a").idle(t)
 	p.tracker.contact.minOutage = 2 * time.Second
 	leaving, other = c.entryAt(r, "ready", 10), c.entryAt(s, "ready", 20)
-	p.tracker.applyEvents(store.Events{Revision: 20, Events: []store.Event{{Item: leaving}, {Item: other}}})
+	p.tracker.applyEvents(store.Events{Revision: 20, Events: []store.Event{{Item: leaving}, {Item: other}}}, time.Now())
 	require.NotNil(t, p.instance("clerk-1"))
 	return p, leaving, other
 }
@@ -34,7 +34,7 @@
 	_, err := p.tracker.applyHubView(answer, time.Now())
 	require.NoError(t, err)
 	p.tracker.mu.Lock()
-	p.tracker.replaceView([]store.Item{other}, 20, 30)
+	p.tracker.replaceView([]store.Item{other}, 20, 30, time.Now())
 	p.tracker.mu.Unlock()
 	require.Nil(t, p.instance("clerk-1"))
 	require.NotNil(t, p.instance("clerk-2"))
@@ -44,7 +44,7 @@
 func TestFailedCallDoesNotKeepAnEntryThatIsRemoved(t *testing.T) {
 	p, leaving, _ := newRemovalFixture(t)
 	p.tracker.recordFailure(errors.WithStack(store.ErrUnknown))
-	p.tracker.applyEvents(store.Events{Revision: 30, Events: []store.Event{{Item: store.Item{Key: leaving.Key, Revision: 30}, Deleted: true}}})
+	p.tracker.applyEvents(store.Events{Revision: 30, Events: []store.Event{{Item: store.Item{Key: leaving.Key, Revision: 30}, Deleted: true}}}, time.Now())
 	require.Nil(t, p.instance("clerk-1"))
 	require.NotNil(t, p.instance("clerk-2"))
 }
@@ -54,6 +54,6 @@
 	p, leaving, _ := newRemovalFixture(t)
 	p.tracker.contact.completeAt = time.Now().Add(-3 * time.Second)
 	p.tracker.recordFailure(errors.WithStack(store.ErrUnknown))
-	p.tracker.applyEvents(store.Events{Revision: 30, Events: []store.Event{{Item: store.Item{Key: leaving.Key, Revision: 30}, Deleted: true}}})
+	p.tracker.applyEvents(store.Events{Revision: 30, Events: []store.Event{{Item: store.Item{Key: leaving.Key, Revision: 30}, Deleted: true}}}, time.Now())
 	require.False(t, p.instance("clerk-1").Draining)
 }
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -50,6 +50,8 @@
 	deltas    deltas
 	// following reports that this VM follows the store through a hub.
 	following atomic.Bool
+	// stalls tells when this process stood still.
+	stalls *stalls
 	// vmCount returns the number of VMs. maxPause is the longest pause between two watch calls.
 	vmCount  func() int
 	maxPause time.Duration
@@ -81,9 +83,9 @@
 
 // newTracker returns a tracker of a store whose configurations have to be in force within
 // configurationDeadline, and to which instances write every heartbeat. vmCount returns the number of VMs.
-func newTracker(s store.Store, log zerolog.Logger, onChange func(view, viewDelta), vmCount func() int, configurationDeadline, heartbeat time.Duration, hubs hubClient) *tracker {
+func newTracker(s store.Store, log zerolog.Logger, onChange func(view, viewDelta), vmCount func() int, configurationDeadline, heartbeat time.Duration, stalls *stalls, hubs hubClient) *tracker {
 	return &tracker{
-		store: s, log: log, onChange: onChange, vmCount: vmCount, hubClient: hubs, values: newValueHistory(), contact: contact{minOutage: lapseHeartbeats * heartbeat},
+		store: s, log: log, stalls: stalls, onChange: onChange, vmCount: vmCount, hubClient: hubs, values: newValueHistory(), contact: contact{minOutage: lapseHeartbeats * heartbeat},
 		maxPause: configurationDeadline * 2 / 3, maxHubViewAge: configurationDeadline / staleDivisor, hubWatchPause: configurationDeadline / hubPauseDivisor,
 		view: view{items: make(map[string]store.Item)}, changes: newChangeLog(), firstView: make(chan struct{}), hubBackoffs: make(map[string]hubBackoff), lapsed: make(map[string]time.Time),
 	}
@@ -125,6 +127,7 @@
 			}
 			return nil
 		}
+		began := time.Now()
 		events, err := t.store.Watch(ctx, "", t.viewRevision(), watchTimeout)
 		switch {
 		case errors.Is(err, store.ErrCompacted):
@@ -136,8 +139,10 @@
 			continue
 		}
 		failures = 0
-		t.applyEvents(events)
-		sleep(ctx, t.watchPause())
+		t.applyEvents(events, began)
+		if !t.stalls.pending() {
+			sleep(ctx, t.watchPause())
+		}
 	}
 	return nil
 }
@@ -169,11 +174,12 @@
 	return t.view.revision
 }
 
-// replaceView replaces the view by the items that were read, those under leases at leasedRevision, and
-// keeps lapsed entries. It must be called with the lock held.
-func (t *tracker) replaceView(items []store.Item, revision, leasedRevision int64) {
+// replaceView replaces the view by the items that were read by calls of which the first one began at a time,
+// those under leases at leasedRevision, and keeps lapsed entries. It must be called with the lock held.
+func (t *tracker) replaceView(items []store.Item, revision, leasedRevision int64, began time.Time) {
 	now := time.Now()
-	t.contact.recordComplete(now)
+	asOf := t.stalls.asOf(began, now)
+	t.contact.recordComplete(asOf)
 	read := make(map[string]bool, len(items))
 	for _, item := range items {
 		read[item.Key] = true
@@ -190,14 +196,16 @@
 		}
 	}
 	t.watching = true
-	t.publish(items, removed, revision, leasedRevision, now)
+	t.publish(items, removed, revision, leasedRevision, asOf, now)
 }
 
-func (t *tracker) applyEvents(events store.Events) {
+// applyEvents applies the answer to a watch call that began at a time.
+func (t *tracker) applyEvents(events store.Events, began time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	t.contact.recordComplete(now)
+	asOf := t.stalls.asOf(began, now)
+	t.contact.recordComplete(asOf)
 	// Of several events of a key the last one counts.
 	newest := make(map[string]store.Event, len(events.Events))
 	var superseded []store.Item
@@ -224,7 +232,7 @@
 			removed = append(removed, key)
 		}
 	}
-	t.publish(written, removed, events.Revision, max(events.Revision, t.view.leasedRevision), now)
+	t.publish(written, removed, events.Revision, max(events.Revision, t.view.leasedRevision), asOf, now)
 }
 
 // keepLapsed reports whether an entry that has disappeared is to be kept for now: after an outage of the
@@ -256,9 +264,9 @@
 		Dur("failed_ms", now.Sub(t.contact.failedAt)).Dur("age_ms", now.Sub(t.completeAt)).Send()
 }
 
-// publish applies changes to the view and calls onChange. It also removes the entries that were
-// kept until the time recorded in lapsed. It must be called with the lock held.
-func (t *tracker) publish(written []store.Item, removed []string, revision, leasedRevision int64, now time.Time) {
+// publish applies changes to the view, which is complete as of a time, and calls onChange. It also removes the
+// entries that were kept until the time recorded in lapsed. It must be called with the lock held.
+func (t *tracker) publish(written []store.Item, removed []string, revision, leasedRevision int64, asOf, now time.Time) {
 	for key, until := range t.lapsed {
 		if now.After(until) {
 			removed = append(removed, key)
@@ -278,8 +286,9 @@
 	if t.completeAt.IsZero() {
 		close(t.firstView)
 	}
-	t.completeAt = now
+	t.completeAt = asOf
 	t.onChange(t.view, delta)
+	t.stalls.recordNews(t.contact.completeAt)
 }
 
 func (t *tracker) recordFailure(err error) {
