--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -85,9 +85,10 @@
 }
 
 // Do sends the request with body to an address and reads the response headers. It replaces
-// the request's Body and ContentLength. beforeWrite, unless nil, is called once there is a connection,
-// before the first byte is written; an error of it is returned, and nothing is written. Cancelling ctx resets the connection, also while
-// the response body is read. Other errors are ErrNotSent or ErrBroken, wrapped.
+// the request's Body and ContentLength. beforeWrite, unless nil, is called once there is a
+// connection, before the first byte is written. If it returns an error, Do returns that error
+// and nothing is written. Cancelling ctx resets the connection, also while the response body is
+// read. Other errors are ErrNotSent or ErrBroken, wrapped.
 func (p *Pool) Do(ctx context.Context, address string, r *http.Request, body []byte, beforeWrite func() error) (*Exchange, error) {
 	c := p.idleConn(address)
 	if c == nil {
