--- a/test/soak/busy_test.go
+++ b/test/soak/busy_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -15,7 +16,8 @@
 // spin uses one processor until standard input ends, as it does when the test's process is gone.
 func spin() {
 	go func() {
-		for {
+		for turns := new(atomic.Uint64); ; turns.Add(1) {
+			continue
 		}
 	}()
 	_, _ = io.Copy(io.Discard, os.Stdin)
