vm: a call to a hub that failed over a stall is repeated as it was

Cause: after a stall the repeated call asked for the hub's whole view, found by reading the diff. Hundreds of VMs that stand still together, as when they start, would make their hub encode it for each of them. That this is the reason is not shown.

Change: the same request again; the hub still knows the changes since the view that the follower has.

Conclusion: no cost after a stall beyond the call itself.

--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -107,7 +107,6 @@
 		arrived := t.stalls.asOf(began, time.Now())
 		if err != nil && arrived.Equal(began) && ctx.Err() == nil {
 			// This process stood still: that the call took too long says nothing about the hub.
-			in = &peerpb.FollowRequest{}
 			continue
 		}
 		applied := false
