vm: the age of a hub's answer counts from its first byte again

Change: only after a stall the begin of the call counts; else the first byte, as before. The test is unchanged.

--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -104,14 +104,17 @@
 		in.Held, in.ReadsPacked = t.heldRevisions(), true
 		began := time.Now()
 		answer, took, err := t.hubClient.follow(ctx, address, in)
-		arrived := t.stalls.asOf(began, time.Now())
-		if err != nil && arrived.Equal(began) && ctx.Err() == nil {
-			// This process stood still: that the call took too long says nothing about the hub.
-			continue
+		arrived := time.Now().Add(-took)
+		if t.stalls.stoodSince(began) {
+			if err != nil && ctx.Err() == nil {
+				// That the call took too long says nothing about the hub.
+				continue
+			}
+			arrived = began
 		}
 		applied := false
 		if err == nil {
-			applied, err = t.applyHubView(answer, later(began, arrived.Add(-took)))
+			applied, err = t.applyHubView(answer, arrived)
 		}
 		if err != nil {
 			t.backOffHub(address, err)
--- a/internal/vm/stall.go
+++ b/internal/vm/stall.go
@@ -84,10 +84,16 @@
 	return s.waiting()
 }
 
+// stoodSince reports whether the process has stood still since a time.
+func (s *stalls) stoodSince(began time.Time) bool {
+	_, resumedAt := s.recordRunning(time.Now())
+	return resumedAt.After(began)
+}
+
 // asOf returns the time as of which an answer is known to be current that ends now and whose call began at a
 // time: if the process stood still meanwhile, the answer may have waited for it.
 func (s *stalls) asOf(began, now time.Time) time.Time {
-	if _, resumedAt := s.recordRunning(now); resumedAt.After(began) {
+	if s.stoodSince(began) {
 		return began
 	}
 	return now
