traffic: a failed send is logged, with a hash that the attempts of a request share

The logs name a caller's attempt by its ID, which is new in each attempt, and only the cause of a request's last send.

Change: send_failed tells for each send that gave no response its upstream, kind, cause and a hash of the request without its ID. The hash is computed for failed sends only.

--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -117,6 +117,14 @@
 	withdrawn
 )
 
+// failureKindNames are the names of the kinds in logs.
+var failureKindNames = map[failureKind]string{
+	notSent: "not_sent", notExecuted: "not_executed", unknown: "unknown", withdrawn: "withdrawn",
+}
+
+// String returns the name of the kind that is used in logs.
+func (k failureKind) String() string { return failureKindNames[k] }
+
 // failure is a send that gave no response to forward.
 type failure struct {
 	kind failureKind
@@ -139,6 +147,7 @@
 		if failed.kind == withdrawn && ctx.Err() == nil {
 			continue
 		}
+		j.core.logSendFailed(j, choice, failed)
 		if ctx.Err() != nil || (j.reserved == nil && !j.mayRepeat(failed.kind)) {
 			j.releaseReserved()
 			return j.endUnanswered(ctx, failed.err)
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -53,6 +54,13 @@
 		Dur("placed_ms", time.Since(choice.PlacedAt())).Int64("upstreams_revision", c.options.UpstreamsRevision()).Send()
 }
 
+// logSendFailed logs that a send gave no response to forward, with the hash that attempts of the same request share.
+func (c *Core) logSendFailed(j *job, choice *assign.Choice, failed *failure) {
+	c.options.Log.Info().Str("event", "send_failed").Str("request", j.request.ID).Int("send", j.sends).Str("upstream", choice.Instance).
+		Str("kind", failed.kind.String()).Str("contents", strconv.FormatUint(j.contentsHash(), 16)).
+		Dur("after_ms", time.Since(choice.PlacedAt())).AnErr("cause", failed.err).Send()
+}
+
 // logRateLimit logs that an upstream has begun or ceased to name a rate limit, or has changed it.
 func (c *Core) logRateLimit(instance string, limit upstream.RateLimit) {
 	c.options.Log.Info().Str("event", "upstream_rate_limit").Str("instance", instance).Bool("named", limit.Named).
