vm: a failing test for a request that ends one upstream after another

Callers that get no answer send the same request again through other VMs, and each VM sends it to up to two upstreams.

Change: a stand-in that ends, with its listener and all connections, when it gets a marked body; a test that sends such a request six times through three VMs beside 300 others, and counts the upstreams that end, sends after the third end and others that are rejected.

--- /dev/null
+++ b/internal/vm/ended_upstreams_test.go
@@ -0,0 +1,115 @@
+package vm
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/platform/standin"
+)
+
+// endingMark is the part of a body that ends the upstream which reads it.
+const endingMark = "ends the upstream"
+
+// endings counts the upstreams that a marked request ends, and how often it is sent after the third end.
+type endings struct {
+	mu                sync.Mutex
+	count, afterThird int
+}
+
+// record counts one send of a marked request and the end of its upstream.
+func (e *endings) record() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.count >= 3 {
+		e.afterThird++
+	}
+	e.count++
+}
+
+func (e *endings) counts() (ended, sentAfterThird int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.count, e.afterThird
+}
+
+// addEnding adds a replica that ends when it gets a marked body, with all of its connections.
+func (c *cluster) addEnding(id string, e *endings) *standin.Replica {
+	r := standin.NewReplica(id, 0)
+	r.ServiceTime = 20 * time.Millisecond
+	c.add(r)
+	var ending sync.Once
+	r.Inspect = func(body string) bool {
+		if !strings.Contains(body, endingMark) {
+			return true
+		}
+		e.record()
+		ending.Do(func() { c.end(r) })
+		return false
+	}
+	return r
+}
+
+// end closes a replica's listener and all of its connections.
+func (c *cluster) end(r *standin.Replica) {
+	server := c.servers[r.ID]
+	_ = server.Listener.Close()
+	server.CloseClientConnections()
+}
+
+// A request that ends the upstreams it is sent to must not end one after the other as its caller repeats it at all VMs.
+func TestRequestThatEndsUpstreamsIsNotSentAfterTheThirdEnd(t *testing.T) {
+	c, e := newCluster(t), &endings{}
+	for i := range 10 {
+		c.addEnding(fmt.Sprintf("clerk-%d", i), e)
+	}
+	vms := []*testVM{c.start("a"), c.start("b"), c.start("c")}
+	c.eventually(func() bool {
+		for _, v := range vms {
+			if len(v.fleet.meshPartners()) != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	innocents := c.sendInnocents(vms, 300)
+	var last answer
+	for i := range 6 {
+		last = c.send(vms[i%3], call{method: "POST", path: "/look/x", body: endingMark})
+		require.NotEqual(t, http.StatusOK, last.status)
+	}
+	rejected := innocents()
+	ended, sentAfterThird := e.counts()
+	require.LessOrEqual(t, ended, 3)
+	require.Zero(t, sentAfterThird)
+	require.Equal(t, http.StatusServiceUnavailable, last.status)
+	require.Zero(t, rejected, "requests that ran beside the marked one")
+}
+
+// sendInnocents sends unmarked requests through all VMs, and returns a function that waits for their answers and returns
+// how many were rejected.
+func (c *cluster) sendInnocents(vms []*testVM, n int) func() (rejected int) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	rejected := 0
+	for i := range n {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * time.Millisecond)
+			got := c.send(vms[i%len(vms)], call{method: "POST", path: "/look/y", body: fmt.Sprint("innocent ", i)})
+			if got.status == http.StatusServiceUnavailable {
+				mu.Lock()
+				defer mu.Unlock()
+				rejected++
+			}
+		})
+	}
+	return func() int {
+		wg.Wait()
+		return rejected
+	}
+}
