quarantine: a request under which three upstreams have ended is not sent any more

A request that makes its upstream crash is repeated by its caller, and each repeat ends as many upstreams as its route allows attempts.

Cause: sends and ends are counted within one attempt of a caller at one VM. The next attempt has a new ID, goes to any VM, and starts from zero. A bound that each part keeps for itself, where what it bounds goes through many parts.

Change: a request is identified by a hash of its contents. For each one under which upstreams have ended, VMs keep the incarnations that did, and when it was last answered. An upstream has ended if it refuses connections after an exchange broke, or if its entry disappears or changes its incarnation within 15 s. The end is told to the partners at once, before the request is sent again or its caller is answered; hubs pass it on, and reports carry requests with two ends. From the third end on the request is refused: 503 request_quarantined, for ten minutes. An answer sets the count to zero, and an incarnation that answers later counts as alive.

In a fleet of 14 VMs with hubs all learn of it, and one that starts later too.

Why it works: what is counted is what callers repeat, and every VM knows the count before a repeat can reach it. In a fleet with hubs the wait covers the hub only.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -207,6 +207,16 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
 }
 
+// Refuses reports whether an address refuses a new connection. One that it accepts is kept as an idle connection.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.putIdle(address, c, nil)
+	return false
+}
+
 // idleConn returns the most recently used idle connection that is still usable, or nil.
 func (p *Pool) idleConn(address string) *conn {
 	for {
--- /dev/null
+++ b/internal/quarantine/table.go
@@ -0,0 +1,318 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// MaxEnds is the number of upstreams that may end under a request before it is not sent any more.
+	MaxEnds = 3
+	// Duration is how long a request is not sent after the last end under it: time for operators to mend or
+	// replace the upstreams' software.
+	Duration = 10 * time.Minute
+	// suspicionTime is how long fewer ends are remembered. Callers repeat a request within its deadline, which is
+	// well below.
+	suspicionTime = time.Minute
+	// breakTime is how long a broken exchange is remembered: an upstream that has ended without closing its listener
+	// loses its entry, or gets a new one, within some heartbeats.
+	breakTime = 15 * time.Second
+	// maxRequests bounds the number of requests that are remembered, and that of broken exchanges.
+	maxRequests = 4096
+)
+
+// Request identifies a request by a hash of its contents.
+type Request uint64
+
+// Record is what is known of one request.
+type Record struct {
+	Request Request
+	// Ends holds the incarnations of upstreams that ended under the request, with the time of each end.
+	Ends map[string]time.Time
+	// Answered is when an upstream last answered the request, zero if none has since the first end.
+	Answered time.Time
+}
+
+// Table holds the requests under which upstreams have ended. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	records map[Request]*Record
+	// broken holds the exchanges that broke without evidence that their upstream has ended.
+	broken map[brokenExchange]time.Time
+	// alive holds, for each incarnation that is recorded as ended or whose exchange broke, when it last answered this
+	// VM, zero if it has not since.
+	alive map[string]time.Time
+	// expiredAt is when old records were last looked for.
+	expiredAt time.Time
+	// inUse is set while there is anything to remember, so that other requests need no hash.
+	inUse atomic.Bool
+}
+
+type brokenExchange struct {
+	request     Request
+	incarnation string
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{records: make(map[Request]*Record), broken: make(map[brokenExchange]time.Time), alive: make(map[string]time.Time)}
+}
+
+// InUse reports whether the table holds anything.
+func (t *Table) InUse() bool { return t.inUse.Load() }
+
+// RecordEnd records that an incarnation of an upstream ended while it had a request.
+func (t *Table) RecordEnd(q Request, incarnation string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.recordEnd(q, incarnation, now)
+	t.expire(now)
+}
+
+// RecordBreak records that an exchange broke without an answer and without evidence that its upstream has ended.
+func (t *Table) RecordBreak(q Request, incarnation string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.broken[brokenExchange{q, incarnation}] = now
+	t.mention(incarnation)
+	t.expire(now)
+}
+
+// RecordGone records that an incarnation is known to have ended, and returns the requests under which it did: those
+// whose exchanges with it broke lately.
+func (t *Table) RecordGone(incarnation string, now time.Time) []Request {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Request
+	for b, at := range t.broken {
+		if b.incarnation != incarnation {
+			continue
+		}
+		delete(t.broken, b)
+		if now.Sub(at) < breakTime && !t.aliveAfter(incarnation, at) {
+			t.recordEnd(b.request, incarnation, at)
+			out = append(out, b.request)
+		}
+	}
+	return out
+}
+
+func (t *Table) recordEnd(q Request, incarnation string, at time.Time) {
+	r := t.record(q)
+	if _, known := r.Ends[incarnation]; !known {
+		r.Ends[incarnation] = at
+	}
+	t.mention(incarnation)
+}
+
+func (t *Table) record(q Request) *Record {
+	r := t.records[q]
+	if r == nil {
+		r = &Record{Request: q, Ends: make(map[string]time.Time)}
+		t.records[q] = r
+	}
+	return r
+}
+
+// RecordAnswer records that an upstream has answered a request completely. It reports whether the other VMs have to be
+// told: they may count several ends under the request.
+func (t *Table) RecordAnswer(q Request, now time.Time) (tell bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[q]
+	if r == nil {
+		return false
+	}
+	tell = t.count(r) > 1
+	r.Answered = now
+	return tell
+}
+
+// RecordAlive records that an incarnation has answered this VM: it has not ended before.
+func (t *Table) RecordAlive(incarnation string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, mentioned := t.alive[incarnation]; mentioned {
+		t.alive[incarnation] = now
+	}
+}
+
+func (t *Table) mention(incarnation string) {
+	if _, mentioned := t.alive[incarnation]; !mentioned {
+		t.alive[incarnation] = time.Time{}
+	}
+	t.inUse.Store(true)
+}
+
+// aliveAfter reports whether an incarnation has answered this VM after it was said to have ended at a time. An answer
+// that was on its way then shows nothing.
+func (t *Table) aliveAfter(incarnation string, at time.Time) bool {
+	return t.alive[incarnation].After(at.Add(aliveMargin))
+}
+
+// aliveMargin covers the way of an answer, and the difference between the times of an end that two VMs tell.
+const aliveMargin = 200 * time.Millisecond
+
+// count returns how many upstreams have ended under a request since it was last answered. An incarnation that has
+// answered later has not ended: a VM that lost its way to it took it for ended.
+func (t *Table) count(r *Record) int {
+	n := 0
+	for incarnation, at := range r.Ends {
+		if at.After(r.Answered) && !t.aliveAfter(incarnation, at) {
+			n++
+		}
+	}
+	return n
+}
+
+// Ends returns how many upstreams have ended under a request since it was last answered.
+func (t *Table) Ends(q Request) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[q]; r != nil {
+		return t.count(r)
+	}
+	return 0
+}
+
+// Quarantined reports whether a request must not be sent any more, and for how long.
+func (t *Table) Quarantined(q Request, now time.Time) (left time.Duration, quarantined bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[q]
+	if r == nil || t.count(r) < MaxEnds {
+		return 0, false
+	}
+	left = r.lastEnd().Add(Duration).Sub(now)
+	return left, left > 0
+}
+
+func (r *Record) lastEnd() time.Time {
+	last := time.Time{}
+	for _, at := range r.Ends {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// Get returns copies of the records of some requests.
+func (t *Table) Get(requests []Request) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Record
+	for _, q := range requests {
+		if r := t.records[q]; r != nil {
+			out = append(out, r.clone())
+		}
+	}
+	return out
+}
+
+// Suspects returns copies of the records with several ends, for VMs that may not have been told of them.
+func (t *Table) Suspects(now time.Time) []Record {
+	if !t.InUse() {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	var out []Record
+	for _, r := range t.records {
+		if t.count(r) > 1 {
+			out = append(out, r.clone())
+		}
+	}
+	return out
+}
+
+func (r *Record) clone() Record {
+	return Record{Request: r.Request, Ends: maps.Clone(r.Ends), Answered: r.Answered}
+}
+
+// Merge adds what another VM knows of a request. It reports whether that was new, and whether the other VM has to be
+// told what this one knows.
+func (t *Table) Merge(in Record, now time.Time) (news, tell bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(in.Request)
+	for incarnation, at := range in.Ends {
+		if _, known := r.Ends[incarnation]; !known {
+			r.Ends[incarnation] = at
+			t.mention(incarnation)
+			news = true
+		}
+	}
+	if in.Answered.Sub(r.Answered) > answerTolerance {
+		r.Answered = in.Answered
+		news = true
+	}
+	tell = len(in.Ends) > 1 && r.Answered.Sub(in.Answered) > answerTolerance
+	t.expire(now)
+	return news, tell
+}
+
+// answerTolerance is the difference up to which the times of an answer that two VMs tell count as the same: they tell
+// ages, which grow on the way.
+const answerTolerance = 500 * time.Millisecond
+
+// expireInterval is the least time between two searches for old records.
+const expireInterval = time.Second
+
+// expire forgets what is old, and the oldest beyond the bounds.
+func (t *Table) expire(now time.Time) {
+	if now.Sub(t.expiredAt) < expireInterval && len(t.records) <= maxRequests && len(t.broken) <= maxRequests {
+		return
+	}
+	t.expiredAt = now
+	maps.DeleteFunc(t.records, func(_ Request, r *Record) bool { return now.Sub(r.lastEnd()) > t.lifetime(r) })
+	maps.DeleteFunc(t.broken, func(_ brokenExchange, at time.Time) bool { return now.Sub(at) > breakTime })
+	if len(t.records) > maxRequests {
+		t.dropOldest(len(t.records) - maxRequests/2)
+	}
+	if len(t.broken) > maxRequests {
+		clear(t.broken)
+	}
+	mentioned := t.mentioned()
+	maps.DeleteFunc(t.alive, func(incarnation string, _ time.Time) bool { return !mentioned[incarnation] })
+	t.inUse.Store(len(t.records)+len(t.broken) > 0)
+}
+
+// mentioned returns the incarnations that are recorded as ended or whose exchanges broke.
+func (t *Table) mentioned() map[string]bool {
+	out := make(map[string]bool)
+	for b := range t.broken {
+		out[b.incarnation] = true
+	}
+	for _, r := range t.records {
+		for incarnation := range r.Ends {
+			out[incarnation] = true
+		}
+	}
+	return out
+}
+
+func (t *Table) lifetime(r *Record) time.Duration {
+	if t.count(r) >= MaxEnds {
+		return Duration
+	}
+	return suspicionTime
+}
+
+// dropOldest forgets n records: those with the fewest ends, and of these the oldest.
+func (t *Table) dropOldest(n int) {
+	records := slices.Collect(maps.Values(t.records))
+	slices.SortFunc(records, func(a, b *Record) int {
+		if x, y := t.count(a), t.count(b); x != y {
+			return x - y
+		}
+		return a.lastEnd().Compare(b.lastEnd())
+	})
+	for _, r := range records[:n] {
+		delete(t.records, r.Request)
+	}
+}
--- /dev/null
+++ b/internal/quarantine/table_test.go
@@ -0,0 +1,108 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func endUpstreams(t *Table, q Request, n int, now time.Time) {
+	for i := range n {
+		t.RecordEnd(q, fmt.Sprintf("upstream-%d@1@address", i), now)
+	}
+}
+
+func isQuarantined(t *Table, q Request, now time.Time) bool {
+	_, quarantined := t.Quarantined(q, now)
+	return quarantined
+}
+
+func TestRequestIsQuarantinedFromTheThirdEndOn(t *testing.T) {
+	table := NewTable()
+	require.False(t, table.InUse())
+	endUpstreams(table, 1, 2, at(0))
+	endUpstreams(table, 1, 2, at(time.Second))
+	require.False(t, isQuarantined(table, 1, at(time.Second)), "an incarnation ends once")
+	endUpstreams(table, 1, 3, at(time.Second))
+	require.True(t, isQuarantined(table, 1, at(time.Second)))
+	require.True(t, isQuarantined(table, 1, at(Duration)))
+	require.False(t, isQuarantined(table, 1, at(2*time.Second+Duration)))
+}
+
+// A popular request is in flight at each of three upstreams that crash one after the other, and is answered in between.
+func TestRequestThatIsAnsweredInBetweenIsNotQuarantined(t *testing.T) {
+	table := NewTable()
+	for i := range 6 {
+		now := at(time.Duration(i) * time.Second)
+		table.RecordEnd(1, fmt.Sprintf("upstream-%d@1@address", i), now)
+		table.RecordAnswer(1, now.Add(300*time.Millisecond))
+		require.False(t, isQuarantined(table, 1, now.Add(500*time.Millisecond)))
+	}
+}
+
+// A VM that has lost its way to upstreams whose connections are reset takes them for ended; others hear from them.
+func TestUpstreamThatAnswersLaterHasNotEnded(t *testing.T) {
+	cutOff, other := NewTable(), NewTable()
+	endUpstreams(cutOff, 1, 3, at(0))
+	other.Merge(cutOff.Get([]Request{1})[0], at(0))
+	require.True(t, isQuarantined(other, 1, at(0)))
+	for i := range 3 {
+		other.RecordAlive(fmt.Sprintf("upstream-%d@1@address", i), at(time.Second))
+	}
+	require.False(t, isQuarantined(other, 1, at(time.Second)))
+}
+
+// VMs learn of ends in any order and more than once, and of an answer that only one of them has seen.
+func TestVMsThatTellEachOtherAgree(t *testing.T) {
+	a, b := NewTable(), NewTable()
+	a.RecordEnd(1, "upstream-1@1@address", at(0))
+	b.RecordEnd(1, "upstream-2@1@address", at(0))
+	b.RecordEnd(1, "upstream-3@1@address", at(0))
+	news, tell := a.Merge(b.Get([]Request{1})[0], at(0))
+	require.True(t, news)
+	require.False(t, tell)
+	require.True(t, isQuarantined(a, 1, at(0)))
+	news, _ = a.Merge(b.Get([]Request{1})[0], at(0))
+	require.False(t, news)
+	require.True(t, a.RecordAnswer(1, at(time.Second)))
+	_, tell = a.Merge(b.Get([]Request{1})[0], at(time.Second))
+	require.True(t, tell, "b does not know of the answer")
+	b.Merge(a.Get([]Request{1})[0], at(time.Second))
+	require.False(t, isQuarantined(b, 1, at(time.Second)))
+}
+
+// An upstream that ends without closing its listener shows it only when its entry is gone.
+func TestBrokenExchangeCountsOnceItsUpstreamIsGone(t *testing.T) {
+	table := NewTable()
+	for i := range 3 {
+		incarnation := fmt.Sprintf("upstream-%d@1@address", i)
+		table.RecordBreak(1, incarnation, at(0))
+		require.False(t, isQuarantined(table, 1, at(0)))
+		require.Equal(t, []Request{1}, table.RecordGone(incarnation, at(3*time.Second)))
+	}
+	require.True(t, isQuarantined(table, 1, at(3*time.Second)))
+	table.RecordBreak(2, "upstream-9@1@address", at(4*time.Second))
+	table.RecordAlive("upstream-9@1@address", at(5*time.Second))
+	require.Empty(t, table.RecordGone("upstream-9@1@address", at(6*time.Second)))
+}
+
+// Hundreds of upstreams end at once, each with many requests: the table stays bounded, and keeps what has most ends.
+func TestTableIsBounded(t *testing.T) {
+	table := NewTable()
+	endUpstreams(table, 1, 3, at(0))
+	for i := range 3 * maxRequests {
+		table.RecordEnd(Request(100+i), "upstream-0@1@address", at(time.Second))
+	}
+	require.LessOrEqual(t, len(table.records), maxRequests)
+	require.True(t, isQuarantined(table, 1, at(time.Second)))
+	table.Suspects(at(2*time.Second + suspicionTime))
+	require.Len(t, table.records, 1)
+	table.Suspects(at(2*time.Second + Duration))
+	require.False(t, table.InUse())
+}
--- a/internal/traffic/contents.go
+++ b/internal/traffic/contents.go
@@ -1,10 +1,28 @@
 package traffic
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chestnutarch/chestnutarch/internal/quarantine"
+	"github.com/chestnutarch/chestnutarch/internal/upstream"
+)
+
+// This file keeps a request from being sent any more once several upstreams have ended under it.
+
+// shareTimeout bounds the wait until the other VMs know of an upstream that ended. Without the wait, the caller's next
+// attempt could reach another VM before the news.
+const shareTimeout = 100 * time.Millisecond
 
 // contentsHash identifies a request by what stays the same when its caller repeats it: the team, the service and what
 // the upstream is sent. The caller's ID is new in each attempt.
-func (j *job) contentsHash() uint64 {
+func (j *job) contentsHash() quarantine.Request {
+	if j.contents != 0 {
+		return j.contents
+	}
 	h := xxhash.New()
 	q := j.request
 	for _, part := range []string{j.team, j.service, q.Method, q.Host, q.Target, q.Model, q.Adapter} {
@@ -12,5 +30,64 @@
 		_, _ = h.Write([]byte{0})
 	}
 	_, _ = h.Write(q.Body)
-	return h.Sum64()
+	j.contents = quarantine.Request(h.Sum64())
+	return j.contents
+}
+
+// quarantined reports whether the request must not be sent any more, and for how long.
+func (j *job) quarantined() (left time.Duration, quarantined bool) {
+	if !j.core.options.Quarantine.InUse() {
+		return 0, false
+	}
+	return j.core.options.Quarantine.Quarantined(j.contentsHash(), time.Now())
+}
+
+// refuseQuarantined returns the refusal of a request that must not be sent any more, nil if it may be.
+func (c *Core) refuseQuarantined(j *job) *Refusal {
+	left, quarantined := j.quarantined()
+	if !quarantined {
+		return nil
+	}
+	return &Refusal{
+		Status: http.StatusServiceUnavailable, Reason: reasonQuarantined,
+		Detail: "upstreams have ended while they ran this request; it was not run", RetryAfter: left,
+	}
+}
+
+const reasonQuarantined = "request_quarantined"
+
+// recordBreak records that an exchange broke without an answer, and tells the other VMs if its upstream has ended.
+func (j *job) recordBreak(ctx context.Context, i *upstream.Instance) {
+	o := &j.core.options
+	if i == nil {
+		return
+	}
+	if !o.HasEnded(ctx, i) {
+		o.Quarantine.RecordBreak(j.contentsHash(), i.IncarnationID(), time.Now())
+		return
+	}
+	o.Quarantine.RecordEnd(j.contentsHash(), i.IncarnationID(), time.Now())
+	j.core.logUpstreamEnded(j, i)
+	timer := time.NewTimer(shareTimeout)
+	defer timer.Stop()
+	select {
+	case <-o.ShareEnds([]quarantine.Request{j.contentsHash()}):
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// recordAlive records that an upstream has answered.
+func (c *Core) recordAlive(i *upstream.Instance) {
+	if c.options.Quarantine.InUse() {
+		c.options.Quarantine.RecordAlive(i.IncarnationID(), time.Now())
+	}
+}
+
+// recordAnswer records that an upstream has answered the request completely, whatever the answer was.
+func (j *job) recordAnswer() {
+	o := &j.core.options
+	if o.Quarantine.InUse() && o.Quarantine.RecordAnswer(j.contentsHash(), time.Now()) {
+		o.ShareEnds([]quarantine.Request{j.contentsHash()})
+	}
 }
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -12,6 +12,7 @@
 
 	"github.com/chestnutarch/chestnutarch/internal/assign"
 	"github.com/chestnutarch/chestnutarch/internal/catalog"
+	"github.com/chestnutarch/chestnutarch/internal/quarantine"
 	"github.com/chestnutarch/chestnutarch/internal/retrybudget"
 	"github.com/chestnutarch/chestnutarch/internal/teamrate"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
@@ -61,6 +62,12 @@
 	// AwaitUpstreams returns once the table of upstreams is not older than this VM believes: it waits for
 	// news if the process stood still a moment ago. It returns when ctx ends, and after a bounded time.
 	AwaitUpstreams func(ctx context.Context)
+	// Quarantine holds the requests under which upstreams have ended.
+	Quarantine *quarantine.Table
+	// HasEnded reports whether an upstream whose connection has just broken has ended.
+	HasEnded func(ctx context.Context, i *upstream.Instance) bool
+	// ShareEnds tells the other VMs what the quarantine holds of some requests. The channel is closed once they know.
+	ShareEnds func(requests []quarantine.Request) <-chan struct{}
 	// Outdated reports whether a configuration newer than the one in force is known to
 	// exist.
 	Outdated func() bool
@@ -182,6 +189,9 @@
 			j.urgency = team.Priority
 		}
 	}
+	if refusal := c.refuseQuarantined(j); refusal != nil {
+		return j, refusal
+	}
 	j.setDeadlines()
 	j.units = unitsOf(config, q)
 	now := time.Now()
--- a/internal/traffic/fakes_test.go
+++ b/internal/traffic/fakes_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/chestnutarch/chestnutarch/internal/assign"
 	"github.com/chestnutarch/chestnutarch/internal/catalog"
+	"github.com/chestnutarch/chestnutarch/internal/quarantine"
 	"github.com/chestnutarch/chestnutarch/internal/retrybudget"
 	"github.com/chestnutarch/chestnutarch/internal/teamrate"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
@@ -138,7 +139,9 @@
 		Instance:     func(id string) *upstream.Instance { return f.instances[id] },
 		VMs:          func() int { return 1 },
 		UpstreamsAge: func() time.Duration { return 0 }, UpstreamsRevision: func() int64 { return 0 }, AwaitUpstreams: func(context.Context) {},
-		Outdated: func() bool { return false },
+		Quarantine: quarantine.NewTable(), HasEnded: func(context.Context, *upstream.Instance) bool { return false },
+		ShareEnds: func([]quarantine.Request) <-chan struct{} { return nil },
+		Outdated:  func() bool { return false },
 		RecordLeaving: func(i *upstream.Instance) {
 			leaving := *i
 			leaving.Draining = true
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -10,6 +10,7 @@
 
 	"github.com/chestnutarch/chestnutarch/internal/assign"
 	"github.com/chestnutarch/chestnutarch/internal/catalog"
+	"github.com/chestnutarch/chestnutarch/internal/quarantine"
 	"github.com/chestnutarch/chestnutarch/internal/teamrate"
 )
 
@@ -60,6 +61,8 @@
 	// response was begun.
 	lastEventID   string
 	responseBegun bool
+	// contents is the hash that the attempts of a request share, 0 until it is needed.
+	contents quarantine.Request
 	// reserved is a slot that was reserved while an exchange was silent. The retry budget
 	// has been charged for it.
 	reserved *assign.Choice
@@ -115,11 +118,13 @@
 	unknown
 	// withdrawn: before the first byte was written, the upstream was found to take no requests any more.
 	withdrawn
+	// quarantined: before the first byte was written, the request was found to end upstreams.
+	quarantined
 )
 
 // failureKindNames are the names of the kinds in logs.
 var failureKindNames = map[failureKind]string{
-	notSent: "not_sent", notExecuted: "not_executed", unknown: "unknown", withdrawn: "withdrawn",
+	notSent: "not_sent", notExecuted: "not_executed", unknown: "unknown", withdrawn: "withdrawn", quarantined: "quarantined",
 }
 
 // String returns the name of the kind that is used in logs.
@@ -148,6 +153,9 @@
 			continue
 		}
 		j.core.logSendFailed(j, choice, failed)
+		if failed.kind == unknown && ctx.Err() == nil && j.reserved == nil {
+			j.recordBreak(ctx, j.core.options.Instance(choice.Instance))
+		}
 		if ctx.Err() != nil || (j.reserved == nil && !j.mayRepeat(failed.kind)) {
 			j.releaseReserved()
 			return j.endUnanswered(ctx, failed.err)
@@ -190,9 +198,15 @@
 		j.sends--
 		return j.withdraw(choice)
 	}
+	if errors.Is(err, ErrQuarantined) {
+		j.sends--
+		j.finish(choice, assign.Neutral)
+		return &failure{kind: quarantined, err: err}
+	}
 	if err != nil {
 		return j.sendFailed(ctx, choice, err)
 	}
+	j.core.recordAlive(instance)
 	j.recordRateLimit(choice, reply)
 	j.recordPushback(choice, instance, reply)
 	if reply.NotExecuted {
@@ -216,7 +230,8 @@
 }
 
 // checkWrite is called when the first byte of the request is about to be written. It returns ErrWithdrawn if
-// the upstream takes no requests any more: the choice may be seconds old, and so may be what it rests on.
+// the upstream takes no requests any more: the choice may be seconds old, and so may be what it rests on. It returns
+// ErrQuarantined if upstreams have ended under the request meanwhile.
 func (j *job) checkWrite(ctx context.Context, choice *assign.Choice) error {
 	j.core.options.AwaitUpstreams(ctx)
 	now := time.Now()
@@ -224,6 +239,9 @@
 	if j.core.options.Assigner.Withdrawn(choice, now) {
 		return ErrWithdrawn
 	}
+	if _, quarantined := j.quarantined(); quarantined {
+		return ErrQuarantined
+	}
 	return nil
 }
 
@@ -309,6 +327,7 @@
 		return j.failedBy(choice, errors.Wrapf(ErrUnknown, "%s: %v", choice.Instance, err))
 	}
 	j.noteStarted(choice)
+	j.recordAnswer()
 	if reply.Status >= http.StatusInternalServerError {
 		j.failureReply = &bufferedReply{status: reply.Status, header: reply.Header, body: body}
 		return j.failedBy(choice, errors.Wrapf(ErrUpstreamFailed, "%s: status %d", choice.Instance, reply.Status))
@@ -354,6 +373,9 @@
 	if j.sends >= maxSends || time.Until(j.deadline) < minTimeLeft {
 		return false
 	}
+	if _, quarantined := j.quarantined(); quarantined {
+		return false
+	}
 	if kind == notSent && j.possibleRuns == 0 {
 		return true
 	}
@@ -406,6 +428,9 @@
 	if errors.As(err, &refused) {
 		out.RetryAfter, j.expected = refused.RetryAfter, refused.EarliestStart
 	}
+	if left, quarantined := j.quarantined(); quarantined {
+		out.Reason, out.RetryAfter = reasonQuarantined, left
+	}
 	return out
 }
 
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chestnutarch/chestnutarch/internal/assign"
+	"github.com/chestnutarch/chestnutarch/internal/quarantine"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
 )
 
@@ -57,10 +58,20 @@
 // logSendFailed logs that a send gave no response to forward, with the hash that attempts of the same request share.
 func (c *Core) logSendFailed(j *job, choice *assign.Choice, failed *failure) {
 	c.options.Log.Info().Str("event", "send_failed").Str("request", j.request.ID).Int("send", j.sends).Str("upstream", choice.Instance).
-		Str("kind", failed.kind.String()).Str("contents", strconv.FormatUint(j.contentsHash(), 16)).
+		Str("kind", failed.kind.String()).Str("contents", contentsName(j.contentsHash())).
 		Dur("after_ms", time.Since(choice.PlacedAt())).AnErr("cause", failed.err).Send()
 }
 
+// contentsName returns the form of a contents hash in logs.
+func contentsName(q quarantine.Request) string { return strconv.FormatUint(uint64(q), 16) }
+
+// logUpstreamEnded logs that an upstream has ended while it had a request.
+func (c *Core) logUpstreamEnded(j *job, i *upstream.Instance) {
+	c.countUpstreamEnded()
+	c.options.Log.Warn().Str("event", "upstream_ended").Str("request", j.request.ID).Str("instance", i.ID).Str("contents", contentsName(j.contentsHash())).
+		Int("ends", c.options.Quarantine.Ends(j.contentsHash())).Send()
+}
+
 // logRateLimit logs that an upstream has begun or ceased to name a rate limit, or has changed it.
 func (c *Core) logRateLimit(instance string, limit upstream.RateLimit) {
 	c.options.Log.Info().Str("event", "upstream_rate_limit").Str("instance", instance).Bool("named", limit.Named).
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -42,6 +42,13 @@
 	}
 }
 
+// countUpstreamEnded counts an upstream that ended while it had a request, once for each request.
+func (c *Core) countUpstreamEnded() {
+	if c.options.Metrics != nil {
+		metrics.GetOrRegisterCounter("requests.upstream_ended", c.options.Metrics).Inc(1)
+	}
+}
+
 // countLateness counts the way in which a response was late. For an answered stream with at
 // least two events it also records the longest pause between events, in percent of its route's
 // gap objective, if the route has one.
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -107,6 +107,8 @@
 	ErrNotSent = errors.New("traffic: the request was not sent")
 	// ErrWithdrawn means that the request was not sent because its upstream takes no requests any more.
 	ErrWithdrawn = errors.New("traffic: the upstream takes no requests any more")
+	// ErrQuarantined means that the request was not sent because upstreams have ended under it.
+	ErrQuarantined = errors.New("traffic: upstreams have ended under the request")
 	// ErrUnknown means that the request was sent and may or may not have run.
 	ErrUnknown = errors.New("traffic: the request may have run")
 	// ErrMismatchedReply means that the response belongs to another request, or is a success
--- a/internal/upstream/instance.go
+++ b/internal/upstream/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -72,6 +73,11 @@
 	return i.ID == other.ID && i.Incarnation == other.Incarnation && i.Address == other.Address
 }
 
+// IncarnationID returns a text that identifies the incarnation: "ID@incarnation@address".
+func (i *Instance) IncarnationID() string {
+	return i.ID + "@" + strconv.FormatInt(i.Incarnation, 10) + "@" + i.Address
+}
+
 // Evacuated reports whether the instance's failure domain is being evacuated.
 func (i *Instance) Evacuated() bool { return !i.EvacuateBy.IsZero() }
 
--- a/internal/vm/departures.go
+++ b/internal/vm/departures.go
@@ -1,13 +1,11 @@
 package vm
 
 import (
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
-	"github.com/chestnutarch/chestnutarch/internal/upstream"
 )
 
 const (
@@ -46,10 +44,6 @@
 
 func newDepartures() *departures { return &departures{byIncarnation: make(map[string]*departure)} }
 
-func incarnationOf(i *upstream.Instance) string {
-	return i.ID + "@" + strconv.FormatInt(i.Incarnation, 10) + "@" + i.Address
-}
-
 // instanceOf returns the ID of the instance that an incarnation belongs to.
 func instanceOf(incarnation string) string {
 	id := incarnation
--- /dev/null
+++ b/internal/vm/end_notices.go
@@ -0,0 +1,178 @@
+package vm
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+	"github.com/chestnutarch/chestnutarch/internal/quarantine"
+	"github.com/chestnutarch/chestnutarch/internal/upstream"
+)
+
+// endNoticeTimeout bounds a call that tells another VM of upstreams that ended. Reports carry what matters of a notice
+// that is lost.
+const endNoticeTimeout = 150 * time.Millisecond
+
+// endNotices tells other VMs at once under which requests upstreams have ended: callers repeat a request within
+// milliseconds. Requests that come up while a notice is on its way go into the next one, so that the end of many
+// upstreams at once costs few calls.
+type endNotices struct {
+	fleet *fleet
+
+	mu sync.Mutex
+	// next is the notice that has not been sent yet, nil if there is none. sending is set while one is on its way.
+	next    *endNotice
+	sending bool
+}
+
+type endNotice struct {
+	requests map[quarantine.Request]bool
+	// done is closed when the partners have answered.
+	done chan struct{}
+}
+
+// share tells the partners what is known of some requests. The channel is closed once they have answered.
+func (n *endNotices) share(requests []quarantine.Request) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.next == nil {
+		n.next = &endNotice{requests: make(map[quarantine.Request]bool), done: make(chan struct{})}
+	}
+	for _, q := range requests {
+		n.next.requests[q] = true
+	}
+	if !n.sending {
+		n.sending = true
+		go n.sendAll()
+	}
+	return n.next.done
+}
+
+// sendAll sends notices until there is none left.
+func (n *endNotices) sendAll() {
+	for {
+		n.mu.Lock()
+		notice := n.next
+		n.next = nil
+		n.sending = notice != nil
+		n.mu.Unlock()
+		if notice == nil {
+			return
+		}
+		n.send(notice)
+		close(notice.done)
+	}
+}
+
+func (n *endNotices) send(notice *endNotice) {
+	requests := make([]quarantine.Request, 0, len(notice.requests))
+	for q := range notice.requests {
+		requests = append(requests, q)
+	}
+	message := &peerpb.EndsNotice{Requests: endsToProto(n.fleet.process.quarantine.Get(requests), time.Now())}
+	var wg sync.WaitGroup
+	for _, address := range n.fleet.reportingPartners() {
+		wg.Go(func() { n.call(address, message) })
+	}
+	wg.Wait()
+}
+
+func (n *endNotices) call(address string, message *peerpb.EndsNotice) {
+	var answer *peerpb.EndsNotice
+	// A failed call needs no handling: reports carry the requests with several ends.
+	err := n.fleet.process.pool.Call(context.Background(), address, endNoticeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
+		answer, err = peerpb.NewVMsClient(conn).ShareEnds(ctx, message)
+		return err
+	})
+	if err == nil {
+		n.merge(answer.Requests)
+	}
+}
+
+// merge adds what another VM tells, and returns what it lacks. A hub passes news on to its other partners.
+func (n *endNotices) merge(told []*peerpb.RequestEnds) (lacking []quarantine.Request) {
+	now := time.Now()
+	var fresh []quarantine.Request
+	for _, in := range told {
+		if in == nil {
+			continue
+		}
+		record := endsFromProto(in, now)
+		news, tell := n.fleet.process.quarantine.Merge(record, now)
+		if news {
+			fresh = append(fresh, record.Request)
+		}
+		if tell {
+			lacking = append(lacking, record.Request)
+		}
+	}
+	if len(fresh) > 0 && n.fleet.isHub() {
+		n.share(fresh)
+	}
+	return lacking
+}
+
+// reportingPartners returns the addresses of the VMs with which reports are exchanged: all others in a small fleet, the
+// hub of a VM that follows one, the followers of a hub and the other hubs.
+func (f *fleet) reportingPartners() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.plan == nil {
+		return nil
+	}
+	var out []string
+	for _, partner := range f.plan.Partners {
+		if m := f.members[partner.Name]; m != nil && partner.Weight > 0 {
+			out = append(out, m.Peers)
+		}
+	}
+	return out
+}
+
+// ShareEnds implements peerpb.VMsServer.
+func (s *vmServer) ShareEnds(_ context.Context, in *peerpb.EndsNotice) (*peerpb.EndsNotice, error) {
+	lacking := s.process.fleet.ends.merge(in.Requests)
+	return &peerpb.EndsNotice{Requests: endsToProto(s.process.quarantine.Get(lacking), time.Now())}, nil
+}
+
+// recordEnded records that an instance that was not draining is gone: exchanges with it that broke lately did so because
+// it ended.
+func (p *Process) recordEnded(i *upstream.Instance, now time.Time) {
+	if i.Draining || !p.quarantine.InUse() {
+		return
+	}
+	if requests := p.quarantine.RecordGone(i.IncarnationID(), now); len(requests) > 0 {
+		p.fleet.ends.share(requests)
+	}
+}
+
+func endsToProto(records []quarantine.Record, now time.Time) []*peerpb.RequestEnds {
+	var out []*peerpb.RequestEnds
+	for _, r := range records {
+		message := &peerpb.RequestEnds{Request: uint64(r.Request), AnsweredMs: -1}
+		if !r.Answered.IsZero() {
+			message.AnsweredMs = now.Sub(r.Answered).Milliseconds()
+		}
+		for incarnation, at := range r.Ends {
+			message.Ends = append(message.Ends, &peerpb.UpstreamEnd{Incarnation: incarnation, AgoMs: now.Sub(at).Milliseconds()})
+		}
+		out = append(out, message)
+	}
+	return out
+}
+
+func endsFromProto(in *peerpb.RequestEnds, now time.Time) quarantine.Record {
+	out := quarantine.Record{Request: quarantine.Request(in.Request), Ends: make(map[string]time.Time, len(in.Ends))}
+	for _, e := range in.Ends {
+		if e != nil {
+			out.Ends[e.Incarnation] = now.Add(-time.Duration(e.AgoMs) * time.Millisecond)
+		}
+	}
+	if in.AnsweredMs >= 0 {
+		out.Answered = now.Add(-time.Duration(in.AnsweredMs) * time.Millisecond)
+	}
+	return out
+}
--- a/internal/vm/ended_upstreams_test.go
+++ b/internal/vm/ended_upstreams_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chestnutarch/chestnutarch/internal/quarantine"
 	"github.com/chestnutarch/chestnutarch/platform/standin"
 )
 
@@ -113,3 +114,26 @@
 		return rejected
 	}
 }
+
+// In a fleet with hubs, VMs that never sent the request, and one that starts later, must not send it to further upstreams.
+func TestAllVMsOfAFleetWithHubsLearnOfARequestThatEndsUpstreams(t *testing.T) {
+	c := newCluster(t)
+	for i := range 14 {
+		c.startIn(string(rune('a'+i)), string(rune('a'+i%2)))
+	}
+	const q = quarantine.Request(7)
+	knows := func(v *testVM) bool {
+		_, quarantined := v.quarantine.Quarantined(q, time.Now())
+		return quarantined
+	}
+	for i, sender := range []*testVM{c.vms[11], c.vms[12], c.vms[13]} {
+		c.eventually(func() bool { return len(sender.fleet.reportingPartners()) > 0 })
+		sender.quarantine.RecordEnd(q, fmt.Sprintf("clerk-%d@1@address", i), time.Now())
+		<-sender.fleet.ends.share([]quarantine.Request{q})
+	}
+	for _, v := range c.vms {
+		c.eventually(func() bool { return knows(v) })
+	}
+	later := c.startIn("z", "a")
+	c.eventually(func() bool { return knows(later) })
+}
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -73,7 +73,7 @@
 	if i.ColdFor > 0 {
 		i.ColdUntil = now.Add(i.ColdFor)
 	}
-	entry.instance, entry.incarnation = i, incarnationOf(i)
+	entry.instance, entry.incarnation = i, i.IncarnationID()
 	return entry, nil
 }
 
@@ -115,7 +115,7 @@
 // knowsIncarnation reports whether an incarnation of an instance is known.
 func (p *Process) knowsIncarnation(incarnation string) bool {
 	i := p.instance(instanceOf(incarnation))
-	return i != nil && incarnationOf(i) == incarnation
+	return i != nil && i.IncarnationID() == incarnation
 }
 
 // currentInstance returns an instance as its entry, its departure and the evacuations tell, nil if it
@@ -138,8 +138,9 @@
 // view, which is that of a later revision. An earlier one is the view of a hub that has not seen the entry yet.
 func (p *Process) recordGone(old *upstream.Instance, written, revision int64, now time.Time) {
 	if written <= revision {
-		p.recordDeparture(incarnationOf(old), false, revision, now, sourceRemoval)
+		p.recordDeparture(old.IncarnationID(), false, revision, now, sourceRemoval)
 	}
+	p.recordEnded(old, time.Now())
 	p.replicas.Pool.CloseIdle(old.Address)
 	p.log.Info().Str("event", "instance_gone").Str("instance", old.ID).Str("address", old.Address).Send()
 }
@@ -227,7 +228,7 @@
 	for _, item := range items {
 		i, err := p.entries.parse(item)
 		if err == nil && i.Draining {
-			p.recordDeparture(incarnationOf(i), true, item.Revision, time.Now(), sourceSuperseded)
+			p.recordDeparture(i.IncarnationID(), true, item.Revision, time.Now(), sourceSuperseded)
 		}
 	}
 }
@@ -265,7 +266,7 @@
 // recordLeaving records that an instance itself says that it leaves, which the store may not know for as
 // long as it is unavailable.
 func (p *Process) recordLeaving(i *upstream.Instance) {
-	incarnation := incarnationOf(i)
+	incarnation := i.IncarnationID()
 	if p.departures.isDraining(incarnation) {
 		return
 	}
--- a/internal/vm/peer_departures.go
+++ b/internal/vm/peer_departures.go
@@ -43,7 +43,7 @@
 		}
 		p.recordDeparture(t.Incarnation, t.Draining, t.Revision, now.Add(-time.Duration(t.UnknownMs)*time.Millisecond), sourceReport)
 		i := known[instanceOf(t.Incarnation)]
-		if i != nil && !i.Draining && incarnationOf(i) == t.Incarnation {
+		if i != nil && !i.Draining && i.IncarnationID() == t.Incarnation {
 			changes[i.ID] = asDraining(i)
 		}
 	}
--- a/internal/vm/peer_departures_test.go
+++ b/internal/vm/peer_departures_test.go
@@ -108,11 +108,11 @@
 	known := v.instance(r.ID)
 	revision := v.entries.byID[r.ID].revision
 	d := newDepartures()
-	d.record(incarnationOf(known), false, revision-1, time.Now())
+	d.record(known.IncarnationID(), false, revision-1, time.Now())
 	told, _ := d.since(0, time.Now())
 	v.applyPeerDepartures(told, time.Now())
 	require.False(t, v.instance(r.ID).Draining)
-	d.record(incarnationOf(known), false, revision, time.Now())
+	d.record(known.IncarnationID(), false, revision, time.Now())
 	told, _ = d.since(0, time.Now())
 	v.applyPeerDepartures(told, time.Now())
 	require.True(t, v.instance(r.ID).Draining)
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/clock"
 	"github.com/chestnutarch/chestnutarch/internal/leadership"
 	"github.com/chestnutarch/chestnutarch/internal/peer"
+	"github.com/chestnutarch/chestnutarch/internal/quarantine"
 	"github.com/chestnutarch/chestnutarch/internal/retrybudget"
 	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/internal/teamrate"
@@ -45,6 +46,7 @@
 	assigner   *assign.Assigner
 	limiter    *teamrate.Limiter
 	budget     *retrybudget.Budget
+	quarantine *quarantine.Table
 	core       *traffic.Core
 	ingress    *platform.Ingress
 	candidate  *leadership.Candidate
@@ -95,6 +97,7 @@
 			Dur("for_ms", time.Until(until)).Send()
 	})
 	p.budget = retrybudget.New(retryLimitsOf(s), time.Now())
+	p.quarantine = quarantine.NewTable()
 	p.stalls = newStalls(s.Bounds.Draining, log)
 	p.tracker = newTracker(p.store, log, p.applyView, func() int { return p.fleet.size() }, s.Bounds.Configuration, s.Heartbeat, p.stalls, hubClient{
 		hubs: func() []string { return p.fleet.hubs() }, follow: p.callHub,
@@ -122,6 +125,7 @@
 		Upstreams: p.replicas, Assigner: p.assigner, Limiter: p.limiter,
 		Budget:   p.budget,
 		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, Permit: p.fleet.permit, RecordLeaving: p.recordLeaving, UpstreamsAge: p.tracker.viewAge, UpstreamsRevision: p.tracker.viewRevision, AwaitUpstreams: p.stalls.awaitNews,
+		Quarantine: p.quarantine, HasEnded: p.replicas.HasEnded, ShareEnds: p.fleet.ends.share,
 		Outdated: func() bool { return p.configurationLag.behind(time.Now()) > 0 },
 		Log:      log, Metrics: p.metrics,
 	})
--- a/internal/vm/reports.go
+++ b/internal/vm/reports.go
@@ -20,6 +20,7 @@
 		ConfigurationRevision: f.process.configuration().Revision, ViewRevision: f.process.tracker.viewRevision(),
 	}
 	out.Evacuated, out.EvacuatedRevision = f.process.evacuations.current()
+	out.Ends = endsToProto(f.process.quarantine.Suspects(time.Now()), time.Now())
 	limits := f.process.assigner.RateLimits()
 	scope, since := f.addMemberState(out, receiver, limits)
 	out.Scope = int32(scope)
@@ -132,6 +133,7 @@
 	f.process.planner.applyContents(r)
 	f.applyDepartures(m, r, now)
 	f.process.applyPeerEvacuations(r)
+	f.ends.merge(r.Ends)
 	f.applyRateLimits(r.RateLimits, r.Vm)
 	f.process.configurationLag.recordPeerRevision(r.ConfigurationRevision, now)
 	// A VM that follows a hub gets the same configuration in the hub's next answer.
