vm: a failing test for callers of a VM that reaches no upstream

VMs that are partitioned from all upstreams stay in the address answers, and serve hardly any first attempt.

Change: httpconn.Pool opens connections through a function that a test can replace; a path between a VM and the upstreams that a test can cut, so that connections hang and new ones get no answer; a test that cuts it for one of three VMs, and wants its callers sent elsewhere within two seconds and those who come all the same served, each request run once.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -46,7 +46,8 @@
 
 // Pool holds idle connections by address. It is safe for concurrent use.
 type Pool struct {
-	dialer *net.Dialer
+	// DialContext opens a connection to an address. It may be replaced before the pool is used.
+	DialContext func(ctx context.Context, address string) (net.Conn, error)
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
@@ -63,7 +64,13 @@
 
 // NewPool returns an empty pool whose connections have the timeouts of the limits.
 func NewPool(l transport.Limits) *Pool {
-	return &Pool{dialer: transport.NewDialer(l), idle: make(map[string][]*conn)}
+	dialer := transport.NewDialer(l)
+	return &Pool{
+		DialContext: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp4", address)
+		},
+		idle: make(map[string][]*conn),
+	}
 }
 
 // Dials returns the number of connections opened so far.
@@ -197,7 +204,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp4", address)
+	raw, err := p.DialContext(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/vm/cluster_test.go
+++ b/internal/vm/cluster_test.go
@@ -112,6 +112,8 @@
 	name, domain string
 	// link carries the store's answers to the VM; nil for plain loopback.
 	link *link
+	// upstreams is the way to the upstreams; nil for plain loopback.
+	upstreams *upstreamPath
 	// regions holds the region of each failure domain.
 	regions map[string]string
 	// linkMbps is the bandwidth in the VM's settings, in Mbit/s.
@@ -151,6 +153,9 @@
 	}
 	p, err := New(s, zerolog.New(zerolog.NewTestWriter(c.t)).Level(zerolog.Disabled))
 	require.NoError(c.t, err)
+	if spec.upstreams != nil {
+		p.replicas.Pool.DialContext = spec.upstreams.dial
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = p.Run(ctx) })
--- /dev/null
+++ b/internal/vm/cut_off_test.go
@@ -0,0 +1,160 @@
+package vm
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/platform/standin"
+)
+
+// upstreamPath is the way of one VM to all upstreams. While it is cut, connections hang: what is written is lost and
+// nothing arrives; new ones get no answer, or are refused.
+type upstreamPath struct {
+	mu     sync.Mutex
+	cut    bool
+	refuse bool
+	// changed is closed and replaced when cut changes.
+	changed chan struct{}
+}
+
+func newUpstreamPath() *upstreamPath { return &upstreamPath{changed: make(chan struct{})} }
+
+func (p *upstreamPath) set(cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = cut
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *upstreamPath) state() (cut, refuse bool, changed <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cut, p.refuse, p.changed
+}
+
+func (p *upstreamPath) dial(ctx context.Context, address string) (net.Conn, error) {
+	for {
+		cut, refuse, changed := p.state()
+		if !cut {
+			var d net.Dialer
+			raw, err := d.DialContext(ctx, "tcp4", address)
+			if err != nil {
+				return nil, err
+			}
+			return &pathConn{Conn: raw, path: p, closed: make(chan struct{})}, nil
+		}
+		if refuse {
+			return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(connectTimeoutOfTest):
+			return nil, context.DeadlineExceeded
+		case <-changed:
+		}
+	}
+}
+
+// connectTimeoutOfTest is how long a new connection on a path that is cut gets no answer.
+const connectTimeoutOfTest = 600 * time.Millisecond
+
+type pathConn struct {
+	net.Conn
+	path   *upstreamPath
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *pathConn) Write(b []byte) (int, error) {
+	if cut, _, _ := c.path.state(); cut {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *pathConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	for {
+		cut, _, changed := c.path.state()
+		if !cut {
+			return n, err
+		}
+		select {
+		case <-c.closed:
+			return 0, net.ErrClosed
+		case <-changed:
+		}
+	}
+}
+
+func (c *pathConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// namedBy reports whether the address answers of a VM name another one.
+func namedBy(v, other *testVM) bool {
+	addresses, _ := v.fleet.Addresses("", "a")
+	return slices.Contains(addresses, other.settings.Callers)
+}
+
+// A VM loses its way to all upstreams. Its callers must be sent to other VMs, and those who come all the same must be served.
+func TestCallersOfAVMThatReachesNoUpstreamAreServed(t *testing.T) {
+	c := newCluster(t)
+	for i := range 3 {
+		c.add(standin.NewReplica(fmt.Sprintf("clerk-%d", i), 0))
+		c.add(standin.NewReplica(fmt.Sprintf("engine-%d", i), 1, "m0"))
+	}
+	path := newUpstreamPath()
+	cutOff, others := c.startAs(vmSpec{name: "a", domain: "a", upstreams: path}), []*testVM{c.start("b"), c.start("c")}
+	c.eventually(func() bool { return namedBy(others[0], cutOff) && namedBy(others[1], cutOff) })
+	calls := []call{
+		{method: "POST", path: "/file/", body: "x"}, {method: "GET", path: "/look/"},
+		{method: "POST", path: "/chat/", model: "m0"}, {method: "POST", path: "/draft/", model: "m0"},
+	}
+	for _, q := range calls {
+		require.Equal(t, http.StatusOK, c.sendUntilAccepted(cutOff, q).status)
+	}
+	path.set(true)
+	for began := time.Now(); time.Since(began) < 2*time.Second; {
+		for _, q := range calls {
+			c.send(cutOff, q)
+		}
+	}
+	require.False(t, namedBy(cutOff, cutOff), "callers are sent to a VM that reaches no upstream")
+	require.False(t, namedBy(others[0], cutOff), "callers are sent to a VM that reaches no upstream")
+	before := c.runsByID()
+	for range 10 {
+		for _, q := range calls {
+			require.Equal(t, http.StatusOK, c.send(cutOff, q).status, "%s", q.path)
+		}
+	}
+	after := c.runsByID()
+	require.Equal(t, len(before)+40, len(after))
+	for id, n := range after {
+		require.LessOrEqual(t, n, 1, "%s ran more than once", id)
+	}
+	path.set(false)
+	c.eventually(func() bool { return namedBy(cutOff, cutOff) && namedBy(others[0], cutOff) })
+}
+
+// runsByID returns how often the upstreams have run each request.
+func (c *cluster) runsByID() map[string]int {
+	out := make(map[string]int)
+	for _, r := range c.replicas {
+		for _, run := range r.Runs() {
+			out[run.ID]++
+		}
+	}
+	return out
+}
