reach: a VM notices that it reaches no upstream of a service

The logs tell of each upstream that fails, and of none that the VM reaches no upstream at all, since when, and until when.

Change: exchanges that are silent or fail while no upstream of the service sends anything make the VM open connections to three upstreams. If all fail, the service counts as not reached, until two connections succeed. Lines upstreams_unreachable and upstreams_regained, a gauge and a counter. Ejections of the time without a way are forgotten. Nothing depends on it yet but that.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -192,6 +192,18 @@
 	}
 }
 
+// ForgetFailures makes the instances of a service count as ones that have not failed: this VM did not reach any of them.
+func (s *Assigner) ForgetFailures(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range s.nodes {
+		if n.instance.Service == service {
+			n.forgetFailures()
+		}
+	}
+	s.signalFreed()
+}
+
 // Demand is the work requested for one item.
 type Demand struct {
 	// Work is the engine time that the requests take.
--- a/internal/assign/node.go
+++ b/internal/assign/node.go
@@ -199,6 +199,9 @@
 	return true
 }
 
+// forgetFailures makes the instance count as one that has not failed.
+func (n *node) forgetFailures() { n.failures, n.ejections, n.ejectedUntil = 0, 0, time.Time{} }
+
 // total returns the work of all VMs at the instance. The prefill backlog that others
 // reported is reduced by what the engine has prefilled since the report.
 func (n *node) total(now time.Time, perToken time.Duration) load {
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -214,14 +214,18 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
 }
 
-// Refuses reports whether an address refuses a new connection. One that it accepts is kept as an idle connection.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
+// Connect opens a connection to an address, which is kept as an idle one. The error is that of the dialer.
+func (p *Pool) Connect(ctx context.Context, address string) error {
 	c, err := p.dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	if err == nil {
+		p.putIdle(address, c, nil)
 	}
-	p.putIdle(address, c, nil)
-	return false
+	return err
+}
+
+// Refuses reports whether an address refuses a new connection.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	return errors.Is(p.Connect(ctx, address), syscall.ECONNREFUSED)
 }
 
 // idleConn returns the most recently used idle connection that is still usable, or nil.
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/assign"
 	"github.com/chestnutarch/chestnutarch/internal/catalog"
 	"github.com/chestnutarch/chestnutarch/internal/quarantine"
+	"github.com/chestnutarch/chestnutarch/internal/reach"
 	"github.com/chestnutarch/chestnutarch/internal/retrybudget"
 	"github.com/chestnutarch/chestnutarch/internal/teamrate"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
@@ -62,6 +63,8 @@
 	// AwaitUpstreams returns once the table of upstreams is not older than this VM believes: it waits for
 	// news if the process stood still a moment ago. It returns when ctx ends, and after a bounded time.
 	AwaitUpstreams func(ctx context.Context)
+	// Reach holds what is known of this VM's way to the upstreams of each service.
+	Reach *reach.Tracker
 	// Quarantine holds the requests under which upstreams have ended.
 	Quarantine *quarantine.Table
 	// HasEnded reports whether an upstream whose connection has just broken has ended.
--- a/internal/traffic/fakes_test.go
+++ b/internal/traffic/fakes_test.go
@@ -15,6 +15,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/assign"
 	"github.com/chestnutarch/chestnutarch/internal/catalog"
 	"github.com/chestnutarch/chestnutarch/internal/quarantine"
+	"github.com/chestnutarch/chestnutarch/internal/reach"
 	"github.com/chestnutarch/chestnutarch/internal/retrybudget"
 	"github.com/chestnutarch/chestnutarch/internal/teamrate"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
@@ -139,7 +140,7 @@
 		Instance:     func(id string) *upstream.Instance { return f.instances[id] },
 		VMs:          func() int { return 1 },
 		UpstreamsAge: func() time.Duration { return 0 }, UpstreamsRevision: func() int64 { return 0 }, AwaitUpstreams: func(context.Context) {},
-		Quarantine: quarantine.NewTable(), HasEnded: func(context.Context, *upstream.Instance) bool { return false },
+		Reach: reach.NewTracker(), Quarantine: quarantine.NewTable(), HasEnded: func(context.Context, *upstream.Instance) bool { return false },
 		ShareEnds: func([]quarantine.Request) <-chan struct{} { return nil },
 		Outdated:  func() bool { return false },
 		RecordLeaving: func(i *upstream.Instance) {
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -188,12 +188,14 @@
 	j.core.logSent(j, choice)
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
+	exchange := j.core.options.Reach.Begin(j.service, choice.Expected, nil, time.Now())
 	silence := j.watchSilence(choice, cancel)
 	defer func() { j.reserved = silence.stop() }()
 	reply, err := j.core.options.Upstreams.Send(inner, Attempt{
 		Request: j.request, Instance: instance, Team: j.team, TimeLeft: time.Until(j.deadline),
 		Priority: j.enginePriority(choice), ResumeAfter: j.lastEventID, BeforeWrite: func() error { return j.checkWrite(inner, choice) },
 	})
+	j.core.options.Reach.End(exchange, (errors.Is(err, ErrNotSent) || errors.Is(err, ErrUnknown)) && ctx.Err() == nil)
 	if errors.Is(err, ErrWithdrawn) {
 		j.sends--
 		return j.withdraw(choice)
@@ -207,6 +209,7 @@
 		return j.sendFailed(ctx, choice, err)
 	}
 	j.core.recordAlive(instance)
+	j.core.options.Reach.Sign(j.service, time.Now())
 	j.recordRateLimit(choice, reply)
 	j.recordPushback(choice, instance, reply)
 	if reply.NotExecuted {
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -51,6 +51,7 @@
 		if now.Sub(reportedAt) > activityInterval {
 			reportedAt = now
 			j.core.options.Assigner.RecordActivity(choice, now)
+			j.core.options.Reach.Sign(j.service, now)
 		}
 	}
 }
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -20,6 +20,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/leadership"
 	"github.com/chestnutarch/chestnutarch/internal/peer"
 	"github.com/chestnutarch/chestnutarch/internal/quarantine"
+	"github.com/chestnutarch/chestnutarch/internal/reach"
 	"github.com/chestnutarch/chestnutarch/internal/retrybudget"
 	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/internal/teamrate"
@@ -47,6 +48,7 @@
 	limiter    *teamrate.Limiter
 	budget     *retrybudget.Budget
 	quarantine *quarantine.Table
+	reach      *reach.Tracker
 	core       *traffic.Core
 	ingress    *platform.Ingress
 	candidate  *leadership.Candidate
@@ -98,6 +100,7 @@
 	})
 	p.budget = retrybudget.New(retryLimitsOf(s), time.Now())
 	p.quarantine = quarantine.NewTable()
+	p.reach = reach.NewTracker()
 	p.stalls = newStalls(s.Bounds.Draining, log)
 	p.tracker = newTracker(p.store, log, p.applyView, func() int { return p.fleet.size() }, s.Bounds.Configuration, s.Heartbeat, p.stalls, hubClient{
 		hubs: func() []string { return p.fleet.hubs() }, follow: p.callHub,
@@ -125,7 +128,7 @@
 		Upstreams: p.replicas, Assigner: p.assigner, Limiter: p.limiter,
 		Budget:   p.budget,
 		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, Permit: p.fleet.permit, RecordLeaving: p.recordLeaving, UpstreamsAge: p.tracker.viewAge, UpstreamsRevision: p.tracker.viewRevision, AwaitUpstreams: p.stalls.awaitNews,
-		Quarantine: p.quarantine, HasEnded: p.replicas.HasEnded, ShareEnds: p.fleet.ends.share,
+		Reach: p.reach, Quarantine: p.quarantine, HasEnded: p.replicas.HasEnded, ShareEnds: p.fleet.ends.share,
 		Outdated: func() bool { return p.configurationLag.behind(time.Now()) > 0 },
 		Log:      log, Metrics: p.metrics,
 	})
@@ -180,6 +183,7 @@
 	leading, resign := context.WithCancel(background)
 	group.Go(func() error { return p.tracker.run(background) })
 	group.Go(func() error { return p.stalls.run(background) })
+	group.Go(func() error { return p.watchReach(background) })
 	group.Go(func() error { return p.updateGauges(background) })
 	group.Go(func() error { return p.fleet.register(background) })
 	group.Go(func() error { return p.fleet.run(background) })
