vm: callers are not sent to a VM that reaches no upstream

VMs that are partitioned from all upstreams go on being named in address answers, and serve hardly anything.

Cause: whether a VM takes callers depends on its view of the store, its configuration and its shutdown. Whether it can serve them is asked nowhere.

Change: reports tell the services whose upstreams a VM does not reach. A VM is left out of address answers, rosters and the issue of permits while one of them is reached by another VM. If nobody reaches it, nobody is left out. An exchange whose caller leaves after its first sign was overdue is evidence too.

Why it works: a VM knows within a second of its first request after the cut, tells it at once, and every VM judges by what it hears itself.

--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -9,6 +9,8 @@
 const (
 	// silence is how long no upstream of a service may have sent anything for the service to be checked.
 	silence = 250 * time.Millisecond
+	// overdueFactor is the multiple of the expected time after which the first sign of an upstream is overdue.
+	overdueFactor = 2
 	// checkInterval is the least time between two checks of a service that is reached, cutCheckInterval between two of
 	// one that is not.
 	checkInterval    = 300 * time.Millisecond
@@ -70,13 +72,14 @@
 func (t *Tracker) Begin(name string, expected time.Duration, onCut func(), now time.Time) *Exchange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x := &Exchange{service: name, overdue: now.Add(expected + silence), onCut: onCut}
+	x := &Exchange{service: name, overdue: now.Add(max(silence, overdueFactor*expected)), onCut: onCut}
 	t.service(name).waiting[x] = struct{}{}
 	return x
 }
 
-// End records that an exchange has ended, or has got its first sign. failed means that it ended without one.
-func (t *Tracker) End(x *Exchange, failed bool) {
+// End records that an exchange has ended, or has got its first sign. failed means that it ended without one, for another
+// reason than that its caller left.
+func (t *Tracker) End(x *Exchange, failed bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(x.service)
@@ -84,7 +87,7 @@
 		return
 	}
 	delete(s.waiting, x)
-	s.failed = s.failed || failed
+	s.failed = s.failed || failed || now.After(x.overdue)
 }
 
 // Sign records that an upstream of a service has sent something.
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -28,7 +28,7 @@
 func TestFailedExchangeIsChecked(t *testing.T) {
 	tracker := NewTracker()
 	tracker.Sign("s", at(0))
-	tracker.End(tracker.Begin("s", time.Second, nil, at(300)), true)
+	tracker.End(tracker.Begin("s", time.Second, nil, at(300)), true, at(300))
 	require.Equal(t, []string{"s"}, tracker.Due(at(310)))
 }
 
@@ -63,7 +63,7 @@
 // A service whose only instance is back is reached again.
 func TestServiceWithOneUpstreamIsRegained(t *testing.T) {
 	tracker := NewTracker()
-	tracker.End(tracker.Begin("s", 0, nil, at(0)), true)
+	tracker.End(tracker.Begin("s", 0, nil, at(0)), true, at(0))
 	require.Equal(t, []string{"s"}, tracker.Due(at(300)))
 	require.Equal(t, Lost, tracker.RecordCheck("s", 1, 0, at(500)))
 	require.Equal(t, Regained, tracker.RecordCheck("s", 1, 1, at(1000)))
@@ -72,9 +72,20 @@
 // The operator removes a service while a VM does not reach it.
 func TestServiceWithoutUpstreamsIsNotCut(t *testing.T) {
 	tracker := NewTracker()
-	tracker.End(tracker.Begin("s", 0, nil, at(0)), true)
+	tracker.End(tracker.Begin("s", 0, nil, at(0)), true, at(0))
 	tracker.Due(at(300))
 	tracker.RecordCheck("s", 3, 0, at(500))
 	tracker.Due(at(1000))
 	require.Equal(t, Regained, tracker.RecordCheck("s", 0, 0, at(1000)))
 }
+
+// Callers whose deadlines are shorter than the time of a check leave one after the other.
+func TestOverdueExchangeWhoseCallerLeavesIsEvidence(t *testing.T) {
+	tracker := NewTracker()
+	tracker.Sign("s", at(0))
+	early, late := tracker.Begin("s", 0, nil, at(0)), tracker.Begin("s", 0, nil, at(0))
+	tracker.End(early, false, at(100))
+	require.Empty(t, tracker.Due(at(240)))
+	tracker.End(late, false, at(300))
+	require.Equal(t, []string{"s"}, tracker.Due(at(310)))
+}
--- a/internal/vm/addresses.go
+++ b/internal/vm/addresses.go
@@ -11,7 +11,8 @@
 // Addresses implements platform.Directory. VMs of all failure domains of the caller's region are
 // returned, not only those of its domain: callers choose an address at random, and every VM has to
 // get its share of the load. VMs of other regions are returned only if the caller's region has none:
-// requests are longer on their way there, and may not be sent to every region.
+// requests are longer on their way there, and may not be sent to every region. VMs that do not reach the
+// upstreams are left out, this one too.
 func (f *fleet) Addresses(region, domain string) ([]string, time.Duration) {
 	now := time.Now()
 	f.mu.Lock()
@@ -25,7 +26,7 @@
 			far = append(far, address)
 		}
 	}
-	if f.process.ready() {
+	if f.process.ready() && !f.isCutOff(f.process.settings.VM, f.process.unreachable(), now) {
 		add(f.process.settings.FailureDomain, f.process.settings.Callers)
 	}
 	for vm, m := range f.members {
--- a/internal/vm/cut_off_test.go
+++ b/internal/vm/cut_off_test.go
@@ -27,10 +27,11 @@
 
 func newUpstreamPath() *upstreamPath { return &upstreamPath{changed: make(chan struct{})} }
 
-func (p *upstreamPath) set(cut bool) {
+// set cuts the path, or joins it again. refuse makes new connections fail at once instead of hanging.
+func (p *upstreamPath) set(cut, refuse bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cut = cut
+	p.cut, p.refuse = cut, refuse
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -108,6 +109,51 @@
 	return slices.Contains(addresses, other.settings.Callers)
 }
 
+// Callers are sent to a VM that has lost its way to all upstreams of one service of two.
+func TestAddressAnswersLeaveOutAVMThatReachesNoUpstream(t *testing.T) {
+	c := newCluster(t)
+	for i := range 3 {
+		c.add(standin.NewReplica(fmt.Sprintf("clerk-%d", i), 0))
+		c.add(standin.NewReplica(fmt.Sprintf("engine-%d", i), 1, "m0"))
+	}
+	paths := []*upstreamPath{newUpstreamPath(), newUpstreamPath(), newUpstreamPath()}
+	for i, path := range paths {
+		c.startAs(vmSpec{name: string(rune('a' + i)), domain: "a", upstreams: path})
+	}
+	named := func(other *testVM) (n int) {
+		for _, v := range c.vms {
+			if namedBy(v, other) {
+				n++
+			}
+		}
+		return n
+	}
+	look := func(v *testVM) {
+		c.send(v, call{method: "GET", path: "/look/", header: map[string]string{"X-Chestnutarch-Deadline-Remaining-Ms": "300"}})
+	}
+	c.eventually(func() bool { return named(c.vms[0]) == 3 && named(c.vms[1]) == 3 && named(c.vms[2]) == 3 })
+	for _, refuse := range []bool{false, true} {
+		paths[0].set(true, refuse)
+		c.eventually(func() bool { look(c.vms[0]); return named(c.vms[0]) == 0 })
+		require.Equal(t, 3, named(c.vms[1]))
+		paths[0].set(false, false)
+		c.eventually(func() bool { return named(c.vms[0]) == 3 })
+	}
+
+	// No VM reaches an upstream: none is worse than the others.
+	for _, path := range paths {
+		path.set(true, false)
+	}
+	c.eventually(func() bool {
+		for _, v := range c.vms {
+			go look(v)
+		}
+		time.Sleep(50 * time.Millisecond)
+		return c.vms[0].reach.Cut("clerk") && c.vms[1].reach.Cut("clerk") && c.vms[2].reach.Cut("clerk")
+	})
+	c.eventually(func() bool { return named(c.vms[0]) == 3 && named(c.vms[1]) == 3 && named(c.vms[2]) == 3 })
+}
+
 // A VM loses its way to all upstreams. Its callers must be sent to other VMs, and those who come all the same must be served.
 func TestCallersOfAVMThatReachesNoUpstreamAreServed(t *testing.T) {
 	c := newCluster(t)
@@ -125,7 +171,7 @@
 	for _, q := range calls {
 		require.Equal(t, http.StatusOK, c.sendUntilAccepted(cutOff, q).status)
 	}
-	path.set(true)
+	path.set(true, false)
 	for began := time.Now(); time.Since(began) < 2*time.Second; {
 		for _, q := range calls {
 			c.send(cutOff, q)
@@ -144,7 +190,7 @@
 	for id, n := range after {
 		require.LessOrEqual(t, n, 1, "%s ran more than once", id)
 	}
-	path.set(false)
+	path.set(false, false)
 	c.eventually(func() bool { return namedBy(cutOff, cutOff) && namedBy(others[0], cutOff) })
 }
 
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -108,6 +108,8 @@
 	unavailableAsHub bool
 	// leads is set if it sends orders to engines.
 	leads bool
+	// unreachable lists the services whose upstreams it does not reach.
+	unreachable []string
 	// rateLimitsDigest is the digest of the rate limits that it last reported. rateLimitsVersion is the
 	// version of this VM's rate limits when both last had the same.
 	rateLimitsDigest, rateLimitsVersion uint64
@@ -371,10 +373,38 @@
 }
 
 // takesCallers reports whether callers may be sent to a VM: a hub that lists it has reported
-// within a time, or the VM counts as ready and was last seen within that time. It must be
-// called with the lock held.
+// within a time, or the VM counts as ready and was last seen within that time; and it reaches
+// the upstreams that others reach. It must be called with the lock held.
 func (f *fleet) takesCallers(vm string, m *member, seen time.Time, within time.Duration, now time.Time) bool {
-	return now.Sub(f.rosterTime(vm)) < within || (m.ready && now.Sub(seen) < within)
+	if now.Sub(f.rosterTime(vm)) >= within && (!m.ready || now.Sub(seen) >= within) {
+		return false
+	}
+	return !f.isCutOff(vm, m.unreachable, now)
+}
+
+// isCutOff reports whether a VM does not reach the upstreams of a service that another VM reaches. If
+// nobody reaches them, no VM is worse than the others. It must be called with the lock held.
+func (f *fleet) isCutOff(vm string, unreachable []string, now time.Time) bool {
+	for _, service := range unreachable {
+		if f.othersReach(vm, service, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// othersReach reports whether this VM, or one that reports to it, reaches the upstreams of a service. It
+// must be called with the lock held.
+func (f *fleet) othersReach(except, service string, now time.Time) bool {
+	if except != f.process.settings.VM && f.process.ready() && !slices.Contains(f.process.unreachable(), service) {
+		return true
+	}
+	for vm, m := range f.members {
+		if vm != except && m.ready && now.Sub(m.lastReport) < peerTimeout && !slices.Contains(m.unreachable, service) {
+			return true
+		}
+	}
+	return false
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/vm/permits.go
+++ b/internal/vm/permits.go
@@ -61,11 +61,11 @@
 func (f *fleet) permitIssuer(instance string) (vm, address string) {
 	self, now := f.process.settings.VM, time.Now()
 	var candidates []string
-	if f.process.ready() {
-		candidates = append(candidates, self)
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.process.ready() && !f.isCutOff(self, f.process.unreachable(), now) {
+		candidates = append(candidates, self)
+	}
 	for name, m := range f.members {
 		if f.takesCallers(name, m, later(m.lastReport, m.firstSeen), peerTimeout, now) {
 			candidates = append(candidates, name)
--- a/internal/vm/reports.go
+++ b/internal/vm/reports.go
@@ -20,6 +20,7 @@
 		ConfigurationRevision: f.process.configuration().Revision, ViewRevision: f.process.tracker.viewRevision(),
 	}
 	out.Evacuated, out.EvacuatedRevision = f.process.evacuations.current()
+	out.Unreachable = f.process.unreachable()
 	out.Ends = endsToProto(f.process.quarantine.Suspects(time.Now()), time.Now())
 	limits := f.process.assigner.RateLimits()
 	scope, since := f.addMemberState(out, receiver, limits)
@@ -116,6 +117,7 @@
 	}
 	m.sequence, m.lastReport, m.ready, m.leads = r.Sequence, now, r.Ready, r.Leads
 	m.rateLimitsDigest = r.RateLimitsDigest
+	m.unreachable = r.Unreachable
 	m.acknowledged, m.departuresAcknowledged = progress{}, 0
 	if r.AcknowledgedIncarnation == f.incarnation {
 		m.acknowledged, m.departuresAcknowledged = progress{topology.Scope(r.AcknowledgedScope), r.Acknowledged}, r.DeparturesAcknowledged
