leadership: a leader that reaches no engine resigns while another VM reaches them

Whether a VM leads depends on its lease, and not on whether it reaches what it leads.

Change: a leader that has not reached the engines of a service for a second, while another VM does, resigns, and does not stand for election until it reaches them.

Evidence: TestLeaderThatReachesNoEngineResigns, TestUnfitLeaderResigns.

Why it works: the successor is one of those that reach the engines. If nobody does, the leader stays.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -48,7 +48,9 @@
 	Clock         clock.Func
 	// Eligible reports whether this VM may campaign for the lease now. Nil means always.
 	Eligible func() bool
-	Log      zerolog.Logger
+	// Unfit reports whether this VM has to leave the lead to another one, which can do its work better. Nil means never.
+	Unfit func() bool
+	Log   zerolog.Logger
 }
 
 // Candidate takes part in leader elections. It is safe for concurrent use.
@@ -176,10 +178,13 @@
 	c.mu.Lock()
 	leading, vacant := c.token != 0, c.observed && !c.hasLeader
 	c.mu.Unlock()
+	unfit := c.options.Unfit != nil && c.options.Unfit()
 	switch {
+	case leading && unfit:
+		c.resign(ctx)
 	case leading:
 		c.renew(ctx)
-	case vacant && (c.options.Eligible == nil || c.options.Eligible()):
+	case vacant && !unfit && (c.options.Eligible == nil || c.options.Eligible()):
 		c.campaign(ctx)
 	}
 }
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -278,3 +278,21 @@
 	c.step(context.Background())
 	require.True(t, c.HasTerm(), "the term is kept, since authority may return")
 }
+
+// A leader that cannot reach what it leads must leave the lead to others, and not take it back at once.
+func TestUnfitLeaderResigns(t *testing.T) {
+	c, unfit := newTestCandidate("a", &fakeStore{items: map[string]store.Item{}}), false
+	c.options.Unfit = func() bool { return unfit }
+	c.observeAndStep()
+	require.True(t, c.HasTerm())
+	unfit = true
+	c.observeAndStep()
+	require.False(t, c.HasTerm())
+	require.Equal(t, 1, c.store.revoked)
+	delete(c.store.items, "x/leader")
+	c.observeAndStep()
+	require.False(t, c.HasTerm())
+	unfit = false
+	c.observeAndStep()
+	require.True(t, c.HasTerm())
+}
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -42,6 +42,8 @@
 	checkedAt time.Time
 	checking  bool
 	cut       bool
+	// cutAt is when the service was found not to be reached.
+	cutAt time.Time
 	// regainedAt is when the service was reached again.
 	regainedAt time.Time
 }
@@ -158,7 +160,7 @@
 	signs := s.lastSign.After(s.checkedAt)
 	switch {
 	case !s.cut && tried > 0 && reached == 0 && !signs:
-		s.cut = true
+		s.cut, s.cutAt = true, now
 		for x := range s.waiting {
 			if x.onCut != nil {
 				go x.onCut()
@@ -182,6 +184,17 @@
 	return s != nil && s.cut
 }
 
+// CutFor returns for how long the upstreams of a service have not been reached, zero if they are.
+func (t *Tracker) CutFor(name string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	if s == nil || !s.cut {
+		return 0
+	}
+	return now.Sub(s.cutAt)
+}
+
 // CutOff returns the services that are not reached, or were not until a moment ago.
 func (t *Tracker) CutOff(now time.Time) []string {
 	t.mu.Lock()
--- a/internal/vm/cut_off_test.go
+++ b/internal/vm/cut_off_test.go
@@ -257,3 +257,23 @@
 		c.eventually(func() bool { return count(v, c.vms) == len(c.vms) })
 	}
 }
+
+// The leader loses its way to the engines: another VM must lead, or no model can be loaded until the way is back.
+func TestLeaderThatReachesNoEngineResigns(t *testing.T) {
+	engine := standin.NewReplica("engine-1", 2, "m0")
+	c := newCluster(t, engine)
+	paths := map[*testVM]*upstreamPath{}
+	for _, name := range []string{"a", "b", "c"} {
+		path := newUpstreamPath()
+		paths[c.startAs(vmSpec{name: name, domain: "a", upstreams: path})] = path
+	}
+	leader := c.waitLeader()
+	paths[leader].set(true, false)
+	c.eventually(func() bool {
+		go c.send(leader, call{method: "POST", path: "/chat/", model: "m0"})
+		time.Sleep(50 * time.Millisecond)
+		return !leader.candidate.HasTerm()
+	})
+	c.eventually(func() bool { next := c.waitLeader(); return next != leader })
+	require.Equal(t, http.StatusOK, c.sendUntilAccepted(leader, call{method: "POST", path: "/chat/", model: "m1"}).status)
+}
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -393,6 +393,13 @@
 	return false
 }
 
+// othersReachService reports whether another VM reaches the upstreams of a service.
+func (f *fleet) othersReachService(service string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.othersReach(f.process.settings.VM, service, now)
+}
+
 // othersReach reports whether this VM, or one that reports to it, reaches the upstreams of a service. It
 // must be called with the lock held.
 func (f *fleet) othersReach(except, service string, now time.Time) bool {
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -114,6 +114,7 @@
 		Store: p.store, VM: s.VM, Prefix: projectPrefix, LeaseMin: s.Store.LeaseMin,
 		TakeoverDelay: s.Bounds.OrderLease, Clock: clock.Boot(), Log: log,
 		Eligible: func() bool { return p.fleet.eligibleToLead() || p.tracker.allHubsFailed() },
+		Unfit:    p.unfitToLead,
 	})
 	empty := make(map[string]*upstream.Instance)
 	p.instances.Store(&empty)
--- a/internal/vm/reachability.go
+++ b/internal/vm/reachability.go
@@ -16,6 +16,9 @@
 	reachTick = 50 * time.Millisecond
 	// probeTimeout bounds the connections of a check. It allows for a VM that is short of processor time.
 	probeTimeout = 400 * time.Millisecond
+	// unfitAfter is how long a leader may fail to reach the engines before it resigns. Its successor gives no orders for
+	// the first seconds, so that a shorter cut is better waited for.
+	unfitAfter = time.Second
 )
 
 // watchReach checks the services whose upstreams send nothing until ctx ends.
@@ -85,3 +88,18 @@
 
 // unreachable returns the services whose upstreams this VM does not reach.
 func (p *Process) unreachable() []string { return p.reach.CutOff(time.Now()) }
+
+// unfitToLead reports whether this VM does not reach the engines of a service, to which leaders send orders, while another
+// VM does.
+func (p *Process) unfitToLead() bool {
+	config, now := p.core.Catalog(), time.Now()
+	if config == nil {
+		return false
+	}
+	for name, service := range config.Services {
+		if service.Engine != nil && p.reach.CutFor(name, now) > unfitAfter && p.fleet.othersReachService(name, now) {
+			return true
+		}
+	}
+	return false
+}
