vm: callers are served while every VM lacks the way to some service

Cause: a VM that lacks any service was neither named in address answers nor offered requests of the service that it reaches. If that holds for all, callers keep older answers, and nothing is handed over.

Change: address answers name the VMs that lack the fewest services; requests are offered to VMs that are ready and reach their service, whatever else they lack. Also, a request that reaches its deadline at another VM does not count as a call without an answer: two of them closed the connection, with all others on it.

TestCallersAreServedWhenEveryVMLacksAService, TestForwardedRequestsSurviveTheDeadlinesOfOthers. The package's tests of cuts pass with the race detector.

Why it works: what a VM lacks is told by service, and is now used by service.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -132,6 +132,16 @@
 	return callError(address, err)
 }
 
+// Stream makes a call to the peer at address that lasts until ctx ends at the latest. Its errors are those of Call. That it
+// is ended by its deadline says nothing about the peer, so it does not count as a call without an answer.
+func (p *Pool) Stream(ctx context.Context, address string, call func(context.Context, grpc.ClientConnInterface) error) error {
+	c, err := p.connection(address)
+	if err != nil {
+		return err
+	}
+	return callError(address, call(ctx, c.conn))
+}
+
 // callError converts the error of a call: to ErrUnreachable if the call's effect is unknown,
 // else to the wrapped error that the peer answered with.
 func callError(address string, err error) error {
--- a/internal/vm/cut_off_test.go
+++ b/internal/vm/cut_off_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +22,8 @@
 	mu     sync.Mutex
 	cut    bool
 	refuse bool
+	// lost holds the addresses that refuse new connections, and whose connections are reset when they are used.
+	lost map[string]bool
 	// changed is closed and replaced when cut changes.
 	changed chan struct{}
 }
@@ -43,6 +46,22 @@
 	p.refuse = true
 }
 
+// lose makes an address unreachable.
+func (p *upstreamPath) lose(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lost == nil {
+		p.lost = make(map[string]bool)
+	}
+	p.lost[address] = true
+}
+
+func (p *upstreamPath) hasLost(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lost[address]
+}
+
 func (p *upstreamPath) state() (cut, refuse bool, changed <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -52,7 +71,7 @@
 func (p *upstreamPath) dial(ctx context.Context, address string) (net.Conn, error) {
 	for {
 		cut, refuse, changed := p.state()
-		if refuse {
+		if refuse || p.hasLost(address) {
 			return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
 		}
 		if !cut {
@@ -84,6 +103,9 @@
 }
 
 func (c *pathConn) Write(b []byte) (int, error) {
+	if c.path.hasLost(c.RemoteAddr().String()) {
+		return 0, net.ErrClosed
+	}
 	if cut, _, _ := c.path.state(); cut {
 		return len(b), nil
 	}
@@ -277,3 +299,42 @@
 	c.eventually(func() bool { next := c.waitLeader(); return next != leader })
 	require.Equal(t, http.StatusOK, c.sendUntilAccepted(leader, call{method: "POST", path: "/chat/", model: "m1"}).status)
 }
+
+// Each VM has lost its way to some service: the answers name those that lack fewest, and requests go to VMs that reach their service.
+func TestCallersAreServedWhenEveryVMLacksAService(t *testing.T) {
+	c := newCluster(t)
+	for i := range 3 {
+		c.add(standin.NewReplica(fmt.Sprintf("clerk-%d", i), 0))
+		c.add(standin.NewReplica(fmt.Sprintf("engine-%d", i), 1, "m0"))
+	}
+	var paths []*upstreamPath
+	for i := range 3 {
+		paths = append(paths, newUpstreamPath())
+		c.startAs(vmSpec{name: string(rune('a' + i)), domain: "a", upstreams: paths[i]})
+	}
+	for _, v := range c.vms {
+		c.eventually(func() bool { return namedBy(v, c.vms[0]) && namedBy(v, c.vms[1]) && namedBy(v, c.vms[2]) })
+	}
+	for id, server := range c.servers {
+		address := server.Listener.Addr().String()
+		paths[2].lose(address)
+		if service, _, _ := strings.Cut(id, "-"); service == "clerk" {
+			paths[0].lose(address)
+		} else {
+			paths[1].lose(address)
+		}
+	}
+	file, chat := call{method: "POST", path: "/file/"}, call{method: "POST", path: "/chat/", model: "m0"}
+	c.eventually(func() bool {
+		for _, v := range c.vms {
+			c.send(v, file)
+			c.send(v, chat)
+		}
+		return c.vms[0].reach.Cut("clerk") && c.vms[1].reach.Cut("engine") && c.vms[2].reach.Cut("clerk") && c.vms[2].reach.Cut("engine")
+	})
+	for _, v := range c.vms {
+		c.eventually(func() bool { return namedBy(v, c.vms[0]) && namedBy(v, c.vms[1]) && !namedBy(v, c.vms[2]) })
+		require.Equal(t, http.StatusOK, c.send(v, file).status)
+		require.Equal(t, http.StatusOK, c.send(v, chat).status)
+	}
+}
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -372,25 +372,28 @@
 	return at
 }
 
-// takesCallers reports whether callers may be sent to a VM: a hub that lists it has reported
-// within a time, or the VM counts as ready and was last seen within that time; and it reaches
-// the upstreams that others reach. It must be called with the lock held.
+// takesCallers reports whether callers may be sent to a VM: it is ready, and reaches the upstreams that
+// others reach. It must be called with the lock held.
 func (f *fleet) takesCallers(vm string, m *member, seen time.Time, within time.Duration, now time.Time) bool {
-	if now.Sub(f.rosterTime(vm)) >= within && (!m.ready || now.Sub(seen) >= within) {
-		return false
-	}
-	return !f.isCutOff(vm, m.unreachable, now)
+	return f.isReady(vm, m, seen, within, now) && f.countCut(vm, m.unreachable, now) == 0
+}
+
+// isReady reports whether a hub that lists a VM has reported within a time, or the VM counts as ready and
+// was last seen within that time. It must be called with the lock held.
+func (f *fleet) isReady(vm string, m *member, seen time.Time, within time.Duration, now time.Time) bool {
+	return now.Sub(f.rosterTime(vm)) < within || (m.ready && now.Sub(seen) < within)
 }
 
-// isCutOff reports whether a VM does not reach the upstreams of a service that another VM reaches. If
-// nobody reaches them, no VM is worse than the others. It must be called with the lock held.
-func (f *fleet) isCutOff(vm string, unreachable []string, now time.Time) bool {
+// countCut returns how many of the services that a VM does not reach another VM reaches. If nobody reaches
+// a service, no VM is worse than the others. It must be called with the lock held.
+func (f *fleet) countCut(vm string, unreachable []string, now time.Time) int {
+	n := 0
 	for _, service := range unreachable {
 		if f.othersReach(vm, service, now) {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // othersReachService reports whether another VM reaches the upstreams of a service.
--- a/internal/vm/forward.go
+++ b/internal/vm/forward.go
@@ -22,15 +22,13 @@
 	// maxForwarded bounds the requests of other VMs that this one serves at a time, so that a cut of most VMs leaves the
 	// rest room for callers of their own.
 	maxForwarded = 128
-	// forwardWait bounds a forwarded request without a deadline.
-	forwardWait = time.Minute
 )
 
-// forward implements traffic.ForwardFunc: it offers the request to VMs that take callers and reach the service.
+// forward implements traffic.ForwardFunc: it offers the request to VMs that are ready and reach the service.
 func (f *fleet) forward(ctx context.Context, service string, request traffic.Forwarded, sink traffic.Sink) (traffic.ForwardEnd, error) {
 	for _, address := range f.forwardTargets(service) {
 		h := &handover{sink: sink}
-		err := f.process.pool.Call(ctx, address, timeLeft(ctx), func(ctx context.Context, conn grpc.ClientConnInterface) error {
+		err := f.process.pool.Stream(ctx, address, func(ctx context.Context, conn grpc.ClientConnInterface) error {
 			return h.run(ctx, peerpb.NewVMsClient(conn), service, forwardedToProto(f.process.settings.VM, request))
 		})
 		switch {
@@ -45,14 +43,7 @@
 	return traffic.ForwardEnd{}, errors.WithStack(traffic.ErrNotForwarded)
 }
 
-func timeLeft(ctx context.Context) time.Duration {
-	if deadline, ok := ctx.Deadline(); ok {
-		return time.Until(deadline)
-	}
-	return forwardWait
-}
-
-// forwardTargets returns the addresses of VMs that take callers and reach a service, in random order, those of this
+// forwardTargets returns the addresses of VMs that are ready and reach a service, in random order, those of this
 // VM's region first: requests are longer on their way to others.
 func (f *fleet) forwardTargets(service string) []string {
 	now := time.Now()
@@ -61,7 +52,7 @@
 	defer f.mu.Unlock()
 	var near, far []string
 	for vm, m := range f.members {
-		if slices.Contains(m.unreachable, service) || !f.takesCallers(vm, m, later(m.lastReport, m.firstSeen), peerTimeout, now) {
+		if slices.Contains(m.unreachable, service) || !f.isReady(vm, m, later(m.lastReport, m.firstSeen), peerTimeout, now) {
 			continue
 		}
 		if regions[m.Domain] == regions[own] {
--- a/internal/vm/forward_test.go
+++ b/internal/vm/forward_test.go
@@ -158,3 +158,18 @@
 	}
 	require.Len(t, runsOf(clerk, "/file/"), 1+cap(done))
 }
+
+// Requests that reach their deadlines at another VM must not break others that this VM has handed to it.
+func TestForwardedRequestsSurviveTheDeadlinesOfOthers(t *testing.T) {
+	clerk := standin.NewReplica("clerk-1", 0)
+	clerk.ServiceTime = 900 * time.Millisecond
+	c, _ := cutCluster(t, 2, clerk)
+	long := make(chan answer, 1)
+	go func() { long <- c.send(c.vms[0], call{method: "POST", path: "/file/long"}) }()
+	c.eventually(func() bool { return len(runsOf(clerk, "/file/long")) == 1 })
+	for range 3 {
+		short := call{method: "POST", path: "/file/short", header: map[string]string{"X-Chestnutarch-Deadline-Remaining-Ms": "150"}}
+		require.Equal(t, http.StatusGatewayTimeout, c.send(c.vms[0], short).status)
+	}
+	require.Equal(t, http.StatusOK, (<-long).status)
+}
--- a/internal/vm/permits.go
+++ b/internal/vm/permits.go
@@ -63,7 +63,7 @@
 	var candidates []string
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.process.ready() && !f.isCutOff(self, f.process.unreachable(), now) {
+	if f.process.ready() && f.countCut(self, f.process.unreachable(), now) == 0 {
 		candidates = append(candidates, self)
 	}
 	for name, m := range f.members {
