traffic: upstreams that answer with a failure are not asked whether they have ended

What callers saw: nothing but a price.

A failure answer is of the same kind as an exchange that breaks, as far as repeats are concerned.

Change: only an exchange that broke without an answer makes the VM look whether its upstream still listens.

Evidence: TestFailureAnswersCostNoConnections fails before (a connection for each answer) and passes.

Why it works: an upstream that has answered has not ended.

--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -177,7 +177,7 @@
 			continue
 		}
 		j.core.logSendFailed(j, choice, failed)
-		if failed.kind == unknown && ctx.Err() == nil && j.reserved == nil && !j.core.options.Reach.Cut(j.service) {
+		if errors.Is(failed.err, ErrUnknown) && ctx.Err() == nil && j.reserved == nil && !j.core.options.Reach.Cut(j.service) {
 			j.recordBreak(ctx, j.core.options.Instance(choice.Instance))
 		}
 		if ctx.Err() != nil || (j.reserved == nil && !j.mayRepeat(failed.kind)) {
--- a/internal/vm/ended_upstreams_test.go
+++ b/internal/vm/ended_upstreams_test.go
@@ -137,3 +137,18 @@
 	later := c.startIn("z", "a")
 	c.eventually(func() bool { return knows(later) })
 }
+
+// An upstream that answers with a failure has not ended, and must not be asked for a connection to find that out.
+func TestFailureAnswersCostNoConnections(t *testing.T) {
+	clerk := standin.NewReplica("clerk-1", 0)
+	c := newCluster(t, clerk)
+	v := c.start("a")
+	clerk.SetFail(func(w http.ResponseWriter, r *http.Request) { standin.ReplyWithStatus(w, r, http.StatusInternalServerError) })
+	file := call{method: "POST", path: "/file/"}
+	require.Equal(t, http.StatusInternalServerError, c.send(v, file).status)
+	dials := v.replicas.Pool.Dials()
+	for range 5 {
+		require.Equal(t, http.StatusInternalServerError, c.send(v, file).status)
+	}
+	require.Equal(t, dials, v.replicas.Pool.Dials())
+}
