reach: a check opens one connection, and further ones only if that takes long

What callers saw: nothing but a price: three connections to upstreams for each check, most of which find that all is well.

On a VM with few requests, none of whose upstreams sends anything for a quarter of a second, one request that takes long is enough.

Change: the first connection of a check has 0.1 s before the others are opened. While a service is cut, all three are, as two have to succeed.

The tests of cuts pass as before; a VM notices a cut as soon as before.

Why it works: a sound way answers in milliseconds.

--- a/internal/vm/reachability.go
+++ b/internal/vm/reachability.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/reach"
@@ -16,6 +14,8 @@
 	reachTick = 50 * time.Millisecond
 	// probeTimeout bounds the connections of a check. It allows for a VM that is short of processor time.
 	probeTimeout = 400 * time.Millisecond
+	// slowProbe is how long the first connection of a check may take before further ones are opened.
+	slowProbe = 100 * time.Millisecond
 	// unfitAfter is how long a leader may fail to reach the engines before it resigns. Its successor gives no orders for
 	// the first seconds, so that a shorter cut is better waited for.
 	unfitAfter = time.Second
@@ -40,21 +40,20 @@
 // checkReach opens connections to some upstreams of a service, and applies what that shows.
 func (p *Process) checkReach(ctx context.Context, service string) {
 	began := time.Now()
-	probed := p.probes(service)
-	reached := p.countReached(ctx, probed)
+	tried, reached := p.countReached(ctx, p.probes(service), p.reach.Cut(service))
 	if reached == 0 && p.stalls.stoodSince(began) {
 		// That connections took too long says nothing about the upstreams.
 		p.reach.AbandonCheck(service)
 		return
 	}
-	switch p.reach.RecordCheck(service, len(probed), reached, time.Now()) {
+	switch p.reach.RecordCheck(service, tried, reached, time.Now()) {
 	case reach.Lost:
 		p.incrementCounter("upstreams.unreachable")
-		p.log.Warn().Str("event", "upstreams_unreachable").Str("service", service).Int("tried", len(probed)).Send()
+		p.log.Warn().Str("event", "upstreams_unreachable").Str("service", service).Int("tried", tried).Send()
 		p.fleet.exchangeNow()
 	case reach.Regained:
 		p.assigner.ForgetFailures(service)
-		p.log.Info().Str("event", "upstreams_regained").Str("service", service).Int("tried", len(probed)).Int("reached", reached).Send()
+		p.log.Info().Str("event", "upstreams_regained").Str("service", service).Int("tried", tried).Int("reached", reached).Send()
 	}
 }
 
@@ -70,20 +69,34 @@
 	return out[:min(reach.Probes, len(out))]
 }
 
-func (p *Process) countReached(ctx context.Context, probed []*upstream.Instance) int {
+// countReached opens connections to upstreams, and returns how many it tried and how many succeeded. Unless all is set, the
+// others are tried only if the first one takes long: each costs the upstream a connection.
+func (p *Process) countReached(ctx context.Context, probed []*upstream.Instance, all bool) (tried, reached int) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	var reached atomic.Int64
-	var wg sync.WaitGroup
-	for _, i := range probed {
-		wg.Go(func() {
-			if p.replicas.Pool.Connect(ctx, i.Address) == nil {
-				reached.Add(1)
+	results := make(chan bool, len(probed))
+	connect := func(i *upstream.Instance) { results <- p.replicas.Pool.Connect(ctx, i.Address) == nil }
+	for n, i := range probed {
+		go connect(i)
+		tried++
+		if n > 0 || all {
+			continue
+		}
+		select {
+		case ok := <-results:
+			if ok {
+				return 1, 1
 			}
-		})
+			results <- false
+		case <-time.After(slowProbe):
+		}
+	}
+	for range tried {
+		if <-results {
+			reached++
+		}
 	}
-	wg.Wait()
-	return int(reached.Load())
+	return tried, reached
 }
 
 // unreachable returns the services whose upstreams this VM does not reach.
