vm: forwarded requests: large responses, attempts after a broken hop; suspects at hubs

Cause and change: a message between VMs may have 2 MiB, and a response that is passed on as a whole may have 16: it now travels in pieces, and requests over 1 MiB are not handed over. After a hop that broke, the other VM may have made all attempts of the route: the request is not sent again, so that no more runs are possible than the route allows. The list of requests with several ends is made five times a second at most; a hub makes hundreds of reports a second.

Figures: TestLargeResponseToAForwardedRequestIsWhole: 3 MB arrive whole; it was not run on the code before.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -45,6 +45,9 @@
 	// alive holds, for each incarnation that is recorded as ended or whose exchange broke, when it last answered this
 	// VM, zero if it has not since.
 	alive map[string]time.Time
+	// suspects are the records with several ends as of suspectsAt.
+	suspects   []Record
+	suspectsAt time.Time
 	// expiredAt is when old records were last looked for.
 	expiredAt time.Time
 	// inUse is set while there is anything to remember, so that other requests need no hash.
@@ -213,23 +216,29 @@
 	return out
 }
 
-// Suspects returns copies of the records with several ends, for VMs that may not have been told of them.
+// Suspects returns the records with several ends, for VMs that may not have been told of them. They must not be modified.
 func (t *Table) Suspects(now time.Time) []Record {
 	if !t.InUse() {
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.Sub(t.suspectsAt) < suspectsInterval {
+		return t.suspects
+	}
 	t.expire(now)
-	var out []Record
+	t.suspects, t.suspectsAt = nil, now
 	for _, r := range t.records {
 		if t.count(r) > 1 {
-			out = append(out, r.clone())
+			t.suspects = append(t.suspects, r.clone())
 		}
 	}
-	return out
+	return t.suspects
 }
 
+// suspectsInterval is the least time between two searches for suspects: a hub makes hundreds of reports a second.
+const suspectsInterval = 200 * time.Millisecond
+
 func (r *Record) clone() Record {
 	return Record{Request: r.Request, Ends: maps.Clone(r.Ends), Answered: r.Answered}
 }
--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -66,8 +66,9 @@
 	}
 	j.core.logForwarded(j, err)
 	if err != nil {
+		// The other VM may have made all attempts that the route allows.
 		j.sends++
-		j.possibleRuns++
+		j.possibleRuns = max(j.possibleRuns+1, j.route.Attempts)
 		return true, &failure{kind: unknown, err: err}, nil
 	}
 	j.sends, j.possibleRuns, j.upstream = end.Sends, end.PossibleRuns, end.Upstream
--- a/internal/vm/ended_upstreams_test.go
+++ b/internal/vm/ended_upstreams_test.go
@@ -143,7 +143,9 @@
 	clerk := standin.NewReplica("clerk-1", 0)
 	c := newCluster(t, clerk)
 	v := c.start("a")
-	clerk.SetFail(func(w http.ResponseWriter, r *http.Request) { standin.ReplyWithStatus(w, r, http.StatusInternalServerError) })
+	clerk.SetFail(func(w http.ResponseWriter, r *http.Request) {
+		standin.ReplyWithStatus(w, r, http.StatusInternalServerError)
+	})
 	file := call{method: "POST", path: "/file/"}
 	require.Equal(t, http.StatusInternalServerError, c.send(v, file).status)
 	dials := v.replicas.Pool.Dials()
--- a/internal/vm/forward.go
+++ b/internal/vm/forward.go
@@ -22,10 +22,16 @@
 	// maxForwarded bounds the requests of other VMs that this one serves at a time, so that a cut of most VMs leaves the
 	// rest room for callers of their own.
 	maxForwarded = 128
+	// maxForwardedPiece bounds the body of a request that is handed over, and the pieces of a response, in bytes: half of
+	// what a message may have.
+	maxForwardedPiece = 1 << 20
 )
 
 // forward implements traffic.ForwardFunc: it offers the request to VMs that are ready and reach the service.
 func (f *fleet) forward(ctx context.Context, service string, request traffic.Forwarded, sink traffic.Sink) (traffic.ForwardEnd, error) {
+	if len(request.Request.Body) > maxForwardedPiece {
+		return traffic.ForwardEnd{}, errors.WithStack(traffic.ErrNotForwarded)
+	}
 	for _, address := range f.forwardTargets(service) {
 		h := &handover{sink: sink}
 		err := f.process.pool.Stream(ctx, address, func(ctx context.Context, conn grpc.ClientConnInterface) error {
@@ -74,6 +80,8 @@
 	// handedOver is set once the request may have reached the other VM, end once that VM has ended it.
 	handedOver bool
 	end        *peerpb.ForwardEnd
+	// whole is the beginning of a response that is passed on once it is complete.
+	whole *peerpb.ForwardHead
 }
 
 func (h *handover) run(ctx context.Context, client peerpb.VMsClient, service string, request *peerpb.ForwardedRequest) error {
@@ -129,16 +137,23 @@
 		})
 	case *peerpb.ForwardResponse_Head:
 		if part.Head.Whole {
-			h.sink.WriteResponse(int(part.Head.Status), headerFromProto(part.Head.Header), part.Head.Body)
+			h.whole = part.Head
 			return nil
 		}
 		h.sink.Begin(int(part.Head.Status), headerFromProto(part.Head.Header))
 	case *peerpb.ForwardResponse_Chunk:
+		if h.whole != nil {
+			h.whole.Body = append(h.whole.Body, part.Chunk.Data...)
+			return nil
+		}
 		if err := h.sink.WriteChunk(part.Chunk.Data); err != nil {
 			return err
 		}
 		return h.sink.Flush()
 	case *peerpb.ForwardResponse_End:
+		if h.whole != nil {
+			h.sink.WriteResponse(int(h.whole.Status), headerFromProto(h.whole.Header), h.whole.Body)
+		}
 		h.end = part.End
 	}
 	return nil
--- a/internal/vm/forward_message.go
+++ b/internal/vm/forward_message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc"
@@ -27,7 +28,11 @@
 
 // WriteResponse implements traffic.Sink.
 func (s *peerSink) WriteResponse(status int, header http.Header, body []byte) {
-	s.sendHead(&peerpb.ForwardHead{Status: int32(status), Header: headerToProto(header), Whole: true, Body: body})
+	first := min(len(body), maxForwardedPiece)
+	s.sendHead(&peerpb.ForwardHead{Status: int32(status), Header: headerToProto(header), Whole: true, Body: body[:first]})
+	for piece := range slices.Chunk(body[first:], maxForwardedPiece) {
+		_ = s.sendChunk(piece)
+	}
 }
 
 // Begin implements traffic.Sink.
@@ -49,7 +54,11 @@
 func (s *peerSink) Flush() error {
 	events := s.events
 	s.events = nil
-	return s.stream.Send(&peerpb.ForwardResponse{Part: &peerpb.ForwardResponse_Chunk{Chunk: &peerpb.ForwardChunk{Data: events}}})
+	return s.sendChunk(events)
+}
+
+func (s *peerSink) sendChunk(data []byte) error {
+	return s.stream.Send(&peerpb.ForwardResponse{Part: &peerpb.ForwardResponse_Chunk{Chunk: &peerpb.ForwardChunk{Data: data}}})
 }
 
 func forwardedToProto(vm string, f traffic.Forwarded) *peerpb.ForwardedRequest {
--- a/internal/vm/forward_test.go
+++ b/internal/vm/forward_test.go
@@ -173,3 +173,18 @@
 	}
 	require.Equal(t, http.StatusOK, (<-long).status)
 }
+
+// A response that is larger than a message between VMs must arrive whole.
+func TestLargeResponseToAForwardedRequestIsWhole(t *testing.T) {
+	clerk := standin.NewReplica("clerk-1", 0)
+	c, _ := cutCluster(t, 2, clerk)
+	body := strings.Repeat("0123456789", 300_000)
+	clerk.SetFail(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Chestnutarch-Attempt-Id", r.Header.Get("X-Chestnutarch-Attempt-Id"))
+		w.Header().Set("X-Chestnutarch-Response-Signature", "sig")
+		_, _ = w.Write([]byte(body))
+	})
+	got := c.send(c.vms[0], call{method: "POST", path: "/file/"})
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, body, got.body)
+}
