explain: the verdict is that of the VM that a request came to

Cause: a request that was handed over has an end in the logs of two VMs, and the last line decided.

Change: the end at the VM that it came to decides; upstreams_unreachable and upstreams_regained of a VM stand among what affected the request.

--- a/internal/explain/event.go
+++ b/internal/explain/event.go
@@ -32,8 +32,10 @@
 	Evict    string `json:"evict"`
 	Address  string `json:"address"`
 
-	Outcome      string `json:"outcome"`
-	Reason       string `json:"reason"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+	// FromVM means that another VM has handed the request over.
+	FromVM       bool   `json:"from_vm"`
 	Cause        string `json:"cause"`
 	Result       string `json:"result"`
 	Status       int    `json:"status"`
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -76,3 +76,16 @@
 	require.Contains(t, report.Verdict, "i-1 had 41 requests in flight (30 of other VMs, heard up to 240 ms before; 1 sent by them since) and 2300 prompt tokens to read")
 	require.Contains(t, report.Verdict, "2 requests with 5500 prompt tokens came there")
 }
+
+// Guards against the end at the VM that a request was handed to being taken for what the caller got.
+func TestVerdictIsThatOfTheVMThatTheRequestCameTo(t *testing.T) {
+	events, err := Read(strings.NewReader(`{"event":"upstreams_unreachable","vm":"a","service":"s","time":"2026-02-05T12:30:52.900Z"}
+{"event":"request_ended","request":"r","vm":"a","outcome":"unknown","status":502,"cause":"the hop broke","time":"2026-02-05T12:30:53.100Z"}
+{"event":"request_ended","request":"r","vm":"b","from_vm":true,"outcome":"answered","status":200,"time":"2026-02-05T12:30:53.200Z"}
+`))
+	require.NoError(t, err)
+	report, err := NewReport(events, "r")
+	require.NoError(t, err)
+	require.Contains(t, report.String(), "the hop broke")
+	require.Contains(t, report.String(), "upstreams_unreachable")
+}
--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -91,7 +91,7 @@
 // this one.
 func affectsAllRequests(e Event, vm string) bool {
 	switch e.Name {
-	case "store_lost", "store_regained", "start", "stop", "draining", "configuration_in_force":
+	case "upstreams_unreachable", "upstreams_regained", "store_lost", "store_regained", "start", "stop", "draining", "configuration_in_force":
 		return e.VM == vm
 	case "leadership_lost", "leadership_lapsed", "leadership_regained", "leadership_won":
 		return true
@@ -99,9 +99,20 @@
 	return false
 }
 
+// end returns the line that tells what the caller got: that of the VM that the request came to, if another VM logged an
+// end too.
+func (r *Report) end() Event {
+	for _, e := range slices.Backward(r.RequestEvents) {
+		if (e.Name == "request_ended" && !e.FromVM) || e.Name == "request_refused" {
+			return e
+		}
+	}
+	return r.RequestEvents[len(r.RequestEvents)-1]
+}
+
 // verdict states what decided how the request ended.
 func verdict(r *Report) string {
-	last := r.RequestEvents[len(r.RequestEvents)-1]
+	last := r.end()
 	switch {
 	case last.Name == "request_refused":
 		return refusedVerdict(last)
