traffic: one upstream that cannot be connected to does not hand a request over

What callers saw: a team gets more than its rate.

Cause: upstreams crash without a reset, and connections to them fail after 0.6 s. A slow failure of one made the VM hand the request over: 48 from 30 s on, at VMs that reached all others (upstreams_unreachable: none).

Change: a request is handed over after connections to two upstreams have failed, or to all that are left, or if the service is cut.

Why it works: one upstream that does not answer says nothing of the VM's links.

--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -11,10 +11,6 @@
 
 // This file hands requests to VMs that reach an upstream while this one does not, and serves those of other VMs.
 
-// slowConnect is the time after which a connection to an upstream that fails shows that the upstream is not reached. One
-// that is refused shows that only together with a second one.
-const slowConnect = 150 * time.Millisecond
-
 // ErrNotForwarded means that no other VM has taken a request: it was not run.
 var ErrNotForwarded = errors.New("traffic: no other VM takes the request")
 
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -63,7 +63,8 @@
 	responseBegun bool
 	// fromVM means that another VM has admitted the request and handed it over.
 	fromVM bool
-	// unreached means that upstreams could not be connected to for this request, notForwarded that no other VM takes it.
+	// unreached means that several upstreams could not be connected to for this request, or all that are left, which one
+	// alone does not show; notForwarded that no other VM takes it.
 	unreached, notForwarded bool
 	// connectFailures counts the connections that failed for this request.
 	connectFailures int
@@ -306,7 +307,7 @@
 	if errors.Is(err, ErrNotSent) {
 		kind = notSent
 		j.connectFailures++
-		j.unreached = j.unreached || j.connectFailures > 1 || time.Since(choice.PlacedAt()) > slowConnect
+		j.unreached = j.unreached || j.connectFailures > 1
 	} else {
 		j.possibleRuns++
 	}
