--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -100,9 +100,8 @@
 	if j.possibleRuns > 0 {
 		j.outcome = outcomeUnknown
 		refusal = mayHaveRun(refusal)
-	} else if j.team != "" {
-		j.core.options.Limiter.Refund(j.team, j.units)
 	}
+	j.refundUnlessRun()
 	j.status, j.retryAfter = refusal.Status, refusal.RetryAfter
 	j.sink.Refuse(refusal)
 	return nil
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -4,7 +4,6 @@
 	"strconv"
 	"time"
 
-	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/chestnutarch/chestnutarch/internal/assign"
@@ -75,9 +74,7 @@
 
 // logForwarded logs that another VM has taken a request, and err if its connection broke.
 func (c *Core) logForwarded(j *job, err error) {
-	if c.options.Metrics != nil {
-		metrics.GetOrRegisterCounter("requests.forwarded", c.options.Metrics).Inc(1)
-	}
+	c.countForwarded()
 	c.options.Log.Info().Str("event", "request_forwarded").Str("request", j.request.ID).Str("service", j.service).
 		Bool("cut", c.options.Reach.Cut(j.service)).AnErr("cause", err).Send()
 }
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -25,29 +25,28 @@
 
 // countPermit counts an answer to a request for a permit.
 func (c *Core) countPermit(granted bool) {
-	if c.options.Metrics == nil {
-		return
-	}
 	name := "permits.denied"
 	if granted {
 		name = "permits.granted"
 	}
-	metrics.GetOrRegisterCounter(name, c.options.Metrics).Inc(1)
+	c.increment(name)
 }
 
-// countWithdrawn counts a request that was not sent to the upstream that was chosen for it.
-func (c *Core) countWithdrawn() {
+// increment adds one to a counter.
+func (c *Core) increment(name string) {
 	if c.options.Metrics != nil {
-		metrics.GetOrRegisterCounter("requests.withdrawn", c.options.Metrics).Inc(1)
+		metrics.GetOrRegisterCounter(name, c.options.Metrics).Inc(1)
 	}
 }
 
+// countWithdrawn counts a request that was not sent to the upstream that was chosen for it.
+func (c *Core) countWithdrawn() { c.increment("requests.withdrawn") }
+
 // countUpstreamEnded counts an upstream that ended while it had a request, once for each request.
-func (c *Core) countUpstreamEnded() {
-	if c.options.Metrics != nil {
-		metrics.GetOrRegisterCounter("requests.upstream_ended", c.options.Metrics).Inc(1)
-	}
-}
+func (c *Core) countUpstreamEnded() { c.increment("requests.upstream_ended") }
+
+// countForwarded counts a request that another VM has taken.
+func (c *Core) countForwarded() { c.increment("requests.forwarded") }
 
 // countLateness counts the way in which a response was late. For an answered stream with at
 // least two events it also records the longest pause between events, in percent of its route's
--- a/internal/traffic/unanswered.go
+++ b/internal/traffic/unanswered.go
@@ -12,13 +12,18 @@
 
 // This file tells callers why a request got no response of an upstream, and whether it may have run.
 
+// refundUnlessRun gives the request's units back to its team if no upstream can have run it.
+func (j *job) refundUnlessRun() {
+	if j.possibleRuns == 0 && j.team != "" {
+		j.core.options.Limiter.Refund(j.team, j.units)
+	}
+}
+
 // endUnanswered ends a request for which no upstream gave a successful response. It tells
 // the caller either that the request was not run and when to retry, or that it may have run.
 func (j *job) endUnanswered(ctx context.Context, err error) error {
 	j.cause = err
-	if j.possibleRuns == 0 && j.team != "" {
-		j.core.options.Limiter.Refund(j.team, j.units)
-	}
+	j.refundUnlessRun()
 	if errors.Is(ctx.Err(), context.Canceled) {
 		j.outcome = outcomeCallerLeft
 		return errors.Wrap(ErrTruncated, "the caller disconnected")
