--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -38,6 +38,7 @@
 		if !j.mayHold(req, began, err) {
 			return nil, err
 		}
+		j.waitingFor = waitSlot
 		awaitFreed(ctx, freed)
 	}
 }
@@ -96,6 +97,7 @@
 }
 
 func (j *job) ensureAdapter(ctx context.Context, req assign.Request) bool {
+	j.waitingFor = waitAdapter
 	ctx, cancel := context.WithTimeout(ctx, min(ensureTimeout, time.Until(j.deadline)))
 	defer cancel()
 	instance, err := j.core.options.EnsureAdapter(ctx, AdapterRequest{
@@ -126,6 +128,7 @@
 func (j *job) requestPermit(ctx context.Context, choice *assign.Choice) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	j.waitingFor = waitPermit
 	timer := time.AfterFunc(j.permitWait(choice), cancel)
 	defer timer.Stop()
 	decision := j.core.options.Permit(ctx, choice.Key, choice.LastChoice)
--- a/internal/traffic/contents.go
+++ b/internal/traffic/contents.go
@@ -62,6 +62,7 @@
 	if i == nil {
 		return
 	}
+	j.waitingFor = waitBreak
 	if !o.HasEnded(ctx, i) {
 		o.Quarantine.RecordBreak(j.contentsHash(), i.IncarnationID(), time.Now())
 		return
--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -54,6 +54,7 @@
 
 // forward hands the request to another VM. It returns false if none takes it. failed is set if its connection broke.
 func (j *job) forward(ctx context.Context) (taken bool, failed *failure, err error) {
+	j.waitingFor = waitVM
 	sink := &forwardSink{job: j}
 	end, err := j.core.options.Forward(ctx, j.service, j.forwarded(), sink)
 	if errors.Is(err, ErrNotForwarded) {
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -81,6 +81,8 @@
 	failureReply *bufferedReply
 
 	// The fields below are for logs and metrics.
+	// waitingFor is what the request waits for, or waited for last.
+	waitingFor  wait
 	outcome     string
 	status      int
 	retryAfter  time.Duration
@@ -94,6 +96,23 @@
 	writeWait time.Duration
 }
 
+// wait names what a request waits for, as it is written to logs.
+type wait string
+
+const (
+	waitSlot       wait = "slot"
+	waitPermit     wait = "permit"
+	waitAdapter    wait = "adapter"
+	waitConnection wait = "connection"
+	// waitNews: the table of upstreams is out of date, since the process stood still.
+	waitNews     wait = "news"
+	waitUpstream wait = "upstream"
+	// waitVM: another VM has been offered the request, or has taken it.
+	waitVM wait = "vm"
+	// waitBreak: the exchange broke, and it is being found out whether its upstream has ended.
+	waitBreak wait = "break"
+)
+
 type bufferedReply struct {
 	status int
 	header http.Header
@@ -215,6 +234,7 @@
 	defer cancel()
 	exchange := j.beginExchange(choice, cancel)
 	silence := j.watchSilence(choice, cancel)
+	j.waitingFor = waitConnection
 	defer func() { j.reserved = silence.stop() }()
 	reply, err := j.core.options.Upstreams.Send(inner, Attempt{
 		Request: j.request, Instance: instance, Team: j.team, TimeLeft: time.Until(j.deadline),
@@ -261,7 +281,9 @@
 // the upstream takes no requests any more: the choice may be seconds old, and so may be what it rests on. It returns
 // ErrQuarantined if upstreams have ended under the request meanwhile.
 func (j *job) checkWrite(ctx context.Context, choice *assign.Choice) error {
+	j.waitingFor = waitNews
 	j.core.options.AwaitUpstreams(ctx)
+	j.waitingFor = waitUpstream
 	now := time.Now()
 	j.writeWait = now.Sub(choice.PlacedAt())
 	if j.core.options.Assigner.Withdrawn(choice, now) || !j.exchange.write() {
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -127,7 +127,7 @@
 		Int("sends", j.sends).Int("ran", j.possibleRuns).Dur("first_ms", j.timeToFirst).Dur("expected_ms", j.expected).Dur("objective_ms", j.due.Sub(j.request.Arrived)).
 		Str("late", j.lateness()).Dur("longest_pause_ms", j.pauses.longest).Dur("pause_at_ms", j.pauses.longestStart(j.request.Arrived)).
 		Str("pause_after", j.pauses.longestAfterID).Dur("pause_objective_ms", j.route.GapObjective).
-		Dur("took_ms", took).Dur("write_wait_ms", j.writeWait).Str("last_event", j.lastEventID).Int64("configuration", j.catalog.Version)
+		Dur("took_ms", took).Dur("left_ms", time.Until(j.deadline)).Str("waited_for", string(j.waitingFor)).Dur("write_wait_ms", j.writeWait).Str("last_event", j.lastEventID).Int64("configuration", j.catalog.Version)
 	if j.cause != nil {
 		e = e.AnErr("cause", j.cause)
 	}
