traffic: a request is given up while its caller can still be told

What callers saw: no answer at all. Whatever a request waited for, a connection to an upstream, another VM, an adapter, news of the upstreams or its upstream, the wait ended at the deadline as this VM counts it, which is the caller's deadline plus the way of the request; the answer needed the way back as well. Cause: one deadline for both, the waits and the caller. A request whose deadline passes before its first byte is not written, and so was not run. Why it works: all waits hang on one context, which now ends at that time.

--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -21,8 +21,8 @@
 	req, began := j.assignRequest(), time.Now()
 	adapterRequests := 0
 	for {
-		if err := ctx.Err(); err != nil {
-			return nil, err
+		if ctx.Err() != nil {
+			return nil, context.Cause(ctx)
 		}
 		freed := j.core.options.Assigner.Freed()
 		choice, err := j.choosePermitted(ctx, req)
@@ -98,7 +98,7 @@
 
 func (j *job) ensureAdapter(ctx context.Context, req assign.Request) bool {
 	j.waitingFor = waitAdapter
-	ctx, cancel := context.WithTimeout(ctx, min(ensureTimeout, time.Until(j.deadline)))
+	ctx, cancel := context.WithTimeout(ctx, ensureTimeout)
 	defer cancel()
 	instance, err := j.core.options.EnsureAdapter(ctx, AdapterRequest{
 		Service: req.Service, Model: req.Model, Adapter: req.Adapter, Avoid: j.core.options.Assigner.RetryLaterHolders(req, time.Now()),
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -140,7 +140,7 @@
 		return nil
 	}
 	j.sink = sink
-	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	ctx, cancel := j.withDeadline(ctx)
 	defer cancel()
 	err := j.run(ctx)
 	c.logEnd(j)
--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -122,6 +122,8 @@
 	job     *job
 	refusal *Refusal
 	status  int
+	// expired means that the response began after the request had been given up.
+	expired bool
 }
 
 // Refuse implements Sink.
@@ -140,12 +142,17 @@
 	if s.job.responseBegun {
 		return
 	}
-	s.job.responseBegun = true
+	if s.expired = !s.job.beginResponse(); s.expired {
+		return
+	}
 	s.job.sink.Begin(status, header)
 }
 
 // WriteChunk implements Sink.
 func (s *forwardSink) WriteChunk(events []byte) error {
+	if s.expired {
+		return errors.WithStack(context.DeadlineExceeded)
+	}
 	s.noteFirst()
 	for event := range bytes.SplitAfterSeq(events, eventEnd) {
 		if id := eventID(event); id != "" {
@@ -173,7 +180,7 @@
 		return ForwardEnd{Sends: f.Sends, PossibleRuns: f.PossibleRuns}
 	}
 	j.sink = sink
-	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	ctx, cancel := j.withDeadline(ctx)
 	defer cancel()
 	err := j.run(ctx)
 	c.logEnd(j)
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -49,8 +49,11 @@
 	// urgency is the team's priority if it has one, else the route's; 0 is the most urgent.
 	urgency int
 	// due is when the response or its first event is due; deadline is the earlier of the
-	// caller's and the route's timeout.
-	due, deadline time.Time
+	// caller's and the route's timeout. A request for which no response has begun is given up at
+	// giveUpAt, so that the caller is told before its own deadline.
+	due, deadline, giveUpAt time.Time
+	// expiry ends the request at giveUpAt, and at deadline once a response has begun.
+	expiry *time.Timer
 
 	// sends counts how often the request was sent, possibleRuns how many of these sends may
 	// have run it.
@@ -119,21 +122,6 @@
 	body   []byte
 }
 
-func (j *job) setDeadlines() {
-	wait := j.request.Timeout
-	if j.route.Timeout > 0 && (wait == 0 || j.route.Timeout < wait) {
-		wait = j.route.Timeout
-	}
-	if wait == 0 {
-		wait = defaultWait
-	}
-	j.deadline = j.request.Arrived.Add(wait)
-	j.due = j.deadline
-	if j.route.Objective > 0 && j.route.Objective < wait {
-		j.due = j.request.Arrived.Add(j.route.Objective)
-	}
-}
-
 // failureKind says whether a failed send can have run the request.
 type failureKind int
 
@@ -278,7 +266,8 @@
 }
 
 // checkWrite is called when the first byte of the request is about to be written. It returns ErrWithdrawn if
-// the upstream takes no requests any more: the choice may be seconds old, and so may be what it rests on. It returns
+// the upstream takes no requests any more: the choice may be seconds old, and so may be what it rests on; also if the
+// request was given up meanwhile. It returns
 // ErrQuarantined if upstreams have ended under the request meanwhile.
 func (j *job) checkWrite(ctx context.Context, choice *assign.Choice) error {
 	j.waitingFor = waitNews
@@ -286,6 +275,9 @@
 	j.waitingFor = waitUpstream
 	now := time.Now()
 	j.writeWait = now.Sub(choice.PlacedAt())
+	if ctx.Err() != nil {
+		return ErrWithdrawn
+	}
 	if j.core.options.Assigner.Withdrawn(choice, now) || !j.exchange.write() {
 		return ErrWithdrawn
 	}
@@ -422,7 +414,7 @@
 // repeated only if the route allows it. Every repeat is charged to the retry budget, except
 // after a send that did not reach its upstream while no earlier one may have run.
 func (j *job) mayRepeat(kind failureKind) bool {
-	if j.sends >= maxSends || time.Until(j.deadline) < minTimeLeft {
+	if j.sends >= maxSends || j.timeLeft() < minTimeLeft {
 		return false
 	}
 	if _, in := j.inQuarantine(); in {
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -60,7 +60,9 @@
 // event is buffered, so that events that have already arrived are sent together.
 func (j *job) forwardEvent(choice *assign.Choice, reply *Reply, event []byte, reader *bufio.Reader) error {
 	if !j.responseBegun {
-		j.responseBegun = true
+		if !j.beginResponse() {
+			return errors.WithStack(context.DeadlineExceeded)
+		}
 		j.sink.Begin(reply.Status, reply.Header)
 	}
 	j.noteStarted(choice)
@@ -99,7 +101,7 @@
 	if ctx.Err() != nil {
 		// This VM closed the connection: the deadline has passed, or the caller has
 		// disconnected.
-		outcome, err = assign.Neutral, ctx.Err()
+		outcome, err = assign.Neutral, context.Cause(ctx)
 	}
 	j.finish(choice, outcome)
 	j.avoidInstance(choice.Instance)
