vm: connecting to the VM that is offered a request counts as part of the offer

What callers saw: a VM that is cut off from its service offers a request to up to three others; one of them that stands still took a second of the caller's time before the next one was asked, where 150 ms are meant. Cause: the time of an offer began once the call had a connection. A connection attempt to a VM that does not answer lasts a second. Evidence: TestConnectingToAVMCountsAsPartOfAnOffer, 1 min (its context) before, 150 ms now. Change: the timer starts before the call. Why it works: the call's context is cancelled by that timer until the request is handed over.

--- a/internal/vm/forward.go
+++ b/internal/vm/forward.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	// maxForwardTargets bounds the VMs to which a request is offered, offerTimeout the wait for the answer of each.
+	// maxForwardTargets bounds the VMs to which a request is offered, offerTimeout the wait for a connection to each and for
+	// its answer.
 	maxForwardTargets = 3
 	offerTimeout      = 150 * time.Millisecond
 	// maxForwarded bounds the requests of other VMs that this one serves at a time, so that a cut of most VMs leaves the
@@ -87,13 +88,18 @@
 func (h *handover) run(ctx context.Context, client peerpb.VMsClient, service string, request *peerpb.ForwardedRequest) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	timer := time.AfterFunc(offerTimeout, cancel)
+	defer timer.Stop()
 	stream, err := client.Forward(ctx)
 	if err != nil {
 		return err
 	}
-	if err := offer(stream, cancel, service); err != nil {
+	if err := offer(stream, service); err != nil {
 		return err
 	}
+	if !timer.Stop() {
+		return errors.WithStack(traffic.ErrNotForwarded)
+	}
 	h.handedOver = true
 	if err := stream.Send(&peerpb.ForwardRequest{Part: &peerpb.ForwardRequest_Request{Request: request}}); err != nil {
 		return err
@@ -111,9 +117,7 @@
 }
 
 // offer offers a request for a service, and returns nil if the other VM takes it.
-func offer(stream grpc.BidiStreamingClient[peerpb.ForwardRequest, peerpb.ForwardResponse], cancel func(), service string) error {
-	timer := time.AfterFunc(offerTimeout, cancel)
-	defer timer.Stop()
+func offer(stream grpc.BidiStreamingClient[peerpb.ForwardRequest, peerpb.ForwardResponse], service string) error {
 	if err := stream.Send(&peerpb.ForwardRequest{Part: &peerpb.ForwardRequest_Offer{Offer: &peerpb.ForwardOffer{Service: service}}}); err != nil {
 		return err
 	}
@@ -121,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	if answer.GetReady() == nil || !timer.Stop() {
+	if answer.GetReady() == nil {
 		return errors.WithStack(traffic.ErrNotForwarded)
 	}
 	return nil
--- a/internal/vm/forward_test.go
+++ b/internal/vm/forward_test.go
@@ -7,10 +7,13 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
 
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/platform/standin"
 )
 
@@ -188,3 +191,23 @@
 	require.Equal(t, http.StatusOK, got.status)
 	require.Equal(t, body, got.body)
 }
+
+// unconnectedClient is that of a VM that accepts connections and does not answer on them, since it stands still.
+type unconnectedClient struct{ peerpb.VMsClient }
+
+func (unconnectedClient) Forward(ctx context.Context, _ ...grpc.CallOption) (grpc.BidiStreamingClient[peerpb.ForwardRequest, peerpb.ForwardResponse], error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// A request is offered to a VM that stands still: the next VM must be offered it while its caller still waits.
+func TestConnectingToAVMCountsAsPartOfAnOffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		began, h := time.Now(), &handover{}
+		require.Error(t, h.run(ctx, unconnectedClient{}, "clerk", nil))
+		require.False(t, h.handedOver)
+		require.Equal(t, offerTimeout, time.Since(began))
+	})
+}
