residency: a move of a model without demand keeps the balance of the plan

Cause: each move dropped the balance, also one of a model whose demand is zero, which is no part of it. Change: the balance is dropped by moves of models in demand only. Plans are the same, since models without demand do not enter it.

--- a/internal/residency/large_test.go
+++ b/internal/residency/large_test.go
@@ -68,3 +68,23 @@
 	require.Greater(t, moves, 50)
 	require.Less(t, cost, float64(engines))
 }
+
+// Guards against plans that balance all engines anew for each model that is missing and whose demand is not known yet.
+func TestMovesOfModelsWithoutDemandDoNotRepeatTheBalance(t *testing.T) {
+	const engines = 1000
+	plan := func(missing int) (moves int) {
+		f := largeFleet(rand.New(rand.NewPCG(1, 1)), engines)
+		for i := range missing {
+			m := fmt.Sprint("m", 223-i)
+			f.Idle[m] = false
+			for _, e := range f.Engines {
+				delete(e.Models, m)
+			}
+		}
+		f.StoreLoadBudget = missing
+		return len(PlanModels(f))
+	}
+	cost := func(missing int) float64 { return testing.AllocsPerRun(1, func() { plan(missing) }) }
+	require.Greater(t, plan(40), plan(0)+30)
+	require.Less(t, cost(40)-cost(0), float64(engines))
+}
--- a/internal/residency/models.go
+++ b/internal/residency/models.go
@@ -86,7 +86,7 @@
 	// copies counts the engines that hold or are loading a model, usableCopies those where
 	// it can be used.
 	copies, usableCopies map[string]int
-	// balance holds the loads of engines, nil after a move.
+	// balance holds the loads of engines, nil after a move of a model in demand.
 	balance *balance
 	// delayed holds the models whose loads wait for unloads that take too long.
 	delayed map[string]bool
@@ -94,7 +94,7 @@
 	reserveMB float64
 	// lastCopyCounts caches countLastCopies; nil after a move.
 	lastCopyCounts map[string]int
-	// byLoad caches leastLoadedFirst; nil after a move.
+	// byLoad caches leastLoadedFirst; nil after a move of a model in demand.
 	byLoad []*Engine
 	moves  []ModelMove
 }
--- a/internal/residency/place.go
+++ b/internal/residency/place.go
@@ -123,5 +123,8 @@
 	e.Models[move.Load] = true
 	e.Busy = true
 	s.copies[move.Load]++
-	s.lastCopyCounts, s.byLoad, s.balance = nil, nil, nil
+	s.lastCopyCounts = nil
+	if s.Demand[move.Load] > 0 || s.Demand[move.Evict] > 0 {
+		s.byLoad, s.balance = nil, nil
+	}
 }
