traffic: ends of silent upstreams count, and callers are told after the other VMs

Cause, from prints on a scratch copy on one core beside busy processes: the wait for the other VMs, 0.1 s, ended before they had answered, so that the caller's next attempt came to a VM that did not know; and an exchange that its own VM had ended for its silence did not count, although its upstream had ended. Change: the upstream of an exchange that was ended for its silence is asked whether it has ended, while the request goes on elsewhere; a repeat by the same VM no longer waits for the others; a failure is told to the caller once they know, after 0.5 s or at its deadline at the latest. Why it works: callers can repeat a request only after they were told.

--- a/internal/traffic/contents.go
+++ b/internal/traffic/contents.go
@@ -13,9 +13,9 @@
 
 // This file keeps a request from being sent any more once several upstreams have ended under it.
 
-// shareTimeout bounds the wait until the other VMs know of an upstream that ended. Without the wait, the caller's next
-// attempt could reach another VM before the news.
-const shareTimeout = 100 * time.Millisecond
+// shareTimeout bounds the wait until the other VMs know of an upstream that ended, before the caller is told that its
+// request failed. Without the wait, its next attempt could reach another VM before the news.
+const shareTimeout = 500 * time.Millisecond
 
 // contentsHash identifies a request by what stays the same when its caller repeats it: the team, the service and what
 // the upstream is sent. The caller's ID is new in each attempt.
@@ -56,25 +56,56 @@
 
 const reasonQuarantined = "request_quarantined"
 
-// recordBreak records that an exchange broke without an answer, and tells the other VMs if its upstream has ended.
+// recordBreak records that an exchange broke without an answer, and begins to tell the other VMs if its upstream has ended.
 func (j *job) recordBreak(ctx context.Context, i *upstream.Instance) {
-	o := &j.core.options
 	if i == nil {
 		return
 	}
 	j.waitingFor = waitBreak
-	if !o.HasEnded(ctx, i) {
-		o.Quarantine.RecordBreak(j.contentsHash(), i.IncarnationID(), time.Now())
+	if !j.core.options.HasEnded(ctx, i) {
+		j.core.options.Quarantine.RecordBreak(j.contentsHash(), i.IncarnationID(), time.Now())
+		return
+	}
+	j.told = append(j.told, j.core.recordEnd(j.request.ID, j.contentsHash(), i))
+}
+
+// recordSilence finds out whether the upstream of an exchange that was ended for its silence has ended. The request is sent
+// elsewhere meanwhile.
+func (j *job) recordSilence(i *upstream.Instance) {
+	if i == nil {
 		return
 	}
-	o.Quarantine.RecordEnd(j.contentsHash(), i.IncarnationID(), time.Now())
-	j.core.logUpstreamEnded(j, i)
+	request, contents, told := j.request.ID, j.contentsHash(), make(chan struct{})
+	j.told = append(j.told, told)
+	go func() {
+		defer close(told)
+		if j.core.options.HasEnded(context.Background(), i) {
+			<-j.core.recordEnd(request, contents, i)
+		}
+	}()
+}
+
+// recordEnd records that an upstream has ended while it had a request. The channel is closed once the other VMs know.
+func (c *Core) recordEnd(request string, contents quarantine.Request, i *upstream.Instance) <-chan struct{} {
+	c.options.Quarantine.RecordEnd(contents, i.IncarnationID(), time.Now())
+	c.logUpstreamEnded(request, contents, i)
+	return c.options.ShareEnds([]quarantine.Request{contents})
+}
+
+// awaitTold returns once the other VMs know of the upstreams that have ended under the request, after shareTimeout at the
+// latest.
+func (j *job) awaitTold(ctx context.Context) {
 	timer := time.NewTimer(shareTimeout)
 	defer timer.Stop()
-	select {
-	case <-o.ShareEnds([]quarantine.Request{j.contentsHash()}):
-	case <-timer.C:
-	case <-ctx.Done():
+	for _, told := range j.told {
+		j.waitingFor = waitBreak
+		select {
+		case <-told:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/traffic/contents_test.go
@@ -0,0 +1,88 @@
+package traffic
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/quarantine"
+	"github.com/chestnutarch/chestnutarch/internal/upstream"
+)
+
+// noticeTime is how long the other VMs take to learn of an upstream that has ended, longer than a repeat of the request.
+const noticeTime = 300 * time.Millisecond
+
+// endingFixture returns a fixture whose upstreams have ended if their exchange fails. Its notices take noticeTime.
+func endingFixture(scripts map[string]script) *fixture {
+	f := newFixture(resumable, scripts)
+	f.core.options.HasEnded = func(context.Context, *upstream.Instance) bool { return true }
+	f.core.options.ShareEnds = func([]quarantine.Request) <-chan struct{} {
+		told := make(chan struct{})
+		time.AfterFunc(noticeTime, func() { close(told) })
+		return told
+	}
+	return f
+}
+
+// ends returns how many upstreams have ended under the request that fixture.serve sends.
+func (f *fixture) ends() int {
+	j := &job{core: f.core, service: "engines", request: &Request{Method: http.MethodPost, Host: "h", Model: "m"}}
+	return f.core.options.Quarantine.Ends(j.contentsHash())
+}
+
+func breaks(context.Context, Attempt, io.Writer) error { return errors.New("the upstream ended") }
+
+func silent(ctx context.Context, _ Attempt, _ io.Writer) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// A caller whose request has ended upstreams repeats it at another VM at once: it must not be told before that VM knows.
+func TestCallerIsToldOfAFailureAfterTheOtherVMsKnowOfTheEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := endingFixture(map[string]script{"a": breaks, "b": breaks})
+		began := time.Now()
+		sink, err := f.serve(t.Context(), "r")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, sink.status)
+		require.Equal(t, noticeTime, time.Since(began))
+		require.Equal(t, 2, f.ends())
+	})
+}
+
+// The repeat of a request by the same VM must not wait until the other VMs know of an upstream that ended.
+func TestRepeatDoesNotWaitForTheOtherVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := endingFixture(map[string]script{"a": breaks})
+		addEngine(f, "b", func(ctx context.Context, a Attempt, out io.Writer) error {
+			if len(f.upstreams.attempts()) == 1 {
+				return breaks(ctx, a, out)
+			}
+			return answerAtOnce(ctx, a, out)
+		})
+		f.upstreams.scripts["a"] = f.upstreams.scripts["b"]
+		began := time.Now()
+		sink, err := f.serve(t.Context(), "r")
+		require.NoError(t, err)
+		require.Equal(t, eventsText(1, 3), sink.text)
+		require.Less(t, time.Since(began), noticeTime)
+	})
+}
+
+// An upstream ends without a sign of it, and its exchange is ended for its silence: that end must count like the others.
+func TestEndOfASilentUpstreamIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := endingFixture(map[string]script{"a": silent, "b": silent})
+		sink, err := f.serve(t.Context(), "r")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusGatewayTimeout, sink.status)
+		require.Len(t, f.upstreams.attempts(), 2)
+		require.Positive(t, f.ends())
+	})
+}
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -75,6 +75,8 @@
 	exchange *exchangeState
 	// contents is the hash that the attempts of a request share, 0 until it is needed.
 	contents quarantine.Request
+	// told are closed once the other VMs know of the upstreams that have ended under the request.
+	told []<-chan struct{}
 	// reserved is a slot that was reserved while an exchange was silent. The retry budget
 	// has been charged for it.
 	reserved *assign.Choice
@@ -185,8 +187,8 @@
 			continue
 		}
 		j.core.logSendFailed(j, choice, failed)
-		if errors.Is(failed.err, ErrUnknown) && ctx.Err() == nil && j.reserved == nil && !j.core.options.Reach.Cut(j.service) {
-			j.recordBreak(ctx, j.core.options.Instance(choice.Instance))
+		if errors.Is(failed.err, ErrUnknown) && ctx.Err() == nil && !j.core.options.Reach.Cut(j.service) {
+			j.recordUnanswered(ctx, choice)
 		}
 		if ctx.Err() != nil || (j.reserved == nil && !j.mayRepeat(failed.kind)) {
 			j.releaseReserved()
@@ -195,6 +197,16 @@
 	}
 }
 
+// recordUnanswered records what the end of an exchange without an answer says about its upstream.
+func (j *job) recordUnanswered(ctx context.Context, choice *assign.Choice) {
+	i := j.core.options.Instance(choice.Instance)
+	if j.reserved != nil {
+		j.recordSilence(i)
+		return
+	}
+	j.recordBreak(ctx, i)
+}
+
 // releaseReserved releases a reserved slot that is not needed, because the exchange ended
 // by itself just as it was about to be cancelled.
 func (j *job) releaseReserved() {
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -66,10 +66,10 @@
 func contentsName(q quarantine.Request) string { return strconv.FormatUint(uint64(q), 16) }
 
 // logUpstreamEnded logs that an upstream has ended while it had a request.
-func (c *Core) logUpstreamEnded(j *job, i *upstream.Instance) {
+func (c *Core) logUpstreamEnded(request string, contents quarantine.Request, i *upstream.Instance) {
 	c.countUpstreamEnded()
-	c.options.Log.Warn().Str("event", "upstream_ended").Str("request", j.request.ID).Str("instance", i.ID).Str("contents", contentsName(j.contentsHash())).
-		Int("ends", c.options.Quarantine.Ends(j.contentsHash())).Send()
+	c.options.Log.Warn().Str("event", "upstream_ended").Str("request", request).Str("instance", i.ID).Str("contents", contentsName(contents)).
+		Int("ends", c.options.Quarantine.Ends(contents)).Send()
 }
 
 // logForwarded logs that another VM has taken a request, and err if its connection broke.
--- a/internal/vm/end_notices.go
+++ b/internal/vm/end_notices.go
@@ -14,7 +14,7 @@
 
 // endNoticeTimeout bounds a call that tells another VM of upstreams that ended. Reports carry what matters of a notice
 // that is lost.
-const endNoticeTimeout = 150 * time.Millisecond
+const endNoticeTimeout = 400 * time.Millisecond
 
 // endNotices tells other VMs at once under which requests upstreams have ended: callers repeat a request within
 // milliseconds. Requests that come up while a notice is on its way go into the next one, so that the end of many
