upstream: the weights that engines have at hand are not kept from their entries

Cause, a part of it: each VM kept, for each of 4,002 upstreams, which weights it has in memory and on disk. Nothing reads them: the leader asks the engines. Change: the two fields are gone.

--- a/internal/upstream/instance.go
+++ b/internal/upstream/instance.go
@@ -44,9 +44,6 @@
 	ReturnedAt time.Time
 	// Models lists the models that an engine holds.
 	Models []LoadedModel
-	// InMemory and OnDisk list the models whose weights an engine can load from its
-	// memory or its disk, without the weight store.
-	InMemory, OnDisk []string
 	// OrdersAccepted is the number of load and unload orders that this incarnation has
 	// accepted.
 	OrdersAccepted int64
