vm: contents of one engine are not replaced by older ones

Cause: read in the diff: the end of a move takes its engine's contents under one lock and stores them under another, so that a plan that publishes in between could be overwritten by the older contents until the next plan. Change: contents with fewer accepted orders are dropped, as VMs that relay them do; a missing comment in traffic.

--- a/internal/traffic/deadline.go
+++ b/internal/traffic/deadline.go
@@ -18,6 +18,7 @@
 	forwardedReserveDivisor = 4
 )
 
+// setDeadlines sets when the request is due, when it is given up, and its deadline.
 func (j *job) setDeadlines() {
 	wait := j.request.Timeout
 	if wait == 0 {
--- a/internal/vm/contents.go
+++ b/internal/vm/contents.go
@@ -56,7 +56,8 @@
 	return changed
 }
 
-// setOne replaces the contents of one engine in the leader's table, and returns them if they have changed.
+// setOne replaces the contents of one engine in the leader's table, unless they are older, and returns them if they have
+// changed.
 func (c *contentsTable) setOne(token int64, e *peerpb.EngineContents) (changed []*peerpb.EngineContents) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -66,7 +67,7 @@
 	}
 	slices.Sort(e.Models)
 	slices.Sort(e.Adapters)
-	if old := c.engines[e.Instance]; old != nil && sameContents(old, e) {
+	if old := c.engines[e.Instance]; old != nil && (old.OrdersAccepted > e.OrdersAccepted || sameContents(old, e)) {
 		return nil
 	}
 	c.record(e)
