quarantine: an answer that is read late does not show that its upstream lives

What callers saw: as in, a request that ends its upstreams goes on to further ones, on VMs that lack processor time. Cause: an end is not counted if the upstream answers afterwards. "Afterwards" was the time at which the answer was read, which a VM without processor time does long after the upstream has ended. Change: what counts is when the request was written that was answered. Why it works: an upstream that has ended takes no request.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -42,8 +42,8 @@
 	records map[Request]*Record
 	// broken holds the exchanges that broke without evidence that their upstream has ended.
 	broken map[brokenExchange]time.Time
-	// alive holds, for each incarnation that is recorded as ended or whose exchange broke, when it last answered this
-	// VM, zero if it has not since.
+	// alive holds, for each incarnation that is recorded as ended or whose exchange broke, when the last request was
+	// written that it has answered to this VM, zero if it has not since.
 	alive map[string]time.Time
 	// suspects are the records with several ends as of suspectsAt.
 	suspects   []Record
@@ -134,12 +134,13 @@
 	return tell
 }
 
-// RecordAlive records that an incarnation has answered this VM: it has not ended before.
-func (t *Table) RecordAlive(incarnation string, now time.Time) {
+// RecordAlive records that an incarnation has answered a request that was written to it at a time: it has not ended
+// before. When the answer is read says nothing, since a VM that lacks processor time reads it late.
+func (t *Table) RecordAlive(incarnation string, written time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, mentioned := t.alive[incarnation]; mentioned {
-		t.alive[incarnation] = now
+	if known, mentioned := t.alive[incarnation]; mentioned && written.After(known) {
+		t.alive[incarnation] = written
 	}
 }
 
@@ -150,13 +151,13 @@
 	t.inUse.Store(true)
 }
 
-// aliveAfter reports whether an incarnation has answered this VM after it was said to have ended at a time. An answer
-// that was on its way then shows nothing.
+// aliveAfter reports whether an incarnation has answered a request of this VM that was written after the time at which it
+// is said to have ended.
 func (t *Table) aliveAfter(incarnation string, at time.Time) bool {
 	return t.alive[incarnation].After(at.Add(aliveMargin))
 }
 
-// aliveMargin covers the way of an answer, and the difference between the times of an end that two VMs tell.
+// aliveMargin covers the way of a request, and the difference between the times of an end that two VMs tell.
 const aliveMargin = 200 * time.Millisecond
 
 // count returns how many upstreams have ended under a request since it was last answered. An incarnation that has
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -106,3 +106,14 @@
 	table.Suspects(at(2*time.Second + Duration))
 	require.False(t, table.InUse())
 }
+
+// A VM without processor time reads the answers of an upstream long after it has ended: its end must count all the same.
+func TestAnswerThatIsReadLateDoesNotShowThatItsUpstreamLives(t *testing.T) {
+	table := NewTable()
+	endUpstreams(table, 1, 3, at(0))
+	table.RecordAlive("upstream-0@1@address", at(-20*time.Millisecond))
+	require.True(t, isQuarantined(table, 1, at(2*time.Second)))
+	table.RecordAlive("upstream-0@1@address", at(time.Second))
+	table.RecordAlive("upstream-0@1@address", at(-10*time.Millisecond))
+	require.False(t, isQuarantined(table, 1, at(2*time.Second)), "it has answered a request that was written later")
+}
--- a/internal/traffic/contents.go
+++ b/internal/traffic/contents.go
@@ -109,10 +109,10 @@
 	}
 }
 
-// recordAlive records that an upstream has answered.
-func (c *Core) recordAlive(i *upstream.Instance) {
+// recordAlive records that an upstream has answered a request that was written at a time.
+func (c *Core) recordAlive(i *upstream.Instance, written time.Time) {
 	if c.options.Quarantine.InUse() {
-		c.options.Quarantine.RecordAlive(i.IncarnationID(), time.Now())
+		c.options.Quarantine.RecordAlive(i.IncarnationID(), written)
 	}
 }
 
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -253,7 +253,7 @@
 	if err != nil {
 		return j.sendFailed(ctx, choice, err)
 	}
-	j.core.recordAlive(instance)
+	j.core.recordAlive(instance, choice.PlacedAt().Add(j.writeWait))
 	j.core.options.Reach.Sign(j.service, time.Now())
 	j.recordRateLimit(choice, reply)
 	j.recordPushback(choice, instance, reply)
