vm: a VM that does not answer the news of an upstream's end is told again

Cause: a notice was sent once. A VM that did not answer it in time lacked that end until a report told it, and reports carry requests with two ends only. Evidence: prints on a scratch copy: a VM had not heard of an end 4 s later. TestVMThatDoesNotAnswerIsToldOfAnEndAgain. Change: up to six calls to each VM, 0.2 s apart. Known and left: a VM that takes itself for cut off does not count ends, and one that answers its caller at the deadline cannot wait for the others.

--- a/internal/vm/end_notices.go
+++ b/internal/vm/end_notices.go
@@ -12,15 +12,22 @@
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
 )
 
-// endNoticeTimeout bounds a call that tells another VM of upstreams that ended. Reports carry what matters of a notice
-// that is lost.
-const endNoticeTimeout = 400 * time.Millisecond
+const (
+	// endNoticeTimeout bounds a call that tells another VM of upstreams that ended.
+	endNoticeTimeout = 400 * time.Millisecond
+	// maxNoticeCalls is how often a VM is told that does not answer, noticeRetryPause the time between two calls. Reports
+	// carry requests with several ends besides.
+	maxNoticeCalls   = 6
+	noticeRetryPause = 200 * time.Millisecond
+)
 
 // endNotices tells other VMs at once under which requests upstreams have ended: callers repeat a request within
 // milliseconds. Requests that come up while a notice is on its way go into the next one, so that the end of many
 // upstreams at once costs few calls.
 type endNotices struct {
 	fleet *fleet
+	// tell is callPartner, except in tests.
+	tell func(address string, requests []quarantine.Request) error
 
 	mu sync.Mutex
 	// next is the notice that has not been sent yet, nil if there is none. sending is set while one is on its way.
@@ -34,6 +41,12 @@
 	done chan struct{}
 }
 
+func newEndNotices(f *fleet) *endNotices {
+	n := &endNotices{fleet: f}
+	n.tell = n.callPartner
+	return n
+}
+
 // share tells the partners what is known of some requests. The channel is closed once they have answered.
 func (n *endNotices) share(requests []quarantine.Request) <-chan struct{} {
 	n.mu.Lock()
@@ -72,17 +85,31 @@
 	for q := range notice.requests {
 		requests = append(requests, q)
 	}
-	message := &peerpb.EndsNotice{Requests: endsToProto(n.fleet.process.quarantine.Get(requests), time.Now())}
 	var wg sync.WaitGroup
 	for _, address := range n.fleet.reportingPartners() {
-		wg.Go(func() { n.call(address, message) })
+		wg.Go(func() {
+			if n.tell(address, requests) != nil {
+				go n.tellAgain(address, requests)
+			}
+		})
 	}
 	wg.Wait()
 }
 
-func (n *endNotices) call(address string, message *peerpb.EndsNotice) {
+// tellAgain repeats the call to a VM that did not answer: one that lacked processor time is up again soon.
+func (n *endNotices) tellAgain(address string, requests []quarantine.Request) {
+	for range maxNoticeCalls - 1 {
+		time.Sleep(noticeRetryPause)
+		if n.tell(address, requests) == nil {
+			return
+		}
+	}
+}
+
+// callPartner tells another VM what is known of some requests.
+func (n *endNotices) callPartner(address string, requests []quarantine.Request) error {
+	message := &peerpb.EndsNotice{Requests: endsToProto(n.fleet.process.quarantine.Get(requests), time.Now())}
 	var answer *peerpb.EndsNotice
-	// A failed call needs no handling: reports carry the requests with several ends.
 	err := n.fleet.process.pool.Call(context.Background(), address, endNoticeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
 		answer, err = peerpb.NewVMsClient(conn).ShareEnds(ctx, message)
 		return err
@@ -90,6 +117,7 @@
 	if err == nil {
 		n.merge(answer.Requests)
 	}
+	return err
 }
 
 // merge adds what another VM tells, and returns what it lacks. A hub passes news on to its other partners.
--- a/internal/vm/ended_upstreams_test.go
+++ b/internal/vm/ended_upstreams_test.go
@@ -6,10 +6,12 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chestnutarch/chestnutarch/internal/peer"
 	"github.com/chestnutarch/chestnutarch/internal/quarantine"
 	"github.com/chestnutarch/chestnutarch/platform/standin"
 )
@@ -154,3 +156,20 @@
 	}
 	require.Equal(t, dials, v.replicas.Pool.Dials())
 }
+
+// A VM without processor time does not answer the news of an upstream's end in time: it must be told again.
+func TestVMThatDoesNotAnswerIsToldOfAnEndAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for failing, want := range map[int]int{2: 3, 100: maxNoticeCalls - 1} {
+			calls := 0
+			n := &endNotices{tell: func(string, []quarantine.Request) error {
+				if calls++; calls <= failing {
+					return peer.ErrUnreachable
+				}
+				return nil
+			}}
+			n.tellAgain("b", []quarantine.Request{7})
+			require.Equal(t, want, calls)
+		}
+	})
+}
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -133,7 +133,7 @@
 	own := aggregate.Source{VM: p.settings.VM, Incarnation: now.UnixNano()}
 	f := &fleet{process: p, incarnation: own.Incarnation, aggregator: newAggregator(own, now), members: make(map[string]*member), rosters: make(map[string]map[string]bool), exchangeSignal: make(chan struct{}, 1)}
 	f.notifier = newDispatchNotifier(f)
-	f.ends = &endNotices{fleet: f}
+	f.ends = newEndNotices(f)
 	p.assigner.OnPlace(f.notifier.notify)
 	peerpb.RegisterVMsServer(p.peerServer.Registrar(), &vmServer{process: p})
 	return f
