platform, traffic, vm: logs tell versions of upstreams and resumptions by callers

Change: upstream.Instance.SoftwareVersion, Request.ResumeAfter and Resumes; `instance` and `request_sent` have `version`, `request_sent` has `resumes`, and `resume_after` also for resumptions by callers. No decision uses them yet. Tests of platform, assign, traffic pass.

--- a/internal/assign/types.go
+++ b/internal/assign/types.go
@@ -104,6 +104,8 @@
 type Choice struct {
 	// Instance is the ID of the upstream.
 	Instance string
+	// Version is the version of the upstream's software.
+	Version string
 	// Uncached is how many prompt tokens the engine is expected to prefill.
 	Uncached int
 	// Expected is the expected time from the choice to the first event.
--- a/internal/assign/work.go
+++ b/internal/assign/work.go
@@ -154,7 +154,7 @@
 
 // place reserves a place at the instance and adds the request to its work.
 func (s *Assigner) place(n *node, req Request, uncached int, expected time.Duration, now time.Time) *Choice {
-	c := &Choice{Instance: n.instance.ID, Uncached: uncached, Expected: expected, KnownLoad: s.knownLoad(n, req, now), node: n, request: req, placedAt: now}
+	c := &Choice{Instance: n.instance.ID, Version: n.instance.SoftwareVersion, Uncached: uncached, Expected: expected, KnownLoad: s.knownLoad(n, req, now), node: n, request: req, placedAt: now}
 	c.kvTokens = uncached + req.OutputTokens/2
 	c.Key, c.RateLimited = n.key(), s.rateLimited(n)
 	if c.RateLimited {
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -44,7 +44,7 @@
 		Int("prefill_ahead", choice.KnownLoad.PrefillTokens).Dur("report_age_ms", choice.KnownLoad.ReportAge).Dur("expected_ms", choice.Expected).Bool("late", choice.Late).
 		Bool("rate_limited", choice.RateLimited).
 		Dur("held_ms", time.Since(j.request.Arrived)).Dur("placed_ms", time.Since(choice.PlacedAt())).Dur("left_ms", time.Until(j.deadline)).
-		Str("resume_after", j.lastEventID).Dur("upstreams_age_ms", c.options.UpstreamsAge()).
+		Str("version", choice.Version).Str("resume_after", j.resumeAfter()).Str("resumes", j.request.Resumes).Dur("upstreams_age_ms", c.options.UpstreamsAge()).
 		Int64("upstreams_revision", c.options.UpstreamsRevision()).Int64("configuration", j.catalog.Version).Send()
 }
 
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -43,6 +43,9 @@
 	TokensDeclared             bool
 	// Parts holds the parts of the prompt in order.
 	Parts []PromptPart
+	// ResumeAfter is the ID of the last event that the caller has received of a stream that it resumes, empty for a new
+	// request. Resumes is the ID of the attempt that brought the stream's first event, empty if the caller names none.
+	ResumeAfter, Resumes string
 	// LengthHint is the caller's estimate of the number of generated tokens, 0 if none.
 	LengthHint int
 }
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -75,6 +75,14 @@
 	return j.sink.Flush()
 }
 
+// resumeAfter returns the ID of the last event that the caller has received, empty for a new stream.
+func (j *job) resumeAfter() string {
+	if j.lastEventID != "" {
+		return j.lastEventID
+	}
+	return j.request.ResumeAfter
+}
+
 func bufferedBytes(reader *bufio.Reader) []byte {
 	buffered, err := reader.Peek(reader.Buffered())
 	if err != nil {
--- a/internal/upstream/instance.go
+++ b/internal/upstream/instance.go
@@ -25,6 +25,9 @@
 	FailureDomain string
 	// Region is the region of the failure domain.
 	Region string
+	// SoftwareVersion is the version of the software that the incarnation runs, empty if it publishes none. Streams of
+	// different versions do not fit together.
+	SoftwareVersion string
 	// Slots is the number of requests that the instance runs at once.
 	Slots int
 	// Draining instances accept no new requests.
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -203,7 +203,7 @@
 	}
 	if old == nil || !old.SameIncarnation(i) || old.Draining != i.Draining {
 		p.log.Info().Str("event", "instance").Str("instance", i.ID).Str("service", i.Service).
-			Str("address", i.Address).Bool("draining", i.Draining).Int64("born", i.Incarnation).Send()
+			Str("address", i.Address).Bool("draining", i.Draining).Int64("born", i.Incarnation).Str("version", i.SoftwareVersion).Send()
 	}
 }
 
