vm: a failing test of streams of two software versions

Change: TestStreamHoldsEventsOfOneSoftwareVersion: three VMs, six engines of three versions, 8 of 100 events break their stream, callers resume at a random VM up to four times. Stand-in engines break streams at random, name their version in events and restart at another one. The share of resumptions that go on is checked beside it.

--- a/internal/vm/cluster_test.go
+++ b/internal/vm/cluster_test.go
@@ -83,7 +83,7 @@
 	}
 	c.store.Put("servers/"+id, map[string]any{
 		"service": service, "address": c.servers[id].Listener.Addr().String(), "zone": domain, "slots": 8, "state": state,
-		"sequence": 0, "born": 1, "models": held,
+		"sequence": 0, "born": c.replicas[id].Incarnation(), "version": c.replicas[id].SoftwareVersion(), "models": held,
 	})
 }
 
--- /dev/null
+++ b/internal/vm/resumption_test.go
@@ -0,0 +1,176 @@
+package vm
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"regexp"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/platform/standin"
+)
+
+// versionedEngines returns engines with model m0, two of each version, whose streams break in 8 of 100 events.
+func versionedEngines(versions ...string) []*standin.Replica {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(1, 2))
+	cut := func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.IntN(100) < 8
+	}
+	var out []*standin.Replica
+	for i := range 2 * len(versions) {
+		r := standin.NewReplica(fmt.Sprintf("engine-%d", i+1), 2, "m0")
+		r.Version, r.NameVersion, r.CutEvent = versions[i/2], true, cut
+		r.Events, r.ServiceTime = 12, 2*time.Millisecond
+		out = append(out, r)
+	}
+	return out
+}
+
+// resumedStream is a stream as a caller has it after all its attempts.
+type resumedStream struct {
+	versions map[string]bool
+	events   int
+	// resumed counts the attempts that resumed the stream, continued those of them that brought events.
+	resumed, continued int
+	// wrongOrder is set if an event was missing or came twice.
+	wrongOrder bool
+}
+
+var eventPattern = regexp.MustCompile(`id: (\d+)\ndata: word\d+ at (\S+)\n\n`)
+
+func (s *resumedStream) add(body string) int {
+	found := eventPattern.FindAllStringSubmatch(body, -1)
+	for _, event := range found {
+		id, _ := strconv.Atoi(event[1])
+		s.wrongOrder = s.wrongOrder || id != s.events+1
+		s.events = id
+		s.versions[event[2]] = true
+	}
+	return len(found)
+}
+
+// maxCallerAttempts is how often a caller of these tests tries to get a stream.
+const maxCallerAttempts = 5
+
+// streamWithResumption gets a stream as callers do: when its answer breaks off, it is resumed at another VM.
+func (c *cluster) streamWithResumption(pick func() *testVM) resumedStream {
+	s, first := resumedStream{versions: make(map[string]bool)}, ""
+	for range maxCallerAttempts {
+		id := fmt.Sprintf("attempt-%d", c.ids.Add(1))
+		header := map[string]string{"X-Chestnutarch-Attempt-Id": id}
+		if s.events > 0 {
+			s.resumed++
+			header["Last-Event-Id"], header["Resumes"] = strconv.Itoa(s.events), first
+		}
+		got := c.send(pick(), call{method: "POST", path: "/draft/", model: "m0", header: header})
+		n := s.add(got.body)
+		switch {
+		case n > 0 && first == "":
+			first = id
+		case n > 0:
+			s.continued++
+		}
+		if got.err == nil && got.status == http.StatusOK {
+			return s
+		}
+	}
+	return s
+}
+
+// Streams that break go on at an upstream of another software version: within an answer, at another VM, after the VM that
+// began them has stopped, while a version leaves, and after an engine has started again at another version.
+func TestStreamHoldsEventsOfOneSoftwareVersion(t *testing.T) {
+	for name, disturb := range map[string]func(c *cluster){
+		"breaks":                   nil,
+		"VM stops":                 func(c *cluster) { c.vms[2].stop() },
+		"version leaves":           func(c *cluster) { c.setReplicaState("engine-3", "draining"); c.setReplicaState("engine-4", "draining") },
+		"engine restarts upgraded": func(c *cluster) { c.restartAs("engine-1", "v2") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, versionedEngines("v1", "v2", "v3")...)
+			for _, vm := range []string{"a", "b", "c"} {
+				c.start(vm)
+			}
+			c.eventually(func() bool {
+				return c.vms[0].fleet.size() == 3 && c.vms[1].fleet.size() == 3 && c.vms[2].fleet.size() == 3
+			})
+			streams := c.runStreams(100, disturb)
+			requireOneVersionEach(t, streams)
+			requireResumed(t, streams)
+		})
+	}
+}
+
+// restartAs restarts an engine under its ID with another version of its software.
+func (c *cluster) restartAs(id, version string) {
+	c.replicas[id].RestartAs(version, 2, "m0")
+	c.setReplicaState(id, "ready")
+}
+
+// runStreams has callers get n streams, ten at a time. disturb, unless nil, is called after half of them.
+func (c *cluster) runStreams(n int, disturb func(*cluster)) []resumedStream {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(3, 4))
+	running := len(c.vms)
+	pick := func() *testVM {
+		mu.Lock()
+		defer mu.Unlock()
+		return c.vms[random.IntN(running)]
+	}
+	var wg sync.WaitGroup
+	var out []resumedStream
+	slots := make(chan struct{}, 10)
+	for i := range n {
+		if i == n/2 && disturb != nil {
+			mu.Lock()
+			running = 2
+			mu.Unlock()
+			disturb(c)
+		}
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			s := c.streamWithResumption(pick)
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, s)
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+func requireOneVersionEach(t *testing.T, streams []resumedStream) {
+	t.Helper()
+	mixed := 0
+	for _, s := range streams {
+		require.False(t, s.wrongOrder)
+		if len(s.versions) > 1 {
+			mixed++
+		}
+	}
+	require.Zero(t, mixed, "streams of several versions, of %d", len(streams))
+}
+
+// requireResumed requires that streams that callers resume go on at least half as often as new streams begin.
+func requireResumed(t *testing.T, streams []resumedStream) {
+	t.Helper()
+	begun, resumed, continued := 0, 0, 0
+	for _, s := range streams {
+		if s.events > 0 {
+			begun++
+		}
+		resumed += s.resumed
+		continued += s.continued
+	}
+	t.Logf("%d of %d streams begun, %d of %d resumptions went on", begun, len(streams), continued, resumed)
+	require.GreaterOrEqual(t, 2*continued*len(streams), resumed*begun)
+}
