traffic, assign: a broken stream goes on only at the version that began it

The choice of an upstream knew models, regions and load, and no versions. Class: state that binds a request to a group of upstreams ends with the exchange that created it. Change: the first event binds the request to its upstream's version. Later choices, slots reserved during a silence, engines asked for an adapter, and VMs to which the request is handed over keep to it; a VM of an earlier build is not given a stream that has begun. If nobody serves the version, the stream ends at once. Conclusion: the version is that of the incarnation that brought the first event, so an engine that restarts under its ID does not inherit its streams.

--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -70,6 +70,9 @@
 	if refused := s.refuseUntilAccepted(req, now); refused != nil {
 		return refused
 	}
+	if req.Version != "" {
+		return &Refused{Cause: ErrVersionNotServed}
+	}
 	return &Refused{Cause: ErrNoUpstream, RetryAfter: retryAfter(now, req, max(s.warmIn(req, now), 300*time.Millisecond))}
 }
 
@@ -149,6 +152,10 @@
 			return refused
 		}
 	}
+	if req.Version != "" && (cause == ErrNoUpstream || cause == ErrNotLoaded) && s.warmIn(req, now) == 0 {
+		// Models are placed without regard to versions, so that waiting for a load is a guess.
+		return &Refused{Cause: ErrVersionNotServed}
+	}
 	wait := loadTimeFor(cause)
 	if warm := s.warmIn(req, now); warm > 0 && cause != ErrAdapterNotLoaded {
 		cause, wait = ErrCold, warm
@@ -274,9 +281,14 @@
 func (req *Request) admits(n *node) bool { return req.allows(n) && !req.Avoid[n.instance.ID] }
 
 // allows reports whether an instance belongs to the request's service and to a region in which the
-// request may run.
+// request may run, and has the version that the request is bound to.
 func (req *Request) allows(n *node) bool {
-	return n.instance.Service == req.Service && (req.RegionAllowed == nil || req.RegionAllowed(n.instance.Region))
+	return n.instance.Service == req.Service && req.allowsVersion(n) && (req.RegionAllowed == nil || req.RegionAllowed(n.instance.Region))
+}
+
+// allowsVersion reports whether an instance has the software version that the request is bound to, if it is.
+func (req *Request) allowsVersion(n *node) bool {
+	return req.Version == "" || n.instance.SoftwareVersion == req.Version
 }
 
 // full reports whether an engine with the load l has no free batch slot or not enough KV
--- a/internal/assign/retryafter.go
+++ b/internal/assign/retryafter.go
@@ -25,9 +25,9 @@
 	return len(s.retryAt)
 }
 
-// RetryLaterHolders returns the instances that hold the item of a request, and want no requests from this
-// VM at present.
-func (s *Assigner) RetryLaterHolders(req Request, now time.Time) []string {
+// UnsuitableHolders returns the instances that cannot take a request although they hold its item, because they want no
+// requests from this VM at present, or its model, because they have another version than the request is bound to.
+func (s *Assigner) UnsuitableHolders(req Request, now time.Time) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireRetryAt(now)
@@ -37,6 +37,11 @@
 			out = append(out, k.Instance)
 		}
 	}
+	for id, n := range s.nodes {
+		if n.instance.Service == req.Service && !req.allowsVersion(n) && n.holds(req.Model) {
+			out = append(out, id)
+		}
+	}
 	return out
 }
 
--- a/internal/assign/types.go
+++ b/internal/assign/types.go
@@ -25,6 +25,8 @@
 	// ErrRetryLater means that all instances which could serve the request have asked this VM for no
 	// requests for a time.
 	ErrRetryLater = errors.New("assign: every upstream that could serve the request has asked for no requests for a time")
+	// ErrVersionNotServed means that no instance of the version that began a stream can go on with it.
+	ErrVersionNotServed = errors.New("assign: no upstream of the version that began the stream can go on with it")
 	// ErrPrefillPaced means that streams of the engines would stall for too long if the engines
 	// prefilled the prompt now.
 	ErrPrefillPaced = errors.New("assign: prefilling the prompt now would stall the streams of every engine with a free place")
@@ -83,6 +85,9 @@
 	// RegionAllowed reports whether upstreams of a region may run the request. Nil means that all
 	// regions may.
 	RegionAllowed func(region string) bool
+	// Version, unless empty, is the software version that began the stream which the request resumes: only instances of
+	// this version may go on with it.
+	Version string
 	// Avoid names instances that failed this request.
 	Avoid map[string]bool
 	// WithoutPermit excludes the upstreams that name a rate limit.
--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -14,10 +14,12 @@
 // free, asks the leader to load a missing adapter, and returns an *assign.Refused, or ctx's
 // error, once the request cannot get a slot.
 func (j *job) acquire(ctx context.Context) (*assign.Choice, error) {
-	if reserved := j.reserved; reserved != nil {
-		j.reserved = nil
+	if reserved := j.takeReserved(); reserved != nil {
 		return reserved, nil
 	}
+	if j.lastEventID != "" && j.version == "" {
+		return nil, errors.WithStack(ErrVersionUnknown)
+	}
 	req, began := j.assignRequest(), time.Now()
 	adapterRequests := 0
 	for {
@@ -43,6 +45,18 @@
 	}
 }
 
+// takeReserved returns the slot that was reserved while an exchange was silent, nil if there is none or the stream has
+// begun at another version meanwhile.
+func (j *job) takeReserved() *assign.Choice {
+	reserved := j.reserved
+	j.reserved = nil
+	if reserved != nil && j.version != "" && reserved.Version != j.version {
+		j.finish(reserved, assign.Neutral)
+		return nil
+	}
+	return reserved
+}
+
 // mayHold reports whether a request that has been waiting for a slot since began may be held
 // further after the refusal err.
 func (j *job) mayHold(req assign.Request, began time.Time, err error) bool {
@@ -87,6 +101,7 @@
 		Service: j.service, Model: j.request.Model, Adapter: j.request.Adapter, Prefixes: j.prefixes,
 		PromptTokens: j.request.PromptTokens, OutputTokens: j.request.expectedOutput(),
 		StartBy: j.due, Deadline: j.deadline, MaxGap: j.route.GapObjective, Urgency: j.urgency, Avoid: j.avoid,
+		Version:       j.version,
 		RegionAllowed: j.regionAllowed,
 	}
 }
@@ -101,7 +116,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ensureTimeout)
 	defer cancel()
 	instance, err := j.core.options.EnsureAdapter(ctx, AdapterRequest{
-		Service: req.Service, Model: req.Model, Adapter: req.Adapter, Avoid: j.core.options.Assigner.RetryLaterHolders(req, time.Now()),
+		Service: req.Service, Model: req.Model, Adapter: req.Adapter, Avoid: j.core.options.Assigner.UnsuitableHolders(req, time.Now()),
 	})
 	if err != nil || instance == "" {
 		return false
--- a/internal/traffic/fakes_test.go
+++ b/internal/traffic/fakes_test.go
@@ -164,7 +164,7 @@
 // addEngine adds an engine that runs a script.
 func addEngine(f *fixture, id string, run script) {
 	f.upstreams.scripts[id] = run
-	f.instances[id] = &upstream.Instance{ID: id, Service: "engines", Slots: 8, Models: []upstream.LoadedModel{{Model: "m"}}}
+	f.instances[id] = &upstream.Instance{ID: id, Service: "engines", Slots: 8, SoftwareVersion: "v1", Models: []upstream.LoadedModel{{Model: "m"}}}
 	var all []upstream.Instance
 	for _, i := range f.instances {
 		all = append(all, *i)
--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -28,6 +28,8 @@
 	// beginning of a response.
 	LastEventID   string
 	ResponseBegun bool
+	// Version is the version of the upstream software that began the stream, empty before the first event.
+	Version string
 }
 
 // ForwardEnd says how a forwarded request ended.
@@ -78,7 +80,7 @@
 	request.Timeout = time.Until(j.deadline)
 	return Forwarded{
 		Request: &request, DueIn: time.Until(j.due), Team: j.team, Sends: j.sends, PossibleRuns: j.possibleRuns,
-		LastEventID: j.lastEventID, ResponseBegun: j.responseBegun,
+		LastEventID: j.lastEventID, ResponseBegun: j.responseBegun, Version: j.version,
 	}
 }
 
@@ -204,6 +206,7 @@
 	j := c.newJob(config, route, f.Request, f.Team)
 	j.fromVM = true
 	j.sends, j.possibleRuns, j.lastEventID, j.responseBegun = f.Sends, f.PossibleRuns, f.LastEventID, f.ResponseBegun
+	j.version = f.Version
 	j.setDeadlines()
 	j.due = f.Request.Arrived.Add(max(f.DueIn, time.Millisecond))
 	return j, nil
--- a/internal/traffic/handover.go
+++ b/internal/traffic/handover.go
@@ -97,6 +97,16 @@
 	h.lastEvent = now
 }
 
+// bind restricts reservations to the version that has begun the stream.
+func (h *handover) bind(version string) {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.request.Version = version
+}
+
 // onTimer runs when the exchange may have been silent for silenceTimeout. It cancels the
 // exchange if a slot elsewhere can be reserved, and otherwise rearms the timer.
 func (h *handover) onTimer() {
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -64,6 +64,8 @@
 	// response was begun.
 	lastEventID   string
 	responseBegun bool
+	// version is the version of the upstream software that began the stream, empty before the first event.
+	version string
 	// fromVM means that another VM has admitted the request and handed it over.
 	fromVM bool
 	// unreached means that several upstreams could not be connected to for this request, or all that are left, which one
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -110,6 +110,8 @@
 	ErrNotSent = errors.New("traffic: the request was not sent")
 	// ErrWithdrawn means that the request was not sent because its upstream takes no requests any more.
 	ErrWithdrawn = errors.New("traffic: the upstream takes no requests any more")
+	// ErrVersionUnknown means that it is not known which software version began a stream that is to be resumed.
+	ErrVersionUnknown = errors.New("traffic: the version that began the stream is not known")
 	// ErrQuarantined means that the request was not sent because upstreams have ended under it.
 	ErrQuarantined = errors.New("traffic: upstreams have ended under the request")
 	// ErrUnknown means that the request was sent and may or may not have run.
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -37,6 +37,10 @@
 			reply.Close(false)
 			return j.streamBroke(ctx, choice, err)
 		}
+		if j.lastEventID == "" && j.version == "" {
+			j.version = choice.Version
+			silence.bind(j.version)
+		}
 		if id := eventID(event); id != "" {
 			j.lastEventID = id
 		}
--- a/internal/traffic/unanswered.go
+++ b/internal/traffic/unanswered.go
@@ -61,6 +61,10 @@
 	if errors.As(err, &refused) {
 		out.RetryAfter, j.expected = refused.RetryAfter, refused.EarliestStart
 	}
+	if errors.Is(err, ErrVersionUnknown) {
+		// Nobody will know it later either.
+		out.RetryAfter = 0
+	}
 	if left, in := j.inQuarantine(); in {
 		out.Reason, out.RetryAfter = reasonQuarantined, left
 	}
@@ -73,6 +77,10 @@
 
 func reasonOf(err error) string {
 	switch {
+	case errors.Is(err, ErrVersionUnknown):
+		return "version_unknown"
+	case errors.Is(err, assign.ErrVersionNotServed):
+		return "version_not_served"
 	case errors.Is(err, assign.ErrNotLoaded):
 		return "model_not_loaded"
 	case errors.Is(err, assign.ErrCold):
--- /dev/null
+++ b/internal/traffic/version_test.go
@@ -0,0 +1,84 @@
+package traffic
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/assign"
+	"github.com/chestnutarch/chestnutarch/internal/upstream"
+)
+
+// setVersion gives an engine another software version.
+func (f *fixture) setVersion(id, version string) {
+	i := *f.instances[id]
+	i.SoftwareVersion = version
+	f.instances[id] = &i
+	f.assigner.UpdateInstances([]*upstream.Instance{&i}, nil)
+}
+
+var errBroken = errors.New("broken")
+
+// breakAfter returns a script that breaks after n events.
+func breakAfter(n int) script {
+	return func(ctx context.Context, _ Attempt, out io.Writer) error {
+		_ = events(ctx, out, 1, n, time.Millisecond)
+		return errBroken
+	}
+}
+
+// Only the upstream of another version is free when a stream breaks.
+func TestBrokenStreamDoesNotGoOnAtAnotherVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(resumable, map[string]script{"old": breakAfter(2)})
+		f.core.options.HasEnded = func(context.Context, *upstream.Instance) bool {
+			addEngine(f, "new", answerAtOnce)
+			f.setVersion("new", "v2")
+			return true
+		}
+		sink, err := f.serve(t.Context(), "a")
+		require.ErrorIs(t, err, ErrTruncated)
+		require.Equal(t, http.StatusOK, sink.status)
+		f.requireOnlySentTo(t, "old")
+		require.ErrorContains(t, err, assign.ErrVersionNotServed.Error())
+	})
+}
+
+// An upstream of the same version is busier than one of another version.
+func TestBrokenStreamGoesOnAtItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(resumable, map[string]script{"first": breakAfter(2)})
+		f.core.options.HasEnded = func(context.Context, *upstream.Instance) bool {
+			addEngine(f, "same", answerAtOnce)
+			addEngine(f, "other", answerAtOnce)
+			f.setVersion("other", "v2")
+			return true
+		}
+		for range 5 {
+			_, err := f.serve(t.Context(), "a")
+			require.NoError(t, err)
+		}
+		for _, a := range f.upstreams.attempts() {
+			require.True(t, a.ResumeAfter == "" || a.Instance.ID == "same", a.Instance.ID)
+		}
+	})
+}
+
+// A slot elsewhere is reserved while an upstream is silent, and its first event arrives just then.
+func TestReservedSlotOfAnotherVersionIsNotUsed(t *testing.T) {
+	f := newFixture(resumable, map[string]script{"first": answerAtOnce, "other": answerAtOnce})
+	f.setVersion("other", "v2")
+	j := f.core.newJob(f.core.Catalog(), f.core.Catalog().Routes()[0], &Request{Model: "m"}, "")
+	choice, err := f.assigner.Choose(assign.Request{Service: "engines", Model: "m", Avoid: map[string]bool{"first": true}, Deadline: time.Now().Add(time.Minute), StartBy: time.Now().Add(time.Minute)}, time.Now())
+	require.NoError(t, err)
+	j.version, j.lastEventID, j.reserved = "v1", "1", choice
+	require.Nil(t, j.takeReserved())
+	j.version, j.reserved = "v2", choice
+	require.Equal(t, choice, j.takeReserved())
+}
--- a/internal/vm/forward.go
+++ b/internal/vm/forward.go
@@ -34,7 +34,7 @@
 		return traffic.ForwardEnd{}, errors.WithStack(traffic.ErrNotForwarded)
 	}
 	for _, address := range f.forwardTargets(service) {
-		h := &handover{sink: sink}
+		h := &handover{sink: sink, resumes: request.Version != ""}
 		err := f.process.pool.Stream(ctx, address, func(ctx context.Context, conn grpc.ClientConnInterface) error {
 			return h.run(ctx, peerpb.NewVMsClient(conn), service, forwardedToProto(f.process.settings.VM, request))
 		})
@@ -78,6 +78,8 @@
 // handover is one request on its way to another VM.
 type handover struct {
 	sink traffic.Sink
+	// resumes means that the request goes on with a stream, which has to stay at its version.
+	resumes bool
 	// handedOver is set once the request may have reached the other VM, end once that VM has ended it.
 	handedOver bool
 	end        *peerpb.ForwardEnd
@@ -94,9 +96,13 @@
 	if err != nil {
 		return err
 	}
-	if err := offer(stream, service); err != nil {
+	ready, err := offer(stream, service)
+	if err != nil {
 		return err
 	}
+	if h.resumes && !ready.KeepsVersion {
+		return errors.WithStack(traffic.ErrNotForwarded)
+	}
 	if !timer.Stop() {
 		return errors.WithStack(traffic.ErrNotForwarded)
 	}
@@ -116,19 +122,19 @@
 	return nil
 }
 
-// offer offers a request for a service, and returns nil if the other VM takes it.
-func offer(stream grpc.BidiStreamingClient[peerpb.ForwardRequest, peerpb.ForwardResponse], service string) error {
+// offer offers a request for a service, and returns the other VM's answer if that takes it.
+func offer(stream grpc.BidiStreamingClient[peerpb.ForwardRequest, peerpb.ForwardResponse], service string) (*peerpb.ForwardReady, error) {
 	if err := stream.Send(&peerpb.ForwardRequest{Part: &peerpb.ForwardRequest_Offer{Offer: &peerpb.ForwardOffer{Service: service}}}); err != nil {
-		return err
+		return nil, err
 	}
 	answer, err := stream.Recv()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if answer.GetReady() == nil {
-		return errors.WithStack(traffic.ErrNotForwarded)
+		return nil, errors.WithStack(traffic.ErrNotForwarded)
 	}
-	return nil
+	return answer.GetReady(), nil
 }
 
 // receive passes a part of the response on to the caller.
@@ -174,7 +180,7 @@
 	if p.forwarded.Add(1) > maxForwarded || !p.takesForwarded(in.GetOffer().GetService()) {
 		return status.Error(codes.Unavailable, "this VM does not take the request")
 	}
-	if err := stream.Send(&peerpb.ForwardResponse{Part: &peerpb.ForwardResponse_Ready{Ready: &peerpb.ForwardReady{}}}); err != nil {
+	if err := stream.Send(&peerpb.ForwardResponse{Part: &peerpb.ForwardResponse_Ready{Ready: &peerpb.ForwardReady{KeepsVersion: true}}}); err != nil {
 		return err
 	}
 	in, err = stream.Recv()
--- a/internal/vm/forward_message.go
+++ b/internal/vm/forward_message.go
@@ -68,6 +68,7 @@
 		Team: f.Team, Model: q.Model, Adapter: q.Adapter, PromptTokens: int64(q.PromptTokens), OutputTokens: int64(q.OutputTokens),
 		TokensDeclared: q.TokensDeclared, LengthHint: int64(q.LengthHint), LeftMs: q.Timeout.Milliseconds(), DueMs: f.DueIn.Milliseconds(),
 		Sends: int32(f.Sends), PossibleRuns: int32(f.PossibleRuns), LastEventId: f.LastEventID, ResponseBegun: f.ResponseBegun,
+		StreamVersion: f.Version, ResumeAfter: q.ResumeAfter, Resumes: q.Resumes,
 	}
 	for _, part := range q.Parts {
 		out.Parts = append(out.Parts, &peerpb.PromptPart{Id: part.ID, Tokens: int64(part.Tokens)})
@@ -81,14 +82,14 @@
 		ID: in.Id, Host: in.Host, Path: in.Path, Target: in.Target, Method: in.Method, Header: headerFromProto(in.Header), Body: in.Body,
 		Arrived: now, Timeout: max(time.Duration(in.LeftMs)*time.Millisecond, time.Millisecond),
 		Model: in.Model, Adapter: in.Adapter, PromptTokens: int(in.PromptTokens), OutputTokens: int(in.OutputTokens),
-		TokensDeclared: in.TokensDeclared, LengthHint: int(in.LengthHint),
+		TokensDeclared: in.TokensDeclared, LengthHint: int(in.LengthHint), ResumeAfter: in.ResumeAfter, Resumes: in.Resumes,
 	}
 	for _, part := range in.Parts {
 		q.Parts = append(q.Parts, traffic.PromptPart{ID: part.GetId(), Tokens: int(part.GetTokens())})
 	}
 	return traffic.Forwarded{
 		Request: q, DueIn: time.Duration(in.DueMs) * time.Millisecond, Team: in.Team, Sends: int(in.Sends), PossibleRuns: int(in.PossibleRuns),
-		LastEventID: in.LastEventId, ResponseBegun: in.ResponseBegun,
+		LastEventID: in.LastEventId, ResponseBegun: in.ResponseBegun, Version: in.StreamVersion,
 	}
 }
 
