traffic: a request returns to an upstream whose connection broke and that lives

What callers saw: requests that may be repeated ended with 502 a few milliseconds after one send, with ten seconds left: "no upstream can take the request". Cause: an upstream whose connection broke is avoided by the request for good, also if it was found not to have ended and nobody else holds the model. The fewer upstreams may go on with a stream, the more often this happens. Change: where no other upstream can take the request, those that broke and have not ended may be tried again, within its attempts and the retry budget. Conclusion: a stream whose only upstream was reset goes on (TestBrokenStreamReturnsToItsOnlyUpstream, which fails without the change).

--- a/internal/traffic/contents.go
+++ b/internal/traffic/contents.go
@@ -61,6 +61,10 @@
 	j.waitingFor = waitBreak
 	if !j.core.options.HasEnded(ctx, i) {
 		j.core.options.Quarantine.RecordBreak(j.contentsHash(), i.IncarnationID(), time.Now())
+		if j.brokeAlive == nil {
+			j.brokeAlive = make(map[string]bool)
+		}
+		j.brokeAlive[i.ID] = true
 		return
 	}
 	j.told = append(j.told, j.core.recordEnd(j.request.ID, j.contentsHash(), i))
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -59,6 +59,8 @@
 	// have run it.
 	sends, possibleRuns int
 	avoid               map[string]bool
+	// brokeAlive names the avoided upstreams whose connection broke although they have not ended.
+	brokeAlive map[string]bool
 	prefixes            []assign.Prefix
 	// lastEventID is the ID of the last event forwarded; responseBegun means that a
 	// response was begun.
@@ -186,6 +188,9 @@
 			j.unreached = true
 			continue
 		}
+		if err != nil && ctx.Err() == nil && j.readmitBroken(err) {
+			continue
+		}
 		if err != nil {
 			return j.endUnanswered(ctx, err)
 		}
@@ -437,6 +442,20 @@
 	j.avoid[id] = true
 }
 
+// readmitBroken lets the request return to upstreams whose connection broke, if they have not ended and err says that no
+// other one can take it. It reports whether there are any.
+func (j *job) readmitBroken(err error) bool {
+	if !errors.Is(err, assign.ErrNoUpstream) && !errors.Is(err, assign.ErrVersionNotServed) {
+		return false
+	}
+	readmitted := len(j.brokeAlive) > 0
+	for id := range j.brokeAlive {
+		delete(j.avoid, id)
+	}
+	j.brokeAlive = nil
+	return readmitted
+}
+
 // mayRepeat decides whether a request is sent again. A request that may have run is
 // repeated only if the route allows it. Every repeat is charged to the retry budget, except
 // after a send that did not reach its upstream while no earlier one may have run.
--- a/internal/traffic/version_test.go
+++ b/internal/traffic/version_test.go
@@ -82,3 +82,34 @@
 	j.version, j.reserved = "v2", choice
 	require.Equal(t, choice, j.takeReserved())
 }
+
+// The connection to the only upstream of a stream's version is reset, and the upstream itself goes on.
+func TestBrokenStreamReturnsToItsOnlyUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, after := range []int{0, 2} {
+			broken := false
+			f := newFixture(resumable, map[string]script{"only": func(ctx context.Context, a Attempt, out io.Writer) error {
+				if !broken {
+					broken = true
+					return breakAfter(after)(ctx, a, out)
+				}
+				return events(ctx, out, after+1, 4, time.Millisecond)
+			}})
+			sink, err := f.serve(t.Context(), "a")
+			require.NoError(t, err)
+			require.Equal(t, eventsText(1, 4), sink.text)
+			require.Len(t, f.upstreams.attempts(), 2)
+		}
+	})
+}
+
+// An upstream that has ended is not tried again.
+func TestBrokenStreamDoesNotReturnToAnUpstreamThatEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(resumable, map[string]script{"only": breakAfter(2)})
+		f.core.options.HasEnded = func(context.Context, *upstream.Instance) bool { return true }
+		_, err := f.serve(t.Context(), "a")
+		require.ErrorIs(t, err, ErrTruncated)
+		require.Len(t, f.upstreams.attempts(), 1)
+	})
+}
