soak: engines of several software versions whose streams callers resume

Change: -versions: six engines of three versions, 6 of 100 events break their stream, engines restart under their ID at another version, callers resume drafts up to four times at any VM; a stream must hold events of one version, in order.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,19 +83,27 @@
 			continue
 		}
 		a := l.newAttempt(r, pick(r, known))
-		a.answer = standin.Send(ctx, client, a.vm.callersProxy.address(), a.Call)
-		a.ended = time.Now()
-		if ctx.Err() != nil {
-			// The caller was stopped at the end of the run and observed no answer.
-			a.answer = standin.Answer{Err: ctx.Err()}
+		l.send(ctx, client, a)
+		if l.w.versions != nil && a.kind.streams() {
+			l.resumeStream(ctx, r, client, known, a)
 		}
-		l.w.oracle.record(a)
 		time.Sleep(min(a.answer.RetryAfter, 500*time.Millisecond))
 		time.Sleep(time.Duration(r.IntN(30)) * time.Millisecond)
 	}
 	client.CloseIdleConnections()
 }
 
+// send sends an attempt and records its result.
+func (l *load) send(ctx context.Context, client *http.Client, a *attempt) {
+	a.answer = standin.Send(ctx, client, a.vm.callersProxy.address(), a.Call)
+	a.ended = time.Now()
+	if ctx.Err() != nil {
+		// The caller was stopped at the end of the run and observed no answer.
+		a.answer = standin.Answer{Err: ctx.Err()}
+	}
+	l.w.oracle.record(a)
+}
+
 // resolve asks the directory of a random VM for the VMs to connect to. It returns previous if
 // there is no answer.
 func (l *load) resolve(ctx context.Context, r *rand.Rand, previous []*vm) []*vm {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -211,7 +211,11 @@
 
 // restartReplica restarts a replica under its ID, without its models and its count of accepted orders.
 func (w *world) restartReplica(u *upstream) {
-	u.Restart(time.Now().UnixMilli())
+	if w.versions != nil && u.service == "engine" {
+		w.versions.upgrade(u.Replica)
+	} else {
+		u.Restart(time.Now().UnixMilli())
+	}
 	if w.evacuations && u.service == "engine" {
 		u.BecomeCold(coldStart)
 	}
--- a/test/soak/oracle_test.go
+++ b/test/soak/oracle_test.go
@@ -97,6 +97,9 @@
 	o.checkPushback(w, runs)
 	o.checkDepartures(w)
 	o.checkNotices(w)
+	if w.versions != nil {
+		w.versions.check(o)
+	}
 	for _, v := range w.vms {
 		v.mu.Lock()
 		for _, end := range v.unexpectedEnds {
@@ -159,6 +162,9 @@
 		rest, ok := strings.CutPrefix(a.answer.Body, "done by clerk-")
 		return ok && strings.HasSuffix(rest, " for "+a.ID)
 	}
+	if strings.Contains(a.answer.Body, " at v") {
+		return a.completeFrom()
+	}
 	want := ""
 	for i := 1; i <= 3; i++ {
 		want += fmt.Sprintf("id: %d\ndata: word%d for %s\n\n", i, i, a.ID)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -26,6 +26,7 @@
 	rateLimits     = flag.Bool("ratelimits", false, "upstreams name rate limits")
 	pushback       = flag.Bool("pushback", false, "upstreams leave by their answers alone, and shed load")
 	departures     = flag.Bool("departures", false, "upstreams leave by the store for longer than requests may reach them")
+	versionsMode   = flag.Bool("versions", false, "engines of several software versions, whose streams break at random and are resumed by callers")
 	stalls         = flag.Bool("stalls", false, "with -departures: all VMs stand still from time to time, in place of a store that turns some away")
 	otherFaults    = flag.Bool("faults", true, "inject the faults that belong to no other flag")
 	storeFaults    = flag.Bool("storefaults", true, "let faults of the whole store be among the faults")
@@ -62,7 +63,8 @@
 // ciSeeds are the seeds that CI runs. ciSeedLarge is the one that runs with largeRoutes,
 // ciSeedEvacuations the one that runs with evacuations, ciSeedRateLimits the one with rate limits,
 // ciSeedPushback the one in which upstreams leave by their answers alone and shed load, ciSeedDepartures
-// the one in which they leave by the store, before a fleet with hubs.
+// the one in which they leave by the store, before a fleet with hubs, ciSeedVersions the one with engines of several
+// versions.
 var ciSeeds = []uint64{1, 2}
 
 const (
@@ -71,6 +73,7 @@
 	ciSeedRateLimits  = 5
 	ciSeedPushback    = 6
 	ciSeedDepartures  = 7
+	ciSeedVersions    = 8
 	// largeRoutes is the number of additional routes with which a configuration takes a second
 	// over a narrow link.
 	largeRoutes = 700
@@ -121,7 +124,7 @@
 // unavailable and compacts its history. What callers and replicas observe must keep the promises
 // throughout, and every kind of request must be served after the faults have ended.
 func TestSoak(t *testing.T) {
-	flags := run{faultTime: *faultTime, routes: *extraRoutes, vms: *vmCount, evacuations: *evacuations, rateLimits: *rateLimits, pushback: *pushback, departures: *departures, stalls: *stalls, noOtherFaults: !*otherFaults, noStoreFaults: !*storeFaults, noRecovery: !*recovery, busy: *busyProcesses, engines: *engineCount, callers: *callerCount}
+	flags := run{faultTime: *faultTime, routes: *extraRoutes, vms: *vmCount, evacuations: *evacuations, rateLimits: *rateLimits, pushback: *pushback, departures: *departures, stalls: *stalls, versions: *versionsMode, noOtherFaults: !*otherFaults, noStoreFaults: !*storeFaults, noRecovery: !*recovery, busy: *busyProcesses, engines: *engineCount, callers: *callerCount}
 	switch {
 	case *seed != 0:
 		flags.start(t, *seed)
@@ -141,6 +144,7 @@
 		run{faultTime: *faultTime, vms: *vmCount, rateLimits: true}.start(t, ciSeedRateLimits)
 		run{faultTime: *faultTime, vms: *vmCount, pushback: true}.start(t, ciSeedPushback)
 		run{faultTime: *faultTime, vms: hubFleetVMs + 2, engines: 8, callers: 20, departures: true, noOtherFaults: true, noRecovery: true}.start(t, ciSeedDepartures)
+		run{faultTime: *faultTime, vms: *vmCount, engines: versionedEngines, versions: true}.start(t, ciSeedVersions)
 	}
 }
 
@@ -152,7 +156,7 @@
 	routes, vms             int
 	evacuations, rateLimits bool
 	pushback, departures    bool
-	stalls                  bool
+	stalls, versions        bool
 	// noOtherFaults leaves out the faults that belong to none of the flags above.
 	noOtherFaults bool
 	// noStoreFaults leaves out the faults of the whole store.
@@ -182,8 +186,8 @@
 
 // arguments returns the command-line arguments of the run.
 func (o run) arguments() string {
-	return fmt.Sprintf("-storm %v -routes %d -vms %d -evacuations=%v -ratelimits=%v -pushback=%v -departures=%v -stalls=%v -faults=%v -storefaults=%v -recovery=%v -busy %d -engines %d -callers %d",
-		o.faultTime, o.routes, o.vms, o.evacuations, o.rateLimits, o.pushback, o.departures, o.stalls, !o.noOtherFaults, !o.noStoreFaults, !o.noRecovery, o.busy, max(o.engines, defaultEngines), max(o.callers, defaultCallers))
+	return fmt.Sprintf("-storm %v -routes %d -vms %d -evacuations=%v -ratelimits=%v -pushback=%v -departures=%v -stalls=%v -versions=%v -faults=%v -storefaults=%v -recovery=%v -busy %d -engines %d -callers %d",
+		o.faultTime, o.routes, o.vms, o.evacuations, o.rateLimits, o.pushback, o.departures, o.stalls, o.versions, !o.noOtherFaults, !o.noStoreFaults, !o.noRecovery, o.busy, max(o.engines, defaultEngines), max(o.callers, defaultCallers))
 }
 
 func (o run) start(t *testing.T, seed uint64) {
@@ -197,7 +201,7 @@
 // a rolling restart interrupts no request.
 func (o run) perform(t *testing.T, s uint64) {
 	r := rand.New(rand.NewPCG(s, 0))
-	w := newWorld(t, o)
+	w := newWorld(t, o, s)
 	t.Cleanup(func() { w.keepLogs(s) })
 	w.eventually("all VMs are ready", w.allReady)
 	w.eventually("the directory of every VM names all VMs", w.allListed)
@@ -360,6 +364,9 @@
 func (w *world) reportViolations(s uint64, r run) {
 	o := w.oracle
 	w.t.Logf("seed %d: %d attempts, served %v", s, len(o.attempts), o.served)
+	if w.versions != nil {
+		w.t.Logf("%d of %d resumptions went on", w.versions.continued, w.versions.resumed)
+	}
 	if len(o.violations) > 0 {
 		require.Fail(w.t, "promises broken", "%s\nreproduce with: go test ./test/soak -args -seed %d %s", strings.Join(o.violations, "\n"), s, r.arguments())
 	}
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -56,6 +56,8 @@
 	pushback bool
 	// departures is set if upstreams leave by the store for longer than requests may reach them.
 	departures bool
+	// versions is set if engines of several software versions serve side by side.
+	versions *versions
 	// stalls is set if all VMs stand still at the same time, from time to time.
 	stalls bool
 	// boundMs is the value of the bounds config-ms and drain-ms.
@@ -94,8 +96,11 @@
 
 // newWorld starts the world of a run. Additional routes make the configuration large, and then the links to
 // the store and between VMs are narrow. With evacuations a third of the upstreams is in evacuatedZone.
-func newWorld(t *testing.T, o run) *world {
+func newWorld(t *testing.T, o run, seed uint64) *world {
 	w := &world{t: t, dir: logDirectory(t), store: standin.NewStore(), oracle: newOracle(), evacuations: o.evacuations, rateLimits: o.rateLimits, pushback: o.pushback, departures: o.departures, stalls: o.stalls, boundMs: boundMs}
+	if o.versions {
+		w.versions = newVersions(seed)
+	}
 	if o.departures && o.vms > hubFleetVMs {
 		w.boundMs = hubBoundMs
 	}
@@ -128,7 +133,11 @@
 		if o.evacuations && i == 2 {
 			zone = evacuatedZone
 		}
-		w.addUpstream("engine", zone, fmt.Sprintf("engine-%d", i), "m0", "m1")
+		engine := w.addUpstream("engine", zone, fmt.Sprintf("engine-%d", i), "m0", "m1")
+		if w.versions != nil {
+			w.versions.prepare(engine.Replica, i)
+			w.writeEntry(engine)
+		}
 		w.addUpstream("clerk", zone, fmt.Sprintf("clerk-%d", i))
 	}
 	w.store.Rewrite(w.publishPeerProxies)
@@ -153,7 +162,7 @@
 	all.Wait()
 }
 
-func (w *world) addUpstream(service, zone, id string, models ...string) {
+func (w *world) addUpstream(service, zone, id string, models ...string) *upstream {
 	r := standin.NewReplica(id, 2, models...)
 	r.NameAttempt, r.ServiceTime, r.Born = true, 5*time.Millisecond, time.Now().UnixMilli()
 	r.SetLoadTime(200 * time.Millisecond)
@@ -168,6 +177,7 @@
 		u.server.Close()
 	})
 	w.writeEntry(u)
+	return u
 }
 
 // writeEntry writes the current entry of a replica to the store, or deletes it.
@@ -293,6 +303,9 @@
 
 // heal ends all faults that are still active.
 func (w *world) heal() {
+	if w.versions != nil {
+		w.versions.cutting.Store(false)
+	}
 	w.store.Override(nil)
 	w.store.DropCommitAnswers(false)
 	for _, v := range w.vms {
