traffic, assign: a request that avoids an engine is not led back to it for an adapter

What callers saw: streams that broke ended with "no engine holds the adapter" although the engine that had it, whose connection was reset, lived on. Cause: the leader was not told which engines a request avoids, and named the very one that had failed it, up to five times; and a missing adapter or model did not count as a reason to return to an upstream that broke and lives. Change: the leader is asked for an engine other than those that the request avoids; a missing model or adapter leads back to an upstream that broke, like no upstream. TestBrokenStreamReturnsToTheOnlyHolderOfItsAdapter fails without.

--- a/internal/assign/retryafter.go
+++ b/internal/assign/retryafter.go
@@ -25,8 +25,8 @@
 	return len(s.retryAt)
 }
 
-// UnsuitableHolders returns the instances that cannot take a request although they hold its item, because they want no
-// requests from this VM at present, or its model, because they have another version than the request is bound to.
+// UnsuitableHolders returns the instances that cannot take a request although they hold its item or its model: because
+// they want no requests from this VM at present, have failed this request, or have another version than it is bound to.
 func (s *Assigner) UnsuitableHolders(req Request, now time.Time) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -38,7 +38,7 @@
 		}
 	}
 	for id, n := range s.nodes {
-		if n.instance.Service == req.Service && !req.allowsVersion(n) && n.holds(req.Model) {
+		if n.instance.Service == req.Service && (!req.allowsVersion(n) || req.Avoid[id]) && n.holds(req.Model) && !s.wantsNoRequests(n, now) {
 			out = append(out, id)
 		}
 	}
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -442,10 +443,13 @@
 	j.avoid[id] = true
 }
 
+// noOtherUpstream are the reasons for which a request that one upstream has failed finds no other one.
+var noOtherUpstream = []error{assign.ErrNoUpstream, assign.ErrVersionNotServed, assign.ErrNotLoaded, assign.ErrAdapterNotLoaded}
+
 // readmitBroken lets the request return to upstreams whose connection broke, if they have not ended and err says that no
 // other one can take it. It reports whether there are any.
 func (j *job) readmitBroken(err error) bool {
-	if !errors.Is(err, assign.ErrNoUpstream) && !errors.Is(err, assign.ErrVersionNotServed) {
+	if !slices.ContainsFunc(noOtherUpstream, func(cause error) bool { return errors.Is(err, cause) }) {
 		return false
 	}
 	readmitted := len(j.brokeAlive) > 0
--- a/internal/traffic/version_test.go
+++ b/internal/traffic/version_test.go
@@ -113,3 +113,31 @@
 		require.Len(t, f.upstreams.attempts(), 1)
 	})
 }
+
+// The only engine of a stream's version with its adapter has reset the connection, and no other one can load the adapter.
+func TestBrokenStreamReturnsToTheOnlyHolderOfItsAdapter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		broken := false
+		f := newFixture(resumable, map[string]script{"only": func(ctx context.Context, _ Attempt, out io.Writer) error {
+			if !broken {
+				broken = true
+				return breakAfter(2)(ctx, Attempt{}, out)
+			}
+			return events(ctx, out, 3, 4, time.Millisecond)
+		}, "same": answerAtOnce})
+		f.assigner.AddAdapter("only", "m", "a")
+		var avoided []string
+		f.core.options.EnsureAdapter = func(_ context.Context, q AdapterRequest) (string, error) {
+			avoided = q.Avoid
+			return "", ErrNotSent
+		}
+		sink := &fakeSink{}
+		err := f.core.Serve(t.Context(), &Request{
+			ID: "a", Host: "h", Path: "/", Method: http.MethodPost, Arrived: time.Now(), Timeout: 20 * time.Second, Model: "m", Adapter: "a",
+			PromptTokens: 100, OutputTokens: 100, TokensDeclared: true,
+		}, sink)
+		require.NoError(t, err)
+		require.Equal(t, eventsText(1, 4), sink.text)
+		require.Equal(t, []string{"only"}, avoided, "the leader must not name the engine that the request avoids")
+	})
+}
