vm, residency, traffic: the model of a stream is brought to another engine of its version

What callers saw: a stream whose engine had ended could not go on where no other engine of its version held the model, though engines of that version served. Cause: models are placed without regard to versions, and a stream cannot leave its version. Class: a constraint that requests have and the placement does not know. Change: such a request asks the leader, whose next plans place the model on an engine of the version before anything else; copies in demand do not make way.

--- a/internal/residency/models.go
+++ b/internal/residency/models.go
@@ -75,6 +75,8 @@
 	// PinnedUntil is the time before which a model is not evicted from an engine, by PinKey,
 	// so that no copy is dropped right after it was loaded.
 	PinnedUntil map[string]time.Time
+	// Wanted are models that streams wait for at a software version, which they cannot leave.
+	Wanted []Wanted
 	// StoreLoadBudget is how many loads from the weight store may begin now.
 	StoreLoadBudget int
 	Now             time.Time
@@ -100,7 +102,7 @@
 }
 
 // PlanModels returns moves for engines that have none in progress, at most one for each:
-// first models in demand that no engine holds, then further copies of models whose engines
+// first models that streams wait for, then models in demand that no engine holds, then further copies of models whose engines
 // have much more load than others, then copies in free memory.
 //
 // A model without requests need not occupy memory: it stays reachable as long as an engine
@@ -131,6 +133,7 @@
 			s.copies[m]++
 		}
 	}
+	s.placeWanted()
 	s.restoreMissing()
 	s.scaleOutBusy()
 	s.restoreStoreOnly()
--- a/internal/residency/place.go
+++ b/internal/residency/place.go
@@ -15,6 +15,15 @@
 // there is one. Engines for which cost returns more than zero are excluded; evictable admits the
 // models that can be evicted.
 func (s *planState) placeModel(m, reason string, cost func(Engine) float64, evictable evictionFilter) bool {
+	return s.place(m, reason, cost, evictable, s.copies[m] == 0 || s.minDemandPerCopy(m) > minStoreLoadDemand)
+}
+
+// placeModelAnyway is placeModel for a model that may be loaded from the weight store whatever the demand for it.
+func (s *planState) placeModelAnyway(m, reason string, cost func(Engine) float64, evictable evictionFilter) bool {
+	return s.place(m, reason, cost, evictable, true)
+}
+
+func (s *planState) place(m, reason string, cost func(Engine) float64, evictable evictionFilter, storeLoadAllowed bool) bool {
 	var best *Engine
 	var move ModelMove
 	bestCost := 0.0
@@ -30,7 +39,7 @@
 		}
 		fromStore := !e.LocalWeights[m]
 		if fromStore {
-			if s.StoreLoadBudget <= 0 || (s.copies[m] > 0 && s.minDemandPerCopy(m) <= minStoreLoadDemand) {
+			if s.StoreLoadBudget <= 0 || !storeLoadAllowed {
 				continue
 			}
 			c += storeLoadPenalty
--- a/internal/residency/state.go
+++ b/internal/residency/state.go
@@ -5,6 +5,8 @@
 // Engine is the state of one engine as the planner knows it.
 type Engine struct {
 	ID string
+	// Version is the version of the engine's software.
+	Version string
 	// Models holds the models that are loaded and usable.
 	Models map[string]bool
 	// Adapters holds the time of the last use of each loaded adapter, by "model/adapter".
--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -37,6 +37,10 @@
 				continue
 			}
 		}
+		if j.awaitsModel(ctx, req, began, err) {
+			awaitFreed(ctx, freed)
+			continue
+		}
 		if !j.mayHold(req, began, err) {
 			return nil, err
 		}
@@ -57,6 +61,29 @@
 	return reserved
 }
 
+// awaitsModel reports whether a request that has been waiting for a slot since began is to wait further for a model, which
+// the leader brings to an engine of the version that the request is bound to.
+func (j *job) awaitsModel(ctx context.Context, req assign.Request, began time.Time, err error) bool {
+	if !errors.Is(err, assign.ErrVersionNotServed) || req.Model == "" || len(j.brokeAlive) > 0 {
+		return false
+	}
+	if !j.modelRequested {
+		j.modelRequested = true
+		j.modelComes = j.ensureModel(ctx, req)
+	}
+	return j.modelComes && time.Since(began) < j.route.Objective && j.timeLeft() > minTimeLeft
+}
+
+func (j *job) ensureModel(ctx context.Context, req assign.Request) bool {
+	j.waitingFor = waitModel
+	ctx, cancel := context.WithTimeout(ctx, ensureTimeout)
+	defer cancel()
+	instance, err := j.core.options.EnsureModel(ctx, ModelRequest{
+		Service: req.Service, Model: req.Model, Version: req.Version, Avoid: j.core.options.Assigner.UnsuitableHolders(req, time.Now()),
+	})
+	return err == nil && instance != ""
+}
+
 // mayHold reports whether a request that has been waiting for a slot since began may be held
 // further after the refusal err.
 func (j *job) mayHold(req assign.Request, began time.Time, err error) bool {
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -51,6 +51,8 @@
 	VMs func() int
 	// EnsureAdapter has an adapter loaded on an engine and returns the engine's ID.
 	EnsureAdapter func(ctx context.Context, q AdapterRequest) (string, error)
+	// EnsureModel has a model brought to an engine of a software version and returns the engine that holds it or is to.
+	EnsureModel func(ctx context.Context, q ModelRequest) (string, error)
 	// Permit asks for a permit to send a request to an upstream that names a rate limit. needed means
 	// that no other upstream can take the request.
 	Permit func(ctx context.Context, upstream upstreamrate.Key, needed bool) upstreamrate.Decision
@@ -96,6 +98,13 @@
 	Avoid []string
 }
 
+// ModelRequest asks for an engine of a software version that holds a model.
+type ModelRequest struct {
+	Service, Model, Version string
+	// Avoid lists the engines that cannot take the request which needs the model.
+	Avoid []string
+}
+
 // Core serves requests. It is safe for concurrent use.
 type Core struct {
 	options Options
--- a/internal/traffic/fakes_test.go
+++ b/internal/traffic/fakes_test.go
@@ -159,6 +159,9 @@
 		EnsureAdapter: func(context.Context, AdapterRequest) (string, error) {
 			return "", ErrNotSent
 		},
+		EnsureModel: func(context.Context, ModelRequest) (string, error) {
+			return "", ErrNotSent
+		},
 		Log: zerolog.New(f.log),
 	})
 	f.core.SetCatalog(config)
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -62,7 +62,7 @@
 	avoid               map[string]bool
 	// brokeAlive names the avoided upstreams whose connection broke although they have not ended.
 	brokeAlive map[string]bool
-	prefixes            []assign.Prefix
+	prefixes   []assign.Prefix
 	// lastEventID is the ID of the last event forwarded; responseBegun means that a
 	// response was begun.
 	lastEventID   string
@@ -71,6 +71,8 @@
 	// means that other VMs are told of it.
 	version      string
 	originShared bool
+	// modelRequested means that the leader was asked for the model at that version, modelComes that it brings it.
+	modelRequested, modelComes bool
 	// fromVM means that another VM has admitted the request and handed it over.
 	fromVM bool
 	// unreached means that several upstreams could not be connected to for this request, or all that are left, which one
@@ -118,6 +120,7 @@
 	waitSlot       wait = "slot"
 	waitPermit     wait = "permit"
 	waitAdapter    wait = "adapter"
+	waitModel      wait = "model"
 	waitConnection wait = "connection"
 	// waitNews: the table of upstreams is out of date, since the process stood still.
 	waitNews     wait = "news"
--- a/internal/vm/adapters.go
+++ b/internal/vm/adapters.go
@@ -121,11 +121,7 @@
 	if _, ok := p.candidate.Authority(); ok {
 		return p.planner.ensureAdapter(ctx, q)
 	}
-	term, ok := p.candidate.Leader()
-	if !ok || term.VM == p.settings.VM {
-		return "", errors.WithStack(ErrNotLeader)
-	}
-	address, ok := p.fleet.peerAddressOf(term.VM)
+	address, ok := p.leaderAddress()
 	if !ok {
 		return "", errors.WithStack(ErrNotLeader)
 	}
@@ -139,3 +135,12 @@
 	}
 	return response.Instance, nil
 }
+
+// leaderAddress returns the address for peers of another VM that leads, and false if none is known.
+func (p *Process) leaderAddress() (string, bool) {
+	term, ok := p.candidate.Leader()
+	if !ok || term.VM == p.settings.VM {
+		return "", false
+	}
+	return p.fleet.peerAddressOf(term.VM)
+}
--- a/internal/vm/plan.go
+++ b/internal/vm/plan.go
@@ -170,7 +170,7 @@
 	l.loadBucket.refill(spec.LoadsPerSecond*storeRateFraction, now)
 	f := residency.Fleet{
 		Engines: engines, Spec: spec, Demand: make(map[string]float64), MinDemand: make(map[string]float64), Idle: make(map[string]bool), PinnedUntil: l.pinnedUntil,
-		StoreLoadBudget: l.storeLoadBudget(spec), Now: now,
+		StoreLoadBudget: l.storeLoadBudget(spec), Now: now, Wanted: l.wantedOf(service),
 	}
 	for m := range spec.Models {
 		if r := l.demandRates[m]; r != nil {
@@ -180,7 +180,9 @@
 		f.Demand[m] = max(f.Demand[m], l.startup.assumedDemand(m, now))
 		f.Idle[m] = l.startup.demandKnown(now) && now.Sub(l.lastUsed[m]) > modelIdleTime
 	}
-	return residency.PlanModels(f)
+	moves := residency.PlanModels(f)
+	l.answerWanted(service, f)
+	return moves
 }
 
 // storeRateFraction is the fraction of the weight store's rate that is used.
--- a/internal/vm/planner.go
+++ b/internal/vm/planner.go
@@ -58,6 +58,8 @@
 	// pendingAdapters holds the adapters that are being loaded, by item, so that concurrent
 	// callers share one load.
 	pendingAdapters map[string]*pendingAdapter
+	// wanted holds the models that streams wait for at a software version, until the next plan.
+	wanted map[wantedModel]*pendingModel
 	// demandByVM is the demand that each VM has reported, lastUsed the time of the last
 	// request for an item, demandRates the averaged demand for it.
 	demandByVM  map[string]*reportedDemand
@@ -113,7 +115,7 @@
 
 func newPlanner(p *Process) *planner {
 	return &planner{
-		p: p, states: make(map[string]*engineState), pendingAdapters: make(map[string]*pendingAdapter),
+		p: p, states: make(map[string]*engineState), pendingAdapters: make(map[string]*pendingAdapter), wanted: make(map[wantedModel]*pendingModel),
 		demandByVM: make(map[string]*reportedDemand), lastUsed: make(map[string]time.Time), demandRates: make(map[string]*demandRate), contents: newContentsTable(),
 		pinnedUntil: make(map[string]time.Time), readNotBefore: make(map[string]time.Time), startup: startupInventory{copies: make(map[string]int)},
 	}
@@ -173,6 +175,10 @@
 		// The next term begins with an empty bucket: another leader may have begun loads.
 		l.loadBucket = loadBucket{}
 	}
+	for key, pending := range l.wanted {
+		close(pending.done)
+		delete(l.wanted, key)
+	}
 }
 
 // readNewEngines reads the state of every engine without a valid one. It asks the engine
@@ -304,7 +310,7 @@
 		}
 		load, usable := loads[id]
 		e := residency.Engine{
-			ID: id, Models: maps.Clone(state.models), Adapters: make(map[string]time.Time, len(state.adapters)), Busy: state.moving, Loading: state.loading,
+			ID: id, Version: state.instance.SoftwareVersion, Models: maps.Clone(state.models), Adapters: make(map[string]time.Time, len(state.adapters)), Busy: state.moving, Loading: state.loading,
 			Cold: cold[id], Usable: usable && !l.isDraining(id), PrefillBacklog: load.PrefillTokens, LocalWeights: state.localWeights, InFlight: load.Running, DelayedLoad: state.delayedLoad,
 		}
 		if perSecond, ok := limits[id]; ok {
--- a/internal/vm/resumption_test.go
+++ b/internal/vm/resumption_test.go
@@ -238,3 +238,39 @@
 	c.t.Fatalf("no VM in %s follows a hub", domain)
 	return nil
 }
+
+// The only engine of a stream's version that holds its model ends; the other engine of the version can load the model.
+func TestStreamGoesOnAfterTheOnlyHolderOfItsModelAtItsVersionEnds(t *testing.T) {
+	holder, same, other := standin.NewReplica("engine-1", 2, "m0"), standin.NewReplica("engine-2", 2, "m1"), standin.NewReplica("engine-3", 2, "m2")
+	other.Version = "v2"
+	for _, r := range []*standin.Replica{holder, same, other} {
+		r.NameVersion, r.Events = true, 6
+		r.SetLoadTime(100 * time.Millisecond)
+	}
+	c := newCluster(t, holder, same, other)
+	c.setReplicaModels(same.ID, "m1")
+	c.setReplicaModels(other.ID, "m2")
+	v := c.start("a")
+	c.waitLeader()
+	c.eventually(func() bool { return len(v.planner.engines("engine")) == 3 })
+	sent := 0
+	holder.CutEvent = func() bool {
+		sent++
+		if sent == 4 {
+			_ = c.servers[holder.ID].Listener.Close()
+		}
+		return sent == 4
+	}
+	var events int
+	c.eventually(func() bool {
+		got := c.send(v, call{method: "POST", path: "/draft/", model: "m0"})
+		found := eventPattern.FindAllStringSubmatch(got.body, -1)
+		events = len(found)
+		return len(found) > 0
+	})
+	require.Equal(t, 6, events)
+	runs := same.Runs()
+	require.Len(t, runs, 1)
+	require.Equal(t, "3", runs[0].LastEvent)
+	require.Empty(t, other.Runs())
+}
