vm, origins: an origin is relayed once

Cause: read in the diff. A VM that is told an origin by one that follows it passes it on, also if it had it. Two VMs that each take the other for their hub, while links are down, would have sent it to and fro without end. Change: only news is relayed. Tests of origins and TestOriginIsFoundThroughHubs pass. Conclusion: a resumption that is told again goes no further than the first hub.

--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -43,14 +43,17 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{origins: make(map[Stream]Origin)} }
 
-// Record remembers an origin. The first one of a stream is kept: a resumption does not change where it began.
-func (t *Table) Record(o Origin, now time.Time) {
+// Record remembers an origin, and reports whether it was not known. The first one of a stream is kept: a resumption does
+// not change where it began.
+func (t *Table) Record(o Origin, now time.Time) (news bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	if _, known := t.origins[o.Stream]; !known && o.Version != "" {
-		t.origins[o.Stream] = o
+	if _, known := t.origins[o.Stream]; known || o.Version == "" {
+		return false
 	}
+	t.origins[o.Stream] = o
+	return true
 }
 
 // Find returns the origin of a stream, and false if it is not remembered.
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -12,8 +12,8 @@
 
 func TestOriginIsThatOfTheFirstEvent(t *testing.T) {
 	table, s := NewTable(), StreamOf("team", "a")
-	table.Record(Origin{s, "v1", start}, start)
-	table.Record(Origin{s, "v2", start.Add(time.Second)}, start.Add(time.Second))
+	require.True(t, table.Record(Origin{s, "v1", start}, start))
+	require.False(t, table.Record(Origin{s, "v2", start.Add(time.Second)}, start.Add(time.Second)))
 	o, ok := table.Find(s, start.Add(2*time.Second))
 	require.True(t, ok)
 	require.Equal(t, "v1", o.Version)
--- a/internal/vm/origins.go
+++ b/internal/vm/origins.go
@@ -111,8 +111,8 @@
 	now := time.Now()
 	for _, told := range in.Origins {
 		o := originFromProto(told, now)
-		s.process.origins.Record(o, now)
-		if in.Relay {
+		// Two VMs that each take the other for their hub would relay an origin for ever.
+		if s.process.origins.Record(o, now) && in.Relay {
 			s.process.fleet.origins.share(o)
 		}
 	}
