traffic, vm, origins: a resumed stream stays at its service

Cause: read in the diff. A divided route selects the service of a request by the ID of the attempt. An attempt that resumes a stream has another ID, and could go to another service, where a version of the same name says nothing; and a request that one VM handed to another was selected for anew there. Change: the origin of a stream names its service, and a request that is handed over goes along with the one that was selected. A stream whose route leads to another service now is rejected at once. If nobody knows where a stream began, a divided route allows no guess. Figures: TestResumedStreamStaysAtItsService: without the change the resumption goes to the other service.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -213,6 +213,11 @@
 
 var shareSeed = maphash.MakeSeed()
 
+// Serves reports whether the route leads to a service.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
+}
+
 // Pick selects the service of a request by the weights of the route's shares. For one
 // request ID a process always selects the same service.
 func (r *Route) Pick(requestID string) string {
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -26,11 +26,11 @@
 	return Stream(xxhash.Sum64String(team + "\x00" + attempt))
 }
 
-// Origin says which software version began a stream, and when.
+// Origin says which software version of which service began a stream, and when.
 type Origin struct {
-	Stream  Stream
-	Version string
-	BegunAt time.Time
+	Stream           Stream
+	Service, Version string
+	BegunAt          time.Time
 }
 
 // Table holds origins. It is safe for concurrent use.
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -12,8 +12,8 @@
 
 func TestOriginIsThatOfTheFirstEvent(t *testing.T) {
 	table, s := NewTable(), StreamOf("team", "a")
-	require.True(t, table.Record(Origin{s, "v1", start}, start))
-	require.False(t, table.Record(Origin{s, "v2", start.Add(time.Second)}, start.Add(time.Second)))
+	require.True(t, table.Record(Origin{s, "s", "v1", start}, start))
+	require.False(t, table.Record(Origin{s, "s", "v2", start.Add(time.Second)}, start.Add(time.Second)))
 	o, ok := table.Find(s, start.Add(2*time.Second))
 	require.True(t, ok)
 	require.Equal(t, "v1", o.Version)
@@ -26,12 +26,12 @@
 func TestTableIsBoundedAndForgets(t *testing.T) {
 	table := NewTable()
 	for i := range 2 * MaxOrigins {
-		table.Record(Origin{Stream(i), "v1", start.Add(time.Duration(i) * time.Microsecond)}, start)
+		table.Record(Origin{Stream(i), "s", "v1", start.Add(time.Duration(i) * time.Microsecond)}, start)
 	}
 	require.LessOrEqual(t, table.Len(), MaxOrigins)
 	_, ok := table.Find(Stream(2*MaxOrigins-1), start)
 	require.True(t, ok, "the newest is kept")
-	table.Record(Origin{1, "v1", start.Add(2 * Lifetime)}, start.Add(2*Lifetime))
+	table.Record(Origin{1, "s", "v1", start.Add(2 * Lifetime)}, start.Add(2*Lifetime))
 	require.Equal(t, 1, table.Len())
 }
 
--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -22,6 +22,8 @@
 	DueIn   time.Duration
 	// Team is the team that holds the request's key, empty on anonymous routes.
 	Team string
+	// Service is the service that was selected for the request, empty from VMs of earlier builds.
+	Service string
 	// Sends counts the sends to upstreams so far, PossibleRuns those that may have run the request.
 	Sends, PossibleRuns int
 	// LastEventID is the last event that the caller has received; ResponseBegun means that it has received the
@@ -79,7 +81,7 @@
 	request.Key = ""
 	request.Timeout = time.Until(j.deadline)
 	return Forwarded{
-		Request: &request, DueIn: time.Until(j.due), Team: j.team, Sends: j.sends, PossibleRuns: j.possibleRuns,
+		Request: &request, DueIn: time.Until(j.due), Team: j.team, Service: j.service, Sends: j.sends, PossibleRuns: j.possibleRuns,
 		LastEventID: j.lastEventID, ResponseBegun: j.responseBegun, Version: j.version,
 	}
 }
@@ -196,7 +198,7 @@
 		return nil, notReadyRefusal()
 	}
 	route := config.Match(f.Request.Host, f.Request.Path)
-	if route == nil {
+	if route == nil || (f.Service != "" && !route.Serves(f.Service)) {
 		// The other VM has another configuration.
 		return nil, &Refusal{
 			Status: http.StatusServiceUnavailable, Reason: "configuration_outdated",
@@ -207,6 +209,9 @@
 	j.fromVM = true
 	j.sends, j.possibleRuns, j.lastEventID, j.responseBegun = f.Sends, f.PossibleRuns, f.LastEventID, f.ResponseBegun
 	j.version = f.Version
+	if f.Service != "" {
+		j.service = f.Service
+	}
 	j.setDeadlines()
 	j.due = f.Request.Arrived.Add(max(f.DueIn, time.Millisecond))
 	return j, nil
--- a/internal/traffic/resumption.go
+++ b/internal/traffic/resumption.go
@@ -11,7 +11,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/origins"
 )
 
-// This file keeps a stream at the software version that began it, also when its caller resumes it here.
+// This file keeps a stream at the service and the software version that began it, also when its caller resumes it here.
 
 // versionSource says how this VM knows which version began a stream, as it is written to logs.
 type versionSource string
@@ -27,7 +27,8 @@
 )
 
 // resolveVersion finds out which version began the stream that a caller resumes. It returns ErrVersionUnknown, wrapped,
-// if that is not known: an upstream goes on from any event, whatever version wrote those before.
+// if that is not known: an upstream goes on from any event, whatever version wrote those before. It returns
+// assign.ErrVersionNotServed, wrapped, if the route leads to another service now.
 func (j *job) resolveVersion(ctx context.Context) error {
 	if j.version != "" {
 		j.versionSource = versionForwarded
@@ -38,17 +39,14 @@
 	}
 	o := &j.core.options
 	if origin, ok := o.Origins.Find(j.streamID(), time.Now()); ok {
-		j.bind(origin, versionOwn)
-		return nil
+		return j.bind(origin, versionOwn)
 	}
 	j.waitingFor = waitOrigin
 	if origin, ok := o.AskOrigin(ctx, j.streamID()); ok {
-		j.bind(origin, versionPeer)
-		return nil
+		return j.bind(origin, versionPeer)
 	}
-	if version, ok := o.OnlyVersion(j.service); ok {
-		j.bind(origins.Origin{Version: version}, versionOnly)
-		return nil
+	if version, ok := o.OnlyVersion(j.service); ok && len(j.route.Shares) == 1 {
+		return j.bind(origins.Origin{Service: j.service, Version: version}, versionOnly)
 	}
 	j.core.countVersionUnknown()
 	return errors.Wrapf(ErrVersionUnknown, "stream of attempt %q", j.request.Resumes)
@@ -62,16 +60,22 @@
 	return origins.StreamOf(j.team, j.request.ID)
 }
 
-// bind restricts the request to the version of its stream's origin.
-func (j *job) bind(o origins.Origin, source versionSource) {
+// bind restricts the request to the service and the version of its stream's origin. A route may be divided between services,
+// by the ID of each attempt.
+func (j *job) bind(o origins.Origin, source versionSource) error {
 	j.version, j.versionSource, j.begunAt = o.Version, source, o.BegunAt
+	if !j.route.Serves(o.Service) {
+		return errors.Wrapf(assign.ErrVersionNotServed, "stream of service %q", o.Service)
+	}
+	j.service = o.Service
+	return nil
 }
 
 // noteEvent records an event that is about to be forwarded: the first one binds the request to its upstream's version.
 func (j *job) noteEvent(choice *assign.Choice, silence *handover, event []byte) {
 	now := time.Now()
 	if j.version == "" && j.lastEventID == "" {
-		j.bind(origins.Origin{Version: choice.Version, BegunAt: now}, versionOwn)
+		j.version, j.versionSource, j.begunAt = choice.Version, versionOwn, now
 		silence.bind(j.version)
 	}
 	if !j.originShared && j.route.Repeatable() {
@@ -80,7 +84,7 @@
 		if begunAt.IsZero() {
 			begunAt = now
 		}
-		j.core.shareOrigin(origins.Origin{Stream: j.streamID(), Version: j.version, BegunAt: begunAt}, now)
+		j.core.shareOrigin(origins.Origin{Stream: j.streamID(), Service: j.service, Version: j.version, BegunAt: begunAt}, now)
 	}
 	if id := eventID(event); id != "" {
 		j.lastEventID = id
--- a/internal/traffic/version_test.go
+++ b/internal/traffic/version_test.go
@@ -12,6 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chestnutarch/chestnutarch/internal/assign"
+	"github.com/chestnutarch/chestnutarch/internal/catalog"
+	"github.com/chestnutarch/chestnutarch/internal/origins"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
 )
 
@@ -114,6 +116,53 @@
 	})
 }
 
+// resume serves an attempt that resumes the stream of attempt "first".
+func (f *fixture) resume(t *testing.T) *fakeSink {
+	sink := &fakeSink{}
+	require.NoError(t, f.core.Serve(t.Context(), &Request{
+		ID: "second", Host: "h", Path: "/", Method: http.MethodPost, Arrived: time.Now(), Timeout: 20 * time.Second, Model: "m",
+		PromptTokens: 100, OutputTokens: 100, TokensDeclared: true, ResumeAfter: "2", Resumes: "first",
+	}, sink))
+	return sink
+}
+
+// A route is divided between services by the ID of each attempt.
+func TestResumedStreamStaysAtItsService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(resumable, map[string]script{"engine": answerAtOnce, "other": answerAtOnce})
+		other := *f.instances["other"]
+		other.Service = "others"
+		f.instances["other"] = &other
+		f.assigner.UpdateInstances([]*upstream.Instance{&other}, nil)
+		route := f.core.Catalog().Routes()[0]
+		route.Shares = []catalog.Share{{Service: "others", Weight: 1e9}, {Service: "engines", Weight: 1}}
+		f.core.options.Origins.Record(origins.Origin{Stream: origins.StreamOf("", "first"), Service: "engines", Version: "v1", BegunAt: time.Now()}, time.Now())
+		require.Equal(t, http.StatusOK, f.resume(t).status)
+		f.requireOnlySentTo(t, "engine")
+
+		route.Shares = route.Shares[:1]
+		sink := f.resume(t)
+		require.Equal(t, http.StatusServiceUnavailable, sink.status)
+		require.Equal(t, "version_not_served", sink.refusal.Reason)
+		f.requireOnlySentTo(t, "engine")
+	})
+}
+
+// Nobody knows where a stream began, and several versions may have.
+func TestStreamOfUnknownOriginIsRejectedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(resumable, map[string]script{"engine": answerAtOnce})
+		began := time.Now()
+		sink := f.resume(t)
+		require.Equal(t, http.StatusServiceUnavailable, sink.status)
+		require.Equal(t, "version_unknown", sink.refusal.Reason)
+		require.Equal(t, began, time.Now())
+		require.Empty(t, f.upstreams.attempts())
+		f.core.options.OnlyVersion = func(string) (string, bool) { return "v1", true }
+		require.Equal(t, http.StatusOK, f.resume(t).status)
+	})
+}
+
 // The only engine of a stream's version with its adapter has reset the connection, and no other one can load the adapter.
 func TestBrokenStreamReturnsToTheOnlyHolderOfItsAdapter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/vm/forward_message.go
+++ b/internal/vm/forward_message.go
@@ -68,7 +68,7 @@
 		Team: f.Team, Model: q.Model, Adapter: q.Adapter, PromptTokens: int64(q.PromptTokens), OutputTokens: int64(q.OutputTokens),
 		TokensDeclared: q.TokensDeclared, LengthHint: int64(q.LengthHint), LeftMs: q.Timeout.Milliseconds(), DueMs: f.DueIn.Milliseconds(),
 		Sends: int32(f.Sends), PossibleRuns: int32(f.PossibleRuns), LastEventId: f.LastEventID, ResponseBegun: f.ResponseBegun,
-		StreamVersion: f.Version, ResumeAfter: q.ResumeAfter, Resumes: q.Resumes,
+		Service: f.Service, StreamVersion: f.Version, ResumeAfter: q.ResumeAfter, Resumes: q.Resumes,
 	}
 	for _, part := range q.Parts {
 		out.Parts = append(out.Parts, &peerpb.PromptPart{Id: part.ID, Tokens: int64(part.Tokens)})
@@ -89,7 +89,7 @@
 	}
 	return traffic.Forwarded{
 		Request: q, DueIn: time.Duration(in.DueMs) * time.Millisecond, Team: in.Team, Sends: int(in.Sends), PossibleRuns: int(in.PossibleRuns),
-		LastEventID: in.LastEventId, ResponseBegun: in.ResponseBegun, Version: in.StreamVersion,
+		LastEventID: in.LastEventId, ResponseBegun: in.ResponseBegun, Service: in.Service, Version: in.StreamVersion,
 	}
 }
 
--- a/internal/vm/origins.go
+++ b/internal/vm/origins.go
@@ -235,11 +235,11 @@
 }
 
 func originToProto(o origins.Origin, now time.Time) *peerpb.StreamOrigin {
-	return &peerpb.StreamOrigin{Stream: uint64(o.Stream), Version: o.Version, AgoMs: now.Sub(o.BegunAt).Milliseconds()}
+	return &peerpb.StreamOrigin{Stream: uint64(o.Stream), Service: o.Service, Version: o.Version, AgoMs: now.Sub(o.BegunAt).Milliseconds()}
 }
 
 func originFromProto(in *peerpb.StreamOrigin, now time.Time) origins.Origin {
 	return origins.Origin{
-		Stream: origins.Stream(in.GetStream()), Version: in.GetVersion(), BegunAt: now.Add(-time.Duration(in.GetAgoMs()) * time.Millisecond),
+		Stream: origins.Stream(in.GetStream()), Service: in.GetService(), Version: in.GetVersion(), BegunAt: now.Add(-time.Duration(in.GetAgoMs()) * time.Millisecond),
 	}
 }
