--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -153,7 +153,7 @@
 		}
 	}
 	if req.Version != "" && (cause == ErrNoUpstream || cause == ErrNotLoaded) && s.warmIn(req, now) == 0 {
-		// Models are placed without regard to versions, so that waiting for a load is a guess.
+		// Models are placed without regard to versions, unless the leader is asked for one.
 		return &Refused{Cause: ErrVersionNotServed}
 	}
 	wait := loadTimeFor(cause)
--- a/internal/vm/adapters.go
+++ b/internal/vm/adapters.go
@@ -115,32 +115,30 @@
 }
 
 // ensureAdapter makes sure that an engine holds an adapter, through the leader if that is another
-// VM, and returns the engine's ID. It returns ErrNotLeader if this VM does not lead and does not
-// know another leader and its address.
+// VM, and returns the engine's ID. Its errors are those of planner.ensureAdapter and of callLeader.
 func (p *Process) ensureAdapter(ctx context.Context, q traffic.AdapterRequest) (string, error) {
 	if _, ok := p.candidate.Authority(); ok {
 		return p.planner.ensureAdapter(ctx, q)
 	}
-	address, ok := p.leaderAddress()
-	if !ok {
-		return "", errors.WithStack(ErrNotLeader)
-	}
 	var response *peerpb.EnsureAdapterResponse
-	err := p.pool.Call(ctx, address, exchangeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
-		response, err = peerpb.NewVMsClient(conn).EnsureAdapter(ctx, &peerpb.EnsureAdapterRequest{Service: q.Service, Model: q.Model, Adapter: q.Adapter, Avoid: q.Avoid})
+	err := p.callLeader(ctx, func(ctx context.Context, leader peerpb.VMsClient) (err error) {
+		response, err = leader.EnsureAdapter(ctx, &peerpb.EnsureAdapterRequest{Service: q.Service, Model: q.Model, Adapter: q.Adapter, Avoid: q.Avoid})
 		return err
 	})
-	if err != nil {
-		return "", err
-	}
-	return response.Instance, nil
+	return response.GetInstance(), err
 }
 
-// leaderAddress returns the address for peers of another VM that leads, and false if none is known.
-func (p *Process) leaderAddress() (string, bool) {
+// callLeader calls the leader, which is another VM. It returns ErrNotLeader if no leader and its address are known.
+func (p *Process) callLeader(ctx context.Context, call func(ctx context.Context, leader peerpb.VMsClient) error) error {
 	term, ok := p.candidate.Leader()
 	if !ok || term.VM == p.settings.VM {
-		return "", false
+		return errors.WithStack(ErrNotLeader)
+	}
+	address, ok := p.fleet.peerAddressOf(term.VM)
+	if !ok {
+		return errors.WithStack(ErrNotLeader)
 	}
-	return p.fleet.peerAddressOf(term.VM)
+	return p.pool.Call(ctx, address, exchangeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) error {
+		return call(ctx, peerpb.NewVMsClient(conn))
+	})
 }
--- a/internal/vm/wanted_models.go
+++ b/internal/vm/wanted_models.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"google.golang.org/grpc"
 
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/residency"
@@ -85,24 +84,17 @@
 }
 
 // ensureModel has the leader bring a model to an engine of a software version. Its errors are those of planner.ensureModel
-// and of the call.
+// and of callLeader.
 func (p *Process) ensureModel(ctx context.Context, q traffic.ModelRequest) (string, error) {
 	if _, ok := p.candidate.Authority(); ok {
 		return p.planner.ensureModel(ctx, q)
 	}
-	address, ok := p.leaderAddress()
-	if !ok {
-		return "", errors.WithStack(ErrNotLeader)
-	}
 	var response *peerpb.EnsureModelResponse
-	err := p.pool.Call(ctx, address, exchangeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
-		response, err = peerpb.NewVMsClient(conn).EnsureModel(ctx, &peerpb.EnsureModelRequest{Service: q.Service, Model: q.Model, Version: q.Version, Avoid: q.Avoid})
+	err := p.callLeader(ctx, func(ctx context.Context, leader peerpb.VMsClient) (err error) {
+		response, err = leader.EnsureModel(ctx, &peerpb.EnsureModelRequest{Service: q.Service, Model: q.Model, Version: q.Version, Avoid: q.Avoid})
 		return err
 	})
-	if err != nil {
-		return "", err
-	}
-	return response.Instance, nil
+	return response.GetInstance(), err
 }
 
 // EnsureModel implements peerpb.VMsServer.
