origins, traffic, vm: streams of callers that name no attempt are resumed

Cause: an origin was known by the attempt only. Change: an origin is told by the contents of the request as well. Where streams of the same contents began at different versions it is ambiguous and counts as unknown; such a question waits for all keepers, each of which may know another stream. Conclusion: callers that name their attempt lose nothing by equal contents.

--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -26,11 +26,32 @@
 	return Stream(xxhash.Sum64String(team + "\x00" + attempt))
 }
 
+// StreamOfContents returns the stream of a team's request with some contents, for callers that name no attempt. Requests with
+// the same contents count as one stream.
+func StreamOfContents(team string, contents ...string) Stream {
+	h := xxhash.New()
+	for _, part := range append([]string{team, "contents"}, contents...) {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	return Stream(h.Sum64())
+}
+
 // Origin says which software version of which service began a stream, and when.
 type Origin struct {
 	Stream           Stream
 	Service, Version string
 	BegunAt          time.Time
+	// Ambiguous means that streams which count as this one began at different services or versions.
+	Ambiguous bool
+}
+
+// Merge returns what two origins of a stream say together.
+func (o Origin) Merge(other Origin) Origin {
+	if other.Ambiguous || o.Service != other.Service || o.Version != other.Version {
+		o.Ambiguous = true
+	}
+	return o
 }
 
 // Table holds origins. It is safe for concurrent use.
@@ -43,17 +64,20 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{origins: make(map[Stream]Origin)} }
 
-// Record remembers an origin, and reports whether it was not known. The first one of a stream is kept: a resumption does
-// not change where it began.
+// Record remembers an origin, and reports whether it was not known.
 func (t *Table) Record(o Origin, now time.Time) (news bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	if _, known := t.origins[o.Stream]; known || o.Version == "" {
+	if o.Version == "" {
 		return false
 	}
+	known, ok := t.origins[o.Stream]
+	if ok {
+		o = known.Merge(o)
+	}
 	t.origins[o.Stream] = o
-	return true
+	return !ok || o.Ambiguous != known.Ambiguous
 }
 
 // Find returns the origin of a stream, and false if it is not remembered.
--- a/internal/traffic/resumption.go
+++ b/internal/traffic/resumption.go
@@ -38,11 +38,11 @@
 		return nil
 	}
 	o := &j.core.options
-	if origin, ok := o.Origins.Find(j.streamID(), time.Now()); ok {
+	if origin, ok := o.Origins.Find(j.streamID(), time.Now()); ok && j.request.Resumes != "" && !origin.Ambiguous {
 		return j.bind(origin, versionOwn)
 	}
 	j.waitingFor = waitOrigin
-	if origin, ok := o.AskOrigin(ctx, j.streamID()); ok {
+	if origin, ok := o.AskOrigin(ctx, j.streamID()); ok && !origin.Ambiguous {
 		return j.bind(origin, versionPeer)
 	}
 	if version, ok := o.OnlyVersion(j.service); ok && len(j.route.Shares) == 1 {
@@ -52,12 +52,26 @@
 	return errors.Wrapf(ErrVersionUnknown, "stream of attempt %q", j.request.Resumes)
 }
 
-// streamID identifies the stream of the request: by the attempt that brought its first event.
+// streamID identifies the stream of the request: by the attempt that brought its first event, or by the contents of the
+// request if its caller resumes a stream and names no attempt.
 func (j *job) streamID() origins.Stream {
-	if j.request.ResumeAfter != "" {
+	switch {
+	case j.request.ResumeAfter == "":
+		return origins.StreamOf(j.team, j.request.ID)
+	case j.request.Resumes != "":
 		return origins.StreamOf(j.team, j.request.Resumes)
 	}
-	return origins.StreamOf(j.team, j.request.ID)
+	return j.contentsID()
+}
+
+// contentsID identifies the stream of the request by what stays the same when its caller resumes it.
+func (j *job) contentsID() origins.Stream {
+	q := j.request
+	contents := []string{q.Method, q.Host, q.Target, q.Model, q.Adapter, string(q.Body)}
+	for _, part := range q.Parts {
+		contents = append(contents, part.ID)
+	}
+	return origins.StreamOfContents(j.team, contents...)
 }
 
 // bind restricts the request to the service and the version of its stream's origin. A route may be divided between services,
@@ -84,7 +98,9 @@
 		if begunAt.IsZero() {
 			begunAt = now
 		}
-		j.core.shareOrigin(origins.Origin{Stream: j.streamID(), Service: j.service, Version: j.version, BegunAt: begunAt}, now)
+		for _, stream := range []origins.Stream{j.streamID(), j.contentsID()} {
+			j.core.shareOrigin(origins.Origin{Stream: stream, Service: j.service, Version: j.version, BegunAt: begunAt}, now)
+		}
 	}
 	if id := eventID(event); id != "" {
 		j.lastEventID = id
--- a/internal/vm/origins.go
+++ b/internal/vm/origins.go
@@ -125,15 +125,24 @@
 	if len(hubs) == 0 {
 		return f.askKeepers(ctx, s)
 	}
+	own, known := f.process.origins.Find(s, time.Now())
 	for _, hub := range hubs {
-		if o, err := f.queryOrigin(ctx, hub, s, originQueryTimeout, true); err == nil {
-			return o, o.Version != ""
+		o, err := f.queryOrigin(ctx, hub, s, originQueryTimeout, true)
+		switch {
+		case err != nil:
+			continue
+		case o.Version == "":
+			return own, known
+		case known:
+			return own.Merge(o), true
 		}
+		return o, true
 	}
-	return origins.Origin{}, false
+	return own, known
 }
 
-// askKeepers asks the VMs that remember a stream, all at once.
+// askKeepers asks the VMs that remember a stream, all at once, and merges what they know: of requests with the same contents
+// each may know another one.
 func (f *fleet) askKeepers(ctx context.Context, s origins.Stream) (origins.Origin, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -145,12 +154,18 @@
 			found <- o
 		}()
 	}
+	merged, known := f.process.origins.Find(s, time.Now())
 	for range keepers {
-		if o := <-found; o.Version != "" {
-			return o, true
+		o := <-found
+		switch {
+		case o.Version == "":
+		case !known:
+			merged, known = o, true
+		default:
+			merged = merged.Merge(o)
 		}
 	}
-	return origins.Origin{}, false
+	return merged, known
 }
 
 // queryOrigin asks one VM which version began a stream. The origin is empty if that VM does not know.
@@ -170,7 +185,7 @@
 func (s *vmServer) FindOrigin(ctx context.Context, in *peerpb.OriginQuery) (*peerpb.OriginAnswer, error) {
 	now := time.Now()
 	o, ok := s.process.origins.Find(origins.Stream(in.Stream), now)
-	if !ok && in.Relay {
+	if in.Relay {
 		o, ok = s.process.fleet.askKeepers(ctx, origins.Stream(in.Stream))
 	}
 	if !ok {
@@ -235,11 +250,11 @@
 }
 
 func originToProto(o origins.Origin, now time.Time) *peerpb.StreamOrigin {
-	return &peerpb.StreamOrigin{Stream: uint64(o.Stream), Service: o.Service, Version: o.Version, AgoMs: now.Sub(o.BegunAt).Milliseconds()}
+	return &peerpb.StreamOrigin{Stream: uint64(o.Stream), Service: o.Service, Version: o.Version, AgoMs: now.Sub(o.BegunAt).Milliseconds(), Ambiguous: o.Ambiguous}
 }
 
 func originFromProto(in *peerpb.StreamOrigin, now time.Time) origins.Origin {
 	return origins.Origin{
-		Stream: origins.Stream(in.GetStream()), Service: in.GetService(), Version: in.GetVersion(), BegunAt: now.Add(-time.Duration(in.GetAgoMs()) * time.Millisecond),
+		Stream: origins.Stream(in.GetStream()), Service: in.GetService(), Version: in.GetVersion(), Ambiguous: in.GetAmbiguous(), BegunAt: now.Add(-time.Duration(in.GetAgoMs()) * time.Millisecond),
 	}
 }
