--- a/internal/vm/resumption_test.go
+++ b/internal/vm/resumption_test.go
@@ -114,6 +114,7 @@
 		"callers name no attempt and contents are same": {callerKind: callerKind{namesNoAttempt: true, sameContents: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := newCluster(t, versionedEngines("v1", "v2", "v3")...)
 			for _, vm := range []string{"a", "b", "c"} {
 				c.start(vm)
