--- a/internal/vm/resumption_test.go
+++ b/internal/vm/resumption_test.go
@@ -96,8 +96,7 @@
 	return s
 }
 
-// Streams that break go on at an upstream of another software version: within an answer, at another VM, after the VM that
-// began them has stopped, while a version leaves, and after an engine has started again at another version.
+// Streams that break go on at an upstream of another software version, within an answer or for a caller that resumes them.
 func TestStreamHoldsEventsOfOneSoftwareVersion(t *testing.T) {
 	for name, s := range map[string]struct {
 		disturb func(c *cluster)
@@ -200,8 +199,7 @@
 	require.GreaterOrEqual(t, 2*continued*len(streams), resumed*begun)
 }
 
-// A VM that follows a hub begins a stream and stops, and so does its hub: a VM of another failure domain still learns at
-// which version the stream began.
+// The VM that began a stream and its hub have stopped, and the origin is forgotten with them.
 func TestOriginIsFoundThroughHubs(t *testing.T) {
 	c := newCluster(t, versionedEngines("v1", "v2")...)
 	for i := range 14 {
