portblock, vm, soak: ports of stopped VMs are not reused by stand-ins

The run has the target "*", no header and no body: it is the preface of HTTP/2 ("PRI * HTTP/2.0"), which net/http hands to the handler. Tests in internal/vm took the ports of VMs, of stand-ins and of links, and the soak those of its proxies and stand-ins, from the ephemeral range; VMs go on dialing the ports of VMs that are gone, and reached stand-ins that the system had given the same port. Which client dialed was not recorded.

Change: internal/vm, and the soak's proxies and stand-ins, take their ports from portblock, which issues each port once and lies below the ephemeral range; portblock.Listen holds the port from the start. A VM that ends by itself fails its test and says why; until now its error was dropped, and a port that was taken meanwhile showed as a VM that is not ready.

Conclusion: checks are unchanged.

--- a/internal/portblock/portblock.go
+++ b/internal/portblock/portblock.go
@@ -32,12 +32,23 @@
 // Next returns a port that no process listens on and that no other test process allocates. Each
 // port is returned at most once. Next returns ErrNoBlock, wrapped, if no block can be claimed.
 func (p *Ports) Next() (int, error) {
+	l, err := p.Listen()
+	if err != nil {
+		return 0, err
+	}
+	_ = l.Close()
+	return l.Addr().(*net.TCPAddr).Port, nil
+}
+
+// Listen listens on a port that no other test process allocates, and that is not allocated again
+// after the listener is closed. Listen returns ErrNoBlock, wrapped, if no block can be claimed.
+func (p *Ports) Listen() (net.Listener, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for {
 		if p.blockStart == 0 || p.nextPort >= p.blockStart+portsPerBlock {
 			if err := p.claimBlock(); err != nil {
-				return 0, err
+				return nil, err
 			}
 		}
 		port := p.nextPort
@@ -46,8 +57,7 @@
 		if err != nil {
 			continue
 		}
-		_ = l.Close()
-		return port, nil
+		return l, nil
 	}
 }
 
--- a/internal/vm/cluster_test.go
+++ b/internal/vm/cluster_test.go
@@ -5,19 +5,19 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/chestnutarch/chestnutarch/internal/portblock"
 	"github.com/chestnutarch/chestnutarch/platform"
 	"github.com/chestnutarch/chestnutarch/platform/standin"
 )
@@ -61,8 +61,7 @@
 }
 
 func (c *cluster) add(r *standin.Replica) {
-	server := httptest.NewServer(r)
-	c.t.Cleanup(server.Close)
+	server := serve(c.t, r)
 	c.replicas[r.ID], c.servers[r.ID] = r, server
 	c.setReplicaState(r.ID, "ready")
 }
@@ -125,14 +124,13 @@
 
 func (c *cluster) startAs(spec vmSpec) *testVM {
 	v := &testVM{}
-	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	store := serve(c.t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if v.storeRefuses.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		c.store.ServeHTTP(w, r)
 	}))
-	c.t.Cleanup(store.Close)
 	storeAddress := store.Listener.Addr().String()
 	if spec.link != nil {
 		storeAddress = spec.link.proxy(storeAddress)
@@ -157,19 +155,37 @@
 		p.replicas.Pool.DialContext = spec.upstreams.dial
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	wg.Go(func() { _ = p.Run(ctx) })
+	ended, failure := make(chan struct{}), error(nil)
+	go func() {
+		defer close(ended)
+		if err := p.Run(ctx); ctx.Err() == nil {
+			failure = err
+		}
+	}()
 	v.Process = p
 	v.stop = func() {
 		cancel()
-		wg.Wait()
+		<-ended
 	}
-	c.t.Cleanup(v.stop)
+	c.t.Cleanup(func() {
+		v.stop()
+		assert.NoError(c.t, failure, "VM %s ended by itself", spec.name)
+	})
 	c.vms = append(c.vms, v)
-	c.eventually(func() bool { return v.ready() })
+	c.eventually(func() bool { return v.ready() || isClosed(ended) })
+	require.False(c.t, isClosed(ended), "VM %s ended before it was ready", spec.name)
 	return v
 }
 
+func isClosed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
 // idle returns a process with the VM's settings that does not run.
 func (v *testVM) idle(t *testing.T) *Process {
 	p, err := New(v.settings, zerolog.Nop())
@@ -177,17 +193,30 @@
 	return p
 }
 
+// ports allocates the ports of all clusters. A port is not reused, because the peers of a VM that has stopped, also those
+// of another test process, dial its port until they forget it, and would reach whatever listens there.
+var ports portblock.Ports
+
 func freePorts(t *testing.T, n int) []int {
 	out := make([]int, n)
 	for i := range out {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		port, err := ports.Next()
 		require.NoError(t, err)
-		defer l.Close()
-		out[i] = l.Addr().(*net.TCPAddr).Port
+		out[i] = port
 	}
 	return out
 }
 
+// serve starts a server that is closed when the test ends.
+func serve(t *testing.T, handler http.Handler) *httptest.Server {
+	listener, err := ports.Listen()
+	require.NoError(t, err)
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: handler}}
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
 func loopback(port int) string { return "127.0.0.1:" + strconv.Itoa(port) }
 
 func (c *cluster) eventually(condition func() bool) {
--- a/internal/vm/link_test.go
+++ b/internal/vm/link_test.go
@@ -41,7 +41,7 @@
 
 // proxy returns an address at which a target can be reached over the link.
 func (l *link) proxy(target string) string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := ports.Listen()
 	if !assert.NoError(l.t, err) {
 		return target
 	}
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -46,7 +46,7 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := ports.Listen()
 	if err != nil {
 		return nil, err
 	}
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -121,7 +121,7 @@
 		w.manifest.Extra = append(w.manifest.Extra, fmt.Sprintf("unused-%d", i))
 	}
 	w.store.Put("op/config", w.manifest.Value())
-	server := httptest.NewServer(w.store)
+	server := serve(t, w.store)
 	t.Cleanup(func() {
 		w.store.Override(nil)
 		server.CloseClientConnections()
@@ -166,7 +166,7 @@
 	r := standin.NewReplica(id, 2, models...)
 	r.NameAttempt, r.ServiceTime, r.Born = true, 5*time.Millisecond, time.Now().UnixMilli()
 	r.SetLoadTime(200 * time.Millisecond)
-	u := &upstream{Replica: r, service: service, zone: zone, server: httptest.NewServer(r), state: "ready"}
+	u := &upstream{Replica: r, service: service, zone: zone, server: serve(w.t, r), state: "ready"}
 	replicaProxy, err := newProxy(u.server.Listener.Addr().String())
 	require.NoError(w.t, err)
 	u.proxy = replicaProxy
@@ -257,6 +257,16 @@
 	return out
 }
 
+// serve starts a server, which the caller has to close. Its port is not reused: VMs go on dialing the ports of processes
+// that are gone, and would reach whatever listens there.
+func serve(t *testing.T, handler http.Handler) *httptest.Server {
+	listener, err := ports.Listen()
+	require.NoError(t, err)
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: handler}}
+	server.Start()
+	return server
+}
+
 // configure changes the configuration, writes it to the store and returns its version.
 func (w *world) configure(change func(m *standin.Manifest)) int {
 	w.mu.Lock()
