origins, vm: a stream that is known by its attempt does not wait for all VMs that are asked

Callers saw: a resumption waited 0.15 s for its origin if one of the VMs that were asked did not answer, which is usual right after a VM was lost. Cause: askKeepers waited for all answers. Only origins by contents need them, since requests with the same contents may have begun at several versions. Change: origins.Gather returns as soon as no other answer can change the origin; the stream's lowest bit tells the kinds apart. Before: TestOriginIsKnownBeforeAllHaveAnswered would wait forever for the VM that is gone. After: passes.

--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -19,18 +19,27 @@
 	expireInterval = time.Second
 )
 
-// Stream identifies a stream by the attempt that brought its first event.
+// Stream identifies a stream by the attempt that brought its first event, or by the contents of its request.
 type Stream uint64
 
+// contentsBit is set in the streams that are identified by contents.
+const contentsBit Stream = 1
+
 // StreamOf returns the stream that a team's attempt began. Teams choose the IDs of their attempts by themselves.
 func StreamOf(team, attempt string) Stream {
-	return Stream(xxhash.Sum64String(team + "\x00" + attempt))
+	return Stream(xxhash.Sum64String(team+"\x00"+attempt)) &^ contentsBit
 }
 
 // StreamOfContents returns the stream of a team's request whose contents have a hash, for callers that name no attempt.
 // Requests with the same contents count as one stream.
 func StreamOfContents(team string, contents uint64) Stream {
-	return Stream(xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(team+"\x00contents\x00"), contents)))
+	return Stream(xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(team+"\x00contents\x00"), contents))) | contentsBit
+}
+
+// settledBy reports whether no other answer can change an origin. Streams that are identified by contents may have begun at
+// several versions, of which each VM may know one.
+func (s Stream) settledBy(o Origin) bool {
+	return o.Ambiguous || (o.Known() && s&contentsBit == 0)
 }
 
 // Origin says which software version of which service began a stream, and when.
@@ -59,6 +68,18 @@
 	return o
 }
 
+// Gather merges an origin with the answers of n VMs, empty ones of those that do not know it. It returns as soon as no other
+// answer can change the result: a VM that is gone may not answer before a timeout.
+func Gather(s Stream, known Origin, answers <-chan Origin, n int) Origin {
+	for range n {
+		if s.settledBy(known) {
+			break
+		}
+		known = known.Merge(<-answers)
+	}
+	return known
+}
+
 // Table holds origins. It is safe for concurrent use.
 type Table struct {
 	mu        sync.Mutex
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -117,3 +117,20 @@
 	require.True(t, originAt(s, "v1", start).Merge(o).Ambiguous)
 	require.False(t, originAt(s, "v1", start).Merge(originAt(s, "v1", start)).Ambiguous)
 }
+
+// One of the VMs that are asked for a stream's origin is gone and does not answer; the others know it.
+func TestOriginIsKnownBeforeAllHaveAnswered(t *testing.T) {
+	attempt, contents := StreamOf("team", "a"), StreamOfContents("team", 1)
+	gather := func(s Stream, answers ...Origin) Origin {
+		ch := make(chan Origin, len(answers))
+		for _, o := range answers {
+			ch <- o
+		}
+		return Gather(s, Origin{}, ch, 3)
+	}
+	require.Equal(t, "v1", gather(attempt, Origin{}, originAt(attempt, "v1", start)).Version)
+	require.True(t, gather(contents, originAt(contents, "v1", start), originAt(contents, "v2", start)).Ambiguous)
+	require.True(t, gather(contents, originAt(contents, "v1", start), Origin{}, originAt(contents, "v2", start)).Ambiguous)
+	require.False(t, gather(attempt, Origin{}, Origin{}, Origin{}).Known())
+	require.Equal(t, "v1", Gather(attempt, originAt(attempt, "v1", start), nil, 3).Version)
+}
--- a/internal/vm/origins.go
+++ b/internal/vm/origins.go
@@ -135,8 +135,7 @@
 	return own, own.Known()
 }
 
-// askKeepers asks the VMs that remember a stream, all at once, and merges what they know: of requests with the same contents
-// each may know another one.
+// askKeepers asks the VMs that remember a stream, all at once.
 func (f *fleet) askKeepers(ctx context.Context, s origins.Stream) (origins.Origin, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -148,11 +147,9 @@
 			found <- o
 		}()
 	}
-	merged, _ := f.process.origins.Find(s, time.Now())
-	for range keepers {
-		merged = merged.Merge(<-found)
-	}
-	return merged, merged.Known()
+	own, _ := f.process.origins.Find(s, time.Now())
+	o := origins.Gather(s, own, found, len(keepers))
+	return o, o.Known()
 }
 
 // queryOrigin asks one VM which version began a stream. The origin is empty if that VM does not know.
