traffic: a resumption whose route leads to another service names no time to come back

Callers saw: 503 version_not_served with Retry-After of 0.25 s in this case, and none in all others, though the route comes back no sooner. Cause: the error of bind carried no refusal, so that the default for upstreams out of reach was taken. Before: 250 ms in TestResumedStreamStaysAtItsService; after: none, as the same reason has elsewhere.

--- a/internal/traffic/resumption.go
+++ b/internal/traffic/resumption.go
@@ -78,7 +78,7 @@
 func (j *job) bind(o origins.Origin, source versionSource) error {
 	j.version, j.versionSource, j.begunAt = o.Version, source, o.BegunAt
 	if !j.route.Serves(o.Service) {
-		return errors.Wrapf(assign.ErrVersionNotServed, "stream of service %q", o.Service)
+		return errors.Wrapf(&assign.Refused{Cause: assign.ErrVersionNotServed}, "stream of service %q", o.Service)
 	}
 	j.service = o.Service
 	return nil
--- a/internal/traffic/version_test.go
+++ b/internal/traffic/version_test.go
@@ -144,6 +144,7 @@
 		sink := f.resume(t)
 		require.Equal(t, http.StatusServiceUnavailable, sink.status)
 		require.Equal(t, "version_not_served", sink.refusal.Reason)
+		require.Zero(t, sink.refusal.RetryAfter)
 		f.requireOnlySentTo(t, "engine")
 	})
 }
