--- a/internal/vm/brittle_test.go
+++ b/internal/vm/brittle_test.go
@@ -104,4 +104,3 @@
 		})
 	}
 }
-
