--- a/internal/assign/ratelimit.go
+++ b/internal/assign/ratelimit.go
@@ -112,13 +112,6 @@
 	}, true
 }
 
-// SettlesIn returns the time until this VM has been running for long enough to issue permits.
-func (s *Assigner) SettlesIn(now time.Time) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.settlesIn(now)
-}
-
 // RetainRateLimits forgets the rate limits of upstreams that have not been known for a while.
 func (s *Assigner) RetainRateLimits(now time.Time) {
 	s.mu.Lock()
