--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -47,7 +47,10 @@
 
 // load is a set of callers that send requests until they are stopped.
 type load struct {
-	w                *world
+	w *world
+	// kinds are the kinds of requests, idPrefix begins their IDs.
+	kinds            []kind
+	idPrefix         string
 	onlyPlannedStops atomic.Bool
 	lastID           atomic.Int64
 	cancel           context.CancelFunc
@@ -56,8 +59,17 @@
 
 // startLoad starts concurrent callers. Each has its own connections.
 func startLoad(w *world, seed uint64, callers int) *load {
+	return startCallers(&load{w: w, kinds: []kind{chat, draft, file, look}, idPrefix: "id"}, seed, callers)
+}
+
+// startCrowd starts concurrent callers of the plain service.
+func startCrowd(w *world, seed uint64, callers int) *load {
+	return startCallers(&load{w: w, kinds: []kind{look}, idPrefix: fmt.Sprintf("crowd%x-", seed)}, seed, callers)
+}
+
+func startCallers(l *load, seed uint64, callers int) *load {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &load{w: w, cancel: cancel}
+	l.cancel = cancel
 	for i := range callers {
 		l.running.Go(func() { l.runCaller(ctx, rand.New(rand.NewPCG(seed, uint64(i)+100))) })
 	}
@@ -127,7 +139,7 @@
 }
 
 func (l *load) newAttempt(r *rand.Rand, v *vm) *attempt {
-	a := &attempt{kind: pick(r, []kind{chat, draft, file, look}), vm: v, sent: time.Now(), onlyPlannedStops: l.onlyPlannedStops.Load()}
+	a := &attempt{kind: pick(r, l.kinds), vm: v, sent: time.Now(), onlyPlannedStops: l.onlyPlannedStops.Load()}
 	a.team = pick(r, []string{"large", "large", "small"})
 	l.w.mu.Lock()
 	for _, t := range l.w.manifest.Teams {
@@ -136,7 +148,7 @@
 		}
 	}
 	l.w.mu.Unlock()
-	id := fmt.Sprintf("id%x", l.lastID.Add(1))
+	id := fmt.Sprintf("%s%x", l.idPrefix, l.lastID.Add(1))
 	a.Call = standin.Call{
 		ID: id, Host: host, Key: a.Key, Method: "POST", Path: "/" + string(a.kind) + "/" + id, Body: "body of " + id, Timeout: 2 * time.Second,
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -27,6 +27,7 @@
 	pushback       = flag.Bool("pushback", false, "upstreams leave by their answers alone, and shed load")
 	departures     = flag.Bool("departures", false, "upstreams leave by the store for longer than requests may reach them")
 	versionsMode   = flag.Bool("versions", false, "engines of several software versions, whose streams break at random and are resumed by callers")
+	brittle        = flag.Bool("brittle", false, "instances of the plain service are brittle before many callers")
 	stalls         = flag.Bool("stalls", false, "with -departures: all VMs stand still from time to time, in place of a store that turns some away")
 	otherFaults    = flag.Bool("faults", true, "inject the faults that belong to no other flag")
 	storeFaults    = flag.Bool("storefaults", true, "let faults of the whole store be among the faults")
@@ -64,7 +65,7 @@
 // ciSeedEvacuations the one that runs with evacuations, ciSeedRateLimits the one with rate limits,
 // ciSeedPushback the one in which upstreams leave by their answers alone and shed load, ciSeedDepartures
 // the one in which they leave by the store, before a fleet with hubs, ciSeedVersions the one with engines of several
-// versions.
+// versions, ciSeedBrittle the one in which the plain service is brittle.
 var ciSeeds = []uint64{1, 2}
 
 const (
@@ -74,6 +75,7 @@
 	ciSeedPushback    = 6
 	ciSeedDepartures  = 7
 	ciSeedVersions    = 8
+	ciSeedBrittle     = 9
 	// largeRoutes is the number of additional routes with which a configuration takes a second
 	// over a narrow link.
 	largeRoutes = 700
@@ -124,7 +126,7 @@
 // unavailable and compacts its history. What callers and replicas observe must keep the promises
 // throughout, and every kind of request must be served after the faults have ended.
 func TestSoak(t *testing.T) {
-	flags := run{faultTime: *faultTime, routes: *extraRoutes, vms: *vmCount, evacuations: *evacuations, rateLimits: *rateLimits, pushback: *pushback, departures: *departures, stalls: *stalls, versions: *versionsMode, noOtherFaults: !*otherFaults, noStoreFaults: !*storeFaults, noRecovery: !*recovery, busy: *busyProcesses, engines: *engineCount, callers: *callerCount}
+	flags := run{faultTime: *faultTime, routes: *extraRoutes, vms: *vmCount, evacuations: *evacuations, rateLimits: *rateLimits, pushback: *pushback, departures: *departures, stalls: *stalls, versions: *versionsMode, brittle: *brittle, noOtherFaults: !*otherFaults, noStoreFaults: !*storeFaults, noRecovery: !*recovery, busy: *busyProcesses, engines: *engineCount, callers: *callerCount}
 	switch {
 	case *seed != 0:
 		flags.start(t, *seed)
@@ -145,6 +147,7 @@
 		run{faultTime: *faultTime, vms: *vmCount, pushback: true}.start(t, ciSeedPushback)
 		run{faultTime: *faultTime, vms: hubFleetVMs + 2, engines: 8, callers: 20, departures: true, noOtherFaults: true, noRecovery: true}.start(t, ciSeedDepartures)
 		run{faultTime: *faultTime, vms: *vmCount, engines: versionedEngines, versions: true}.start(t, ciSeedVersions)
+		run{faultTime: *faultTime, vms: *vmCount, brittle: true, noOtherFaults: true, noRecovery: true}.start(t, ciSeedBrittle)
 	}
 }
 
@@ -157,6 +160,7 @@
 	evacuations, rateLimits bool
 	pushback, departures    bool
 	stalls, versions        bool
+	brittle                 bool
 	// noOtherFaults leaves out the faults that belong to none of the flags above.
 	noOtherFaults bool
 	// noStoreFaults leaves out the faults of the whole store.
@@ -186,8 +190,8 @@
 
 // arguments returns the command-line arguments of the run.
 func (o run) arguments() string {
-	return fmt.Sprintf("-storm %v -routes %d -vms %d -evacuations=%v -ratelimits=%v -pushback=%v -departures=%v -stalls=%v -versions=%v -faults=%v -storefaults=%v -recovery=%v -busy %d -engines %d -callers %d",
-		o.faultTime, o.routes, o.vms, o.evacuations, o.rateLimits, o.pushback, o.departures, o.stalls, o.versions, !o.noOtherFaults, !o.noStoreFaults, !o.noRecovery, o.busy, max(o.engines, defaultEngines), max(o.callers, defaultCallers))
+	return fmt.Sprintf("-storm %v -routes %d -vms %d -evacuations=%v -ratelimits=%v -pushback=%v -departures=%v -stalls=%v -versions=%v -brittle=%v -faults=%v -storefaults=%v -recovery=%v -busy %d -engines %d -callers %d",
+		o.faultTime, o.routes, o.vms, o.evacuations, o.rateLimits, o.pushback, o.departures, o.stalls, o.versions, o.brittle, !o.noOtherFaults, !o.noStoreFaults, !o.noRecovery, o.busy, max(o.engines, defaultEngines), max(o.callers, defaultCallers))
 }
 
 func (o run) start(t *testing.T, seed uint64) {
@@ -221,6 +225,7 @@
 	if !o.noRecovery {
 		w.checkRecovery(l)
 	}
+	w.checkBrittle(r, s)
 	l.stopAndWait()
 	close(stop)
 	w.oracle.check(w)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -58,6 +58,8 @@
 	departures bool
 	// versions is set if engines of several software versions serve side by side.
 	versions *versions
+	// brittle is set if instances of the plain service become brittle.
+	brittle bool
 	// stalls is set if all VMs stand still at the same time, from time to time.
 	stalls bool
 	// boundMs is the value of the bounds config-ms and drain-ms.
@@ -97,7 +99,7 @@
 // newWorld starts the world of a run. Additional routes make the configuration large, and then the links to
 // the store and between VMs are narrow. With evacuations a third of the upstreams is in evacuatedZone.
 func newWorld(t *testing.T, o run, seed uint64) *world {
-	w := &world{t: t, dir: logDirectory(t), store: standin.NewStore(), oracle: newOracle(), evacuations: o.evacuations, rateLimits: o.rateLimits, pushback: o.pushback, departures: o.departures, stalls: o.stalls, boundMs: boundMs}
+	w := &world{t: t, dir: logDirectory(t), store: standin.NewStore(), oracle: newOracle(), evacuations: o.evacuations, rateLimits: o.rateLimits, pushback: o.pushback, departures: o.departures, brittle: o.brittle, stalls: o.stalls, boundMs: boundMs}
 	if o.versions {
 		w.versions = newVersions(seed)
 	}
@@ -138,7 +140,11 @@
 			w.versions.prepare(engine.Replica, i)
 			w.writeEntry(engine)
 		}
-		w.addUpstream("clerk", zone, fmt.Sprintf("clerk-%d", i))
+		clerk := w.addUpstream("clerk", zone, fmt.Sprintf("clerk-%d", i))
+		if w.brittle {
+			clerk.ServiceTime = brittleServiceTime
+			clerk.SetRoom(brittleSlots, brittleWaiting)
+		}
 	}
 	w.store.Rewrite(w.publishPeerProxies)
 	for i := range o.vms {
