--- a/internal/vm/places.go
+++ b/internal/vm/places.go
@@ -247,12 +247,20 @@
 	}
 	p.wake(l.Release(permit, rejected, time.Now()))
 	if rejected {
-		p.fleet.process.incrementCounter("upstreams.brittle_rejections")
-		p.fleet.process.log.Info().Str("event", "brittle_rejection").Str("instance", k.Instance).Str("peer", permit.VM).
-			Int("in_flight", l.InUse()).Send()
+		p.noteRejection(k.Instance, permit.VM, l.InUse())
 	}
 }
 
+func (p *places) noteRejection(instance, peer string, inFlight int) {
+	service := ""
+	if i := p.fleet.process.instance(instance); i != nil {
+		service = i.Service
+	}
+	p.fleet.process.incrementCounter("upstreams.brittle_rejections." + service)
+	p.fleet.process.log.Info().Str("event", "brittle_rejection").Str("instance", instance).Str("service", service).Str("peer", peer).
+		Int("in_flight", inFlight).Send()
+}
+
 // expire forgets the permits of processes that are gone, and the upstreams that are.
 func (p *places) expire() {
 	now, runs := time.Now(), p.fleet.runningProcesses()
