--- a/internal/vm/cluster_test.go
+++ b/internal/vm/cluster_test.go
@@ -47,6 +47,8 @@
 	// storeRefuses makes the store refuse the calls of this VM.
 	storeRefuses atomic.Bool
 	stop         func()
+	// cancel begins to stop the VM.
+	cancel func()
 }
 
 // newCluster starts the store and the replicas. The part of a replica's ID before the dash
@@ -162,12 +164,16 @@
 			failure = err
 		}
 	}()
-	v.Process = p
+	v.Process, v.cancel = p, cancel
 	v.stop = func() {
 		cancel()
 		<-ended
 	}
 	c.t.Cleanup(func() {
+		// All VMs shut down at the same time, which takes most of a test with many of them.
+		for _, other := range c.vms {
+			other.cancel()
+		}
 		v.stop()
 		assert.NoError(c.t, failure, "VM %s ended by itself", spec.name)
 	})
