vm: calls for permits of brittle upstreams outlast a shortage of processor time

Change: these calls have 0.4 s beyond the wait that they ask for; a request's own wait ends them earlier and does not count against the connection.

Bounds are unchanged.

--- a/internal/vm/places.go
+++ b/internal/vm/places.go
@@ -16,6 +16,9 @@
 const (
 	// placePollInterval is how often a request that waits for a permit looks whether time alone has made room.
 	placePollInterval = 20 * time.Millisecond
+	// placeTimeout bounds a call about permits of brittle upstreams, beyond the wait that it asks for. A few calls in a row
+	// that time out close their connection, with all requests that wait over it for a permit.
+	placeTimeout = 400 * time.Millisecond
 	// maxReleaseCalls is how often the issuer is told of permits that are used no more, if it does not answer, and
 	// releaseRetryPause the time between two calls. Permits expire besides.
 	maxReleaseCalls   = 4
@@ -54,7 +57,7 @@
 		return p.settle(q, p.issue(ctx, q.Upstream, q.Needed, ask))
 	}
 	limit, _ := p.fleet.process.assigner.RateLimit(q.Upstream)
-	decision, err := p.fleet.callPermit(ctx, address, permitTimeout+q.MaxWait, &peerpb.PermitRequest{
+	decision, err := p.fleet.callPermit(ctx, address, placeTimeout+q.MaxWait, &peerpb.PermitRequest{
 		Limit: rateLimitToProto(upstreamrate.Entry{Key: q.Upstream, Limit: limit}), Needed: q.Needed, Vm: ask.Permit.VM, Incarnation: ask.Permit.Incarnation,
 		Permit: q.Permit, MaxWaitMs: uint32(q.MaxWait.Milliseconds()), TimeLeftMs: uint32(max(0, q.TimeLeft.Milliseconds())),
 	}, issuer)
@@ -214,7 +217,7 @@
 		if call > 0 {
 			time.Sleep(releaseRetryPause)
 		}
-		err := p.fleet.process.pool.Call(context.Background(), address, permitTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) error {
+		err := p.fleet.process.pool.Call(context.Background(), address, placeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) error {
 			_, err := peerpb.NewVMsClient(conn).ReleasePermits(ctx, message)
 			return err
 		})
