vm: one outbox for what is told to other VMs in batches

Cause: releases of permits had a copy of the queue by which origins are told. Change: both use outbox. Behaviour: as before, but that releases for a VM that does not answer are bounded as origins are; permits expire besides. Tests of origins, versions and brittle upstreams pass with the race detector.

--- a/internal/vm/origins.go
+++ b/internal/vm/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"google.golang.org/grpc"
@@ -25,70 +24,38 @@
 	originNoticeTimeout = 700 * time.Millisecond
 	originQueryTimeout  = 250 * time.Millisecond
 	keeperQueryTimeout  = 150 * time.Millisecond
-	// maxPendingOrigins bounds the origins that wait for a VM that does not answer.
-	maxPendingOrigins = 1000
 )
 
-// originNotices tells other VMs which version began streams. Streams that begin while a notice is on its way go into the
-// next one to the same VM.
+// originNotices tells other VMs which version began streams.
 type originNotices struct {
-	fleet *fleet
-
-	mu sync.Mutex
-	// pending holds, by address, what has not been told yet; an address is present while a goroutine tells it.
-	pending map[string][]origins.Origin
+	fleet  *fleet
+	outbox *outbox[origins.Origin]
 }
 
 func newOriginNotices(f *fleet) *originNotices {
-	return &originNotices{fleet: f, pending: make(map[string][]origins.Origin)}
+	n := &originNotices{fleet: f}
+	n.outbox = newOutbox(n.send)
+	return n
 }
 
 // share has other VMs remember an origin that this VM has recorded.
 func (n *originNotices) share(o origins.Origin) {
 	if hubs := n.fleet.followedHubs(); len(hubs) > 0 {
-		n.queue(hubs[0], o)
+		n.outbox.add(hubs[0], o)
 		return
 	}
 	for _, address := range n.fleet.keepersOf(o.Stream, originKeepers) {
-		n.queue(address, o)
-	}
-}
-
-func (n *originNotices) queue(address string, o origins.Origin) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	waiting, sending := n.pending[address]
-	if len(waiting) >= maxPendingOrigins {
-		waiting = waiting[1:]
-	}
-	n.pending[address] = append(waiting, o)
-	if !sending {
-		go n.sendTo(address)
+		n.outbox.add(address, o)
 	}
 }
 
-// sendTo tells a VM what is pending for it, until nothing is left.
-func (n *originNotices) sendTo(address string) {
-	for {
-		n.mu.Lock()
-		batch := n.pending[address]
-		if len(batch) == 0 {
-			delete(n.pending, address)
-			n.mu.Unlock()
-			return
-		}
-		n.pending[address] = nil
-		n.mu.Unlock()
-		if n.call(address, batch) != nil {
-			n.sendElsewhere(address, batch)
-		}
+// send tells a VM of origins, or another hub if it does not answer. The other keepers of a stream make up for one.
+func (n *originNotices) send(address string, batch []origins.Origin) {
+	if n.call(address, batch) == nil {
+		return
 	}
-}
-
-// sendElsewhere tells another hub what the followed one has not answered. The other keepers of a stream make up for one.
-func (n *originNotices) sendElsewhere(failed string, batch []origins.Origin) {
-	for _, address := range n.fleet.followedHubs() {
-		if address != failed && n.call(address, batch) == nil {
+	for _, hub := range n.fleet.followedHubs() {
+		if hub != address && n.call(hub, batch) == nil {
 			return
 		}
 	}
--- a/internal/vm/places.go
+++ b/internal/vm/places.go
@@ -28,6 +28,8 @@
 // places issues the permits of brittle upstreams, of which each is given back when its request has ended.
 type places struct {
 	fleet *fleet
+	// released holds the permits that are to be given back to other VMs.
+	released *outbox[*peerpb.ReleasedPermit]
 
 	mu sync.Mutex
 	// limiters holds the upstreams whose permits this VM issues.
@@ -37,15 +39,15 @@
 	// issuers holds the addresses of the VMs that have issued this VM's permits, "" for itself: VMs may disagree for a while
 	// about which one issues those of an upstream.
 	issuers map[uint64]string
-	// pending holds, by address, the permits to be given back to another VM; an address is present while a goroutine tells it.
-	pending map[string][]*peerpb.ReleasedPermit
 }
 
 func newPlaces(f *fleet) *places {
-	return &places{
+	p := &places{
 		fleet: f, limiters: make(map[upstreamrate.Key]*concurrency.Limiter), waiting: make(map[concurrency.Permit]chan struct{}),
-		issuers: make(map[uint64]string), pending: make(map[string][]*peerpb.ReleasedPermit),
+		issuers: make(map[uint64]string),
 	}
+	p.released = newOutbox(p.callRelease)
+	return p
 }
 
 // request asks the VM that issues the permits of a brittle upstream for one.
@@ -188,29 +190,10 @@
 		p.end(k, p.ownPermit(number), rejected)
 		return
 	}
-	waiting, sending := p.pending[address]
-	p.pending[address] = append(waiting, &peerpb.ReleasedPermit{Instance: k.Instance, InstanceIncarnation: k.Incarnation, Permit: number, Rejected: rejected})
-	if !sending {
-		go p.sendTo(address)
-	}
-}
-
-// sendTo tells a VM what is pending for it, until nothing is left.
-func (p *places) sendTo(address string) {
-	for {
-		p.mu.Lock()
-		batch := p.pending[address]
-		if len(batch) == 0 {
-			delete(p.pending, address)
-			p.mu.Unlock()
-			return
-		}
-		p.pending[address] = nil
-		p.mu.Unlock()
-		p.callRelease(address, batch)
-	}
+	p.released.add(address, &peerpb.ReleasedPermit{Instance: k.Instance, InstanceIncarnation: k.Incarnation, Permit: number, Rejected: rejected})
 }
 
+// callRelease gives permits back to the VM that has issued them.
 func (p *places) callRelease(address string, batch []*peerpb.ReleasedPermit) {
 	message := &peerpb.PermitsNotice{Vm: p.fleet.process.settings.VM, Incarnation: p.fleet.incarnation, Permits: batch}
 	for call := range maxReleaseCalls {
