assign: a changed limit does not copy all the others

A report with the limits of thousands of upstreams took quadratic time with the assigner locked. Change: a change notes when its own service became brittle; the copy is made when it is needed, as before.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -60,7 +60,7 @@
 func New() *Assigner {
 	return &Assigner{
 		nodes: make(map[string]*node), ownWork: make(map[string]struct{}), peerWork: make(map[string]map[string]struct{}), speeds: make(map[string]speed), demand: make(map[string]Demand), inUse: make(map[string]int),
-		stallStats: make(map[string]stallStats), rateLimits: upstreamrate.NewTable(), retryAt: make(map[upstreamrate.Key]time.Time), freed: make(chan struct{}),
+		stallStats: make(map[string]stallStats), rateLimits: upstreamrate.NewTable(), brittleSince: make(map[string]time.Time), retryAt: make(map[upstreamrate.Key]time.Time), freed: make(chan struct{}),
 	}
 }
 
--- a/internal/assign/ratelimit.go
+++ b/internal/assign/ratelimit.go
@@ -15,7 +15,7 @@
 	defer s.mu.Unlock()
 	changed = s.rateLimits.Observe(c.Key, named, c.placedAt, now)
 	if changed {
-		s.noteBrittle(now)
+		s.limitChanged(c.Key, now)
 	}
 	return changed
 }
@@ -27,7 +27,7 @@
 	defer s.mu.Unlock()
 	changed = s.rateLimits.Merge(k, l, now)
 	if changed {
-		s.noteBrittle(now)
+		s.limitChanged(k, now)
 	}
 	return changed
 }
@@ -65,14 +65,17 @@
 	return s.rateLimitSnapshot
 }
 
-// noteBrittle records which services have become brittle with a change of limits. It must be called with the lock held.
-func (s *Assigner) noteBrittle(now time.Time) {
+// limitChanged notes that the limit of an upstream has changed, which may make its service brittle. It must be called with
+// the lock held.
+func (s *Assigner) limitChanged(k upstreamrate.Key, now time.Time) {
 	s.rateLimitSnapshot = nil
-	s.snapshotRateLimits()
-	for service, since := range s.brittleSince {
-		if since.IsZero() {
-			s.brittleSince[service] = now
-		}
+	l, ok := s.rateLimits.Limit(k)
+	if !ok || !l.Brittle || !s.knows(k) {
+		return
+	}
+	service := s.nodes[k.Instance].instance.Service
+	if s.brittleSince[service].IsZero() {
+		s.brittleSince[service] = now
 	}
 }
 
--- a/internal/assign/ratelimit_test.go
+++ b/internal/assign/ratelimit_test.go
@@ -230,3 +230,30 @@
 	require.Equal(t, "i-0", choice.Key.Instance)
 	<-done
 }
+
+// A report tells the limits of thousands of upstreams, and each of them made a VM copy all the others.
+func TestMergingALimitDoesNotGrowWithTheLimits(t *testing.T) {
+	const upstreams = 2000
+	s, now := New(), time.Now()
+	var instances []upstream.Instance
+	for i := range upstreams {
+		instances = append(instances, testInstance("engines", fmt.Sprint("engine-", i)))
+	}
+	s.SetInstances(instances)
+	revision := uint64(0)
+	merge := func() {
+		revision++
+		for _, i := range instances[:20] {
+			s.MergeRateLimit(upstreamrate.KeyOf(&i), upstreamrate.Limit{PerSecond: upstreamrate.Unlimited, Brittle: true, MaxRejections: 1, Revision: revision}, now)
+		}
+	}
+	for _, i := range instances {
+		s.MergeRateLimit(upstreamrate.KeyOf(&i), upstreamrate.Limit{PerSecond: upstreamrate.Unlimited, Brittle: true, MaxRejections: 1, Revision: 1}, now)
+	}
+	revision = 1
+	require.Less(t, testing.AllocsPerRun(3, merge), 100.0)
+	require.Equal(t, map[string]int{"engines": 1}, s.BrittleServices())
+	u, ok := s.Concurrency(upstreamrate.KeyOf(&instances[0]), now.Add(time.Minute))
+	require.True(t, ok)
+	require.Equal(t, time.Minute, u.KnownFor)
+}
