assign: a service ceases to be brittle without load

Cause: an upstream that had rejected requests (failures 0.08) or was slow is never chosen by a VM that has idle ones beside it, so nobody hears that it has ceased, and one upstream makes its service brittle.

Change: once an upstream of a service has ceased, a VM without a request at one that has not answered since prefers that one, under the same permits.

Why it works: the answer to one request ends the bound, and one request at a time takes one of the slots that permits count anyway.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -46,6 +46,8 @@
 	rateLimits        *upstreamrate.Table
 	rateLimitSnapshot *upstreamrate.Snapshot
 	brittle           map[string]int
+	// unconfirmed holds the brittle instances of the snapshot of whose service another one has ceased to be since.
+	unconfirmed map[string]bool
 	// brittleSince is when the services of brittle became so, as far as this VM knows.
 	brittleSince map[string]time.Time
 	// retryAt holds until when upstreams want no requests from this VM. It outlives their entries, which
--- /dev/null
+++ b/internal/assign/brittle_test.go
@@ -0,0 +1,43 @@
+package assign
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/upstream"
+)
+
+// An upstream that is not chosen while others are idle, since it was slow or failed, kept its service brittle.
+func TestServiceCeasesToBeBrittleWithoutLoad(t *testing.T) {
+	for _, model := range []string{"", "m"} {
+		t.Run("model "+model, func(t *testing.T) {
+			s, now := New(), time.Now()
+			s.SetCatalog(testCatalog())
+			s.SetInstances([]upstream.Instance{testInstance("engines", "a"), testInstance("engines", "b"), testInstance("engines", "c")})
+			send := func(avoid map[string]bool, brittle bool, took time.Duration, outcome Outcome) string {
+				req := draftRequest(1, 1, now)
+				req.Model, req.Avoid = model, avoid
+				c, err := s.Choose(req, now)
+				require.NoError(t, err)
+				s.RecordPermit(c, now)
+				now = now.Add(took)
+				s.RecordRateLimit(c, upstream.RateLimit{Brittle: brittle, MaxRejections: 1}, now)
+				s.Started(c, now)
+				s.Finish(c, outcome, now)
+				return c.Instance
+			}
+			send(map[string]bool{"b": true, "c": true}, true, 100*time.Millisecond, Succeeded)
+			send(map[string]bool{"a": true, "c": true}, true, 100*time.Millisecond, Succeeded)
+			send(map[string]bool{"a": true, "b": true}, true, time.Second, Failed)
+			require.Len(t, s.BrittleServices(), 1)
+			var sent []string
+			for range 3 {
+				sent = append(sent, send(nil, false, 100*time.Millisecond, Succeeded))
+			}
+			require.ElementsMatch(t, []string{"a", "b", "c"}, sent)
+			require.Empty(t, s.BrittleServices())
+		})
+	}
+}
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -85,6 +85,9 @@
 			continue
 		}
 		cost := plainCost(n, now, req)
+		if s.isUnconfirmed(n) {
+			cost -= unconfirmedPreference
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = n, cost
 		}
@@ -92,8 +95,12 @@
 	return best
 }
 
-// plainExpected is the assumed answer time of a service without engines.
-const plainExpected = 50 * time.Millisecond
+const (
+	// plainExpected is the assumed answer time of a service without engines.
+	plainExpected = 50 * time.Millisecond
+	// unconfirmedPreference exceeds the cost of any instance.
+	unconfirmedPreference = 1e6
+)
 
 // plainCost ranks the instances of a service without engines by the share of their places
 // that is taken, and ranks slow and failing ones lower. The jitter depends on the request,
@@ -188,6 +195,9 @@
 func (s *Assigner) chooseAmong(candidates []*node, req Request, now time.Time) (*Choice, error) {
 	perToken, due := s.speedOf(req.Model).prefillPerToken, req.StartBy.Sub(now)
 	preferred := preferredEngine(candidates, req)
+	if best := s.cheapest(s.unconfirmedOf(candidates), preferred, req, perToken, now); best != nil && best.start <= due {
+		return s.place(best.node, req, best.uncached, best.start, now), nil
+	}
 	best := s.cheapest(s.sample(candidates, preferred, req), preferred, req, perToken, now)
 	if best == nil || best.start > due {
 		best = s.cheapest(candidates, preferred, req, perToken, now)
--- a/internal/assign/ratelimit.go
+++ b/internal/assign/ratelimit.go
@@ -62,6 +62,7 @@
 		}
 		s.brittleSince[service] = before[service]
 	}
+	s.unconfirmed = s.rateLimitSnapshot.Unconfirmed(func(instance string) string { return s.nodes[instance].instance.Service })
 	return s.rateLimitSnapshot
 }
 
@@ -99,6 +100,30 @@
 	return ok
 }
 
+// isUnconfirmed reports whether an instance keeps its service brittle although another one has ceased to be, and has no
+// request of this VM. The answer to one shows whether it still is: without any the service would stay brittle.
+func (s *Assigner) isUnconfirmed(n *node) bool {
+	if s.rateLimits.IsEmpty() {
+		return false
+	}
+	s.snapshotRateLimits()
+	return s.unconfirmed[n.instance.ID] && n.local.requests == 0
+}
+
+// unconfirmedOf returns those of the engines whose answer would show whether their service is still brittle.
+func (s *Assigner) unconfirmedOf(engines []*node) []*node {
+	if s.rateLimits.IsEmpty() {
+		return nil
+	}
+	var out []*node
+	for _, n := range engines {
+		if s.isUnconfirmed(n) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // Concurrency returns what is known of an upstream by which its permits are issued. ok is false if it is not known.
 func (s *Assigner) Concurrency(k upstreamrate.Key, now time.Time) (u concurrency.Upstream, ok bool) {
 	s.mu.Lock()
--- a/internal/upstreamrate/snapshot.go
+++ b/internal/upstreamrate/snapshot.go
@@ -59,6 +59,25 @@
 	return out
 }
 
+// Unconfirmed returns the instances that count as brittle although another one of their service has ceased to be since they
+// last said so.
+func (s *Snapshot) Unconfirmed(serviceOf func(instance string) string) map[string]bool {
+	endedAt := make(map[string]uint64)
+	for _, e := range s.Entries {
+		if e.Ended {
+			service := serviceOf(e.Instance)
+			endedAt[service] = max(endedAt[service], e.changedAt)
+		}
+	}
+	out := make(map[string]bool)
+	for _, e := range s.Entries {
+		if e.Brittle && !e.Ended && e.changedAt < endedAt[serviceOf(e.Instance)] {
+			out[e.Instance] = true
+		}
+	}
+	return out
+}
+
 // Since returns the entries that have changed since a version of the table, or all if none has.
 func (s *Snapshot) Since(version uint64) []Entry {
 	var changed []Entry
