upstreamrate: an answer ends only what it shows to have ended

What callers saw: an upstream whose Server-Limit cannot be read was not taken for brittle, and could be pushed over; one that names both a rate and that it is brittle lost either to an answer overtaken by a later one.

Cause: an unreadable rate limit ended the reading of the answer; and an answer that names one part replaced the whole limit, also when its request was sent before the other part was known, or when it is unsigned.

Change: what an answer does not name stays if the answer is unsigned, its request was sent before the limit was last known, or its rate limit cannot be read (the rate alone). What is named applies at once, as before.

Figures: TestUnreadableRateLimitDoesNotHideABrittleUpstream and TestAnswerToAnEarlierRequestEndsNoPartOfALimit (two cases) fail before and pass after; upstreamrate, traffic, assign and platform pass.

--- a/internal/traffic/ratelimit.go
+++ b/internal/traffic/ratelimit.go
@@ -6,19 +6,20 @@
 	"github.com/chestnutarch/chestnutarch/internal/assign"
 )
 
-// recordRateLimit records what a response says about the rate limit of its upstream. A misdirected
-// request may have been answered by another instance. Only a signed response shows that its upstream
-// names no limit: others need not come from the upstream itself.
+// recordRateLimit records what a response says about the limits of its upstream. A misdirected request may have been answered
+// by another instance. Only a signed response shows that its upstream names no limit: others need not come from the upstream
+// itself.
 func (j *job) recordRateLimit(choice *assign.Choice, reply *Reply) {
-	limit := reply.RateLimit
-	switch {
-	case reply.Misdirected:
+	if reply.Misdirected {
 		return
-	case reply.RateLimitError != nil:
+	}
+	limit := reply.RateLimit
+	if reply.RateLimitError != nil {
+		limit.RateUnknown = true
 		j.core.logRateLimitUnreadable(choice.Instance, reply.RateLimitError)
-		return
-	case !limit.Named && !limit.Brittle && !reply.Signed:
-		return
+	}
+	if !reply.Signed {
+		limit.RateUnknown, limit.BrittleUnknown = true, true
 	}
 	if !j.core.options.Assigner.RecordRateLimit(choice, limit, time.Now()) {
 		return
--- a/internal/traffic/ratelimit_test.go
+++ b/internal/traffic/ratelimit_test.go
@@ -93,6 +93,20 @@
 	return reply, err
 }
 
+// A header of a rate limit that cannot be read hid that the upstream is brittle.
+func TestUnreadableRateLimitDoesNotHideABrittleUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(resumable, map[string]script{"a": answerAtOnce})
+		f.core.options.Upstreams = limitReplies{f.upstreams, func(r *Reply) {
+			r.RateLimitError = errors.New("bad")
+			r.RateLimit = upstream.RateLimit{Brittle: true, MaxRejections: 3}
+		}}
+		_, err := f.serve(t.Context(), "a")
+		require.NoError(t, err)
+		require.Len(t, f.assigner.BrittleServices(), 1)
+	})
+}
+
 // An answer that need not come from the upstream itself names no limit. The upstream's limit stays.
 func TestOnlyAnUpstreamsOwnAnswerEndsItsRateLimit(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/upstream/instance.go
+++ b/internal/upstream/instance.go
@@ -62,6 +62,9 @@
 	// of room.
 	Brittle       bool
 	MaxRejections int
+	// RateUnknown and BrittleUnknown mean that the answer does not show whether the upstream still names a rate, or is still
+	// brittle, if it does not say so.
+	RateUnknown, BrittleUnknown bool
 }
 
 // Pushback is what an answer of an upstream says about the requests that it takes from now on.
--- a/internal/upstreamrate/table.go
+++ b/internal/upstreamrate/table.go
@@ -55,13 +55,22 @@
 	return l.MaxRejections < other.MaxRejections
 }
 
-// limitNamed returns the limit that an answer names, without a revision. ok is false if it names none.
-func limitNamed(by upstream.RateLimit) (l Limit, ok bool) {
-	l = Limit{PerSecond: Unlimited, Brittle: by.Brittle, MaxRejections: by.MaxRejections}
-	if by.Named {
-		l.PerSecond = by.PerSecond
+// named returns the limit after an answer. Of what the answer does not name, that stays which it does not show to have ended.
+func (l Limit) named(by upstream.RateLimit) Limit {
+	next := Limit{PerSecond: Unlimited, Brittle: by.Brittle, MaxRejections: by.MaxRejections}
+	switch {
+	case by.Named:
+		next.PerSecond = by.PerSecond
+	case by.RateUnknown && l.Rated():
+		next.PerSecond = l.PerSecond
+	}
+	if !by.Brittle && by.BrittleUnknown && !l.Ended {
+		next.Brittle, next.MaxRejections = l.Brittle, l.MaxRejections
+	}
+	if next.PerSecond == Unlimited && !next.Brittle {
+		return Limit{Ended: true}
 	}
-	return l, by.Named || by.Brittle
+	return next
 }
 
 // Rated reports whether the upstream names a rate limit.
@@ -95,28 +104,29 @@
 func NewTable() *Table { return &Table{entries: make(map[Key]*entry), denials: make(map[Key]denial)} }
 
 // Observe records what an answer to a request sent at sentAt says about the limit, and reports whether
-// that is a change. An answer that names no limit ends it only if its request was sent after the limit
+// that is a change. What an answer does not name ends only if its request was sent after the limit
 // was last known to be in force: answers on different connections may overtake each other.
 func (t *Table) Observe(k Key, by upstream.RateLimit, sentAt, now time.Time) (changed bool) {
-	e := t.entries[k]
-	next, ok := limitNamed(by)
-	if !ok {
-		if e == nil || e.limit.Ended || !sentAt.After(e.learnedAt) {
-			return false
-		}
-		t.set(k, Limit{Ended: true, Revision: e.limit.Revision + 1}, now)
-		return true
-	}
+	e, before := t.entries[k], Limit{Ended: true}
 	if e != nil {
-		next.Revision = e.limit.Revision
+		before = e.limit
+		overtaken := !sentAt.After(e.learnedAt)
+		by.RateUnknown = by.RateUnknown || overtaken
+		by.BrittleUnknown = by.BrittleUnknown || overtaken
 	}
-	if e != nil && e.limit == next {
-		e.learnedAt = now
+	next := before.named(by)
+	next.Revision = before.Revision
+	switch {
+	case next.Ended && before.Ended:
 		return false
+	case next != before:
+		next.Revision++
+		t.set(k, next, now)
+		return true
+	case by.Named || by.Brittle:
+		e.learnedAt = now
 	}
-	next.Revision++
-	t.set(k, next, now)
-	return true
+	return false
 }
 
 // Merge applies what another VM knows of a limit, and reports whether that is newer.
--- a/internal/upstreamrate/table_test.go
+++ b/internal/upstreamrate/table_test.go
@@ -50,6 +50,24 @@
 	require.True(t, ok)
 }
 
+// An answer on another connection overtakes one to a later request: it ended what the later one had named.
+func TestAnswerToAnEarlierRequestEndsNoPartOfALimit(t *testing.T) {
+	both := upstream.RateLimit{Named: true, PerSecond: 2, Brittle: true, MaxRejections: 3}
+	for name, early := range map[string]upstream.RateLimit{"rate only": named(2), "brittle only": {Brittle: true, MaxRejections: 3}} {
+		t.Run(name, func(t *testing.T) {
+			table, now := NewTable(), time.Now()
+			table.Observe(engine, both, now, now.Add(time.Second))
+			table.Observe(engine, early, now.Add(time.Second/2), now.Add(2*time.Second))
+			l, _ := table.Limit(engine)
+			require.Equal(t, Limit{PerSecond: 2, Brittle: true, MaxRejections: 3, Revision: 1}, l)
+			table.Observe(engine, early, now.Add(3*time.Second), now.Add(4*time.Second))
+			l, _ = table.Limit(engine)
+			require.NotEqual(t, early.Named, l.Brittle)
+			require.Equal(t, early.Named, l.Rated())
+		})
+	}
+}
+
 // An upstream that starts again under its ID names its limits anew.
 func TestLimitBelongsToOneIncarnation(t *testing.T) {
 	table, now := NewTable(), time.Now()
