vm, concurrency: permits of lost processes are expired by a loop of their own

Change: places.run; Limiter.InFlight alone; portblock.Ports.Serve, used by both packages; the simulation's cases run side by side. No decision changes.

--- a/internal/concurrency/limiter.go
+++ b/internal/concurrency/limiter.go
@@ -119,7 +119,7 @@
 	}
 	if rejected {
 		l.rejectedAt = append(l.rejectedAt, now)
-		l.limit = max(1, min(l.limit, l.inFlight()))
+		l.limit = max(1, min(l.limit, l.InFlight()))
 		l.raisedAt = now
 	}
 	return l.Advance(now)
@@ -163,18 +163,16 @@
 	}
 }
 
-// InUse returns the number of requests that are known to be in flight.
-func (l *Limiter) InUse() int { return l.inFlight() }
+// InFlight returns the number of requests that are known to be in flight.
+func (l *Limiter) InFlight() int { return len(l.held) + l.foreign }
 
 func (l *Limiter) grant(a Ask, now time.Time) {
 	l.held[a.Permit] = heldPermit{since: now, until: now.Add(a.TimeLeft)}
 }
 
-func (l *Limiter) inFlight() int { return len(l.held) + l.foreign }
-
 // hasRoom reports whether another permit may be issued.
 func (l *Limiter) hasRoom(now time.Time) bool {
-	return l.inFlight() < l.limit && !now.Before(l.settledAt) && !l.paused(now)
+	return l.InFlight() < l.limit && !now.Before(l.settledAt) && !l.paused(now)
 }
 
 // paused reports whether the upstream has rejected half of what it may within a second: others may be on their way.
--- a/internal/concurrency/limiter_test.go
+++ b/internal/concurrency/limiter_test.go
@@ -36,7 +36,7 @@
 	require.Empty(t, l.Release(ask(1, 0).Permit, false, start))
 	o, _ = l.Take(ask(10, 0), eight, start)
 	require.Equal(t, Granted, o)
-	require.Equal(t, 8, l.InUse())
+	require.Equal(t, 8, l.InFlight())
 }
 
 // A request that is the last to come must not overtake those that wait.
@@ -76,7 +76,7 @@
 	require.Equal(t, Denied, o)
 	o, _ = l.Take(ask(10, 0), eight, at(rejectionWindow))
 	require.Equal(t, Granted, o)
-	require.Equal(t, 7, l.InUse())
+	require.Equal(t, 7, l.InFlight())
 	o, _ = l.Take(ask(11, 0), eight, at(rejectionWindow+time.Millisecond))
 	require.Equal(t, Granted, o, "the limit is raised again, by one")
 	o, _ = l.Take(ask(12, 0), eight, at(rejectionWindow+time.Millisecond))
@@ -104,10 +104,10 @@
 	now = now.Add(reportLag)
 	u.InFlight = 3 // Two of them with permits of this issuer.
 	l.Take(ask(5, 0), u, now.Add(-idleTime))
-	require.Equal(t, 6, l.InUse(), "reports may not show the permits of this issuer yet")
+	require.Equal(t, 6, l.InFlight(), "reports may not show the permits of this issuer yet")
 	o, _ = l.Take(ask(6, 0), u, now)
 	require.Equal(t, Granted, o)
-	require.Equal(t, 4, l.InUse())
+	require.Equal(t, 4, l.InFlight())
 }
 
 // A service has just become brittle, and its upstreams run what was sent before.
@@ -124,10 +124,10 @@
 	l := NewLimiter()
 	fill(t, l, eight)
 	l.Retain(func(vm string, incarnation int64) bool { return vm == "a" && incarnation == 1 })
-	require.Equal(t, 8, l.InUse())
+	require.Equal(t, 8, l.InFlight())
 	l.Retain(func(vm string, incarnation int64) bool { return incarnation == 2 })
-	require.Zero(t, l.InUse())
+	require.Zero(t, l.InFlight())
 	l.Take(Ask{Permit: ask(1, 0).Permit, TimeLeft: time.Second}, eight, start)
 	l.Advance(at(time.Second))
-	require.Zero(t, l.InUse())
+	require.Zero(t, l.InFlight())
 }
--- a/internal/concurrency/simulation_test.go
+++ b/internal/concurrency/simulation_test.go
@@ -87,6 +87,7 @@
 	for _, vms := range []int{6, 65, 295, 985} {
 		for _, maxRejections := range []int{1, 5, 20} {
 			t.Run(fmt.Sprintf("%d VMs, %d rejections", vms, maxRejections), func(t *testing.T) {
+				t.Parallel()
 				random := rand.New(rand.NewPCG(uint64(vms), uint64(maxRejections)))
 				upstreams := make([]*simUpstream, 20)
 				for i := range upstreams {
--- a/internal/portblock/portblock.go
+++ b/internal/portblock/portblock.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"sync"
 
@@ -61,6 +63,17 @@
 	}
 }
 
+// Serve starts a server on a port of its own. Its errors are those of Listen.
+func (p *Ports) Serve(handler http.Handler) (*httptest.Server, error) {
+	listener, err := p.Listen()
+	if err != nil {
+		return nil, err
+	}
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: handler}}
+	server.Start()
+	return server, nil
+}
+
 // claimBlock claims a block that no process guards. The search starts at a block that depends on
 // the process ID, so that processes start at different blocks.
 func (p *Ports) claimBlock() error {
--- a/internal/vm/cluster_test.go
+++ b/internal/vm/cluster_test.go
@@ -215,10 +215,8 @@
 
 // serve starts a server that is closed when the test ends.
 func serve(t *testing.T, handler http.Handler) *httptest.Server {
-	listener, err := ports.Listen()
+	server, err := ports.Serve(handler)
 	require.NoError(t, err)
-	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: handler}}
-	server.Start()
 	t.Cleanup(server.Close)
 	return server
 }
--- a/internal/vm/gauges.go
+++ b/internal/vm/gauges.go
@@ -27,7 +27,6 @@
 		p.setGauge("leadership.leads", boolToInt(p.candidate.HoldsLease()))
 		p.setGauge("upstreams.rate_limited", int64(len(p.assigner.RateLimits().InForce())))
 		p.setGauge("upstreams.brittle_services", int64(len(p.assigner.BrittleServices())))
-		p.fleet.places.expire()
 		p.setGauge("upstreams.services_unreachable", int64(len(p.unreachable())))
 		p.setGauge("upstreams.retry_later", int64(p.assigner.RetryLaterCount(time.Now())))
 		_, late := p.limiter.LateVMs(time.Now())
--- a/internal/vm/places.go
+++ b/internal/vm/places.go
@@ -23,6 +23,8 @@
 	// releaseRetryPause the time between two calls. Permits expire besides.
 	maxReleaseCalls   = 4
 	releaseRetryPause = 100 * time.Millisecond
+	// placeExpiryInterval is how often permits of processes that are gone are looked for.
+	placeExpiryInterval = time.Second
 )
 
 // places issues the permits of brittle upstreams, of which each is given back when its request has ended.
@@ -50,6 +52,15 @@
 	return p
 }
 
+// run forgets the permits of processes that are gone, until ctx ends.
+func (p *places) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		p.expire()
+		sleep(ctx, placeExpiryInterval)
+	}
+	return nil
+}
+
 // request asks the VM that issues the permits of a brittle upstream for one.
 func (p *places) request(ctx context.Context, q traffic.PlaceRequest) upstreamrate.Decision {
 	issuer, address := p.fleet.permitIssuer(q.Upstream.Instance)
@@ -233,7 +244,7 @@
 	}
 	p.wake(l.Release(permit, rejected, time.Now()))
 	if rejected {
-		p.noteRejection(k.Instance, permit.VM, l.InUse())
+		p.noteRejection(k.Instance, permit.VM, l.InFlight())
 	}
 }
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -266,10 +266,8 @@
 // serve starts a server, which the caller has to close. Its port is not reused: VMs go on dialing the ports of processes
 // that are gone, and would reach whatever listens there.
 func serve(t *testing.T, handler http.Handler) *httptest.Server {
-	listener, err := ports.Listen()
+	server, err := ports.Serve(handler)
 	require.NoError(t, err)
-	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: handler}}
-	server.Start()
 	return server
 }
 
