assign: an only upstream that is silent for a second goes on getting requests

What callers saw: when the only upstream of a service sends nothing for a second or so and goes on, all that came after its first 0.4 s (engines: 0.6 s and three times the expected start) were rejected with 503 and 0.3 s, though they could have been answered in time.

Cause: an upstream that is unresponsive is never the last resort.

Change: while the silence is shorter than 1.5 s, a request may be sent there if no other upstream can take it, it may run twice, and its objective is met if the upstream has resumed by then. A silent exchange is not moved to another silent upstream.

Why it works: sound upstreams answer within the objective; of those that are gone for good, requests of at most 1.1 s more wait. Requests that may not run twice are rejected as before: "not run" is worth more to their callers.

Repeats of plain requests at 0.6 of their objective stay: they are within the retry budget.

--- a/internal/assign/assigner_test.go
+++ b/internal/assign/assigner_test.go
@@ -139,6 +139,30 @@
 	}
 }
 
+// The only upstream of a service is silent for a second and goes on: requests that could be answered in time were rejected.
+func TestOnlyUpstreamGetsRequestsWhileItMayBeSound(t *testing.T) {
+	began := time.Now()
+	for name, c := range map[string]struct {
+		silence, objective time.Duration
+		allowed, sent      bool
+	}{
+		"in time":              {time.Second, 2 * time.Second, true, true},
+		"too late":             {time.Second, 400 * time.Millisecond, true, false},
+		"silent for long":      {2 * time.Second, 2 * time.Second, true, false},
+		"may not run twice":    {time.Second, 2 * time.Second, false, false},
+		"not yet unresponsive": {300 * time.Millisecond, 100 * time.Millisecond, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testAssigner("clerks", 1)
+			_, err := s.Choose(Request{Service: "clerks", StartBy: began.Add(time.Second), Deadline: began.Add(time.Second)}, began)
+			require.NoError(t, err)
+			now := began.Add(c.silence)
+			_, err = s.Choose(Request{Service: "clerks", StartBy: now.Add(c.objective), Deadline: now.Add(6 * time.Second), AllowUnresponsive: c.allowed}, now)
+			require.Equal(t, c.sent, err == nil)
+		})
+	}
+}
+
 // A replica fails half of its requests while its health checks succeed. It must be ejected
 // after a few failures and tried again later.
 func TestFailingUpstreamIsEjected(t *testing.T) {
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -114,7 +114,7 @@
 }
 
 // lastResort returns an ejected instance if no other can be chosen: a try may succeed, a
-// refusal cannot. It returns nil if there is none or it is unresponsive.
+// refusal cannot. It returns nil if there is none, or it is unresponsive and the request may not be sent there.
 func (s *Assigner) lastResort(req Request, now time.Time) *node {
 	var best *node
 	for _, n := range s.nodes {
@@ -128,7 +128,7 @@
 			best = n
 		}
 	}
-	if best != nil && best.unresponsive(now) {
+	if best != nil && best.unresponsive(now) && !(req.AllowUnresponsive && best.mayAnswerInTime(req, now)) {
 		return nil
 	}
 	return best
--- a/internal/assign/node.go
+++ b/internal/assign/node.go
@@ -171,7 +171,29 @@
 	return false
 }
 
+// mayAnswerInTime reports whether the objective of a request can be met at an unresponsive instance if it is sound.
+func (n *node) mayAnswerInTime(req Request, now time.Time) bool {
+	resumesBy := n.silentSince(now).Add(maxSoundSilence)
+	return now.Before(resumesBy) && resumesBy.Before(req.StartBy)
+}
+
+// silentSince returns since when an instance with unanswered requests has sent nothing.
+func (n *node) silentSince(now time.Time) time.Time {
+	oldest := now
+	for c := range n.unanswered {
+		if !c.awaitsPermit && c.placedAt.Before(oldest) {
+			oldest = c.placedAt
+		}
+	}
+	if n.lastActivity.After(oldest) {
+		return n.lastActivity
+	}
+	return oldest
+}
+
 const (
+	// maxSoundSilence is how long a sound instance may send nothing: a second or so, by the platform's pages.
+	maxSoundSilence = 1500 * time.Millisecond
 	// engineSilenceMargin is how long an engine may send nothing, beyond three times the
 	// expected time to the first event.
 	engineSilenceMargin = 600 * time.Millisecond
--- a/internal/assign/types.go
+++ b/internal/assign/types.go
@@ -94,6 +94,9 @@
 	Avoid map[string]bool
 	// WithoutPermit excludes the upstreams that get requests only with permits.
 	WithoutPermit bool
+	// AllowUnresponsive allows an upstream that has sent nothing for a while if there is no other, and the objective can be
+	// met if it is sound.
+	AllowUnresponsive bool
 }
 
 // KnownLoad is the work known to be at an upstream when it was chosen.
--- a/internal/traffic/acquire.go
+++ b/internal/traffic/acquire.go
@@ -131,6 +131,8 @@
 		StartBy: j.due, Deadline: j.deadline, MaxGap: j.route.GapObjective, Urgency: j.urgency, Avoid: j.avoid,
 		Version:       j.version,
 		RegionAllowed: j.regionAllowed,
+		// A request that may not run twice is rejected rather than sent to an upstream that may be gone.
+		AllowUnresponsive: j.route.Repeatable(),
 	}
 }
 
--- a/internal/traffic/handover.go
+++ b/internal/traffic/handover.go
@@ -69,6 +69,7 @@
 		h.request.Avoid = make(map[string]bool)
 	}
 	h.request.Avoid[choice.Instance] = true
+	h.request.AllowUnresponsive = false
 	// The reservation holds a lock that the stream needs, so it cannot wait for a permit.
 	h.request.WithoutPermit = true
 	h.silenceTimeout = time.Duration(repeatAfter * float64(j.route.Objective))
