assign: requests rejected for want of room come back spread in time

What callers saw: all requests that one VM rejected for want of room at brittle upstreams within a burst were told the same delay, mostly its floor of 100 ms, came back together and were rejected together again.

Cause: the delay is the time until the next permit, which is one moment for all of them.

Change: the delay is lengthened to up to twice itself, by a hash of the request. Delays for other causes are unchanged.

Figures: of 100 requests in a burst 100 had 100 ms before; after, each fifth of 100 to 200 ms has some (TestRequestsRejectedForWantOfRoomComeBackSpreadIn- Time, which fails before).

Conclusion: permits keep the bound without it; it saves callers a second rejection.

--- a/internal/assign/brittle_test.go
+++ b/internal/assign/brittle_test.go
@@ -41,3 +41,23 @@
 		})
 	}
 }
+
+// All requests that were rejected in a burst came back at the same time, and were rejected again.
+func TestRequestsRejectedForWantOfRoomComeBackSpreadInTime(t *testing.T) {
+	s, now := testAssigner("clerks", 1), time.Now()
+	c, err := s.Choose(plainRequest(now), now)
+	require.NoError(t, err)
+	s.RecordRateLimit(c, upstream.RateLimit{Brittle: true, MaxRejections: 1}, now)
+	s.RecordDenial(&Choice{Key: c.Key, LastChoice: true, node: c.node, done: true}, 10*time.Millisecond, now)
+	delays := make(map[time.Duration]int)
+	for i := range 100 {
+		_, err := s.Choose(plainRequest(now.Add(time.Duration(i)*time.Microsecond)), now)
+		var refused *Refused
+		require.ErrorAs(t, err, &refused)
+		require.ErrorIs(t, err, ErrNoRoom)
+		require.GreaterOrEqual(t, refused.RetryAfter, minRetryAfter)
+		require.Less(t, refused.RetryAfter, 2*minRetryAfter)
+		delays[refused.RetryAfter.Truncate(minRetryAfter/5)]++
+	}
+	require.Len(t, delays, 5)
+}
--- a/internal/assign/choose.go
+++ b/internal/assign/choose.go
@@ -109,8 +109,12 @@
 func plainCost(n *node, now time.Time, req Request) float64 {
 	l := n.total(now, 0)
 	slots := float64(max(1, n.instance.Slots))
-	jitter := float64(xxhash.Sum64String(n.instance.ID+req.StartBy.String())%1024) / 1024 * 0.3
-	return (float64(l.requests)+0.5+jitter)/slots*n.slowness + 2*n.failures
+	return (float64(l.requests)+0.5+0.3*req.jitter(n.instance.ID))/slots*n.slowness + 2*n.failures
+}
+
+// jitter returns a number from 0 to 1 that differs between requests, and for a request between salts.
+func (req *Request) jitter(salt string) float64 {
+	return float64(xxhash.Sum64String(salt+req.StartBy.String())%1024) / 1024
 }
 
 // lastResort returns an ejected instance if no other can be chosen: a try may succeed, a
--- a/internal/assign/retryafter.go
+++ b/internal/assign/retryafter.go
@@ -69,6 +69,12 @@
 	return first
 }
 
+// spread lengthens a retry delay to up to twice itself. All requests rejected for want of room at the same time would come
+// back at the same time.
+func spread(delay time.Duration, req Request) time.Duration {
+	return delay + time.Duration(req.jitter("")*float64(delay))
+}
+
 // refuseUntilAccepted refuses a request that an instance may take at a known time, because it wants no
 // requests until then, or a permit may be available for it. It returns nil if there is no such instance.
 func (s *Assigner) refuseUntilAccepted(req Request, now time.Time) *Refused {
@@ -82,5 +88,9 @@
 	if wait == 0 {
 		return nil
 	}
-	return &Refused{Cause: cause, RetryAfter: retryAfter(now, req, wait), Wait: wait, Holdable: true}
+	delay := retryAfter(now, req, wait)
+	if cause == ErrNoRoom {
+		delay = retryAfter(now, req, spread(delay, req))
+	}
+	return &Refused{Cause: cause, RetryAfter: delay, Wait: wait, Holdable: true}
 }
