upstreamrate: an upstream that stays brittle is not preferred for good

What callers saw: nothing yet; would have sent nearly all requests of a VM without other load to an upstream that goes on saying that it is brittle after others of its service have ceased.

Cause: found in reading: an answer that repeats what is known was no news, so the upstream stayed unconfirmed, and preferred.

Change: a table notes the version at which a limit was last heard of from an answer.

--- a/internal/assign/brittle_test.go
+++ b/internal/assign/brittle_test.go
@@ -42,6 +42,31 @@
 	}
 }
 
+// An upstream that goes on saying that it is brittle after others have ceased would be preferred for good.
+func TestUpstreamThatStaysBrittleIsNotPreferredOnceItHasSaidSo(t *testing.T) {
+	s, now := testAssigner("clerks", 3), time.Now()
+	sent := make(map[string]int)
+	send := func(brittle func(instance string) bool) {
+		c, err := s.Choose(plainRequest(now), now)
+		require.NoError(t, err)
+		s.RecordPermit(c, now)
+		now = now.Add(10 * time.Millisecond)
+		s.RecordRateLimit(c, upstream.RateLimit{Brittle: brittle(c.Instance), MaxRejections: 1}, now)
+		s.Started(c, now)
+		s.Finish(c, Succeeded, now)
+		sent[c.Instance]++
+	}
+	for len(sent) < 3 {
+		send(func(string) bool { return true })
+	}
+	clear(sent)
+	for range 60 {
+		send(func(instance string) bool { return instance == "i-0" })
+	}
+	require.Less(t, sent["i-0"], 40)
+	require.Len(t, s.BrittleServices(), 1)
+}
+
 // All requests that were rejected in a burst came back at the same time, and were rejected again.
 func TestRequestsRejectedForWantOfRoomComeBackSpreadInTime(t *testing.T) {
 	s, now := testAssigner("clerks", 1), time.Now()
--- a/internal/assign/ratelimit.go
+++ b/internal/assign/ratelimit.go
@@ -17,6 +17,9 @@
 	if changed {
 		s.limitChanged(c.Key, now)
 	}
+	if named.Brittle {
+		delete(s.unconfirmed, c.Instance)
+	}
 	return changed
 }
 
--- a/internal/upstreamrate/snapshot.go
+++ b/internal/upstreamrate/snapshot.go
@@ -13,6 +13,8 @@
 	Limit
 	// changedAt is the version of the table at which the limit last changed.
 	changedAt uint64
+	// confirmedAt is the version at which the limit was last known to be in force.
+	confirmedAt uint64
 }
 
 // Snapshot is the content of a table. It must not be modified.
@@ -29,7 +31,7 @@
 	s := &Snapshot{Version: t.version}
 	for k, e := range t.entries {
 		if known(k) {
-			entry := Entry{Key: k, Limit: e.limit, changedAt: e.changedAt}
+			entry := Entry{Key: k, Limit: e.limit, changedAt: e.changedAt, confirmedAt: e.confirmedAt}
 			s.Entries = append(s.Entries, entry)
 			s.Digest ^= entry.digest()
 		}
@@ -71,7 +73,7 @@
 	}
 	out := make(map[string]bool)
 	for _, e := range s.Entries {
-		if e.Brittle && !e.Ended && e.changedAt < endedAt[serviceOf(e.Instance)] {
+		if e.Brittle && !e.Ended && e.confirmedAt < endedAt[serviceOf(e.Instance)] {
 			out[e.Instance] = true
 		}
 	}
--- a/internal/upstreamrate/table.go
+++ b/internal/upstreamrate/table.go
@@ -91,6 +91,8 @@
 	learnedAt time.Time
 	// changedAt is the version of the table at which the limit last changed.
 	changedAt uint64
+	// confirmedAt is the version of the table at which this VM last learned that the limit is in force.
+	confirmedAt uint64
 	// unknownSince is since when the upstream has not been known, zero if it is known.
 	unknownSince time.Time
 	// permits holds the permits that this VM may issue.
@@ -124,7 +126,7 @@
 		t.set(k, next, now)
 		return true
 	case by.Named || by.Brittle:
-		e.learnedAt = now
+		e.learnedAt, e.confirmedAt = now, t.version
 	}
 	return false
 }
@@ -146,7 +148,8 @@
 		t.entries[k] = e
 	}
 	t.version++
-	e.limit, e.learnedAt, e.changedAt = l, now, t.version
+	e.limit, e.learnedAt = l, now
+	e.changedAt, e.confirmedAt = t.version, t.version
 	delete(t.denials, k)
 }
 
