vm, quarantine: an end that other requests show is counted, and slow VMs hold up no other's notices

Cause, of two parts: an exchange that broke was counted only by its own check, though other requests had shown that the same upstream had ended; and notices went out in rounds that waited for the slowest VM, whose first failure counted as an answer.

Change: an end, own or told, also counts for broken exchanges with the same upstream; notices queue for each VM, are repeated until it answers or is gone, and only then count as told; an answer tells what the asker lacks.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -67,21 +67,42 @@
 // InUse reports whether the table holds anything.
 func (t *Table) InUse() bool { return t.inUse.Load() }
 
-// RecordEnd records that an incarnation of an upstream ended while it had a request.
-func (t *Table) RecordEnd(q Request, incarnation string, now time.Time) {
+// RecordEnd records that an incarnation of an upstream ended while it had a request, and returns the requests under which
+// it did: also those of other exchanges with it that broke lately.
+func (t *Table) RecordEnd(q Request, incarnation string, now time.Time) []Request {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.recordEnd(q, incarnation, now)
 	t.expire(now)
+	return append(t.recordGone(incarnation, now), q)
 }
 
-// RecordBreak records that an exchange broke without an answer and without evidence that its upstream has ended.
-func (t *Table) RecordBreak(q Request, incarnation string, now time.Time) {
+// RecordBreak records that an exchange broke without an answer. It reports whether its upstream is known to have ended,
+// by other requests.
+func (t *Table) RecordBreak(q Request, incarnation string, now time.Time) (ended bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.expire(now)
+	if t.hasEnded(incarnation) {
+		t.recordEnd(q, incarnation, now)
+		return true
+	}
 	t.broken[brokenExchange{q, incarnation}] = now
 	t.mention(incarnation)
-	t.expire(now)
+	return false
+}
+
+// hasEnded reports whether an incarnation has ended under any request.
+func (t *Table) hasEnded(incarnation string) bool {
+	if _, mentioned := t.alive[incarnation]; !mentioned {
+		return false
+	}
+	for _, r := range t.records {
+		if at, ended := r.Ends[incarnation]; ended && !t.aliveAfter(incarnation, at) {
+			return true
+		}
+	}
+	return false
 }
 
 // RecordGone records that an incarnation is known to have ended, and returns the requests under which it did: those
@@ -89,6 +110,10 @@
 func (t *Table) RecordGone(incarnation string, now time.Time) []Request {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.recordGone(incarnation, now)
+}
+
+func (t *Table) recordGone(incarnation string, now time.Time) []Request {
 	var out []Request
 	for b, at := range t.broken {
 		if b.incarnation != incarnation {
@@ -244,24 +269,28 @@
 	return Record{Request: r.Request, Ends: maps.Clone(r.Ends), Answered: r.Answered}
 }
 
-// Merge adds what another VM knows of a request. It reports whether that was new, and whether the other VM has to be
-// told what this one knows.
-func (t *Table) Merge(in Record, now time.Time) (news, tell bool) {
+// Merge adds what another VM knows of a request. It returns the requests of which that was news: this one, and those
+// whose exchanges with the same upstreams broke lately. tell reports whether the other VM has to be told what this one
+// knows.
+func (t *Table) Merge(in Record, now time.Time) (news []Request, tell bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.record(in.Request)
+	r, fresh := t.record(in.Request), false
 	for incarnation, at := range in.Ends {
 		if _, known := r.Ends[incarnation]; !known {
 			r.Ends[incarnation] = at
 			t.mention(incarnation)
-			news = true
+			news, fresh = append(news, t.recordGone(incarnation, now)...), true
 		}
 	}
 	if in.Answered.Sub(r.Answered) > answerTolerance {
 		r.Answered = in.Answered
-		news = true
+		fresh = true
+	}
+	if fresh {
+		news = append(news, in.Request)
 	}
-	tell = len(in.Ends) > 1 && r.Answered.Sub(in.Answered) > answerTolerance
+	tell = len(r.Ends) > len(in.Ends) || (len(in.Ends) > 1 && r.Answered.Sub(in.Answered) > answerTolerance)
 	t.expire(now)
 	return news, tell
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -65,11 +65,15 @@
 	b.RecordEnd(1, "upstream-2@1@address", at(0))
 	b.RecordEnd(1, "upstream-3@1@address", at(0))
 	news, tell := a.Merge(b.Get([]Request{1})[0], at(0))
-	require.True(t, news)
-	require.False(t, tell)
+	require.Equal(t, []Request{1}, news)
+	require.True(t, tell, "b does not know of the end of upstream-1")
 	require.True(t, isQuarantined(a, 1, at(0)))
 	news, _ = a.Merge(b.Get([]Request{1})[0], at(0))
-	require.False(t, news)
+	require.Empty(t, news)
+	b.Merge(a.Get([]Request{1})[0], at(0))
+	require.True(t, isQuarantined(b, 1, at(0)))
+	_, tell = a.Merge(b.Get([]Request{1})[0], at(0))
+	require.False(t, tell)
 	require.True(t, a.RecordAnswer(1, at(time.Second)))
 	_, tell = a.Merge(b.Get([]Request{1})[0], at(time.Second))
 	require.True(t, tell, "b does not know of the answer")
@@ -92,6 +96,28 @@
 	require.Empty(t, table.RecordGone("upstream-9@1@address", at(6*time.Second)))
 }
 
+// A VM that lacks processor time cannot see that an upstream has ended, while other requests have shown it to other VMs.
+func TestBrokenExchangeCountsOnceAnotherRequestShowsThatItsUpstreamHasEnded(t *testing.T) {
+	const ended, other = "upstream-1@1@address", "upstream-2@1@address"
+	for name, learn := range map[string]func(*Table) []Request{
+		"own request": func(t *Table) []Request { return t.RecordEnd(2, ended, at(time.Second)) },
+		"another VM's": func(t *Table) []Request {
+			news, _ := t.Merge(Record{Request: 2, Ends: map[string]time.Time{ended: at(time.Second)}}, at(time.Second))
+			return news
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable()
+			require.False(t, table.RecordBreak(1, ended, at(0)))
+			require.False(t, table.RecordBreak(1, other, at(0)))
+			require.ElementsMatch(t, []Request{1, 2}, learn(table))
+			require.Equal(t, 1, table.Ends(1))
+			require.True(t, table.RecordBreak(3, ended, at(2*time.Second)), "what is known when the exchange breaks")
+			require.Equal(t, 1, table.Ends(3))
+		})
+	}
+}
+
 // Hundreds of upstreams end at once, each with many requests: the table stays bounded, and keeps what has most ends.
 func TestTableIsBounded(t *testing.T) {
 	table := NewTable()
--- a/internal/vm/end_notices.go
+++ b/internal/vm/end_notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,87 +23,79 @@
 )
 
 // endNotices tells other VMs at once under which requests upstreams have ended: callers repeat a request within
-// milliseconds. Requests that come up while a notice is on its way go into the next one, so that the end of many
-// upstreams at once costs few calls.
+// milliseconds. Requests that come up while a notice to a VM is on its way go into its next one, so that the end of many
+// upstreams at once costs few calls, and a VM that does not answer delays no other.
 type endNotices struct {
 	fleet *fleet
-	// tell is callPartner, except in tests.
-	tell func(address string, requests []quarantine.Request) error
-
-	mu sync.Mutex
-	// next is the notice that has not been sent yet, nil if there is none. sending is set while one is on its way.
-	next    *endNotice
-	sending bool
+	// tell is callPartner, and partners reportingPartners, except in tests.
+	tell     func(address string, requests []quarantine.Request) error
+	partners func() []string
+	pending  *outbox[*endNotice]
 }
 
+// endNotice is the news of one request for one VM.
 type endNotice struct {
-	requests map[quarantine.Request]bool
-	// done is closed when the partners have answered.
-	done chan struct{}
+	request quarantine.Request
+	// calls is how often the VM has been told without an answer.
+	calls int
+	told  *sync.WaitGroup
 }
 
 func newEndNotices(f *fleet) *endNotices {
 	n := &endNotices{fleet: f}
-	n.tell = n.callPartner
+	n.tell, n.partners = n.callPartner, f.reportingPartners
+	n.pending = newOutbox(n.send)
+	n.pending.onDrop = func(e *endNotice) { e.told.Done() }
 	return n
 }
 
-// share tells the partners what is known of some requests. The channel is closed once they have answered.
+// share tells the partners what is known of some requests. The channel is closed once they have answered, or count as gone.
 func (n *endNotices) share(requests []quarantine.Request) <-chan struct{} {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.next == nil {
-		n.next = &endNotice{requests: make(map[quarantine.Request]bool), done: make(chan struct{})}
-	}
-	for _, q := range requests {
-		n.next.requests[q] = true
-	}
-	if !n.sending {
-		n.sending = true
-		go n.sendAll()
-	}
-	return n.next.done
-}
-
-// sendAll sends notices until there is none left.
-func (n *endNotices) sendAll() {
-	for {
-		n.mu.Lock()
-		notice := n.next
-		n.next = nil
-		n.sending = notice != nil
-		n.mu.Unlock()
-		if notice == nil {
-			return
+	told := new(sync.WaitGroup)
+	for _, address := range n.partners() {
+		for _, q := range requests {
+			told.Add(1)
+			n.pending.add(address, &endNotice{request: q, told: told})
 		}
-		n.send(notice)
-		close(notice.done)
 	}
+	done := make(chan struct{})
+	go func() {
+		told.Wait()
+		close(done)
+	}()
+	return done
 }
 
-func (n *endNotices) send(notice *endNotice) {
-	requests := make([]quarantine.Request, 0, len(notice.requests))
-	for q := range notice.requests {
-		requests = append(requests, q)
+// send tells a VM of some requests, and later again if it does not answer: one that lacked processor time is up again soon.
+func (n *endNotices) send(address string, batch []*endNotice) {
+	requests := make([]quarantine.Request, len(batch))
+	for i, e := range batch {
+		requests[i] = e.request
 	}
-	var wg sync.WaitGroup
-	for _, address := range n.fleet.reportingPartners() {
-		wg.Go(func() {
-			if n.tell(address, requests) != nil {
-				go n.tellAgain(address, requests)
-			}
-		})
+	slices.Sort(requests)
+	requests = slices.Compact(requests)
+	if n.tell(address, requests) == nil {
+		endAll(batch)
+		return
+	}
+	time.Sleep(noticeRetryPause)
+	if !slices.Contains(n.partners(), address) {
+		endAll(batch)
+		return
+	}
+	for _, e := range batch {
+		if e.calls++; e.calls >= maxNoticeCalls {
+			e.told.Done()
+			continue
+		}
+		n.pending.add(address, e)
 	}
-	wg.Wait()
 }
 
-// tellAgain repeats the call to a VM that did not answer: one that lacked processor time is up again soon.
-func (n *endNotices) tellAgain(address string, requests []quarantine.Request) {
-	for range maxNoticeCalls - 1 {
-		time.Sleep(noticeRetryPause)
-		if n.tell(address, requests) == nil {
-			return
-		}
+// endAll records that no further call is needed for some notices.
+func endAll(batch []*endNotice) {
+	for _, e := range batch {
+		e.told.Done()
 	}
 }
 
@@ -120,7 +113,8 @@
 	return err
 }
 
-// merge adds what another VM tells, and returns what it lacks. A hub passes news on to its other partners.
+// merge adds what another VM tells, and returns what it lacks. A hub passes news on to its other partners; any VM tells
+// of its own requests that are found to have ended an upstream.
 func (n *endNotices) merge(told []*peerpb.RequestEnds) (lacking []quarantine.Request) {
 	now := time.Now()
 	var fresh []quarantine.Request
@@ -130,14 +124,16 @@
 		}
 		record := endsFromProto(in, now)
 		news, tell := n.fleet.process.quarantine.Merge(record, now)
-		if news {
-			fresh = append(fresh, record.Request)
+		for _, q := range news {
+			if q != record.Request || n.fleet.isHub() {
+				fresh = append(fresh, q)
+			}
 		}
 		if tell {
 			lacking = append(lacking, record.Request)
 		}
 	}
-	if len(fresh) > 0 && n.fleet.isHub() {
+	if len(fresh) > 0 {
 		n.share(fresh)
 	}
 	return lacking
--- a/internal/vm/ended_upstreams_test.go
+++ b/internal/vm/ended_upstreams_test.go
@@ -157,19 +157,65 @@
 	require.Equal(t, dials, v.replicas.Pool.Dials())
 }
 
-// A VM without processor time does not answer the news of an upstream's end in time: it must be told again.
+// A VM without processor time does not answer the news of an upstream's end in time: it must be told again, before the caller is told.
 func TestVMThatDoesNotAnswerIsToldOfAnEndAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		for failing, want := range map[int]int{2: 3, 100: maxNoticeCalls - 1} {
+		for failing, want := range map[int]int{0: 1, 2: 3, 100: maxNoticeCalls} {
 			calls := 0
-			n := &endNotices{tell: func(string, []quarantine.Request) error {
+			n := newEndNotices(&fleet{})
+			n.partners = func() []string { return []string{"b"} }
+			n.tell = func(string, []quarantine.Request) error {
 				if calls++; calls <= failing {
 					return peer.ErrUnreachable
 				}
 				return nil
-			}}
-			n.tellAgain("b", []quarantine.Request{7})
+			}
+			<-n.share([]quarantine.Request{7})
 			require.Equal(t, want, calls)
 		}
 	})
 }
+
+// A VM that does not answer held up the news of further ends to all others.
+func TestVMThatDoesNotAnswerDelaysNoOtherOfTheNewsOfEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, told := newEndNotices(&fleet{}), make(chan quarantine.Request, 2)
+		n.partners = func() []string { return []string{"slow", "b"} }
+		n.tell = func(address string, requests []quarantine.Request) error {
+			if address == "slow" {
+				time.Sleep(endNoticeTimeout)
+				return peer.ErrUnreachable
+			}
+			for _, q := range requests {
+				told <- q
+			}
+			return nil
+		}
+		began := time.Now()
+		n.share([]quarantine.Request{1})
+		synctest.Wait()
+		done := n.share([]quarantine.Request{2})
+		require.Equal(t, []quarantine.Request{1, 2}, []quarantine.Request{<-told, <-told})
+		require.Zero(t, time.Since(began))
+		<-done
+	})
+}
+
+// A VM that has left does not answer any more: callers must not wait for it.
+func TestNoVMThatIsGoneIsToldOfAnEndAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, calls := newEndNotices(&fleet{}), 0
+		n.partners = func() []string {
+			if calls > 0 {
+				return nil
+			}
+			return []string{"b"}
+		}
+		n.tell = func(string, []quarantine.Request) error {
+			calls++
+			return peer.ErrUnreachable
+		}
+		<-n.share([]quarantine.Request{7})
+		require.Equal(t, 1, calls)
+	})
+}
--- a/internal/vm/outbox.go
+++ b/internal/vm/outbox.go
@@ -9,6 +9,8 @@
 type outbox[T any] struct {
 	// call sends items to the VM at an address.
 	call func(address string, batch []T)
+	// onDrop, unless nil, is called with items that are dropped.
+	onDrop func(T)
 
 	mu sync.Mutex
 	// pending holds, by address, what has not been sent yet; an address is present while a goroutine sends to it.
@@ -24,6 +26,9 @@
 	defer o.mu.Unlock()
 	waiting, sending := o.pending[address]
 	if len(waiting) >= maxPending {
+		if o.onDrop != nil {
+			o.onDrop(waiting[0])
+		}
 		waiting = waiting[1:]
 	}
 	o.pending[address] = append(waiting, item)
