traffic: an upstream's end that shows late is counted

Cause: whether an upstream has ended is seen by a new connection that is refused within 0.1 s. A VM without processor time gets neither an answer nor a refusal; such an end was never counted, and the next VM was told of one end for two.

Change: the check has three results; without one it is repeated, ten times at most, while the request goes elsewhere. Once the next end would be the last that is allowed, the caller is told after all partners have answered, or with its time; before, after 0.5 s in any case.

Tests that fail before: TestEndThatShowsLateIsCountedBeforeTheCallerIsTold, TestCallerWaitsForSlowNoticesBeforeTheLastEndThatIsAllowed.

Why it works: what is told is complete before the caller can turn to another VM.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -223,11 +223,6 @@
 	return err
 }
 
-// Refuses reports whether an address refuses a new connection.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
-	return errors.Is(p.Connect(ctx, address), syscall.ECONNREFUSED)
-}
-
 // idleConn returns the most recently used idle connection that is still usable, or nil.
 func (p *Pool) idleConn(address string) *conn {
 	for {
--- a/internal/traffic/contents.go
+++ b/internal/traffic/contents.go
@@ -14,9 +14,28 @@
 // This file keeps a request from being sent any more once several upstreams have ended under it.
 
 // shareTimeout bounds the wait until the other VMs know of an upstream that ended, before the caller is told that its
-// request failed. Without the wait, its next attempt could reach another VM before the news.
+// request failed. Without the wait, its next attempt could reach another VM before the news. Once the next end would be
+// the last that is allowed, the wait ends with the request's time.
 const shareTimeout = 500 * time.Millisecond
 
+// Liveness is what a new connection shows of an upstream.
+type Liveness int
+
+const (
+	// LivenessUnknown means that the connection was neither accepted nor refused in time.
+	LivenessUnknown Liveness = iota
+	// Alive means that something listens at the upstream's address.
+	Alive
+	// Ended means that nothing does.
+	Ended
+)
+
+const (
+	// maxLivenessChecks is how often an upstream is checked that shows nothing, livenessPause the time between two checks.
+	maxLivenessChecks = 10
+	livenessPause     = 100 * time.Millisecond
+)
+
 // contentsHash identifies a request by what stays the same when its caller repeats it: the team, the service and what
 // the upstream is sent. The caller's ID is new in each attempt.
 func (j *job) contentsHash() quarantine.Request {
@@ -63,48 +82,76 @@
 // recordBreak records that an exchange broke without an answer, and begins to tell the other VMs if its upstream has ended.
 func (j *job) recordBreak(ctx context.Context, i *upstream.Instance) {
 	j.waitingFor = waitBreak
-	if !j.core.options.HasEnded(ctx, i) {
-		j.core.options.Quarantine.RecordBreak(j.contentsHash(), i.IncarnationID(), time.Now())
+	liveness := j.core.options.Liveness(ctx, i)
+	if liveness != Ended && !j.core.options.Quarantine.RecordBreak(j.contentsHash(), i.IncarnationID(), time.Now()) {
 		if j.brokeAlive == nil {
 			j.brokeAlive = make(map[string]bool)
 		}
 		j.brokeAlive[i.ID] = true
+		if liveness == LivenessUnknown {
+			j.checkAgain(i)
+		}
 		return
 	}
 	j.told = append(j.told, j.core.recordEnd(j.request.ID, j.contentsHash(), i))
 }
 
-// recordSilence finds out whether the upstream of an exchange that was ended for its silence has ended. The request is sent
-// elsewhere meanwhile.
-func (j *job) recordSilence(i *upstream.Instance) {
+// checkAgain finds out whether the upstream of an exchange without an answer has ended. The request is sent elsewhere
+// meanwhile.
+func (j *job) checkAgain(i *upstream.Instance) {
 	request, contents, told := j.request.ID, j.contentsHash(), make(chan struct{})
 	j.told = append(j.told, told)
 	go func() {
 		defer close(told)
-		if j.core.options.HasEnded(context.Background(), i) {
+		if j.core.liveness(i) == Ended {
 			<-j.core.recordEnd(request, contents, i)
 		}
 	}()
 }
 
+// liveness finds out about an upstream, also if a first connection shows nothing: this VM may lack processor time.
+func (c *Core) liveness(i *upstream.Instance) Liveness {
+	for range maxLivenessChecks - 1 {
+		if l := c.options.Liveness(context.Background(), i); l != LivenessUnknown {
+			return l
+		}
+		time.Sleep(livenessPause)
+	}
+	return c.options.Liveness(context.Background(), i)
+}
+
 // recordEnd records that an upstream has ended while it had a request. The channel is closed once the other VMs know.
 func (c *Core) recordEnd(request string, contents quarantine.Request, i *upstream.Instance) <-chan struct{} {
-	c.options.Quarantine.RecordEnd(contents, i.IncarnationID(), time.Now())
+	requests := c.options.Quarantine.RecordEnd(contents, i.IncarnationID(), time.Now())
 	c.logUpstreamEnded(request, contents, i)
-	return c.options.ShareEnds([]quarantine.Request{contents})
+	return c.options.ShareEnds(requests)
 }
 
-// awaitTold returns once the other VMs know of the upstreams that have ended under the request, after shareTimeout at the
-// latest.
+// awaitAllTold returns once the other VMs know of the upstreams that have ended under the request, or need not before the
+// caller is told.
+func (j *job) awaitAllTold(ctx context.Context) {
+	if len(j.told) == 0 {
+		return
+	}
+	short, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	j.awaitTold(short)
+	ends := j.core.options.Quarantine.Ends(j.contentsHash())
+	if ends < quarantine.MaxEnds-1 {
+		return
+	}
+	if ends > len(j.told) {
+		j.told = append(j.told, j.core.options.ShareEnds([]quarantine.Request{j.contentsHash()}))
+	}
+	j.awaitTold(ctx)
+}
+
+// awaitTold returns once the other VMs know of the ends that this VM has told.
 func (j *job) awaitTold(ctx context.Context) {
-	timer := time.NewTimer(shareTimeout)
-	defer timer.Stop()
 	for _, told := range j.told {
 		j.waitingFor = waitBreak
 		select {
 		case <-told:
-		case <-timer.C:
-			return
 		case <-ctx.Done():
 			return
 		}
--- a/internal/traffic/contents_test.go
+++ b/internal/traffic/contents_test.go
@@ -21,7 +21,7 @@
 // endingFixture returns a fixture whose upstreams have ended if their exchange fails. Its notices take noticeTime.
 func endingFixture(scripts map[string]script) *fixture {
 	f := newFixture(resumable, scripts)
-	f.core.options.HasEnded = func(context.Context, *upstream.Instance) bool { return true }
+	f.core.options.Liveness = func(context.Context, *upstream.Instance) Liveness { return Ended }
 	f.core.options.ShareEnds = func([]quarantine.Request) <-chan struct{} {
 		told := make(chan struct{})
 		time.AfterFunc(noticeTime, func() { close(told) })
@@ -56,6 +56,57 @@
 	})
 }
 
+// Notices take seconds while VMs lack processor time: a caller of whose request two upstreams ended reached a VM that did not know.
+func TestCallerWaitsForSlowNoticesBeforeTheLastEndThatIsAllowed(t *testing.T) {
+	const slow = 4 * shareTimeout
+	for name, c := range map[string]struct {
+		scripts   map[string]script
+		elsewhere int
+		want      time.Duration
+	}{
+		"one end":                {map[string]script{"a": breaks}, 0, shareTimeout},
+		"two ends":               {map[string]script{"a": breaks, "b": breaks}, 0, slow},
+		"one, another elsewhere": {map[string]script{"a": breaks}, 1, slow + shareTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := endingFixture(c.scripts)
+				f.core.options.ShareEnds = func([]quarantine.Request) <-chan struct{} {
+					told := make(chan struct{})
+					time.AfterFunc(slow, func() { close(told) })
+					return told
+				}
+				for range c.elsewhere {
+					j := &job{core: f.core, service: "engines", request: &Request{Method: http.MethodPost, Host: "h", Model: "m"}}
+					f.core.options.Quarantine.Merge(quarantine.Record{Request: j.contentsHash(), Ends: map[string]time.Time{"z@1@address": time.Now()}}, time.Now())
+				}
+				began := time.Now()
+				_, err := f.serve(t.Context(), "r")
+				require.NoError(t, err)
+				require.Equal(t, c.want, time.Since(began))
+			})
+		})
+	}
+}
+
+// Without processor time neither an answer nor a refusal comes in time: such an end was never counted.
+func TestEndThatShowsLateIsCountedBeforeTheCallerIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := endingFixture(map[string]script{"a": breaks})
+		began := time.Now()
+		f.core.options.Liveness = func(context.Context, *upstream.Instance) Liveness {
+			if time.Since(began) < livenessPause {
+				return LivenessUnknown
+			}
+			return Ended
+		}
+		_, err := f.serve(t.Context(), "r")
+		require.NoError(t, err)
+		require.Equal(t, 1, f.ends())
+		require.Equal(t, livenessPause+noticeTime, time.Since(began))
+	})
+}
+
 // The repeat of a request by the same VM must not wait until the other VMs know of an upstream that ended.
 func TestRepeatDoesNotWaitForTheOtherVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -76,8 +76,8 @@
 	Forward ForwardFunc
 	// Quarantine holds the requests under which upstreams have ended.
 	Quarantine *quarantine.Table
-	// HasEnded reports whether an upstream whose connection has just broken has ended.
-	HasEnded func(ctx context.Context, i *upstream.Instance) bool
+	// Liveness finds out about an upstream whose connection has just broken.
+	Liveness func(ctx context.Context, i *upstream.Instance) Liveness
 	// ShareEnds tells the other VMs what the quarantine holds of some requests. The channel is closed once they know.
 	ShareEnds func(requests []quarantine.Request) <-chan struct{}
 	// Origins holds the versions at which streams began. ShareOrigin has other VMs remember one, AskOrigin asks them for
--- a/internal/traffic/deadline_test.go
+++ b/internal/traffic/deadline_test.go
@@ -83,7 +83,7 @@
 		"an upstream":  {func(f *fixture) { f.core.options.Upstreams = silentUpstreams{connect: true} }, http.StatusGatewayTimeout},
 		"VMs that are told of an upstream": {func(f *fixture) {
 			f.core.options.Upstreams = silentUpstreams{connect: true}
-			f.core.options.HasEnded = func(ctx context.Context, _ *upstream.Instance) bool { <-ctx.Done(); return true }
+			f.core.options.Liveness = func(ctx context.Context, _ *upstream.Instance) Liveness { <-ctx.Done(); return Ended }
 			f.core.options.ShareEnds = func([]quarantine.Request) <-chan struct{} { return nil }
 		}, http.StatusGatewayTimeout},
 	}
--- a/internal/traffic/fakes_test.go
+++ b/internal/traffic/fakes_test.go
@@ -144,7 +144,7 @@
 		Forward: func(context.Context, string, Forwarded, Sink) (ForwardEnd, error) {
 			return ForwardEnd{}, ErrNotForwarded
 		},
-		Reach: reach.NewTracker(), Quarantine: quarantine.NewTable(), HasEnded: func(context.Context, *upstream.Instance) bool { return false },
+		Reach: reach.NewTracker(), Quarantine: quarantine.NewTable(), Liveness: func(context.Context, *upstream.Instance) Liveness { return Alive },
 		ShareEnds: func([]quarantine.Request) <-chan struct{} { return nil },
 		Origins:   origins.NewTable(), ShareOrigin: func(origins.Origin) {},
 		AskOrigin:   func(context.Context, origins.Stream) (origins.Origin, bool) { return origins.Origin{}, false },
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -222,7 +222,7 @@
 	switch i := j.core.options.Instance(choice.Instance); {
 	case i == nil:
 	case j.reserved != nil:
-		j.recordSilence(i)
+		j.checkAgain(i)
 	default:
 		j.recordBreak(ctx, i)
 	}
--- a/internal/traffic/unanswered.go
+++ b/internal/traffic/unanswered.go
@@ -24,7 +24,7 @@
 func (j *job) endUnanswered(ctx context.Context, err error) error {
 	j.cause = err
 	j.refundUnlessRun()
-	j.awaitTold(ctx)
+	j.awaitAllTold(ctx)
 	if callerLeft(ctx) {
 		j.outcome = outcomeCallerLeft
 		return errors.Wrap(ErrTruncated, "the caller disconnected")
--- a/internal/traffic/version_test.go
+++ b/internal/traffic/version_test.go
@@ -39,10 +39,10 @@
 func TestBrokenStreamDoesNotGoOnAtAnotherVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(resumable, map[string]script{"old": breakAfter(2)})
-		f.core.options.HasEnded = func(context.Context, *upstream.Instance) bool {
+		f.core.options.Liveness = func(context.Context, *upstream.Instance) Liveness {
 			addEngine(f, "new", answerAtOnce)
 			f.setVersion("new", "v2")
-			return true
+			return Ended
 		}
 		sink, err := f.serve(t.Context(), "a")
 		require.ErrorIs(t, err, ErrTruncated)
@@ -56,11 +56,11 @@
 func TestBrokenStreamGoesOnAtItsVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(resumable, map[string]script{"first": breakAfter(2)})
-		f.core.options.HasEnded = func(context.Context, *upstream.Instance) bool {
+		f.core.options.Liveness = func(context.Context, *upstream.Instance) Liveness {
 			addEngine(f, "same", answerAtOnce)
 			addEngine(f, "other", answerAtOnce)
 			f.setVersion("other", "v2")
-			return true
+			return Ended
 		}
 		for range 5 {
 			_, err := f.serve(t.Context(), "a")
@@ -109,7 +109,7 @@
 func TestBrokenStreamDoesNotReturnToAnUpstreamThatEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(resumable, map[string]script{"only": breakAfter(2)})
-		f.core.options.HasEnded = func(context.Context, *upstream.Instance) bool { return true }
+		f.core.options.Liveness = func(context.Context, *upstream.Instance) Liveness { return Ended }
 		_, err := f.serve(t.Context(), "a")
 		require.ErrorIs(t, err, ErrTruncated)
 		require.Len(t, f.upstreams.attempts(), 1)
