traffic: log what clears ends of upstreams, and which breaks do not count

Change: the events ends_cleared and break_not_counted with their reasons, and a counter for the first. No decision changes.

Conclusion: each exchange without an answer now shows as upstream_ended or as break_not_counted.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -145,18 +145,18 @@
 	return r
 }
 
-// RecordAnswer records that an upstream has answered a request completely. It reports whether the other VMs have to be
-// told: they may count several ends under the request.
-func (t *Table) RecordAnswer(q Request, now time.Time) (tell bool) {
+// RecordAnswer records that an upstream has answered a request completely, and returns how many ends do not count any
+// more. The other VMs have to be told of several.
+func (t *Table) RecordAnswer(q Request, now time.Time) (cleared int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[q]
 	if r == nil {
-		return false
+		return 0
 	}
-	tell = t.count(r) > 1
+	cleared = t.count(r)
 	r.Answered = now
-	return tell
+	return cleared
 }
 
 // RecordAlive records that an incarnation has answered a request that was written to it at a time: it has not ended
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -74,7 +74,7 @@
 	require.True(t, isQuarantined(b, 1, at(0)))
 	_, tell = a.Merge(b.Get([]Request{1})[0], at(0))
 	require.False(t, tell)
-	require.True(t, a.RecordAnswer(1, at(time.Second)))
+	require.Equal(t, 3, a.RecordAnswer(1, at(time.Second)))
 	_, tell = a.Merge(b.Get([]Request{1})[0], at(time.Second))
 	require.True(t, tell, "b does not know of the answer")
 	b.Merge(a.Get([]Request{1})[0], at(time.Second))
--- a/internal/traffic/contents.go
+++ b/internal/traffic/contents.go
@@ -30,6 +30,9 @@
 	Ended
 )
 
+// livenessNames are the names in logs.
+var livenessNames = map[Liveness]string{LivenessUnknown: "no_sign", Alive: "alive", Ended: "ended"}
+
 const (
 	// maxLivenessChecks is how often an upstream is checked that shows nothing, livenessPause the time between two checks.
 	maxLivenessChecks = 10
@@ -88,6 +91,7 @@
 			j.brokeAlive = make(map[string]bool)
 		}
 		j.brokeAlive[i.ID] = true
+		j.core.logBreakNotCounted(j, i.ID, livenessNames[liveness])
 		if liveness == LivenessUnknown {
 			j.checkAgain(i)
 		}
@@ -166,9 +170,17 @@
 }
 
 // recordAnswer records that an upstream has answered the request completely, whatever the answer was.
-func (j *job) recordAnswer() {
+func (j *job) recordAnswer(status int) {
 	o := &j.core.options
-	if o.Quarantine.InUse() && o.Quarantine.RecordAnswer(j.contentsHash(), time.Now()) {
+	if !o.Quarantine.InUse() {
+		return
+	}
+	cleared := o.Quarantine.RecordAnswer(j.contentsHash(), time.Now())
+	if cleared == 0 {
+		return
+	}
+	j.core.logEndsCleared(j, cleared, status)
+	if cleared > 1 {
 		o.ShareEnds([]quarantine.Request{j.contentsHash()})
 	}
 }
--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -97,7 +97,7 @@
 		if sink.status >= http.StatusInternalServerError {
 			j.outcome = outcomeFailed
 		}
-		j.recordAnswer()
+		j.recordAnswer(sink.status)
 		return nil
 	}
 	refusal := *sink.refusal
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -207,7 +207,7 @@
 			continue
 		}
 		j.core.logSendFailed(j, choice, failed)
-		if errors.Is(failed.err, ErrUnknown) && ctx.Err() == nil && !j.core.options.Reach.Cut(j.service) {
+		if errors.Is(failed.err, ErrUnknown) {
 			j.recordUnanswered(ctx, choice)
 		}
 		if ctx.Err() != nil || (j.reserved == nil && !j.mayRepeat(failed.kind)) {
@@ -220,7 +220,12 @@
 // recordUnanswered records what the end of an exchange without an answer says about its upstream.
 func (j *job) recordUnanswered(ctx context.Context, choice *assign.Choice) {
 	switch i := j.core.options.Instance(choice.Instance); {
+	case ctx.Err() != nil:
+		j.core.logBreakNotCounted(j, choice.Instance, "given_up")
+	case j.core.options.Reach.Cut(j.service):
+		j.core.logBreakNotCounted(j, choice.Instance, "service_unreachable")
 	case i == nil:
+		j.core.logBreakNotCounted(j, choice.Instance, "instance_gone")
 	case j.reserved != nil:
 		j.checkAgain(i)
 	default:
@@ -408,7 +413,7 @@
 		return j.failedBy(choice, errors.Wrapf(ErrUnknown, "%s: %v", choice.Instance, err))
 	}
 	j.noteStarted(choice)
-	j.recordAnswer()
+	j.recordAnswer(reply.Status)
 	if reply.Status >= http.StatusInternalServerError {
 		j.failureReply = &bufferedReply{status: reply.Status, header: reply.Header, body: body}
 		return j.failedBy(choice, errors.Wrapf(ErrUpstreamFailed, "%s: status %d", choice.Instance, reply.Status))
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -84,6 +84,19 @@
 		Int("ends", c.options.Quarantine.Ends(contents)).Send()
 }
 
+// logEndsCleared logs that ends of upstreams do not count any more since the request was answered.
+func (c *Core) logEndsCleared(j *job, ends, status int) {
+	c.countEndsCleared()
+	c.options.Log.Info().Str("event", "ends_cleared").Str("request", j.request.ID).Str("instance", j.upstream).
+		Str("contents", contentsName(j.contentsHash())).Int("ends", ends).Int("status", status).Send()
+}
+
+// logBreakNotCounted logs that an exchange without an answer does not count as the end of its upstream for now, and why.
+func (c *Core) logBreakNotCounted(j *job, instance, reason string) {
+	c.options.Log.Info().Str("event", "break_not_counted").Str("request", j.request.ID).Str("instance", instance).
+		Str("contents", contentsName(j.contentsHash())).Str("reason", reason).Send()
+}
+
 // logForwarded logs that another VM has taken a request, and err if its connection broke.
 func (c *Core) logForwarded(j *job, err error) {
 	c.countForwarded()
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -45,6 +45,9 @@
 // countUpstreamEnded counts an upstream that ended while it had a request, once for each request.
 func (c *Core) countUpstreamEnded() { c.increment("requests.upstream_ended") }
 
+// countEndsCleared counts a request whose answer clears the ends that were counted under it.
+func (c *Core) countEndsCleared() { c.increment("requests.ends_cleared") }
+
 // countForwarded counts a request that another VM has taken.
 func (c *Core) countForwarded() { c.increment("requests.forwarded") }
 
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -91,7 +91,7 @@
 
 func (j *job) streamEnded(choice *assign.Choice, reply *Reply) *failure {
 	reply.Close(true)
-	j.recordAnswer()
+	j.recordAnswer(reply.Status)
 	if !j.responseBegun {
 		j.responseBegun = true
 		j.sink.Begin(reply.Status, reply.Header)
