known red: three ways in which ends of upstreams under a request are not counted

Exchanges with an upstream that goes dark count as no end in 4 of 4 cases (a slot elsewhere was reserved, the time ran out, the caller left, the service is not reached), nor if the entry goes before the exchange. Three ends count as none once something answers at the address of the old incarnations.

Conclusion: all three are faults of the code; which of them the users saw is not known.

--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -143,3 +143,26 @@
 	table.RecordAlive("upstream-0@1@address", at(-10*time.Millisecond))
 	require.False(t, isQuarantined(table, 1, at(2*time.Second)), "it has answered a request that was written later")
 }
+
+// An upstream that is back under its ID and address answers before this VM has read its new entry: that is no sign of the incarnation that ended.
+func TestEndStandsOnceItsIncarnationIsGone(t *testing.T) {
+	table := NewTable()
+	endUpstreams(table, 1, 3, at(0))
+	for i := range 3 {
+		incarnation := fmt.Sprintf("upstream-%d@1@address", i)
+		table.RecordAlive(incarnation, at(time.Second))
+		table.RecordGone(incarnation, at(2*time.Second))
+	}
+	require.Equal(t, 3, table.Ends(1))
+	require.True(t, isQuarantined(table, 1, at(2*time.Second)))
+}
+
+// A dark upstream loses its entry before a stream that it was writing is given up.
+func TestBreakCountsIfItsUpstreamIsKnownToBeGone(t *testing.T) {
+	const dark = "upstream-1@1@address"
+	table := NewTable()
+	table.RecordGone(dark, at(0))
+	require.True(t, table.RecordBreak(1, dark, at(time.Second)))
+	require.Equal(t, 1, table.Ends(1))
+	require.False(t, table.RecordBreak(2, dark, at(breakTime+time.Second)))
+}
--- a/internal/traffic/contents_test.go
+++ b/internal/traffic/contents_test.go
@@ -137,3 +137,37 @@
 		require.Positive(t, f.ends())
 	})
 }
+
+// An upstream that goes dark shows its end by its entry alone, after its exchanges have been given up.
+func TestExchangeWithADarkUpstreamCountsOnceItsEntryIsGone(t *testing.T) {
+	for name, c := range map[string]struct {
+		scripts   map[string]script
+		leavesAt  time.Duration
+		cut       bool
+		wantSends int
+	}{
+		"a slot elsewhere was reserved": {map[string]script{"a": silent, "b": silent}, time.Minute, false, 2},
+		"the time ran out":              {map[string]script{"a": silent}, time.Minute, false, 1},
+		"the caller left":               {map[string]script{"a": silent}, 2 * time.Second, false, 1},
+		"the service is not reached":    {map[string]script{"a": breaks}, time.Minute, true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := endingFixture(c.scripts)
+				f.core.options.Liveness = func(context.Context, *upstream.Instance) Liveness { return LivenessUnknown }
+				if c.cut {
+					f.core.options.Reach.RecordCheck("engines", 1, 0, time.Now())
+				}
+				ctx, leave := context.WithCancel(t.Context())
+				defer leave()
+				time.AfterFunc(c.leavesAt, leave)
+				_, _ = f.serve(ctx, "r")
+				require.Len(t, f.upstreams.attempts(), c.wantSends)
+				for _, i := range f.instances {
+					f.core.options.Quarantine.RecordGone(i.IncarnationID(), time.Now())
+				}
+				require.Equal(t, c.wantSends, f.ends())
+			})
+		})
+	}
+}
--- a/internal/vm/ended_upstreams_test.go
+++ b/internal/vm/ended_upstreams_test.go
@@ -94,6 +94,31 @@
 	require.Zero(t, rejected, "requests that ran beside the marked one")
 }
 
+// Failures of upstreams that did not run a request to its crash set the count of ends to zero at all VMs.
+func TestFailuresDoNotClearTheEndsOfARequest(t *testing.T) {
+	c, e := newCluster(t), &endings{}
+	for i := range 6 {
+		c.addEnding(fmt.Sprintf("clerk-%d", i), e)
+	}
+	for i := range 4 {
+		failing := standin.NewReplica(fmt.Sprintf("clerk-failing-%d", i), 0)
+		failing.Fail = func(w http.ResponseWriter, r *http.Request) {
+			standin.ReplyWithStatus(w, r, http.StatusInternalServerError)
+		}
+		c.add(failing)
+	}
+	vms := []*testVM{c.start("a"), c.start("b"), c.start("c")}
+	for _, v := range vms {
+		c.eventually(func() bool { return len(v.fleet.meshPartners()) == 2 })
+	}
+	for i := range 30 {
+		require.NotEqual(t, http.StatusOK, c.send(vms[i%3], call{method: "POST", path: "/look/x", body: endingMark}).status)
+	}
+	ended, sentAfterThird := e.counts()
+	require.Equal(t, 3, ended)
+	require.Zero(t, sentAfterThird)
+}
+
 // sendInnocents sends unmarked requests through all VMs, and returns a function that waits for their answers and returns
 // how many were rejected.
 func (c *cluster) sendInnocents(vms []*testVM, n int) func() (rejected int) {
