traffic: a failure does not clear the ends of upstreams under a request

Cause: every complete answer set the count of ends to zero at all VMs, failures too. An upstream that fails a request has not run it to where others crash.

Why it works: only an answer below 500 shows that an upstream can run the request. Popular requests that merely ran beside crashes are answered with success in between and stay clear of the quarantine, as before.

--- a/internal/traffic/contents.go
+++ b/internal/traffic/contents.go
@@ -169,10 +169,11 @@
 	}
 }
 
-// recordAnswer records that an upstream has answered the request completely, whatever the answer was.
+// recordAnswer records that an upstream has answered the request completely. A failure does not show that upstreams can run
+// the request.
 func (j *job) recordAnswer(status int) {
 	o := &j.core.options
-	if !o.Quarantine.InUse() {
+	if status >= http.StatusInternalServerError || !o.Quarantine.InUse() {
 		return
 	}
 	cleared := o.Quarantine.RecordAnswer(j.contentsHash(), time.Now())
