traffic, quarantine: an upstream that goes dark under a request counts once its entry is gone

Cause: an exchange without an answer was remembered only if its upstream could be asked whether it listens. One that goes dark answers nothing: its exchange is given up (a slot elsewhere was reserved, the time ran out, the caller left), or the VM takes itself for cut off from the service. The entry, which shows the end seconds later, then met no exchange to count. The same if the entry went first, since entries that went were not remembered, and if the table of upstreams named another incarnation by the time of the break.

Evidence: TestExchangeWithADarkUpstreamCountsOnceItsEntryIsGone failed in 4 of 4 cases, TestBreakCountsIfItsUpstreamIsKnownToBeGone failed; both pass. The second's last assertion was wrong as it had landed: it asked for a break at an upstream that already counts as ended under another request not to count. It now names an upstream under which none has ended, and asks the same of the time limit.

Why it works: each exchange without an answer is remembered for the time in which an entry disappears (15 s), given-up ones only if the upstream had sent nothing for 0.5 s; incarnations whose entries disappeared are remembered as long. The incarnation is the one to which the request was written.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -42,6 +42,8 @@
 	records map[Request]*Record
 	// broken holds the exchanges that broke without evidence that their upstream has ended.
 	broken map[brokenExchange]time.Time
+	// gone holds when the entries of upstreams disappeared that were not draining.
+	gone map[string]time.Time
 	// alive holds, for each incarnation that is recorded as ended or whose exchange broke, when the last request was
 	// written that it has answered to this VM, zero if it has not since.
 	alive map[string]time.Time
@@ -61,7 +63,10 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: make(map[Request]*Record), broken: make(map[brokenExchange]time.Time), alive: make(map[string]time.Time)}
+	return &Table{
+		records: make(map[Request]*Record), broken: make(map[brokenExchange]time.Time),
+		gone: make(map[string]time.Time), alive: make(map[string]time.Time),
+	}
 }
 
 // InUse reports whether the table holds anything.
@@ -73,6 +78,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.recordEnd(q, incarnation, now)
+	delete(t.broken, brokenExchange{q, incarnation})
 	t.expire(now)
 	return append(t.recordGone(incarnation, now), q)
 }
@@ -83,7 +89,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.expire(now)
-	if t.hasEnded(incarnation) {
+	if goneAt, gone := t.gone[incarnation]; t.hasEnded(incarnation) || (gone && now.Sub(goneAt) < breakTime) {
 		t.recordEnd(q, incarnation, now)
 		return true
 	}
@@ -110,6 +116,8 @@
 func (t *Table) RecordGone(incarnation string, now time.Time) []Request {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.gone[incarnation] = now
+	t.expire(now)
 	return t.recordGone(incarnation, now)
 }
 
@@ -309,6 +317,7 @@
 	}
 	t.expiredAt = now
 	maps.DeleteFunc(t.records, func(_ Request, r *Record) bool { return now.Sub(r.lastEnd()) > t.lifetime(r) })
+	maps.DeleteFunc(t.gone, func(_ string, at time.Time) bool { return now.Sub(at) > breakTime })
 	maps.DeleteFunc(t.broken, func(_ brokenExchange, at time.Time) bool { return now.Sub(at) > breakTime })
 	if len(t.records) > maxRequests {
 		t.dropOldest(len(t.records) - maxRequests/2)
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -159,10 +159,11 @@
 
 // A dark upstream loses its entry before a stream that it was writing is given up.
 func TestBreakCountsIfItsUpstreamIsKnownToBeGone(t *testing.T) {
-	const dark = "upstream-1@1@address"
+	const dark, other = "upstream-1@1@address", "upstream-2@1@address"
 	table := NewTable()
 	table.RecordGone(dark, at(0))
+	table.RecordGone(other, at(0))
 	require.True(t, table.RecordBreak(1, dark, at(time.Second)))
 	require.Equal(t, 1, table.Ends(1))
-	require.False(t, table.RecordBreak(2, dark, at(breakTime+time.Second)))
+	require.False(t, table.RecordBreak(2, other, at(breakTime+time.Second)))
 }
--- a/internal/traffic/contents.go
+++ b/internal/traffic/contents.go
@@ -82,22 +82,58 @@
 
 const reasonQuarantined = "request_quarantined"
 
-// recordBreak records that an exchange broke without an answer, and begins to tell the other VMs if its upstream has ended.
-func (j *job) recordBreak(ctx context.Context, i *upstream.Instance) {
+// minDarkSilence is how long an upstream has to have sent nothing for a given-up exchange to count as one with an upstream
+// that may have gone dark.
+const minDarkSilence = 500 * time.Millisecond
+
+// recordUnanswered records what the end of an exchange without an answer says about its upstream, and begins to tell the
+// other VMs if it has ended. Connections show nothing while the service is not reached, and an exchange that was given up
+// may be that of an upstream that went dark: then the upstream's entry shows whether it has ended.
+func (j *job) recordUnanswered(ctx context.Context) {
+	if ctx.Err() != nil && j.silentFor(time.Now()) < minDarkSilence {
+		return
+	}
+	i := j.sentTo
+	if j.core.options.Quarantine.RecordBreak(j.contentsHash(), i.IncarnationID(), time.Now()) {
+		j.told = append(j.told, j.core.recordEnd(j.request.ID, j.contentsHash(), i))
+		return
+	}
+	switch {
+	case ctx.Err() != nil:
+		j.core.logBreakNotCounted(j, i.ID, "given_up")
+	case j.core.options.Reach.Cut(j.service):
+		j.core.logBreakNotCounted(j, i.ID, "service_unreachable")
+	case j.reserved != nil:
+		j.checkAgain(i)
+	default:
+		j.checkBreak(ctx, i)
+	}
+}
+
+// silentFor returns for how long the upstream has sent nothing since the request was written to it.
+func (j *job) silentFor(now time.Time) time.Duration {
+	if j.pauses.lastAt.After(j.writtenAt) {
+		return now.Sub(j.pauses.lastAt)
+	}
+	return now.Sub(j.writtenAt)
+}
+
+// checkBreak finds out whether the upstream of an exchange that broke has ended.
+func (j *job) checkBreak(ctx context.Context, i *upstream.Instance) {
 	j.waitingFor = waitBreak
 	liveness := j.core.options.Liveness(ctx, i)
-	if liveness != Ended && !j.core.options.Quarantine.RecordBreak(j.contentsHash(), i.IncarnationID(), time.Now()) {
-		if j.brokeAlive == nil {
-			j.brokeAlive = make(map[string]bool)
-		}
-		j.brokeAlive[i.ID] = true
-		j.core.logBreakNotCounted(j, i.ID, livenessNames[liveness])
-		if liveness == LivenessUnknown {
-			j.checkAgain(i)
-		}
+	if liveness == Ended {
+		j.told = append(j.told, j.core.recordEnd(j.request.ID, j.contentsHash(), i))
 		return
 	}
-	j.told = append(j.told, j.core.recordEnd(j.request.ID, j.contentsHash(), i))
+	if j.brokeAlive == nil {
+		j.brokeAlive = make(map[string]bool)
+	}
+	j.brokeAlive[i.ID] = true
+	j.core.logBreakNotCounted(j, i.ID, livenessNames[liveness])
+	if liveness == LivenessUnknown {
+		j.checkAgain(i)
+	}
 }
 
 // checkAgain finds out whether the upstream of an exchange without an answer has ended. The request is sent elsewhere
--- a/internal/traffic/contents_test.go
+++ b/internal/traffic/contents_test.go
@@ -146,7 +146,7 @@
 		cut       bool
 		wantSends int
 	}{
-		"a slot elsewhere was reserved": {map[string]script{"a": silent, "b": silent}, time.Minute, false, 2},
+		"a slot elsewhere was reserved": {map[string]script{"a": silent, "b": silent}, 8 * time.Second, false, 2},
 		"the time ran out":              {map[string]script{"a": silent}, time.Minute, false, 1},
 		"the caller left":               {map[string]script{"a": silent}, 2 * time.Second, false, 1},
 		"the service is not reached":    {map[string]script{"a": breaks}, time.Minute, true, 1},
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/catalog"
 	"github.com/chestnutarch/chestnutarch/internal/quarantine"
 	"github.com/chestnutarch/chestnutarch/internal/teamrate"
+	"github.com/chestnutarch/chestnutarch/internal/upstream"
 )
 
 const (
@@ -79,6 +80,8 @@
 	unreached, notForwarded bool
 	// connectFailures counts the connections that failed for this request.
 	connectFailures int
+	// sentTo is the upstream of the last exchange, as it was known then.
+	sentTo *upstream.Instance
 	// exchange is the state of the present exchange.
 	exchange *exchangeState
 	// contents is the hash that the attempts of a request share, 0 until it is needed.
@@ -110,6 +113,8 @@
 	begunAt       time.Time
 	// writeWait is the time from the last choice of an upstream to the first byte that was written to it.
 	writeWait time.Duration
+	// writtenAt is when that byte was written.
+	writtenAt time.Time
 }
 
 // wait names what a request waits for, as it is written to logs.
@@ -208,7 +213,7 @@
 		}
 		j.core.logSendFailed(j, choice, failed)
 		if errors.Is(failed.err, ErrUnknown) {
-			j.recordUnanswered(ctx, choice)
+			j.recordUnanswered(ctx)
 		}
 		if ctx.Err() != nil || (j.reserved == nil && !j.mayRepeat(failed.kind)) {
 			j.releaseReserved()
@@ -217,22 +222,6 @@
 	}
 }
 
-// recordUnanswered records what the end of an exchange without an answer says about its upstream.
-func (j *job) recordUnanswered(ctx context.Context, choice *assign.Choice) {
-	switch i := j.core.options.Instance(choice.Instance); {
-	case ctx.Err() != nil:
-		j.core.logBreakNotCounted(j, choice.Instance, "given_up")
-	case j.core.options.Reach.Cut(j.service):
-		j.core.logBreakNotCounted(j, choice.Instance, "service_unreachable")
-	case i == nil:
-		j.core.logBreakNotCounted(j, choice.Instance, "instance_gone")
-	case j.reserved != nil:
-		j.checkAgain(i)
-	default:
-		j.recordBreak(ctx, i)
-	}
-}
-
 // releaseReserved releases a reserved slot that is not needed, because the exchange ended
 // by itself just as it was about to be cancelled.
 func (j *job) releaseReserved() {
@@ -254,7 +243,7 @@
 		return j.withdraw(choice)
 	}
 	j.sends++
-	j.upstream, j.expected = choice.Instance, choice.Expected
+	j.upstream, j.sentTo, j.expected = choice.Instance, instance, choice.Expected
 	j.core.logSent(j, choice)
 	if j.resumeAfter() != "" {
 		j.core.logResumed(j, choice)
@@ -314,7 +303,7 @@
 	j.core.options.AwaitUpstreams(ctx)
 	j.waitingFor = waitUpstream
 	now := time.Now()
-	j.writeWait = now.Sub(choice.PlacedAt())
+	j.writeWait, j.writtenAt = now.Sub(choice.PlacedAt()), now
 	if ctx.Err() != nil {
 		return ErrWithdrawn
 	}
--- a/internal/vm/end_notices.go
+++ b/internal/vm/end_notices.go
@@ -165,7 +165,7 @@
 // recordEnded records that an instance that was not draining is gone: exchanges with it that broke lately did so because
 // it ended.
 func (p *Process) recordEnded(i *upstream.Instance, now time.Time) {
-	if i.Draining || !p.quarantine.InUse() {
+	if i.Draining {
 		return
 	}
 	if requests := p.quarantine.RecordGone(i.IncarnationID(), now); len(requests) > 0 {
