quarantine: an end stands if its upstream is back under its ID and address

Cause: an incarnation that answers after its end counts as alive, for the sake of VMs that lost their links. An upstream that starts again under its ID and address answers before a VM has read its new entry, and the answer was taken for one of the incarnation that had ended.

Ends that were disproved longer ago are dropped, so that a later end of the same upstream does not revive them.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -118,7 +118,23 @@
 	defer t.mu.Unlock()
 	t.gone[incarnation] = now
 	t.expire(now)
-	return t.recordGone(incarnation, now)
+	out := t.recordGone(incarnation, now)
+	t.confirmEnds(incarnation, now)
+	return out
+}
+
+// confirmEnds makes the recent ends of an incarnation whose entry is gone count for good: what has answered since then was
+// its successor under the same ID and address. Earlier ends that an answer has disproved are dropped.
+func (t *Table) confirmEnds(incarnation string, now time.Time) {
+	if _, mentioned := t.alive[incarnation]; !mentioned {
+		return
+	}
+	for _, r := range t.records {
+		if at, ended := r.Ends[incarnation]; ended && now.Sub(at) >= breakTime && t.aliveAfter(incarnation, at) {
+			delete(r.Ends, incarnation)
+		}
+	}
+	t.alive[incarnation] = time.Time{}
 }
 
 func (t *Table) recordGone(incarnation string, now time.Time) []Request {
@@ -172,6 +188,9 @@
 func (t *Table) RecordAlive(incarnation string, written time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, gone := t.gone[incarnation]; gone {
+		return
+	}
 	if known, mentioned := t.alive[incarnation]; mentioned && written.After(known) {
 		t.alive[incarnation] = written
 	}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -155,6 +155,20 @@
 	}
 	require.Equal(t, 3, table.Ends(1))
 	require.True(t, isQuarantined(table, 1, at(2*time.Second)))
+	table.RecordAlive("upstream-0@1@address", at(3*time.Second))
+	require.True(t, isQuarantined(table, 1, at(Duration-time.Second)))
+}
+
+// An upstream that has answered long after it was taken for ended has not ended then, whatever happens to it later.
+func TestDisprovedEndDoesNotCountOnceTheUpstreamEndsLater(t *testing.T) {
+	table := NewTable()
+	endUpstreams(table, 1, 3, at(0))
+	for i := range 3 {
+		incarnation := fmt.Sprintf("upstream-%d@1@address", i)
+		table.RecordAlive(incarnation, at(time.Second))
+		table.RecordGone(incarnation, at(breakTime))
+	}
+	require.Zero(t, table.Ends(1))
 }
 
 // A dark upstream loses its entry before a stream that it was writing is given up.
