traffic: log the parts of the prompt of requests whose sends fail

Change: send_failed names the parts but the last, and whether the upstream had sent an event.

Conclusion: joined with upstream_ended by the request's ID, the parts under which upstreams end can be counted.

--- a/internal/traffic/contents.go
+++ b/internal/traffic/contents.go
@@ -112,12 +112,15 @@
 
 // silentFor returns for how long the upstream has sent nothing since the request was written to it.
 func (j *job) silentFor(now time.Time) time.Duration {
-	if j.pauses.lastAt.After(j.writtenAt) {
+	if j.begun() {
 		return now.Sub(j.pauses.lastAt)
 	}
 	return now.Sub(j.writtenAt)
 }
 
+// begun reports whether the upstream has sent an event since the request was written to it.
+func (j *job) begun() bool { return j.pauses.count > j.eventsBefore }
+
 // checkBreak finds out whether the upstream of an exchange that broke has ended.
 func (j *job) checkBreak(ctx context.Context, i *upstream.Instance) {
 	j.waitingFor = waitBreak
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -113,8 +113,9 @@
 	begunAt       time.Time
 	// writeWait is the time from the last choice of an upstream to the first byte that was written to it.
 	writeWait time.Duration
-	// writtenAt is when that byte was written.
-	writtenAt time.Time
+	// writtenAt is when that byte was written, eventsBefore the number of events that the caller had got by then.
+	writtenAt    time.Time
+	eventsBefore int
 }
 
 // wait names what a request waits for, as it is written to logs.
@@ -303,7 +304,7 @@
 	j.core.options.AwaitUpstreams(ctx)
 	j.waitingFor = waitUpstream
 	now := time.Now()
-	j.writeWait, j.writtenAt = now.Sub(choice.PlacedAt()), now
+	j.writeWait, j.writtenAt, j.eventsBefore = now.Sub(choice.PlacedAt()), now, j.pauses.count
 	if ctx.Err() != nil {
 		return ErrWithdrawn
 	}
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -67,10 +67,12 @@
 		Dur("placed_ms", time.Since(choice.PlacedAt())).Int64("upstreams_revision", c.options.UpstreamsRevision()).Send()
 }
 
-// logSendFailed logs that a send gave no response to forward, with the hash that attempts of the same request share.
+// logSendFailed logs that a send gave no response to forward, with the hash that attempts of the same request share, the
+// parts of its prompt that other requests may share, and whether the upstream had sent an event.
 func (c *Core) logSendFailed(j *job, choice *assign.Choice, failed *failure) {
 	c.options.Log.Info().Str("event", "send_failed").Str("request", j.request.ID).Int("send", j.sends).Str("upstream", choice.Instance).
 		Str("kind", failed.kind.String()).Str("contents", contentsName(j.contentsHash())).
+		Strs("parts", j.request.sharedParts()).Bool("begun", j.begun()).
 		Dur("after_ms", time.Since(choice.PlacedAt())).AnErr("cause", failed.err).Send()
 }
 
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -59,6 +59,15 @@
 	return q.OutputTokens
 }
 
+// sharedParts returns the IDs of the prompt's parts but the last, which belongs to the request itself.
+func (q *Request) sharedParts() []string {
+	out := make([]string, 0, len(q.Parts))
+	for i := range len(q.Parts) - 1 {
+		out = append(out, q.Parts[i].ID)
+	}
+	return out
+}
+
 // Attempt is one send of a request to an upstream.
 type Attempt struct {
 	Request  *Request
