quarantine: rename Request to Key

Cause: what is under suspicion need not be a request.

Change: the type and the field of Record are named Key; no other change.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -24,12 +24,12 @@
 	maxRequests = 4096
 )
 
-// Request identifies a request by a hash of its contents.
-type Request uint64
+// Key identifies a request by a hash of its contents.
+type Key uint64
 
 // Record is what is known of one request.
 type Record struct {
-	Request Request
+	Key Key
 	// Ends holds the incarnations of upstreams that ended under the request, with the time of each end.
 	Ends map[string]time.Time
 	// Answered is when an upstream last answered the request, zero if none has since the first end.
@@ -39,7 +39,7 @@
 // Table holds the requests under which upstreams have ended. It is safe for concurrent use.
 type Table struct {
 	mu      sync.Mutex
-	records map[Request]*Record
+	records map[Key]*Record
 	// broken holds the exchanges that broke without evidence that their upstream has ended.
 	broken map[brokenExchange]time.Time
 	// gone holds when the entries of upstreams disappeared that were not draining.
@@ -57,14 +57,14 @@
 }
 
 type brokenExchange struct {
-	request     Request
+	request     Key
 	incarnation string
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		records: make(map[Request]*Record), broken: make(map[brokenExchange]time.Time),
+		records: make(map[Key]*Record), broken: make(map[brokenExchange]time.Time),
 		gone: make(map[string]time.Time), alive: make(map[string]time.Time),
 	}
 }
@@ -74,7 +74,7 @@
 
 // RecordEnd records that an incarnation of an upstream ended while it had a request, and returns the requests under which
 // it did: also those of other exchanges with it that broke lately.
-func (t *Table) RecordEnd(q Request, incarnation string, now time.Time) []Request {
+func (t *Table) RecordEnd(q Key, incarnation string, now time.Time) []Key {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.recordEnd(q, incarnation, now)
@@ -85,7 +85,7 @@
 
 // RecordBreak records that an exchange broke without an answer. It reports whether its upstream is known to have ended,
 // by other requests.
-func (t *Table) RecordBreak(q Request, incarnation string, now time.Time) (ended bool) {
+func (t *Table) RecordBreak(q Key, incarnation string, now time.Time) (ended bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.expire(now)
@@ -113,7 +113,7 @@
 
 // RecordGone records that an incarnation is known to have ended, and returns the requests under which it did: those
 // whose exchanges with it broke lately.
-func (t *Table) RecordGone(incarnation string, now time.Time) []Request {
+func (t *Table) RecordGone(incarnation string, now time.Time) []Key {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.gone[incarnation] = now
@@ -137,8 +137,8 @@
 	t.alive[incarnation] = time.Time{}
 }
 
-func (t *Table) recordGone(incarnation string, now time.Time) []Request {
-	var out []Request
+func (t *Table) recordGone(incarnation string, now time.Time) []Key {
+	var out []Key
 	for b, at := range t.broken {
 		if b.incarnation != incarnation {
 			continue
@@ -152,7 +152,7 @@
 	return out
 }
 
-func (t *Table) recordEnd(q Request, incarnation string, at time.Time) {
+func (t *Table) recordEnd(q Key, incarnation string, at time.Time) {
 	r := t.record(q)
 	if _, known := r.Ends[incarnation]; !known {
 		r.Ends[incarnation] = at
@@ -160,10 +160,10 @@
 	t.mention(incarnation)
 }
 
-func (t *Table) record(q Request) *Record {
+func (t *Table) record(q Key) *Record {
 	r := t.records[q]
 	if r == nil {
-		r = &Record{Request: q, Ends: make(map[string]time.Time)}
+		r = &Record{Key: q, Ends: make(map[string]time.Time)}
 		t.records[q] = r
 	}
 	return r
@@ -171,7 +171,7 @@
 
 // RecordAnswer records that an upstream has answered a request completely, and returns how many ends do not count any
 // more. The other VMs have to be told of several.
-func (t *Table) RecordAnswer(q Request, now time.Time) (cleared int) {
+func (t *Table) RecordAnswer(q Key, now time.Time) (cleared int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[q]
@@ -225,7 +225,7 @@
 }
 
 // Ends returns how many upstreams have ended under a request since it was last answered.
-func (t *Table) Ends(q Request) int {
+func (t *Table) Ends(q Key) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.records[q]; r != nil {
@@ -235,7 +235,7 @@
 }
 
 // Quarantined reports whether a request must not be sent any more, and for how long.
-func (t *Table) Quarantined(q Request, now time.Time) (left time.Duration, quarantined bool) {
+func (t *Table) Quarantined(q Key, now time.Time) (left time.Duration, quarantined bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[q]
@@ -257,7 +257,7 @@
 }
 
 // Get returns copies of the records of some requests.
-func (t *Table) Get(requests []Request) []Record {
+func (t *Table) Get(requests []Key) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Record
@@ -293,16 +293,16 @@
 const suspectsInterval = 200 * time.Millisecond
 
 func (r *Record) clone() Record {
-	return Record{Request: r.Request, Ends: maps.Clone(r.Ends), Answered: r.Answered}
+	return Record{Key: r.Key, Ends: maps.Clone(r.Ends), Answered: r.Answered}
 }
 
 // Merge adds what another VM knows of a request. It returns the requests of which that was news: this one, and those
 // whose exchanges with the same upstreams broke lately. tell reports whether the other VM has to be told what this one
 // knows.
-func (t *Table) Merge(in Record, now time.Time) (news []Request, tell bool) {
+func (t *Table) Merge(in Record, now time.Time) (news []Key, tell bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, fresh := t.record(in.Request), false
+	r, fresh := t.record(in.Key), false
 	for incarnation, at := range in.Ends {
 		if _, known := r.Ends[incarnation]; !known {
 			r.Ends[incarnation] = at
@@ -315,7 +315,7 @@
 		fresh = true
 	}
 	if fresh {
-		news = append(news, in.Request)
+		news = append(news, in.Key)
 	}
 	tell = len(r.Ends) > len(in.Ends) || (len(in.Ends) > 1 && r.Answered.Sub(in.Answered) > answerTolerance)
 	t.expire(now)
@@ -335,7 +335,7 @@
 		return
 	}
 	t.expiredAt = now
-	maps.DeleteFunc(t.records, func(_ Request, r *Record) bool { return now.Sub(r.lastEnd()) > t.lifetime(r) })
+	maps.DeleteFunc(t.records, func(_ Key, r *Record) bool { return now.Sub(r.lastEnd()) > t.lifetime(r) })
 	maps.DeleteFunc(t.gone, func(_ string, at time.Time) bool { return now.Sub(at) > breakTime })
 	maps.DeleteFunc(t.broken, func(_ brokenExchange, at time.Time) bool { return now.Sub(at) > breakTime })
 	if len(t.records) > maxRequests {
@@ -380,6 +380,6 @@
 		return a.lastEnd().Compare(b.lastEnd())
 	})
 	for _, r := range records[:n] {
-		delete(t.records, r.Request)
+		delete(t.records, r.Key)
 	}
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -12,13 +12,13 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-func endUpstreams(t *Table, q Request, n int, now time.Time) {
+func endUpstreams(t *Table, q Key, n int, now time.Time) {
 	for i := range n {
 		t.RecordEnd(q, fmt.Sprintf("upstream-%d@1@address", i), now)
 	}
 }
 
-func isQuarantined(t *Table, q Request, now time.Time) bool {
+func isQuarantined(t *Table, q Key, now time.Time) bool {
 	_, quarantined := t.Quarantined(q, now)
 	return quarantined
 }
@@ -50,7 +50,7 @@
 func TestUpstreamThatAnswersLaterHasNotEnded(t *testing.T) {
 	cutOff, other := NewTable(), NewTable()
 	endUpstreams(cutOff, 1, 3, at(0))
-	other.Merge(cutOff.Get([]Request{1})[0], at(0))
+	other.Merge(cutOff.Get([]Key{1})[0], at(0))
 	require.True(t, isQuarantined(other, 1, at(0)))
 	for i := range 3 {
 		other.RecordAlive(fmt.Sprintf("upstream-%d@1@address", i), at(time.Second))
@@ -64,20 +64,20 @@
 	a.RecordEnd(1, "upstream-1@1@address", at(0))
 	b.RecordEnd(1, "upstream-2@1@address", at(0))
 	b.RecordEnd(1, "upstream-3@1@address", at(0))
-	news, tell := a.Merge(b.Get([]Request{1})[0], at(0))
-	require.Equal(t, []Request{1}, news)
+	news, tell := a.Merge(b.Get([]Key{1})[0], at(0))
+	require.Equal(t, []Key{1}, news)
 	require.True(t, tell, "b does not know of the end of upstream-1")
 	require.True(t, isQuarantined(a, 1, at(0)))
-	news, _ = a.Merge(b.Get([]Request{1})[0], at(0))
+	news, _ = a.Merge(b.Get([]Key{1})[0], at(0))
 	require.Empty(t, news)
-	b.Merge(a.Get([]Request{1})[0], at(0))
+	b.Merge(a.Get([]Key{1})[0], at(0))
 	require.True(t, isQuarantined(b, 1, at(0)))
-	_, tell = a.Merge(b.Get([]Request{1})[0], at(0))
+	_, tell = a.Merge(b.Get([]Key{1})[0], at(0))
 	require.False(t, tell)
 	require.Equal(t, 3, a.RecordAnswer(1, at(time.Second)))
-	_, tell = a.Merge(b.Get([]Request{1})[0], at(time.Second))
+	_, tell = a.Merge(b.Get([]Key{1})[0], at(time.Second))
 	require.True(t, tell, "b does not know of the answer")
-	b.Merge(a.Get([]Request{1})[0], at(time.Second))
+	b.Merge(a.Get([]Key{1})[0], at(time.Second))
 	require.False(t, isQuarantined(b, 1, at(time.Second)))
 }
 
@@ -88,7 +88,7 @@
 		incarnation := fmt.Sprintf("upstream-%d@1@address", i)
 		table.RecordBreak(1, incarnation, at(0))
 		require.False(t, isQuarantined(table, 1, at(0)))
-		require.Equal(t, []Request{1}, table.RecordGone(incarnation, at(3*time.Second)))
+		require.Equal(t, []Key{1}, table.RecordGone(incarnation, at(3*time.Second)))
 	}
 	require.True(t, isQuarantined(table, 1, at(3*time.Second)))
 	table.RecordBreak(2, "upstream-9@1@address", at(4*time.Second))
@@ -99,10 +99,10 @@
 // A VM that lacks processor time cannot see that an upstream has ended, while other requests have shown it to other VMs.
 func TestBrokenExchangeCountsOnceAnotherRequestShowsThatItsUpstreamHasEnded(t *testing.T) {
 	const ended, other = "upstream-1@1@address", "upstream-2@1@address"
-	for name, learn := range map[string]func(*Table) []Request{
-		"own request": func(t *Table) []Request { return t.RecordEnd(2, ended, at(time.Second)) },
-		"another VM's": func(t *Table) []Request {
-			news, _ := t.Merge(Record{Request: 2, Ends: map[string]time.Time{ended: at(time.Second)}}, at(time.Second))
+	for name, learn := range map[string]func(*Table) []Key{
+		"own request": func(t *Table) []Key { return t.RecordEnd(2, ended, at(time.Second)) },
+		"another VM's": func(t *Table) []Key {
+			news, _ := t.Merge(Record{Key: 2, Ends: map[string]time.Time{ended: at(time.Second)}}, at(time.Second))
 			return news
 		},
 	} {
@@ -110,7 +110,7 @@
 			table := NewTable()
 			require.False(t, table.RecordBreak(1, ended, at(0)))
 			require.False(t, table.RecordBreak(1, other, at(0)))
-			require.ElementsMatch(t, []Request{1, 2}, learn(table))
+			require.ElementsMatch(t, []Key{1, 2}, learn(table))
 			require.Equal(t, 1, table.Ends(1))
 			require.True(t, table.RecordBreak(3, ended, at(2*time.Second)), "what is known when the exchange breaks")
 			require.Equal(t, 1, table.Ends(3))
@@ -123,7 +123,7 @@
 	table := NewTable()
 	endUpstreams(table, 1, 3, at(0))
 	for i := range 3 * maxRequests {
-		table.RecordEnd(Request(100+i), "upstream-0@1@address", at(time.Second))
+		table.RecordEnd(Key(100+i), "upstream-0@1@address", at(time.Second))
 	}
 	require.LessOrEqual(t, len(table.records), maxRequests)
 	require.True(t, isQuarantined(table, 1, at(time.Second)))
--- a/internal/traffic/contents.go
+++ b/internal/traffic/contents.go
@@ -41,11 +41,11 @@
 
 // contentsHash identifies a request by what stays the same when its caller repeats it: the team, the service and what
 // the upstream is sent. The caller's ID is new in each attempt.
-func (j *job) contentsHash() quarantine.Request {
+func (j *job) contentsHash() quarantine.Key {
 	if j.contents != 0 {
 		return j.contents
 	}
-	j.contents = quarantine.Request(j.request.hash(j.team, j.service))
+	j.contents = quarantine.Key(j.request.hash(j.team, j.service))
 	return j.contents
 }
 
@@ -164,7 +164,7 @@
 }
 
 // recordEnd records that an upstream has ended while it had a request. The channel is closed once the other VMs know.
-func (c *Core) recordEnd(request string, contents quarantine.Request, i *upstream.Instance) <-chan struct{} {
+func (c *Core) recordEnd(request string, contents quarantine.Key, i *upstream.Instance) <-chan struct{} {
 	requests := c.options.Quarantine.RecordEnd(contents, i.IncarnationID(), time.Now())
 	c.logUpstreamEnded(request, contents, i)
 	return c.options.ShareEnds(requests)
@@ -184,7 +184,7 @@
 		return
 	}
 	if ends > len(j.told) {
-		j.told = append(j.told, j.core.options.ShareEnds([]quarantine.Request{j.contentsHash()}))
+		j.told = append(j.told, j.core.options.ShareEnds([]quarantine.Key{j.contentsHash()}))
 	}
 	j.awaitTold(ctx)
 }
@@ -221,6 +221,6 @@
 	}
 	j.core.logEndsCleared(j, cleared, status)
 	if cleared > 1 {
-		o.ShareEnds([]quarantine.Request{j.contentsHash()})
+		o.ShareEnds([]quarantine.Key{j.contentsHash()})
 	}
 }
--- a/internal/traffic/contents_test.go
+++ b/internal/traffic/contents_test.go
@@ -22,7 +22,7 @@
 func endingFixture(scripts map[string]script) *fixture {
 	f := newFixture(resumable, scripts)
 	f.core.options.Liveness = func(context.Context, *upstream.Instance) Liveness { return Ended }
-	f.core.options.ShareEnds = func([]quarantine.Request) <-chan struct{} {
+	f.core.options.ShareEnds = func([]quarantine.Key) <-chan struct{} {
 		told := make(chan struct{})
 		time.AfterFunc(noticeTime, func() { close(told) })
 		return told
@@ -71,14 +71,14 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := endingFixture(c.scripts)
-				f.core.options.ShareEnds = func([]quarantine.Request) <-chan struct{} {
+				f.core.options.ShareEnds = func([]quarantine.Key) <-chan struct{} {
 					told := make(chan struct{})
 					time.AfterFunc(slow, func() { close(told) })
 					return told
 				}
 				for range c.elsewhere {
 					j := &job{core: f.core, service: "engines", request: &Request{Method: http.MethodPost, Host: "h", Model: "m"}}
-					f.core.options.Quarantine.Merge(quarantine.Record{Request: j.contentsHash(), Ends: map[string]time.Time{"z@1@address": time.Now()}}, time.Now())
+					f.core.options.Quarantine.Merge(quarantine.Record{Key: j.contentsHash(), Ends: map[string]time.Time{"z@1@address": time.Now()}}, time.Now())
 				}
 				began := time.Now()
 				_, err := f.serve(t.Context(), "r")
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -79,7 +79,7 @@
 	// Liveness finds out about an upstream whose connection has just broken.
 	Liveness func(ctx context.Context, i *upstream.Instance) Liveness
 	// ShareEnds tells the other VMs what the quarantine holds of some requests. The channel is closed once they know.
-	ShareEnds func(requests []quarantine.Request) <-chan struct{}
+	ShareEnds func(requests []quarantine.Key) <-chan struct{}
 	// Origins holds the versions at which streams began. ShareOrigin has other VMs remember one, AskOrigin asks them for
 	// that of a stream.
 	Origins     *origins.Table
--- a/internal/traffic/deadline_test.go
+++ b/internal/traffic/deadline_test.go
@@ -84,7 +84,7 @@
 		"VMs that are told of an upstream": {func(f *fixture) {
 			f.core.options.Upstreams = silentUpstreams{connect: true}
 			f.core.options.Liveness = func(ctx context.Context, _ *upstream.Instance) Liveness { <-ctx.Done(); return Ended }
-			f.core.options.ShareEnds = func([]quarantine.Request) <-chan struct{} { return nil }
+			f.core.options.ShareEnds = func([]quarantine.Key) <-chan struct{} { return nil }
 		}, http.StatusGatewayTimeout},
 	}
 	for name, c := range cases {
--- a/internal/traffic/fakes_test.go
+++ b/internal/traffic/fakes_test.go
@@ -145,7 +145,7 @@
 			return ForwardEnd{}, ErrNotForwarded
 		},
 		Reach: reach.NewTracker(), Quarantine: quarantine.NewTable(), Liveness: func(context.Context, *upstream.Instance) Liveness { return Alive },
-		ShareEnds: func([]quarantine.Request) <-chan struct{} { return nil },
+		ShareEnds: func([]quarantine.Key) <-chan struct{} { return nil },
 		Origins:   origins.NewTable(), ShareOrigin: func(origins.Origin) {},
 		AskOrigin:   func(context.Context, origins.Stream) (origins.Origin, bool) { return origins.Origin{}, false },
 		OnlyVersion: func(string) (string, bool) { return "", false },
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -85,7 +85,7 @@
 	// exchange is the state of the present exchange.
 	exchange *exchangeState
 	// contents is the hash that the attempts of a request share, 0 until it is needed.
-	contents quarantine.Request
+	contents quarantine.Key
 	// told are closed once the other VMs know of the upstreams that have ended under the request.
 	told []<-chan struct{}
 	// reserved is a slot that was reserved while an exchange was silent. The retry budget
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -77,10 +77,10 @@
 }
 
 // contentsName returns the form of a contents hash in logs.
-func contentsName(q quarantine.Request) string { return strconv.FormatUint(uint64(q), 16) }
+func contentsName(q quarantine.Key) string { return strconv.FormatUint(uint64(q), 16) }
 
 // logUpstreamEnded logs that an upstream has ended while it had a request.
-func (c *Core) logUpstreamEnded(request string, contents quarantine.Request, i *upstream.Instance) {
+func (c *Core) logUpstreamEnded(request string, contents quarantine.Key, i *upstream.Instance) {
 	c.countUpstreamEnded()
 	c.options.Log.Warn().Str("event", "upstream_ended").Str("request", request).Str("instance", i.ID).Str("contents", contentsName(contents)).
 		Int("ends", c.options.Quarantine.Ends(contents)).Send()
--- a/internal/vm/end_notices.go
+++ b/internal/vm/end_notices.go
@@ -28,14 +28,14 @@
 type endNotices struct {
 	fleet *fleet
 	// tell is callPartner, and partners reportingPartners, except in tests.
-	tell     func(address string, requests []quarantine.Request) error
+	tell     func(address string, requests []quarantine.Key) error
 	partners func() []string
 	pending  *outbox[*endNotice]
 }
 
 // endNotice is the news of one request for one VM.
 type endNotice struct {
-	request quarantine.Request
+	request quarantine.Key
 	// calls is how often the VM has been told without an answer.
 	calls int
 	told  *sync.WaitGroup
@@ -50,7 +50,7 @@
 }
 
 // share tells the partners what is known of some requests. The channel is closed once they have answered, or count as gone.
-func (n *endNotices) share(requests []quarantine.Request) <-chan struct{} {
+func (n *endNotices) share(requests []quarantine.Key) <-chan struct{} {
 	told := new(sync.WaitGroup)
 	for _, address := range n.partners() {
 		for _, q := range requests {
@@ -68,7 +68,7 @@
 
 // send tells a VM of some requests, and later again if it does not answer: one that lacked processor time is up again soon.
 func (n *endNotices) send(address string, batch []*endNotice) {
-	requests := make([]quarantine.Request, len(batch))
+	requests := make([]quarantine.Key, len(batch))
 	for i, e := range batch {
 		requests[i] = e.request
 	}
@@ -100,7 +100,7 @@
 }
 
 // callPartner tells another VM what is known of some requests.
-func (n *endNotices) callPartner(address string, requests []quarantine.Request) error {
+func (n *endNotices) callPartner(address string, requests []quarantine.Key) error {
 	message := &peerpb.EndsNotice{Requests: endsToProto(n.fleet.process.quarantine.Get(requests), time.Now())}
 	var answer *peerpb.EndsNotice
 	err := n.fleet.process.pool.Call(context.Background(), address, endNoticeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
@@ -115,9 +115,9 @@
 
 // merge adds what another VM tells, and returns what it lacks. A hub passes news on to its other partners; any VM tells
 // of its own requests that are found to have ended an upstream.
-func (n *endNotices) merge(told []*peerpb.RequestEnds) (lacking []quarantine.Request) {
+func (n *endNotices) merge(told []*peerpb.RequestEnds) (lacking []quarantine.Key) {
 	now := time.Now()
-	var fresh []quarantine.Request
+	var fresh []quarantine.Key
 	for _, in := range told {
 		if in == nil {
 			continue
@@ -125,12 +125,12 @@
 		record := endsFromProto(in, now)
 		news, tell := n.fleet.process.quarantine.Merge(record, now)
 		for _, q := range news {
-			if q != record.Request || n.fleet.isHub() {
+			if q != record.Key || n.fleet.isHub() {
 				fresh = append(fresh, q)
 			}
 		}
 		if tell {
-			lacking = append(lacking, record.Request)
+			lacking = append(lacking, record.Key)
 		}
 	}
 	if len(fresh) > 0 {
@@ -176,7 +176,7 @@
 func endsToProto(records []quarantine.Record, now time.Time) []*peerpb.RequestEnds {
 	var out []*peerpb.RequestEnds
 	for _, r := range records {
-		message := &peerpb.RequestEnds{Request: uint64(r.Request), AnsweredMs: -1}
+		message := &peerpb.RequestEnds{Request: uint64(r.Key), AnsweredMs: -1}
 		if !r.Answered.IsZero() {
 			message.AnsweredMs = now.Sub(r.Answered).Milliseconds()
 		}
@@ -189,7 +189,7 @@
 }
 
 func endsFromProto(in *peerpb.RequestEnds, now time.Time) quarantine.Record {
-	out := quarantine.Record{Request: quarantine.Request(in.Request), Ends: make(map[string]time.Time, len(in.Ends))}
+	out := quarantine.Record{Key: quarantine.Key(in.Request), Ends: make(map[string]time.Time, len(in.Ends))}
 	for _, e := range in.Ends {
 		if e != nil {
 			out.Ends[e.Incarnation] = now.Add(-time.Duration(e.AgoMs) * time.Millisecond)
--- a/internal/vm/ended_upstreams_test.go
+++ b/internal/vm/ended_upstreams_test.go
@@ -148,7 +148,7 @@
 	for i := range 14 {
 		c.startIn(string(rune('a'+i)), string(rune('a'+i%2)))
 	}
-	const q = quarantine.Request(7)
+	const q = quarantine.Key(7)
 	knows := func(v *testVM) bool {
 		_, quarantined := v.quarantine.Quarantined(q, time.Now())
 		return quarantined
@@ -156,7 +156,7 @@
 	for i, sender := range []*testVM{c.vms[11], c.vms[12], c.vms[13]} {
 		c.eventually(func() bool { return len(sender.fleet.reportingPartners()) > 0 })
 		sender.quarantine.RecordEnd(q, fmt.Sprintf("clerk-%d@1@address", i), time.Now())
-		<-sender.fleet.ends.share([]quarantine.Request{q})
+		<-sender.fleet.ends.share([]quarantine.Key{q})
 	}
 	for _, v := range c.vms {
 		c.eventually(func() bool { return knows(v) })
@@ -189,13 +189,13 @@
 			calls := 0
 			n := newEndNotices(&fleet{})
 			n.partners = func() []string { return []string{"b"} }
-			n.tell = func(string, []quarantine.Request) error {
+			n.tell = func(string, []quarantine.Key) error {
 				if calls++; calls <= failing {
 					return peer.ErrUnreachable
 				}
 				return nil
 			}
-			<-n.share([]quarantine.Request{7})
+			<-n.share([]quarantine.Key{7})
 			require.Equal(t, want, calls)
 		}
 	})
@@ -204,9 +204,9 @@
 // A VM that does not answer held up the news of further ends to all others.
 func TestVMThatDoesNotAnswerDelaysNoOtherOfTheNewsOfEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n, told := newEndNotices(&fleet{}), make(chan quarantine.Request, 2)
+		n, told := newEndNotices(&fleet{}), make(chan quarantine.Key, 2)
 		n.partners = func() []string { return []string{"slow", "b"} }
-		n.tell = func(address string, requests []quarantine.Request) error {
+		n.tell = func(address string, requests []quarantine.Key) error {
 			if address == "slow" {
 				time.Sleep(endNoticeTimeout)
 				return peer.ErrUnreachable
@@ -217,10 +217,10 @@
 			return nil
 		}
 		began := time.Now()
-		n.share([]quarantine.Request{1})
+		n.share([]quarantine.Key{1})
 		synctest.Wait()
-		done := n.share([]quarantine.Request{2})
-		require.Equal(t, []quarantine.Request{1, 2}, []quarantine.Request{<-told, <-told})
+		done := n.share([]quarantine.Key{2})
+		require.Equal(t, []quarantine.Key{1, 2}, []quarantine.Key{<-told, <-told})
 		require.Zero(t, time.Since(began))
 		<-done
 	})
@@ -236,11 +236,11 @@
 			}
 			return []string{"b"}
 		}
-		n.tell = func(string, []quarantine.Request) error {
+		n.tell = func(string, []quarantine.Key) error {
 			calls++
 			return peer.ErrUnreachable
 		}
-		<-n.share([]quarantine.Request{7})
+		<-n.share([]quarantine.Key{7})
 		require.Equal(t, 1, calls)
 	})
 }
