quarantine, traffic, vm: a part of prompts under which upstreams end is not sent any more

Cause: the quarantine knows a request by a hash of all its contents, and no two of these are alike. Class: a fault is counted by another key than the one that it has.

Why it works: parts of requests whose answers had not begun when their upstream ended are counted in the same table as requests, told by the same notices and reports. An answer that begins clears the parts of its prompt at all VMs. Of the rest, the part that explains most of four or more distinct ends is held, and the ends that it explains speak against no other; parts with which answers began lately come last. A part that is held wrongly is freed by the next answer anywhere, or by a single trial of the leader after 8 s, 80 s and so on. Nothing is held after crashes that no part is to blame for (TestCrashesForWhichNoPartIsToBlameQuarantineNone).

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -24,12 +24,14 @@
 	maxRequests = 4096
 )
 
-// Key identifies a request by a hash of its contents.
+// Key identifies a request by a hash of its contents, or a part of prompts by a hash of its ID and its service.
 type Key uint64
 
-// Record is what is known of one request.
+// Record is what is known of one request, or of one part of prompts.
 type Record struct {
 	Key Key
+	// Depth is the last place, counted from 1, at which the part has stood in a prompt; 0 for a request.
+	Depth int
 	// Ends holds the incarnations of upstreams that ended under the request, with the time of each end.
 	Ends map[string]time.Time
 	// Answered is when an upstream last answered the request, zero if none has since the first end.
@@ -50,6 +52,14 @@
 	// suspects are the records with several ends as of suspectsAt.
 	suspects   []Record
 	suspectsAt time.Time
+	// quarantined holds the parts that must not be sent any more, as of judgedAt; changed is set if ends or answers were
+	// recorded since.
+	quarantined map[Key]*Record
+	judgedAt    time.Time
+	changed     bool
+	sound       soundParts
+	// trials holds the trials of quarantined parts.
+	trials map[Key]trial
 	// expiredAt is when old records were last looked for.
 	expiredAt time.Time
 	// inUse is set while there is anything to remember, so that other requests need no hash.
@@ -57,7 +67,8 @@
 }
 
 type brokenExchange struct {
-	request     Key
+	// suspect is the request, or a part of its prompt.
+	suspect     Part
 	incarnation string
 }
 
@@ -66,36 +77,49 @@
 	return &Table{
 		records: make(map[Key]*Record), broken: make(map[brokenExchange]time.Time),
 		gone: make(map[string]time.Time), alive: make(map[string]time.Time),
+		sound: soundParts{present: make(map[Key]struct{})}, trials: make(map[Key]trial),
 	}
 }
 
 // InUse reports whether the table holds anything.
 func (t *Table) InUse() bool { return t.inUse.Load() }
 
-// RecordEnd records that an incarnation of an upstream ended while it had a request, and returns the requests under which
-// it did: also those of other exchanges with it that broke lately.
-func (t *Table) RecordEnd(q Key, incarnation string, now time.Time) []Key {
+// RecordEnd records that an incarnation of an upstream ended while it had a request whose answer had not begun if parts of
+// its prompt are given. It returns the requests and parts under which it did, as far as that is news: also those of other
+// exchanges with it that broke lately.
+func (t *Table) RecordEnd(q Key, incarnation string, now time.Time, parts ...Part) []Key {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.recordEnd(q, incarnation, now)
-	delete(t.broken, brokenExchange{q, incarnation})
+	t.recordEnd(Part{Key: q}, incarnation, now)
+	delete(t.broken, brokenExchange{Part{Key: q}, incarnation})
+	news := []Key{q}
+	for _, part := range parts {
+		if t.recordEnd(part, incarnation, now) {
+			news = append(news, part.Key)
+		}
+		delete(t.broken, brokenExchange{part, incarnation})
+	}
 	t.expire(now)
-	return append(t.recordGone(incarnation, now), q)
+	return append(t.recordGone(incarnation, now), news...)
 }
 
-// RecordBreak records that an exchange broke without an answer. It reports whether its upstream is known to have ended,
-// by other requests.
-func (t *Table) RecordBreak(q Key, incarnation string, now time.Time) (ended bool) {
+// RecordBreak records that an exchange broke without an answer, or without an event if parts of its prompt are given. It
+// reports whether its upstream is known to have ended, by other requests.
+func (t *Table) RecordBreak(q Key, incarnation string, now time.Time, parts ...Part) (ended bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.expire(now)
-	if goneAt, gone := t.gone[incarnation]; t.hasEnded(incarnation) || (gone && now.Sub(goneAt) < breakTime) {
-		t.recordEnd(q, incarnation, now)
-		return true
+	goneAt, gone := t.gone[incarnation]
+	ended = t.hasEnded(incarnation) || (gone && now.Sub(goneAt) < breakTime)
+	for _, suspect := range append([]Part{{Key: q}}, parts...) {
+		if ended {
+			t.recordEnd(suspect, incarnation, now)
+			continue
+		}
+		t.broken[brokenExchange{suspect, incarnation}] = now
 	}
-	t.broken[brokenExchange{q, incarnation}] = now
 	t.mention(incarnation)
-	return false
+	return ended
 }
 
 // hasEnded reports whether an incarnation has ended under any request.
@@ -134,7 +158,7 @@
 			delete(r.Ends, incarnation)
 		}
 	}
-	t.alive[incarnation] = time.Time{}
+	t.alive[incarnation], t.changed = time.Time{}, true
 }
 
 func (t *Table) recordGone(incarnation string, now time.Time) []Key {
@@ -145,27 +169,32 @@
 		}
 		delete(t.broken, b)
 		if now.Sub(at) < breakTime && !t.aliveAfter(incarnation, at) {
-			t.recordEnd(b.request, incarnation, at)
-			out = append(out, b.request)
+			t.recordEnd(b.suspect, incarnation, at)
+			out = append(out, b.suspect.Key)
 		}
 	}
 	return out
 }
 
-func (t *Table) recordEnd(q Key, incarnation string, at time.Time) {
-	r := t.record(q)
-	if _, known := r.Ends[incarnation]; !known {
+// recordEnd records an end and reports whether it is news.
+func (t *Table) recordEnd(suspect Part, incarnation string, at time.Time) (news bool) {
+	r := t.record(suspect)
+	_, known := r.Ends[incarnation]
+	if !known {
 		r.Ends[incarnation] = at
+		t.changed = true
 	}
 	t.mention(incarnation)
+	return !known
 }
 
-func (t *Table) record(q Key) *Record {
-	r := t.records[q]
+func (t *Table) record(suspect Part) *Record {
+	r := t.records[suspect.Key]
 	if r == nil {
-		r = &Record{Key: q, Ends: make(map[string]time.Time)}
-		t.records[q] = r
+		r = &Record{Key: suspect.Key, Ends: make(map[string]time.Time)}
+		t.records[suspect.Key] = r
 	}
+	r.Depth = max(r.Depth, suspect.Depth)
 	return r
 }
 
@@ -174,12 +203,16 @@
 func (t *Table) RecordAnswer(q Key, now time.Time) (cleared int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.recordAnswer(q, now)
+}
+
+func (t *Table) recordAnswer(q Key, now time.Time) (cleared int) {
 	r := t.records[q]
 	if r == nil {
 		return 0
 	}
 	cleared = t.count(r)
-	r.Answered = now
+	r.Answered, t.changed = now, true
 	return cleared
 }
 
@@ -192,7 +225,7 @@
 		return
 	}
 	if known, mentioned := t.alive[incarnation]; mentioned && written.After(known) {
-		t.alive[incarnation] = written
+		t.alive[incarnation], t.changed = written, true
 	}
 }
 
@@ -215,15 +248,23 @@
 // count returns how many upstreams have ended under a request since it was last answered. An incarnation that has
 // answered later has not ended: a VM that lost its way to it took it for ended.
 func (t *Table) count(r *Record) int {
+	if r.Depth > 0 {
+		return distinctEnds(t.counting(r, nil))
+	}
 	n := 0
 	for incarnation, at := range r.Ends {
-		if at.After(r.Answered) && !t.aliveAfter(incarnation, at) {
+		if t.counts(r, incarnation, at) {
 			n++
 		}
 	}
 	return n
 }
 
+// counts reports whether the end of an incarnation at a time counts.
+func (t *Table) counts(r *Record, incarnation string, at time.Time) bool {
+	return at.After(r.Answered) && !t.aliveAfter(incarnation, at)
+}
+
 // Ends returns how many upstreams have ended under a request since it was last answered.
 func (t *Table) Ends(q Key) int {
 	t.mu.Lock()
@@ -293,7 +334,7 @@
 const suspectsInterval = 200 * time.Millisecond
 
 func (r *Record) clone() Record {
-	return Record{Key: r.Key, Ends: maps.Clone(r.Ends), Answered: r.Answered}
+	return Record{Key: r.Key, Depth: r.Depth, Ends: maps.Clone(r.Ends), Answered: r.Answered}
 }
 
 // Merge adds what another VM knows of a request. It returns the requests of which that was news: this one, and those
@@ -302,7 +343,7 @@
 func (t *Table) Merge(in Record, now time.Time) (news []Key, tell bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, fresh := t.record(in.Key), false
+	r, fresh := t.record(Part{in.Key, in.Depth}), false
 	for incarnation, at := range in.Ends {
 		if _, known := r.Ends[incarnation]; !known {
 			r.Ends[incarnation] = at
@@ -315,7 +356,7 @@
 		fresh = true
 	}
 	if fresh {
-		news = append(news, in.Key)
+		news, t.changed = append(news, in.Key), true
 	}
 	tell = len(r.Ends) > len(in.Ends) || (len(in.Ends) > 1 && r.Answered.Sub(in.Answered) > answerTolerance)
 	t.expire(now)
@@ -344,6 +385,7 @@
 	if len(t.broken) > maxRequests {
 		clear(t.broken)
 	}
+	maps.DeleteFunc(t.trials, func(key Key, _ trial) bool { return t.records[key] == nil })
 	mentioned := t.mentioned()
 	maps.DeleteFunc(t.alive, func(incarnation string, _ time.Time) bool { return !mentioned[incarnation] })
 	t.inUse.Store(len(t.records)+len(t.broken) > 0)
@@ -364,6 +406,9 @@
 }
 
 func (t *Table) lifetime(r *Record) time.Duration {
+	if r.Depth > 0 && t.count(r) >= MaxPartEnds {
+		return partMemory
+	}
 	if t.count(r) >= MaxEnds {
 		return Duration
 	}
--- a/internal/traffic/contents.go
+++ b/internal/traffic/contents.go
@@ -60,27 +60,88 @@
 	return h.Sum64()
 }
 
-// inQuarantine reports whether the request must not be sent any more, and for how long.
-func (j *job) inQuarantine() (left time.Duration, in bool) {
-	if !j.core.options.Quarantine.InUse() {
-		return 0, false
+// sharedParts returns the parts of the prompt that requests of the service may share.
+func (j *job) sharedParts() []quarantine.Part {
+	if j.parts != nil || len(j.request.Parts) < 2 {
+		return j.parts
 	}
-	return j.core.options.Quarantine.Quarantined(j.contentsHash(), time.Now())
+	for i, id := range j.request.sharedParts() {
+		j.parts = append(j.parts, quarantine.Part{Key: partKey(j.service, id), Depth: i + 1})
+	}
+	return j.parts
+}
+
+// partKey identifies a part of prompts at the upstreams of a service.
+func partKey(service, id string) quarantine.Key {
+	return quarantine.Key(xxhash.Sum64String(service + "\x00part\x00" + id))
+}
+
+// suspectParts returns the parts that may be to blame if the upstream has ended: an answer that has begun clears them.
+func (j *job) suspectParts() []quarantine.Part {
+	if j.begun() {
+		return nil
+	}
+	return j.sharedParts()
+}
+
+// inQuarantine reports whether the request must not be sent any more, why, and for how long.
+func (j *job) inQuarantine() (reason string, left time.Duration, in bool) {
+	table, now := j.core.options.Quarantine, time.Now()
+	if !table.InUse() {
+		return "", 0, false
+	}
+	if left, in = table.Quarantined(j.contentsHash(), now); in {
+		return reasonQuarantined, left, true
+	}
+	part, left, in := table.QuarantinedPart(j.sharedParts(), now)
+	if !in || j.onTrial {
+		return "", 0, false
+	}
+	j.quarantined = part
+	return reasonPartQuarantined, left, true
 }
 
 // refuseQuarantined returns the refusal of a request that must not be sent any more, nil if it may be.
 func (c *Core) refuseQuarantined(j *job) *Refusal {
-	left, in := j.inQuarantine()
-	if !in {
+	reason, left, in := j.inQuarantine()
+	if !in || j.try(reason) {
 		return nil
 	}
 	return &Refusal{
-		Status: http.StatusServiceUnavailable, Reason: reasonQuarantined,
-		Detail: "upstreams have ended while they ran this request; it was not run", RetryAfter: left,
+		Status: http.StatusServiceUnavailable, Reason: reason,
+		Detail: quarantineDetails[reason], RetryAfter: left,
 	}
 }
 
-const reasonQuarantined = "request_quarantined"
+// try reports whether the request is sent although a part of its prompt is quarantined, to find out whether the part still
+// ends upstreams.
+func (j *job) try(reason string) bool {
+	if reason != reasonPartQuarantined || !j.core.options.MayTry() || !j.core.options.Quarantine.Try(j.quarantined, time.Now()) {
+		return false
+	}
+	j.onTrial = true
+	j.core.logTrial(j)
+	return true
+}
+
+// quarantinedPart returns the ID of the part of the prompt that is quarantined, empty if none is.
+func (j *job) quarantinedPart() string {
+	if j.quarantined.Depth == 0 {
+		return ""
+	}
+	return j.request.Parts[j.quarantined.Depth-1].ID
+}
+
+const (
+	reasonQuarantined     = "request_quarantined"
+	reasonPartQuarantined = "prompt_part_quarantined"
+)
+
+// quarantineDetails are the texts that callers are told, by reason.
+var quarantineDetails = map[string]string{
+	reasonQuarantined:     "upstreams have ended while they ran this request; it was not run",
+	reasonPartQuarantined: "upstreams have ended while they ran requests with a part of this prompt; it was not run",
+}
 
 // minDarkSilence is how long an upstream has to have sent nothing for a given-up exchange to count as one with an upstream
 // that may have gone dark.
@@ -94,8 +155,9 @@
 		return
 	}
 	i := j.sentTo
-	if j.core.options.Quarantine.RecordBreak(j.contentsHash(), i.IncarnationID(), time.Now()) {
-		j.told = append(j.told, j.core.recordEnd(j.request.ID, j.contentsHash(), i))
+	j.onTrial = false
+	if j.core.options.Quarantine.RecordBreak(j.contentsHash(), i.IncarnationID(), time.Now(), j.suspectParts()...) {
+		j.told = append(j.told, j.core.recordEnd(j.unanswered()))
 		return
 	}
 	switch {
@@ -126,7 +188,7 @@
 	j.waitingFor = waitBreak
 	liveness := j.core.options.Liveness(ctx, i)
 	if liveness == Ended {
-		j.told = append(j.told, j.core.recordEnd(j.request.ID, j.contentsHash(), i))
+		j.told = append(j.told, j.core.recordEnd(j.unanswered()))
 		return
 	}
 	if j.brokeAlive == nil {
@@ -142,16 +204,30 @@
 // checkAgain finds out whether the upstream of an exchange without an answer has ended. The request is sent elsewhere
 // meanwhile.
 func (j *job) checkAgain(i *upstream.Instance) {
-	request, contents, told := j.request.ID, j.contentsHash(), make(chan struct{})
+	u, told := j.unanswered(), make(chan struct{})
 	j.told = append(j.told, told)
 	go func() {
 		defer close(told)
 		if j.core.liveness(i) == Ended {
-			<-j.core.recordEnd(request, contents, i)
+			<-j.core.recordEnd(u)
 		}
 	}()
 }
 
+// unanswered is an exchange that got no answer.
+type unanswered struct {
+	request  string
+	contents quarantine.Key
+	// parts are those that may be to blame.
+	parts  []quarantine.Part
+	sentTo *upstream.Instance
+}
+
+// unanswered returns the last exchange.
+func (j *job) unanswered() unanswered {
+	return unanswered{request: j.request.ID, contents: j.contentsHash(), parts: j.suspectParts(), sentTo: j.sentTo}
+}
+
 // liveness finds out about an upstream, also if a first connection shows nothing: this VM may lack processor time.
 func (c *Core) liveness(i *upstream.Instance) Liveness {
 	for range maxLivenessChecks - 1 {
@@ -163,11 +239,11 @@
 	return c.options.Liveness(context.Background(), i)
 }
 
-// recordEnd records that an upstream has ended while it had a request. The channel is closed once the other VMs know.
-func (c *Core) recordEnd(request string, contents quarantine.Key, i *upstream.Instance) <-chan struct{} {
-	requests := c.options.Quarantine.RecordEnd(contents, i.IncarnationID(), time.Now())
-	c.logUpstreamEnded(request, contents, i)
-	return c.options.ShareEnds(requests)
+// recordEnd records that the upstream of an exchange has ended. The channel is closed once the other VMs know.
+func (c *Core) recordEnd(u unanswered) <-chan struct{} {
+	news := c.options.Quarantine.RecordEnd(u.contents, u.sentTo.IncarnationID(), time.Now(), u.parts...)
+	c.logUpstreamEnded(u)
+	return c.options.ShareEnds(news)
 }
 
 // awaitAllTold returns once the other VMs know of the upstreams that have ended under the request, or need not before the
@@ -224,3 +300,18 @@
 		o.ShareEnds([]quarantine.Key{j.contentsHash()})
 	}
 }
+
+// recordBegun records that an upstream has begun to answer the request.
+func (j *job) recordBegun() {
+	parts := j.sharedParts()
+	if len(parts) == 0 {
+		return
+	}
+	cleared := j.core.options.Quarantine.RecordBegun(parts, time.Now())
+	for _, key := range cleared {
+		j.core.logPartCleared(j, key)
+	}
+	if len(cleared) > 0 {
+		j.core.options.ShareEnds(cleared)
+	}
+}
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -78,6 +78,8 @@
 	Quarantine *quarantine.Table
 	// Liveness finds out about an upstream whose connection has just broken.
 	Liveness func(ctx context.Context, i *upstream.Instance) Liveness
+	// MayTry reports whether this VM is the one that tries requests with a quarantined part of prompts.
+	MayTry func() bool
 	// ShareEnds tells the other VMs what the quarantine holds of some requests. The channel is closed once they know.
 	ShareEnds func(requests []quarantine.Key) <-chan struct{}
 	// Origins holds the versions at which streams began. ShareOrigin has other VMs remember one, AskOrigin asks them for
--- a/internal/traffic/fakes_test.go
+++ b/internal/traffic/fakes_test.go
@@ -145,6 +145,7 @@
 			return ForwardEnd{}, ErrNotForwarded
 		},
 		Reach: reach.NewTracker(), Quarantine: quarantine.NewTable(), Liveness: func(context.Context, *upstream.Instance) Liveness { return Alive },
+		MayTry:    func() bool { return true },
 		ShareEnds: func([]quarantine.Key) <-chan struct{} { return nil },
 		Origins:   origins.NewTable(), ShareOrigin: func(origins.Origin) {},
 		AskOrigin:   func(context.Context, origins.Stream) (origins.Origin, bool) { return origins.Origin{}, false },
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -86,6 +86,12 @@
 	exchange *exchangeState
 	// contents is the hash that the attempts of a request share, 0 until it is needed.
 	contents quarantine.Key
+	// parts are the parts of the prompt that other requests may share, nil until they are needed.
+	parts []quarantine.Part
+	// quarantined is the part of the prompt that is quarantined, if any. onTrial means that the request is sent all the same,
+	// to find out whether the part still ends upstreams.
+	quarantined quarantine.Part
+	onTrial     bool
 	// told are closed once the other VMs know of the upstreams that have ended under the request.
 	told []<-chan struct{}
 	// reserved is a slot that was reserved while an exchange was silent. The retry budget
@@ -311,7 +317,7 @@
 	if j.core.options.Assigner.Withdrawn(choice, now) || !j.exchange.write() {
 		return ErrWithdrawn
 	}
-	if _, in := j.inQuarantine(); in {
+	if _, _, in := j.inQuarantine(); in {
 		return ErrQuarantined
 	}
 	return nil
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -29,7 +29,7 @@
 		Str("reason", r.Reason).Dur("retry_after_ms", r.RetryAfter).Str("host", q.Host).Str("path", q.Path)
 	if j != nil {
 		e = e.Str("route", j.route.Name).Str("team", j.team).Float64("units", j.units).
-			Float64("rate_level", j.rate.Level).Float64("rate_pace", j.rate.Local).Int("rate_late_vms", j.rate.LateVMs).
+			Str("part", j.quarantinedPart()).Float64("rate_level", j.rate.Level).Float64("rate_pace", j.rate.Local).Int("rate_late_vms", j.rate.LateVMs).
 			Float64("rate_assumed", j.rate.Assumed).Dur("rate_oldest_report_ms", j.rate.OldestReport).Int64("configuration", j.catalog.Version)
 	}
 	e.Send()
@@ -80,10 +80,16 @@
 func contentsName(q quarantine.Key) string { return strconv.FormatUint(uint64(q), 16) }
 
 // logUpstreamEnded logs that an upstream has ended while it had a request.
-func (c *Core) logUpstreamEnded(request string, contents quarantine.Key, i *upstream.Instance) {
+func (c *Core) logUpstreamEnded(u unanswered) {
 	c.countUpstreamEnded()
-	c.options.Log.Warn().Str("event", "upstream_ended").Str("request", request).Str("instance", i.ID).Str("contents", contentsName(contents)).
-		Int("ends", c.options.Quarantine.Ends(contents)).Send()
+	c.options.Log.Warn().Str("event", "upstream_ended").Str("request", u.request).Str("instance", u.sentTo.ID).Str("contents", contentsName(u.contents)).
+		Int("ends", c.options.Quarantine.Ends(u.contents)).Send()
+}
+
+// logTrial logs that a request is sent although a part of its prompt is quarantined.
+func (c *Core) logTrial(j *job) {
+	c.options.Log.Warn().Str("event", "part_tried").Str("request", j.request.ID).Str("part", j.quarantinedPart()).
+		Str("contents", contentsName(j.quarantined.Key)).Int("ends", c.options.Quarantine.Ends(j.quarantined.Key)).Send()
 }
 
 // logEndsCleared logs that ends of upstreams do not count any more since the request was answered.
@@ -93,6 +99,12 @@
 		Str("contents", contentsName(j.contentsHash())).Int("ends", ends).Int("status", status).Send()
 }
 
+// logPartCleared logs that ends of upstreams do not count against a part of prompts any more, since an answer has begun.
+func (c *Core) logPartCleared(j *job, part quarantine.Key) {
+	c.options.Log.Info().Str("event", "part_cleared").Str("request", j.request.ID).Str("instance", j.upstream).
+		Str("contents", contentsName(part)).Send()
+}
+
 // logBreakNotCounted logs that an exchange without an answer does not count as the end of its upstream for now, and why.
 func (c *Core) logBreakNotCounted(j *job, instance, reason string) {
 	c.options.Log.Info().Str("event", "break_not_counted").Str("request", j.request.ID).Str("instance", instance).
--- a/internal/traffic/repeat.go
+++ b/internal/traffic/repeat.go
@@ -42,7 +42,7 @@
 	if j.sends >= maxSends || j.timeLeft() < minTimeLeft {
 		return false
 	}
-	if _, in := j.inQuarantine(); in {
+	if _, _, in := j.inQuarantine(); in {
 		return false
 	}
 	if kind == notSent && j.possibleRuns == 0 {
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -38,6 +38,9 @@
 			return j.streamBroke(ctx, choice, err)
 		}
 		j.noteEvent(choice, silence, event)
+		if !j.begun() {
+			j.recordBegun()
+		}
 		if err := j.forwardEvent(choice, reply, event, reader); err != nil {
 			reply.Close(false)
 			j.finish(choice, assign.Neutral)
--- a/internal/traffic/unanswered.go
+++ b/internal/traffic/unanswered.go
@@ -65,8 +65,8 @@
 		// Nobody will know it later either.
 		out.RetryAfter = 0
 	}
-	if left, in := j.inQuarantine(); in {
-		out.Reason, out.RetryAfter = reasonQuarantined, left
+	if reason, left, in := j.inQuarantine(); in {
+		out.Reason, out.Detail, out.RetryAfter = reason, quarantineDetails[reason], left
 	}
 	return out
 }
--- a/internal/vm/end_notices.go
+++ b/internal/vm/end_notices.go
@@ -51,8 +51,13 @@
 
 // share tells the partners what is known of some requests. The channel is closed once they have answered, or count as gone.
 func (n *endNotices) share(requests []quarantine.Key) <-chan struct{} {
+	return n.shareWith(n.partners(), requests)
+}
+
+// shareWith tells the VMs at some addresses what is known of some requests and parts of prompts.
+func (n *endNotices) shareWith(addresses []string, requests []quarantine.Key) <-chan struct{} {
 	told := new(sync.WaitGroup)
-	for _, address := range n.partners() {
+	for _, address := range addresses {
 		for _, q := range requests {
 			told.Add(1)
 			n.pending.add(address, &endNotice{request: q, told: told})
@@ -176,7 +181,7 @@
 func endsToProto(records []quarantine.Record, now time.Time) []*peerpb.RequestEnds {
 	var out []*peerpb.RequestEnds
 	for _, r := range records {
-		message := &peerpb.RequestEnds{Request: uint64(r.Key), AnsweredMs: -1}
+		message := &peerpb.RequestEnds{Request: uint64(r.Key), AnsweredMs: -1, Depth: int32(r.Depth)}
 		if !r.Answered.IsZero() {
 			message.AnsweredMs = now.Sub(r.Answered).Milliseconds()
 		}
@@ -189,7 +194,7 @@
 }
 
 func endsFromProto(in *peerpb.RequestEnds, now time.Time) quarantine.Record {
-	out := quarantine.Record{Key: quarantine.Key(in.Request), Ends: make(map[string]time.Time, len(in.Ends))}
+	out := quarantine.Record{Key: quarantine.Key(in.Request), Depth: int(in.Depth), Ends: make(map[string]time.Time, len(in.Ends))}
 	for _, e := range in.Ends {
 		if e != nil {
 			out.Ends[e.Incarnation] = now.Add(-time.Duration(e.AgoMs) * time.Millisecond)
--- a/internal/vm/ended_upstreams_test.go
+++ b/internal/vm/ended_upstreams_test.go
@@ -244,3 +244,18 @@
 		require.Equal(t, 1, calls)
 	})
 }
+
+// A VM that missed the news that answers had begun held a sound part until the end of its quarantine.
+func TestVMThatMissedAnAnswerLearnsOfItByReports(t *testing.T) {
+	c := newCluster(t)
+	a, b := c.start("a"), c.start("b")
+	part := quarantine.Part{Key: 7, Depth: 1}
+	for i := range quarantine.MaxPartEnds {
+		for _, v := range []*testVM{a, b} {
+			v.quarantine.RecordEnd(quarantine.Key(100+i), fmt.Sprintf("engine-%d@1@address", i), time.Now().Add(time.Duration(i-10)*time.Second), part)
+		}
+	}
+	require.Equal(t, quarantine.MaxPartEnds, a.quarantine.Ends(part.Key))
+	b.quarantine.RecordBegun([]quarantine.Part{part}, time.Now())
+	c.eventually(func() bool { return a.quarantine.Ends(part.Key) == 0 })
+}
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -136,7 +136,7 @@
 		Upstreams: p.replicas, Assigner: p.assigner, Limiter: p.limiter,
 		Budget:   p.budget,
 		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, EnsureModel: p.ensureModel, Permit: p.fleet.permit, TakePlace: p.fleet.places.request, ReleasePlace: p.fleet.places.release, RecordLeaving: p.recordLeaving, UpstreamsAge: p.tracker.viewAge, UpstreamsRevision: p.tracker.viewRevision, AwaitUpstreams: p.stalls.awaitNews,
-		Reach: p.reach, Forward: p.fleet.forward, Quarantine: p.quarantine, Liveness: p.replicas.Liveness, ShareEnds: p.fleet.ends.share,
+		Reach: p.reach, Forward: p.fleet.forward, Quarantine: p.quarantine, Liveness: p.replicas.Liveness, MayTry: p.leads, ShareEnds: p.fleet.ends.share,
 		Origins: p.origins, ShareOrigin: p.fleet.origins.share, AskOrigin: p.fleet.askOrigin, OnlyVersion: p.onlyVersion,
 		Outdated: func() bool { return p.configurationLag.behind(time.Now()) > 0 },
 		Log:      log, Metrics: p.metrics,
--- a/internal/vm/prompt_part_test.go
+++ b/internal/vm/prompt_part_test.go
@@ -39,7 +39,9 @@
 	// afterHead makes engines crash after the head of their answer.
 	afterHead bool
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// crash ends the present incarnation of each engine for a part, once.
+	crash   map[string]func(part string)
 	sends   map[string][]time.Time
 	crashes map[string][]time.Time
 	sound   []soundRequest
@@ -53,7 +55,7 @@
 }
 
 func newPartStorm(t *testing.T, engines, vms int, domains []string, bad ...string) *partStorm {
-	s := &partStorm{c: newCluster(t), bad: bad, sends: make(map[string][]time.Time), crashes: make(map[string][]time.Time)}
+	s := &partStorm{c: newCluster(t), bad: bad, crash: make(map[string]func(part string)), sends: make(map[string][]time.Time), crashes: make(map[string][]time.Time)}
 	for i := range engines {
 		s.startEngine(fmt.Sprintf("engine-%d", i), 1)
 	}
@@ -74,7 +76,16 @@
 	r := standin.NewReplica(id, 2, "m0")
 	r.Born, r.ServiceTime = born, 5*time.Millisecond
 	server := serve(s.c.t, r)
-	var crashing sync.Once
+	var once sync.Once
+	crash := func(part string) {
+		once.Do(func() {
+			s.record(s.crashes, part)
+			_ = server.Listener.Close()
+			server.CloseClientConnections()
+			s.later(crashEntryTime, func() { s.c.store.Delete("servers/" + id) })
+			s.later(crashReturnTime, func() { s.startEngine(id, born+1) })
+		})
+	}
 	r.Crash = func(w http.ResponseWriter, request *http.Request) bool {
 		part := s.badPart(request)
 		if part == "" {
@@ -86,25 +97,15 @@
 			w.Header().Set("Content-Type", "text/event-stream")
 			_ = http.NewResponseController(w).Flush()
 		}
-		crashing.Do(func() {
-			s.record(s.crashes, part)
-			s.crash(id, born, func() {
-				_ = server.Listener.Close()
-				server.CloseClientConnections()
-			})
-		})
+		crash(part)
 		return true
 	}
+	s.mu.Lock()
+	s.crash[id] = crash
+	s.mu.Unlock()
 	s.c.store.Put("servers/"+id, r.Entry("engine", server.Listener.Addr().String(), "a", "ready"))
 }
 
-// crash ends an engine, which is back after crashReturnTime.
-func (s *partStorm) crash(id string, born int64, end func()) {
-	end()
-	s.later(crashEntryTime, func() { s.c.store.Delete("servers/" + id) })
-	s.later(crashReturnTime, func() { s.startEngine(id, born+1) })
-}
-
 // later calls a function after a time, unless the storm has been stopped.
 func (s *partStorm) later(d time.Duration, call func()) {
 	s.mu.Lock()
@@ -244,3 +245,23 @@
 		})
 	}
 }
+
+// Engines that crash for other reasons take the requests that wait there with them, which share parts.
+func TestCrashesForWhichNoPartIsToBlameQuarantineNone(t *testing.T) {
+	s := newPartStorm(t, 12, 3, []string{"a"})
+	s.wg.Go(func() { s.sendSound("f1") })
+	for crashing := time.Now(); time.Since(crashing) < 5*time.Second; time.Sleep(250 * time.Millisecond) {
+		s.mu.Lock()
+		crash := s.crash[fmt.Sprintf("engine-%d", rand.IntN(12))]
+		s.mu.Unlock()
+		crash("")
+	}
+	time.Sleep(2 * crashReturnTime)
+	calm := time.Now()
+	time.Sleep(time.Second)
+	t.Logf("%d crashes", len(s.crashes[""]))
+	require.Equal(t, 1.0, s.soundShare(calm, time.Now().Add(-300*time.Millisecond)))
+	for i := range 20 {
+		require.True(t, s.send("f1", fmt.Sprintf("c%x", i)))
+	}
+}
--- a/internal/vm/reports.go
+++ b/internal/vm/reports.go
@@ -135,7 +135,9 @@
 	f.process.planner.applyContents(r)
 	f.applyDepartures(m, r, now)
 	f.process.applyPeerEvacuations(r)
-	f.ends.merge(r.Ends)
+	if lacking := f.ends.merge(r.Ends); len(lacking) > 0 {
+		f.ends.shareWith([]string{address}, lacking)
+	}
 	f.applyRateLimits(r.RateLimits, r.Vm)
 	f.process.configurationLag.recordPeerRevision(r.ConfigurationRevision, now)
 	// A VM that follows a hub gets the same configuration in the hub's next answer.
