traffic, quarantine: whole answers clear the parts of their prompts

Cause: a part was cleared by the first event of a stream alone; an engine that answers without a stream cleared none. A part with three ends was remembered as long as a quarantined request.

Change: an answer with a status of 2xx clears the parts of its prompt; parts are remembered for long only once they are quarantined.

Figures: TestWholeAnswerClearsThePartsOfItsPrompt, new.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -406,10 +406,10 @@
 }
 
 func (t *Table) lifetime(r *Record) time.Duration {
-	if r.Depth > 0 && t.count(r) >= MaxPartEnds {
+	switch n := t.count(r); {
+	case r.Depth > 0 && n >= MaxPartEnds:
 		return partMemory
-	}
-	if t.count(r) >= MaxEnds {
+	case r.Depth == 0 && n >= MaxEnds:
 		return Duration
 	}
 	return suspicionTime
--- a/internal/traffic/contents.go
+++ b/internal/traffic/contents.go
@@ -288,6 +288,9 @@
 // the request.
 func (j *job) recordAnswer(status int) {
 	o := &j.core.options
+	if status/100 == 2 {
+		j.recordBegun()
+	}
 	if status >= http.StatusInternalServerError || !o.Quarantine.InUse() {
 		return
 	}
--- a/internal/traffic/contents_test.go
+++ b/internal/traffic/contents_test.go
@@ -171,3 +171,15 @@
 		})
 	}
 }
+
+// An answer that does not come as a stream shows that the parts of its prompt end no upstreams, unless it is a failure.
+func TestWholeAnswerClearsThePartsOfItsPrompt(t *testing.T) {
+	for status, want := range map[int]int{http.StatusOK: 0, http.StatusNotFound: 1, http.StatusInternalServerError: 1} {
+		f := newFixture(resumable, nil)
+		j := &job{core: f.core, service: "engines", request: &Request{Parts: []PromptPart{{ID: "aa"}, {ID: "bb"}}}}
+		f.core.options.Quarantine.RecordEnd(1, "a@1@address", time.Now().Add(-time.Second), j.sharedParts()...)
+		j.recordAnswer(status)
+		require.Equal(t, want, f.core.options.Quarantine.Ends(partKey("engines", "aa")))
+		require.Zero(t, f.core.options.Quarantine.Ends(partKey("engines", "bb")), "the last part belongs to the request itself")
+	}
+}
