traffic: noting prompt parts costs one allocation a request

Cause: the keys of the parts were made by way of three further allocations.

Change: they are hashed in place.

--- a/internal/traffic/contents.go
+++ b/internal/traffic/contents.go
@@ -65,15 +65,22 @@
 	if j.parts != nil || len(j.request.Parts) < 2 {
 		return j.parts
 	}
-	for i, id := range j.request.sharedParts() {
-		j.parts = append(j.parts, quarantine.Part{Key: partKey(j.service, id), Depth: i + 1})
+	j.parts = make([]quarantine.Part, len(j.request.Parts)-1)
+	for i := range j.parts {
+		j.parts[i] = quarantine.Part{Key: partKey(j.service, j.request.Parts[i].ID), Depth: i + 1}
 	}
 	return j.parts
 }
 
 // partKey identifies a part of prompts at the upstreams of a service.
 func partKey(service, id string) quarantine.Key {
-	return quarantine.Key(xxhash.Sum64String(service + "\x00part\x00" + id))
+	var h xxhash.Digest
+	h.Reset()
+	for _, text := range []string{service, "part", id} {
+		_, _ = h.WriteString(text)
+		_, _ = h.Write([]byte{0})
+	}
+	return quarantine.Key(h.Sum64())
 }
 
 // suspectParts returns the parts that may be to blame if the upstream has ended: an answer that has begun clears them.
