--- a/internal/vm/configuration.go
+++ b/internal/vm/configuration.go
@@ -18,6 +18,7 @@
 	defer p.mu.Unlock()
 	revision := config.Revision
 	if revision <= p.config.Revision {
+		p.logOlderConfiguration(revision)
 		return
 	}
 	next, skipped, err := platform.Configuration(config.Value)
@@ -40,6 +41,16 @@
 		Interface("rates", firstLimits(rates)).Send()
 }
 
+// logOlderConfiguration logs once that a configuration is not put in force because it is older than the current one. It
+// must be called with the lock held.
+func (p *Process) logOlderConfiguration(revision int64) {
+	if revision == p.config.Revision || revision == p.olderConfiguration {
+		return
+	}
+	p.olderConfiguration = revision
+	p.log.Info().Str("event", "configuration_older").Int64("revision", revision).Int64("in_force", p.config.Revision).Send()
+}
+
 // changedLimits returns the limits of the teams that are new or have another limit than before. before is
 // nil for the first configuration.
 func changedLimits(before, next *catalog.Catalog) map[string]teamrate.Limit {
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -93,6 +93,8 @@
 	// that the store refuses.
 	config           store.Item
 	configurationLag configurationLag
+	// olderConfiguration is the revision of the last configuration that was older than the one in force.
+	olderConfiguration int64
 }
 
 // New returns a process built from its settings, without the parts that are disabled.
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -278,6 +278,9 @@
 		t.log.Info().Str("event", "store_regained").Int64("revision", revision).Send()
 	}
 	delta := t.view.apply(written, removed)
+	if delta.older > 0 {
+		t.log.Info().Str("event", "items_older").Int("count", delta.older).Int64("revision", revision).Int64("before", t.view.revision).Send()
+	}
 	t.view.revision, t.view.leasedRevision = revision, leasedRevision
 	t.changes.record(delta)
 	for _, key := range delta.changed {
--- a/internal/vm/view.go
+++ b/internal/vm/view.go
@@ -16,8 +16,12 @@
 }
 
 // viewDelta is the difference between two views: the keys that were added or have another revision,
-// and those that are gone. Neither list names a key twice.
-type viewDelta struct{ changed, removed []string }
+// and those that are gone. Neither list names a key twice. older counts the items that were not written
+// because the view has a later revision of their keys.
+type viewDelta struct {
+	changed, removed []string
+	older            int
+}
 
 func (d viewDelta) isEmpty() bool { return len(d.changed) == 0 && len(d.removed) == 0 }
 
@@ -42,6 +46,9 @@
 	}
 	for _, item := range written {
 		before, ok := v.items[item.Key]
+		if ok && before.Revision > item.Revision {
+			delta.older++
+		}
 		if gone[item.Key] || (ok && before.Revision >= item.Revision) {
 			continue
 		}
