--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -29,7 +29,7 @@
 type Term struct {
 	VM string
 	// Token is the fencing token: the store's revision of the leader's election. It
-	// increases with every election.
+	// increases with every election, also when the store comes back from a copy.
 	Token int64
 }
 
@@ -45,7 +45,10 @@
 	// TakeoverDelay is how long a new leader waits before it acts if another process led before
 	// it.
 	TakeoverDelay time.Duration
-	Clock         clock.Func
+	// Restart reports that the system has run before this process started, so that another process may have led
+	// although the store names none.
+	Restart bool
+	Clock   clock.Func
 	// Eligible reports whether this VM may campaign for the lease now. Nil means always.
 	Eligible func() bool
 	// Unfit reports whether this VM has to leave the lead to another one, which can do its work better. Nil means never.
@@ -59,7 +62,7 @@
 	ttl     time.Duration
 
 	mu      sync.Mutex
-	token   int64
+	token   store.Revision
 	leaseID store.LeaseID
 	// renewedAt is when the grant or the last successful renewal of the lease was sent.
 	// Authority begins takeoverDelay after electedAt and ends validFor after renewedAt.
@@ -75,8 +78,16 @@
 	// lastElection is the item of the last election that took effect. lastWon is the token
 	// of the last election that this process won and received the reply for.
 	lastElection store.Item
-	lastWon      int64
+	lastWon      store.Revision
 	observed     bool
+	// era is the newest era of the store that the candidate has taken into account, eraBegan when it first did so.
+	// restored reports that another process may have led in an earlier era without a trace in the store.
+	era      store.Era
+	eraBegan clock.Reading
+	restored bool
+	// interrupted reports that the last term ended because the store came back from a copy. Until validFor after
+	// renewedAt, no other VM can have led.
+	interrupted bool
 	// hasPredecessor reports that another process led before this VM won its election.
 	hasPredecessor bool
 	// elected is signalled when this VM has won an election.
@@ -91,7 +102,10 @@
 
 // New returns a candidate that does not hold the lease.
 func New(o Options) *Candidate {
-	return &Candidate{options: o, ttl: max(leaseTTL, o.LeaseMin), elected: make(chan struct{}, 1)}
+	return &Candidate{
+		options: o, ttl: max(leaseTTL, o.LeaseMin), elected: make(chan struct{}, 1),
+		restored: o.Restart, eraBegan: o.Clock(), era: o.Store.Era(),
+	}
 }
 
 // Elected returns a channel that receives a value when this VM has won an election. The VM may
@@ -104,10 +118,15 @@
 // that another process led before.
 func (c *Candidate) lastKey() string { return c.options.Prefix + "last-leader" }
 
-// Observe updates the candidate from items, the contents of the store by key.
-func (c *Candidate) Observe(items map[string]store.Item) {
+// Observe updates the candidate from items, the contents of the store by key in an era. Those of an earlier era than the
+// known one are ignored.
+func (c *Candidate) Observe(items map[string]store.Item, era store.Era) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.updateEra()
+	if era < c.era {
+		return
+	}
 	c.leaderItem, c.hasLeader = items[c.leaderKey()]
 	c.observed = true
 	c.lastElection = items[c.lastKey()]
@@ -122,7 +141,7 @@
 		return Term{}, false
 	}
 	vm := vmOf(c.leaderItem)
-	return Term{VM: vm, Token: c.leaderItem.Revision}, vm != ""
+	return Term{VM: vm, Token: int64(c.leaderItem.Revision)}, vm != ""
 }
 
 // Authority returns the fencing token under which this VM may act now, and whether it may. It
@@ -131,10 +150,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Clock()
-	if c.token == 0 || clock.Elapsed(c.renewedAt, now) >= c.validFor || clock.Elapsed(c.electedAt, now) < c.takeoverDelay {
+	if c.token == 0 || c.token.Era() < c.options.Store.Era() || clock.Elapsed(c.renewedAt, now) >= c.validFor || clock.Elapsed(c.electedAt, now) < c.takeoverDelay {
 		return 0, false
 	}
-	return c.token, true
+	return int64(c.token), true
 }
 
 // HasPredecessor reports whether another process led before this VM won its last election.
@@ -156,7 +175,7 @@
 func (c *Candidate) HoldsLease() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.token != 0 && clock.Elapsed(c.renewedAt, c.options.Clock()) < c.validFor
+	return c.token != 0 && c.token.Era() >= c.options.Store.Era() && clock.Elapsed(c.renewedAt, c.options.Clock()) < c.validFor
 }
 
 // Run campaigns for the lease and renews it until ctx ends, then revokes it.
@@ -176,7 +195,8 @@
 
 func (c *Candidate) step(ctx context.Context) {
 	c.mu.Lock()
-	leading, vacant := c.token != 0, c.observed && !c.hasLeader
+	c.updateEra()
+	leading, vacant := c.token != 0, c.observed && (!c.hasLeader || c.leadsByCopy())
 	c.mu.Unlock()
 	unfit := c.options.Unfit != nil && c.options.Unfit()
 	switch {
@@ -189,6 +209,34 @@
 	}
 }
 
+// updateEra takes a new era of the store into account. The term ends: the copy may lack the lease, its ID may belong to
+// somebody else by now, and tokens of this era are larger. It must be called with the lock held.
+func (c *Candidate) updateEra() {
+	era := c.options.Store.Era()
+	if era <= c.era {
+		return
+	}
+	first := c.era == 0
+	c.era = era
+	if first && c.token == 0 {
+		return
+	}
+	now := c.options.Clock()
+	c.eraBegan, c.restored, c.observed = now, true, false
+	if c.token == 0 {
+		return
+	}
+	c.interrupted = clock.Elapsed(c.renewedAt, now) < c.validFor
+	c.options.Log.Warn().Str("event", "leadership_lost").Int64("token", int64(c.token)).AnErr("cause", store.ErrRestored).Send()
+	c.token, c.lapseLogged = 0, false
+}
+
+// leadsByCopy reports whether the leader's key is one of an earlier era that this process has written: nobody else can
+// be elected before it ends, and nobody renews its lease. It must be called with the lock held.
+func (c *Candidate) leadsByCopy() bool {
+	return c.lastWon != 0 && c.lastWon.Era() < c.era && vmOf(c.leaderItem) == c.options.VM
+}
+
 // renew renews the lease. A lease that can be renewed has not expired, so nobody else can have
 // led meanwhile, however long the store was unavailable, and the term continues. Authority
 // still lapses by this VM's own clock and returns when a renewal succeeds.
@@ -201,14 +249,16 @@
 	case err == nil:
 		c.renewedAt = sent
 		if c.lapseLogged {
-			c.options.Log.Info().Str("event", "leadership_regained").Int64("token", c.token).Send()
+			c.options.Log.Info().Str("event", "leadership_regained").Int64("token", int64(c.token)).Send()
 		}
 		c.lapseLogged = false
+	case errors.Is(err, store.ErrRestored):
+		c.updateEra()
 	case errors.Is(err, store.ErrLeaseEnded):
-		c.options.Log.Warn().Str("event", "leadership_lost").Int64("token", c.token).AnErr("cause", err).Send()
+		c.options.Log.Warn().Str("event", "leadership_lost").Int64("token", int64(c.token)).AnErr("cause", err).Send()
 		c.token, c.observed, c.lapseLogged = 0, false, false
 	case !c.lapseLogged && clock.Elapsed(c.renewedAt, c.options.Clock()) >= c.validFor:
-		c.options.Log.Warn().Str("event", "leadership_lapsed").Int64("token", c.token).AnErr("cause", err).Send()
+		c.options.Log.Warn().Str("event", "leadership_lapsed").Int64("token", int64(c.token)).AnErr("cause", err).Send()
 		c.lapseLogged = true
 	}
 }
@@ -224,17 +274,26 @@
 		return
 	}
 	c.mu.Lock()
-	last := c.lastElection
+	last, leaderRevision := c.lastElection, store.Revision(0)
+	if c.hasLeader {
+		leaderRevision = c.leaderItem.Revision
+	}
 	c.mu.Unlock()
 	revision, err := c.options.Store.Commit(ctx, store.Change{
 		// The takeover delay depends on the last election, so the commit fails if there has
 		// been a later one.
-		Conditions: []store.Condition{{Key: c.leaderKey(), Revision: 0}, {Key: c.lastKey(), Revision: last.Revision}},
+		Conditions: []store.Condition{{Key: c.leaderKey(), Revision: leaderRevision}, {Key: c.lastKey(), Revision: last.Revision}},
 		Puts: []store.Put{
 			{Key: c.leaderKey(), Value: value, Lease: id},
 			{Key: c.lastKey(), Value: value},
 		},
 	})
+	if errors.Is(err, store.ErrRestored) && revision != 0 {
+		// The key is bound to a lease that may be anybody's, and would stay for as long as that is renewed.
+		_, _ = c.options.Store.Commit(ctx, store.Change{
+			Conditions: []store.Condition{{Key: c.leaderKey(), Revision: revision}}, Deletes: []string{c.leaderKey()},
+		})
+	}
 	if err != nil {
 		// The commit may have taken effect. Without the lease the leader key does not persist.
 		_ = c.options.Store.Revoke(ctx, id)
@@ -242,27 +301,45 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.electedAt, c.takeoverDelay = c.options.Clock(), c.takeoverDelayAfter(last)
-	c.hasPredecessor = last.Revision != 0 && last.Revision != c.lastWon
+	c.updateEra()
+	c.electedAt = c.options.Clock()
+	c.hasPredecessor = c.mayFollowAnother(last)
+	c.takeoverDelay = c.takeoverDelayNow()
 	c.token, c.leaseID, c.lastWon = revision, id, revision
 	c.renewedAt, c.validFor = sent, ttl-authorityMargin
+	c.interrupted, c.restored = false, false
 	select {
 	case c.elected <- struct{}{}:
 	default:
 	}
-	c.options.Log.Info().Str("event", "leadership_won").Int64("token", revision).
+	c.options.Log.Info().Str("event", "leadership_won").Int64("token", int64(revision)).
 		Str("previous", vmOf(last)).Dur("settle_ms", c.takeoverDelay).Send()
 }
 
-// takeoverDelayAfter returns the wait before the first order after an election that follows
-// last: zero if nobody led before, or if this process did. It is not enough that last names this
-// VM: an election whose reply was lost leaves such an item, although another VM may have given
-// orders a moment before.
-func (c *Candidate) takeoverDelayAfter(last store.Item) time.Duration {
-	if last.Revision == 0 || last.Revision == c.lastWon {
+// mayFollowAnother reports whether another process may have led before an election that follows last. It is not enough
+// that last names this VM: an election whose reply was lost leaves such an item, although another VM may have given
+// orders a moment before. It must be called with the lock held, when the election is won.
+func (c *Candidate) mayFollowAnother(last store.Item) bool {
+	if c.interrupted && clock.Elapsed(c.renewedAt, c.electedAt) < c.validFor {
+		return false
+	}
+	if last.Revision != 0 {
+		return last.Revision != c.lastWon
+	}
+	return c.restored
+}
+
+// takeoverDelayNow returns the wait before the first order after an election that was just won. After the store came
+// back from a copy, the leader of the era before may act until its authority ends by its own clock, which is no later
+// than a lease after this VM has heard of the new era. It must be called with the lock held.
+func (c *Candidate) takeoverDelayNow() time.Duration {
+	if !c.hasPredecessor {
 		return 0
 	}
-	return c.options.TakeoverDelay
+	if !c.restored {
+		return c.options.TakeoverDelay
+	}
+	return c.options.TakeoverDelay + max(0, c.ttl-clock.Elapsed(c.eraBegan, c.electedAt))
 }
 
 // vmOf returns the VM that an election's item names, "" if it names none.
@@ -277,10 +354,11 @@
 func (c *Candidate) resign(ctx context.Context) {
 	c.mu.Lock()
 	token, id := c.token, c.leaseID
+	c.interrupted = false
 	c.token, c.lapseLogged = 0, false
 	c.mu.Unlock()
 	if token != 0 {
 		_ = c.options.Store.Revoke(ctx, id)
-		c.options.Log.Info().Str("event", "leadership_resigned").Int64("token", token).Send()
+		c.options.Log.Info().Str("event", "leadership_resigned").Int64("token", int64(token)).Send()
 	}
 }
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -18,28 +18,34 @@
 // fakeStore grants every lease unless it is unavailable.
 type fakeStore struct {
 	store.Store
+	era         store.Era
 	revision    int64
 	items       map[string]store.Item
 	unavailable bool
 	revoked     int
-	leases      store.LeaseID
+	leases      int64
 	// loseCommitReplies makes commits take effect but return store.ErrUnknown.
 	loseCommitReplies bool
 }
 
 func (f *fakeStore) Grant(context.Context, time.Duration) (store.LeaseID, time.Duration, error) {
 	if f.unavailable {
-		return 0, 0, store.ErrUnknown
+		return store.LeaseID{}, 0, store.ErrUnknown
 	}
 	f.leases++
-	return f.leases, leaseTTL, nil
+	return store.LeaseID{Era: f.era, ID: f.leases}, leaseTTL, nil
 }
 
+func (f *fakeStore) Era() store.Era { return f.era }
+
 // Renew finds a lease as long as a key is bound to it.
 func (f *fakeStore) Renew(_ context.Context, id store.LeaseID) error {
 	if f.unavailable {
 		return store.ErrUnknown
 	}
+	if id.Era < f.era {
+		return errors.WithStack(store.ErrRestored)
+	}
 	for _, item := range f.items {
 		if item.Lease == id {
 			return nil
@@ -53,20 +59,21 @@
 	return nil
 }
 
-func (f *fakeStore) Commit(_ context.Context, c store.Change) (int64, error) {
+func (f *fakeStore) Commit(_ context.Context, c store.Change) (store.Revision, error) {
 	for _, condition := range c.Conditions {
 		if f.items[condition.Key].Revision != condition.Revision {
 			return 0, errors.WithStack(store.ErrConflict)
 		}
 	}
 	f.revision++
+	revision := store.NewRevision(f.era, f.revision)
 	for _, p := range c.Puts {
-		f.items[p.Key] = store.Item{Key: p.Key, Value: p.Value, Revision: f.revision, Lease: p.Lease}
+		f.items[p.Key] = store.Item{Key: p.Key, Value: p.Value, Revision: revision, Lease: p.Lease}
 	}
 	if f.loseCommitReplies {
 		return 0, errors.WithStack(store.ErrUnknown)
 	}
-	return f.revision, nil
+	return revision, nil
 }
 
 // testCandidate is a candidate with clocks that the test advances.
@@ -88,7 +95,7 @@
 func (c *testCandidate) advance(d time.Duration) { c.mono, c.wall = c.mono+d, c.wall+d }
 
 func (c *testCandidate) observeAndStep() {
-	c.Observe(c.store.items)
+	c.Observe(c.store.items, c.store.era)
 	c.step(context.Background())
 }
 
@@ -219,7 +226,7 @@
 	a.step(context.Background())
 	newTestCandidate("b", s).observeAndStep()
 	delete(s.items, "x/leader")
-	a.Observe(old)
+	a.Observe(old, s.era)
 	a.step(context.Background())
 	require.False(t, a.HoldsLease())
 	a.observeAndStep()
@@ -249,13 +256,13 @@
 func TestOneOfTwoCandidatesWins(t *testing.T) {
 	s := &fakeStore{items: map[string]store.Item{}}
 	a, b := newTestCandidate("a", s), newTestCandidate("b", s)
-	b.Observe(s.items)
+	b.Observe(s.items, s.era)
 	a.observeAndStep()
 	b.step(context.Background())
 	require.True(t, a.HoldsLease())
 	require.False(t, b.HoldsLease())
 	require.Equal(t, 1, s.revoked)
-	b.Observe(s.items)
+	b.Observe(s.items, s.era)
 	term, ok := b.Leader()
 	require.True(t, ok)
 	require.Equal(t, "a", term.VM)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -23,19 +23,20 @@
 	// ErrUnknown means that no answer was received. A change may have been made, or
 	// may still be made while its conditions hold.
 	ErrUnknown = errors.New("store: no answer, the outcome is unknown")
+	// ErrRestored means that the store came back from a copy between the call and what the call refers to: a lease,
+	// a condition, an earlier page or a later answer. A change may have been lost, or made although a condition did
+	// not hold as it was meant.
+	ErrRestored = errors.New("store: the store came back from a copy")
 	// ErrMalformed means that the answer could not be parsed.
 	ErrMalformed = errors.New("store: malformed answer")
 )
 
-// LeaseID identifies a lease. Zero means no lease.
-type LeaseID int64
-
 // Item is a key with its value.
 type Item struct {
 	Key   string
 	Value []byte
 	// Revision is the store's revision at the item's last change.
-	Revision int64
+	Revision Revision
 	Lease    LeaseID
 }
 
@@ -51,21 +52,21 @@
 	Items []Item
 	// Revision is the store's revision when the first page was read. A watch
 	// from this revision misses no change.
-	Revision int64
+	Revision Revision
 }
 
 // Events is the result of a watch.
 type Events struct {
 	Events []Event
 	// Revision is the revision from which the next watch continues.
-	Revision int64
+	Revision Revision
 }
 
 // Condition holds while the key has the given revision. Revision 0 means that the
 // key does not exist.
 type Condition struct {
 	Key      string
-	Revision int64
+	Revision Revision
 }
 
 // Put writes one key, attached to a lease if that is not zero.
@@ -88,15 +89,21 @@
 	// Range reads all keys that begin with prefix, over as many pages as needed.
 	Range(ctx context.Context, prefix string) (Listing, error)
 	// Watch waits up to wait for changes after a revision. It returns ErrCompacted
-	// if the history does not reach back that far.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Events, error)
+	// if the history does not reach back that far, or the revision is of an era that has ended.
+	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Events, error)
 	// Commit makes a change and returns its revision. After ErrUnknown, only a read
-	// can determine whether it was made.
-	Commit(ctx context.Context, change Change) (int64, error)
+	// can determine whether it was made. With ErrRestored it returns the revision of a change
+	// that was made in a later era than its conditions or leases are of, or zero.
+	Commit(ctx context.Context, change Change) (Revision, error)
 	// Grant creates a lease and returns its ID and the time to live in effect.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, time.Duration, error)
-	// Renew keeps a lease from expiring.
+	// Renew keeps a lease from expiring. It returns ErrRestored if the lease was named in an
+	// era that has ended: whether it was in the copy is to be read from a key that is bound to it.
 	Renew(ctx context.Context, lease LeaseID) error
 	// Revoke ends a lease and deletes its keys.
 	Revoke(ctx context.Context, lease LeaseID) error
+	// Era returns the newest era that is known, from answers or from RaiseEra.
+	Era() Era
+	// RaiseEra records that others have heard of an era. An earlier one than the known is ignored.
+	RaiseEra(era Era)
 }
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -70,7 +70,7 @@
 	// UpstreamsAge returns the age of this VM's table of upstreams, UpstreamsRevision the revision of the
 	// store that it shows.
 	UpstreamsAge      func() time.Duration
-	UpstreamsRevision func() int64
+	UpstreamsRevision func() string
 	// AwaitUpstreams returns once the table of upstreams is not older than this VM believes: it waits for
 	// news if the process stood still a moment ago. It returns when ctx ends, and after a bounded time.
 	AwaitUpstreams func(ctx context.Context)
--- a/internal/traffic/fakes_test.go
+++ b/internal/traffic/fakes_test.go
@@ -140,7 +140,7 @@
 		Budget:       retrybudget.New(retrybudget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, now),
 		Instance:     func(id string) *upstream.Instance { return f.instances[id] },
 		VMs:          func() int { return 1 },
-		UpstreamsAge: func() time.Duration { return 0 }, UpstreamsRevision: func() int64 { return 0 }, AwaitUpstreams: func(context.Context) {},
+		UpstreamsAge: func() time.Duration { return 0 }, UpstreamsRevision: func() string { return "" }, AwaitUpstreams: func(context.Context) {},
 		Forward: func(context.Context, string, Forwarded, Sink) (ForwardEnd, error) {
 			return ForwardEnd{}, ErrNotForwarded
 		},
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -45,7 +45,7 @@
 		Bool("rate_limited", choice.NeedsPermit && !choice.Brittle).Bool("brittle", choice.Brittle).
 		Dur("held_ms", time.Since(j.request.Arrived)).Dur("placed_ms", time.Since(choice.PlacedAt())).Dur("left_ms", time.Until(j.deadline)).
 		Str("version", choice.Version).Str("resume_after", j.resumeAfter()).Str("resumes", j.request.Resumes).Dur("upstreams_age_ms", c.options.UpstreamsAge()).
-		Int64("upstreams_revision", c.options.UpstreamsRevision()).Int64("configuration", j.catalog.Version).Send()
+		Str("upstreams_revision", c.options.UpstreamsRevision()).Int64("configuration", j.catalog.Version).Send()
 }
 
 // logResumed logs that an upstream is to go on with a stream, and how it is known which version began it.
@@ -64,7 +64,7 @@
 func (c *Core) logWithdrawn(j *job, choice *assign.Choice) {
 	c.countWithdrawn()
 	c.options.Log.Info().Str("event", "request_withdrawn").Str("request", j.request.ID).Str("upstream", choice.Instance).
-		Dur("placed_ms", time.Since(choice.PlacedAt())).Int64("upstreams_revision", c.options.UpstreamsRevision()).Send()
+		Dur("placed_ms", time.Since(choice.PlacedAt())).Str("upstreams_revision", c.options.UpstreamsRevision()).Send()
 }
 
 // logSendFailed logs that a send gave no response to forward, with the hash that attempts of the same request share, the
--- a/internal/vm/configuration.go
+++ b/internal/vm/configuration.go
@@ -17,38 +17,54 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	revision := config.Revision
-	if revision <= p.config.Revision {
-		p.logOlderConfiguration(revision)
+	if revision == p.config.Revision || revision == p.rejectedConfiguration {
 		return
 	}
 	next, skipped, err := platform.Configuration(config.Value)
 	if err != nil {
-		p.log.Error().Str("event", "configuration_unreadable").Int64("revision", revision).AnErr("cause", err).Send()
+		p.rejectedConfiguration = revision
+		p.log.Error().Str("event", "configuration_unreadable").Stringer("revision", revision).AnErr("cause", err).Send()
+		return
+	}
+	if order := (configurationOrder{next.Version, revision}); p.config.Revision != 0 && !order.newerThan(p.configOrder()) {
+		p.keepConfiguration(config, order)
 		return
 	}
 	for _, s := range skipped {
-		p.log.Warn().Str("event", "configuration_part_skipped").Int64("revision", revision).AnErr("cause", s).Send()
+		p.log.Warn().Str("event", "configuration_part_skipped").Stringer("revision", revision).AnErr("cause", s).Send()
 	}
-	p.config = config
-	p.configurationLag.apply(revision, time.Now())
-	p.tracker.values.record(config)
+	p.recordConfiguration(config, next.Version)
 	limits, rates := limitsOf(next), changedLimits(p.core.Catalog(), next)
 	p.limiter.SetLimits(limits, time.Now())
 	p.assigner.SetCatalog(next)
 	p.core.SetCatalog(next)
-	p.log.Info().Str("event", "configuration_in_force").Int64("version", next.Version).Int64("revision", revision).
+	p.log.Info().Str("event", "configuration_in_force").Int64("version", next.Version).Stringer("revision", revision).
 		Int("routes", len(next.Routes())).Int("bytes", len(config.Value)).Int("teams", len(limits)).Int("rates_changed", len(rates)).
 		Interface("rates", firstLimits(rates)).Send()
 }
 
-// logOlderConfiguration logs once that a configuration is not put in force because it is older than the current one. It
-// must be called with the lock held.
-func (p *Process) logOlderConfiguration(revision int64) {
-	if revision == p.config.Revision || revision == p.olderConfiguration {
+// keepConfiguration keeps the configuration in force in place of one that is not newer, or records that the store has it
+// at a later revision. It must be called with the lock held.
+func (p *Process) keepConfiguration(config store.Item, order configurationOrder) {
+	if order.version == p.configVersion && order.revision > p.config.Revision {
+		p.recordConfiguration(config, order.version)
 		return
 	}
-	p.olderConfiguration = revision
-	p.log.Info().Str("event", "configuration_older").Int64("revision", revision).Int64("in_force", p.config.Revision).Send()
+	p.rejectedConfiguration = order.revision
+	p.log.Info().Str("event", "configuration_older").Int64("version", order.version).Stringer("revision", order.revision).
+		Int64("in_force", p.configVersion).Stringer("in_force_revision", p.config.Revision).Send()
+}
+
+// recordConfiguration records the configuration in force. It must be called with the lock held.
+func (p *Process) recordConfiguration(config store.Item, version int64) {
+	p.config, p.configVersion = config, version
+	p.configurationLag.apply(p.configOrder(), time.Now())
+	p.tracker.values.record(config)
+}
+
+// configOrder returns the place of the configuration in force. It must be called with the lock held.
+func (p *Process) configOrder() configurationOrder {
+	return configurationOrder{p.configVersion, p.config.Revision}
 }
 
 // changedLimits returns the limits of the teams that are new or have another limit than before. before is
@@ -87,10 +103,10 @@
 	return out
 }
 
-// configuration returns the configuration in force as stored; its revision is zero if there
-// is none yet.
-func (p *Process) configuration() store.Item {
+// configuration returns the configuration in force as stored, and its place among others; its revision is zero if
+// there is none yet.
+func (p *Process) configuration() (store.Item, configurationOrder) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.config
+	return p.config, p.configOrder()
 }
--- a/internal/vm/configuration_lag.go
+++ b/internal/vm/configuration_lag.go
@@ -10,29 +10,30 @@
 // added.
 type configurationLag struct {
 	mu sync.Mutex
-	// applied and newest are the store revisions of the configuration in force here, and of
-	// the newest one in force at any VM.
-	applied, newest int64
+	// applied is the configuration in force here, newest the newest one in force at any VM.
+	applied, newest configurationOrder
 	// behindSince is when this VM began to lack the newest one.
 	behindSince time.Time
 }
 
-// recordPeerRevision records the revision of the configuration in force at another VM.
-func (l *configurationLag) recordPeerRevision(revision int64, now time.Time) {
+// recordPeer records the configuration in force at another VM.
+func (l *configurationLag) recordPeer(order configurationOrder, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.applied >= l.newest && revision > l.applied {
+	if !l.newest.newerThan(l.applied) && order.newerThan(l.applied) {
 		l.behindSince = now
 	}
-	l.newest = max(l.newest, revision)
+	if order.newerThan(l.newest) {
+		l.newest = order
+	}
 }
 
-// apply records the revision of the configuration now in force here. If changes follow each
+// apply records the configuration now in force here. If changes follow each
 // other quickly and a newer one is already known, the lag starts again from now.
-func (l *configurationLag) apply(revision int64, now time.Time) {
+func (l *configurationLag) apply(order configurationOrder, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.applied, l.behindSince = revision, now
+	l.applied, l.behindSince = order, now
 }
 
 // behind returns for how long this VM has lacked a configuration that others have; zero if it
@@ -40,7 +41,7 @@
 func (l *configurationLag) behind(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.applied >= l.newest {
+	if !l.newest.newerThan(l.applied) {
 		return 0
 	}
 	return max(now.Sub(l.behindSince), time.Nanosecond)
--- a/internal/vm/configuration_lag_test.go
+++ b/internal/vm/configuration_lag_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/platform/standin"
 )
 
@@ -19,8 +20,9 @@
 	unknown := call{method: "GET", path: "/added/"}
 	require.Equal(t, http.StatusNotFound, c.send(v, unknown).status)
 
-	newer := v.configuration().Revision + 1
-	v.configurationLag.recordPeerRevision(newer, time.Now())
+	held, _ := v.configuration()
+	newer := configurationOrder{revision: held.Revision + 1}
+	v.configurationLag.recordPeer(newer, time.Now())
 	require.True(t, v.ready(), "the VM stays ready while the configuration may still arrive in time")
 	got := c.send(v, unknown)
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
@@ -29,8 +31,8 @@
 	require.Equal(t, http.StatusServiceUnavailable, c.send(v, withKey).status)
 	require.Equal(t, http.StatusOK, c.send(v, call{method: "GET", path: "/look/"}).status, "a known route must be served")
 
-	v.configurationLag = configurationLag{applied: newer - 1}
-	v.configurationLag.recordPeerRevision(newer, time.Now().Add(-v.settings.Bounds.Configuration-time.Second))
+	v.configurationLag = configurationLag{applied: configurationOrder{revision: held.Revision}}
+	v.configurationLag.recordPeer(newer, time.Now().Add(-v.settings.Bounds.Configuration-time.Second))
 	require.False(t, v.ready())
 	c.configure(nil)
 	c.eventually(func() bool { return v.ready() })
@@ -42,13 +44,14 @@
 func TestVMThatKeepsUpIsNotBehind(t *testing.T) {
 	var lag configurationLag
 	now := time.Now()
-	for revision := range int64(100) {
-		lag.recordPeerRevision(revision+2, now)
-		lag.apply(revision+1, now)
+	at := func(revision store.Revision) configurationOrder { return configurationOrder{revision: revision} }
+	for revision := range store.Revision(100) {
+		lag.recordPeer(at(revision+2), now)
+		lag.apply(at(revision+1), now)
 		now = now.Add(100 * time.Millisecond)
 		require.LessOrEqual(t, lag.behind(now), 100*time.Millisecond)
 	}
-	lag.apply(200, now)
+	lag.apply(at(200), now)
 	require.Zero(t, lag.behind(now))
 }
 
@@ -57,8 +60,8 @@
 func TestConfigurationThatIsInForceIsNotNewer(t *testing.T) {
 	var lag configurationLag
 	now := time.Now()
-	lag.apply(7, now)
-	lag.recordPeerRevision(7, now)
-	lag.recordPeerRevision(5, now)
+	lag.apply(configurationOrder{revision: 7}, now)
+	lag.recordPeer(configurationOrder{revision: 7}, now)
+	lag.recordPeer(configurationOrder{revision: 5}, now)
 	require.Zero(t, lag.behind(now.Add(time.Minute)))
 }
--- a/internal/vm/contact.go
+++ b/internal/vm/contact.go
@@ -21,6 +21,8 @@
 	completeAt time.Time
 	// failedAt is when a call of this VM last failed.
 	failedAt time.Time
+	// restoredAt is when this VM learned that the store had come back from a copy.
+	restoredAt time.Time
 	// outageEnd is when the last call failed in the last outage that lasted minOutage.
 	outageEnd time.Time
 }
@@ -39,6 +41,18 @@
 	c.completeAt = at
 }
 
+// recordRestore records that the store came back from a copy, which may lack leases of live instances.
+func (c *contact) recordRestore(now time.Time) { c.restoredAt, c.outageEnd = now, now }
+
+// keepRestoredUntil returns until when a registration is kept that the copy from which the store came back lacks. It
+// returns the zero time if the store never did.
+func (c *contact) keepRestoredUntil() time.Time {
+	if c.restoredAt.IsZero() {
+		return time.Time{}
+	}
+	return c.restoredAt.Add(lapsedGrace)
+}
+
 // keepUntil returns until when an entry that has disappeared is kept, since its lease may have ended in an
 // outage. It returns the zero time if there was none.
 func (c *contact) keepUntil() time.Time {
--- a/internal/vm/departures.go
+++ b/internal/vm/departures.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+	"github.com/chestnutarch/chestnutarch/internal/store"
 )
 
 const (
@@ -34,10 +35,10 @@
 	lastKnown time.Time
 	draining  bool
 	// seenAt is the revision of the store at which it was seen. Entries up to that revision are older.
-	seenAt int64
+	seenAt store.Revision
 	// writes is the number of later revisions of the entry that were seen, revision the last one.
 	writes   int
-	revision int64
+	revision store.Revision
 	// changedAt is the version at which it last changed.
 	changedAt uint64
 }
@@ -57,7 +58,7 @@
 
 // record notes that an incarnation, last known at a time, is draining or gone at a revision of the store. It
 // reports whether that is new.
-func (d *departures) record(incarnation string, draining bool, revision int64, lastKnown time.Time) bool {
+func (d *departures) record(incarnation string, draining bool, revision store.Revision, lastKnown time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e := d.byIncarnation[incarnation]
@@ -105,8 +106,9 @@
 // ready. It counts each new revision of the entry, and forgets an incarnation that may be used
 // again. storeFailed says that the store was away a moment ago for so long that leases of live
 // instances may have lapsed. An entry from before the departure shows nothing: a VM that was cut off
-// may still have it, or get it from a hub that was.
-func (d *departures) excluded(incarnation string, revision int64, storeFailed bool) bool {
+// may still have it, or get it from a hub that was. Nor does an entry of a later era, unless written says that it
+// was written in that era: the store may have come back from a copy of before the departure.
+func (d *departures) excluded(incarnation string, revision store.Revision, storeFailed, written bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e := d.byIncarnation[incarnation]
@@ -116,6 +118,12 @@
 	if e.draining || revision <= e.seenAt {
 		return true
 	}
+	if revision.Era() > e.seenAt.Era() {
+		if written {
+			delete(d.byIncarnation, incarnation)
+		}
+		return !written
+	}
 	if revision != e.revision {
 		e.revision = revision
 		e.writes++
@@ -128,7 +136,7 @@
 }
 
 // supersedes reports whether an incarnation is known to have left after a revision of its entry was written.
-func (d *departures) supersedes(incarnation string, revision int64) bool {
+func (d *departures) supersedes(incarnation string, revision store.Revision) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e := d.byIncarnation[incarnation]
@@ -145,7 +153,7 @@
 	for n, e := range d.byIncarnation {
 		if e.changedAt > version {
 			out = append(out, &peerpb.Departure{
-				Incarnation: n, Draining: e.draining, Revision: e.seenAt, UnknownMs: now.Sub(e.lastKnown).Milliseconds(),
+				Incarnation: n, Draining: e.draining, Revision: int64(e.seenAt), UnknownMs: now.Sub(e.lastKnown).Milliseconds(),
 			})
 		}
 	}
--- a/internal/vm/evacuation.go
+++ b/internal/vm/evacuation.go
@@ -24,7 +24,11 @@
 	phaseOut, maxNewsAge time.Duration
 
 	mu       sync.Mutex
-	revision int64
+	revision store.Revision
+	// restoredUntil is until when a domain stays evacuated that the store did not name again since it came back from
+	// a copy. named holds the domains that were named in the present era.
+	restoredUntil time.Time
+	named         map[string]bool
 	// updatedAt is when a set of a later revision last arrived, changed or not.
 	updatedAt time.Time
 	// until holds the domains that are being evacuated, with the end of the phase-out.
@@ -45,17 +49,38 @@
 func newEvacuations(b platform.Bounds) *evacuations {
 	return &evacuations{
 		phaseOut: max(0, b.Evacuation-b.Configuration), maxNewsAge: b.Configuration, until: make(map[string]time.Time), returned: make(map[string]time.Time),
+		named: make(map[string]bool),
 	}
 }
 
-// update replaces the set by one of a later revision.
-func (e *evacuations) update(revision int64, domains []string, now time.Time) evacuationChange {
+// update replaces the set by that of a view of the store, if it is of a later revision.
+func (e *evacuations) update(revision store.Revision, domains []string, now time.Time) evacuationChange {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if revision < e.revision || (revision == e.revision && e.restoredUntil.IsZero()) {
+		return evacuationChange{}
+	}
+	e.recordEra(revision, now)
+	for _, domain := range domains {
+		e.named[domain] = true
+	}
+	return e.replace(revision, domains, now)
+}
+
+// updateFromPeer replaces the set by one that another VM reports, if it is of a later revision.
+func (e *evacuations) updateFromPeer(revision store.Revision, domains []string, now time.Time) evacuationChange {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var change evacuationChange
 	if revision <= e.revision {
-		return change
+		return evacuationChange{}
 	}
+	e.recordEra(revision, now)
+	return e.replace(revision, domains, now)
+}
+
+// replace replaces the set. It must be called with the lock held.
+func (e *evacuations) replace(revision store.Revision, domains []string, now time.Time) evacuationChange {
+	var change evacuationChange
 	phaseOut := e.phaseOut
 	if now.Sub(e.updatedAt) > e.maxNewsAge {
 		// This VM has just started or was cut off: the evacuation may be older than the bound.
@@ -70,7 +95,7 @@
 		}
 	}
 	for domain := range e.until {
-		if !slices.Contains(domains, domain) {
+		if !slices.Contains(domains, domain) && !e.awaitsRewrite(domain, now) {
 			delete(e.until, domain)
 			e.returned[domain] = now
 			change.ended = append(change.ended, domain)
@@ -79,8 +104,25 @@
 	return change
 }
 
+// recordEra notes that a set is of a later era than the last one: the store came back from a copy, and the operator
+// writes again what that lacks. It must be called with the lock held.
+func (e *evacuations) recordEra(revision store.Revision, now time.Time) {
+	if e.revision != 0 && revision.Era() > e.revision.Era() {
+		e.restoredUntil, e.named = now.Add(lapsedGrace), make(map[string]bool)
+	}
+	if now.After(e.restoredUntil) {
+		e.restoredUntil = time.Time{}
+	}
+}
+
+// awaitsRewrite reports whether the operator may still have to write again that a domain is to be evacuated. It must be
+// called with the lock held.
+func (e *evacuations) awaitsRewrite(domain string, now time.Time) bool {
+	return now.Before(e.restoredUntil) && !e.named[domain]
+}
+
 // current returns the set and its revision.
-func (e *evacuations) current() (domains []string, revision int64) {
+func (e *evacuations) current() (domains []string, revision store.Revision) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return slices.Sorted(maps.Keys(e.until)), e.revision
@@ -115,7 +157,7 @@
 	for key, item := range items {
 		domain, ok, err := platform.EvacuatedDomain(key)
 		if err != nil {
-			p.log.Warn().Str("event", "evacuation_unreadable").Int64("revision", item.Revision).AnErr("cause", err).Send()
+			p.log.Warn().Str("event", "evacuation_unreadable").Stringer("revision", item.Revision).AnErr("cause", err).Send()
 		}
 		if ok {
 			domains = append(domains, domain)
@@ -129,7 +171,7 @@
 	if r.EvacuatedRevision == 0 {
 		return
 	}
-	change := p.evacuations.update(r.EvacuatedRevision, r.Evacuated, time.Now())
+	change := p.evacuations.updateFromPeer(store.Revision(r.EvacuatedRevision), r.Evacuated, time.Now())
 	if change.isEmpty() {
 		return
 	}
@@ -160,7 +202,7 @@
 func (p *Process) logEvacuation(line *zerolog.Event, domain, peer string) {
 	_, revision := p.evacuations.current()
 	line.Str("domain", domain).Bool("known", p.settings.Regions[domain] != "").Int("instances", p.instancesIn(domain)).
-		Int64("revision", revision).Str("peer", peer).Send()
+		Stringer("revision", revision).Str("peer", peer).Send()
 }
 
 // instancesIn returns the number of known upstreams in a failure domain.
--- a/internal/vm/evacuation_test.go
+++ b/internal/vm/evacuation_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
 	"github.com/chestnutarch/chestnutarch/platform"
 	"github.com/chestnutarch/chestnutarch/platform/standin"
@@ -107,7 +108,7 @@
 		}
 		e, newest := newEvacuations(platform.Bounds{}), 0
 		for _, revision := range rapid.SliceOf(rapid.IntRange(1, len(history)-1)).Draw(t, "arrivals") {
-			e.update(int64(revision), history[revision], time.Now())
+			e.update(store.Revision(revision), history[revision], time.Now())
 			newest = max(newest, revision)
 			domains, _ := e.current()
 			require.ElementsMatch(t, history[newest], domains, fmt.Sprint("after revision ", newest))
--- a/internal/vm/exchange.go
+++ b/internal/vm/exchange.go
@@ -139,10 +139,10 @@
 		return
 	}
 	defer f.fetchingConfiguration.Store(false)
-	held := f.process.configuration()
+	held, order := f.process.configuration()
 	answer := &peerpb.ConfigurationResponse{}
 	_, err := f.process.pool.ReceivePieces(ctx, address, exchangeTimeout, func(ctx context.Context, conn grpc.ClientConnInterface) (peer.PieceStream, error) {
-		return peerpb.NewVMsClient(conn).Configuration(ctx, &peerpb.ConfigurationRequest{HaveRevision: held.Revision})
+		return peerpb.NewVMsClient(conn).Configuration(ctx, &peerpb.ConfigurationRequest{HaveRevision: int64(held.Revision), HaveVersion: order.version})
 	}, answer)
 	if err != nil || answer.Item == nil {
 		return
@@ -152,7 +152,7 @@
 		f.process.log.Warn().Str("event", "configuration_not_taken").Str("peers", address).AnErr("cause", err).Send()
 		return
 	}
-	f.process.applyConfiguration(store.Item{Key: platform.ConfigurationKey, Revision: answer.Item.Revision, Value: value})
+	f.process.applyConfiguration(store.Item{Key: platform.ConfigurationKey, Revision: store.Revision(answer.Item.Revision), Value: value})
 }
 
 // vmServer implements the RPCs that other VMs call.
@@ -171,8 +171,9 @@
 func (s *vmServer) Configuration(in *peerpb.ConfigurationRequest, out grpc.ServerStreamingServer[peerpb.Piece]) error {
 	return peer.SendPieces(out, func() (proto.Message, error) {
 		answer := &peerpb.ConfigurationResponse{}
-		if c := s.process.configuration(); c.Revision > in.HaveRevision {
-			answer.Item = s.process.tracker.values.itemFor(c, in.HaveRevision)
+		held := store.Revision(in.HaveRevision)
+		if c, order := s.process.configuration(); order.newerThan(configurationOrder{in.HaveVersion, held}) {
+			answer.Item = s.process.tracker.values.itemFor(c, held)
 		}
 		return answer, nil
 	})
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -1,7 +1,6 @@
 package vm
 
 import (
-	"context"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -10,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/chestnutarch/chestnutarch/internal/aggregate"
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/store"
@@ -66,6 +63,8 @@
 	incarnation    int64
 	sequence       atomic.Uint64
 	exchangeSignal chan struct{}
+	// registrationSignal has the registration looked at.
+	registrationSignal chan struct{}
 	// fetchingConfiguration is set while a configuration is read from another VM.
 	fetchingConfiguration atomic.Bool
 
@@ -99,7 +98,7 @@
 	registered bool
 	// revision is the store revision of the registration. A VM that has restarted may be
 	// known from its own report before its new registration arrives.
-	revision int64
+	revision store.Revision
 	// lastReport is when its last report arrived, firstSeen when it became known.
 	lastReport, firstSeen time.Time
 	sequence              uint64
@@ -138,7 +137,7 @@
 func newFleet(p *Process) *fleet {
 	now := time.Now()
 	own := aggregate.Source{VM: p.settings.VM, Incarnation: now.UnixNano()}
-	f := &fleet{process: p, incarnation: own.Incarnation, aggregator: newAggregator(own, now), members: make(map[string]*member), rosters: make(map[string]map[string]bool), exchangeSignal: make(chan struct{}, 1)}
+	f := &fleet{process: p, incarnation: own.Incarnation, aggregator: newAggregator(own, now), members: make(map[string]*member), rosters: make(map[string]map[string]bool), exchangeSignal: make(chan struct{}, 1), registrationSignal: make(chan struct{}, 1)}
 	f.notifier = newDispatchNotifier(f)
 	f.ends = newEndNotices(f)
 	f.origins = newOriginNotices(f)
@@ -160,50 +159,6 @@
 	return len(f.members) + 1
 }
 
-// register keeps this VM's registration in the store until ctx ends, then revokes it.
-func (f *fleet) register(ctx context.Context) error {
-	var lease store.LeaseID
-	failures := 0
-	for ctx.Err() == nil {
-		if lease == 0 {
-			lease = f.createRegistration(ctx)
-		} else if err := f.process.store.Renew(ctx, lease); errors.Is(err, store.ErrLeaseEnded) {
-			lease = 0
-			continue
-		}
-		if lease == 0 {
-			sleep(ctx, f.process.tracker.retryAfter(failures))
-			failures++
-			continue
-		}
-		failures = 0
-		sleep(ctx, renewInterval)
-	}
-	if lease != 0 {
-		_ = f.process.store.Revoke(context.WithoutCancel(ctx), lease)
-	}
-	return nil
-}
-
-func (f *fleet) createRegistration(ctx context.Context) store.LeaseID {
-	value, err := json.Marshal(registration{
-		Incarnation: f.incarnation, Callers: f.process.settings.Callers, Peers: f.process.peerAddress(), Domain: f.process.settings.FailureDomain,
-		LinkMbps: f.process.settings.LinkMbps,
-	})
-	if err != nil {
-		return 0
-	}
-	lease, _, err := f.process.store.Grant(ctx, max(registrationLease, f.process.settings.Store.LeaseMin))
-	if err != nil {
-		return 0
-	}
-	_, err = f.process.store.Commit(ctx, store.Change{Puts: []store.Put{{Key: vmPrefix + f.process.settings.VM, Value: value, Lease: lease}}})
-	if err != nil {
-		return 0
-	}
-	return lease
-}
-
 // updateRegistrations applies the registrations among the keys of this project.
 func (f *fleet) updateRegistrations(own map[string]store.Item) {
 	f.mu.Lock()
@@ -223,7 +178,7 @@
 			continue
 		}
 		m := f.members[vm]
-		if m != nil && item.Revision <= m.revision {
+		if m != nil && (item.Revision <= m.revision || m.isCopy(r, item.Revision, now)) {
 			m.registered = true
 			continue
 		}
@@ -240,6 +195,11 @@
 	f.expireMembers(now)
 }
 
+// isCopy reports whether a registration is of an earlier process of the VM, which the store has from a copy.
+func (m *member) isCopy(r registration, revision store.Revision, now time.Time) bool {
+	return revision.Era() > m.revision.Era() && r.Incarnation < m.Incarnation && now.Sub(m.lastReport) < peerTimeout
+}
+
 // maxIndividualLogs is the number of VMs becoming known at once up to which each gets its own
 // log line.
 const maxIndividualLogs = 8
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -146,9 +146,9 @@
 	if age > t.maxHubViewAge {
 		return false, errors.Wrapf(ErrHubStale, "view is %v old", age)
 	}
-	if answer.Revision < t.view.revision {
+	if store.Revision(answer.Revision) < t.view.revision {
 		if now.Sub(t.completeAt) > t.maxHubViewAge {
-			return false, errors.Wrapf(ErrHubStale, "hub is at revision %d, this VM at revision %d", answer.Revision, t.view.revision)
+			return false, errors.Wrapf(ErrHubStale, "hub is at revision %v, this VM at revision %v", store.Revision(answer.Revision), t.view.revision)
 		}
 		return false, nil
 	}
@@ -171,7 +171,7 @@
 	out := make(map[string]int64)
 	for key, item := range t.view.items {
 		if isLarge(item) {
-			out[key] = item.Revision
+			out[key] = int64(item.Revision)
 		}
 	}
 	return out
@@ -179,8 +179,10 @@
 
 // merge merges a hub's answer into the view. It must be called with the lock held.
 func (t *tracker) merge(answer *peerpb.FollowResponse, now time.Time) error {
+	revision := store.Revision(answer.Revision)
+	t.recordEra(revision, now)
 	if !answer.Whole && len(answer.Items) == 0 && len(answer.Packed) == 0 && len(answer.Removed) == 0 {
-		t.view.revision, t.view.leasedRevision = answer.Revision, answer.Revision
+		t.view.revision, t.view.leasedRevision = revision, revision
 		return nil
 	}
 	packed, err := unpackItems(answer.Packed)
@@ -193,7 +195,7 @@
 		if err != nil {
 			return err
 		}
-		byKey[i.Key] = store.Item{Key: i.Key, Value: value, Revision: i.Revision}
+		byKey[i.Key] = store.Item{Key: i.Key, Value: value, Revision: store.Revision(i.Revision)}
 	}
 	for _, key := range answer.Removed {
 		delete(byKey, key)
@@ -204,7 +206,7 @@
 		removed = t.view.missingFrom(written)
 	}
 	clear(t.lapsed)
-	t.publish(written, removed, answer.Revision, answer.Revision, now, now)
+	t.publish(written, removed, revision, revision, now, now)
 	return nil
 }
 
--- a/internal/vm/follow_test.go
+++ b/internal/vm/follow_test.go
@@ -95,7 +95,7 @@
 		hub.watching = true
 		// The age of the view is not what is tested, and the test may stand still for seconds.
 		follower.maxHubViewAge = time.Hour
-		items, revision := map[string]store.Item{}, int64(0)
+		items, revision := map[string]store.Item{}, store.Revision(0)
 		in := &peerpb.FollowRequest{}
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			for range rapid.IntRange(0, 3).Draw(t, "writes") {
@@ -256,7 +256,7 @@
 }
 
 // publishItems publishes a view with the items, which are by key.
-func (t *tracker) publishItems(items map[string]store.Item, revision int64) {
+func (t *tracker) publishItems(items map[string]store.Item, revision store.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	written := slices.Collect(maps.Values(items))
@@ -276,7 +276,7 @@
 		hub.publishItems(items, 1)
 		follower.publishItems(items, 1)
 		in := &peerpb.FollowRequest{Incarnation: 7, Change: hub.changes.number}
-		revision := int64(1)
+		revision := store.Revision(1)
 		return testing.AllocsPerRun(50, func() {
 			revision++
 			hub.applyEvents(store.Events{Revision: revision, Events: []store.Event{{Item: store.Item{Key: "servers/5", Revision: revision}}}}, time.Now())
@@ -325,7 +325,7 @@
 	for i := range 2000 {
 		key := fmt.Sprintf("servers/i-%08x", i*7919)
 		value := fmt.Sprintf(`{"service":"engine","address":"10.0.%d.%d:8080","zone":"zone-%d","version":"v1","slots":64,"state":"ready","models":[{"name":"model-%d","version":1,"adapters":["a%d"]}]}`, i/250, i%250, i%6, i%224, i%40)
-		items[key] = store.Item{Key: key, Value: []byte(value), Revision: int64(i + 1)}
+		items[key] = store.Item{Key: key, Value: []byte(value), Revision: store.Revision(i + 1)}
 		plain += len(key) + len(value)
 	}
 	hub.publishItems(items, 2000)
@@ -342,7 +342,7 @@
 		_, err = follower.applyHubView(answer, time.Now())
 		require.NoError(t, err)
 		require.Equal(t, hub.view, follower.view)
-		hub.applyEvents(store.Events{Revision: int64(2001 + vm), Events: []store.Event{{Item: store.Item{Key: "servers/i-00000000", Revision: int64(2001 + vm)}}}}, time.Now())
+		hub.applyEvents(store.Events{Revision: store.Revision(2001 + vm), Events: []store.Event{{Item: store.Item{Key: "servers/i-00000000", Revision: store.Revision(2001 + vm)}}}}, time.Now())
 	}
 	_, err := unpackItems([]byte("no frame"))
 	require.ErrorIs(t, err, ErrPacked)
@@ -355,9 +355,9 @@
 	hub.publishItems(map[string]store.Item{"a": {Key: "a", Revision: 1}}, 1)
 	in, changed := &peerpb.FollowRequest{Incarnation: 7, Change: hub.changes.number, ReadsPacked: true}, store.Events{Revision: 90}
 	large := bytes.Repeat([]byte("x"), patch.MinBytes)
-	for i := range int64(80) {
-		value := bytes.Repeat([]byte(fmt.Sprint("model-", i%9)), 20)
-		changed.Events = append(changed.Events, store.Event{Item: store.Item{Key: fmt.Sprint("servers/", i), Value: value, Revision: 10 + i}})
+	for i := range store.Revision(80) {
+		value := bytes.Repeat([]byte(fmt.Sprint("model-", int(i%9))), 20)
+		changed.Events = append(changed.Events, store.Event{Item: store.Item{Key: fmt.Sprint("servers/", int(i)), Value: value, Revision: 10 + i}})
 	}
 	changed.Events = append(changed.Events, store.Event{Item: store.Item{Key: "op/config", Value: large, Revision: 90}})
 	hub.applyEvents(changed, time.Now())
--- a/internal/vm/instances.go
+++ b/internal/vm/instances.go
@@ -16,17 +16,48 @@
 type instanceEntries struct {
 	parse func(store.Item) (*upstream.Instance, error)
 	byID  map[string]instanceEntry
+	// firstOfEra is the revision of the first view in the present era. An entry up to it may be one that the store has
+	// from a copy, whose instance is gone. Such an entry ends within copyLifetime.
+	firstOfEra   store.Revision
+	copyLifetime time.Duration
 }
 
-// instanceEntry is one revision of an entry; instance is nil if the entry cannot be parsed.
+// instanceEntry is one revision of an entry; instance is nil if the entry cannot be parsed. readAt is when this VM has
+// first read it.
 type instanceEntry struct {
-	revision    int64
+	revision    store.Revision
+	readAt      time.Time
 	instance    *upstream.Instance
 	incarnation string
 }
 
-func newInstanceEntries(parse func(store.Item) (*upstream.Instance, error)) *instanceEntries {
-	return &instanceEntries{parse: parse, byID: make(map[string]instanceEntry)}
+const (
+	// copyHeartbeats is the number of heartbeats within which an entry ends whose instance does not write: three of
+	// silence, and one more for the way here.
+	copyHeartbeats = 4
+	// defaultHeartbeat applies if the platform names no interval of heartbeats.
+	defaultHeartbeat = 1200 * time.Millisecond
+)
+
+func newInstanceEntries(parse func(store.Item) (*upstream.Instance, error), heartbeat time.Duration) *instanceEntries {
+	if heartbeat == 0 {
+		heartbeat = defaultHeartbeat
+	}
+	return &instanceEntries{parse: parse, byID: make(map[string]instanceEntry), copyLifetime: copyHeartbeats * heartbeat}
+}
+
+// recordEra notes the revision of a view. It has to be called before the view's entries are read.
+func (e *instanceEntries) recordEra(revision store.Revision) {
+	if e.firstOfEra == 0 || revision.Era() > e.firstOfEra.Era() {
+		e.firstOfEra = revision
+	}
+}
+
+// isWritten reports whether the instance of an entry is known to have kept it up in the present era, so that it is not
+// what the store has from a copy.
+func (e *instanceEntries) isWritten(id string, now time.Time) bool {
+	entry := e.byID[id]
+	return entry.revision > e.firstOfEra || now.Sub(entry.readAt) >= e.copyLifetime
 }
 
 // update parses the entries that have changed and drops those that are gone. It returns the IDs of
@@ -54,8 +85,8 @@
 }
 
 // revisionsOf returns the revisions of the entries with the given keys, by instance ID.
-func (e *instanceEntries) revisionsOf(keys []string) map[string]int64 {
-	out := make(map[string]int64)
+func (e *instanceEntries) revisionsOf(keys []string) map[string]store.Revision {
+	out := make(map[string]store.Revision)
 	for _, key := range keys {
 		if id, ok := platform.InstanceID(key); ok {
 			out[id] = e.byID[id].revision
@@ -65,7 +96,7 @@
 }
 
 func (e *instanceEntries) read(item store.Item, now time.Time) (instanceEntry, error) {
-	entry := instanceEntry{revision: item.Revision}
+	entry := instanceEntry{revision: item.Revision, readAt: now}
 	i, err := e.parse(item)
 	if err != nil {
 		return entry, err
@@ -86,6 +117,7 @@
 	now := time.Now()
 	storeFailed := p.tracker.outageWithin(now, immediateReturnTime)
 	removed := p.entries.revisionsOf(d.removed)
+	p.entries.recordEra(v.revision)
 	ids, unreadable := p.entries.update(v.items, d, now)
 	for _, err := range unreadable {
 		p.log.Debug().Str("event", "instance_unreadable").AnErr("cause", err).Send()
@@ -99,8 +131,8 @@
 	previous := *p.instances.Load()
 	changes := make(map[string]*upstream.Instance)
 	for _, id := range slices.Compact(ids) {
-		next := p.currentInstance(id, v.revision, storeFailed, now)
 		old := previous[id]
+		next := p.currentInstance(id, old, v.revision, storeFailed, now)
 		if old != nil && (next == nil || !next.SameIncarnation(old)) {
 			p.recordGone(old, removed[id], max(v.leasedRevision, p.entries.byID[id].revision), now)
 		}
@@ -119,16 +151,21 @@
 }
 
 // currentInstance returns an instance as its entry, its departure and the evacuations tell, nil if it
-// has no readable entry. It must be called with instancesMu held.
-func (p *Process) currentInstance(id string, revision int64, storeFailed bool, now time.Time) *upstream.Instance {
+// has no readable entry. known is the instance as it is used. It must be called with instancesMu held.
+func (p *Process) currentInstance(id string, known *upstream.Instance, revision store.Revision, storeFailed bool, now time.Time) *upstream.Instance {
 	entry := p.entries.byID[id]
 	i := entry.instance
 	if i == nil {
 		return nil
 	}
+	written := p.entries.isWritten(id, now)
+	if known != nil && i.Incarnation < known.Incarnation && !written {
+		// The store has an earlier incarnation from a copy, and the one that is known writes its entry again.
+		return p.evacuations.apply(known)
+	}
 	if i.Draining {
 		p.recordDeparture(entry.incarnation, true, revision, now, sourceEntry)
-	} else if p.departures.excluded(entry.incarnation, entry.revision, storeFailed) {
+	} else if p.departures.excluded(entry.incarnation, entry.revision, storeFailed, written) {
 		i = asDraining(i)
 	}
 	return p.evacuations.apply(i)
@@ -136,7 +173,7 @@
 
 // recordGone records that an instance, whose entry was last written at a revision, is no longer in the
 // view, which is that of a later revision. An earlier one is the view of a hub that has not seen the entry yet.
-func (p *Process) recordGone(old *upstream.Instance, written, revision int64, now time.Time) {
+func (p *Process) recordGone(old *upstream.Instance, written, revision store.Revision, now time.Time) {
 	if written <= revision {
 		p.recordDeparture(old.IncarnationID(), false, revision, now, sourceRemoval)
 	}
@@ -248,13 +285,13 @@
 )
 
 // recordDeparture records a departure, and logs it if it is new.
-func (p *Process) recordDeparture(incarnation string, draining bool, revision int64, lastKnown time.Time, source departureSource) {
+func (p *Process) recordDeparture(incarnation string, draining bool, revision store.Revision, lastKnown time.Time, source departureSource) {
 	if !p.departures.record(incarnation, draining, revision, lastKnown) {
 		return
 	}
 	p.incrementCounter("departures." + string(source))
 	p.log.Info().Str("event", "departure").Str("instance", instanceOf(incarnation)).Str("incarnation", incarnation).Bool("draining", draining).
-		Str("source", string(source)).Int64("revision", revision).Dur("known_ms", time.Since(lastKnown)).Send()
+		Str("source", string(source)).Stringer("revision", revision).Dur("known_ms", time.Since(lastKnown)).Send()
 }
 
 // asDraining returns a copy of an instance that is marked as draining.
--- a/internal/vm/instances_test.go
+++ b/internal/vm/instances_test.go
@@ -21,7 +21,7 @@
 	e := newInstanceEntries(func(item store.Item) (*upstream.Instance, error) {
 		parses++
 		return platform.Instance(item, nil)
-	})
+	}, time.Second)
 	items := make(map[string]store.Item)
 	for _, id := range []string{"e1", "e2", "e3"} {
 		items[platform.InstancePrefix+id] = store.Item{
--- a/internal/vm/large_configuration_test.go
+++ b/internal/vm/large_configuration_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/platform"
 )
 
@@ -105,7 +106,10 @@
 	c.waitConfigurationEverywhere()
 	for _, v := range c.vms {
 		// A VM may have it from another VM before its own view of the store has it.
-		c.eventually(func() bool { return v.tracker.holds(platform.ConfigurationKey, v.configuration().Revision) })
+		c.eventually(func() bool {
+			held, _ := v.configuration()
+			return v.tracker.holds(platform.ConfigurationKey, held.Revision)
+		})
 	}
 	before := make([]int64, len(links))
 	for i, l := range links {
@@ -148,7 +152,7 @@
 }
 
 // holds reports whether the view has a key at a revision.
-func (t *tracker) holds(key string, revision int64) bool {
+func (t *tracker) holds(key string, revision store.Revision) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.view.items[key].Revision == revision
--- a/internal/vm/peer_departures.go
+++ b/internal/vm/peer_departures.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/internal/upstream"
 )
 
@@ -38,10 +39,10 @@
 	known := *p.instances.Load()
 	changes := make(map[string]*upstream.Instance)
 	for _, t := range told {
-		if t == nil || p.knowsLaterEntry(t) {
+		if t == nil || p.knowsLaterEntry(t, now) {
 			continue
 		}
-		p.recordDeparture(t.Incarnation, t.Draining, t.Revision, now.Add(-time.Duration(t.UnknownMs)*time.Millisecond), sourceReport)
+		p.recordDeparture(t.Incarnation, t.Draining, store.Revision(t.Revision), now.Add(-time.Duration(t.UnknownMs)*time.Millisecond), sourceReport)
 		i := known[instanceOf(t.Incarnation)]
 		if i != nil && !i.Draining && i.IncarnationID() == t.Incarnation {
 			changes[i.ID] = asDraining(i)
@@ -52,7 +53,11 @@
 
 // knowsLaterEntry reports whether this VM has an entry that was written after an incarnation was seen
 // gone: the incarnation has returned. It must be called with instancesMu held.
-func (p *Process) knowsLaterEntry(t *peerpb.Departure) bool {
-	entry := p.entries.byID[instanceOf(t.Incarnation)]
-	return !t.Draining && entry.incarnation == t.Incarnation && entry.revision > t.Revision
+func (p *Process) knowsLaterEntry(t *peerpb.Departure, now time.Time) bool {
+	id, revision := instanceOf(t.Incarnation), store.Revision(t.Revision)
+	entry := p.entries.byID[id]
+	if t.Draining || entry.incarnation != t.Incarnation || entry.revision <= revision {
+		return false
+	}
+	return entry.revision.Era() == revision.Era() || p.entries.isWritten(id, now)
 }
--- a/internal/vm/peer_departures_test.go
+++ b/internal/vm/peer_departures_test.go
@@ -39,7 +39,7 @@
 }
 
 // entryAt returns a replica's entry as the store holds it after a write at a revision.
-func (c *cluster) entryAt(r *standin.Replica, state string, revision int64) store.Item {
+func (c *cluster) entryAt(r *standin.Replica, state string, revision store.Revision) store.Item {
 	value, err := json.Marshal(r.Entry("clerk", c.servers[r.ID].Listener.Addr().String(), "a", state))
 	require.NoError(c.t, err)
 	return store.Item{Key: "servers/" + r.ID, Value: value, Revision: revision}
@@ -50,7 +50,7 @@
 	r := standin.NewReplica("clerk-1", 0)
 	c := newCluster(t, r)
 	p := c.start("a").idle(t)
-	revision := int64(1000)
+	revision := store.Revision(1000)
 	write := func(state string) store.Event {
 		revision++
 		return store.Event{Item: c.entryAt(r, state, revision)}
@@ -123,7 +123,7 @@
 	started, left := standin.NewReplica("clerk-1", 0), standin.NewReplica("clerk-2", 0)
 	c := newCluster(t, started, left)
 	p := c.start("a").idle(t)
-	read := func(leasedRevision int64, items ...store.Item) {
+	read := func(leasedRevision store.Revision, items ...store.Item) {
 		p.tracker.mu.Lock()
 		defer p.tracker.mu.Unlock()
 		p.tracker.replaceView(items, 40, leasedRevision, time.Now())
@@ -131,7 +131,7 @@
 	follow := func(revision int64, items ...store.Item) {
 		answer := &peerpb.FollowResponse{Whole: true, Revision: revision, FailedMs: 0}
 		for _, i := range items {
-			answer.Items = append(answer.Items, &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision})
+			answer.Items = append(answer.Items, &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: int64(i.Revision)})
 		}
 		_, err := p.tracker.applyHubView(answer, time.Now())
 		require.NoError(t, err)
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -93,8 +93,10 @@
 	// that the store refuses.
 	config           store.Item
 	configurationLag configurationLag
-	// olderConfiguration is the revision of the last configuration that was older than the one in force.
-	olderConfiguration int64
+	// configVersion is the operator's version of config. rejectedConfiguration is the revision of the last
+	// configuration that was not put in force.
+	configVersion         int64
+	rejectedConfiguration store.Revision
 }
 
 // New returns a process built from its settings, without the parts that are disabled.
@@ -103,10 +105,12 @@
 		settings: s, log: log, disabled: disabled, metrics: metrics.NewRegistry(), departures: newDepartures(),
 		entries: newInstanceEntries(func(item store.Item) (*upstream.Instance, error) {
 			return platform.Instance(item, s.Regions)
-		}),
+		}, s.Heartbeat),
 		evacuations: newEvacuations(s.Bounds), drainingInstances: make(map[string]bool),
 	}
-	p.store = platform.NewStore(s.Store.Address, p.countStoreCall)
+	client := platform.NewStore(s.Store.Address, p.countStoreCall)
+	client.OnEra = p.recordEra
+	p.store = client
 	p.replicas = platform.NewReplicasWithBuffers(p.socketBuffer())
 	p.assigner = assign.New()
 	if !p.enabled(PartReportedLoad) {
@@ -136,7 +140,7 @@
 	p.tracker.departed, p.tracker.onSuperseded = p.hasDeparted, p.recordSuperseded
 	p.candidate = leadership.New(leadership.Options{
 		Store: p.store, VM: s.VM, Prefix: projectPrefix, LeaseMin: s.Store.LeaseMin,
-		TakeoverDelay: s.Bounds.OrderLease, Clock: clock.Boot(), Log: log,
+		TakeoverDelay: s.Bounds.OrderLease, Restart: s.Restart, Clock: clock.Boot(), Log: log,
 		Eligible: func() bool { return p.fleet.eligibleToLead() || p.tracker.allHubsFailed() },
 		Unfit:    p.unfitToLead,
 	})
@@ -155,7 +159,7 @@
 	p.core = traffic.New(traffic.Options{
 		Upstreams: p.replicas, Assigner: p.assigner, Limiter: p.limiter,
 		Budget:   p.budget,
-		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, EnsureModel: p.ensureModel, Permit: p.fleet.permit, TakePlace: p.fleet.places.request, ReleasePlace: p.fleet.places.release, RecordLeaving: p.recordLeaving, ShareSlowdown: p.fleet.slowdowns.share, UpstreamsAge: p.tracker.viewAge, UpstreamsRevision: p.tracker.viewRevision, AwaitUpstreams: p.stalls.awaitNews,
+		Instance: p.instance, VMs: p.fleet.size, EnsureAdapter: p.ensureAdapter, EnsureModel: p.ensureModel, Permit: p.fleet.permit, TakePlace: p.fleet.places.request, ReleasePlace: p.fleet.places.release, RecordLeaving: p.recordLeaving, ShareSlowdown: p.fleet.slowdowns.share, UpstreamsAge: p.tracker.viewAge, UpstreamsRevision: func() string { return p.tracker.viewRevision().String() }, AwaitUpstreams: p.stalls.awaitNews,
 		Admission: p.admission, Reach: p.reach, Forward: p.fleet.forward, Quarantine: p.quarantine, Liveness: p.replicas.Liveness, MayTry: p.leads, ShareEnds: p.fleet.ends.share,
 		Origins: p.origins, ShareOrigin: p.fleet.origins.share, AskOrigin: p.fleet.askOrigin, OnlyVersion: p.onlyVersion,
 		Answers:  p.answers,
@@ -328,8 +332,18 @@
 	return out, nil
 }
 
+// recordEra records that the store has begun an era, which other VMs may be the first to hear of. What this VM has written
+// under leases may be gone.
+func (p *Process) recordEra(before, now store.Era) {
+	p.log.Info().Str("event", "store_era").Int64("era", int64(now)).Int64("before", int64(before)).Send()
+	if before != 0 {
+		p.fleet.checkRegistration()
+	}
+}
+
 // applyView applies a newer view of the store and its difference from the one before.
 func (p *Process) applyView(v view, d viewDelta) {
+	p.store.RaiseEra(v.revision.Era())
 	p.applyProjectKeys(v, d)
 	evacuations := p.updateEvacuations(v, d)
 	p.setInstances(v, d, !evacuations.isEmpty())
@@ -347,7 +361,7 @@
 func (p *Process) applyProjectKeys(v view, d viewDelta) {
 	// Called for every view: a candidate that has lost its lease stands for election again
 	// only once it has seen a further view.
-	p.candidate.Observe(v.items)
+	p.candidate.Observe(v.items, v.revision.Era())
 	if p.viewReceived.Load() && !d.touches(projectPrefix) {
 		return
 	}
--- a/internal/vm/read_view.go
+++ b/internal/vm/read_view.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/platform"
 )
@@ -79,6 +81,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if listing.Revision.Era() < t.view.revision.Era() {
+		return errors.Wrapf(store.ErrRestored, "listing of revision %v after revision %v", listing.Revision, t.view.revision)
+	}
 	t.replaceView(listing.Items, listing.Revision, listing.Revision, began)
 	return nil
 }
@@ -90,12 +95,16 @@
 func (t *tracker) listLeased(ctx context.Context) error {
 	began := time.Now()
 	var items []store.Item
-	revision := int64(math.MaxInt64)
+	revision := store.Revision(math.MaxInt64)
 	for _, prefix := range leasedPrefixes {
 		listing, err := t.store.Range(ctx, prefix)
 		if err != nil {
 			return err
 		}
+		if listing.Revision.Era() != t.viewRevision().Era() {
+			// The changes of the other keys since the view's revision cannot be had any more.
+			return t.listAll(ctx)
+		}
 		items = append(items, listing.Items...)
 		revision = min(revision, listing.Revision)
 	}
--- /dev/null
+++ b/internal/vm/registration.go
@@ -0,0 +1,106 @@
+package vm
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutarch/chestnutarch/internal/store"
+)
+
+// This file holds how a VM keeps its registration in the store.
+
+// register keeps this VM's registration in the store until ctx ends, then revokes it.
+func (f *fleet) register(ctx context.Context) error {
+	value, err := json.Marshal(registration{
+		Incarnation: f.incarnation, Callers: f.process.settings.Callers, Peers: f.process.peerAddress(), Domain: f.process.settings.FailureDomain,
+		LinkMbps: f.process.settings.LinkMbps,
+	})
+	if err != nil {
+		return errors.Wrap(err, "vm: encode the registration")
+	}
+	var lease store.LeaseID
+	for failures := 0; ctx.Err() == nil; {
+		var kept bool
+		if lease, kept = f.keepRegistration(ctx, value, lease); !kept {
+			sleep(ctx, f.process.tracker.retryAfter(failures))
+			failures++
+			continue
+		}
+		failures = 0
+		f.awaitRenewal(ctx)
+	}
+	if !lease.IsZero() {
+		_ = f.process.store.Revoke(context.WithoutCancel(ctx), lease)
+	}
+	return nil
+}
+
+// checkRegistration has the registration renewed at once.
+func (f *fleet) checkRegistration() {
+	select {
+	case f.registrationSignal <- struct{}{}:
+	default:
+	}
+}
+
+// awaitRenewal returns when the registration has to be renewed, or ctx has ended.
+func (f *fleet) awaitRenewal(ctx context.Context) {
+	timer := time.NewTimer(renewInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.registrationSignal:
+	}
+}
+
+// keepRegistration renews the registration under a lease, or creates it if there is none any more. It returns the
+// lease, and false if there is none in the present era: a renewal that fails otherwise has time until the next one.
+func (f *fleet) keepRegistration(ctx context.Context, value []byte, lease store.LeaseID) (store.LeaseID, bool) {
+	err := error(store.ErrLeaseEnded)
+	if !lease.IsZero() {
+		err = f.process.store.Renew(ctx, lease)
+	}
+	if errors.Is(err, store.ErrRestored) {
+		lease, err = f.findRegistration(ctx, value, lease)
+	}
+	if errors.Is(err, store.ErrLeaseEnded) {
+		lease, _ = f.createRegistration(ctx, value)
+	}
+	return lease, !lease.IsZero() && lease.Era >= f.process.store.Era()
+}
+
+// findRegistration looks for the registration after the store came back from a copy, and returns the lease to which it is
+// bound. If the copy lacks it, the error is store.ErrLeaseEnded, wrapped: the ID of the lease may be given to another VM.
+func (f *fleet) findRegistration(ctx context.Context, value []byte, lease store.LeaseID) (store.LeaseID, error) {
+	key := f.registrationKey()
+	listing, err := f.process.store.Range(ctx, key)
+	if err != nil {
+		return lease, err
+	}
+	for _, item := range listing.Items {
+		if item.Key == key && item.Lease.ID == lease.ID && bytes.Equal(item.Value, value) {
+			return item.Lease, nil
+		}
+	}
+	return store.LeaseID{}, errors.Wrap(store.ErrLeaseEnded, "find the registration")
+}
+
+// createRegistration writes the registration under a new lease.
+func (f *fleet) createRegistration(ctx context.Context, value []byte) (store.LeaseID, error) {
+	lease, _, err := f.process.store.Grant(ctx, max(registrationLease, f.process.settings.Store.LeaseMin))
+	if err != nil {
+		return store.LeaseID{}, err
+	}
+	_, err = f.process.store.Commit(ctx, store.Change{Puts: []store.Put{{Key: f.registrationKey(), Value: value, Lease: lease}}})
+	if err != nil {
+		return store.LeaseID{}, err
+	}
+	return lease, nil
+}
+
+func (f *fleet) registrationKey() string { return vmPrefix + f.process.settings.VM }
--- a/internal/vm/removal_test.go
+++ b/internal/vm/removal_test.go
@@ -29,7 +29,7 @@
 	p, leaving, other := newRemovalFixture(t)
 	answer := &peerpb.FollowResponse{Whole: true, Revision: 20, FailedMs: 0}
 	for _, i := range []store.Item{leaving, other} {
-		answer.Items = append(answer.Items, &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision})
+		answer.Items = append(answer.Items, &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: int64(i.Revision)})
 	}
 	_, err := p.tracker.applyHubView(answer, time.Now())
 	require.NoError(t, err)
--- a/internal/vm/reports.go
+++ b/internal/vm/reports.go
@@ -6,6 +6,7 @@
 
 	"github.com/chestnutarch/chestnutarch/internal/aggregate"
 	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/internal/teamrate"
 	"github.com/chestnutarch/chestnutarch/internal/topology"
 	"github.com/chestnutarch/chestnutarch/internal/upstreamrate"
@@ -14,12 +15,15 @@
 // buildReport returns this VM's report to another VM.
 func (f *fleet) buildReport(receiver string) *peerpb.VMReport {
 	leads := f.process.leads()
+	_, configuration := f.process.configuration()
 	out := &peerpb.VMReport{
 		Vm: f.process.settings.VM, Incarnation: f.incarnation, Sequence: f.sequence.Add(1),
 		CallerAddress: f.process.settings.Callers, PeerAddress: f.process.peerAddress(), Ready: f.process.ready(), Leads: leads,
-		ConfigurationRevision: f.process.configuration().Revision, ViewRevision: f.process.tracker.viewRevision(),
+		ConfigurationRevision: int64(configuration.revision), ConfigurationVersion: configuration.version,
+		ViewRevision: int64(f.process.tracker.viewRevision()),
 	}
-	out.Evacuated, out.EvacuatedRevision = f.process.evacuations.current()
+	evacuated, evacuatedRevision := f.process.evacuations.current()
+	out.Evacuated, out.EvacuatedRevision = evacuated, int64(evacuatedRevision)
 	out.Unreachable = f.process.unreachable()
 	out.Ends = endsToProto(f.process.quarantine.Suspects(time.Now()), time.Now())
 	limits := f.process.assigner.RateLimits()
@@ -141,11 +145,23 @@
 		f.ends.shareWith([]string{address}, lacking)
 	}
 	f.applyRateLimits(r.RateLimits, r.Vm)
-	f.process.configurationLag.recordPeerRevision(r.ConfigurationRevision, now)
-	// A VM that follows a hub gets the same configuration in the hub's next answer.
-	if r.ConfigurationRevision > f.process.configuration().Revision && !f.process.tracker.followsHub() {
-		go f.fetchConfiguration(context.WithoutCancel(ctx), address)
+	f.process.store.RaiseEra(store.Revision(r.ViewRevision).Era())
+	f.applyConfigurationOrder(ctx, configurationOrder{r.ConfigurationVersion, store.Revision(r.ConfigurationRevision)}, address, now)
+}
+
+// applyConfigurationOrder fetches the configuration that another VM reports to have in force, if it is newer. A VM that
+// follows a hub gets the same configuration in the hub's next answer, unless a store that came back from a copy does not
+// have it yet.
+func (f *fleet) applyConfigurationOrder(ctx context.Context, reported configurationOrder, address string, now time.Time) {
+	f.process.configurationLag.recordPeer(reported, now)
+	_, own := f.process.configuration()
+	if !reported.newerThan(own) {
+		return
+	}
+	if f.process.tracker.followsHub() && reported.revision.Era() >= f.process.store.Era() {
+		return
 	}
+	go f.fetchConfiguration(context.WithoutCancel(ctx), address)
 }
 
 // acceptReport reports whether the counters and loads of a report may be applied, and if so
--- a/internal/vm/reports_test.go
+++ b/internal/vm/reports_test.go
@@ -154,7 +154,7 @@
 func TestVMListedOnceByHubStaysListed(t *testing.T) {
 	v := idleVM(t)
 	entry := func(incarnation int) store.Item {
-		return store.Item{Revision: int64(incarnation), Value: fmt.Appendf(nil,
+		return store.Item{Revision: store.Revision(incarnation), Value: fmt.Appendf(nil,
 			`{"incarnation":%d,"callers":"10.0.0.9:%d","peers":"127.0.0.1:2","domain":"a"}`, incarnation, incarnation)}
 	}
 	f := v.fleet
--- a/internal/vm/restored_store_test.go
+++ b/internal/vm/restored_store_test.go
@@ -88,3 +88,89 @@
 	c.eventually(func() bool { return c.vms[0].instance("clerk-1").Draining })
 	require.Equal(t, c.version, int(c.vms[0].core.Catalog().Version))
 }
+
+// Guards against a VM that follows a copy back to an older configuration, and one that starts from it.
+func TestConfigurationsDoNotGoBackToTheCopysOne(t *testing.T) {
+	c := newCluster(t, &standin.Replica{ID: "clerk-1"})
+	c.start("vm-1")
+	c.start("vm-2")
+	from := c.store.Copy()
+	c.configure(nil)
+	c.eventually(c.inForce)
+	c.restoreStore(from, nil)
+	c.eventually(func() bool {
+		return c.vms[0].tracker.viewRevision().Era() == 2 && c.vms[1].tracker.viewRevision().Era() == 2
+	})
+	c.start("vm-3")
+	c.eventually(c.inForce)
+	c.version--
+	c.configure(nil)
+	for range 20 {
+		require.True(t, c.inForce(), c.versions())
+		time.Sleep(minWatchPause / 10)
+	}
+}
+
+// Guards against restored entries of upstreams that have left, and against lost ones of upstreams that live.
+func TestUpstreamsAfterTheStoreCameBackFromACopy(t *testing.T) {
+	stays, left, back, came := standin.NewReplica("clerk-1", 0), standin.NewReplica("clerk-2", 0), standin.NewReplica("clerk-3", 0), standin.NewReplica("clerk-4", 0)
+	c := newCluster(t, stays, left, back)
+	for _, vm := range []string{"vm-1", "vm-2", "vm-3"} {
+		c.start(vm)
+	}
+	from := c.store.Copy()
+	c.store.Delete("servers/clerk-2")
+	c.store.Delete("servers/clerk-3")
+	c.add(came)
+	c.advanceStore(40)
+	each := func(holds func(*testVM) bool) func() bool {
+		return func() bool {
+			for _, v := range c.vms {
+				if !holds(v) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	c.eventually(each(func(v *testVM) bool {
+		return v.instance("clerk-2") == nil && v.instance("clerk-3") == nil && v.instance("clerk-4") != nil
+	}))
+	ran, cameRan := len(left.Runs()), 0
+	c.restoreStore(from, nil)
+	c.eventually(each(func(v *testVM) bool { return v.tracker.viewRevision().Era() == 2 }))
+	require.True(t, each(func(v *testVM) bool { return v.instance("clerk-4") != nil })(), "an upstream that the copy lacks is kept for a while")
+	cameRan = len(came.Runs())
+	c.setReplicaState("clerk-3", "ready")
+	c.setReplicaState("clerk-4", "ready")
+	c.eventually(each(func(v *testVM) bool { i := v.instance("clerk-3"); return i != nil && !i.Draining }))
+	for _, v := range c.vms {
+		c.countLooks(v, 30)
+	}
+	require.Equal(t, ran, len(left.Runs()), "an upstream that has left got requests")
+	require.NotEmpty(t, back.Runs(), "an upstream that came again got none")
+	require.Greater(t, len(came.Runs()), cameRan)
+	c.setReplicaState("clerk-1", "draining")
+	c.eventually(each(func(v *testVM) bool { return v.instance("clerk-1").Draining }))
+}
+
+// Guards against an earlier incarnation that the copy has under the ID of one that runs.
+func TestEarlierIncarnationOfTheCopyIsNotUsed(t *testing.T) {
+	r := standin.NewReplica("clerk-1", 0)
+	c := newCluster(t, r)
+	v := c.start("vm-1")
+	entry := func(incarnation int64) map[string]any {
+		return map[string]any{"service": "clerk", "address": c.servers["clerk-1"].Listener.Addr().String(), "zone": "a", "slots": 8, "state": "ready", "born": incarnation}
+	}
+	c.store.Put("servers/clerk-1", entry(10))
+	from := c.store.Copy()
+	c.store.Put("servers/clerk-1", entry(20))
+	c.eventually(func() bool { return v.instance("clerk-1").Incarnation == 20 })
+	c.restoreStore(from, nil)
+	c.eventually(func() bool { return v.tracker.viewRevision().Era() == 2 })
+	require.Equal(t, int64(20), v.instance("clerk-1").Incarnation)
+	require.False(t, v.instance("clerk-1").Draining)
+	c.store.Put("servers/clerk-1", entry(20))
+	c.advanceStore(1)
+	c.eventually(func() bool { return v.instance("clerk-1").Incarnation == 20 && !v.instance("clerk-1").Draining })
+}
--- a/internal/vm/serve_view.go
+++ b/internal/vm/serve_view.go
@@ -36,7 +36,7 @@
 		out.Packed, items = t.deltas.pack(since, out.Change, items)
 	}
 	for _, item := range items {
-		out.Items = append(out.Items, t.values.itemFor(item, in.Held[item.Key]))
+		out.Items = append(out.Items, t.values.itemFor(item, store.Revision(in.Held[item.Key])))
 	}
 	return out, nil
 }
@@ -79,7 +79,7 @@
 		return nil, nil, errors.WithStack(ErrNotWatching)
 	}
 	out := &peerpb.FollowResponse{
-		Incarnation: incarnation, Change: t.changes.number, Revision: t.view.revision,
+		Incarnation: incarnation, Change: t.changes.number, Revision: int64(t.view.revision),
 		AgeMs: time.Since(t.completeAt).Milliseconds(), FailedMs: -1,
 	}
 	if end := t.outageEnd(); !end.IsZero() {
--- a/internal/vm/snapshot.go
+++ b/internal/vm/snapshot.go
@@ -100,7 +100,7 @@
 func packItems(items []store.Item) ([]byte, error) {
 	plain := &peerpb.FollowResponse{Items: make([]*peerpb.StoreItem, 0, len(items))}
 	for _, i := range items {
-		plain.Items = append(plain.Items, &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision})
+		plain.Items = append(plain.Items, &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: int64(i.Revision)})
 	}
 	encoded, err := proto.Marshal(plain)
 	if err != nil {
--- a/internal/vm/start_test.go
+++ b/internal/vm/start_test.go
@@ -58,7 +58,7 @@
 	})
 	require.NoError(t, f.readFirst(t.Context()))
 	require.Equal(t, 1, s.reads[""])
-	require.Equal(t, int64(3), f.viewRevision())
+	require.Equal(t, store.Revision(3), f.viewRevision())
 }
 
 // VMs of a domain start together, and one of them is faster than its hub.
--- a/internal/vm/tracker.go
+++ b/internal/vm/tracker.go
@@ -168,7 +168,7 @@
 	return min(minRetryPause<<min(failures, 4), max(minRetryPause, 2*t.hubWatchPause))
 }
 
-func (t *tracker) viewRevision() int64 {
+func (t *tracker) viewRevision() store.Revision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.view.revision
@@ -176,8 +176,9 @@
 
 // replaceView replaces the view by the items that were read by calls of which the first one began at a time,
 // those under leases at leasedRevision, and keeps lapsed entries. It must be called with the lock held.
-func (t *tracker) replaceView(items []store.Item, revision, leasedRevision int64, began time.Time) {
+func (t *tracker) replaceView(items []store.Item, revision, leasedRevision store.Revision, began time.Time) {
 	now := time.Now()
+	t.recordEra(revision, now)
 	asOf := t.stalls.asOf(began, now)
 	t.contact.recordComplete(asOf)
 	read := make(map[string]bool, len(items))
@@ -199,6 +200,16 @@
 	t.publish(items, removed, revision, leasedRevision, asOf, now)
 }
 
+// recordEra notes that the view is about to become one of a later era of the store: the copy lacks what was written since
+// it was taken, leases too. It must be called with the lock held.
+func (t *tracker) recordEra(revision store.Revision, now time.Time) {
+	if t.completeAt.IsZero() || revision.Era() <= t.view.revision.Era() {
+		return
+	}
+	t.contact.recordRestore(now)
+	t.log.Warn().Str("event", "store_restored").Stringer("revision", revision).Stringer("before", t.view.revision).Send()
+}
+
 // applyEvents applies the answer to a watch call that began at a time.
 func (t *tracker) applyEvents(events store.Events, began time.Time) {
 	t.mu.Lock()
@@ -239,16 +250,24 @@
 // store, the entry's lease may have ended although the instance lives. It
 // records the key in lapsed, with the time until which the entry is kept. Only entries of instances
 // are kept: what the operator removes takes effect at once, no election starts while the leader's
-// key is in the view, and a VM without a registration stays a member while its reports arrive. It
-// must be called with the lock held.
+// key is in the view, and a VM without a registration stays a member while its reports arrive. Where the
+// store came back from a copy that lacks registrations, these are kept too: without any, no VM would count
+// as a hub. It must be called with the lock held.
 func (t *tracker) keepLapsed(key string, now time.Time) bool {
-	if !strings.HasPrefix(key, platform.InstancePrefix) || (t.departed != nil && t.departed(key)) {
+	until := t.contact.keepUntil()
+	switch {
+	case strings.HasPrefix(key, platform.InstancePrefix):
+		if t.departed != nil && t.departed(key) {
+			return false
+		}
+	case strings.HasPrefix(key, vmPrefix):
+		until = t.contact.keepRestoredUntil()
+	default:
 		return false
 	}
 	if until, ok := t.lapsed[key]; ok {
 		return now.Before(until)
 	}
-	until := t.contact.keepUntil()
 	if !now.Before(until) {
 		return false
 	}
@@ -260,13 +279,13 @@
 // logKept logs that an entry that has disappeared is kept. It must be called with the lock held.
 func (t *tracker) logKept(key string, now, until time.Time) {
 	id, _ := platform.InstanceID(key)
-	t.log.Info().Str("event", "entry_kept").Str("instance", id).Int64("revision", t.view.items[key].Revision).Dur("kept_ms", until.Sub(now)).
+	t.log.Info().Str("event", "entry_kept").Str("instance", id).Stringer("revision", t.view.items[key].Revision).Dur("kept_ms", until.Sub(now)).
 		Dur("failed_ms", now.Sub(t.contact.failedAt)).Dur("age_ms", now.Sub(t.completeAt)).Send()
 }
 
 // publish applies changes to the view, which is complete as of a time, and calls onChange. It also removes the
 // entries that were kept until the time recorded in lapsed. It must be called with the lock held.
-func (t *tracker) publish(written []store.Item, removed []string, revision, leasedRevision int64, asOf, now time.Time) {
+func (t *tracker) publish(written []store.Item, removed []string, revision, leasedRevision store.Revision, asOf, now time.Time) {
 	for key, until := range t.lapsed {
 		if now.After(until) {
 			removed = append(removed, key)
@@ -275,11 +294,11 @@
 	}
 	if t.storeLost {
 		t.storeLost = false
-		t.log.Info().Str("event", "store_regained").Int64("revision", revision).Send()
+		t.log.Info().Str("event", "store_regained").Stringer("revision", revision).Send()
 	}
 	delta := t.view.apply(written, removed)
 	if delta.older > 0 {
-		t.log.Info().Str("event", "items_older").Int("count", delta.older).Int64("revision", revision).Int64("before", t.view.revision).Send()
+		t.log.Info().Str("event", "items_older").Int("count", delta.older).Stringer("revision", revision).Stringer("before", t.view.revision).Send()
 	}
 	t.view.revision, t.view.leasedRevision = revision, leasedRevision
 	t.changes.record(delta)
@@ -300,7 +319,7 @@
 	t.contact.recordFailure(time.Now())
 	if !t.storeLost {
 		t.storeLost = true
-		t.log.Warn().Str("event", "store_lost").AnErr("cause", err).Int64("revision", t.view.revision).
+		t.log.Warn().Str("event", "store_lost").AnErr("cause", err).Stringer("revision", t.view.revision).
 			Dur("age_ms", time.Since(t.completeAt)).Send()
 	}
 }
--- a/internal/vm/value_history.go
+++ b/internal/vm/value_history.go
@@ -19,13 +19,13 @@
 func newValueHistory() valueHistory { return valueHistory{patch.NewHistory()} }
 
 // record adds an item's newest value.
-func (v valueHistory) record(i store.Item) { v.history.Record(i.Key, i.Revision, i.Value) }
+func (v valueHistory) record(i store.Item) { v.history.Record(i.Key, int64(i.Revision), i.Value) }
 
 // itemFor returns an item for a VM that holds its revision held, zero if that VM does not hold
 // the item: as a patch if possible, else with its whole value.
-func (v valueHistory) itemFor(i store.Item, held int64) *peerpb.StoreItem {
-	out := &peerpb.StoreItem{Key: i.Key, Revision: i.Revision}
-	if p, base, ok := v.history.Patch(i.Key, i.Revision, held); ok {
+func (v valueHistory) itemFor(i store.Item, held store.Revision) *peerpb.StoreItem {
+	out := &peerpb.StoreItem{Key: i.Key, Revision: int64(i.Revision)}
+	if p, base, ok := v.history.Patch(i.Key, int64(i.Revision), int64(held)); ok {
 		out.Patch, out.BaseRevision = p, base
 		return out
 	}
@@ -43,8 +43,8 @@
 	if i.BaseRevision == 0 {
 		return patch.Apply(nil, i.Patch)
 	}
-	if i.BaseRevision != held.Revision {
-		return nil, errors.Wrapf(ErrPatchBase, "%s: base revision of the patch is %d, held revision is %d", i.Key, i.BaseRevision, held.Revision)
+	if i.BaseRevision != int64(held.Revision) {
+		return nil, errors.Wrapf(ErrPatchBase, "%s: base revision of the patch is %v, held revision is %v", i.Key, store.Revision(i.BaseRevision), held.Revision)
 	}
 	return patch.Apply(held.Value, i.Patch)
 }
--- a/internal/vm/view.go
+++ b/internal/vm/view.go
@@ -12,7 +12,7 @@
 	items map[string]store.Item
 	// revision is the revision of the store up to which the items contain all changes, leasedRevision the
 	// same for the keys under leases, which are also read by themselves.
-	revision, leasedRevision int64
+	revision, leasedRevision store.Revision
 }
 
 // viewDelta is the difference between two views: the keys that were added or have another revision,
