leadership: an election rests on what was seen before it; the soak restores the store from copies

Cause: read the leader's key anew after the lease was granted, so that a leader that was elected and observed in between became the condition of the election in its place.

Change: step takes the vacancy once, and campaign rests on it. VMs that restart get bootstrap = false, and registrations in a restored store are compared by the process, not by their bytes.

Why it works: the store refuses the election if anything of what was seen has changed.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -196,7 +196,7 @@
 func (c *Candidate) step(ctx context.Context) {
 	c.mu.Lock()
 	c.updateEra()
-	leading, vacant := c.token != 0, c.observed && (!c.hasLeader || c.leadsByCopy())
+	leading, vacancy := c.token != 0, c.vacancy()
 	c.mu.Unlock()
 	unfit := c.options.Unfit != nil && c.options.Unfit()
 	switch {
@@ -204,8 +204,8 @@
 		c.resign(ctx)
 	case leading:
 		c.renew(ctx)
-	case vacant && !unfit && (c.options.Eligible == nil || c.options.Eligible()):
-		c.campaign(ctx)
+	case vacancy != nil && !unfit && (c.options.Eligible == nil || c.options.Eligible()):
+		c.campaign(ctx, *vacancy)
 	}
 }
 
@@ -231,6 +231,25 @@
 	c.token, c.lapseLogged = 0, false
 }
 
+// vacancy is what an election rests on: the revision of the leader's key, zero if there is none, and the last election.
+type vacancy struct {
+	leaderRevision store.Revision
+	last           store.Item
+}
+
+// vacancy returns what an election may rest on, nil if another VM leads or may lead. It must be called with the lock held.
+func (c *Candidate) vacancy() *vacancy {
+	switch {
+	case !c.observed:
+		return nil
+	case !c.hasLeader:
+		return &vacancy{last: c.lastElection}
+	case c.leadsByCopy():
+		return &vacancy{leaderRevision: c.leaderItem.Revision, last: c.lastElection}
+	}
+	return nil
+}
+
 // leadsByCopy reports whether the leader's key is one of an earlier era that this process has written: nobody else can
 // be elected before it ends, and nobody renews its lease. It must be called with the lock held.
 func (c *Candidate) leadsByCopy() bool {
@@ -263,7 +282,9 @@
 	}
 }
 
-func (c *Candidate) campaign(ctx context.Context) {
+// campaign tries to win an election that rests on a vacancy. What is observed meanwhile does not count: the change would be
+// made although another VM has been elected.
+func (c *Candidate) campaign(ctx context.Context, seen vacancy) {
 	sent := c.options.Clock()
 	id, ttl, err := c.options.Store.Grant(ctx, c.ttl)
 	if err != nil {
@@ -273,16 +294,10 @@
 	if err != nil {
 		return
 	}
-	c.mu.Lock()
-	last, leaderRevision := c.lastElection, store.Revision(0)
-	if c.hasLeader {
-		leaderRevision = c.leaderItem.Revision
-	}
-	c.mu.Unlock()
 	revision, err := c.options.Store.Commit(ctx, store.Change{
 		// The takeover delay depends on the last election, so the commit fails if there has
 		// been a later one.
-		Conditions: []store.Condition{{Key: c.leaderKey(), Revision: leaderRevision}, {Key: c.lastKey(), Revision: last.Revision}},
+		Conditions: []store.Condition{{Key: c.leaderKey(), Revision: seen.leaderRevision}, {Key: c.lastKey(), Revision: seen.last.Revision}},
 		Puts: []store.Put{
 			{Key: c.leaderKey(), Value: value, Lease: id},
 			{Key: c.lastKey(), Value: value},
@@ -303,7 +318,7 @@
 	defer c.mu.Unlock()
 	c.updateEra()
 	c.electedAt = c.options.Clock()
-	c.hasPredecessor = c.mayFollowAnother(last)
+	c.hasPredecessor = c.mayFollowAnother(seen.last)
 	c.takeoverDelay = c.takeoverDelayNow()
 	c.token, c.leaseID, c.lastWon = revision, id, revision
 	c.renewedAt, c.validFor = sent, ttl-authorityMargin
@@ -313,7 +328,7 @@
 	default:
 	}
 	c.options.Log.Info().Str("event", "leadership_won").Int64("token", int64(revision)).
-		Str("previous", vmOf(last)).Dur("settle_ms", c.takeoverDelay).Send()
+		Str("previous", vmOf(seen.last)).Dur("settle_ms", c.takeoverDelay).Send()
 }
 
 // mayFollowAnother reports whether another process may have led before an election that follows last. It is not enough
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -24,6 +24,8 @@
 	unavailable bool
 	revoked     int
 	leases      int64
+	// onGrant, unless nil, is called when a lease is granted.
+	onGrant func()
 	// loseCommitReplies makes commits take effect but return store.ErrUnknown.
 	loseCommitReplies bool
 }
@@ -33,6 +35,9 @@
 		return store.LeaseID{}, 0, store.ErrUnknown
 	}
 	f.leases++
+	if f.onGrant != nil {
+		f.onGrant()
+	}
 	return store.LeaseID{Era: f.era, ID: f.leases}, leaseTTL, nil
 }
 
--- a/internal/leadership/restored_test.go
+++ b/internal/leadership/restored_test.go
@@ -117,3 +117,17 @@
 	_, ok := c.Authority()
 	require.False(t, ok)
 }
+
+// Guards against an election in place of a leader that was elected and observed between the look at the store and the vote.
+func TestElectionRestsOnWhatWasSeenBeforeIt(t *testing.T) {
+	s := newStoreWithEras()
+	a, b := newTestCandidate("a", s), newTestCandidate("b", s)
+	s.onGrant = func() {
+		s.onGrant = nil
+		b.observeAndStep()
+		a.Observe(s.items, s.era)
+	}
+	a.observeAndStep()
+	require.True(t, b.HoldsLease())
+	require.False(t, a.HoldsLease())
+}
--- a/internal/vm/registration.go
+++ b/internal/vm/registration.go
@@ -1,7 +1,6 @@
 package vm
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"time"
@@ -66,7 +65,7 @@
 		err = f.process.store.Renew(ctx, lease)
 	}
 	if errors.Is(err, store.ErrRestored) {
-		lease, err = f.findRegistration(ctx, value, lease)
+		lease, err = f.findRegistration(ctx, lease)
 	}
 	if errors.Is(err, store.ErrLeaseEnded) {
 		lease, _ = f.createRegistration(ctx, value)
@@ -76,14 +75,15 @@
 
 // findRegistration looks for the registration after the store came back from a copy, and returns the lease to which it is
 // bound. If the copy lacks it, the error is store.ErrLeaseEnded, wrapped: the ID of the lease may be given to another VM.
-func (f *fleet) findRegistration(ctx context.Context, value []byte, lease store.LeaseID) (store.LeaseID, error) {
+func (f *fleet) findRegistration(ctx context.Context, lease store.LeaseID) (store.LeaseID, error) {
 	key := f.registrationKey()
 	listing, err := f.process.store.Range(ctx, key)
 	if err != nil {
 		return lease, err
 	}
 	for _, item := range listing.Items {
-		if item.Key == key && item.Lease.ID == lease.ID && bytes.Equal(item.Value, value) {
+		var r registration
+		if item.Key == key && item.Lease.ID == lease.ID && json.Unmarshal(item.Value, &r) == nil && r.Incarnation == f.incarnation {
 			return item.Lease, nil
 		}
 	}
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -50,6 +50,8 @@
 func (v *vm) settingsPath() string { return filepath.Join(v.dir, v.Name+".toml") }
 
 func (v *vm) writeSettings() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	return os.WriteFile(v.settingsPath(), []byte(v.Settings()), 0o600)
 }
 
@@ -69,6 +71,7 @@
 		for v.start(log) {
 			err := v.cmd.Wait()
 			v.recordEnd(err)
+			_ = v.writeSettings()
 			time.Sleep(restartDelay)
 		}
 	}()
@@ -97,7 +100,7 @@
 func (v *vm) recordEnd(err error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.paused = false
+	v.paused, v.Restarted = false, true
 	if !v.endExpected {
 		v.unexpectedEnds = append(v.unexpectedEnds, time.Now().Format(time.StampMilli)+": "+exitText(err))
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -28,6 +28,7 @@
 	departures     = flag.Bool("departures", false, "upstreams leave by the store for longer than requests may reach them")
 	versionsMode   = flag.Bool("versions", false, "engines of several software versions, whose streams break at random and are resumed by callers")
 	brittle        = flag.Bool("brittle", false, "instances of the plain service are brittle before many callers")
+	restores       = flag.Bool("restores", false, "the store comes back from copies of earlier moments")
 	stalls         = flag.Bool("stalls", false, "with -departures: all VMs stand still from time to time, in place of a store that turns some away")
 	otherFaults    = flag.Bool("faults", true, "inject the faults that belong to no other flag")
 	storeFaults    = flag.Bool("storefaults", true, "let faults of the whole store be among the faults")
@@ -65,17 +66,20 @@
 // ciSeedEvacuations the one that runs with evacuations, ciSeedRateLimits the one with rate limits,
 // ciSeedPushback the one in which upstreams leave by their answers alone and shed load, ciSeedDepartures
 // the one in which they leave by the store, before a fleet with hubs, ciSeedVersions the one with engines of several
-// versions, ciSeedBrittle the one in which the plain service is brittle.
+// versions, ciSeedBrittle the one in which the plain service is brittle, ciSeedRestores the one in which the store comes
+// back from copies, ciSeedRestoresHubs the one in which that happens to a fleet with hubs.
 var ciSeeds = []uint64{1, 2}
 
 const (
-	ciSeedLarge       = 3
-	ciSeedEvacuations = 4
-	ciSeedRateLimits  = 5
-	ciSeedPushback    = 6
-	ciSeedDepartures  = 7
-	ciSeedVersions    = 8
-	ciSeedBrittle     = 9
+	ciSeedLarge        = 3
+	ciSeedEvacuations  = 4
+	ciSeedRateLimits   = 5
+	ciSeedPushback     = 6
+	ciSeedDepartures   = 7
+	ciSeedVersions     = 8
+	ciSeedBrittle      = 9
+	ciSeedRestores     = 10
+	ciSeedRestoresHubs = 11
 	// largeRoutes is the number of additional routes with which a configuration takes a second
 	// over a narrow link.
 	largeRoutes = 700
@@ -126,7 +130,7 @@
 // unavailable and compacts its history. What callers and replicas observe must keep the promises
 // throughout, and every kind of request must be served after the faults have ended.
 func TestSoak(t *testing.T) {
-	flags := run{faultTime: *faultTime, routes: *extraRoutes, vms: *vmCount, evacuations: *evacuations, rateLimits: *rateLimits, pushback: *pushback, departures: *departures, stalls: *stalls, versions: *versionsMode, brittle: *brittle, noOtherFaults: !*otherFaults, noStoreFaults: !*storeFaults, noRecovery: !*recovery, busy: *busyProcesses, engines: *engineCount, callers: *callerCount}
+	flags := run{faultTime: *faultTime, routes: *extraRoutes, vms: *vmCount, evacuations: *evacuations, rateLimits: *rateLimits, pushback: *pushback, departures: *departures, stalls: *stalls, versions: *versionsMode, brittle: *brittle, restores: *restores, noOtherFaults: !*otherFaults, noStoreFaults: !*storeFaults, noRecovery: !*recovery, busy: *busyProcesses, engines: *engineCount, callers: *callerCount}
 	switch {
 	case *seed != 0:
 		flags.start(t, *seed)
@@ -148,6 +152,8 @@
 		run{faultTime: *faultTime, vms: hubFleetVMs + 2, engines: 8, callers: 20, departures: true, noOtherFaults: true, noRecovery: true}.start(t, ciSeedDepartures)
 		run{faultTime: *faultTime, vms: *vmCount, engines: versionedEngines, versions: true}.start(t, ciSeedVersions)
 		run{faultTime: *faultTime, vms: *vmCount, brittle: true, noOtherFaults: true, noRecovery: true}.start(t, ciSeedBrittle)
+		run{faultTime: *faultTime, vms: *vmCount, restores: true}.start(t, ciSeedRestores)
+		run{faultTime: *faultTime, vms: hubFleetVMs + 2, engines: 8, callers: 20, restores: true, noOtherFaults: true}.start(t, ciSeedRestoresHubs)
 	}
 }
 
@@ -160,7 +166,7 @@
 	evacuations, rateLimits bool
 	pushback, departures    bool
 	stalls, versions        bool
-	brittle                 bool
+	brittle, restores       bool
 	// noOtherFaults leaves out the faults that belong to none of the flags above.
 	noOtherFaults bool
 	// noStoreFaults leaves out the faults of the whole store.
@@ -190,8 +196,8 @@
 
 // arguments returns the command-line arguments of the run.
 func (o run) arguments() string {
-	return fmt.Sprintf("-storm %v -routes %d -vms %d -evacuations=%v -ratelimits=%v -pushback=%v -departures=%v -stalls=%v -versions=%v -brittle=%v -faults=%v -storefaults=%v -recovery=%v -busy %d -engines %d -callers %d",
-		o.faultTime, o.routes, o.vms, o.evacuations, o.rateLimits, o.pushback, o.departures, o.stalls, o.versions, o.brittle, !o.noOtherFaults, !o.noStoreFaults, !o.noRecovery, o.busy, max(o.engines, defaultEngines), max(o.callers, defaultCallers))
+	return fmt.Sprintf("-storm %v -routes %d -vms %d -evacuations=%v -ratelimits=%v -pushback=%v -departures=%v -stalls=%v -versions=%v -brittle=%v -restores=%v -faults=%v -storefaults=%v -recovery=%v -busy %d -engines %d -callers %d",
+		o.faultTime, o.routes, o.vms, o.evacuations, o.rateLimits, o.pushback, o.departures, o.stalls, o.versions, o.brittle, o.restores, !o.noOtherFaults, !o.noStoreFaults, !o.noRecovery, o.busy, max(o.engines, defaultEngines), max(o.callers, defaultCallers))
 }
 
 func (o run) start(t *testing.T, seed uint64) {
@@ -220,7 +226,7 @@
 	if o.noOtherFaults {
 		faults = nil
 	}
-	w.injectFaults(sortFaults(slices.Concat(faults, w.drawEvacuations(r, o.faultTime), w.drawRateLimits(r, o.faultTime), w.drawPushback(r, o.faultTime), w.drawDepartures(r, o.faultTime))))
+	w.injectFaults(sortFaults(slices.Concat(faults, w.drawEvacuations(r, o.faultTime), w.drawRateLimits(r, o.faultTime), w.drawPushback(r, o.faultTime), w.drawDepartures(r, o.faultTime), w.drawRestores(r, o.faultTime))))
 	w.heal()
 	if !o.noRecovery {
 		w.checkRecovery(l)
