vm: registrations that a copy lacks are kept for the time of their leases; tests of evacuations and registrations; docs

Cause: hundreds of VMs that register again exceed the store's rate of writes for seconds, and hubs without a registration count as failed.

Change: registrations of before the restore are kept for registrationLease (6 s) in place of 2.2 s.

--- a/internal/vm/contact.go
+++ b/internal/vm/contact.go
@@ -44,13 +44,14 @@
 // recordRestore records that the store came back from a copy, which may lack leases of live instances.
 func (c *contact) recordRestore(now time.Time) { c.restoredAt, c.outageEnd = now, now }
 
-// keepRestoredUntil returns until when a registration is kept that the copy from which the store came back lacks. It
-// returns the zero time if the store never did.
+// keepRestoredUntil returns until when a registration is kept that the copy from which the store came back lacks: for as
+// long as its lease would have lasted, since hundreds of VMs that register again exceed the store's rate for seconds. It
+// returns the zero time if the store never came back from a copy.
 func (c *contact) keepRestoredUntil() time.Time {
 	if c.restoredAt.IsZero() {
 		return time.Time{}
 	}
-	return c.restoredAt.Add(lapsedGrace)
+	return c.restoredAt.Add(registrationLease)
 }
 
 // keepUntil returns until when an entry that has disappeared is kept, since its lease may have ended in an
--- a/internal/vm/restored_store_test.go
+++ b/internal/vm/restored_store_test.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"testing"
@@ -8,6 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chestnutarch/chestnutarch/internal/store"
+	"github.com/chestnutarch/chestnutarch/platform"
 	"github.com/chestnutarch/chestnutarch/platform/standin"
 )
 
@@ -174,3 +177,58 @@
 	c.advanceStore(1)
 	c.eventually(func() bool { return v.instance("clerk-1").Incarnation == 20 && !v.instance("clerk-1").Draining })
 }
+
+// Guards against evacuations that end, and upstreams that return, because the copy is of before they began.
+func TestEvacuationGoesOnUntilTheOperatorHasWrittenAgain(t *testing.T) {
+	now := time.Now()
+	e := newEvacuations(platform.Bounds{})
+	inForce := func() []string {
+		domains, _ := e.current()
+		return domains
+	}
+	e.update(store.NewRevision(1, 50), []string{"a", "b"}, now)
+	e.update(store.NewRevision(2, 20), nil, now)
+	require.Equal(t, []string{"a", "b"}, inForce(), "the copy is of before both")
+	e.updateFromPeer(store.NewRevision(1, 60), nil, now)
+	require.Equal(t, []string{"a", "b"}, inForce(), "another VM is in the era before")
+	e.updateFromPeer(store.NewRevision(2, 21), []string{"a", "b"}, now)
+	e.update(store.NewRevision(2, 21), nil, now)
+	require.Equal(t, []string{"a", "b"}, inForce(), "another VM keeps them as this one does")
+	e.update(store.NewRevision(2, 22), []string{"a"}, now)
+	e.update(store.NewRevision(2, 23), nil, now)
+	require.Equal(t, []string{"b"}, inForce(), "the operator has named a again and taken it back")
+	e.update(store.NewRevision(2, 23), nil, now.Add(lapsedGrace+time.Millisecond))
+	require.Empty(t, inForce(), "the operator did not write b again")
+}
+
+// Guards against a registration of an earlier process in the copy that replaces the VM which reports.
+func TestRegistrationOfAnEarlierProcessInTheCopyIsIgnored(t *testing.T) {
+	f := idleVM(t).fleet
+	register := func(incarnation int, revision store.Revision) {
+		value := fmt.Appendf(nil, `{"incarnation":%d,"callers":"10.0.0.9:1","peers":"127.0.0.1:2","domain":"a"}`, incarnation)
+		f.updateRegistrations(map[string]store.Item{vmPrefix + "other": {Revision: revision, Value: value}})
+	}
+	register(7, store.NewRevision(1, 50))
+	f.members["other"].lastReport = time.Now()
+	register(6, store.NewRevision(2, 10))
+	require.Equal(t, int64(7), f.members["other"].Incarnation)
+	require.True(t, f.members["other"].registered)
+	register(8, store.NewRevision(2, 30))
+	require.Equal(t, int64(8), f.members["other"].Incarnation)
+	f.members["other"].lastReport = time.Now().Add(-peerTimeout)
+	register(7, store.NewRevision(3, 10))
+	require.Equal(t, int64(7), f.members["other"].Incarnation, "nothing is heard of the later process")
+}
+
+// Guards against orders of configurations that depend on the store where the operator's version tells more.
+func TestConfigurationsAreOrderedByVersionAcrossEras(t *testing.T) {
+	at := func(version int64, era store.Era, count int64) configurationOrder {
+		return configurationOrder{version, store.NewRevision(era, count)}
+	}
+	require.True(t, at(19, 2, 5).newerThan(at(18, 1, 90)))
+	require.False(t, at(13, 2, 5).newerThan(at(18, 1, 90)), "the copy's older one")
+	require.True(t, at(18, 1, 90).newerThan(at(13, 2, 5)))
+	require.False(t, at(18, 2, 5).newerThan(at(18, 1, 90)), "written again")
+	require.False(t, at(18, 1, 90).newerThan(at(18, 2, 5)))
+	require.True(t, at(0, 0, 7).newerThan(at(0, 0, 6)), "an earlier build tells no version")
+}
