vm: the lead stays with VMs of a build that knows no eras until the last of them is gone

What callers saw: nothing yet; by the code, in a rolling restart onto this build before a store that names its era, a VM of the earlier build that is elected after one of this build gives orders with a lower fencing token.

Cause: tokens of the earlier build are the store's count alone.

Change: reports say knows_eras; a VM does not stand for election while a VM reports that may lead and does not.

Figures: TestVMsLeaveTheLeadToABuildThatKnowsNoEras; mixed fleets were not run.

Conclusion: an earlier build that comes back after the last one has gone still gives lower tokens.

--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -110,6 +110,8 @@
 	failedExchanges int
 	// unavailableAsHub is set if it cannot serve as a hub.
 	unavailableAsHub bool
+	// ignoresEras is set if it is of a build whose fencing tokens do not hold the store's era.
+	ignoresEras bool
 	// leads is set if it sends orders to engines.
 	leads bool
 	// unreachable lists the services whose upstreams it does not reach.
@@ -325,7 +327,23 @@
 func (f *fleet) eligibleToLead() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.plan != nil && f.plan.Hub() == ""
+	return f.plan != nil && f.plan.Hub() == "" && !f.defersToEarlierBuild(time.Now())
+}
+
+// defersToEarlierBuild reports whether a VM of a build that knows no eras of the store may lead. Its tokens are lower than
+// those of this build, so that the lead passes to this build once, after the last such VM is gone. It must be called with
+// the lock held.
+func (f *fleet) defersToEarlierBuild(now time.Time) bool {
+	if f.process.store.Era() == 0 {
+		return false
+	}
+	hubs := f.plan.Hubs()
+	for vm, m := range f.members {
+		if m.ignoresEras && m.registered && now.Sub(m.lastReport) < peerTimeout && (len(hubs) == 0 || slices.Contains(hubs, vm)) {
+			return true
+		}
+	}
+	return false
 }
 
 // lastSeen returns when a VM was last known to be alive, from its own reports or from a hub
--- a/internal/vm/reports.go
+++ b/internal/vm/reports.go
@@ -19,7 +19,7 @@
 	out := &peerpb.VMReport{
 		Vm: f.process.settings.VM, Incarnation: f.incarnation, Sequence: f.sequence.Add(1),
 		CallerAddress: f.process.settings.Callers, PeerAddress: f.process.peerAddress(), Ready: f.process.ready(), Leads: leads,
-		ConfigurationRevision: int64(configuration.revision), ConfigurationVersion: configuration.version,
+		ConfigurationRevision: int64(configuration.revision), ConfigurationVersion: configuration.version, KnowsEras: true,
 		ViewRevision: int64(f.process.tracker.viewRevision()),
 	}
 	evacuated, evacuatedRevision := f.process.evacuations.current()
@@ -124,6 +124,7 @@
 	m.sequence, m.lastReport, m.ready, m.leads = r.Sequence, now, r.Ready, r.Leads
 	m.rateLimitsDigest = r.RateLimitsDigest
 	m.unreachable = r.Unreachable
+	m.ignoresEras = !r.KnowsEras
 	m.acknowledged, m.departuresAcknowledged = progress{}, 0
 	if r.AcknowledgedIncarnation == f.incarnation {
 		m.acknowledged, m.departuresAcknowledged = progress{topology.Scope(r.AcknowledgedScope), r.Acknowledged}, r.DeparturesAcknowledged
--- a/internal/vm/restored_leader_test.go
+++ b/internal/vm/restored_leader_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
+	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/platform/standin"
 )
 
@@ -107,3 +109,20 @@
 	}
 	return out
 }
+
+// Guards against fencing tokens that fall in a rolling restart, when a build that knows no eras leads after this one.
+func TestVMsLeaveTheLeadToABuildThatKnowsNoEras(t *testing.T) {
+	v := idleVM(t)
+	f := v.fleet
+	v.store.RaiseEra(1)
+	value := []byte(`{"incarnation":7,"callers":"10.0.0.9:1","peers":"127.0.0.1:2","domain":"a"}`)
+	f.updateRegistrations(map[string]store.Item{vmPrefix + "other": {Revision: store.NewRevision(1, 5), Value: value}})
+	require.True(t, f.eligibleToLead(), "nothing is known of the other's build")
+	f.applyReport(t.Context(), &peerpb.VMReport{Vm: "other", Incarnation: 7, Sequence: 1})
+	require.False(t, f.eligibleToLead())
+	f.applyReport(t.Context(), &peerpb.VMReport{Vm: "other", Incarnation: 7, Sequence: 2, KnowsEras: true})
+	require.True(t, f.eligibleToLead())
+	f.applyReport(t.Context(), &peerpb.VMReport{Vm: "other", Incarnation: 7, Sequence: 3})
+	f.members["other"].lastReport = time.Now().Add(-peerTimeout)
+	require.True(t, f.eligibleToLead(), "a silent VM does not lead")
+}
