leadership: an election whose answer comes in the next era begins no term

What callers saw: nothing yet; found by reading.

Cause: the era may rise between the answer to the commit and its use. The term then began with a token of the earlier era, which gives no authority, is not renewed, and was not ended either, since the era was known already: the VM would not have stood for election again.

Change: campaign returns where the election is of an earlier era.

Figures: TestElectionWhoseAnswerComesInTheNextEraIsForgotten fails without the change (HasTerm is true).

Why it works: the copy does not have that election, or has it as anybody's; the next look at the store decides.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -317,6 +317,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.updateEra()
+	if revision.Era() < c.era {
+		return
+	}
 	c.electedAt = c.options.Clock()
 	c.hasPredecessor = c.mayFollowAnother(seen.last)
 	c.takeoverDelay = c.takeoverDelayNow()
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -24,8 +24,8 @@
 	unavailable bool
 	revoked     int
 	leases      int64
-	// onGrant, unless nil, is called when a lease is granted.
-	onGrant func()
+	// onGrant and onCommit, unless nil, are called when a lease is granted and when a change is made.
+	onGrant, onCommit func()
 	// loseCommitReplies makes commits take effect but return store.ErrUnknown.
 	loseCommitReplies bool
 }
@@ -75,6 +75,9 @@
 	for _, p := range c.Puts {
 		f.items[p.Key] = store.Item{Key: p.Key, Value: p.Value, Revision: revision, Lease: p.Lease}
 	}
+	if f.onCommit != nil {
+		f.onCommit()
+	}
 	if f.loseCommitReplies {
 		return 0, errors.WithStack(store.ErrUnknown)
 	}
--- a/internal/leadership/restored_test.go
+++ b/internal/leadership/restored_test.go
@@ -131,3 +131,18 @@
 	require.True(t, b.HoldsLease())
 	require.False(t, a.HoldsLease())
 }
+
+// Guards against a term that begins after its era has ended, and with which the VM would never stand for election again.
+func TestElectionWhoseAnswerComesInTheNextEraIsForgotten(t *testing.T) {
+	s := newStoreWithEras()
+	empty := s.copy()
+	c := newTestCandidate("a", s)
+	s.onCommit = func() {
+		s.onCommit = nil
+		s.restore(empty)
+	}
+	c.observeAndStep()
+	require.False(t, c.HasTerm())
+	c.observeAndStep()
+	require.True(t, c.HoldsLease())
+}
