--- a/internal/vm/restored_store_test.go
+++ b/internal/vm/restored_store_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/chestnutarch/chestnutarch/internal/peer/peerpb"
 	"github.com/chestnutarch/chestnutarch/internal/store"
 	"github.com/chestnutarch/chestnutarch/platform"
 	"github.com/chestnutarch/chestnutarch/platform/standin"
@@ -232,3 +234,42 @@
 	require.False(t, at(18, 1, 90).newerThan(at(18, 2, 5)))
 	require.True(t, at(0, 0, 7).newerThan(at(0, 0, 6)), "an earlier build tells no version")
 }
+
+// Guards against whole entries for every follower when all revisions change at once.
+func TestFollowersOfLargeFleetsGetARestoredViewPacked(t *testing.T) {
+	hub, follower := testTracker(), testTracker()
+	hub.watching = true
+	items, plain := make(map[string]store.Item), 0
+	listed := func(era store.Era) (out []store.Item) {
+		for _, i := range items {
+			i.Revision = store.NewRevision(era, i.Revision.Count())
+			out = append(out, i)
+		}
+		return out
+	}
+	for n := range 4002 {
+		key := fmt.Sprintf("servers/i-%08x", n*7919)
+		value := fmt.Sprintf(`{"service":"engine","address":"10.0.%d.%d:8080","zone":"zone-%d","version":"v1","slots":64,"state":"ready","models":[{"name":"model-%d","version":1,"adapters":["a%d"]}]}`, n/250, n%250, n%6, n%224, n%40)
+		items[key] = store.Item{Key: key, Value: []byte(value), Revision: store.NewRevision(1, int64(n+1))}
+		plain += len(key) + len(value)
+	}
+	hub.publishItems(items, store.NewRevision(1, 5000))
+	in := &peerpb.FollowRequest{ReadsPacked: true}
+	follow := func() int {
+		answer, err := hub.answerFollow(t.Context(), 7, in)
+		require.NoError(t, err)
+		_, err = follower.applyHubView(answer, time.Now())
+		require.NoError(t, err)
+		in = &peerpb.FollowRequest{ReadsPacked: true, Incarnation: answer.Incarnation, Change: answer.Change}
+		return proto.Size(answer)
+	}
+	first := follow()
+	hub.mu.Lock()
+	hub.replaceView(listed(2), store.NewRevision(2, 4500), store.NewRevision(2, 4500), time.Now())
+	hub.mu.Unlock()
+	again := follow()
+	t.Logf("%d bytes of entries: %d at first, %d after the restore", plain, first, again)
+	require.Less(t, again, plain/4)
+	require.Equal(t, hub.view, follower.view)
+	require.Equal(t, store.Era(2), follower.viewRevision().Era())
+}
