vm: two tests compare revisions by their type

Cause: changed the type of the view's revision; two tests compared it with an int64, which fails at run time. Change: the expected values have the type; the values are the same.

--- a/internal/vm/follow_test.go
+++ b/internal/vm/follow_test.go
@@ -153,7 +153,7 @@
 		},
 	}
 	f.followHub(ctx, "hub")
-	require.Equal(t, int64(9), f.viewRevision())
+	require.Equal(t, store.Revision(9), f.viewRevision())
 	require.GreaterOrEqual(t, f.viewAge(), took)
 	require.False(t, f.allHubsFailed())
 }
@@ -207,7 +207,7 @@
 		},
 	}
 	require.NoError(t, f.run(ctx))
-	require.Equal(t, int64(9), f.viewRevision())
+	require.Equal(t, store.Revision(9), f.viewRevision())
 }
 
 // The store refuses a third of three hundred VMs for nine seconds. Without backoff, each of them
