vm: a test waits for the configuration of the view whose entries it has seen

Change: the test waits for the version as it waits for the entry; on the code before the fix neither ever came. Conclusion: a fault of the test, not of the code; the check is as strict.

--- a/internal/vm/restored_store_test.go
+++ b/internal/vm/restored_store_test.go
@@ -91,7 +91,7 @@
 		c.advanceStore(40)
 	})
 	c.eventually(func() bool { return c.vms[0].instance("clerk-1").Draining })
-	require.Equal(t, c.version, int(c.vms[0].core.Catalog().Version))
+	c.eventually(c.inForce)
 }
 
 // Guards against a VM that follows a copy back to an older configuration, and one that starts from it.
