--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -150,7 +150,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Clock()
-	if c.token == 0 || c.token.Era() < c.options.Store.Era() || clock.Elapsed(c.renewedAt, now) >= c.validFor || clock.Elapsed(c.electedAt, now) < c.takeoverDelay {
+	if !c.holdsLease(now) || clock.Elapsed(c.electedAt, now) < c.takeoverDelay {
 		return 0, false
 	}
 	return int64(c.token), true
@@ -175,7 +175,12 @@
 func (c *Candidate) HoldsLease() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.token != 0 && c.token.Era() >= c.options.Store.Era() && clock.Elapsed(c.renewedAt, c.options.Clock()) < c.validFor
+	return c.holdsLease(c.options.Clock())
+}
+
+// holdsLease is HoldsLease with the lock held.
+func (c *Candidate) holdsLease(now clock.Reading) bool {
+	return c.token != 0 && c.token.Era() >= c.options.Store.Era() && clock.Elapsed(c.renewedAt, now) < c.validFor
 }
 
 // Run campaigns for the lease and renews it until ctx ends, then revokes it.
@@ -372,7 +377,6 @@
 func (c *Candidate) resign(ctx context.Context) {
 	c.mu.Lock()
 	token, id := c.token, c.leaseID
-	c.interrupted = false
 	c.token, c.lapseLogged = 0, false
 	c.mu.Unlock()
 	if token != 0 {
