--- a/review/kit/vm.go
+++ b/review/kit/vm.go
@@ -31,6 +31,7 @@
 	command   *exec.Cmd
 	restarted bool
 	ending    bool
+	kills     int
 	ended     chan struct{}
 }
 
@@ -116,6 +117,55 @@
 	})
 }
 
+// MemoryMB is the memory-mb of a machine. A process that exceeds it is killed.
+const MemoryMB = 284
+
+// memoryInterval is how often the memory of a process is looked at.
+const memoryInterval = 10 * time.Millisecond
+
+// LimitMemory kills the process whenever it exceeds its memory, as the platform does. Kills returns how often.
+func (v *VM) LimitMemory() {
+	go func() {
+		killed := 0
+		for {
+			select {
+			case <-v.w.done:
+				return
+			case <-time.After(memoryInterval):
+			}
+			pid := v.PID()
+			if used := residentMB(pid); pid != killed && used > MemoryMB {
+				killed = pid
+				v.w.Log("memory", "vm", v.Name, "pid", pid, "used-mb", used)
+				v.mu.Lock()
+				v.kills++
+				v.mu.Unlock()
+				v.Signal(syscall.SIGKILL)
+			}
+		}
+	}()
+}
+
+// Kills returns how often the process was killed because of its memory.
+func (v *VM) Kills() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.kills
+}
+
+// residentMB returns the resident memory of a process in MB, 0 if it is gone.
+func residentMB(pid int) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(text), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * os.Getpagesize() >> 20
+}
+
 // PID returns the present process.
 func (v *VM) PID() int {
 	v.mu.Lock()
