--- a/review/kit/client.go
+++ b/review/kit/client.go
@@ -15,6 +15,8 @@
 // Request is one consumer attempt.
 type Request struct {
 	ID, Method, Path, Key, Body string
+	// Model is empty for plain services.
+	Model string
 	// Tokens is the value of X-Chestnutarch-Token-Counts, empty if it is not sent.
 	Tokens  string
 	Timeout time.Duration
@@ -52,6 +54,10 @@
 	r.Header.Set("X-Chestnutarch-Attempt-Id", q.ID)
 	r.Header.Set("X-Chestnutarch-Deadline-Remaining-Ms", strconv.FormatInt(q.Timeout.Milliseconds(), 10))
 	r.Header.Set("Authorization", "Token "+q.Key)
+	if q.Model != "" {
+		r.Header.Set("X-Chestnutarch-Model", q.Model)
+		r.Header.Set("X-Chestnutarch-Prompt-Prefix", q.ID+":100")
+	}
 	if q.Tokens != "" {
 		r.Header.Set("X-Chestnutarch-Token-Counts", q.Tokens)
 	}
