--- a/review/kit/world.go
+++ b/review/kit/world.go
@@ -30,8 +30,8 @@
 // watchdog ends a case that takes too long.
 const watchdog = 114 * time.Second
 
-// heartbeat is how often a replica writes its entry.
-const heartbeat = 1200 * time.Millisecond
+// Heartbeat is how often a replica writes its entry.
+const Heartbeat = 1200 * time.Millisecond
 
 // World is the environment of one case.
 type World struct {
@@ -185,28 +185,25 @@
 	Service, Zone, Address string
 	w                      *World
 
-	crash func()
+	exit func()
 
-	mu      sync.Mutex
-	state   string
-	crashed bool
+	mu    sync.Mutex
+	state string
+	// late holds how long after they were sent the next heartbeats are executed.
+	late []time.Duration
 }
 
-// Crash ends the replica for good. Its entry is removed after three heartbeats of silence.
-func (r *Replica) Crash() {
-	r.mu.Lock()
-	r.crashed = true
-	r.mu.Unlock()
-	r.w.Log("replica", "id", r.ID, "crashes", true)
-	r.crash()
-	time.AfterFunc(3*heartbeat, func() { r.SetState("") })
+// Exit ends the replica's process: its channels are reset, and new ones are refused.
+func (r *Replica) Exit() {
+	r.w.Log("replica", "id", r.ID, "exits", true)
+	r.exit()
 }
 
-// Crashed reports whether the replica has crashed.
-func (r *Replica) Crashed() bool {
+// Pending returns how many heartbeats are still to be lost.
+func (r *Replica) Pending() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.crashed
+	return len(r.late)
 }
 
 // AddReplica starts a replica. wrap, unless nil, returns the handler that answers in place of the replica's own.
@@ -218,7 +215,7 @@
 		handler = wrap(r)
 	}
 	address, crash := w.listen(handler)
-	out := &Replica{Replica: r, Service: service, Zone: zone, Address: address, w: w, state: "ready", crash: crash}
+	out := &Replica{Replica: r, Service: service, Zone: zone, Address: address, w: w, state: "ready", exit: crash}
 	w.Replicas = append(w.Replicas, out)
 	out.write()
 	go out.beat()
@@ -241,7 +238,7 @@
 func (r *Replica) write() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.state != "" && !r.crashed {
+	if r.state != "" {
 		r.w.Store.kv.Put("servers/"+r.ID, r.Entry(r.Service, r.Address, r.Zone, r.state))
 	}
 }
@@ -251,8 +248,30 @@
 		select {
 		case <-r.w.done:
 			return
-		case <-time.After(heartbeat):
-			r.write()
+		case <-time.After(Heartbeat):
+			r.mu.Lock()
+			late := r.late
+			if len(late) > 0 {
+				r.late = late[1:]
+			}
+			r.mu.Unlock()
+			if len(late) == 0 {
+				r.write()
+				continue
+			}
+			entry := r.Entry(r.Service, r.Address, r.Zone, "ready")
+			r.w.Log("heartbeat", "id", r.ID, "lost", true, "executed-after", late[0])
+			time.AfterFunc(late[0], func() {
+				r.w.Log("heartbeat", "id", r.ID, "executed-late", true)
+				r.w.Store.kv.Put("servers/"+r.ID, entry)
+			})
 		}
 	}
 }
+
+// LoseHeartbeats makes the store leave the next heartbeats unanswered and execute each after a time.
+func (r *Replica) LoseHeartbeats(delays ...time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.late = delays
+}
