--- a/review/kit/world.go
+++ b/review/kit/world.go
@@ -31,7 +31,7 @@
 const watchdog = 114 * time.Second
 
 // Heartbeat is how often a replica writes its entry.
-const Heartbeat = 1200 * time.Millisecond
+const Heartbeat = time.Second
 
 // World is the environment of one case.
 type World struct {
