review: cases 1 to 3, the stand-in counts all runs that a crash cuts

Tried: the final form of the stand-in, which keeps its entry when it crashes, drops an adapter once its last run has ended, and counts runs that are cut at their last event.

--- a/review/kit/engine.go
+++ b/review/kit/engine.go
@@ -73,11 +73,10 @@
 	busy     bool
 	down     bool
 	states   []engineState
-	// Overloads are the orders that did not fit, Cut the runs that ended with a crash.
+	// overloads are the orders that did not fit, cut the runs that ended with a crash.
 	overloads []string
 	cut       []string
 	orders    int
-	runs      int
 }
 
 type engineState struct {
@@ -102,9 +101,12 @@
 		e.models[m], e.onDisk[m] = make(map[string]bool), true
 	}
 	e.born, e.sequence, e.busy, e.down, e.states = time.Now().UnixMilli(), 0, false, false, nil
+	e.recordState()
+	e.mu.Unlock()
+	address, crash := e.w.listen(e)
+	e.mu.Lock()
+	e.address, e.crash = address, crash
 	e.mu.Unlock()
-	e.address, e.crash = e.w.listen(e)
-	e.changed()
 	e.write()
 }
 
@@ -142,13 +144,7 @@
 	return out
 }
 
-// changed records a state for later reports. It takes the lock.
-func (e *Engine) changed() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.recordState()
-}
-
+// recordState keeps the state for later reports. It must be called with the lock held.
 func (e *Engine) recordState() {
 	incoming := []string{}
 	for item := range e.incoming {
@@ -235,7 +231,11 @@
 	e.mu.Lock()
 	status, overload := e.carryOut(in)
 	e.orders++
-	e.w.Log("order", "engine", e.ID, "operation", in.Operation, "model", in.Model, "adapter", in.Adapter, "expected", *in.Expected,
+	expected := int64(-1)
+	if in.Expected != nil {
+		expected = *in.Expected
+	}
+	e.w.Log("order", "engine", e.ID, "operation", in.Operation, "model", in.Model, "adapter", in.Adapter, "expected", expected,
 		"holder", in.Holder, "token", *in.Token, "status", status, "used-mb", e.used(), "adapters", e.adapterCount())
 	e.recordState()
 	e.mu.Unlock()
@@ -281,14 +281,19 @@
 		e.onDisk[in.Model] = true
 		e.after(took, func() { delete(e.incoming, in.Model); e.busy = false })
 	case in.Adapter != "":
-		if e.running[in.Model+"/"+in.Adapter] > 0 {
+		item := in.Model + "/" + in.Adapter
+		if e.running[item] > 0 {
+			go e.unloadUnused(item, e.born, func() { delete(e.models[in.Model], in.Adapter) })
 			return http.StatusAccepted, ""
 		}
 		delete(e.models[in.Model], in.Adapter)
 		return http.StatusOK, ""
 	default:
 		e.busy = true
-		go e.finishUnload(in.Model, e.born)
+		go e.unloadUnused(in.Model, e.born, func() {
+			delete(e.models, in.Model)
+			e.busy = false
+		})
 	}
 	if used, n := e.used(), e.adapterCount(); used > e.spec.WeightsMB || n > e.spec.AdapterSlots {
 		return http.StatusAccepted, fmt.Sprintf("%s %s/%s: %.0f MB and %d adapters, it holds %.0f MB and %d", in.Operation, in.Model, in.Adapter,
@@ -310,19 +315,15 @@
 	})
 }
 
-func (e *Engine) finishUnload(model string, born int64) {
-	for {
-		time.Sleep(10 * time.Millisecond)
+// unloadUnused calls unload, with the lock held, once no run uses an item any more, unless the replica has crashed meanwhile.
+func (e *Engine) unloadUnused(item string, born int64, unload func()) {
+	for waits := true; waits; time.Sleep(10 * time.Millisecond) {
 		e.mu.Lock()
-		busy := e.born == born && !e.down && e.running[model] > 0
-		if !busy {
-			if e.born == born && !e.down {
-				delete(e.models, model)
-				e.busy = false
-				e.recordState()
-			}
-			e.mu.Unlock()
-			return
+		alive := e.born == born && !e.down
+		waits = alive && e.running[item] > 0
+		if alive && !waits {
+			unload()
+			e.recordState()
 		}
 		e.mu.Unlock()
 	}
@@ -340,10 +341,10 @@
 func (e *Engine) end() {
 	e.mu.Lock()
 	e.down = true
+	crash := e.crash
 	e.mu.Unlock()
 	e.w.Log("crash", "engine", e.ID)
-	e.w.Store.kv.Delete("servers/" + e.ID)
-	e.crash()
+	crash()
 	time.AfterFunc(engineRestart, func() { e.start(nil) })
 }
 
@@ -358,7 +359,6 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	e.runs++
 	e.running[model]++
 	if adapter != "" {
 		e.running[item]++
@@ -382,31 +382,30 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	for i := range e.Events {
-		e.mu.Lock()
-		down := e.down || e.born != born
-		if down {
-			e.cut = append(e.cut, id)
-		}
-		e.mu.Unlock()
-		if down {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: word%d of %s\n\n", i+1, i+1, id)
+		left := control.Flush() != nil
+		if e.recordCut(id, born) {
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: word%d of %s\n\n", i+1, i+1, id)
-		if control.Flush() != nil {
+		if left {
 			return
 		}
 		time.Sleep(e.EventTime)
 	}
+	if e.recordCut(id, born) {
+		panic(http.ErrAbortHandler)
+	}
 }
 
-// Keep makes the replica keep the weights of models on its disk.
-func (e *Engine) Keep(models ...string) {
+// recordCut reports whether the lifetime in which a run began has ended, and records the run if it has.
+func (e *Engine) recordCut(id string, born int64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, m := range models {
-		e.onDisk[m] = true
+	if e.born == born && !e.down {
+		return false
 	}
-	e.recordState()
+	e.cut = append(e.cut, id)
+	return true
 }
 
 // Drop makes the replica refuse to load a model, which the manifest does not name any more. If it holds the model, it goes on
@@ -417,7 +416,7 @@
 	e.dropped[model] = true
 }
 
-// Crash ends the process of the replica as a power failure of its software does; it starts again empty, under the same ID.
+// Crash ends the process of the replica; it starts again empty, under the same ID.
 func (e *Engine) Crash() { e.end() }
 
 // Overloads returns the orders that did not fit.
@@ -434,15 +433,6 @@
 	return slices.Clone(e.cut)
 }
 
-// Holds reports whether the replica holds an item, "model" or "model/adapter".
-func (e *Engine) Holds(item string) bool {
-	model, adapter, _ := strings.Cut(item, "/")
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	adapters, present := e.models[model]
-	return present && !e.incoming[item] && (adapter == "" || adapters[adapter])
-}
-
 // Orders returns the number of orders that arrived.
 func (e *Engine) Orders() int {
 	e.mu.Lock()
