--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -55,6 +55,9 @@
 
 type conn struct {
 	net.Conn
+	// number identifies the connection in its pool; uses counts the requests for which it was taken.
+	number int64
+	uses   int
 	reader *bufio.Reader
 	// bound is what the reader reads from.
 	bound *boundedReader
@@ -106,6 +109,7 @@
 		}
 		c = dialled
 	}
+	c.uses++
 	x := &Exchange{pool: p, address: address, conn: c}
 	x.stopReset = context.AfterFunc(ctx, func() { c.reset() })
 	head, err := serializeHead(r, body)
@@ -165,6 +169,12 @@
 	return nil
 }
 
+// Connection identifies the connection among those of its pool.
+func (x *Exchange) Connection() int64 { return x.conn.number }
+
+// Uses returns how many requests the connection was taken for, this one included.
+func (x *Exchange) Uses() int { return x.conn.uses }
+
 // Written reports whether the whole request has been written, so that its body is not used any more. It must not be called
 // after Close.
 func (x *Exchange) Written() bool { return x.writeDone == nil || len(x.writeDone) > 0 }
@@ -214,9 +224,10 @@
 	}
 	p.mu.Lock()
 	p.dials++
+	number := p.dials
 	p.mu.Unlock()
 	bound := &boundedReader{source: raw, left: unbounded}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(bound, readBufferSize), bound: bound}, nil
+	return &conn{Conn: raw, number: number, reader: bufio.NewReaderSize(bound, readBufferSize), bound: bound}, nil
 }
 
 // Connect opens a connection to an address, which is kept as an idle one. The error is that of the dialer.
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -121,6 +121,8 @@
 	cause       error
 	timeToFirst time.Duration
 	expected    time.Duration
+	// answer is what is known of the last answer of an upstream.
+	answer answerLog
 	// rate is the state of the team's rate if it refused the request.
 	rate teamrate.State
 	// versionSource says how version is known, begunAt when the stream began, zero if that is not known.
@@ -153,6 +155,13 @@
 	waitBreak wait = "break"
 )
 
+// answerLog is what logs tell of an upstream's answer. The zero value stands for none.
+type answerLog struct {
+	status, uses       int
+	named, notExecuted bool
+	after              time.Duration
+}
+
 type bufferedReply struct {
 	status int
 	header http.Header
@@ -271,7 +280,7 @@
 	defer cancel()
 	exchange := j.beginExchange(choice, cancel)
 	silence := j.watchSilence(choice, cancel)
-	j.waitingFor = waitConnection
+	j.waitingFor, j.answer = waitConnection, answerLog{}
 	defer func() { j.reserved = silence.stop() }()
 	reply, err := j.core.options.Upstreams.Send(inner, Attempt{
 		Request: j.request, Instance: instance, Team: j.team, TimeLeft: time.Until(j.deadline),
@@ -290,6 +299,7 @@
 	if err != nil {
 		return j.sendFailed(ctx, choice, err)
 	}
+	j.recordHead(reply)
 	j.core.recordAlive(instance, choice.PlacedAt().Add(j.writeWait))
 	j.core.options.Reach.Sign(j.service, time.Now())
 	j.recordRateLimit(choice, reply)
@@ -315,6 +325,14 @@
 	return j.forwardAnswer(inner, cancel, choice, reply, silence)
 }
 
+// recordHead records the head of an answer for logs and metrics.
+func (j *job) recordHead(reply *Reply) {
+	j.answer = answerLog{
+		status: reply.Status, uses: reply.Uses, named: reply.Named, notExecuted: reply.NotExecuted, after: time.Since(j.writtenAt),
+	}
+	j.core.countHead(j, reply)
+}
+
 // checkWrite is called when the first byte of the request is about to be written. It returns ErrWithdrawn if
 // the upstream takes no requests any more: the choice may be seconds old, and so may be what it rests on; also if the
 // request was given up meanwhile. It returns ErrQuarantined if upstreams have ended under the request meanwhile.
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/chestnutarch/chestnutarch/internal/assign"
@@ -73,7 +74,12 @@
 	c.options.Log.Info().Str("event", "send_failed").Str("request", j.request.ID).Int("send", j.sends).Str("upstream", choice.Instance).
 		Str("kind", failed.kind.String()).Str("contents", contentsName(j.contentsHash())).
 		Strs("parts", j.request.sharedParts()).Bool("begun", j.begun()).
+		Int("answer_status", j.answer.status).Bool("answer_named", j.answer.named).Bool("answer_not_executed", j.answer.notExecuted).
+		Dur("answer_after_ms", j.answer.after).Int("connection_uses", j.answer.uses).
 		Dur("after_ms", time.Since(choice.PlacedAt())).AnErr("cause", failed.err).Send()
+	if errors.Is(failed.err, ErrMismatchedReply) {
+		c.increment("upstreams.answers_mismatched")
+	}
 	if oversized := oversizedIn(failed.err); oversized != nil {
 		c.increment("upstreams.oversized_" + oversized.Part)
 		c.options.Log.Warn().Str("event", "upstream_oversized").Str("request", j.request.ID).Str("instance", choice.Instance).
@@ -194,7 +200,7 @@
 		Str("outcome", j.outcome).Bool("from_vm", j.fromVM).Int("status", j.status).Dur("retry_after_ms", j.retryAfter).
 		Str("route", j.route.Name).Str("team", j.team).Float64("units", j.units).Str("upstream", j.upstream).
 		Str("model", j.request.Model).Str("adapter", j.request.Adapter).
-		Int("sends", j.sends).Int("ran", j.possibleRuns).Dur("first_ms", j.timeToFirst).Dur("expected_ms", j.expected).Dur("objective_ms", j.due.Sub(j.request.Arrived)).
+		Int("sends", j.sends).Int("ran", j.possibleRuns).Int("answer_status", j.answer.status).Bool("answer_not_executed", j.answer.notExecuted).Dur("first_ms", j.timeToFirst).Dur("expected_ms", j.expected).Dur("objective_ms", j.due.Sub(j.request.Arrived)).
 		Str("late", j.lateness()).Dur("longest_pause_ms", j.pauses.longest).Dur("pause_at_ms", j.pauses.longestStart(j.request.Arrived)).
 		Str("pause_after", j.pauses.longestAfterID).Dur("pause_objective_ms", j.route.GapObjective).
 		Dur("took_ms", took).Dur("left_ms", time.Until(j.deadline)).Str("waited_for", string(j.waitingFor)).Dur("write_wait_ms", j.writeWait).Str("last_event", j.lastEventID).Int64("configuration", j.catalog.Version)
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -39,6 +39,17 @@
 	}
 }
 
+// countHead counts the head of an answer that names no attempt, and one whose status is a promise to callers that its
+// upstream does not make.
+func (c *Core) countHead(j *job, reply *Reply) {
+	if !reply.Named {
+		c.increment("upstreams.answers_unnamed")
+	}
+	if !reply.NotExecuted && promisesNotRun(reply.Status) {
+		c.increment("upstreams.promises_unstated")
+	}
+}
+
 // countWithdrawn counts a request that was not sent to the upstream that was chosen for it.
 func (c *Core) countWithdrawn() { c.increment("requests.withdrawn") }
 
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -102,6 +102,12 @@
 	Misdirected bool
 	// Signed means that the response carries the upstream's signature.
 	Signed bool
+	// Named means that the response names the attempt that it answers.
+	Named bool
+	// Connection identifies the connection on which the response came among those of this process, Uses is the number of
+	// requests that were sent on it so far.
+	Connection int64
+	Uses       int
 	// RateLimit is what the response says about the upstream's rate limit. RateLimitError is set if
 	// that cannot be read.
 	RateLimit      upstream.RateLimit
--- a/internal/traffic/unanswered.go
+++ b/internal/traffic/unanswered.go
@@ -13,6 +13,15 @@
 
 // This file tells callers why a request got no response of an upstream, and whether it may have run.
 
+// promisesNotRun reports whether a status tells callers that their request was not run and never will be.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // refundUnlessRun gives the request's units back to its team if no upstream can have run it.
 func (j *job) refundUnlessRun() {
 	if j.possibleRuns == 0 && j.team != "" {
