traffic: a status that promises is passed on only with the upstream's word

What callers saw: REFUSED. A stream or a filing was answered 503, 429 or 408, which tells its caller that it was not run and never will be, and had run.

Cause: an upstream may answer so after a run; only X-Chestnutarch-Not-Executed, or status 421, states that it did not run the request. forwardWhole, forwardHeld and the sink of a request that another VM sends passed any status on.

Change: where a request may run once only, such an answer counts as a failure after a run: 502, without the upstream's headers and its signature, since a signed failure has to keep its status. One check stands before all ways of passing an answer on (whole, held, streamed), and one where a VM of an earlier build hands it on. Idempotent requests and streams that may be resumed keep the upstream's own answer: a repeat harms nothing there.

--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -139,8 +139,22 @@
 // Refuse implements Sink.
 func (s *forwardSink) Refuse(r Refusal) { s.refusal = &r }
 
+// replaces replaces a response that may not be passed on, and reports whether it did: VMs of earlier builds pass on every
+// status of an upstream.
+func (s *forwardSink) replaces(status int) bool {
+	if s.job.mayPassOn(status) {
+		return false
+	}
+	refusal := mayHaveRun(Refusal{Status: status})
+	s.refusal = &refusal
+	return true
+}
+
 // WriteResponse implements Sink.
 func (s *forwardSink) WriteResponse(status int, header http.Header, body []byte) {
+	if s.replaces(status) {
+		return
+	}
 	s.status = status
 	s.noteFirst()
 	s.job.sink.WriteResponse(status, header, body)
@@ -148,6 +162,9 @@
 
 // Begin implements Sink.
 func (s *forwardSink) Begin(status int, header http.Header) {
+	if s.replaces(status) {
+		return
+	}
 	s.status = status
 	if s.job.responseBegun {
 		return
@@ -163,6 +180,9 @@
 	if s.expired {
 		return errors.WithStack(context.DeadlineExceeded)
 	}
+	if s.refusal != nil {
+		return errors.WithStack(ErrUpstreamFailed)
+	}
 	s.noteFirst()
 	if s.job.route.Kind != catalog.Streaming {
 		return s.job.sink.WriteChunk(events)
--- a/internal/traffic/forward_test.go
+++ b/internal/traffic/forward_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/catalog"
 )
 
 // cutFixture returns a fixture that does not reach its upstreams, and hands its requests over by forward.
@@ -66,6 +68,26 @@
 	require.ErrorIs(t, err, ErrTruncated)
 }
 
+// Guards against a status that promises, which a VM of an earlier build passes on after a run.
+func TestStatusThatPromisesIsNotPassedOnFromAnotherVM(t *testing.T) {
+	for _, whole := range []bool{true, false} {
+		f := newFixture(catalog.Route{Kind: catalog.NonIdempotent, Attempts: 1}, map[string]script{"engine": answerAtOnce})
+		f.core.options.Forward = func(_ context.Context, _ string, _ Forwarded, sink Sink) (ForwardEnd, error) {
+			if whole {
+				sink.WriteResponse(http.StatusServiceUnavailable, http.Header{}, []byte("busy"))
+				return ForwardEnd{Sends: 1, PossibleRuns: 1}, nil
+			}
+			sink.Begin(http.StatusServiceUnavailable, http.Header{})
+			return ForwardEnd{Sends: 1, PossibleRuns: 1}, sink.WriteChunk([]byte("busy"))
+		}
+		f.cut(time.Now())
+		sink, err := f.serve(t.Context(), "a")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, sink.status)
+		require.Empty(t, sink.text)
+	}
+}
+
 // The connection to the other VM breaks: it may have made all attempts that the route allows, so that none is left.
 func TestRequestIsNotSentAgainAfterAHopThatBroke(t *testing.T) {
 	calls := 0
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -313,6 +313,9 @@
 		reply.Close(false)
 		return j.failedBy(choice, errors.Wrapf(ErrMismatchedReply, "%s: successful response without the upstream's signature", choice.Instance))
 	}
+	if !j.mayPassOn(reply.Status) {
+		return j.promisedByUpstream(choice, reply)
+	}
 	if j.route.Kind == catalog.Streaming && reply.Status == http.StatusOK {
 		silence.noteEvent(time.Now())
 		return j.stream(ctx, choice, reply, silence)
@@ -424,6 +427,21 @@
 	return &failure{kind: notExecuted, err: errors.Wrapf(ErrRefused, "%s: status %d", choice.Instance, reply.Status)}
 }
 
+// promisedByUpstream handles a response whose status would tell the caller that its request was not run, although the upstream
+// does not state that.
+func (j *job) promisedByUpstream(choice *assign.Choice, reply *Reply) *failure {
+	_, err := io.Copy(io.Discard, io.LimitReader(reply.Body, maxRefusalBody+1))
+	reply.Close(err == nil)
+	j.recordAnswer(reply.Status)
+	outcome := assign.Failed
+	if reply.Status < http.StatusInternalServerError {
+		outcome = assign.Neutral
+	}
+	j.finish(choice, outcome)
+	j.avoidInstance(choice.Instance)
+	return &failure{kind: unknown, err: errors.Wrapf(ErrUpstreamFailed, "%s: status %d", choice.Instance, reply.Status)}
+}
+
 // ErrRefused means that an upstream states that it did not run a request.
 var ErrRefused = errors.New("traffic: the upstream refused the request")
 
--- a/internal/traffic/unanswered.go
+++ b/internal/traffic/unanswered.go
@@ -22,6 +22,10 @@
 	return false
 }
 
+// mayPassOn reports whether an upstream's status may be passed on after a run. Callers of a request that may run once would
+// send it again after a status that promises.
+func (j *job) mayPassOn(status int) bool { return j.route.Repeatable() || !promisesNotRun(status) }
+
 // refundUnlessRun gives the request's units back to its team if no upstream can have run it.
 func (j *job) refundUnlessRun() {
 	if j.possibleRuns == 0 && j.team != "" {
