traffic: an attempt is sent at most once on each connection

What callers saw: TWICE and REFUSED. A stream that may run once was rejected by an engine, sent to it again after its Retry-After or after the leader had brought an adapter, and then ran twice, or ran and was answered 503.

Cause: an answer is matched with its request by the attempt's ID, which all sends of an attempt share. An upstream may send an answer a second time, late, where the next one is expected (PROTOCOL.md). The second rejection of the first send, on the same connection, was taken for a statement about the second send, while that ran.

Change: a job remembers the connections on which it was answered, and the pool takes another one, or a new one, for its next send (httpconn.Send.Avoid). The connection stays open for other requests: theirs have other IDs. So the ID identifies the send as well. A new connection is opened only where a request returns to an upstream that has no other idle one.

--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -47,7 +47,7 @@
 	time.AfterFunc(50*time.Millisecond, cancel)
 	r, err := http.NewRequest("POST", "http://"+address+"/", nil)
 	require.NoError(t, err)
-	_, err = NewPool(transport.Limits{SocketBuffer: 64 << 10}).Do(ctx, address, r, make([]byte, 16<<20), nil)
+	_, err = NewPool(transport.Limits{SocketBuffer: 64 << 10}).Do(ctx, Send{Address: address, Request: r, Body: make([]byte, 16<<20)})
 	require.ErrorIs(t, err, ErrBroken)
 }
 
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -95,42 +96,52 @@
 	writeDone chan error
 }
 
-// Do sends the request with body to an address and reads the response headers. It replaces
-// the request's Body and ContentLength. beforeWrite, unless nil, is called once there is a
-// connection, before the first byte is written. If it returns an error, Do returns that error
-// and nothing is written. Cancelling ctx resets the connection, also while the response body is
-// read. Other errors are ErrNotSent or ErrBroken, wrapped; HeadTooLargeError is one of the latter.
-func (p *Pool) Do(ctx context.Context, address string, r *http.Request, body []byte, beforeWrite func() error) (*Exchange, error) {
-	c := p.idleConn(address)
+// Send is a request and how it is to be sent.
+type Send struct {
+	Address string
+	// Request is the head. Its Body and ContentLength are replaced.
+	Request *http.Request
+	Body    []byte
+	// BeforeWrite, unless nil, is called once there is a connection, before the first byte is written. If it returns an error,
+	// nothing is written.
+	BeforeWrite func() error
+	// Avoid lists connections that are not used for the request, by their numbers.
+	Avoid []int64
+}
+
+// Do sends a request and reads the response headers. Errors are that of BeforeWrite, and ErrNotSent or ErrBroken, wrapped;
+// HeadTooLargeError is one of the latter. Cancelling ctx resets the connection, also while the response body is read.
+func (p *Pool) Do(ctx context.Context, s Send) (*Exchange, error) {
+	c := p.idleConn(s.Address, s.Avoid)
 	if c == nil {
-		dialled, err := p.dial(ctx, address)
+		dialled, err := p.dial(ctx, s.Address)
 		if err != nil {
 			return nil, errors.Wrapf(ErrNotSent, "%v", err)
 		}
 		c = dialled
 	}
 	c.uses++
-	x := &Exchange{pool: p, address: address, conn: c}
+	x := &Exchange{pool: p, address: s.Address, conn: c}
 	x.stopReset = context.AfterFunc(ctx, func() { c.reset() })
-	head, err := serializeHead(r, body)
+	head, err := serializeHead(s.Request, s.Body)
 	if err != nil {
 		x.Close(false)
 		return nil, errors.Wrapf(ErrNotSent, "%v", err)
 	}
-	if beforeWrite != nil {
-		if err := beforeWrite(); err != nil {
+	if s.BeforeWrite != nil {
+		if err := s.BeforeWrite(); err != nil {
 			x.Close(false)
 			return nil, err
 		}
 	}
-	if err := x.write(head, body); err != nil {
+	if err := x.write(head, s.Body); err != nil {
 		x.Close(false)
 		return nil, errors.Wrapf(ErrBroken, "%v", err)
 	}
-	response, tooLarge, err := c.readHead(r)
+	response, tooLarge, err := c.readHead(s.Request)
 	if tooLarge {
 		x.Close(false)
-		return nil, errors.WithStack(&HeadTooLargeError{Address: address, Bound: maxHeadSize})
+		return nil, errors.WithStack(&HeadTooLargeError{Address: s.Address, Bound: maxHeadSize})
 	}
 	if err != nil {
 		x.Close(false)
@@ -239,10 +250,10 @@
 	return err
 }
 
-// idleConn returns the most recently used idle connection that is still usable, or nil.
-func (p *Pool) idleConn(address string) *conn {
+// idleConn returns the most recently used idle connection that is still usable and not to be avoided, or nil.
+func (p *Pool) idleConn(address string, avoid []int64) *conn {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, avoid)
 		if c == nil || c.usable(time.Now()) {
 			return c
 		}
@@ -250,16 +261,18 @@
 	}
 }
 
-func (p *Pool) popIdle(address string) *conn {
+func (p *Pool) popIdle(address string, avoid []int64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for at, c := range slices.Backward(list) {
+		if slices.Contains(avoid, c.number) {
+			continue
+		}
+		p.idle[address] = slices.Delete(list, at, at+1)
+		return c
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // usable reports whether the idle connection has not expired and has received nothing,
--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -42,7 +42,7 @@
 func exchange(t *testing.T, p *Pool, address, method, body string) (string, error) {
 	r, err := http.NewRequest(method, "http://"+address+"/x", nil)
 	require.NoError(t, err)
-	x, err := p.Do(t.Context(), address, r, []byte(body), nil)
+	x, err := p.Do(t.Context(), Send{Address: address, Request: r, Body: []byte(body)})
 	if err != nil {
 		return "", err
 	}
@@ -165,7 +165,7 @@
 	time.AfterFunc(50*time.Millisecond, cancel)
 	r, err := http.NewRequest("GET", "http://"+address+"/", nil)
 	require.NoError(t, err)
-	_, err = NewPool(transport.Limits{}).Do(ctx, address, r, nil, nil)
+	_, err = NewPool(transport.Limits{}).Do(ctx, Send{Address: address, Request: r})
 	require.ErrorIs(t, err, ErrBroken)
 	require.Error(t, <-readErr)
 }
@@ -184,7 +184,41 @@
 	})
 	r, err := http.NewRequest("GET", "http://"+address+"/", nil)
 	require.NoError(t, err)
-	_, err = NewPool(transport.Limits{}).Do(t.Context(), address, r, nil, func() error { return io.ErrNoProgress })
+	_, err = NewPool(transport.Limits{}).Do(t.Context(), Send{Address: address, Request: r, BeforeWrite: func() error { return io.ErrNoProgress }})
 	require.ErrorIs(t, err, io.ErrNoProgress)
 	require.Error(t, <-received)
 }
+
+// Guards against a request that returns to a connection on which a second answer to it may come.
+func TestAvoidedConnectionsAreNotUsedAndStayOpen(t *testing.T) {
+	address, connections := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		for respond(c, r, okResponse) {
+		}
+	})
+	p := NewPool(transport.Limits{})
+	var used []int64
+	for n := range 3 {
+		x := finish(t, p, Send{Address: address, Avoid: used})
+		require.Equal(t, int64(n+1), connections.Load())
+		require.NotContains(t, used, x)
+		used = append(used, x)
+	}
+	for range 3 {
+		require.Equal(t, used[1], finish(t, p, Send{Address: address, Avoid: []int64{used[0], used[2]}}))
+	}
+	require.Equal(t, int64(3), connections.Load())
+}
+
+// finish makes an exchange and returns the number of its connection, which is kept.
+func finish(t *testing.T, p *Pool, s Send) int64 {
+	r, err := http.NewRequest("GET", "http://"+s.Address+"/x", nil)
+	require.NoError(t, err)
+	s.Request = r
+	x, err := p.Do(t.Context(), s)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, x.Response.Body)
+	require.NoError(t, err)
+	number := x.Connection()
+	x.Close(true)
+	return number
+}
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -91,6 +91,8 @@
 	connectFailures int
 	// sentTo is the upstream of the last exchange, as it was known then.
 	sentTo *upstream.Instance
+	// usedConnections are the connections on which the request was answered.
+	usedConnections []int64
 	// exchange is the state of the present exchange.
 	exchange *exchangeState
 	// contents is the hash that the attempts of a request share, 0 until it is needed.
@@ -284,7 +286,7 @@
 	defer func() { j.reserved = silence.stop() }()
 	reply, err := j.core.options.Upstreams.Send(inner, Attempt{
 		Request: j.request, Instance: instance, Team: j.team, TimeLeft: time.Until(j.deadline),
-		Priority: j.enginePriority(choice), ResumeAfter: j.lastEventID, BeforeWrite: func() error { return j.checkWrite(inner, choice) },
+		Priority: j.enginePriority(choice), ResumeAfter: j.lastEventID, AvoidConnections: j.usedConnections, BeforeWrite: func() error { return j.checkWrite(inner, choice) },
 	})
 	j.core.options.Reach.End(exchange, (errors.Is(err, ErrNotSent) || errors.Is(err, ErrUnknown)) && oversizedIn(err) == nil && ctx.Err() == nil, time.Now())
 	if errors.Is(err, ErrWithdrawn) {
@@ -299,6 +301,7 @@
 	if err != nil {
 		return j.sendFailed(ctx, choice, err)
 	}
+	j.usedConnections = append(j.usedConnections, reply.Connection)
 	j.recordHead(reply)
 	j.core.recordAlive(instance, choice.PlacedAt().Add(j.writeWait))
 	j.core.options.Reach.Sign(j.service, time.Now())
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -85,6 +85,9 @@
 	// ResumeAfter is the ID of the last event that the caller has received, empty for
 	// a new stream.
 	ResumeAfter string
+	// AvoidConnections are the connections on which the attempt was sent before. A second answer to it may come on them,
+	// which nothing tells from the answer to this send.
+	AvoidConnections []int64
 	// BeforeWrite, unless nil, is called once there is a connection, before the first byte is written. If it
 	// returns an error, nothing is written, and Send returns that error, wrapped.
 	BeforeWrite func() error
--- /dev/null
+++ b/internal/vm/second_answers_test.go
@@ -0,0 +1,70 @@
+package vm
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/platform/standin"
+)
+
+// requireSentOnce sends requests that may run once, and checks that each runs as its caller was told.
+func (c *cluster) requireSentOnce(v *testVM, q call, prepare func(), replicas ...*standin.Replica) {
+	c.t.Helper()
+	served := 0
+	for n := range 6 {
+		attempt := "once-" + strconv.Itoa(n)
+		prepare()
+		q.header = map[string]string{"X-Chestnutarch-Attempt-Id": attempt}
+		got := c.send(v, q)
+		runs := runsByAttempt(replicas...)[attempt]
+		require.LessOrEqual(c.t, runs, 1, "request %d ran again", n)
+		if promises(got.status) {
+			require.Zero(c.t, runs, "request %d was answered %d and has run", n, got.status)
+		}
+		if got.status == http.StatusOK {
+			require.Equal(c.t, 1, runs)
+			served++
+		}
+	}
+	require.Positive(c.t, served)
+}
+
+// promises reports whether a status tells callers that their request was not run.
+func promises(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
+		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
+}
+
+func rejected(_ *http.Request, status int) bool { return promises(status) }
+
+// Guards against a rejection that comes twice, and is taken for the answer to the same request that was sent again.
+func TestSecondRejectionIsNotTakenForTheAnswerToTheNextSend(t *testing.T) {
+	engine := standin.NewReplica("engine-1", 1, "m0")
+	engine.RepeatAnswers(rejected)
+	c := newCluster(t, engine)
+	v := c.start("a")
+	c.requireSentOnce(v, call{method: "POST", path: "/chat/", model: "m0"}, func() { engine.ShedLoad(20 * time.Millisecond) }, engine)
+	require.NotEmpty(t, engine.ShedRequests())
+}
+
+// Guards against the same where an engine did not hold an adapter, which the leader then brings to it.
+func TestSecondMisdirectionIsNotTakenForTheAnswerToTheNextSend(t *testing.T) {
+	engine := standin.NewReplica("engine-1", 1, "m0")
+	engine.RepeatAnswers(rejected)
+	c := newCluster(t, engine)
+	v := c.start("a")
+	c.waitLeader()
+	misdirected := 0
+	engine.Reject = func(r *http.Request) int {
+		if misdirected++; misdirected%2 == 1 {
+			return http.StatusMisdirectedRequest
+		}
+		return 0
+	}
+	c.requireSentOnce(v, call{method: "POST", path: "/chat/", model: "m0/a1"}, func() {}, engine)
+	require.Greater(t, misdirected, 1)
+}
