platform: an answer that names no attempt is no answer to a request

A request that may run once ran up to four times, or was answered 503 or 429 and ran.

Cause: an answer without an attempt's ID counted as the one to the request. The answers to orders and reports have none and use the same connections, so that one of them that comes late (409, 421, 503 with X-Chestnutarch-Not-Executed) was taken for a statement about the request that was sent next.

Change: the ID has to be there and be that of the attempt. Otherwise the request may have run, and the connection is closed. The field for unnamed answers, which was added to see this, is gone again: the cause in send_failed tells the attempt and the status.

--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -159,9 +159,9 @@
 
 // answerLog is what logs tell of an upstream's answer. The zero value stands for none.
 type answerLog struct {
-	status, uses       int
-	named, notExecuted bool
-	after              time.Duration
+	status, uses int
+	notExecuted  bool
+	after        time.Duration
 }
 
 type bufferedReply struct {
@@ -334,9 +334,9 @@
 // recordHead records the head of an answer for logs and metrics.
 func (j *job) recordHead(reply *Reply) {
 	j.answer = answerLog{
-		status: reply.Status, uses: reply.Uses, named: reply.Named, notExecuted: reply.NotExecuted, after: time.Since(j.writtenAt),
+		status: reply.Status, uses: reply.Uses, notExecuted: reply.NotExecuted, after: time.Since(j.writtenAt),
 	}
-	j.core.countHead(j, reply)
+	j.core.countHead(reply)
 }
 
 // checkWrite is called when the first byte of the request is about to be written. It returns ErrWithdrawn if
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -74,7 +74,7 @@
 	c.options.Log.Info().Str("event", "send_failed").Str("request", j.request.ID).Int("send", j.sends).Str("upstream", choice.Instance).
 		Str("kind", failed.kind.String()).Str("contents", contentsName(j.contentsHash())).
 		Strs("parts", j.request.sharedParts()).Bool("begun", j.begun()).
-		Int("answer_status", j.answer.status).Bool("answer_named", j.answer.named).Bool("answer_not_executed", j.answer.notExecuted).
+		Int("answer_status", j.answer.status).Bool("answer_not_executed", j.answer.notExecuted).
 		Dur("answer_after_ms", j.answer.after).Int("connection_uses", j.answer.uses).
 		Dur("after_ms", time.Since(choice.PlacedAt())).AnErr("cause", failed.err).Send()
 	if errors.Is(failed.err, ErrMismatchedReply) {
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -39,12 +39,8 @@
 	}
 }
 
-// countHead counts the head of an answer that names no attempt, and one whose status is a promise to callers that its
-// upstream does not make.
-func (c *Core) countHead(j *job, reply *Reply) {
-	if !reply.Named {
-		c.increment("upstreams.answers_unnamed")
-	}
+// countHead counts an answer whose status is a promise to callers that its upstream does not make.
+func (c *Core) countHead(reply *Reply) {
 	if !reply.NotExecuted && promisesNotRun(reply.Status) {
 		c.increment("upstreams.promises_unstated")
 	}
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -105,8 +105,6 @@
 	Misdirected bool
 	// Signed means that the response carries the upstream's signature.
 	Signed bool
-	// Named means that the response names the attempt that it answers.
-	Named bool
 	// Connection identifies the connection on which the response came among those of this process, Uses is the number of
 	// requests that were sent on it so far.
 	Connection int64
@@ -146,7 +144,7 @@
 	ErrQuarantined = errors.New("traffic: upstreams have ended under the request")
 	// ErrUnknown means that the request was sent and may or may not have run.
 	ErrUnknown = errors.New("traffic: the request may have run")
-	// ErrMismatchedReply means that the response belongs to another request, or is a success
+	// ErrMismatchedReply means that the response does not name the attempt, or is a success
 	// without the upstream's signature. The request itself may have run.
 	ErrMismatchedReply = errors.New("traffic: the answer belongs to another request")
 	// ErrTruncated means that a response ended before it was complete. What the caller
