traffic: a status that promises is passed on only if its upstream has signed it

Change: it counts as a failure after a run, so the request may go to another upstream, and its caller gets 502 if none answers. Signed failures of requests that may be repeated are returned unchanged, as before.

Evidence: TestFailureOfAnIdempotentRequestIsItsUpstreamsOwn got 503 for 502 before.

--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -142,7 +142,7 @@
 // replaces replaces a response that may not be passed on, and reports whether it did: VMs of earlier builds pass on every
 // status of an upstream.
 func (s *forwardSink) replaces(status int) bool {
-	if s.job.mayPassOn(status) {
+	if s.job.mayPassOn(status, true) {
 		return false
 	}
 	refusal := mayHaveRun(Refusal{Status: status})
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -316,7 +316,7 @@
 		reply.Close(false)
 		return j.failedBy(choice, errors.Wrapf(ErrMismatchedReply, "%s: successful response without the upstream's signature", choice.Instance))
 	}
-	if !j.mayPassOn(reply.Status) {
+	if !j.mayPassOn(reply.Status, reply.Signed) {
 		return j.promisedByUpstream(choice, reply)
 	}
 	if j.route.Kind == catalog.Streaming && reply.Status == http.StatusOK {
--- a/internal/traffic/unanswered.go
+++ b/internal/traffic/unanswered.go
@@ -23,8 +23,10 @@
 }
 
 // mayPassOn reports whether an upstream's status may be passed on after a run. Callers of a request that may run once would
-// send it again after a status that promises.
-func (j *job) mayPassOn(status int) bool { return j.route.Repeatable() || !promisesNotRun(status) }
+// send it again after a status that promises; other callers get it if it is the upstream's own.
+func (j *job) mayPassOn(status int, signed bool) bool {
+	return !promisesNotRun(status) || (signed && j.route.Repeatable())
+}
 
 // refundUnlessRun gives the request's units back to its team if no upstream can have run it.
 func (j *job) refundUnlessRun() {
--- a/internal/vm/promises_test.go
+++ b/internal/vm/promises_test.go
@@ -55,12 +55,16 @@
 	}
 }
 
-// Guards against a failure of an idempotent request that is not returned as its upstream gave it.
-func TestFailureOfAnIdempotentRequestIsReturnedUnchanged(t *testing.T) {
+// Guards against a failure of an idempotent request that is not returned as its upstream gave it, and against one that no
+// upstream has signed.
+func TestFailureOfAnIdempotentRequestIsItsUpstreamsOwn(t *testing.T) {
 	clerk := standin.NewReplica("clerk-1", 0)
-	clerk.SetFail(answerWith(http.StatusServiceUnavailable, 10, true))
 	c := newCluster(t, clerk)
-	got := c.send(c.start("a"), call{method: "GET", path: "/look/"})
-	require.Equal(t, http.StatusServiceUnavailable, got.status)
-	require.Equal(t, "sig", got.header.Get("X-Chestnutarch-Response-Signature"))
+	v := c.start("a")
+	for signature, status := range map[string]int{"sig": http.StatusServiceUnavailable, "": http.StatusBadGateway} {
+		clerk.SetFail(answerWith(http.StatusServiceUnavailable, 10, signature != ""))
+		got := c.send(v, call{method: "GET", path: "/look/"})
+		require.Equal(t, status, got.status)
+		require.Equal(t, signature, got.header.Get("X-Chestnutarch-Response-Signature"))
+	}
 }
