--- a/internal/vm/second_answers_test.go
+++ b/internal/vm/second_answers_test.go
@@ -68,3 +68,12 @@
 	c.requireSentOnce(v, call{method: "POST", path: "/chat/", model: "m0/a1"}, func() {}, engine)
 	require.Greater(t, misdirected, 1)
 }
+
+// Guards against the same at a VM that was handed the request.
+func TestSecondRejectionOfAForwardedRequestIsNotTakenForTheNextAnswer(t *testing.T) {
+	clerk := standin.NewReplica("clerk-1", 0)
+	clerk.RepeatAnswers(rejected)
+	c, _ := cutCluster(t, 2, clerk)
+	c.requireSentOnce(c.vms[0], call{method: "POST", path: "/file/"}, func() { clerk.ShedLoad(20 * time.Millisecond) }, clerk)
+	require.NotEmpty(t, clerk.ShedRequests())
+}
