platform: a late answer to an earlier request does not end the one in whose place it comes

What callers saw: 502 for a filing that its upstream ran and answered.

Cause: an answer that names another attempt was taken for a fault of the exchange, and the connection was reset, which breaks the run off. PROTOCOL.md: an extra response may arrive late, and the ID identifies it.

A counter tells how often.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -42,6 +43,8 @@
 	// concurrently with reading the response: an upstream may answer before it has read
 	// a long request and then stop reading, which would block a synchronous write.
 	asyncWriteMin = 8 << 10
+	// maxSkipped bounds a response that is skipped, in bytes.
+	maxSkipped = 256 << 10
 )
 
 // Pool holds idle connections by address. It is safe for concurrent use.
@@ -91,6 +94,7 @@
 
 	pool      *Pool
 	address   string
+	request   *http.Request
 	conn      *conn
 	stopReset func() bool
 	writeDone chan error
@@ -121,7 +125,7 @@
 		c = dialled
 	}
 	c.uses++
-	x := &Exchange{pool: p, address: s.Address, conn: c}
+	x := &Exchange{pool: p, address: s.Address, request: s.Request, conn: c}
 	x.stopReset = context.AfterFunc(ctx, func() { c.reset() })
 	head, err := serializeHead(s.Request, s.Body)
 	if err != nil {
@@ -138,17 +142,40 @@
 		x.Close(false)
 		return nil, errors.Wrapf(ErrBroken, "%v", err)
 	}
-	response, tooLarge, err := c.readHead(s.Request)
-	if tooLarge {
+	if err := x.readResponse(); err != nil {
 		x.Close(false)
-		return nil, errors.WithStack(&HeadTooLargeError{Address: s.Address, Bound: maxHeadSize})
+		return nil, err
+	}
+	return x, nil
+}
+
+// readResponse reads the headers of a response. The errors are ErrBroken, wrapped, and HeadTooLargeError.
+func (x *Exchange) readResponse() error {
+	response, tooLarge, err := x.conn.readHead(x.request)
+	if tooLarge {
+		return errors.WithStack(&HeadTooLargeError{Address: x.address, Bound: maxHeadSize})
 	}
 	if err != nil {
-		x.Close(false)
-		return nil, errors.Wrapf(ErrBroken, "%v", err)
+		return errors.Wrapf(ErrBroken, "%v", err)
 	}
 	x.Response = response
-	return x, nil
+	return nil
+}
+
+// Skip drops a response that belongs to an earlier request of the connection, and reads the headers of the next one. Errors are
+// those of Do; also if the response does not end by itself, or is longer than maxSkipped. The exchange has to be closed then.
+func (x *Exchange) Skip() error {
+	if x.Response.Close {
+		return errors.Wrap(ErrBroken, "no response follows the one to skip")
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxSkipped+1))
+	if err != nil {
+		return errors.Wrapf(ErrBroken, "response to skip: %v", err)
+	}
+	if n > maxSkipped {
+		return errors.Wrapf(ErrBroken, "response to skip: more than %d bytes", maxSkipped)
+	}
+	return x.readResponse()
 }
 
 // readHead reads the head of an answer, and those of the interim answers before it. tooLarge means that the error comes from
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -39,8 +39,12 @@
 	}
 }
 
-// countHead counts an answer whose status is a promise to callers that its upstream does not make.
+// countHead counts an answer whose status is a promise to callers that its upstream does not make, and one that came behind
+// answers to earlier requests.
 func (c *Core) countHead(reply *Reply) {
+	if reply.Skipped > 0 {
+		c.increment("upstreams.answers_behind_others")
+	}
 	if !reply.NotExecuted && promisesNotRun(reply.Status) {
 		c.increment("upstreams.promises_unstated")
 	}
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -109,6 +109,8 @@
 	// requests that were sent on it so far.
 	Connection int64
 	Uses       int
+	// Skipped is the number of answers to earlier requests that came before this one.
+	Skipped int
 	// RateLimit is what the response says about the upstream's rate limit. RateLimitError is set if
 	// that cannot be read.
 	RateLimit      upstream.RateLimit
--- a/internal/vm/second_answers_test.go
+++ b/internal/vm/second_answers_test.go
@@ -77,3 +77,20 @@
 	c.requireSentOnce(c.vms[0], call{method: "POST", path: "/file/"}, func() { clerk.ShedLoad(20 * time.Millisecond) }, clerk)
 	require.NotEmpty(t, clerk.ShedRequests())
 }
+
+// Guards against a request that is given up because a second answer to an earlier one comes in the place of its own.
+func TestSecondAnswersToOthersCostNoRequest(t *testing.T) {
+	clerk := standin.NewReplica("clerk-1", 0)
+	clerk.RepeatAnswers(func(*http.Request, int) bool { return true })
+	c := newCluster(t, clerk)
+	v := c.start("a")
+	for range 20 {
+		got := c.send(v, call{method: "POST", path: "/file/"})
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, "done by clerk-1", got.body)
+	}
+	for attempt, runs := range runsByAttempt(clerk) {
+		require.Equal(t, 1, runs, attempt)
+	}
+	require.Positive(t, clerk.RepeatedAnswers())
+}
