--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -411,8 +411,7 @@
 // refusedByUpstream handles a response in which the upstream states that it did not run the
 // request.
 func (j *job) refusedByUpstream(choice *assign.Choice, reply *Reply) *failure {
-	_, err := io.Copy(io.Discard, io.LimitReader(reply.Body, maxRefusalBody))
-	reply.Close(err == nil)
+	reply.discard()
 	switch {
 	case reply.Pushback.RetryAfter > 0:
 		// The upstream itself says when it takes requests again, this one included.
@@ -433,8 +432,7 @@
 // promisedByUpstream handles a response whose status would tell the caller that its request was not run, although the upstream
 // does not state that.
 func (j *job) promisedByUpstream(choice *assign.Choice, reply *Reply) *failure {
-	_, err := io.Copy(io.Discard, io.LimitReader(reply.Body, maxRefusalBody+1))
-	reply.Close(err == nil)
+	reply.discard()
 	j.recordAnswer(reply.Status)
 	outcome := assign.Failed
 	if reply.Status < http.StatusInternalServerError {
@@ -448,9 +446,14 @@
 // ErrRefused means that an upstream states that it did not run a request.
 var ErrRefused = errors.New("traffic: the upstream refused the request")
 
-// maxRefusalBody bounds how much of a refusal's body is read, in bytes, so that its
-// connection can be reused.
-const maxRefusalBody = 64 << 10
+// maxDiscarded bounds the body of an answer that is not passed on, in bytes. The connection of a longer one is closed.
+const maxDiscarded = 64 << 10
+
+// discard ends the exchange of an answer that is not passed on.
+func (r *Reply) discard() {
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscarded+1))
+	r.Close(err == nil && n <= maxDiscarded)
+}
 
 // ErrUpstreamFailed means that an upstream ran a request and answered with a failure.
 var ErrUpstreamFailed = errors.New("traffic: the upstream failed the request")
