--- a/internal/vm/promises_test.go
+++ b/internal/vm/promises_test.go
@@ -22,6 +22,7 @@
 
 // Guards against a status that promises callers that their request was not run, of an upstream that may have run it.
 func TestStatusThatPromisesIsNotPassedOnAfterARun(t *testing.T) {
+	t.Parallel()
 	engine, clerk := standin.NewReplica("engine-1", 1, "m0"), standin.NewReplica("clerk-1", 0)
 	c, _ := cutCluster(t, 2, engine, clerk)
 	chat, file := call{method: "POST", path: "/chat/", model: "m0"}, call{method: "POST", path: "/file/"}
@@ -58,6 +59,7 @@
 // Guards against a failure of an idempotent request that is not returned as its upstream gave it, and against one that no
 // upstream has signed.
 func TestFailureOfAnIdempotentRequestIsItsUpstreamsOwn(t *testing.T) {
+	t.Parallel()
 	clerk := standin.NewReplica("clerk-1", 0)
 	c := newCluster(t, clerk)
 	v := c.start("a")
--- a/internal/vm/second_answers_test.go
+++ b/internal/vm/second_answers_test.go
@@ -43,6 +43,7 @@
 
 // Guards against a rejection that comes twice, and is taken for the answer to the same request that was sent again.
 func TestSecondRejectionIsNotTakenForTheAnswerToTheNextSend(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewReplica("engine-1", 1, "m0")
 	engine.RepeatAnswers(rejected)
 	c := newCluster(t, engine)
@@ -53,6 +54,7 @@
 
 // Guards against the same where an engine did not hold an adapter, which the leader then brings to it.
 func TestSecondMisdirectionIsNotTakenForTheAnswerToTheNextSend(t *testing.T) {
+	t.Parallel()
 	engine := standin.NewReplica("engine-1", 1, "m0")
 	engine.RepeatAnswers(rejected)
 	c := newCluster(t, engine)
@@ -71,6 +73,7 @@
 
 // Guards against the same at a VM that was handed the request.
 func TestSecondRejectionOfAForwardedRequestIsNotTakenForTheNextAnswer(t *testing.T) {
+	t.Parallel()
 	clerk := standin.NewReplica("clerk-1", 0)
 	clerk.RepeatAnswers(rejected)
 	c, _ := cutCluster(t, 2, clerk)
@@ -80,6 +83,7 @@
 
 // Guards against a request that is given up because a second answer to an earlier one comes in the place of its own.
 func TestSecondAnswersToOthersCostNoRequest(t *testing.T) {
+	t.Parallel()
 	clerk := standin.NewReplica("clerk-1", 0)
 	clerk.RepeatAnswers(func(*http.Request, int) bool { return true })
 	c := newCluster(t, clerk)
