--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -139,9 +139,9 @@
 // Refuse implements Sink.
 func (s *forwardSink) Refuse(r Refusal) { s.refusal = &r }
 
-// replaces replaces a response that may not be passed on, and reports whether it did: VMs of earlier builds pass on every
-// status of an upstream.
-func (s *forwardSink) replaces(status int) bool {
+// withhold keeps a response from the caller whose status may not be passed on, and reports whether it did. VMs of earlier builds
+// pass on every status of an upstream.
+func (s *forwardSink) withhold(status int) bool {
 	if s.job.mayPassOn(status, true) {
 		return false
 	}
@@ -152,7 +152,7 @@
 
 // WriteResponse implements Sink.
 func (s *forwardSink) WriteResponse(status int, header http.Header, body []byte) {
-	if s.replaces(status) {
+	if s.withhold(status) {
 		return
 	}
 	s.status = status
@@ -162,7 +162,7 @@
 
 // Begin implements Sink.
 func (s *forwardSink) Begin(status int, header http.Header) {
-	if s.replaces(status) {
+	if s.withhold(status) {
 		return
 	}
 	s.status = status
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -157,13 +156,6 @@
 	waitBreak wait = "break"
 )
 
-// answerLog is what logs tell of an upstream's answer. The zero value stands for none.
-type answerLog struct {
-	status, uses int
-	notExecuted  bool
-	after        time.Duration
-}
-
 type bufferedReply struct {
 	status int
 	header http.Header
@@ -331,14 +323,6 @@
 	return j.forwardAnswer(inner, cancel, choice, reply, silence)
 }
 
-// recordHead records the head of an answer for logs and metrics.
-func (j *job) recordHead(reply *Reply) {
-	j.answer = answerLog{
-		status: reply.Status, uses: reply.Uses, notExecuted: reply.NotExecuted, after: time.Since(j.writtenAt),
-	}
-	j.core.countHead(reply)
-}
-
 // checkWrite is called when the first byte of the request is about to be written. It returns ErrWithdrawn if
 // the upstream takes no requests any more: the choice may be seconds old, and so may be what it rests on; also if the
 // request was given up meanwhile. It returns ErrQuarantined if upstreams have ended under the request meanwhile.
@@ -408,53 +392,6 @@
 	return &failure{kind: kind, err: err}
 }
 
-// refusedByUpstream handles a response in which the upstream states that it did not run the
-// request.
-func (j *job) refusedByUpstream(choice *assign.Choice, reply *Reply) *failure {
-	reply.discard()
-	switch {
-	case reply.Pushback.RetryAfter > 0:
-		// The upstream itself says when it takes requests again, this one included.
-	case j.request.Model == "":
-		choice.Rejected = !reply.Misdirected
-		j.avoidInstance(choice.Instance)
-	case reply.Misdirected:
-		j.core.options.Assigner.RemoveItem(choice.Instance, j.request.Model, j.request.Adapter)
-	default:
-		choice.Rejected = true
-		j.avoidInstance(choice.Instance)
-		j.core.options.Assigner.RecordRejection(choice.Instance, j.request.Model, time.Now())
-	}
-	j.finish(choice, assign.Neutral)
-	return &failure{kind: notExecuted, err: errors.Wrapf(ErrRefused, "%s: status %d", choice.Instance, reply.Status)}
-}
-
-// promisedByUpstream handles a response whose status would tell the caller that its request was not run, although the upstream
-// does not state that.
-func (j *job) promisedByUpstream(choice *assign.Choice, reply *Reply) *failure {
-	reply.discard()
-	j.recordAnswer(reply.Status)
-	outcome := assign.Failed
-	if reply.Status < http.StatusInternalServerError {
-		outcome = assign.Neutral
-	}
-	j.finish(choice, outcome)
-	j.avoidInstance(choice.Instance)
-	return &failure{kind: unknown, err: errors.Wrapf(ErrUpstreamFailed, "%s: status %d", choice.Instance, reply.Status)}
-}
-
-// ErrRefused means that an upstream states that it did not run a request.
-var ErrRefused = errors.New("traffic: the upstream refused the request")
-
-// maxDiscarded bounds the body of an answer that is not passed on, in bytes. The connection of a longer one is closed.
-const maxDiscarded = 64 << 10
-
-// discard ends the exchange of an answer that is not passed on.
-func (r *Reply) discard() {
-	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscarded+1))
-	r.Close(err == nil && n <= maxDiscarded)
-}
-
 // ErrUpstreamFailed means that an upstream ran a request and answered with a failure.
 var ErrUpstreamFailed = errors.New("traffic: the upstream failed the request")
 
--- a/internal/traffic/unanswered.go
+++ b/internal/traffic/unanswered.go
@@ -13,21 +13,6 @@
 
 // This file tells callers why a request got no response of an upstream, and whether it may have run.
 
-// promisesNotRun reports whether a status tells callers that their request was not run and never will be.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-// mayPassOn reports whether an upstream's status may be passed on after a run. Callers of a request that may run once would
-// send it again after a status that promises; other callers get it if it is the upstream's own.
-func (j *job) mayPassOn(status int, signed bool) bool {
-	return !promisesNotRun(status) || (signed && j.route.Repeatable())
-}
-
 // refundUnlessRun gives the request's units back to its team if no upstream can have run it.
 func (j *job) refundUnlessRun() {
 	if j.possibleRuns == 0 && j.team != "" {
