--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -90,8 +90,9 @@
 	connectFailures int
 	// sentTo is the upstream of the last exchange, as it was known then.
 	sentTo *upstream.Instance
-	// usedConnections are the connections on which the request was answered.
+	// usedConnections are the connections on which the request was answered, in connectionRoom unless they are many.
 	usedConnections []int64
+	connectionRoom  [maxSends]int64
 	// exchange is the state of the present exchange.
 	exchange *exchangeState
 	// contents is the hash that the attempts of a request share, 0 until it is needed.
@@ -293,6 +294,9 @@
 	if err != nil {
 		return j.sendFailed(ctx, choice, err)
 	}
+	if j.usedConnections == nil {
+		j.usedConnections = j.connectionRoom[:0]
+	}
 	j.usedConnections = append(j.usedConnections, reply.Connection)
 	j.recordHead(reply)
 	j.core.recordAlive(instance, choice.PlacedAt().Add(j.writeWait))
