--- a/internal/vm/promises_test.go
+++ b/internal/vm/promises_test.go
@@ -56,8 +56,7 @@
 	}
 }
 
-// Guards against a failure of an idempotent request that is not returned as its upstream gave it, and against one that no
-// upstream has signed.
+// Guards against a failure of an idempotent request that is not returned as its upstream gave it, or that none has signed.
 func TestFailureOfAnIdempotentRequestIsItsUpstreamsOwn(t *testing.T) {
 	t.Parallel()
 	clerk := standin.NewReplica("clerk-1", 0)
