--- /dev/null
+++ b/test/clients/world_test.go
@@ -0,0 +1,223 @@
+package clients
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/internal/portblock"
+	"github.com/chestnutarch/chestnutarch/platform/standin"
+)
+
+// The lowered limits of a VM, as its settings state them. The platform reserves some of the descriptors for files.
+const (
+	memoryMB        = 96
+	descriptors     = 500
+	fileDescriptors = 200
+)
+
+const (
+	host = "callers.example"
+	key  = "key"
+	// patience is after how long something that has not happened is taken as something that never does.
+	patience = 60 * time.Second
+)
+
+// program is the path of chestnut-vm, built from this source.
+var program string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "clients")
+	if err == nil {
+		program = filepath.Join(dir, "chestnut-vm")
+		err = exec.Command("go", "build", "-o", program, "../../cmd/chestnut-vm").Run()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// world is one VM with a store, an engine and a plain service.
+type world struct {
+	t             *testing.T
+	vm            standin.VM
+	clerk, engine *standin.Replica
+	cmd           *exec.Cmd
+	// ended is closed when the process has ended.
+	ended chan struct{}
+}
+
+var ports portblock.Ports
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, ended: make(chan struct{})}
+	store := standin.NewStore()
+	store.Put("op/config", standin.Manifest{
+		Version: 1, Host: host, Models: []string{"m0"}, Teams: []standin.Team{{Name: "team", Keys: []string{key}, Rate: 1e9, Burst: 1e9}},
+	}.Value())
+	w.clerk = w.addUpstream(store, "clerk")
+	w.engine = w.addUpstream(store, "engine", "m0")
+	at := w.addresses(6)
+	first, last := portOf(at[0]), portOf(at[1])
+	w.vm = standin.VM{
+		Name: "vm", Zone: "a", IP: "127.0.0.1", FirstPort: min(first, last), LastPort: max(first, last), Callers: at[2], Readiness: at[3], Directory: at[4],
+		Store: w.serve(store), ConfigMs: 4000, DrainMs: 4000, EvacuationMs: 4000, LeaseMs: 3000, GraceS: 4, QuotaSlack: 1000,
+		MemoryMB: memoryMB, Descriptors: descriptors,
+	}
+	w.start()
+	require.Eventually(t, func() bool { return w.ready() }, patience, 50*time.Millisecond, "the VM is not ready")
+	return w
+}
+
+func (w *world) addUpstream(store *standin.Store, service string, models ...string) *standin.Replica {
+	r := standin.NewReplica(service+"-1", 2, models...)
+	r.NameAttempt, r.ServiceTime, r.Born = true, time.Millisecond, time.Now().UnixMilli()
+	store.Put("servers/"+r.ID, r.Entry(service, w.serve(r), "a", "ready"))
+	return r
+}
+
+func (w *world) serve(handler http.Handler) string {
+	server, err := ports.Serve(handler)
+	require.NoError(w.t, err)
+	w.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.Listener.Addr().String()
+}
+
+func (w *world) addresses(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		port, err := ports.Next()
+		require.NoError(w.t, err)
+		out[i] = fmt.Sprintf("127.0.0.1:%d", port)
+	}
+	return out
+}
+
+func portOf(address string) int {
+	_, text, _ := net.SplitHostPort(address)
+	port, _ := strconv.Atoi(text)
+	return port
+}
+
+func (w *world) start() {
+	path := filepath.Join(w.t.TempDir(), "vm.toml")
+	require.NoError(w.t, os.WriteFile(path, []byte(w.vm.Settings()), 0o600))
+	log, err := os.Create(filepath.Join(w.t.TempDir(), "vm.log"))
+	require.NoError(w.t, err)
+	w.cmd = exec.Command(program)
+	w.cmd.Env = []string{"CHESTNUTARCH_BOOT=" + path}
+	w.cmd.Stdout, w.cmd.Stderr = log, log
+	require.NoError(w.t, w.cmd.Start())
+	go func() {
+		_ = w.cmd.Wait()
+		close(w.ended)
+	}()
+	w.t.Cleanup(func() {
+		_ = w.cmd.Process.Signal(syscall.SIGKILL)
+		<-w.ended
+		if w.t.Failed() {
+			w.logTail(log.Name())
+		}
+	})
+}
+
+// logTail prints the last lines of the process's log.
+func (w *world) logTail(path string) {
+	text, _ := os.ReadFile(path)
+	lines := strings.Split(string(text), "\n")
+	w.t.Logf("log of the VM:\n%s", strings.Join(lines[max(0, len(lines)-20):], "\n"))
+}
+
+func (w *world) ready() bool {
+	response, err := http.Get("http://" + w.vm.Readiness + "/readiness")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// listener is the address of one of a VM's listeners, by its name.
+func (w *world) listener(name string) string {
+	return map[string]string{
+		"callers": w.vm.Callers, "readiness": w.vm.Readiness, "directory": w.vm.Directory,
+		"operators": fmt.Sprintf("127.0.0.1:%d", w.vm.LastPort), "peers": fmt.Sprintf("127.0.0.1:%d", w.vm.FirstPort),
+	}[name]
+}
+
+// requireWithinLimits checks that the process lives and has kept its limits.
+func (w *world) requireWithinLimits() {
+	w.t.Helper()
+	select {
+	case <-w.ended:
+		require.Fail(w.t, "the process has ended", "%v", w.cmd.ProcessState)
+	default:
+	}
+	peak, open := w.peakMemory(), w.openSockets()
+	w.t.Logf("most memory %d kB, sockets %d", peak, open)
+	require.LessOrEqual(w.t, peak, memoryMB<<10, "most memory of the process, in kB")
+	require.LessOrEqual(w.t, open, descriptors-fileDescriptors, "open sockets of the process")
+}
+
+// peakMemory returns the most memory that the process has taken, in kB.
+func (w *world) peakMemory() int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.cmd.Process.Pid))
+	require.NoError(w.t, err)
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	peak, err := strconv.Atoi(strings.Fields(rest)[0])
+	require.NoError(w.t, err)
+	return peak
+}
+
+// openSockets returns the number of sockets that the process has open.
+func (w *world) openSockets() int {
+	folder := fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid)
+	entries, err := os.ReadDir(folder)
+	require.NoError(w.t, err)
+	sockets := 0
+	for _, e := range entries {
+		if target, err := os.Readlink(filepath.Join(folder, e.Name())); err == nil && strings.HasPrefix(target, "socket:") {
+			sockets++
+		}
+	}
+	return sockets
+}
+
+// requireOrdinaryAnswer checks that a caller that does what answers say gets its answer, that its address is listed and that
+// the VM is ready.
+func (w *world) requireOrdinaryAnswer() {
+	w.t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	last := standin.Answer{}
+	require.Eventually(w.t, func() bool {
+		last = standin.Send(context.Background(), client, w.vm.Callers, standin.Call{
+			ID: fmt.Sprintf("ordinary-%d", time.Now().UnixNano()), Method: http.MethodPost, Host: host, Path: "/look/1", Key: key, Body: "body", Timeout: 10 * time.Second,
+		})
+		return last.Status == http.StatusOK && last.Signed
+	}, patience, 200*time.Millisecond, "no ordinary request was answered, the last one with %+v", &last)
+	require.Eventually(w.t, func() bool {
+		addresses, err := standin.Resolve(context.Background(), client, w.vm.Directory, host, "a")
+		return err == nil && len(addresses) == 1
+	}, patience, 200*time.Millisecond, "the directory does not answer")
+	require.Eventually(w.t, w.ready, patience, 200*time.Millisecond, "the VM is not ready")
+}
