inbound, connlimit: heads of requests are bounded in memory, and by the configuration

What callers saw: the VM ran out of memory and ended. A crowd sent heads of very many short lines, also of legal size, or did not end them.

Cause: a line of a few bytes takes some 90 once parsed and as much again for each copy while its request waits, so that 16 KiB take 0.7 MB; nothing bounded heads in sum, neither before a handler runs nor after. header-bytes of the configuration was read and not used: 64 KiB were served, which docs/OPERATIONS.md denies.

Change: what a head takes is reckoned from its lines, list items and bytes while it is read, before the server parses it, and taken from one account of all HTTP listeners, an eighth of the memory. It is given back when the request has been answered. Connections make room whose incomplete heads have taken more for longer; else the head is refused with 503, which is true: no byte of it has been handed out. Large heads use three quarters, so that ordinary callers find room. A head beyond header-bytes and 4 KiB gets 431.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -13,8 +13,12 @@
 	"github.com/chestnutarch/chestnutarch/internal/connlimit"
 )
 
-// ErrClosed means that a connection was closed because others needed its place.
-var ErrClosed = errors.New("inbound: the connection was closed for others")
+var (
+	// ErrClosed means that a connection was closed because others needed its place.
+	ErrClosed = errors.New("inbound: the connection was closed for others")
+	// ErrRefused means that the head of a request was refused, and its client told so.
+	ErrRefused = errors.New("inbound: the head was refused")
+)
 
 // chunked stands for the length of a body of unknown length.
 const chunked = -1
@@ -25,7 +29,13 @@
 	net.Conn
 	entry *connlimit.Conn
 
+	headLimit func() int64
+
 	scanner headScanner
+	// head is the number of bytes of the present head, untaken the memory of those that has not been taken yet.
+	head, untaken int64
+	// last is what has been read of a chunked body last.
+	last tail
 	// reading is set from the first byte of a head until its end, serving from there until the request has been answered.
 	reading, serving bool
 	// body is the number of bytes of the present body that have not been read, or chunked. It is atomic because the server may
@@ -44,7 +54,10 @@
 	}
 	n, err := c.readMore(p)
 	switch {
-	case n == 0 || body == chunked:
+	case n == 0:
+		return 0, err
+	case body == chunked:
+		c.last.add(p[:n])
 		return n, err
 	case body > 0:
 		return c.readBody(n, err)
@@ -90,14 +103,38 @@
 	}
 	c.reading = true
 	n, complete := c.scanner.scan(p)
+	c.head += int64(n)
+	c.untaken += headMemory(p[:n])
+	if c.serving {
+		return n, err
+	}
+	if refusal := c.takeHead(now); refusal != nil {
+		return 0, refusal
+	}
 	if !complete {
 		return n, err
 	}
 	c.keep(p[n:])
-	c.scanner, c.reading, c.serving = headScanner{}, false, true
+	c.scanner, c.head, c.reading, c.serving = headScanner{}, 0, false, true
 	return c.result(n, err, c.entry.EndHead(now))
 }
 
+// takeHead takes the memory of what has been read of a head, or refuses the head.
+func (c *Conn) takeHead(now time.Time) error {
+	if c.headLimit != nil && c.head > c.headLimit() {
+		return c.refuse(tooLarge)
+	}
+	err := c.entry.TakeHead(c.untaken, now)
+	c.untaken = 0
+	switch {
+	case errors.Is(err, connlimit.ErrNoMemory):
+		return c.refuse(noMemory())
+	case err != nil:
+		return errors.WithStack(ErrClosed)
+	}
+	return nil
+}
+
 // buffers holds buffers for bytes that come after the end of a head.
 var buffers = sync.Pool{New: func() any { return new([]byte) }}
 
@@ -154,6 +191,8 @@
 func (c *Conn) endRequest() {
 	c.serving = false
 	c.body.Store(0)
+	// Of what came after a chunked body the server may hold a part, which is one of the next head.
+	c.untaken += c.last.memory()
 	if c.reading {
 		c.entry.BeginHead(time.Now())
 		return
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -21,7 +21,7 @@
 func startServer(t *testing.T, limit int) (address string, group *connlimit.Group) {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	group = connlimit.NewTable().Group(limit)
+	group = connlimit.NewTable(0).Group(limit)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -15,6 +15,8 @@
 type Listener struct {
 	net.Listener
 	group *connlimit.Group
+	// HeadLimit, if set, returns the size of the largest head that is accepted, in bytes. It must be set before the first Accept.
+	HeadLimit func() int64
 }
 
 // NewListener returns a listener that accepts the connections of another one within the limit of a group.
@@ -29,7 +31,7 @@
 		if err != nil {
 			return nil, errors.WithStack(err)
 		}
-		c := &Conn{Conn: inner}
+		c := &Conn{Conn: inner, headLimit: l.HeadLimit}
 		c.entry = l.group.Open(func() { _ = inner.Close() }, time.Now())
 		if c.entry != nil {
 			return c, nil
--- a/internal/inbound/scan.go
+++ b/internal/inbound/scan.go
@@ -29,3 +29,18 @@
 	}
 	return n, false
 }
+
+// The memory in bytes that a head takes, from when it is parsed until its request has been answered: its fields, and the copies
+// of them that are forwarded.
+const (
+	lineMemory = 256
+	// itemMemory is that of an item of a list, of which a field may have many.
+	itemMemory = 64
+	byteMemory = 4
+)
+
+// headMemory returns the memory that bytes of a head take.
+func headMemory(p []byte) int64 {
+	lines, items := bytes.Count(p, []byte{'\n'}), bytes.Count(p, []byte{','})
+	return int64(lines*lineMemory + items*itemMemory + len(p)*byteMemory)
+}
--- a/internal/vm/connections.go
+++ b/internal/vm/connections.go
@@ -24,10 +24,16 @@
 	connectionMemory = 32 << 10
 	// connectionsMemoryShare is the part of a VM's memory that connections of callers may take.
 	connectionsMemoryShare = 1.0 / 8
+	// headsMemoryShare is the part of a VM's memory that the heads of requests may take.
+	headsMemoryShare = 1.0 / 8
+	// headSlack is by how much a head may be larger than the configuration allows, in bytes: what it counts beside the header
+	// fields is not told.
+	headSlack = 4 << 10
 )
 
 // connections holds the connections of the clients of each listener.
 type connections struct {
+	table                                           *connlimit.Table
 	callers, peers, directory, readiness, operators *connlimit.Group
 }
 
@@ -36,7 +42,7 @@
 	if sockets == 0 {
 		sockets = defaultSockets
 	}
-	table := connlimit.NewTable()
+	table := connlimit.NewTable(int64(headsMemoryShare * float64(int64(s.MemoryMB)<<20)))
 	group := func(share float64) *connlimit.Group {
 		return table.Group(max(minConnections, int(share*float64(sockets))))
 	}
@@ -45,11 +51,19 @@
 		callers = min(callers, int(connectionsMemoryShare*float64(int64(s.MemoryMB)<<20)/connectionMemory))
 	}
 	return connections{
-		callers: table.Group(callers), peers: group(peersShare), directory: group(directoryShare), readiness: group(readinessShare),
+		table: table, callers: table.Group(callers), peers: group(peersShare), directory: group(directoryShare), readiness: group(readinessShare),
 		operators: group(operatorsShare),
 	}
 }
 
+// headLimit returns the size of the largest head that is accepted, in bytes.
+func (p *Process) headLimit() int64 {
+	if config := p.core.Catalog(); config != nil && config.Limits.HeaderBytes > 0 {
+		return config.Limits.HeaderBytes + headSlack
+	}
+	return maxHeaderBytes
+}
+
 // updateConnections updates the gauges of the connections of clients.
 func (p *Process) updateConnections() {
 	for name, group := range map[string]*connlimit.Group{
@@ -62,4 +76,9 @@
 		p.setGauge("connections."+name+"_closed", counts.Closed)
 		p.setGauge("connections."+name+"_refused", counts.Refused)
 	}
+	heads := p.connections.table.HeadCounts()
+	p.setGauge("held.heads_bytes", heads.Held)
+	p.setGauge("held.heads_limit_bytes", p.connections.table.Memory())
+	p.setGauge("held.heads_ended", heads.Closed)
+	p.setGauge("held.heads_refused", heads.Refused)
 }
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -302,9 +302,8 @@
 }
 
 const (
-	// maxHeaderBytes bounds the headers of a request, headerTimeout the time in which they
-	// have to arrive. The configuration's own limits are lower, but can change while
-	// connections are open.
+	// maxHeaderBytes bounds the head of a request unless the configuration does, headerTimeout the
+	// time in which it has to arrive.
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
 	// callerIdleTimeout is how long an idle connection of a caller is kept open. Callers
@@ -335,7 +334,9 @@
 			ErrorLog: nil,
 		}
 		inbound.Attach(served)
-		out = append(out, &server{listener: inbound.NewListener(listener, s.connections), http: served})
+		bounded := inbound.NewListener(listener, s.connections)
+		bounded.HeadLimit = p.headLimit
+		out = append(out, &server{listener: bounded, http: served})
 	}
 	return out, nil
 }
