peer: header fields, calls and the opening of connections are bounded

What callers saw: bytes at the port for other VMs end the VM for its memory, though no VM sends such bytes.

Cause: the gRPC server had its defaults: 16 MB of header fields a call, calls without number, two minutes for a client to open a connection.

Change: 8 KiB, 256 calls a connection, 5 s. What VMs send is gRPC's own fields and those of traces; at most 128 requests are handed over to a VM at a time.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -28,6 +28,12 @@
 	// maxMessageBytes is the largest size of one message: a configuration envelope and its
 	// frame.
 	maxMessageBytes = 2 << 20
+	// maxHeaderBytes bounds the header fields of one call, which are those of gRPC and of traces.
+	maxHeaderBytes = 8 << 10
+	// maxCalls bounds the calls that run on one connection.
+	maxCalls = 256
+	// handshakeTimeout bounds the time in which a client has to open a connection.
+	handshakeTimeout = 5 * time.Second
 )
 
 // Server answers the calls of other VMs.
@@ -46,6 +52,9 @@
 		grpc.Creds(transport),
 		grpc.StatsHandler(otelgrpc.NewServerHandler(otelgrpc.WithFilter(traced))),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
+		grpc.MaxConcurrentStreams(maxCalls),
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.StaticStreamWindowSize(windowBytes),
 		grpc.StaticConnWindowSize(windowBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}),
