inbound: calls whose messages do not end are bounded at the port for other VMs

What callers saw: connections on which calls begin messages and do not end them end the VM for its memory.

Cause: gRPC holds what it has of a message until it is complete, up to 2 MB a call, and renews the window of a connection whatever its calls hold.

Change: inbound follows the frames of a connection and reckons what calls hold whose messages are incomplete, out of the account of request heads. A call gives it back when its message is complete, so that what VMs send each other holds nothing beyond its arrival. Connections make room whose incomplete calls have taken more for longer, and a connection with incomplete calls gives its place up before one that is idle.

--- a/internal/connlimit/table.go
+++ b/internal/connlimit/table.go
@@ -202,6 +202,19 @@
 	return err
 }
 
+// ReturnHead gives n bytes back of the memory of the head that is being read.
+func (c *Conn) ReturnHead(n int64) {
+	t := c.group.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n = min(n, c.head)
+	c.head -= n
+	t.held -= n
+	if c.head == 0 {
+		delete(t.reading, c)
+	}
+}
+
 // makeRoom closes connections until a head may take n more bytes, and returns them. It closes none if that does not suffice.
 func (t *Table) makeRoom(c *Conn, n int64, now time.Time) (closed []*Conn, err error) {
 	if c.ended {
--- /dev/null
+++ b/internal/inbound/grpc.go
@@ -0,0 +1,69 @@
+package inbound
+
+import (
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutarch/chestnutarch/internal/connlimit"
+)
+
+// NewGRPCListener returns a listener for a gRPC server without TLS, like that of NewListener. A connection on which no message is
+// incomplete counts as idle since it last received bytes. A call whose message is incomplete counts as a head that is being read.
+func NewGRPCListener(inner net.Listener, group *connlimit.Group) net.Listener {
+	return &grpcListener{NewListener(inner, group)}
+}
+
+type grpcListener struct{ *Listener }
+
+// Accept implements net.Listener.
+func (l *grpcListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &grpcConn{Conn: c.(*Conn)}, nil
+}
+
+type grpcConn struct {
+	*Conn
+	frames frameScanner
+	// taken is the memory that has been taken for calls.
+	taken int64
+}
+
+// Read implements net.Conn.
+func (c *grpcConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Conn.Read(p)
+	if n == 0 {
+		return 0, err
+	}
+	c.frames.scan(p[:n])
+	if refusal := c.hold(time.Now()); refusal != nil {
+		_ = c.Close()
+		return 0, refusal
+	}
+	return n, err
+}
+
+// hold takes the memory of calls whose messages are incomplete, or gives it back.
+func (c *grpcConn) hold(now time.Time) error {
+	more := c.frames.held - c.taken
+	open := true
+	switch {
+	case c.frames.held == 0:
+		open = c.entry.EndRequest(now)
+	case c.taken == 0:
+		open = c.entry.BeginHead(now)
+	}
+	c.taken = c.frames.held
+	if !open {
+		return errors.WithStack(ErrClosed)
+	}
+	if more > 0 {
+		return errors.WithStack(c.entry.TakeHead(more, now))
+	}
+	c.entry.ReturnHead(-more)
+	return nil
+}
