inbound: what the kernel holds of clients that go on sending is bounded

What callers saw: clients that go on sending while their requests are served, or who do not read answers, take memory of the VM that no account knows: bytes received and not read count towards its limit.

Cause: 128 KiB of receive buffer a connection, which the kernel doubles; at the port for VMs the kernel's own limit of some MB.

Change: a caller's connection has 16 KiB, and 128 KiB while a body of more is read. The port for VMs has 32 KiB, and as many connections as its share of the memory bears, like the other listeners.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -27,15 +27,16 @@
 // net/http does.
 type Conn struct {
 	net.Conn
-	entry *connlimit.Conn
-
-	headLimit func() int64
+	entry    *connlimit.Conn
+	listener *Listener
 
 	scanner headScanner
 	// head is the number of bytes of the present head, untaken the memory of those that has not been taken yet.
 	head, untaken int64
 	// last is what has been read of a chunked body last.
 	last tail
+	// bodyBuffer is set while the kernel's receive buffer is that for bodies.
+	bodyBuffer bool
 	// reading is set from the first byte of a head until its end, serving from there until the request has been answered.
 	reading, serving bool
 	// body is the number of bytes of the present body that have not been read, or chunked. It is atomic because the server may
@@ -58,6 +59,9 @@
 		return 0, err
 	case body == chunked:
 		c.last.add(p[:n])
+		if c.last.total > int64(c.listener.ReceiveBuffer) {
+			c.setBodyBuffer(true)
+		}
 		return n, err
 	case body > 0:
 		return c.readBody(n, err)
@@ -121,7 +125,7 @@
 
 // takeHead takes the memory of what has been read of a head, or refuses the head.
 func (c *Conn) takeHead(now time.Time) error {
-	if c.headLimit != nil && c.head > c.headLimit() {
+	if limit := c.listener.HeadLimit; limit != nil && c.head > limit() {
 		return c.refuse(tooLarge)
 	}
 	err := c.entry.TakeHead(c.untaken, now)
@@ -163,11 +167,31 @@
 	}
 	c.body.Store(r.ContentLength)
 	c.entry.ReadBody(time.Now())
+	if r.ContentLength > int64(c.listener.ReceiveBuffer) {
+		c.setBodyBuffer(true)
+	}
 	if r.ContentLength == chunked {
 		r.Body = &chunkedBody{ReadCloser: r.Body, conn: c}
 	}
 }
 
+// setBodyBuffer sets whether the kernel's receive buffer is that for bodies. Otherwise it is small, since clients may go on
+// sending while nothing is read.
+func (c *Conn) setBodyBuffer(body bool) {
+	if c.bodyBuffer == body || c.listener.BodyBuffer == 0 {
+		return
+	}
+	c.bodyBuffer = body
+	size := c.listener.ReceiveBuffer
+	if body {
+		size = c.listener.BodyBuffer
+	}
+	if inner, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		// An error means that the connection is gone.
+		_ = inner.SetReadBuffer(size)
+	}
+}
+
 // chunkedBody is a body of unknown length, of which only the server knows where it ends.
 type chunkedBody struct {
 	io.ReadCloser
@@ -193,6 +217,7 @@
 	c.body.Store(0)
 	// Of what came after a chunked body the server may hold a part, which is one of the next head.
 	c.untaken += c.last.memory()
+	c.setBodyBuffer(false)
 	if c.reading {
 		c.entry.BeginHead(time.Now())
 		return
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -17,6 +17,10 @@
 	group *connlimit.Group
 	// HeadLimit, if set, returns the size of the largest head that is accepted, in bytes. It must be set before the first Accept.
 	HeadLimit func() int64
+	// ReceiveBuffer is the bound on the kernel's receive buffer of a connection, in bytes, which it gets from the inner listener.
+	// BodyBuffer replaces it while a body of more than ReceiveBuffer is read. Zero leaves it as it is. Both must be set before the
+	// first Accept.
+	ReceiveBuffer, BodyBuffer int
 }
 
 // NewListener returns a listener that accepts the connections of another one within the limit of a group.
@@ -31,7 +35,7 @@
 		if err != nil {
 			return nil, errors.WithStack(err)
 		}
-		c := &Conn{Conn: inner, headLimit: l.HeadLimit}
+		c := &Conn{Conn: inner, listener: l}
 		c.entry = l.group.Open(func() { _ = inner.Close() }, time.Now())
 		if c.entry != nil {
 			return c, nil
--- a/internal/inbound/tail.go
+++ b/internal/inbound/tail.go
@@ -9,6 +9,8 @@
 	// present is that of the latest bytes, before that of those before them, which are as many as the server may hold.
 	present, before int64
 	bytes           int
+	// total is the number of all bytes.
+	total int64
 }
 
 func (t *tail) add(p []byte) {
@@ -20,6 +22,7 @@
 		t.present += headMemory(p)
 	}
 	t.bytes += len(p)
+	t.total += int64(len(p))
 }
 
 // memory returns the memory, and forgets it.
--- a/internal/transport/buffers_linux.go
+++ b/internal/transport/buffers_linux.go
@@ -9,15 +9,15 @@
 // control is a Control function of a net.Dialer or net.ListenConfig.
 type control = func(network, address string, c syscall.RawConn) error
 
-// bufferControl returns a control that bounds the socket's buffers to size bytes each, and then calls next. An accepted
-// connection inherits the bounds from its listener. Size zero means no bounds.
-func bufferControl(size int, next control) control {
-	if size == 0 {
+// bufferControl returns a control that bounds the socket's buffers, in bytes, and then calls next. An accepted connection
+// inherits the bounds from its listener. Zero means no bound.
+func bufferControl(send, receive int, next control) control {
+	if send == 0 && receive == 0 {
 		return next
 	}
 	return func(network, address string, c syscall.RawConn) error {
 		var optionErr error
-		err := c.Control(func(fd uintptr) { optionErr = setBuffers(int(fd), size) })
+		err := c.Control(func(fd uintptr) { optionErr = setBuffers(int(fd), send, receive) })
 		if err == nil {
 			err = optionErr
 		}
@@ -28,10 +28,15 @@
 	}
 }
 
-// setBuffers bounds the buffers of a socket. The kernel doubles the size, for its own bookkeeping.
-func setBuffers(fd, size int) error {
-	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, size); err != nil {
-		return err
+// setBuffers bounds the buffers of a socket. The kernel doubles the sizes, for its own bookkeeping.
+func setBuffers(fd, send, receive int) error {
+	for _, buffer := range []struct{ option, size int }{{unix.SO_SNDBUF, send}, {unix.SO_RCVBUF, receive}} {
+		if buffer.size == 0 {
+			continue
+		}
+		if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, buffer.option, buffer.size); err != nil {
+			return err
+		}
 	}
-	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+	return nil
 }
--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -23,6 +23,9 @@
 	// SocketBuffer bounds the kernel's send buffer and its receive buffer of a connection, each, in bytes. Zero leaves them to
 	// the kernel, which lets them grow to some MB.
 	SocketBuffer int
+	// ReceiveBuffer bounds the kernel's receive buffer of a connection instead of SocketBuffer, in bytes. The default is
+	// SocketBuffer.
+	ReceiveBuffer int
 }
 
 // The defaults of Limits.
@@ -51,6 +54,9 @@
 	if l.UserTimeout == 0 {
 		l.UserTimeout = DefaultUserTimeout
 	}
+	if l.ReceiveBuffer == 0 {
+		l.ReceiveBuffer = l.SocketBuffer
+	}
 	return l
 }
 
@@ -73,7 +79,7 @@
 	return &net.Dialer{
 		Timeout:         l.Connect,
 		KeepAliveConfig: l.keepAlive(),
-		Control:         bufferControl(l.SocketBuffer, userTimeoutControl(l.UserTimeout)),
+		Control:         bufferControl(l.SocketBuffer, l.ReceiveBuffer, userTimeoutControl(l.UserTimeout)),
 	}
 }
 
@@ -83,6 +89,6 @@
 	l = l.withDefaults()
 	return &net.ListenConfig{
 		KeepAliveConfig: l.keepAlive(),
-		Control:         bufferControl(l.SocketBuffer, userTimeoutControl(l.UserTimeout)),
+		Control:         bufferControl(l.SocketBuffer, l.ReceiveBuffer, userTimeoutControl(l.UserTimeout)),
 	}
 }
--- a/internal/vm/connections.go
+++ b/internal/vm/connections.go
@@ -20,9 +20,9 @@
 	defaultSockets = 3900
 	// minConnections is how many connections each listener may have open at least.
 	minConnections = 8
-	// connectionMemory is about what a connection of a caller takes when nothing happens on it, in bytes.
+	// connectionMemory is about what a connection takes when nothing happens on it, in bytes.
 	connectionMemory = 32 << 10
-	// connectionsMemoryShare is the part of a VM's memory that connections of callers may take.
+	// connectionsMemoryShare is the part of a VM's memory that the connections of one listener may take.
 	connectionsMemoryShare = 1.0 / 8
 	// headsMemoryShare is the part of a VM's memory that the heads of requests may take.
 	headsMemoryShare = 1.0 / 8
@@ -44,14 +44,14 @@
 	}
 	table := connlimit.NewTable(int64(headsMemoryShare * float64(int64(s.MemoryMB)<<20)))
 	group := func(share float64) *connlimit.Group {
-		return table.Group(max(minConnections, int(share*float64(sockets))))
-	}
-	callers := max(minConnections, int(callersShare*float64(sockets)))
-	if s.MemoryMB > 0 {
-		callers = min(callers, int(connectionsMemoryShare*float64(int64(s.MemoryMB)<<20)/connectionMemory))
+		limit := int(share * float64(sockets))
+		if s.MemoryMB > 0 {
+			limit = min(limit, int(connectionsMemoryShare*float64(int64(s.MemoryMB)<<20)/connectionMemory))
+		}
+		return table.Group(max(minConnections, limit))
 	}
 	return connections{
-		table: table, callers: table.Group(callers), peers: group(peersShare), directory: group(directoryShare), readiness: group(readinessShare),
+		table: table, callers: group(callersShare), peers: group(peersShare), directory: group(directoryShare), readiness: group(readinessShare),
 		operators: group(operatorsShare),
 	}
 }
--- a/internal/vm/held_memory.go
+++ b/internal/vm/held_memory.go
@@ -5,6 +5,13 @@
 // heldSocketBuffer bounds what the kernel holds of a connection in each direction, in bytes: it counts as memory of the VM.
 const heldSocketBuffer = 128 << 10
 
+const (
+	// headSocketBuffer bounds what the kernel has received on a caller's connection, in bytes, unless a larger body is being read.
+	headSocketBuffer = 16 << 10
+	// peerSocketBuffer bounds the same on a connection of another VM.
+	peerSocketBuffer = 32 << 10
+)
+
 // boundsHeldMemory reports whether this VM bounds what it holds for callers and upstreams that read slowly: its memory is known.
 func (p *Process) boundsHeldMemory() bool {
 	return p.enabled(PartHeldAnswers) && p.settings.MemoryMB > 0
@@ -18,6 +25,14 @@
 	return heldSocketBuffer
 }
 
+// receiveBuffer returns a bound on the kernel's receive buffer of a connection, 0 if there is none.
+func (p *Process) receiveBuffer(size int) int {
+	if !p.boundsHeldMemory() {
+		return 0
+	}
+	return size
+}
+
 // boundHeldMemory makes the accounts of what is held.
 func (p *Process) boundHeldMemory() {
 	if !p.boundsHeldMemory() {
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -216,7 +216,7 @@
 	for _, s := range servers {
 		group.Go(s.serve)
 	}
-	peers, err := transport.NewListenConfig(transport.Limits{}).Listen(background, "tcp4", p.peerAddress())
+	peers, err := transport.NewListenConfig(transport.Limits{ReceiveBuffer: p.receiveBuffer(peerSocketBuffer)}).Listen(background, "tcp4", p.peerAddress())
 	if err != nil {
 		return errors.Wrap(err, "vm: listen for peers")
 	}
@@ -313,7 +313,7 @@
 )
 
 func (p *Process) listen(ctx context.Context) ([]*server, error) {
-	config := transport.NewListenConfig(transport.Limits{UserTimeout: 5 * time.Second, SocketBuffer: p.socketBuffer()})
+	config := transport.NewListenConfig(transport.Limits{UserTimeout: 5 * time.Second, SocketBuffer: p.socketBuffer(), ReceiveBuffer: p.receiveBuffer(headSocketBuffer)})
 	var out []*server
 	for _, s := range []struct {
 		address     string
@@ -335,7 +335,7 @@
 		}
 		inbound.Attach(served)
 		bounded := inbound.NewListener(listener, s.connections)
-		bounded.HeadLimit = p.headLimit
+		bounded.HeadLimit, bounded.ReceiveBuffer, bounded.BodyBuffer = p.headLimit, p.receiveBuffer(headSocketBuffer), p.socketBuffer()
 		out = append(out, &server{listener: bounded, http: served})
 	}
 	return out, nil
--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -108,6 +108,19 @@
 	w.requireTrueRefusals(c)
 }
 
+// Guards against clients that go on sending while their requests are served, so that the kernel holds what nobody reads.
+func TestVMOutlivesBytesThatAreNotRead(t *testing.T) {
+	w := newWorldWith(t, manyDescriptors)
+	release := make(chan struct{})
+	defer close(release)
+	w.clerk.SetFail(func(http.ResponseWriter, *http.Request) { <-release })
+	c := w.send(w.vm.Callers, connectionCrowd, false, repeated(func(n int) string { return getHead(n) + "\r\n" }, func(int) string { return "\r\n" }))
+	defer c.close()
+	w.requireMemoryWithinLimit()
+	w.clerk.SetFail(nil)
+	w.requireOrdinaryAnswer()
+}
+
 // Guards against a limit that refuses what the configuration allows.
 func TestLargestHeadOfShortLinesIsServedInCalm(t *testing.T) {
 	w := newWorld(t)
--- a/test/clients/world_test.go
+++ b/test/clients/world_test.go
@@ -26,6 +26,8 @@
 	memoryMB        = 96
 	descriptors     = 500
 	fileDescriptors = 200
+	// manyDescriptors is the platform's usual limit.
+	manyDescriptors = 4100
 )
 
 const (
@@ -66,7 +68,10 @@
 
 var ports portblock.Ports
 
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T) *world { return newWorldWith(t, descriptors) }
+
+// newWorldWith returns a world whose VM may use a number of descriptors.
+func newWorldWith(t *testing.T, descriptors int) *world {
 	w := &world{t: t, ended: make(chan struct{})}
 	store := standin.NewStore()
 	store.Put("op/config", standin.Manifest{
@@ -173,12 +178,20 @@
 		require.Fail(w.t, "the process has ended", "%v", w.cmd.ProcessState)
 	default:
 	}
-	peak, open := w.peakMemory(), w.openSockets()
-	w.t.Logf("most memory %d kB, sockets %d", peak, open)
-	require.LessOrEqual(w.t, peak, memoryMB<<10, "most memory of the process, in kB")
+	w.requireMemoryWithinLimit()
+	open := w.openSockets()
+	w.t.Logf("sockets %d", open)
 	require.LessOrEqual(w.t, open, descriptors-fileDescriptors, "open sockets of the process")
 }
 
+// requireMemoryWithinLimit checks that the process has kept its limit of memory.
+func (w *world) requireMemoryWithinLimit() {
+	w.t.Helper()
+	peak, unread := w.peakMemory(), w.unreadBytes()>>10
+	w.t.Logf("most memory %d kB, unread %d kB", peak, unread)
+	require.LessOrEqual(w.t, peak+unread, memoryMB<<10, "most memory of the process and what it has not read, in kB")
+}
+
 // peakMemory returns the most memory that the process has taken, in kB.
 func (w *world) peakMemory() int {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.cmd.Process.Pid))
@@ -221,3 +234,29 @@
 	}, patience, 200*time.Millisecond, "the directory does not answer")
 	require.Eventually(w.t, w.ready, patience, 200*time.Millisecond, "the VM is not ready")
 }
+
+// unreadBytes returns how many bytes the kernel holds that clients have sent and the process has not read. They count as memory of
+// the process.
+func (w *world) unreadBytes() int {
+	table, err := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", w.cmd.Process.Pid))
+	require.NoError(w.t, err)
+	own := make(map[string]bool)
+	for _, name := range append([]string{"peers"}, httpListeners...) {
+		own[fmt.Sprintf("%04X", portOf(w.listener(name)))] = true
+	}
+	sum := 0
+	for _, line := range strings.Split(string(table), "\n")[1:] {
+		fields := strings.Fields(line)
+		if len(fields) < 5 || !own[fields[1][strings.Index(fields[1], ":")+1:]] || fields[3] == listening {
+			continue
+		}
+		_, queue, _ := strings.Cut(fields[4], ":")
+		unread, err := strconv.ParseInt(queue, 16, 64)
+		require.NoError(w.t, err)
+		sum += int(unread)
+	}
+	return sum
+}
+
+// listening is the state of a listener in /proc/net/tcp.
+const listening = "0A"
