test/clients, inbound: stops beside a crowd, refusals that are read and that are not

Cause: three suspects had no test: a stop that waits for heads without an end, refusals that block because nobody reads them, and refusals that a client loses because it goes on sending.

Change: tests only. Clients that do not read have a receive buffer of 4 KiB, so that a VM's writes to them block soon.

Writes that block end by the connection's user timeout of 5 s, so nothing was changed for them. A client that is refused with 431 or 503 reads that answer although its body follows.

--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -17,11 +17,19 @@
 	"github.com/chestnutarch/chestnutarch/internal/connlimit"
 )
 
+// maxHead is the size of the largest head that servers accept, in bytes.
+const maxHead = 30 << 10
+
 // startServer starts a server that echoes bodies, within a limit of connections.
 func startServer(t *testing.T, limit int) (address string, group *connlimit.Group) {
+	return startBoundedServer(t, connlimit.NewTable(0), limit)
+}
+
+// startBoundedServer starts a server that echoes bodies, within the memory of a table, and accepts heads of up to maxHead bytes.
+func startBoundedServer(t *testing.T, table *connlimit.Table, limit int) (address string, group *connlimit.Group) {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	group = connlimit.NewTable(0).Group(limit)
+	group = table.Group(limit)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
@@ -30,7 +38,9 @@
 		fmt.Fprintf(w, "%s %s %d", r.Method, body, len(r.Header))
 	})}
 	Attach(server)
-	go func() { _ = server.Serve(NewListener(inner, group)) }()
+	listener := NewListener(inner, group)
+	listener.HeadLimit = func() int64 { return maxHead }
+	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return inner.Addr().String(), group
 }
@@ -112,3 +122,32 @@
 	}
 	require.Eventually(t, func() bool { return group.Counts().Open == 0 }, 10*time.Second, time.Millisecond)
 }
+
+// Guards against a refusal that its client loses because it goes on sending, and against one that runs.
+func TestClientsReadRefusalsOfTheirHeads(t *testing.T) {
+	table := connlimit.NewTable(1 << 20)
+	address, _ := startBoundedServer(t, table, 100)
+	lines := strings.Repeat("a:\r\n", 20<<10/4)
+	for _, refused := range []struct {
+		head   string
+		status int
+	}{
+		{"A: " + strings.Repeat("a", maxHead) + "\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{lines, http.StatusServiceUnavailable},
+	} {
+		connection, err := net.Dial("tcp4", address)
+		require.NoError(t, err)
+		go func() {
+			_, _ = io.WriteString(connection, "POST / HTTP/1.1\r\nHost: h\r\n"+refused.head+"Content-Length: 9000\r\n\r\n"+strings.Repeat("b", 9000))
+		}()
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		require.NoError(t, err)
+		require.Equal(t, refused.status, response.StatusCode)
+		require.Equal(t, refused.status == http.StatusServiceUnavailable, response.Header.Get("Retry-After") != "")
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.NotContains(t, string(body), "POST")
+		_ = connection.Close()
+	}
+	require.Eventually(t, func() bool { return table.HeadCounts().Held == 0 }, 10*time.Second, time.Millisecond)
+}
--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -70,6 +71,8 @@
 	{"trailers without end", crowdSize, false, repeated(
 		func(n int) string { return head(n, http.MethodPost) + "Transfer-Encoding: chunked\r\n\r\n0\r\n" }, func(i int) string { return shortName(i) + ":\n" })},
 	{"answers that are not read", crowdSize, false, repeated(func(int) string { return "" }, func(int) string { return getHead(0) + "\r\n" })},
+	{"refusals that are not read", connectionCrowd, false, repeated(
+		func(int) string { return "" }, func(int) string { return strings.Replace(getHead(0), key, "unknown", 1) + "\r\n" })},
 	{"connections without a byte", connectionCrowd, false, once(func(int) string { return "" })},
 	{"bodies that do not come", connectionCrowd, false, once(func(n int) string {
 		return head(n, http.MethodPost) + "Content-Length: 16000\r\n\r\n"
@@ -108,6 +111,23 @@
 	w.requireTrueRefusals(c)
 }
 
+// Guards against a stop that waits for clients that do not end their requests.
+func TestVMStopsBesideClientsThatDoNotEnd(t *testing.T) {
+	for _, name := range append([]string{"peers"}, httpListeners...) {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.send(w.listener(name), crowdSize, false, once(getHead))
+			require.NoError(t, w.cmd.Process.Signal(syscall.SIGTERM))
+			select {
+			case <-w.ended:
+			case <-time.After(patience):
+				require.Fail(t, "the process has not ended")
+			}
+			require.True(t, w.cmd.ProcessState.Success(), "%v", w.cmd.ProcessState)
+		})
+	}
+}
+
 // Guards against clients that go on sending while their requests are served, so that the kernel holds what nobody reads.
 func TestVMOutlivesBytesThatAreNotRead(t *testing.T) {
 	w := newWorldWith(t, manyDescriptors)
--- a/test/clients/crowd_test.go
+++ b/test/clients/crowd_test.go
@@ -23,6 +23,8 @@
 	legalHead = 16384
 	// overLimit is the size of a head over the limit, in bytes.
 	overLimit = 4 * legalHead
+	// unreadBuffer is the receive buffer of a client that does not read its answers, in bytes.
+	unreadBuffer = 4 << 10
 	// stuck is after how long a client whose bytes are not taken sends no more.
 	stuck = 2 * time.Second
 )
@@ -57,6 +59,8 @@
 		c.connections = append(c.connections, connection)
 		if read {
 			c.reading.Go(func() { c.read(i, connection) })
+		} else {
+			_ = connection.(*net.TCPConn).SetReadBuffer(unreadBuffer)
 		}
 		sending.Go(func() { _ = what(i, progressWriter{connection}) })
 	}
