entry, planner: connections and heads of clients are bounded

What callers saw: the faults of chestnut-vm in the other programs. chestnut-planner took heads of up to 1 MB, the default of net/http.

Cause: their listeners accepted connections without number, and heads without a bound in sum.

Change: their listeners are those of inbound, also over TLS, where a connection performs its handshake when the server asks for its state. A planner's heads have 32 KiB. Calls on encrypted connections between VMs are not followed: these need a client certificate. The stand-ins are left as they are.

--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutarch/chestnutarch/internal/connlimit"
+	"github.com/chestnutarch/chestnutarch/internal/inbound"
 	"github.com/chestnutarch/chestnutarch/internal/process"
 	"github.com/chestnutarch/chestnutarch/internal/settings"
 	"github.com/chestnutarch/chestnutarch/internal/telemetry"
@@ -32,15 +34,17 @@
 // configured, except for peers, where gRPC handles it.
 func openListeners(ctx context.Context, s *settings.Entry, sec *process.Security) (*listeners, error) {
 	l := &listeners{}
+	groups := inbound.NewGroups(s.Limits.Connections.Max, s.Limits.Connections.HeadMemory)
 	sockets := []struct {
 		address string
 		target  *net.Listener
 		tls     *tls.Config
+		group   *connlimit.Group
 	}{
-		{s.Listen.Callers, &l.callers, process.ServerTLS(sec.Callers)},
-		{s.Listen.Operators, &l.operators, process.ServerTLS(sec.Operators)},
-		{s.Listen.Peers, &l.peers, nil},
-		{s.Listen.Metrics, &l.metrics, nil},
+		{s.Listen.Callers, &l.callers, process.ServerTLS(sec.Callers), groups.Main},
+		{s.Listen.Operators, &l.operators, process.ServerTLS(sec.Operators), groups.Other()},
+		{s.Listen.Peers, &l.peers, nil, groups.Other()},
+		{s.Listen.Metrics, &l.metrics, nil, groups.Other()},
 	}
 	config := transport.NewListenConfig(transport.Limits{})
 	for _, w := range sockets {
@@ -55,7 +59,11 @@
 		if w.tls != nil {
 			opened = tls.NewListener(opened, w.tls)
 		}
-		*w.target = opened
+		if w.target == &l.peers {
+			*w.target = inbound.NewGRPCListener(opened, w.group, sec.PeerReloader != nil)
+			continue
+		}
+		*w.target = inbound.NewListener(opened, w.group)
 	}
 	return l, nil
 }
@@ -97,10 +105,12 @@
 }
 
 func (p *Process) newServer(name string, handler http.Handler, on net.Listener) *server {
-	return &server{name: name, listener: on, http: &http.Server{
+	s := &server{name: name, listener: on, http: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    p.settings.Limits.MaxHeaderBytes,
 	}}
+	inbound.Attach(s.http)
+	return s
 }
--- a/internal/inbound/grpc.go
+++ b/internal/inbound/grpc.go
@@ -9,13 +9,17 @@
 	"github.com/chestnutarch/chestnutarch/internal/connlimit"
 )
 
-// NewGRPCListener returns a listener for a gRPC server without TLS, like that of NewListener. A connection on which no message is
-// incomplete counts as idle since it last received bytes. A call whose message is incomplete counts as a head that is being read.
-func NewGRPCListener(inner net.Listener, group *connlimit.Group) net.Listener {
-	return &grpcListener{NewListener(inner, group)}
+// NewGRPCListener returns a listener for a gRPC server, like that of NewListener. A connection on which no message is incomplete
+// counts as idle since it last received bytes. A call whose message is incomplete counts as a head that is being read; on
+// connections that are encrypted above the listener, calls are not followed.
+func NewGRPCListener(inner net.Listener, group *connlimit.Group, encrypted bool) net.Listener {
+	return &grpcListener{Listener: NewListener(inner, group), encrypted: encrypted}
 }
 
-type grpcListener struct{ *Listener }
+type grpcListener struct {
+	*Listener
+	encrypted bool
+}
 
 // Accept implements net.Listener.
 func (l *grpcListener) Accept() (net.Conn, error) {
@@ -23,12 +27,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &grpcConn{Conn: c.(*Conn)}, nil
+	return &grpcConn{Conn: c.(*Conn), encrypted: l.encrypted}, nil
 }
 
 type grpcConn struct {
 	*Conn
-	frames frameScanner
+	encrypted bool
+	frames    frameScanner
 	// taken is the memory that has been taken for calls.
 	taken int64
 }
@@ -39,7 +44,9 @@
 	if n == 0 {
 		return 0, err
 	}
-	c.frames.scan(p[:n])
+	if !c.encrypted {
+		c.frames.scan(p[:n])
+	}
 	if refusal := c.hold(time.Now()); refusal != nil {
 		_ = c.Close()
 		return 0, refusal
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -151,3 +153,31 @@
 	}
 	require.Eventually(t, func() bool { return table.HeadCounts().Held == 0 }, 10*time.Second, time.Millisecond)
 }
+
+// Guards against a server that does not learn who its client is, since the connection hides its handshake.
+func TestServerSeesTheStateOfTLSConnections(t *testing.T) {
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	defer certified.Close()
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.TLS == nil || !r.TLS.HandshakeComplete {
+			w.WriteHeader(http.StatusUnauthorized)
+		}
+	})}
+	Attach(server)
+	group := connlimit.NewTable(0).Group(2)
+	config := certified.TLS.Clone()
+	config.NextProtos = []string{"http/1.1"}
+	go func() { _ = server.Serve(NewListener(tls.NewListener(inner, config), group)) }()
+	defer server.Close()
+	for range 5 {
+		silent, err := net.Dial("tcp4", inner.Addr().String())
+		require.NoError(t, err)
+		defer silent.Close()
+	}
+	response, err := certified.Client().Get("https://" + inner.Addr().String())
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	_ = response.Body.Close()
+}
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -11,7 +12,7 @@
 	"github.com/chestnutarch/chestnutarch/internal/connlimit"
 )
 
-// Listener is a listener whose connections are bounded in number. Its connections are of type *Conn.
+// Listener is a listener whose connections are bounded in number. Its inner listener may be one of crypto/tls.
 type Listener struct {
 	net.Listener
 	group *connlimit.Group
@@ -37,22 +38,52 @@
 		}
 		c := &Conn{Conn: inner, listener: l}
 		c.entry = l.group.Open(func() { _ = inner.Close() }, time.Now())
-		if c.entry != nil {
-			return c, nil
+		if c.entry == nil {
+			_ = inner.Close()
+			continue
 		}
-		_ = inner.Close()
+		if _, encrypted := inner.(*tls.Conn); encrypted {
+			return &tlsConn{c}, nil
+		}
+		return c, nil
+	}
+}
+
+// tlsConn is a connection with TLS. The server of net/http asks it for its state instead of performing the handshake.
+type tlsConn struct{ *Conn }
+
+// ConnectionState performs the handshake and returns the state of the connection. If the handshake fails, reads fail, too.
+func (c *tlsConn) ConnectionState() tls.ConnectionState {
+	inner := c.Conn.Conn.(*tls.Conn)
+	_ = inner.SetDeadline(time.Now().Add(handshakeTimeout))
+	if inner.Handshake() == nil {
+		_ = inner.SetDeadline(time.Time{})
 	}
+	return inner.ConnectionState()
 }
 
+// handshakeTimeout bounds the TLS handshake.
+const handshakeTimeout = 10 * time.Second
+
 type connKey struct{}
 
+// connOf returns the connection that a Listener has accepted.
+func connOf(c net.Conn) *Conn {
+	if encrypted, ok := c.(*tlsConn); ok {
+		return encrypted.Conn
+	}
+	return c.(*Conn)
+}
+
 // Attach makes an HTTP server tell its connections, which have to be those of a Listener, what it does with their requests.
 // It sets the server's hooks and must be called before the server serves.
 func Attach(server *http.Server) {
-	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, connOf(c))
+	}
 	server.ConnState = func(c net.Conn, state http.ConnState) {
 		if state == http.StateIdle {
-			c.(*Conn).endRequest()
+			connOf(c).endRequest()
 		}
 	}
 	next := server.Handler
--- a/internal/planner/process.go
+++ b/internal/planner/process.go
@@ -14,6 +14,7 @@
 
 	"github.com/chestnutarch/chestnutarch/internal/configsync"
 	"github.com/chestnutarch/chestnutarch/internal/credentials"
+	"github.com/chestnutarch/chestnutarch/internal/inbound"
 	"github.com/chestnutarch/chestnutarch/internal/kv"
 	"github.com/chestnutarch/chestnutarch/internal/process"
 	"github.com/chestnutarch/chestnutarch/internal/settings"
@@ -24,6 +25,9 @@
 // headers.
 const readHeaderTimeout = 5 * time.Second
 
+// idleTimeout is the time after which a connection without requests is closed.
+const idleTimeout = 60 * time.Second
+
 // Process is one chestnut-planner process: a planner with its configuration and
 // its listeners.
 type Process struct {
@@ -79,16 +83,21 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	p.peerListener = listener
 	if security.PeerReloader != nil {
 		required := credentials.ServerOptions{RequireClientCertificate: true, NextProtos: []string{"http/1.1"}}
-		p.peerListener = tls.NewListener(listener, security.PeerReloader.Server(required))
+		listener = tls.NewListener(listener, security.PeerReloader.Server(required))
 	}
+	groups := inbound.NewGroups(s.Connections.Max, s.Connections.HeadMemory)
+	p.peerListener = inbound.NewListener(listener, groups.Main)
 	if s.Listen.Metrics == "" {
 		return nil
 	}
-	p.metricsListener, err = config.Listen(ctx, "tcp", s.Listen.Metrics)
-	return errors.WithStack(err)
+	listener, err = config.Listen(ctx, "tcp", s.Listen.Metrics)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	p.metricsListener = inbound.NewListener(listener, groups.Other())
+	return nil
 }
 
 // Run runs the planner and its servers until ctx ends. A leader that is stopped
@@ -106,7 +115,8 @@
 
 // serve serves HTTP on a listener until ctx ends.
 func serve(ctx context.Context, group *errgroup.Group, listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: settings.DefaultMaxHeaderBytes}
+	inbound.Attach(server)
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.WithStack(err)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -159,11 +159,17 @@
 	c.atLeast("limits.max_header_bytes", int64(l.MaxHeaderBytes), 1)
 	c.atMost("limits.max_header_bytes", int64(l.MaxHeaderBytes), maxConfiguredHeaderSize)
 	c.atLeast("limits.max_in_flight", int64(l.MaxInFlight), 1)
+	c.connections("limits.connections", &l.Connections)
 	c.atLeast("limits.request_timeout", int64(l.RequestTimeout), 1)
 	c.atLeast("limits.address_lifetime", int64(l.AddressLifetime), 1)
 	c.atLeast("limits.drain_timeout", int64(l.DrainTimeout), 1)
 }
 
+func (c *checker) connections(field string, l *Connections) {
+	c.atLeast(field+".max", int64(l.Max), 1)
+	c.atLeast(field+".head_memory", l.HeadMemory, 1)
+}
+
 func (c *checker) telemetry(log, traces error) {
 	if log != nil {
 		c.fail("log", log)
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -14,6 +14,8 @@
 	DefaultMaxBodyBytes     = 8 << 20
 	DefaultMaxHeaderBytes   = 32 << 10
 	DefaultMaxInFlight      = 4096
+	DefaultMaxConnections   = 8192
+	DefaultMaxHeadMemory    = 64 << 20
 	DefaultRequestTimeout   = 2 * time.Minute
 	DefaultVMListInterval   = 2 * time.Second
 	maxConfiguredBodyBytes  = 64 << 20
@@ -109,6 +111,8 @@
 	// MaxInFlight bounds the requests that run or wait at once. The default is
 	// 4096.
 	MaxInFlight int `yaml:"max_in_flight"`
+	// Connections bounds what connections of clients cost the process.
+	Connections Connections `yaml:"connections"`
 	// RequestTimeout bounds a request that names no deadline. The default is 2m.
 	RequestTimeout time.Duration `yaml:"request_timeout"`
 	// AddressLifetime is how long callers may keep an address answer, before
@@ -118,6 +122,17 @@
 	DrainTimeout time.Duration `yaml:"drain_timeout"`
 }
 
+// Connections bounds what connections of clients cost a process.
+type Connections struct {
+	// Max bounds the open connections of callers, or of peers of a planner, and an eighth of it those of each other listener. When
+	// there are more, connections without a complete request are closed, first those that have waited longest for one. The default
+	// is 8192.
+	Max int `yaml:"max"`
+	// HeadMemory bounds the memory of the heads of requests together, in bytes. A line of a head counts 256 bytes, an item of a
+	// list 64 and a byte 4; beyond the bound requests get 503. The default is 64 MiB.
+	HeadMemory int64 `yaml:"head_memory"`
+}
+
 // Provision sets empty fields to their defaults.
 func (s *Entry) Provision() {
 	s.Log.Provision()
@@ -139,11 +154,17 @@
 	setDefault(&l.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&l.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&l.MaxInFlight, DefaultMaxInFlight)
+	l.Connections.provision()
 	setDefault(&l.RequestTimeout, DefaultRequestTimeout)
 	setDefault(&l.AddressLifetime, DefaultAddressLifetime)
 	setDefault(&l.DrainTimeout, DefaultDrainTimeout)
 }
 
+func (c *Connections) provision() {
+	setDefault(&c.Max, DefaultMaxConnections)
+	setDefault(&c.HeadMemory, DefaultMaxHeadMemory)
+}
+
 func setDefault[T comparable](field *T, value T) {
 	var zero T
 	if *field == zero {
--- a/internal/settings/planner.go
+++ b/internal/settings/planner.go
@@ -27,6 +27,8 @@
 	KV KV `yaml:"kv"`
 	// TLS gives certificates.
 	TLS TLS `yaml:"tls"`
+	// Connections bounds what connections of clients cost the process.
+	Connections Connections `yaml:"connections"`
 	// Lease is how long leadership lasts without renewal. The default is 5s.
 	Lease time.Duration `yaml:"lease"`
 	// Interval is the time between two looks at the engines. The default is
@@ -51,6 +53,7 @@
 	s.Log.Provision()
 	s.Traces.Provision()
 	s.KV.provision()
+	s.Connections.provision()
 	setDefault(&s.Lease, DefaultPlannerLease)
 	setDefault(&s.Interval, DefaultPlannerInterval)
 }
@@ -66,6 +69,7 @@
 	c.kv(&s.KV)
 	c.tls(&s.TLS)
 	c.requireTLS("listen.peers", s.Listen.Peers, &s.TLS.Peers, s.TLS.AllowPlainText)
+	c.connections("connections", &s.Connections)
 	c.atLeast("lease", int64(s.Lease), int64(time.Second))
 	c.atLeast("interval", int64(s.Interval), int64(time.Millisecond))
 	c.telemetry(s.Log.Validate(), s.Traces.Validate())
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -220,7 +220,7 @@
 	if err != nil {
 		return errors.Wrap(err, "vm: listen for peers")
 	}
-	peers = inbound.NewGRPCListener(peers, p.connections.peers)
+	peers = inbound.NewGRPCListener(peers, p.connections.peers, false)
 	leading, resign := context.WithCancel(background)
 	group.Go(func() error { return p.tracker.run(background) })
 	group.Go(func() error { return p.stalls.run(background) })
--- a/test/clients/crowd_test.go
+++ b/test/clients/crowd_test.go
@@ -48,7 +48,7 @@
 
 // send has clients send to an address at once, and returns when each has sent everything, or all that is taken from it. If
 // read is set, the clients read their answers.
-func (w *world) send(address string, clients int, read bool, what sender) *crowd {
+func (p *process) send(address string, clients int, read bool, what sender) *crowd {
 	c := &crowd{}
 	var sending sync.WaitGroup
 	for i := range clients {
@@ -65,7 +65,7 @@
 		sending.Go(func() { _ = what(i, progressWriter{connection}) })
 	}
 	sending.Wait()
-	w.t.Cleanup(c.close)
+	p.t.Cleanup(c.close)
 	return c
 }
 
--- a/test/clients/world_test.go
+++ b/test/clients/world_test.go
@@ -37,15 +37,15 @@
 	patience = 60 * time.Second
 )
 
-// program is the path of chestnut-vm, built from this source.
-var program string
+// programs is the folder of the programs, built from this source.
+var programs string
 
 func TestMain(m *testing.M) {
 	flag.Parse()
 	dir, err := os.MkdirTemp("", "clients")
 	if err == nil {
-		program = filepath.Join(dir, "chestnut-vm")
-		err = exec.Command("go", "build", "-o", program, "../../cmd/chestnut-vm").Run()
+		programs = dir
+		err = exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../../cmd/...").Run()
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -56,14 +56,21 @@
 	os.Exit(code)
 }
 
+// process is a process under test.
+type process struct {
+	t   *testing.T
+	cmd *exec.Cmd
+	// ended is closed when the process has ended.
+	ended chan struct{}
+	// listeners are the addresses of its listeners.
+	listeners []string
+}
+
 // world is one VM with a store, an engine and a plain service.
 type world struct {
-	t             *testing.T
+	*process
 	vm            standin.VM
 	clerk, engine *standin.Replica
-	cmd           *exec.Cmd
-	// ended is closed when the process has ended.
-	ended chan struct{}
 }
 
 var ports portblock.Ports
@@ -72,7 +79,7 @@
 
 // newWorldWith returns a world whose VM may use a number of descriptors.
 func newWorldWith(t *testing.T, descriptors int) *world {
-	w := &world{t: t, ended: make(chan struct{})}
+	w := &world{process: &process{t: t, ended: make(chan struct{})}}
 	store := standin.NewStore()
 	store.Put("op/config", standin.Manifest{
 		Version: 1, Host: host, Models: []string{"m0"}, Teams: []standin.Team{{Name: "team", Keys: []string{key}, Rate: 1e9, Burst: 1e9}},
@@ -86,6 +93,9 @@
 		Store: w.serve(store), ConfigMs: 4000, DrainMs: 4000, EvacuationMs: 4000, LeaseMs: 3000, GraceS: 4, QuotaSlack: 1000,
 		MemoryMB: memoryMB, Descriptors: descriptors,
 	}
+	for _, name := range append([]string{"peers"}, httpListeners...) {
+		w.listeners = append(w.listeners, w.listener(name))
+	}
 	w.start()
 	require.Eventually(t, func() bool { return w.ready() }, patience, 50*time.Millisecond, "the VM is not ready")
 	return w
@@ -129,7 +139,7 @@
 	require.NoError(w.t, os.WriteFile(path, []byte(w.vm.Settings()), 0o600))
 	log, err := os.Create(filepath.Join(w.t.TempDir(), "vm.log"))
 	require.NoError(w.t, err)
-	w.cmd = exec.Command(program)
+	w.cmd = exec.Command(filepath.Join(programs, "chestnut-vm"))
 	w.cmd.Env = []string{"CHESTNUTARCH_BOOT=" + path}
 	w.cmd.Stdout, w.cmd.Stderr = log, log
 	require.NoError(w.t, w.cmd.Start())
@@ -171,42 +181,42 @@
 }
 
 // requireWithinLimits checks that the process lives and has kept its limits.
-func (w *world) requireWithinLimits() {
-	w.t.Helper()
+func (p *process) requireWithinLimits() {
+	p.t.Helper()
 	select {
-	case <-w.ended:
-		require.Fail(w.t, "the process has ended", "%v", w.cmd.ProcessState)
+	case <-p.ended:
+		require.Fail(p.t, "the process has ended", "%v", p.cmd.ProcessState)
 	default:
 	}
-	w.requireMemoryWithinLimit()
-	open := w.openSockets()
-	w.t.Logf("sockets %d", open)
-	require.LessOrEqual(w.t, open, descriptors-fileDescriptors, "open sockets of the process")
+	p.requireMemoryWithinLimit()
+	open := p.openSockets()
+	p.t.Logf("sockets %d", open)
+	require.LessOrEqual(p.t, open, descriptors-fileDescriptors, "open sockets of the process")
 }
 
 // requireMemoryWithinLimit checks that the process has kept its limit of memory.
-func (w *world) requireMemoryWithinLimit() {
-	w.t.Helper()
-	peak, unread := w.peakMemory(), w.unreadBytes()>>10
-	w.t.Logf("most memory %d kB, unread %d kB", peak, unread)
-	require.LessOrEqual(w.t, peak+unread, memoryMB<<10, "most memory of the process and what it has not read, in kB")
+func (p *process) requireMemoryWithinLimit() {
+	p.t.Helper()
+	peak, unread := p.peakMemory(), p.unreadBytes()>>10
+	p.t.Logf("most memory %d kB, unread %d kB", peak, unread)
+	require.LessOrEqual(p.t, peak+unread, memoryMB<<10, "most memory of the process and what it has not read, in kB")
 }
 
 // peakMemory returns the most memory that the process has taken, in kB.
-func (w *world) peakMemory() int {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.cmd.Process.Pid))
-	require.NoError(w.t, err)
+func (p *process) peakMemory() int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	require.NoError(p.t, err)
 	_, rest, _ := strings.Cut(string(status), "VmHWM:")
 	peak, err := strconv.Atoi(strings.Fields(rest)[0])
-	require.NoError(w.t, err)
+	require.NoError(p.t, err)
 	return peak
 }
 
 // openSockets returns the number of sockets that the process has open.
-func (w *world) openSockets() int {
-	folder := fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid)
+func (p *process) openSockets() int {
+	folder := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
 	entries, err := os.ReadDir(folder)
-	require.NoError(w.t, err)
+	require.NoError(p.t, err)
 	sockets := 0
 	for _, e := range entries {
 		if target, err := os.Readlink(filepath.Join(folder, e.Name())); err == nil && strings.HasPrefix(target, "socket:") {
@@ -237,12 +247,12 @@
 
 // unreadBytes returns how many bytes the kernel holds that clients have sent and the process has not read. They count as memory of
 // the process.
-func (w *world) unreadBytes() int {
-	table, err := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", w.cmd.Process.Pid))
-	require.NoError(w.t, err)
+func (p *process) unreadBytes() int {
+	table, err := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", p.cmd.Process.Pid))
+	require.NoError(p.t, err)
 	own := make(map[string]bool)
-	for _, name := range append([]string{"peers"}, httpListeners...) {
-		own[fmt.Sprintf("%04X", portOf(w.listener(name)))] = true
+	for _, address := range p.listeners {
+		own[fmt.Sprintf("%04X", portOf(address))] = true
 	}
 	sum := 0
 	for _, line := range strings.Split(string(table), "\n")[1:] {
@@ -252,7 +262,7 @@
 		}
 		_, queue, _ := strings.Cut(fields[4], ":")
 		unread, err := strconv.ParseInt(queue, 16, 64)
-		require.NoError(w.t, err)
+		require.NoError(p.t, err)
 		sum += int(unread)
 	}
 	return sum
