inbound: a request behind another one on a connection gives its memory back

A client that sends its next request before it has its answer got 503 after some twenty requests.

Cause: when a request was answered while the head of the next one was being read, the memory of its own head was not given back.

Change: it always is.

Evidence: TestPipelinedRequestsAreAllAnswered, 503 for request 23 of 2,000 before, all answered after.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -218,11 +218,11 @@
 	// Of what came after a chunked body the server may hold a part, which is one of the next head.
 	c.untaken += c.last.memory()
 	c.setBodyBuffer(false)
+	now := time.Now()
+	c.entry.EndRequest(now)
 	if c.reading {
-		c.entry.BeginHead(time.Now())
-		return
+		c.entry.BeginHead(now)
 	}
-	c.entry.EndRequest(time.Now())
 }
 
 // CloseWrite closes the direction to the client.
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -181,3 +181,25 @@
 	require.Equal(t, http.StatusOK, response.StatusCode)
 	_ = response.Body.Close()
 }
+
+// Guards against a connection that is closed under a client that sends its requests without waiting for their answers.
+func TestPipelinedRequestsAreAllAnswered(t *testing.T) {
+	const requests = 2000
+	address, _ := startBoundedServer(t, connlimit.NewTable(1<<20), 100)
+	connection, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	defer connection.Close()
+	go func() {
+		for range requests {
+			_, _ = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("a", 8<<10)+"\r\n\r\n")
+		}
+	}()
+	from := bufio.NewReader(connection)
+	for i := range requests {
+		response, err := http.ReadResponse(from, nil)
+		require.NoError(t, err, "request %d", i)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode, "request %d", i)
+	}
+}
