traffic, assign: models that only callers name are not remembered

What callers saw: the VM ran out of memory: callers with a key named models that do not exist, each another one.

Cause: demand and admission keep an entry for each model that a request names, demand for good, and VMs report it to each other.

Change: demand counts models that the configuration gives to engines of the service, and adapters by their numbered names. Requests for other models compete in one pool of their service, and so do those of plain services, which have no models.

--- a/internal/assign/assigner.go
+++ b/internal/assign/assigner.go
@@ -269,16 +269,21 @@
 	return maps.Clone(s.demand)
 }
 
-// RecordDemand adds a request to the demand for its item.
+// RecordDemand adds a request to the demand for its item, if engines of the service can load it.
 func (s *Assigner) RecordDemand(service, model, adapter string, promptTokens, outputTokens int) {
-	if model == "" {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	work := s.work(s.spec(service), model, promptTokens, outputTokens)
+	spec := s.spec(service)
+	if spec == nil {
+		return
+	}
+	configured, ok := spec.Models[model]
+	if !ok {
+		return
+	}
+	work := s.work(spec, model, promptTokens, outputTokens)
 	s.addDemand(model, work)
-	if adapter != "" {
+	if configured.HasAdapter(adapter) {
 		s.addDemand(itemName(model, adapter), work)
 	}
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"hash/maphash"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -72,9 +73,17 @@
 	// the engine's memory, DiskLoadTime of one from its disk.
 	LoadTime, MemoryLoadTime, DiskLoadTime time.Duration
 	// Adapters is the number of the model's adapters, AdapterMB the memory of each in
-	// 10^6 bytes.
-	Adapters  int
-	AdapterMB float64
+	// 10^6 bytes. Their names are AdapterPrefix with the numbers from 1.
+	Adapters      int
+	AdapterPrefix string
+	AdapterMB     float64
+}
+
+// HasAdapter reports whether the model has an adapter of a name.
+func (m Model) HasAdapter(name string) bool {
+	digits, ok := strings.CutPrefix(name, m.AdapterPrefix)
+	number, err := strconv.Atoi(digits)
+	return ok && err == nil && 1 <= number && number <= m.Adapters && digits == strconv.Itoa(number)
 }
 
 // EngineSpec holds the properties that all engines of a service share.
--- a/internal/traffic/room.go
+++ b/internal/traffic/room.go
@@ -53,9 +53,14 @@
 	return &assign.Refused{Cause: admission.ErrShortRoom, RetryAfter: d.RetryAfter}
 }
 
-// pool returns what the request competes for.
+// pool returns what the request competes for. Requests for models that the configuration does not name have one pool together:
+// callers choose these names.
 func (j *job) pool() admission.Pool {
-	return admission.Pool{Service: j.service, Model: j.request.Model}
+	service := j.catalog.Services[j.service]
+	if service == nil || service.Engine == nil {
+		return admission.Pool{Service: j.service}
+	}
+	return admission.Pool{Service: j.service, Model: service.Engine.Models[j.request.Model].Name}
 }
 
 // recordSlotTime records for how long an answered request had its slot.
--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -111,6 +111,56 @@
 	w.requireTrueRefusals(c)
 }
 
+// lastingValues are requests whose values a VM might remember, each of which differs from all others.
+var lastingValues = []struct {
+	name string
+	// request returns the head of a request with a value.
+	request func(number int, value string) string
+}{
+	{"attempt IDs of streams", func(_ int, value string) string { return engineHead("draft", value, "m0", "aa:1") }},
+	{"attempt IDs", func(_ int, value string) string {
+		return strings.Replace(getHead(0), clientID(0), value, 1) + "\r\n"
+	}},
+	{"models", func(n int, value string) string { return engineHead("chat", clientID(n), value, "aa:1") }},
+	{"models of a plain service", func(n int, value string) string { return engineHead("look", clientID(n), value, "aa:1") }},
+	{"adapters", func(n int, value string) string { return engineHead("chat", clientID(n), "m0/"+value, "aa:1") }},
+	{"prompt parts", func(n int, value string) string { return engineHead("chat", clientID(n), "m0", value+":1") }},
+	{"paths", func(n int, value string) string {
+		return strings.Replace(getHead(n), "/look/1", "/look/"+value, 1) + "\r\n"
+	}},
+	{"hosts", func(n int, value string) string {
+		return strings.Replace(getHead(n), host, value, 1) + "\r\n"
+	}},
+	{"keys", func(n int, value string) string {
+		return strings.Replace(getHead(n), "Token "+key, "Token "+value, 1) + "\r\n"
+	}},
+	{"streams to resume", func(n int, value string) string {
+		return strings.TrimSuffix(engineHead("draft", clientID(n), "m0", "aa:1"), "\r\n") + "Last-Event-Id: 1\r\nResumes: " + value + "\r\n\r\n"
+	}},
+}
+
+// Guards against memory that grows with every request, since a VM remembers what clients choose.
+func TestVMOutlivesValuesThatNeverRepeat(t *testing.T) {
+	for _, values := range lastingValues {
+		t.Run(strings.ReplaceAll(values.name, " ", "-"), func(t *testing.T) {
+			w := newWorld(t)
+			w.clerk.ServiceTime, w.engine.ServiceTime = 0, 0
+			c := w.send(w.vm.Callers, lastingCrowd, true, func(number int, to io.Writer) error {
+				for i := range lastingRequests {
+					value := fmt.Sprintf("%d-%d-", number, i) + strings.Repeat("0", lastingSize)
+					if _, err := io.WriteString(to, values.request(number, value)); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+			t.Logf("%d answers, %d and %d runs", c.count(), len(w.clerk.Runs()), len(w.engine.Runs()))
+			w.requireOrdinaryAnswer()
+			w.requireWithinLimits()
+		})
+	}
+}
+
 // Guards against a stop that waits for clients that do not end their requests.
 func TestVMStopsBesideClientsThatDoNotEnd(t *testing.T) {
 	for _, name := range append([]string{"peers"}, httpListeners...) {
--- a/test/clients/crowd_test.go
+++ b/test/clients/crowd_test.go
@@ -23,6 +23,11 @@
 	legalHead = 16384
 	// overLimit is the size of a head over the limit, in bytes.
 	overLimit = 4 * legalHead
+	// lastingCrowd is the number of clients that send requests with values that never repeat, lastingRequests that of the requests of
+	// each, and lastingSize about the size of a value in bytes.
+	lastingCrowd    = 20
+	lastingRequests = 2000
+	lastingSize     = 8 << 10
 	// unreadBuffer is the receive buffer of a client that does not read its answers, in bytes.
 	unreadBuffer = 4 << 10
 	// stuck is after how long a client whose bytes are not taken sends no more.
@@ -92,6 +97,13 @@
 	c.reading.Wait()
 }
 
+// count returns how many answers the clients have got.
+func (c *crowd) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.answers)
+}
+
 // refusedIDs returns the IDs of the requests that were answered with a status that promises that they did not run.
 func (c *crowd) refusedIDs() map[string]bool {
 	c.mu.Lock()
@@ -131,6 +143,13 @@
 		"\r\nX-Chestnutarch-Deadline-Remaining-Ms: 20000\r\nAuthorization: Token " + key + "\r\n"
 }
 
+// engineHead returns the whole head of a request for a stream of an engine.
+func engineHead(route, id, model, parts string) string {
+	return "POST /" + route + "/1 HTTP/1.1\r\nHost: " + host + "\r\nX-Chestnutarch-Attempt-Id: " + id + "\r\nX-Chestnutarch-Deadline-Remaining-Ms: 20000\r\n" +
+		"Authorization: Token " + key + "\r\nX-Chestnutarch-Model: " + model + "\r\nX-Chestnutarch-Token-Counts: 1,1\r\nX-Chestnutarch-Prompt-Prefix: " + parts +
+		"\r\nContent-Length: 0\r\n\r\n"
+}
+
 // repeated sends a start, and then what line returns until endless bytes are sent.
 func repeated(start func(number int) string, line func(i int) string) sender {
 	return func(number int, to io.Writer) error {
