telemetry: a timer is made once, not for each request

What callers saw: a VM's memory grows by some 600 bytes with every request that it answers, for good.

Cause: NewTimer made a timer and then asked the registry for the one under its name. go-metrics keeps every meter that was ever made and updates all of them every five seconds; the sample of a histogram that nobody uses was 16 KiB of garbage for each request.

Change: the registry makes them when it has none.

--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -13,17 +13,23 @@
 	sampleAlpha = 0.015
 )
 
-// NewTimer registers a timer of durations under name and returns it.
+// NewTimer returns the timer of durations that is registered under name. It registers one if there is none.
 func NewTimer(r metrics.Registry, name string) metrics.Timer {
-	timer := metrics.NewCustomTimer(metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha)), metrics.NewMeter())
-	return r.GetOrRegister(name, timer).(metrics.Timer)
+	return r.GetOrRegister(name, makeTimer).(metrics.Timer)
 }
 
-// NewHistogram registers a histogram of numbers without a unit under name and
-// returns it.
+// makeTimer makes a timer. Its meter stays in memory: the package go-metrics updates all meters that were ever made.
+func makeTimer() metrics.Timer {
+	return metrics.NewCustomTimer(makeHistogram(), metrics.NewMeter())
+}
+
+// NewHistogram returns the histogram of numbers without a unit that is registered under name. It registers one if there is none.
 func NewHistogram(r metrics.Registry, name string) metrics.Histogram {
-	histogram := metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
-	return r.GetOrRegister(name, histogram).(metrics.Histogram)
+	return r.GetOrRegister(name, makeHistogram).(metrics.Histogram)
+}
+
+func makeHistogram() metrics.Histogram {
+	return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 }
 
 // MetricsHandler serves every metric of r as one JSON object: counters with
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -69,3 +69,14 @@
 	require.NoError(t, json.Unmarshal(answer.Body.Bytes(), &body))
 	require.InDelta(t, 1, body["caller.requests"]["count"], 0)
 }
+
+// Guards against a timer that is made, and kept by its package, for each request.
+func TestTimersAndHistogramsAreMadeOnce(t *testing.T) {
+	r := metrics.NewRegistry()
+	require.Same(t, NewTimer(r, "timer"), NewTimer(r, "timer"))
+	require.Same(t, NewHistogram(r, "histogram"), NewHistogram(r, "histogram"))
+	require.Zero(t, testing.AllocsPerRun(100, func() {
+		NewTimer(r, "timer")
+		NewHistogram(r, "histogram")
+	}))
+}
