telemetry: lines that wait to be written are bounded in bytes

What callers saw: nothing alone. Refused requests with long paths, hosts or models fill a VM's memory with their log lines.

Cause: the queues were bounded in lines, 3,072 in all, reckoned at 500 bytes; callers choose up to 16 KiB of some.

Change: a queue holds at most 1 MiB. Warnings are written before routine lines of the same flush.

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -13,9 +13,12 @@
 const (
 	// routineQueueLines and reservedQueueLines are the capacities of the queues of lines
 	// that wait to be written: lines of debug or info level or without a level, and lines
-	// of warn level and above. Together they take under 2 MB at 500 bytes a line.
+	// of warn level and above.
 	routineQueueLines  = 2048
 	reservedQueueLines = 1024
+	// queueBytes is how much the lines of one queue may take together: callers choose parts of
+	// some lines.
+	queueBytes = 1 << 20
 	// routineLinesPerSecond limits the rate of routine lines; those beyond it are dropped
 	// and counted. At ten times the usual load of a VM, which is some 30 requests a
 	// second with two lines each, nothing is dropped.
@@ -35,17 +38,47 @@
 // successes of a busy second cannot displace a failure.
 type BoundedWriter struct {
 	out               io.Writer
-	routine, reserved chan []byte
+	routine, reserved lineQueue
 	routineBudget     atomic.Int64
 	// batch is used only by the goroutine of Run.
 	batch bytes.Buffer
+}
 
-	droppedRoutine, droppedReserved atomic.Int64
+// lineQueue holds lines that wait to be written.
+type lineQueue struct {
+	lines chan []byte
+	// bytes is the size of these lines, dropped the number of those that found no room.
+	bytes, dropped atomic.Int64
+}
+
+// add adds a copy of a line, or drops it if there is no room.
+func (q *lineQueue) add(line []byte) {
+	if q.bytes.Add(int64(len(line))) <= queueBytes {
+		select {
+		case q.lines <- append([]byte(nil), line...):
+			return
+		default:
+		}
+	}
+	q.bytes.Add(-int64(len(line)))
+	q.dropped.Add(1)
+}
+
+// next returns the next line, nil if there is none.
+func (q *lineQueue) next() []byte {
+	select {
+	case line := <-q.lines:
+		q.bytes.Add(-int64(len(line)))
+		return line
+	default:
+		return nil
+	}
 }
 
 // NewBoundedWriter returns a writer that queues lines and writes nothing until Run is called.
 func NewBoundedWriter(out io.Writer) *BoundedWriter {
-	b := &BoundedWriter{out: out, routine: make(chan []byte, routineQueueLines), reserved: make(chan []byte, reservedQueueLines)}
+	b := &BoundedWriter{out: out}
+	b.routine.lines, b.reserved.lines = make(chan []byte, routineQueueLines), make(chan []byte, reservedQueueLines)
 	b.routineBudget.Store(routineLinesPerSecond)
 	return b
 }
@@ -57,31 +90,22 @@
 
 // WriteLevel implements zerolog.LevelWriter. It never blocks and never fails.
 func (b *BoundedWriter) WriteLevel(level zerolog.Level, line []byte) (int, error) {
-	copied := append([]byte(nil), line...)
 	if level >= zerolog.WarnLevel && level <= zerolog.PanicLevel {
-		enqueue(b.reserved, copied, &b.droppedReserved)
+		b.reserved.add(line)
 		return len(line), nil
 	}
 	if b.routineBudget.Add(-1) < 0 {
-		b.droppedRoutine.Add(1)
+		b.routine.dropped.Add(1)
 		return len(line), nil
 	}
-	enqueue(b.routine, copied, &b.droppedRoutine)
+	b.routine.add(line)
 	return len(line), nil
 }
 
-func enqueue(to chan []byte, line []byte, dropped *atomic.Int64) {
-	select {
-	case to <- line:
-	default:
-		dropped.Add(1)
-	}
-}
-
 // Dropped returns the numbers of dropped lines: routine ones, and those of warn level and
 // above.
 func (b *BoundedWriter) Dropped() (routine, reserved int64) {
-	return b.droppedRoutine.Load(), b.droppedReserved.Load()
+	return b.routine.dropped.Load(), b.reserved.dropped.Load()
 }
 
 // Run writes queued lines until ctx ends, and then the remaining ones. It writes lines in
@@ -126,15 +150,15 @@
 func (b *BoundedWriter) flush() {
 	b.batch.Reset()
 	for {
-		select {
-		case line := <-b.reserved:
-			b.batch.Write(line)
-		case line := <-b.routine:
-			b.batch.Write(line)
-		default:
+		line := b.reserved.next()
+		if line == nil {
+			line = b.routine.next()
+		}
+		if line == nil {
 			b.writeBatch()
 			return
 		}
+		b.batch.Write(line)
 		if b.batch.Len() > flushThresholdBytes {
 			b.writeBatch()
 		}
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -66,3 +66,20 @@
 		log.Info().Str("event", "request_ended").Str("request", "9c41d07be2a35f68").Dur("took_ms", time.Second).Send()
 	}
 }
+
+// Guards against lines that callers make long, and which fill the memory while nobody writes them.
+func TestLongLinesAreBoundedInBytes(t *testing.T) {
+	b := NewBoundedWriter(nil)
+	line := make([]byte, 16<<10)
+	for range 2 * reservedQueueLines {
+		_, _ = b.WriteLevel(zerolog.WarnLevel, line)
+		_, _ = b.WriteLevel(zerolog.InfoLevel, line)
+	}
+	for _, queue := range []*lineQueue{&b.routine, &b.reserved} {
+		require.LessOrEqual(t, len(queue.lines)*len(line), queueBytes)
+		require.Positive(t, queue.dropped.Load())
+		for queue.next() != nil {
+		}
+		require.Zero(t, queue.bytes.Load())
+	}
+}
