chestnut-vm: garbage is collected at once beyond three quarters of the memory

What callers saw: nothing alone. While requests are refused as fast as they come, a VM takes several times what they hold, since the next collection may wait for half as much again as is in use, and more comes meanwhile.

Cause: the collector does not know how much memory the VM has.

Change: it is told three quarters of it as its soft limit.

--- a/cmd/chestnut-vm/main.go
+++ b/cmd/chestnut-vm/main.go
@@ -27,6 +27,10 @@
 // knows of the fleet's upstreams, which hardly changes, so that a collection is rare and cheap.
 const gcPercent = 50
 
+// softMemoryShare is the part of a VM's memory beyond which garbage is collected as soon as there is any. Requests that come
+// faster than it is collected would otherwise take several times what they hold.
+const softMemoryShare = 3.0 / 4
+
 func main() {
 	debug.SetGCPercent(gcPercent)
 	// Before anything that takes time: a SIGHUP that nobody asked for ends the process.
@@ -98,6 +102,9 @@
 func run(ctx context.Context, s *platform.Settings, disabled []vm.Part, operatorsFile string, hangups <-chan os.Signal, logs telemetry.LogSettings) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(softMemoryShare * float64(int64(s.MemoryMB)<<20)))
+	}
 	output := telemetry.NewBoundedWriter(os.Stdout)
 	writerCtx, stopWriter := context.WithCancel(context.WithoutCancel(ctx))
 	var writer sync.WaitGroup
