inbound: servers go on after errors of accept that are temporary

What callers saw: nothing was released yet. A process without a free descriptor ends instead of accepting connections again a moment later.

Cause: Listener.Accept wrapped the inner listener's errors, and the servers of net/http and gRPC recognise temporary ones by their type.

Change: they are returned as they are.

Evidence: TestServersGoOnAfterTemporaryErrors fails at once before, since the server has ended, and passes after. Found by reading the diff.

--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -47,6 +49,34 @@
 	return inner.Addr().String(), group
 }
 
+// busyListener fails to accept a connection once, as when the process has no descriptors left.
+type busyListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *busyListener) Accept() (net.Conn, error) {
+	if l.failed.CompareAndSwap(false, true) {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a process that ends because it cannot accept a connection for a moment.
+func TestServersGoOnAfterTemporaryErrors(t *testing.T) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	busy := &busyListener{Listener: inner}
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	Attach(server)
+	go func() { _ = server.Serve(NewListener(busy, connlimit.NewTable(0).Group(1))) }()
+	defer server.Close()
+	response, err := http.Get("http://" + inner.Addr().String())
+	require.NoError(t, err)
+	require.True(t, busy.failed.Load())
+	_ = response.Body.Close()
+}
+
 // Guards against bytes that are lost, or taken for another request's, where a head or body ends within a read.
 func TestRequestsOfAConnectionAreReadAsTheyCome(t *testing.T) {
 	address, _ := startServer(t, 100)
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/chestnutarch/chestnutarch/internal/connlimit"
 )
 
@@ -29,12 +27,13 @@
 	return &Listener{Listener: inner, group: group}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Its errors are those of the inner listener as they are: servers go on after temporary ones,
+// which they recognise by their type.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		inner, err := l.Listener.Accept()
 		if err != nil {
-			return nil, errors.WithStack(err)
+			return nil, err
 		}
 		c := &Conn{Conn: inner, listener: l}
 		c.entry = l.group.Open(func() { _ = inner.Close() }, time.Now())
