inbound: a TLS connection that yields its place is closed without an alert

Cause: closing a tls.Conn writes an alert, for up to five seconds if its client does not read, and the listener accepts nobody meanwhile.

Change: the connection below is closed. The tests of inbound pass; no test shows the wait, since it takes a client that has filled the socket.

--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -36,9 +36,9 @@
 			return nil, err
 		}
 		c := &Conn{Conn: inner, listener: l}
-		c.entry = l.group.Open(func() { _ = inner.Close() }, time.Now())
+		c.entry = l.group.Open(func() { closeNow(inner) }, time.Now())
 		if c.entry == nil {
-			_ = inner.Close()
+			closeNow(inner)
 			continue
 		}
 		if _, encrypted := inner.(*tls.Conn); encrypted {
@@ -48,6 +48,14 @@
 	}
 }
 
+// closeNow closes a connection without a word to its client, which may not read.
+func closeNow(c net.Conn) {
+	if encrypted, ok := c.(*tls.Conn); ok {
+		c = encrypted.NetConn()
+	}
+	_ = c.Close()
+}
+
 // tlsConn is a connection with TLS. The server of net/http asks it for its state instead of performing the handshake.
 type tlsConn struct{ *Conn }
 
