vm: header-bytes of the configuration holds above 64 KiB, too

What callers saw: 431 for heads that the configuration allows, if it allows more than 64 KiB.

Cause: net/http was told 64 KiB, whatever the configuration says.

Change: net/http bounds a head by 1 MiB, the configuration bounds it before that, and 64 KiB hold while it names nothing. Heads are bounded in memory in any case.

--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -302,10 +302,11 @@
 }
 
 const (
-	// maxHeaderBytes bounds the head of a request unless the configuration does, headerTimeout the
-	// time in which it has to arrive.
-	maxHeaderBytes = 64 << 10
-	headerTimeout  = 10 * time.Second
+	// maxHeaderBytes bounds the head of a request unless the configuration does, serverHeaderBytes
+	// in any case. headerTimeout is the time in which it has to arrive.
+	maxHeaderBytes    = 64 << 10
+	serverHeaderBytes = 1 << 20
+	headerTimeout     = 10 * time.Second
 	// callerIdleTimeout is how long an idle connection of a caller is kept open. Callers
 	// reuse connections for up to four fifths of the configured time, which may change; a
 	// longer time here never closes a connection that a caller is about to reuse.
@@ -330,7 +331,7 @@
 			return nil, errors.Wrapf(err, "vm: listen on %s", s.address)
 		}
 		served := &http.Server{
-			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: serverHeaderBytes,
 			ErrorLog: nil,
 		}
 		inbound.Attach(served)
--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -209,6 +209,29 @@
 	}
 }
 
+// Guards against a limit of the configuration that is not in force, or not any more.
+func TestHeadsAreBoundedByTheConfiguration(t *testing.T) {
+	w := newWorld(t)
+	status := func(size int) int {
+		connection, err := net.Dial("tcp4", w.vm.Callers)
+		require.NoError(t, err)
+		defer connection.Close()
+		go func() { _, _ = io.WriteString(connection, getHead(size)+"A: "+strings.Repeat("a", size)+"\r\n\r\n") }()
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		if err != nil {
+			return 0
+		}
+		return response.StatusCode
+	}
+	require.Equal(t, http.StatusOK, status(legalHead-1000))
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, status(2*legalHead))
+	w.manifest.Version, w.manifest.HeaderBytes = 2, 8*legalHead
+	w.store.Put("op/config", w.manifest.Value())
+	require.Eventually(t, func() bool { return status(2*legalHead) == http.StatusOK }, patience, 100*time.Millisecond)
+	require.Equal(t, http.StatusOK, status(8*legalHead-1000))
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, status(9*legalHead))
+}
+
 // peerBehaviours are those of clients of the listener for other VMs, which speaks HTTP/2.
 var peerBehaviours = []behaviour{
 	{"connections without a byte", connectionCrowd, false, once(func(int) string { return "" })},
--- a/test/clients/world_test.go
+++ b/test/clients/world_test.go
@@ -70,6 +70,8 @@
 type world struct {
 	*process
 	vm            standin.VM
+	store         *standin.Store
+	manifest      standin.Manifest
 	clerk, engine *standin.Replica
 }
 
@@ -80,10 +82,12 @@
 // newWorldWith returns a world whose VM may use a number of descriptors.
 func newWorldWith(t *testing.T, descriptors int) *world {
 	w := &world{process: &process{t: t, ended: make(chan struct{})}}
-	store := standin.NewStore()
-	store.Put("op/config", standin.Manifest{
+	w.manifest = standin.Manifest{
 		Version: 1, Host: host, Models: []string{"m0"}, Teams: []standin.Team{{Name: "team", Keys: []string{key}, Rate: 1e9, Burst: 1e9}},
-	}.Value())
+	}
+	store := standin.NewStore()
+	w.store = store
+	store.Put("op/config", w.manifest.Value())
 	w.clerk = w.addUpstream(store, "clerk")
 	w.engine = w.addUpstream(store, "engine", "m0")
 	at := w.addresses(6)
