test/clients: one way to start a process

Cause: the worlds of chestnut-vm and of chestnut-entry started and killed their processes each in their own words.

Change: a process starts itself, and prints its last log lines if the test fails.

--- a/test/clients/entry_test.go
+++ b/test/clients/entry_test.go
@@ -8,7 +8,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"text/template"
 	"time"
@@ -67,18 +66,8 @@
 
 // run starts a program that listens at addresses, with a configuration from a template, until the test ends.
 func (w *entryWorld) run(program, config string, listeners ...string) *process {
-	p := &process{
-		t: w.t, cmd: exec.Command(filepath.Join(programs, program), "--config", w.file(config)), ended: make(chan struct{}), listeners: listeners,
-	}
-	require.NoError(w.t, p.cmd.Start())
-	go func() {
-		_ = p.cmd.Wait()
-		close(p.ended)
-	}()
-	w.t.Cleanup(func() {
-		_ = p.cmd.Process.Signal(syscall.SIGKILL)
-		<-p.ended
-	})
+	p := &process{t: w.t, cmd: exec.Command(filepath.Join(programs, program), "--config", w.file(config)), listeners: listeners}
+	p.start()
 	return p
 }
 
--- a/test/clients/world_test.go
+++ b/test/clients/world_test.go
@@ -81,7 +81,7 @@
 
 // newWorldWith returns a world whose VM may use a number of descriptors.
 func newWorldWith(t *testing.T, descriptors int) *world {
-	w := &world{process: &process{t: t, ended: make(chan struct{})}}
+	w := &world{process: &process{t: t}}
 	w.manifest = standin.Manifest{
 		Version: 1, Host: host, Models: []string{"m0"}, Teams: []standin.Team{{Name: "team", Keys: []string{key}, Rate: 1e9, Burst: 1e9}},
 	}
@@ -138,33 +138,40 @@
 	return port
 }
 
+// start starts the VM's process.
 func (w *world) start() {
 	path := filepath.Join(w.t.TempDir(), "vm.toml")
 	require.NoError(w.t, os.WriteFile(path, []byte(w.vm.Settings()), 0o600))
-	log, err := os.Create(filepath.Join(w.t.TempDir(), "vm.log"))
-	require.NoError(w.t, err)
 	w.cmd = exec.Command(filepath.Join(programs, "chestnut-vm"))
 	w.cmd.Env = []string{"CHESTNUTARCH_BOOT=" + path}
-	w.cmd.Stdout, w.cmd.Stderr = log, log
-	require.NoError(w.t, w.cmd.Start())
+	w.process.start()
+}
+
+// start starts a process, which is killed when the test ends.
+func (p *process) start() {
+	log, err := os.Create(filepath.Join(p.t.TempDir(), "log"))
+	require.NoError(p.t, err)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.ended = make(chan struct{})
+	require.NoError(p.t, p.cmd.Start())
 	go func() {
-		_ = w.cmd.Wait()
-		close(w.ended)
+		_ = p.cmd.Wait()
+		close(p.ended)
 	}()
-	w.t.Cleanup(func() {
-		_ = w.cmd.Process.Signal(syscall.SIGKILL)
-		<-w.ended
-		if w.t.Failed() {
-			w.logTail(log.Name())
+	p.t.Cleanup(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGKILL)
+		<-p.ended
+		if p.t.Failed() {
+			p.logTail(log.Name())
 		}
 	})
 }
 
 // logTail prints the last lines of the process's log.
-func (w *world) logTail(path string) {
+func (p *process) logTail(path string) {
 	text, _ := os.ReadFile(path)
 	lines := strings.Split(string(text), "\n")
-	w.t.Logf("log of the VM:\n%s", strings.Join(lines[max(0, len(lines)-20):], "\n"))
+	p.t.Logf("log of the process:\n%s", strings.Join(lines[max(0, len(lines)-20):], "\n"))
 }
 
 func (w *world) ready() bool {
