vm, inbound: one bound of socket buffers, one look-up of a call, no idle locking

Change: socketBuffer takes the size, a call is looked up once, nothing is given back when nothing has changed. Behaviour is the same.

--- a/internal/inbound/frames.go
+++ b/internal/inbound/frames.go
@@ -87,24 +87,20 @@
 }
 
 func (s *frameScanner) beginFrame() {
+	c := s.calls[s.stream]
+	if c == nil && (s.kind == frameHeaders || s.kind == frameData && s.left > 0) {
+		c = s.open(s.stream)
+	}
+	if c == nil {
+		return
+	}
 	switch s.kind {
 	case frameHeaders:
-		if _, ok := s.calls[s.stream]; !ok {
-			s.open(s.stream)
-		}
-		s.hold(s.calls[s.stream], callMemory+fieldMemory*int64(s.left))
+		s.hold(c, callMemory+fieldMemory*int64(s.left))
 	case frameContinuation:
-		if c, ok := s.calls[s.stream]; ok {
-			s.hold(c, fieldMemory*int64(s.left))
-		}
+		s.hold(c, fieldMemory*int64(s.left))
 	case frameData:
-		c, ok := s.calls[s.stream]
-		if !ok && s.left > 0 {
-			c = s.open(s.stream)
-		}
-		if c != nil {
-			s.hold(c, dataFrameMemory)
-		}
+		s.hold(c, dataFrameMemory)
 	}
 }
 
--- a/internal/inbound/grpc.go
+++ b/internal/inbound/grpc.go
@@ -68,9 +68,11 @@
 	if !open {
 		return errors.WithStack(ErrClosed)
 	}
-	if more > 0 {
+	switch {
+	case more > 0:
 		return errors.WithStack(c.entry.TakeHead(more, now))
+	case more < 0:
+		c.entry.ReturnHead(-more)
 	}
-	c.entry.ReturnHead(-more)
 	return nil
 }
--- a/internal/vm/held_memory.go
+++ b/internal/vm/held_memory.go
@@ -17,16 +17,8 @@
 	return p.enabled(PartHeldAnswers) && p.settings.MemoryMB > 0
 }
 
-// socketBuffer returns the bound on the kernel's buffers of a connection, 0 if there is none.
-func (p *Process) socketBuffer() int {
-	if !p.boundsHeldMemory() {
-		return 0
-	}
-	return heldSocketBuffer
-}
-
-// receiveBuffer returns a bound on the kernel's receive buffer of a connection, 0 if there is none.
-func (p *Process) receiveBuffer(size int) int {
+// socketBuffer returns a bound on the kernel's buffer of a connection, 0 if this VM sets none.
+func (p *Process) socketBuffer(size int) int {
 	if !p.boundsHeldMemory() {
 		return 0
 	}
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -114,7 +114,7 @@
 	client := platform.NewStore(s.Store.Address, p.countStoreCall)
 	client.OnEra = p.recordEra
 	p.store = client
-	p.replicas = platform.NewReplicasWithBuffers(p.socketBuffer())
+	p.replicas = platform.NewReplicasWithBuffers(p.socketBuffer(heldSocketBuffer))
 	p.assigner = assign.New()
 	if !p.enabled(PartReportedLoad) {
 		p.assigner.IgnoreReportedLoad()
@@ -216,7 +216,7 @@
 	for _, s := range servers {
 		group.Go(s.serve)
 	}
-	peers, err := transport.NewListenConfig(transport.Limits{ReceiveBuffer: p.receiveBuffer(peerSocketBuffer)}).Listen(background, "tcp4", p.peerAddress())
+	peers, err := transport.NewListenConfig(transport.Limits{ReceiveBuffer: p.socketBuffer(peerSocketBuffer)}).Listen(background, "tcp4", p.peerAddress())
 	if err != nil {
 		return errors.Wrap(err, "vm: listen for peers")
 	}
@@ -314,7 +314,7 @@
 )
 
 func (p *Process) listen(ctx context.Context) ([]*server, error) {
-	config := transport.NewListenConfig(transport.Limits{UserTimeout: 5 * time.Second, SocketBuffer: p.socketBuffer(), ReceiveBuffer: p.receiveBuffer(headSocketBuffer)})
+	config := transport.NewListenConfig(transport.Limits{UserTimeout: 5 * time.Second, SocketBuffer: p.socketBuffer(heldSocketBuffer), ReceiveBuffer: p.socketBuffer(headSocketBuffer)})
 	var out []*server
 	for _, s := range []struct {
 		address     string
@@ -336,7 +336,7 @@
 		}
 		inbound.Attach(served)
 		bounded := inbound.NewListener(listener, s.connections)
-		bounded.HeadLimit, bounded.ReceiveBuffer, bounded.BodyBuffer = p.headLimit, p.receiveBuffer(headSocketBuffer), p.socketBuffer()
+		bounded.HeadLimit, bounded.ReceiveBuffer, bounded.BodyBuffer = p.headLimit, p.socketBuffer(headSocketBuffer), p.socketBuffer(heldSocketBuffer)
 		out = append(out, &server{listener: bounded, http: served})
 	}
 	return out, nil
