inbound: padded frames do not make a call look complete

Calls whose messages do not end escape their account at the port for VMs if their data is padded.

Cause: padding was not followed, and a call of which nothing was followed counted as complete.

Change: a call with a padded frame holds what it has until its client ends it, or its connection ends. VMs pad nothing.

--- a/internal/inbound/frames.go
+++ b/internal/inbound/frames.go
@@ -51,6 +51,9 @@
 	head []byte
 	left int
 	held int64
+	// padded is set once a frame of data is padded. VMs pad none, and messages are not told from padding: such a call holds what
+	// it has until its client ends it.
+	padded bool
 }
 
 // scan follows the bytes that have been read.
@@ -109,9 +112,10 @@
 	s.left -= len(p)
 	if c := s.calls[s.stream]; s.kind == frameData && c != nil {
 		s.hold(c, int64(len(p)))
-		if s.flags&flagPadded == 0 {
-			c.scan(p)
+		if s.flags&flagPadded != 0 {
+			c.padded = true
 		}
+		c.scan(p)
 	}
 	if s.left == 0 {
 		s.endFrame()
@@ -165,4 +169,4 @@
 }
 
 // complete reports whether what has been read of messages ends with the end of one.
-func (c *call) complete() bool { return len(c.head) == 0 && c.left == 0 }
+func (c *call) complete() bool { return !c.padded && len(c.head) == 0 && c.left == 0 }
--- a/internal/inbound/frames_test.go
+++ b/internal/inbound/frames_test.go
@@ -109,3 +109,14 @@
 	c.frames.scan([]byte(frame(frameHeaders, 0, 3, strings.Repeat("f", 1<<20))))
 	require.ErrorIs(t, c.hold(start), connlimit.ErrNoMemory)
 }
+
+// Guards against padded frames whose messages are taken for complete although they are not followed.
+func TestPaddedCallsHoldMemoryUntilTheyEnd(t *testing.T) {
+	var s frameScanner
+	s.scan([]byte(preface + frame(frameHeaders, 0, 1, "fields") + frame(frameData, flagPadded, 1, "\x00"+message(100)[:50])))
+	require.Positive(t, s.held)
+	s.scan([]byte(frame(frameData, 0, 1, "")))
+	require.Positive(t, s.held)
+	s.scan([]byte(frame(frameData, flagEndStream, 1, "")))
+	require.Zero(t, s.held)
+}
