review: the answer of a consumer that reads slowly is cut

Tried: consumers with small receive buffers that read nothing for 8 s of their 20 s, just after a SIGHUP. The kernel's user timeout of callers' connections, 5 s, also counts while the peer's window is closed.

--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -22,6 +22,7 @@
 
 var cases = map[string]func(*world) (int, error){
 	"descriptors": playDescriptors,
+	"slowreader":  playSlowReader,
 }
 
 func main() {
