review: one crash of all replicas quarantines a common request

Tried: all three replicas of a plain service crash at the same moment and are replaced after 3 s. Ends at the same moment count one by one against the request that ran on all of them.

--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -22,6 +22,7 @@
 
 var cases = map[string]func(*world) (int, error){
 	"descriptors": playDescriptors,
+	"crash":       playCrash,
 	"slowreader":  playSlowReader,
 }
 
