review: an incomplete entry of another writer is taken for a replica

Tried: another writer replaces the entries of five replicas, one after the other, by ones without zone, version, cold-remaining-ms, sequence and born that name another service. The replica's next heartbeat restores its entry.

--- a/review/_kit2/crash.go
+++ b/review/_kit2/crash.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,12 +41,21 @@
 
 // plain is a replica of a plain service.
 type plain struct {
-	id, address string
-	born        int64
-	server      *http.Server
-	w           *world
-	work        map[string]time.Duration
-	running     atomic.Int64
+	id, address, service string
+	born                 int64
+	server               *http.Server
+	w                    *world
+	work                 map[string]time.Duration
+	running              atomic.Int64
+	mu                   sync.Mutex
+	ran                  []string
+}
+
+// targets returns the targets of the requests that the replica has run.
+func (p *plain) targets() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.ran)
 }
 
 // ServeHTTP implements http.Handler.
@@ -65,6 +75,9 @@
 	}
 	running := p.running.Add(1)
 	defer p.running.Add(-1)
+	p.mu.Lock()
+	p.ran = append(p.ran, r.RequestURI)
+	p.mu.Unlock()
 	p.w.note("replica %s runs %s %s %s (%d running)", p.id, id, r.Method, r.RequestURI, running)
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	select {
@@ -77,12 +90,12 @@
 	_, _ = fmt.Fprintf(w, "done by %s for %s", p.id, id)
 }
 
-func (w *world) startPlain(id string, work map[string]time.Duration) (*plain, error) {
+func (w *world) startPlain(id, service string, work map[string]time.Duration) (*plain, error) {
 	listener, err := w.listen()
 	if err != nil {
 		return nil, err
 	}
-	p := &plain{id: id, address: listener.Addr().String(), born: time.Now().UnixMilli(), w: w, work: work}
+	p := &plain{id: id, service: service, address: listener.Addr().String(), born: time.Now().UnixMilli(), w: w, work: work}
 	p.server = &http.Server{Handler: p, IdleTimeout: 10 * time.Second}
 	go func() { _ = p.server.Serve(listener) }()
 	w.writePlain(p)
@@ -93,7 +106,7 @@
 // writePlain writes the entry of a replica, as its heartbeat does.
 func (w *world) writePlain(p *plain) {
 	w.store.Put("servers/"+p.id, map[string]any{
-		"service": "clerk", "address": p.address, "zone": "a", "version": "v1", "slots": 6, "state": "ready", "cold-remaining-ms": 0,
+		"service": p.service, "address": p.address, "zone": "a", "version": "v1", "slots": 6, "state": "ready", "cold-remaining-ms": 0,
 		"sequence": 0, "born": p.born,
 	})
 }
@@ -197,7 +210,7 @@
 	w.configure(crashManifest(kinds))
 	var replicas []*plain
 	for n := range crashReplicas {
-		p, err := w.startPlain(fmt.Sprintf("i-%d", n), work)
+		p, err := w.startPlain(fmt.Sprintf("i-%d", n), "clerk", work)
 		if err != nil {
 			return failed, err
 		}
@@ -240,7 +253,7 @@
 		time.Sleep(crashFor)
 		for n := range replicas {
 			w.store.Delete("servers/" + replicas[n].id)
-			p, err := w.startPlain(fmt.Sprintf("i-%d", crashReplicas+n), work)
+			p, err := w.startPlain(fmt.Sprintf("i-%d", crashReplicas+n), "clerk", work)
 			if err != nil {
 				return failed, err
 			}
--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -24,6 +24,7 @@
 	"descriptors": playDescriptors,
 	"crash":       playCrash,
 	"slowreader":  playSlowReader,
+	"forged":      playForged,
 }
 
 func main() {
