transport, inbound: a caller that reads late gets its whole answer

Cause: TCP_USER_TIMEOUT on callers' connections. The kernel also counts it while the peer's receive window is closed, although the peer acknowledges every probe.

Evidence: TCP_INFO at half of the timeout shows unsent bytes, none in flight and no unanswered probe; the reset follows 5 s after the window was closed, long after the process has written the answer.

Change: transport.WindowWatch reads TCP_INFO at half of the timeout while bytes may be pending, and extends the timeout to the request's deadline while the peer is alive and its window closed.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/chestnutarch/chestnutarch/internal/configstate"
+	"github.com/chestnutarch/chestnutarch/internal/inbound"
 	"github.com/chestnutarch/chestnutarch/internal/ratelimit"
 	"github.com/chestnutarch/chestnutarch/internal/relay"
 	"github.com/chestnutarch/chestnutarch/internal/resume"
@@ -168,6 +169,7 @@
 func (h *Handler) serveWithLimits(serve handlerFunc, w http.ResponseWriter, r *http.Request, req *request) *Problem {
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
+	inbound.AllowUnreadUntil(ctx, req.deadline)
 	r = r.WithContext(ctx)
 	r.Body = http.MaxBytesReader(w, r.Body, h.Limits.MaxBodyBytes)
 	return serve(w, r, req)
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -63,7 +63,9 @@
 			*w.target = inbound.NewGRPCListener(opened, w.group, sec.PeerReloader != nil)
 			continue
 		}
-		*w.target = inbound.NewListener(opened, w.group)
+		bounded := inbound.NewListener(opened, w.group)
+		bounded.UserTimeout = transport.DefaultUserTimeout
+		*w.target = bounded
 	}
 	return l, nil
 }
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutarch/chestnutarch/internal/connlimit"
+	"github.com/chestnutarch/chestnutarch/internal/transport"
 )
 
 var (
@@ -29,6 +30,7 @@
 	net.Conn
 	entry    *connlimit.Conn
 	listener *Listener
+	window   *transport.WindowWatch
 
 	scanner headScanner
 	// head is the number of bytes of the present head, untaken the memory of those that has not been taken yet.
@@ -233,8 +235,15 @@
 	return nil
 }
 
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.window.Wrote(time.Now())
+	return c.Conn.Write(p)
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.entry.Close()
+	c.window.Close()
 	return c.Conn.Close()
 }
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/chestnutarch/chestnutarch/internal/connlimit"
+	"github.com/chestnutarch/chestnutarch/internal/transport"
 )
 
 // Listener is a listener whose connections are bounded in number. Its inner listener may be one of crypto/tls.
@@ -20,6 +21,9 @@
 	// BodyBuffer replaces it while a body of more than ReceiveBuffer is read. Zero leaves it as it is. Both must be set before the
 	// first Accept.
 	ReceiveBuffer, BodyBuffer int
+	// UserTimeout is the TCP_USER_TIMEOUT of a connection, which it gets from the inner listener. Zero means that no request
+	// allows its client to leave bytes unread for longer. It must be set before the first Accept.
+	UserTimeout time.Duration
 }
 
 // NewListener returns a listener that accepts the connections of another one within the limit of a group.
@@ -35,7 +39,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: inner, listener: l}
+		c := &Conn{Conn: inner, listener: l, window: transport.NewWindowWatch(unencrypted(inner), l.UserTimeout)}
 		c.entry = l.group.Open(func() { closeNow(inner) }, time.Now())
 		if c.entry == nil {
 			closeNow(inner)
@@ -49,11 +53,14 @@
 }
 
 // closeNow closes a connection without a word to its client, which may not read.
-func closeNow(c net.Conn) {
+func closeNow(c net.Conn) { _ = unencrypted(c).Close() }
+
+// unencrypted returns the connection below TLS.
+func unencrypted(c net.Conn) net.Conn {
 	if encrypted, ok := c.(*tls.Conn); ok {
-		c = encrypted.NetConn()
+		return encrypted.NetConn()
 	}
-	_ = c.Close()
+	return c
 }
 
 // tlsConn is a connection with TLS. The server of net/http asks it for its state instead of performing the handshake.
@@ -82,6 +89,14 @@
 	return c.(*Conn)
 }
 
+// AllowUnreadUntil lets the client of a request leave bytes unread until t, if it is alive. ctx is the context of the request;
+// one of a connection that no Listener has accepted is ignored.
+func AllowUnreadUntil(ctx context.Context, t time.Time) {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		c.window.AllowUntil(t)
+	}
+}
+
 // Attach makes an HTTP server tell its connections, which have to be those of a Listener, what it does with their requests.
 // It sets the server's hooks and must be called before the server serves.
 func Attach(server *http.Server) {
--- a/internal/traffic/answer.go
+++ b/internal/traffic/answer.go
@@ -38,6 +38,12 @@
 	SetWriteDeadline(t time.Time) error
 }
 
+// unreadDeadliner is a Sink whose caller may leave what it has been sent unread.
+type unreadDeadliner interface {
+	// AllowUnreadUntil lets the caller leave the answer unread until t.
+	AllowUnreadUntil(t time.Time)
+}
+
 // boundWrites makes writes to the caller fail once its deadline has passed: one that reads nothing blocks them.
 func (j *job) boundWrites() {
 	if j.core.options.Answers == nil {
--- a/internal/traffic/core.go
+++ b/internal/traffic/core.go
@@ -184,12 +184,15 @@
 func (c *Core) Serve(ctx context.Context, q *Request, sink Sink) error {
 	c.awaitConfiguration(ctx, q)
 	j, refusal := c.admit(q)
+	if j != nil {
+		j.sink = sink
+		j.allowUnread()
+	}
 	if refusal != nil {
 		c.logRefusal(q, j, refusal)
 		sink.Refuse(*refusal)
 		return nil
 	}
-	j.sink = sink
 	ctx, cancel := j.withDeadline(ctx)
 	defer cancel()
 	err := j.run(ctx)
--- a/internal/traffic/deadline.go
+++ b/internal/traffic/deadline.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// allowUnread lets the caller leave an answer or a refusal unread until its deadline, if that is known.
+func (j *job) allowUnread() {
+	if sink, ok := j.sink.(unreadDeadliner); ok {
+		sink.AllowUnreadUntil(j.deadline)
+	}
+}
+
 // answerReserve returns how long before the caller's deadline an answer has to leave.
 func (j *job) answerReserve() time.Duration {
 	if j.fromVM {
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -311,10 +311,13 @@
 	// reuse connections for up to four fifths of the configured time, which may change; a
 	// longer time here never closes a connection that a caller is about to reuse.
 	callerIdleTimeout = 90 * time.Second
+	// callerUserTimeout is how long bytes sent to a caller may stay unacknowledged, unless the caller is alive and its request
+	// has time left.
+	callerUserTimeout = 5 * time.Second
 )
 
 func (p *Process) listen(ctx context.Context) ([]*server, error) {
-	config := transport.NewListenConfig(transport.Limits{UserTimeout: 5 * time.Second, SocketBuffer: p.socketBuffer(heldSocketBuffer), ReceiveBuffer: p.socketBuffer(headSocketBuffer)})
+	config := transport.NewListenConfig(transport.Limits{UserTimeout: callerUserTimeout, SocketBuffer: p.socketBuffer(heldSocketBuffer), ReceiveBuffer: p.socketBuffer(headSocketBuffer)})
 	var out []*server
 	for _, s := range []struct {
 		address     string
@@ -336,6 +339,7 @@
 		}
 		inbound.Attach(served)
 		bounded := inbound.NewListener(listener, s.connections)
+		bounded.UserTimeout = callerUserTimeout
 		bounded.HeadLimit, bounded.ReceiveBuffer, bounded.BodyBuffer = p.headLimit, p.socketBuffer(headSocketBuffer), p.socketBuffer(heldSocketBuffer)
 		out = append(out, &server{listener: bounded, http: served})
 	}
--- /dev/null
+++ b/internal/vm/slow_readers_test.go
@@ -0,0 +1,82 @@
+package vm
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+)
+
+// withSlowRoutes lets requests take up to 20 s.
+func withSlowRoutes(config map[string]any) {
+	for _, route := range config["routes"].([]any) {
+		route.(map[string]any)["timeout-ms"] = 20000
+	}
+}
+
+// withSmallWindow gives a socket the smallest receive buffer that the kernel has.
+func withSmallWindow(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1) })
+}
+
+// dialWithSmallWindow opens a connection to a VM whose receive buffer is the smallest that the kernel gives.
+func (c *cluster) dialWithSmallWindow(v *testVM) *stalledCaller {
+	dialer := net.Dialer{Control: withSmallWindow}
+	conn, err := dialer.Dial("tcp4", v.settings.Callers)
+	require.NoError(c.t, err)
+	c.t.Cleanup(func() { _ = conn.Close() })
+	return &stalledCaller{Conn: conn, reader: bufio.NewReaderSize(conn, 16)}
+}
+
+// Guards against an answer that is cut because its caller reads nothing for some seconds of its time.
+func TestAnswersReachCallersThatReadLate(t *testing.T) {
+	const small = 4800
+	c := newCluster(t)
+	c.configure(withSlowRoutes)
+	r := c.addLarge("clerk-1")
+	reply := r.Fail
+	r.Fail = func(w http.ResponseWriter, q *http.Request) {
+		if strings.Contains(q.URL.Path, largePath) {
+			reply(w, q)
+			return
+		}
+		w.Header().Set("X-Chestnutarch-Attempt-Id", q.Header.Get("X-Chestnutarch-Attempt-Id"))
+		w.Header().Set("X-Chestnutarch-Response-Signature", "sig")
+		_, _ = w.Write(largeBody[:small])
+	}
+	v := c.startAs(vmSpec{name: "a", domain: "a", memoryMB: 144})
+	var callers errgroup.Group
+	for path, size := range map[string]int{"/file/": small, "/look/": small, "/look" + largePath: largeAnswer} {
+		caller := c.dialWithSmallWindow(v)
+		// The second request comes on a connection that has been used for one with little time.
+		for _, deadline := range []time.Duration{2 * time.Second, 20 * time.Second} {
+			if deadline < 20*time.Second && size != small {
+				continue
+			}
+			_, err := fmt.Fprintf(caller, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Chestnutarch-Attempt-Id: id-%d\r\nAuthorization: Token %s\r\nX-Chestnutarch-Deadline-Remaining-Ms: %d\r\n\r\n",
+				path, testHost, c.ids.Add(1), testKey, deadline.Milliseconds())
+			require.NoError(t, err)
+			if deadline < 20*time.Second {
+				_, _, err := caller.read()
+				require.NoError(t, err)
+			}
+		}
+		callers.Go(func() error {
+			time.Sleep(8 * time.Second)
+			status, body, err := caller.read()
+			assert.NoError(t, err, path)
+			assert.Equal(t, http.StatusOK, status, path)
+			assert.Equal(t, size, len(body), path)
+			return nil
+		})
+	}
+	require.NoError(t, callers.Wait())
+}
