httpconn, transport: a request reaches an upstream that pauses while it reads

What callers saw: an upload to an upstream that read nothing for over a second ended with 502 "may have run", although the upstream was alive and the caller had time.

Cause: the same as of callers' connections. TCP_USER_TIMEOUT (1 s for chestnut-vm, 6 s for chestnut-entry) also counts while the upstream's window is closed.

Evidence: TestRequestsReachUpstreamsThatReadLate (900 KiB, a pause of 3 s, a small receive buffer) gets 502 with the pool of before, and 200 with this one.

Change: connections of the pool, and those of transport.New, have a WindowWatch. The context of an exchange still ends it, and an upstream that is gone is noticed after the timeout as before.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -45,6 +45,8 @@
 	asyncWriteMin = 8 << 10
 	// maxSkipped bounds a response that is skipped, in bytes.
 	maxSkipped = 256 << 10
+	// maxUnread is how long an upstream that is alive may leave a request unread. The context of an exchange is mostly shorter.
+	maxUnread = time.Minute
 )
 
 // Pool holds idle connections by address. It is safe for concurrent use.
@@ -52,6 +54,9 @@
 	// DialContext opens a connection to an address. It may be replaced before the pool is used.
 	DialContext func(ctx context.Context, address string) (net.Conn, error)
 
+	// userTimeout is the TCP_USER_TIMEOUT of the connections.
+	userTimeout time.Duration
+
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	dials int64
@@ -65,6 +70,8 @@
 	reader *bufio.Reader
 	// bound is what the reader reads from.
 	bound *boundedReader
+	// window is the watch of the upstream's receive window.
+	window *transport.WindowWatch
 	// idleDeadline is the time after which the idle connection is no longer used,
 	// because the upstream may close it.
 	idleDeadline time.Time
@@ -77,7 +84,8 @@
 		DialContext: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp4", address)
 		},
-		idle: make(map[string][]*conn),
+		userTimeout: l.UserTimeout,
+		idle:        make(map[string][]*conn),
 	}
 }
 
@@ -194,6 +202,9 @@
 // write writes the request. A long body is written from where it is, since a copy would double its memory for as long as
 // the upstream takes to read it.
 func (x *Exchange) write(head, body []byte) error {
+	now := time.Now()
+	x.conn.window.AllowUntil(now.Add(maxUnread))
+	x.conn.window.Wrote(now)
 	if len(head)+len(body) < asyncWriteMin {
 		_, err := x.conn.Write(append(head, body...))
 		return err
@@ -249,6 +260,7 @@
 // reset closes the connection at once and discards unsent data, so that a request delayed
 // by a network partition is not delivered later.
 func (c *conn) reset() {
+	c.window.Close()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
@@ -265,7 +277,10 @@
 	number := p.dials
 	p.mu.Unlock()
 	bound := &boundedReader{source: raw, left: unbounded}
-	return &conn{Conn: raw, number: number, reader: bufio.NewReaderSize(bound, readBufferSize), bound: bound}, nil
+	return &conn{
+		Conn: raw, number: number, reader: bufio.NewReaderSize(bound, readBufferSize), bound: bound,
+		window: transport.NewWindowWatch(raw, p.userTimeout),
+	}, nil
 }
 
 // Connect opens a connection to an address, which is kept as an idle one. The error is that of the dialer.
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -46,7 +46,7 @@
 	}
 	l = l.withDefaults()
 	t := &http.Transport{
-		DialContext:            NewDialer(l).DialContext,
+		DialContext:            watchedDial(l),
 		TLSHandshakeTimeout:    l.Connect,
 		MaxIdleConnsPerHost:    p.MaxIdlePerHost,
 		IdleConnTimeout:        p.IdleLifetime,
@@ -54,7 +54,7 @@
 		DisableCompression:     true,
 	}
 	if secure != nil {
-		t.DialTLSContext = dialTLS(NewDialer(l), secure)
+		t.DialTLSContext = dialTLS(l, secure)
 	}
 	return t
 }
@@ -62,20 +62,21 @@
 // dialTLS returns a function that opens a connection and performs the TLS
 // handshake. The server's certificate must be valid for the IP address that was
 // dialled.
-func dialTLS(dialer *net.Dialer, secure TLS) func(ctx context.Context, network, address string) (net.Conn, error) {
+func dialTLS(l Limits, secure TLS) dialFunc {
+	dial := watchedDial(l)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		host, _, err := net.SplitHostPort(address)
 		if err != nil {
 			return nil, errors.WithStack(err)
 		}
-		plain, err := dialer.DialContext(ctx, network, address)
+		plain, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
 		config := secure().Clone()
 		config.ServerName = host
 		conn := tls.Client(plain, config)
-		ctx, cancel := context.WithTimeout(ctx, dialer.Timeout)
+		ctx, cancel := context.WithTimeout(ctx, l.Connect)
 		defer cancel()
 		if err := conn.HandshakeContext(ctx); err != nil {
 			_ = plain.Close()
--- a/internal/vm/slow_readers_test.go
+++ b/internal/vm/slow_readers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
@@ -13,6 +14,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/chestnutarch/chestnutarch/platform/standin"
 )
 
 // withSlowRoutes lets requests take up to 20 s.
@@ -27,6 +30,20 @@
 	return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1) })
 }
 
+// addWithSmallWindow adds a replica whose connections have the smallest receive buffer that the kernel has.
+func (c *cluster) addWithSmallWindow(r *standin.Replica) {
+	config := net.ListenConfig{Control: withSmallWindow}
+	listener, err := config.Listen(c.t.Context(), "tcp4", loopback(freePorts(c.t, 1)[0]))
+	require.NoError(c.t, err)
+	server := httptest.NewUnstartedServer(r)
+	require.NoError(c.t, server.Listener.Close())
+	server.Listener = listener
+	server.Start()
+	c.t.Cleanup(server.Close)
+	c.replicas[r.ID], c.servers[r.ID] = r, server
+	c.setReplicaState(r.ID, "ready")
+}
+
 // dialWithSmallWindow opens a connection to a VM whose receive buffer is the smallest that the kernel gives.
 func (c *cluster) dialWithSmallWindow(v *testVM) *stalledCaller {
 	dialer := net.Dialer{Control: withSmallWindow}
@@ -80,3 +97,22 @@
 	}
 	require.NoError(t, callers.Wait())
 }
+
+// Guards against a request that is cut because its upstream pauses while it reads the body.
+func TestRequestsReachUpstreamsThatReadLate(t *testing.T) {
+	c := newCluster(t)
+	c.configure(withSlowRoutes)
+	r := standin.NewReplica("clerk-1", 0)
+	r.BeforeBody = func(http.ResponseWriter, *http.Request) bool {
+		time.Sleep(3 * time.Second)
+		return false
+	}
+	c.addWithSmallWindow(r)
+	v := c.startAs(vmSpec{name: "a", domain: "a", memoryMB: 144})
+	body := string(largeBody[:900<<10])
+	got := c.send(v, call{method: "POST", path: "/file/", body: body, header: map[string]string{"X-Chestnutarch-Deadline-Remaining-Ms": "10000"}})
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status)
+	require.Len(t, r.Runs(), 1)
+	require.True(t, r.Runs()[0].Body == body)
+}
