quarantine: a crash of all upstreams takes no sound request away

Cause: the ends of upstreams under a request were counted without regard to when they came and what else ended with them, and an answer, which alone clears them, cannot come once nothing is sent.

TestLookupIsServedAgainAfterAllUpstreamsCrashAtOnce holds the lookup at all three until they end, and failed before.

Change: three ends within two seconds make a request suspected, if it was answered shortly before or the upstreams ended under other requests, too. It is sent on trial, one at a time, by the VMs in turn: from two seconds after the last end on, or a minute if it has no answer so far. An answer clears it; a further end quarantines it as before. A request that is not suspected is quarantined at the third end as before.

Why not count ends of one moment as one: a harmful request that several callers send at once would end nine. TestRequestThatSeveralCallersSendAtOnceEndsThreeUpstreams guards that: three callers at once and 100 repeats end three.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -13,9 +13,10 @@
 	// maxSoundPartEnds is that number for a part with which answers have begun lately: it may have come to end upstreams only
 	// now, but rather stands beside the part that does.
 	maxSoundPartEnds = 2 * MaxPartEnds
-	// soundTime is how long parts are remembered with which answers have begun, at least; maxSoundParts bounds their number.
-	soundTime     = 30 * time.Second
-	maxSoundParts = 8192
+	// soundTime is how long parts are remembered with which answers have begun, and requests that were answered, at least;
+	// maxSound bounds the number of each.
+	soundTime = 30 * time.Second
+	maxSound  = 8192
 	// endDistance is the least time between two ends that count as distinct: upstreams that crash at the same moment do so
 	// for one reason, which need not be a part that requests to all of them share.
 	endDistance = 150 * time.Millisecond
@@ -36,25 +37,25 @@
 	Depth int
 }
 
-// soundParts holds the parts with which answers have begun lately.
-type soundParts struct {
+// recentKeys holds the requests or parts that were found to be sound lately.
+type recentKeys struct {
 	present, previous map[Key]struct{}
 	// since is when present began.
 	since time.Time
 }
 
-func (s *soundParts) add(key Key, now time.Time) {
-	if now.Sub(s.since) > soundTime || len(s.present) >= maxSoundParts {
-		s.previous, s.present, s.since = s.present, make(map[Key]struct{}), now
+func (k *recentKeys) add(key Key, now time.Time) {
+	if k.present == nil || now.Sub(k.since) > soundTime || len(k.present) >= maxSound {
+		k.previous, k.present, k.since = k.present, make(map[Key]struct{}), now
 	}
-	s.present[key] = struct{}{}
+	k.present[key] = struct{}{}
 }
 
-func (s *soundParts) has(key Key) bool {
-	if _, ok := s.present[key]; ok {
+func (k *recentKeys) has(key Key) bool {
+	if _, ok := k.present[key]; ok {
 		return true
 	}
-	_, ok := s.previous[key]
+	_, ok := k.previous[key]
 	return ok
 }
 
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -36,6 +38,8 @@
 	Ends map[string]time.Time
 	// Answered is when an upstream last answered the request, zero if none has since the first end.
 	Answered time.Time
+	// sound is set if this VM knows that the request was answered shortly before the first end.
+	sound bool
 }
 
 // Table holds the requests under which upstreams have ended. It is safe for concurrent use.
@@ -57,9 +61,15 @@
 	quarantined map[Key]*Record
 	judgedAt    time.Time
 	changed     bool
-	sound       soundParts
-	// trials holds the trials of quarantined parts.
+	sound       recentKeys
+	// endedUnder is under how many requests each incarnation ended.
+	endedUnder map[string]int
+	// served are the requests that were answered lately.
+	served recentKeys
+	// trials holds the trials of quarantined parts, and of suspected requests.
 	trials map[Key]trial
+	// vm is a hash of this VM's name.
+	vm uint64
 	// expiredAt is when old records were last looked for.
 	expiredAt time.Time
 	// inUse is set while there is anything to remember, so that other requests need no hash.
@@ -72,12 +82,12 @@
 	incarnation string
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table {
+// NewTable returns an empty table of the VM with the given name.
+func NewTable(vm string) *Table {
 	return &Table{
 		records: make(map[Key]*Record), broken: make(map[brokenExchange]time.Time),
 		gone: make(map[string]time.Time), alive: make(map[string]time.Time),
-		sound: soundParts{present: make(map[Key]struct{})}, trials: make(map[Key]trial),
+		endedUnder: make(map[string]int), trials: make(map[Key]trial), vm: xxhash.Sum64String(vm),
 	}
 }
 
@@ -183,17 +193,24 @@
 	r := t.record(suspect)
 	_, known := r.Ends[incarnation]
 	if !known {
-		r.Ends[incarnation] = at
+		t.addEnd(r, incarnation, at)
 		t.changed = true
 	}
 	t.mention(incarnation)
 	return !known
 }
 
+func (t *Table) addEnd(r *Record, incarnation string, at time.Time) {
+	r.Ends[incarnation] = at
+	if r.Depth == 0 {
+		t.endedUnder[incarnation]++
+	}
+}
+
 func (t *Table) record(suspect Part) *Record {
 	r := t.records[suspect.Key]
 	if r == nil {
-		r = &Record{Key: suspect.Key, Ends: make(map[string]time.Time)}
+		r = &Record{Key: suspect.Key, Ends: make(map[string]time.Time), sound: t.served.has(suspect.Key)}
 		t.records[suspect.Key] = r
 	}
 	r.Depth = max(r.Depth, suspect.Depth)
@@ -205,7 +222,11 @@
 func (t *Table) RecordAnswer(q Key, now time.Time) (cleared int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.recordAnswer(q, now)
+	t.served.add(q, now)
+	if cleared = t.recordAnswer(q, now); cleared > 0 {
+		t.clearSuspicion(t.records[q])
+	}
+	return cleared
 }
 
 func (t *Table) recordAnswer(q Key, now time.Time) (cleared int) {
@@ -277,12 +298,12 @@
 	return 0
 }
 
-// Quarantined reports whether a request must not be sent any more, and for how long.
+// Quarantined reports whether a request must not be sent any more, and for how long. A request that is only suspected is not.
 func (t *Table) Quarantined(q Key, now time.Time) (left time.Duration, quarantined bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[q]
-	if r == nil || t.count(r) < MaxEnds {
+	if r == nil || t.count(r) < MaxEnds || t.explainedOtherwise(r) {
 		return 0, false
 	}
 	left = r.timeLeft(now)
@@ -351,14 +372,14 @@
 	r, fresh := t.record(Part{in.Key, in.Depth}), false
 	for incarnation, at := range in.Ends {
 		if _, known := r.Ends[incarnation]; !known {
-			r.Ends[incarnation] = at
+			t.addEnd(r, incarnation, at)
 			t.mention(incarnation)
 			news, fresh = append(news, t.recordGone(incarnation, now)...), true
 		}
 	}
 	if in.Answered.Sub(r.Answered) > answerTolerance {
-		r.Answered = in.Answered
-		fresh = true
+		r.Answered, fresh = in.Answered, true
+		t.clearSuspicion(r)
 	}
 	if fresh {
 		news, t.changed = append(news, in.Key), true
@@ -393,6 +414,7 @@
 	maps.DeleteFunc(t.trials, func(key Key, _ trial) bool { return t.records[key] == nil })
 	mentioned := t.mentioned()
 	maps.DeleteFunc(t.alive, func(incarnation string, _ time.Time) bool { return !mentioned[incarnation] })
+	maps.DeleteFunc(t.endedUnder, func(incarnation string, _ int) bool { return !mentioned[incarnation] })
 	t.inUse.Store(len(t.records)+len(t.broken) > 0)
 }
 
--- a/internal/traffic/contents.go
+++ b/internal/traffic/contents.go
@@ -100,6 +100,9 @@
 	if left, in = table.Quarantined(j.contentsHash(), now); in {
 		return reasonQuarantined, left, true
 	}
+	if left, in = table.Suspected(j.contentsHash(), j.core.options.VMs(), now); in && !j.onTrial {
+		return reasonSuspected, left, true
+	}
 	part, left, in := table.QuarantinedPart(j.sharedParts(), now)
 	if !in || j.onTrial {
 		return "", 0, false
@@ -111,7 +114,7 @@
 // refuseQuarantined returns the refusal of a request that must not be sent any more, nil if it may be.
 func (c *Core) refuseQuarantined(j *job) *Refusal {
 	reason, left, in := j.inQuarantine()
-	if !in || j.try(reason) {
+	if !in || (reason == reasonSuspected && left == 0) || (reason == reasonPartQuarantined && j.tryPart()) {
 		return nil
 	}
 	return &Refusal{
@@ -120,14 +123,25 @@
 	}
 }
 
-// try reports whether the request is sent although a part of its prompt is quarantined, to find out whether the part still
+// tryPart reports whether the request is sent although a part of its prompt is quarantined, to find out whether the part still
 // ends upstreams.
-func (j *job) try(reason string) bool {
-	if reason != reasonPartQuarantined || !j.core.options.MayTry() || !j.core.options.Quarantine.Try(j.quarantined, time.Now()) {
+func (j *job) tryPart() bool {
+	if !j.core.options.MayTry() || !j.core.options.Quarantine.Try(j.quarantined, time.Now()) {
+		return false
+	}
+	j.onTrial = true
+	j.core.logPartTrial(j)
+	return true
+}
+
+// trySuspected reports whether the request, which is about to be written, is sent although it is suspected to end upstreams,
+// to find out whether it does.
+func (j *job) trySuspected() bool {
+	if !j.core.options.Quarantine.TrySuspected(j.contentsHash(), j.core.options.VMs(), time.Now()) {
 		return false
 	}
 	j.onTrial = true
-	j.core.logTrial(j)
+	j.core.logRequestTrial(j)
 	return true
 }
 
@@ -141,12 +155,14 @@
 
 const (
 	reasonQuarantined     = "request_quarantined"
+	reasonSuspected       = "request_suspected"
 	reasonPartQuarantined = "prompt_part_quarantined"
 )
 
 // quarantineDetails are the texts that callers are told, by reason.
 var quarantineDetails = map[string]string{
 	reasonQuarantined:     "upstreams have ended while they ran this request; it was not run",
+	reasonSuspected:       "several upstreams have ended at once while they ran this request; it is sent one at a time until one is answered, and was not run",
 	reasonPartQuarantined: "upstreams have ended while they ran requests with a part of this prompt; it was not run",
 }
 
@@ -303,7 +319,7 @@
 	if status/100 == 2 {
 		j.recordBegun()
 	}
-	if status >= http.StatusInternalServerError || !o.Quarantine.InUse() {
+	if status >= http.StatusInternalServerError {
 		return
 	}
 	cleared := o.Quarantine.RecordAnswer(j.contentsHash(), time.Now())
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -99,8 +99,8 @@
 	contents quarantine.Key
 	// parts are the parts of the prompt that other requests may share, nil until they are needed.
 	parts []quarantine.Part
-	// quarantined is the part of the prompt that is quarantined, if any. onTrial means that the request is sent all the same,
-	// to find out whether the part still ends upstreams.
+	// quarantined is the part of the prompt that is quarantined, if any. onTrial means that the request is sent although it or
+	// that part is held, to find out whether upstreams still end.
 	quarantined quarantine.Part
 	onTrial     bool
 	// told are closed once the other VMs know of the upstreams that have ended under the request.
@@ -342,7 +342,7 @@
 	if j.core.options.Assigner.Withdrawn(choice, now) || !j.exchange.write() {
 		return ErrWithdrawn
 	}
-	if _, _, in := j.inQuarantine(); in {
+	if reason, _, in := j.inQuarantine(); in && (reason != reasonSuspected || !j.trySuspected()) {
 		return ErrQuarantined
 	}
 	return nil
--- a/internal/traffic/log.go
+++ b/internal/traffic/log.go
@@ -97,8 +97,14 @@
 		Int("ends", c.options.Quarantine.Ends(u.contents)).Send()
 }
 
-// logTrial logs that a request is sent although a part of its prompt is quarantined.
-func (c *Core) logTrial(j *job) {
+// logRequestTrial logs that a request is sent although it is suspected to end upstreams.
+func (c *Core) logRequestTrial(j *job) {
+	c.options.Log.Warn().Str("event", "request_tried").Str("request", j.request.ID).Str("contents", contentsName(j.contentsHash())).
+		Int("ends", c.options.Quarantine.Ends(j.contentsHash())).Send()
+}
+
+// logPartTrial logs that a request is sent although a part of its prompt is quarantined.
+func (c *Core) logPartTrial(j *job) {
 	c.options.Log.Warn().Str("event", "part_tried").Str("request", j.request.ID).Str("part", j.quarantinedPart()).
 		Str("contents", contentsName(j.quarantined.Key)).Int("ends", c.options.Quarantine.Ends(j.quarantined.Key)).Send()
 }
--- a/internal/traffic/unanswered.go
+++ b/internal/traffic/unanswered.go
@@ -64,7 +64,7 @@
 		out.RetryAfter = 0
 	}
 	if reason, left, in := j.inQuarantine(); in {
-		out.Reason, out.Detail, out.RetryAfter = reason, quarantineDetails[reason], left
+		out.Reason, out.Detail, out.RetryAfter = reason, quarantineDetails[reason], max(left, noUpstreamRetry)
 	}
 	return out
 }
--- /dev/null
+++ b/internal/vm/joint_ends_test.go
@@ -0,0 +1,119 @@
+package vm
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/platform/standin"
+)
+
+const jointVMs = 3
+
+// startMesh starts VMs that all know each other.
+func (c *cluster) startMesh(n int) []*testVM {
+	var vms []*testVM
+	for i := range n {
+		vms = append(vms, c.start(string(rune('a'+i))))
+	}
+	for _, v := range vms {
+		c.eventually(func() bool { return len(v.fleet.meshPartners()) == n-1 })
+	}
+	return vms
+}
+
+// addBlocking adds a replica that runs requests for path until the returned function lets them go, and reports on running how
+// many it has begun.
+func (c *cluster) addBlocking(id, path string) (r *standin.Replica, running func() int, release func()) {
+	var mu sync.Mutex
+	begun, free := 0, make(chan struct{})
+	r = standin.NewReplica(id, 0)
+	r.Inspect = func(_ http.ResponseWriter, q *http.Request, _ string) bool {
+		if q.URL.Path != path {
+			return true
+		}
+		mu.Lock()
+		begun++
+		mu.Unlock()
+		select {
+		case <-free:
+			return true
+		case <-q.Context().Done():
+			return false
+		}
+	}
+	c.add(r)
+	running = func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return begun
+	}
+	return r, running, sync.OnceFunc(func() { close(free) })
+}
+
+// Guards against a lookup that is refused for minutes because it ran on all upstreams of its service as they crashed at once.
+func TestLookupIsServedAgainAfterAllUpstreamsCrashAtOnce(t *testing.T) {
+	lookup := call{method: "GET", path: "/look/today"}
+	c := newCluster(t)
+	c.add(standin.NewReplica("clerk-calm", 0))
+	vms := c.startMesh(jointVMs)
+	for _, v := range vms {
+		require.Equal(t, http.StatusOK, c.send(v, lookup).status)
+	}
+	c.setReplicaState("clerk-calm", "draining")
+	crashing := make([]*standin.Replica, 3)
+	counts := make([]func() int, len(crashing))
+	for i := range crashing {
+		crashing[i], counts[i], _ = c.addBlocking(fmt.Sprintf("clerk-%d", i), lookup.path)
+	}
+	for _, v := range vms {
+		c.eventually(func() bool { i := v.instance("clerk-2"); return i != nil && v.instance("clerk-calm").Draining })
+	}
+	var callers sync.WaitGroup
+	for i := range 12 {
+		callers.Go(func() { c.send(vms[i%jointVMs], lookup) })
+	}
+	c.eventually(func() bool { return counts[0]() > 0 && counts[1]() > 0 && counts[2]() > 0 })
+	for _, r := range crashing {
+		c.end(r)
+	}
+	callers.Wait()
+	for _, r := range crashing {
+		c.store.Delete("servers/" + r.ID)
+	}
+	for i := range 3 {
+		c.add(standin.NewReplica(fmt.Sprintf("clerk-back-%d", i), 0))
+	}
+	for _, v := range vms {
+		require.Eventually(t, func() bool { return c.send(v, lookup).status == http.StatusOK }, testWait, 50*time.Millisecond)
+	}
+}
+
+// Guards against a request that goes on ending upstreams because several callers send it at once.
+func TestRequestThatSeveralCallersSendAtOnceEndsThreeUpstreams(t *testing.T) {
+	c, e := newCluster(t), &endings{}
+	for i := range 10 {
+		c.addEnding(fmt.Sprintf("clerk-%d", i), e)
+	}
+	vms := c.startMesh(jointVMs)
+	innocents := c.sendInnocents(vms, 300)
+	var callers sync.WaitGroup
+	for _, v := range vms {
+		callers.Go(func() { c.send(v, call{method: "POST", path: "/file/x", body: endingMark}) })
+	}
+	callers.Wait()
+	before, _ := e.counts()
+	for i := 0; i < 100; i++ {
+		c.send(vms[i%jointVMs], call{method: "POST", path: "/file/x", body: endingMark})
+		time.Sleep(50 * time.Millisecond)
+	}
+	innocents()
+	ended, sentAfterThird := e.counts()
+	require.LessOrEqual(t, before, 3)
+	require.Equal(t, 3, ended)
+	require.Zero(t, sentAfterThird)
+}
--- a/internal/vm/process.go
+++ b/internal/vm/process.go
@@ -129,7 +129,7 @@
 	})
 	p.assigner.OnEstimate(p.recordEstimate)
 	p.budget = retrybudget.New(retryLimitsOf(s), time.Now())
-	p.quarantine = quarantine.NewTable()
+	p.quarantine = quarantine.NewTable(s.VM)
 	p.origins = origins.NewTable()
 	p.versions = origins.NewHistory(time.Now())
 	p.reach = reach.NewTracker()
