traffic: the body of a request is given back although its answer begins before the write ends

The body of a request is held for as long as its caller takes the answer.

Cause: whether the request had been written was asked once, as its answer began. The goroutine that writes it may not have said so by then.

Change: it is asked again whenever room for the answer is looked for, until the body is given back. The hash of the contents is taken before, since it is of the body.

The job of one test has a request now, which every job has.

--- a/internal/traffic/answer.go
+++ b/internal/traffic/answer.go
@@ -113,7 +113,8 @@
 	}
 	j.answerBegun = true
 	j.noteStarted(choice)
-	j.releaseBody(reply)
+	// The hash is of the body as well, and is asked for later.
+	j.contentsHash()
 	if reply.Length > 0 {
 		reply.Header.Set("Content-Length", strconv.FormatInt(reply.Length, 10))
 	}
@@ -162,15 +163,15 @@
 	}
 }
 
-// releaseBody gives the body of a request back which has been written and is not sent again.
+// releaseBody gives the body of a request back which is not sent again, once it has been written. An answer may begin before
+// that. Until the answer has been received nothing else uses the body.
 func (j *job) releaseBody(reply *Reply) {
 	if j.request.ReleaseBody == nil || reply.Written == nil || !reply.Written() {
 		return
 	}
-	// The hash is of the body as well, and is asked for later.
-	j.contentsHash()
 	j.request.Body = nil
 	j.request.ReleaseBody()
+	j.request.ReleaseBody = nil
 }
 
 // endHeld ends a request whose whole answer was forwarded.
--- a/internal/traffic/held.go
+++ b/internal/traffic/held.go
@@ -98,6 +98,7 @@
 // room returns a piece with room for more bytes, nil if ctx ends before there is one.
 func (h *heldAnswer) room(ctx context.Context, source *answerSource) *piece {
 	for ctx.Err() == nil {
+		source.job.releaseBody(source.reply)
 		p, needed := h.last()
 		if p != nil {
 			return p
--- a/internal/traffic/held_test.go
+++ b/internal/traffic/held_test.go
@@ -81,7 +81,7 @@
 		h := newHeldAnswer(account, func() {})
 		defer h.close()
 		ctx, cancel := context.WithCancel(t.Context())
-		source := &answerSource{job: &job{core: f.core}, ctx: ctx, choice: choice, reply: &Reply{Status: http.StatusOK, Body: zeros{}, Close: func(bool) {}}}
+		source := &answerSource{job: &job{core: f.core, request: &Request{}}, ctx: ctx, choice: choice, reply: &Reply{Status: http.StatusOK, Body: zeros{}, Close: func(bool) {}}}
 		go h.receive(ctx, source)
 		for range 10 {
 			synctest.Wait()
