--- /dev/null
+++ b/internal/vm/broken_answers_test.go
@@ -0,0 +1,71 @@
+package vm
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnutarch/chestnutarch/platform/standin"
+)
+
+// answerEarly makes a replica answer each request before its body is read, with raw bytes after the lines that a sound answer
+// has, and then reset the connection. It returns a counter of these answers.
+func answerEarly(r *standin.Replica, status, raw string) *atomic.Int64 {
+	answered := new(atomic.Int64)
+	r.BeforeBody = func(w http.ResponseWriter, q *http.Request) bool {
+		answered.Add(1)
+		connection, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return false
+		}
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 %s\r\nX-Chestnutarch-Attempt-Id: %s\r\nX-Chestnutarch-Response-Signature: sig\r\n%s",
+			status, q.Header.Get("X-Chestnutarch-Attempt-Id"), raw)
+		_ = connection.(*net.TCPConn).SetLinger(0)
+		_ = connection.Close()
+		return true
+	}
+	return answered
+}
+
+// Guards against a part of an answer without a length that a caller gets as a whole one, since the upstream reset the connection
+// while the request was still being written.
+func TestAnswerThatIsResetWhileItsRequestIsWrittenIsNotWhole(t *testing.T) {
+	const tries = 15
+	clerk, engine := standin.NewReplica("clerk-1", 0), standin.NewReplica("engine-1", 2, "m0")
+	c := newCluster(t, clerk, engine)
+	path := newUpstreamPath()
+	first := c.startAs(vmSpec{name: "a", domain: "a", upstreams: path, memoryMB: 144})
+	second := c.startAs(vmSpec{name: "b", domain: "a", memoryMB: 144})
+	c.eventually(func() bool { return len(first.fleet.meshPartners()) == 1 && namedBy(second, first) })
+	body := strings.Repeat("b", 1<<20)
+	for _, handedOver := range []bool{false, true} {
+		if handedOver {
+			c.cutOff(first, path)
+		}
+		for name, q := range map[string]struct {
+			call
+			part string
+		}{
+			"small":     {call{method: "POST", path: "/file/", body: body}, "\r\n" + strings.Repeat("p", 2<<10)},
+			"large":     {call{method: "POST", path: "/file/", body: body}, "\r\n" + strings.Repeat("p", 100<<10)},
+			"repeated":  {call{method: "POST", path: "/look/", body: body}, "\r\n" + strings.Repeat("p", 2<<10)},
+			"stream":    {call{method: "POST", path: "/chat/", model: "m0", body: body}, "Content-Type: text/event-stream\r\n\r\n" + sseBody(1, 2)},
+			"resumable": {call{method: "POST", path: "/draft/", model: "m0", body: body}, "Content-Type: text/event-stream\r\n\r\n" + sseBody(1, 2)},
+		} {
+			byClerk, byEngine := answerEarly(clerk, "200 OK", q.part), answerEarly(engine, "200 OK", q.part)
+			whole := 0
+			for range tries {
+				if got := c.send(first, q.call); got.err == nil && got.status == http.StatusOK {
+					whole++
+				}
+			}
+			require.Zero(t, whole, "%s, handed over: %v", name, handedOver)
+			require.Greater(t, byClerk.Load()+byEngine.Load(), int64(tries/2), "%s, handed over: %v", name, handedOver)
+		}
+	}
+}
