transport: an answer that is not read yet outlives the stop of its VM

What callers saw: a VM that stopped less than 2.5 s after it had written an answer left the connection to the kernel with a user timeout of 5 s. A caller that read later, within its time, got a reset.

Cause: the window of a connection is looked at at half of its timeout, and the stop ended that watch. Evidence: TestAnswerReachesACallerThatReadsAfterTheStop failed, a reset after a pause of 7 s.

Change: a connection with pending bytes is looked at once more before it is closed.

--- a/internal/transport/window.go
+++ b/internal/transport/window.go
@@ -92,16 +92,23 @@
 	w.timer.Reset(w.timeout / windowChecks)
 }
 
-// Close ends the watch.
+// Close ends the watch. It must be called before the connection is closed, whose kernel goes on to send what is pending.
 func (w *WindowWatch) Close() {
 	if w == nil {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.closed {
+		return
+	}
 	w.closed = true
-	if w.timer != nil {
-		w.timer.Stop()
+	if w.pendingSince.IsZero() {
+		return
+	}
+	w.timer.Stop()
+	if state, err := readSendState(w.raw); err == nil {
+		w.extend(state.stalled())
 	}
 }
 
--- a/internal/vm/slow_readers_test.go
+++ b/internal/vm/slow_readers_test.go
@@ -116,3 +116,28 @@
 	require.Len(t, r.Runs(), 1)
 	require.True(t, r.Runs()[0].Body == body)
 }
+
+// Guards against an answer that is cut because its caller reads nothing as the VM stops.
+func TestAnswerReachesACallerThatReadsAfterTheStop(t *testing.T) {
+	c := newCluster(t)
+	c.configure(withSlowRoutes)
+	r := standin.NewReplica("clerk-1", 0)
+	r.Fail = func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("X-Chestnutarch-Attempt-Id", q.Header.Get("X-Chestnutarch-Attempt-Id"))
+		w.Header().Set("X-Chestnutarch-Response-Signature", "sig")
+		_, _ = w.Write(largeBody[:4800])
+	}
+	c.add(r)
+	v := c.startAs(vmSpec{name: "a", domain: "a", memoryMB: 144})
+	caller := c.dialWithSmallWindow(v)
+	_, err := fmt.Fprintf(caller, "GET /file/ HTTP/1.1\r\nHost: %s\r\nX-Chestnutarch-Attempt-Id: id-%d\r\nAuthorization: Token %s\r\nX-Chestnutarch-Deadline-Remaining-Ms: 20000\r\n\r\n",
+		testHost, c.ids.Add(1), testKey)
+	require.NoError(t, err)
+	c.eventually(func() bool { return len(r.Runs()) == 1 && v.ingress.Pending() == 0 })
+	v.stop()
+	time.Sleep(7 * time.Second)
+	status, body, err := caller.read()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, 4800, len(body))
+}
