--- a/internal/vm/odd_entries_test.go
+++ b/internal/vm/odd_entries_test.go
@@ -17,6 +17,7 @@
 	entry := func(field, value string) string {
 		fields := map[string]string{
 			"service": `"clerk"`, "address": `"127.0.0.1:9"`, "zone": `"a"`, "slots": "8", "state": `"ready"`, "sequence": "1", "born": "1", "models": "[]",
+			"version": `"v1"`, "cold-remaining-ms": "0",
 		}
 		fields[field] = value
 		var out []string
