transport: a peer is waited for until the latest deadline of its connection

Once the kernel's timeout was extended for a closed window, a later request on the connection with more time did not extend it further.

Change: the timeout that is due is compared with the one that the kernel has. The error of an ended write is said to be what the write is ended for.

--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -34,7 +34,8 @@
 	maxStatus = 599
 )
 
-// IsStatus reports whether a number is a status of a response. Parsers take any three digits for one, and writers panic.
+// IsStatus reports whether a number is a valid status of a response. net/http parses any three digits, and panics as it writes
+// some of them.
 func IsStatus(status int) bool { return minStatus <= status && status <= maxStatus }
 
 // TLS returns the configuration for one new connection. It is called for each
--- a/internal/transport/reset_test.go
+++ b/internal/transport/reset_test.go
@@ -13,7 +13,7 @@
 
 // Guards against an answer without a length that looks whole although its connection was reset, which the write of the request
 // noticed first.
-func TestAnswerUntilCloseIsCutByAResetWhileItsRequestIsWritten(t *testing.T) {
+func TestCloseDelimitedResponseIsCutByAResetWhileItsRequestIsWritten(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer listener.Close()
--- a/internal/transport/watched_conn.go
+++ b/internal/transport/watched_conn.go
@@ -46,7 +46,7 @@
 	if err != io.EOF {
 		return n, err
 	}
-	// A write that still waits ends now. What it would still send is for a server that answers nothing more.
+	// A write that still waits is ended, so that its error is known.
 	_ = c.Conn.SetWriteDeadline(time.Now())
 	c.writing.Lock()
 	defer c.writing.Unlock()
--- a/internal/transport/window.go
+++ b/internal/transport/window.go
@@ -42,9 +42,11 @@
 	timer *time.Timer
 	// pendingSince is since when there may be bytes that the peer has not taken, zero if there are none.
 	pendingSince time.Time
-	// until is until when the peer may leave bytes unread. extended means that the kernel's timeout allows for that.
-	until            time.Time
-	extended, closed bool
+	// until is until when the peer may leave bytes unread.
+	until time.Time
+	// current is the timeout that the kernel has.
+	current time.Duration
+	closed  bool
 }
 
 // NewWindowWatch returns a watch of a connection that has the given TCP_USER_TIMEOUT. It returns nil if the connection is not
@@ -58,7 +60,7 @@
 	if err != nil {
 		return nil
 	}
-	return &WindowWatch{raw: raw, timeout: userTimeout}
+	return &WindowWatch{raw: raw, timeout: userTimeout, current: userTimeout}
 }
 
 // AllowUntil lets the peer leave bytes unread until t, if it is alive. A time before that of an earlier call is ignored, since
@@ -108,11 +110,11 @@
 	}
 	w.timer.Stop()
 	if state, err := readSendState(w.raw); err == nil {
-		w.extend(state.stalled())
+		w.adapt(state)
 	}
 }
 
-// check adapts the kernel's timeout to the state of the connection.
+// check looks at the state of the connection, until all bytes are delivered.
 func (w *WindowWatch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -123,7 +125,7 @@
 	if err != nil {
 		return
 	}
-	w.extend(state.stalled())
+	w.adapt(state)
 	if state.delivered() {
 		w.pendingSince = time.Time{}
 		return
@@ -131,16 +133,13 @@
 	w.timer.Reset(w.timeout / windowChecks)
 }
 
-// extend sets whether the kernel's timeout allows for a closed window.
-func (w *WindowWatch) extend(extended bool) {
-	if w.extended == extended {
-		return
-	}
+// adapt sets the kernel's timeout: it is longer while the window is closed.
+func (w *WindowWatch) adapt(state sendState) {
 	timeout := w.timeout
-	if extended {
+	if state.stalled() {
 		timeout = max(timeout, w.until.Sub(w.pendingSince))
 	}
-	if setUserTimeout(w.raw, timeout) == nil {
-		w.extended = extended
+	if timeout != w.current && setUserTimeout(w.raw, timeout) == nil {
+		w.current = timeout
 	}
 }
--- a/internal/transport/window_test.go
+++ b/internal/transport/window_test.go
@@ -101,10 +101,20 @@
 	require.Eventually(t, func() bool {
 		p.watch.mu.Lock()
 		defer p.watch.mu.Unlock()
-		return !p.watch.extended && p.watch.pendingSince.IsZero()
+		return p.watch.current == testUserTimeout && p.watch.pendingSince.IsZero()
 	}, testWait, time.Millisecond)
 }
 
+// Guards against a connection that ends at the deadline of its first request while a later one has time left.
+func TestPeerIsWaitedForUntilTheLatestDeadline(t *testing.T) {
+	p := newWatchedPair(t)
+	p.send(t, time.Now().Add(3*testUserTimeout))
+	time.Sleep(testUserTimeout)
+	p.send(t, time.Now().Add(time.Hour))
+	time.Sleep(4 * testUserTimeout)
+	require.False(t, p.hasEnded())
+}
+
 // Guards against a peer that reads nothing and is waited for after its request's deadline.
 func TestPeerThatReadsNothingIsLeftAtItsDeadline(t *testing.T) {
 	p := newWatchedPair(t)
