httpconn, vm, quarantine, service: the usual terms

Close-delimited is the term of RFC 9112 for an answer that ends with its connection, and a status or part is invalid, where the names said that it is none, or odd. The ends of a suspected request may have a common cause. No behaviour changes; the race tests of the packages pass.

--- a/internal/httpconn/close_delimited.go
+++ b/internal/httpconn/close_delimited.go
@@ -10,22 +10,22 @@
 	"github.com/chestnutarch/chestnutarch/internal/transport"
 )
 
-// endsWithConnection reports whether the body of a response has no other end than that of its connection.
-func endsWithConnection(r *http.Response) bool {
+// isCloseDelimited reports whether the body of a response ends with its connection (RFC 9112, section 6.3).
+func isCloseDelimited(r *http.Response) bool {
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
-// untilClose is the body of a response that ends with its connection, while its request may still be being written. The kernel
-// reports a reset once: if the write gets it, the read that follows sees an ordinary end.
-type untilClose struct {
+// closeDelimitedBody is the body of a response that ends with its connection, while its request may still be being written. The
+// kernel reports a reset once: if the write gets it, the read that follows sees an ordinary end.
+type closeDelimitedBody struct {
 	io.ReadCloser
 	exchange *Exchange
-	// failed is the error of an end that was none.
+	// failed is the error of a reset that looked like the end.
 	failed error
 }
 
 // Read implements io.Reader. The error is ErrBroken, wrapped, if the connection was reset.
-func (b *untilClose) Read(p []byte) (int, error) {
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
 	if b.failed != nil {
 		return 0, b.failed
 	}
@@ -34,7 +34,7 @@
 		return n, err
 	}
 	if failed := b.exchange.endWrite(); failed != nil {
-		b.failed = errors.Wrapf(ErrBroken, "the response has no end: %v", failed)
+		b.failed = errors.Wrapf(ErrBroken, "close-delimited response: %v", failed)
 		return n, b.failed
 	}
 	return n, io.EOF
--- a/internal/httpconn/close_delimited_test.go
+++ b/internal/httpconn/close_delimited_test.go
@@ -18,7 +18,7 @@
 
 // Guards against an answer without a length that looks whole although its connection was reset, which the write of the request
 // noticed first.
-func TestAnswerUntilCloseIsCutByAResetWhileItsRequestIsWritten(t *testing.T) {
+func TestCloseDelimitedResponseIsCutByAResetWhileItsRequestIsWritten(t *testing.T) {
 	for _, delay := range []time.Duration{0, time.Millisecond} {
 		address, _ := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
 			if _, err := http.ReadRequest(r); err != nil {
@@ -37,7 +37,7 @@
 }
 
 // Guards against an answer without a length that counts as cut although its connection was closed after it.
-func TestAnswerUntilCloseIsWholeIfItsConnectionIsClosed(t *testing.T) {
+func TestCloseDelimitedResponseIsWholeIfItsConnectionIsClosed(t *testing.T) {
 	for name, end := range map[string]func(net.Conn, *http.Request){
 		"after the request was read": func(c net.Conn, q *http.Request) {
 			_, _ = io.Copy(io.Discard, q.Body)
@@ -66,8 +66,8 @@
 	}
 }
 
-// Guards against taking bytes for an answer whose status is none.
-func TestStatusThatIsNoneIsNoAnswer(t *testing.T) {
+// Guards against taking bytes for a response whose status is invalid.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
 	for _, status := range []string{"000", "001", "099", "+99", "600", "999"} {
 		address, _ := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
 			respond(c, r, "HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\nok")
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -167,10 +167,10 @@
 		return errors.Wrapf(ErrBroken, "%v", err)
 	}
 	if !transport.IsStatus(response.StatusCode) {
-		return errors.Wrapf(ErrBroken, "status %q is none", response.Status)
+		return errors.Wrapf(ErrBroken, "invalid status %q", response.Status)
 	}
-	if x.writeDone != nil && endsWithConnection(response) {
-		response.Body = &untilClose{ReadCloser: response.Body, exchange: x}
+	if x.writeDone != nil && isCloseDelimited(response) {
+		response.Body = &closeDelimitedBody{ReadCloser: response.Body, exchange: x}
 	}
 	x.Response = response
 	return nil
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -22,8 +22,8 @@
 	maxTrialDoublings = 8
 )
 
-// explainedOtherwise reports whether the ends of a request may have another cause than the request.
-func (t *Table) explainedOtherwise(r *Record) bool {
+// mayHaveCommonCause reports whether the ends of a request may have one cause, which is not the request.
+func (t *Table) mayHaveCommonCause(r *Record) bool {
 	ends, shared := make([]time.Time, 0, len(r.Ends)), true
 	for incarnation, at := range r.Ends {
 		if t.counts(r, incarnation, at) {
@@ -48,7 +48,7 @@
 
 func (t *Table) suspected(q Key, vms int, now time.Time) (left time.Duration, suspected bool) {
 	r := t.records[q]
-	if r == nil || t.count(r) < MaxEnds || !t.explainedOtherwise(r) || r.timeLeft(now) <= 0 {
+	if r == nil || t.count(r) < MaxEnds || !t.mayHaveCommonCause(r) || r.timeLeft(now) <= 0 {
 		return 0, false
 	}
 	return max(0, t.nextTrial(r, vms).Sub(now)), true
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -303,7 +303,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[q]
-	if r == nil || t.count(r) < MaxEnds || t.explainedOtherwise(r) {
+	if r == nil || t.count(r) < MaxEnds || t.mayHaveCommonCause(r) {
 		return 0, false
 	}
 	left = r.timeLeft(now)
--- a/internal/service/client_test.go
+++ b/internal/service/client_test.go
@@ -135,7 +135,7 @@
 	require.Equal(t, NotRun, OutcomeOf(err))
 }
 
-// An answer is truncated, belongs to another call, or has a status that is none. Guards against returning a partial
+// An answer is truncated, belongs to another call, or has an invalid status. Guards against returning a partial
 // receipt or another caller's receipt.
 func TestTruncatedAndMisroutedAnswersAreRejected(t *testing.T) {
 	for name, answer := range map[string]string{
--- a/internal/service/errors.go
+++ b/internal/service/errors.go
@@ -14,8 +14,8 @@
 	ErrUnknown = errors.New("service: outcome unknown")
 	// ErrMismatch means that the answer carried another call's request ID.
 	ErrMismatch = errors.New("service: answer to another request")
-	// ErrStatus means that the answer's status is none.
-	ErrStatus = errors.New("service: no status of an answer")
+	// ErrStatus means that the answer's status is invalid.
+	ErrStatus = errors.New("service: invalid status")
 	// ErrAnswerTooLarge means that the answer is larger than MaxAnswerBytes.
 	ErrAnswerTooLarge = errors.New("service: answer too large")
 )
--- a/internal/traffic/deadline.go
+++ b/internal/traffic/deadline.go
@@ -57,7 +57,7 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	j.expiry = time.AfterFunc(j.timeLeft(), func() { cancel(context.DeadlineExceeded) })
 	keepRunning := context.AfterFunc(j.core.running, func() {
-		if !j.begunAnswer.Load() {
+		if !j.responseBegunShared.Load() {
 			cancel(ErrStopping)
 		}
 	})
@@ -75,7 +75,7 @@
 		return false
 	}
 	j.responseBegun = true
-	j.begunAnswer.Store(true)
+	j.responseBegunShared.Store(true)
 	j.boundWrites()
 	j.expiry.Reset(time.Until(j.deadline))
 	return true
--- a/internal/traffic/job.go
+++ b/internal/traffic/job.go
@@ -73,8 +73,8 @@
 	// response was begun.
 	lastEventID   string
 	responseBegun bool
-	// begunAnswer is responseBegun for the goroutine that ends requests as the VM stops.
-	begunAnswer atomic.Bool
+	// responseBegunShared is responseBegun, for other goroutines.
+	responseBegunShared atomic.Bool
 	// answerBegun means that the caller has received the beginning of an answer that is not a stream, so that the request is
 	// not sent again.
 	answerBegun bool
--- a/internal/vm/broken_answers_test.go
+++ b/internal/vm/broken_answers_test.go
@@ -70,8 +70,8 @@
 	}
 }
 
-// Guards against a status that is none, which ends the caller's connection instead of its request.
-func TestStatusThatIsNoneEndsNoConnection(t *testing.T) {
+// Guards against an invalid status of an upstream, which ends the caller's connection instead of its request.
+func TestInvalidStatusEndsNoConnection(t *testing.T) {
 	clerk, engine := standin.NewReplica("clerk-1", 0), standin.NewReplica("engine-1", 2, "m0")
 	c := newCluster(t, clerk, engine)
 	v := c.start("a")
--- a/internal/vm/forward.go
+++ b/internal/vm/forward.go
@@ -138,8 +138,8 @@
 	return answer.GetReady(), nil
 }
 
-// receive passes a part of the response on to the caller. The error is errOddPart, wrapped, if the part cannot be one of a
-// response, or one of the sink.
+// receive passes a part of the response on to the caller. The error is errInvalidPart, wrapped, if the part is not valid, or that
+// of the sink.
 func (h *handover) receive(in *peerpb.ForwardResponse) error {
 	switch part := in.Part.(type) {
 	case *peerpb.ForwardResponse_Refusal:
@@ -183,19 +183,19 @@
 		return h.sink.Flush()
 	}
 	if len(h.whole.Body)+len(data) > maxForwardedWhole {
-		return errors.Wrapf(errOddPart, "a whole response of more than %d bytes", maxForwardedWhole)
+		return errors.Wrapf(errInvalidPart, "a whole response of more than %d bytes", maxForwardedWhole)
 	}
 	h.whole.Body = append(h.whole.Body, data...)
 	return nil
 }
 
-// errOddPart means that what another VM sent can be no part of a response.
-var errOddPart = errors.New("vm: odd part of a response from another VM")
+// errInvalidPart means that what another VM sent is no valid part of a response.
+var errInvalidPart = errors.New("vm: invalid part of a response from another VM")
 
-// checkStatus returns errOddPart, wrapped, for a status that is none.
+// checkStatus returns errInvalidPart, wrapped, for an invalid status.
 func checkStatus(status int32) error {
 	if !transport.IsStatus(int(status)) {
-		return errors.Wrapf(errOddPart, "status %d", status)
+		return errors.Wrapf(errInvalidPart, "status %d", status)
 	}
 	return nil
 }
--- a/internal/vm/forward_invalid_test.go
+++ b/internal/vm/forward_invalid_test.go
@@ -19,9 +19,9 @@
 func (s *recordingSink) WriteChunk([]byte) error                { s.parts++; return nil }
 func (s *recordingSink) Flush() error                           { return nil }
 
-// Guards against a status from another VM that is none, which ends the caller's connection, and against a response that is kept
+// Guards against an invalid status from another VM, which ends the caller's connection, and against a response that is kept
 // without end.
-func TestOddPartsOfAResponseFromAnotherVMReachNoCaller(t *testing.T) {
+func TestInvalidPartsOfAResponseFromAnotherVMReachNoCaller(t *testing.T) {
 	for _, status := range []int32{-1, 0, 99, 600, 1 << 20} {
 		for _, in := range []*peerpb.ForwardResponse{
 			{Part: &peerpb.ForwardResponse_Refusal{Refusal: &peerpb.ForwardRefusal{Status: status}}},
@@ -29,7 +29,7 @@
 			{Part: &peerpb.ForwardResponse_Head{Head: &peerpb.ForwardHead{Status: status, Whole: true}}},
 		} {
 			sink := &recordingSink{}
-			require.ErrorIs(t, (&handover{sink: sink}).receive(in), errOddPart)
+			require.ErrorIs(t, (&handover{sink: sink}).receive(in), errInvalidPart)
 			require.Zero(t, sink.parts)
 		}
 	}
@@ -39,5 +39,5 @@
 	for range maxForwardedWhole / maxForwardedPiece {
 		require.NoError(t, h.receive(chunk))
 	}
-	require.ErrorIs(t, h.receive(chunk), errOddPart)
+	require.ErrorIs(t, h.receive(chunk), errInvalidPart)
 }
