httpconn: idle connections that nobody can use are closed

Cause: an exchange that ends after its instance has gone gives its connection back to the pool, under an address that is never used again. Idle connections were looked at only when their address was used; CloseIdleExcept, which could close them, had no caller.

Change: while the pool holds idle connections, it looks through them every ten seconds and closes those that have expired or that their upstream has closed. CloseIdleExcept is gone.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -34,6 +35,9 @@
 	// timeout. Before each use the connection is checked for a close that has arrived,
 	// so only a close that is still in transit can break a request.
 	defaultIdleTimeout = 20 * time.Second
+	// defaultSweepInterval is well below defaultIdleTimeout: an upstream may close a connection sooner, which then keeps its
+	// descriptor here.
+	defaultSweepInterval = 10 * time.Second
 	// idleMargin is how long before the upstream's own timeout a connection is no longer
 	// used: the time in which a request could cross the upstream's close.
 	idleMargin = 300 * time.Millisecond
@@ -56,10 +60,14 @@
 
 	// userTimeout is the TCP_USER_TIMEOUT of the connections.
 	userTimeout time.Duration
+	// sweepInterval is the time between two searches for idle connections that are no longer usable.
+	sweepInterval time.Duration
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	dials int64
+	// sweeping is set while a search is to come.
+	sweeping bool
 }
 
 type conn struct {
@@ -84,8 +92,9 @@
 		DialContext: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp4", address)
 		},
-		userTimeout: l.UserTimeout,
-		idle:        make(map[string][]*conn),
+		userTimeout:   l.UserTimeout,
+		sweepInterval: defaultSweepInterval,
+		idle:          make(map[string][]*conn),
 	}
 }
 
@@ -362,6 +371,45 @@
 		return
 	}
 	p.idle[address] = append(p.idle[address], c)
+	if !p.sweeping {
+		p.sweeping = true
+		time.AfterFunc(p.sweepInterval, p.sweep)
+	}
+}
+
+// sweep closes the idle connections that are no longer usable. Connections are otherwise looked at only when their address is
+// used again, which that of an upstream that has gone never is.
+func (p *Pool) sweep() {
+	p.mu.Lock()
+	addresses := slices.Collect(maps.Keys(p.idle))
+	p.mu.Unlock()
+	for _, a := range addresses {
+		p.sweepAddress(a, time.Now())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sweeping = len(p.idle) > 0; p.sweeping {
+		time.AfterFunc(p.sweepInterval, p.sweep)
+	}
+}
+
+// sweepAddress closes the idle connections to an address that are no longer usable.
+func (p *Pool) sweepAddress(address string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var kept []*conn
+	for _, c := range p.idle[address] {
+		if c.usable(now) {
+			kept = append(kept, c)
+		} else {
+			c.reset()
+		}
+	}
+	if len(kept) == 0 {
+		delete(p.idle, address)
+		return
+	}
+	p.idle[address] = kept
 }
 
 // idleTimeout returns how long an idle connection may be used: the upstream's own timeout
@@ -389,18 +437,3 @@
 		c.reset()
 	}
 }
-
-// CloseIdleExcept closes the idle connections to all addresses that are not in addresses.
-func (p *Pool) CloseIdleExcept(addresses map[string]bool) {
-	p.mu.Lock()
-	var removed []string
-	for a := range p.idle {
-		if !addresses[a] {
-			removed = append(removed, a)
-		}
-	}
-	p.mu.Unlock()
-	for _, a := range removed {
-		p.CloseIdle(a)
-	}
-}
