quarantine: a round of trials is bounded in large fleets

Cause: VMs take turns of 250 ms with a suspected request. In a fleet of 985 a round takes four minutes, which a sound request may have to wait if few VMs get it.

Change: a round takes 15 s at most, which holds for up to 60 VMs anyway. Above that, turns are closer to each other: a harmful request that was sound before may end more upstreams before the others hear of it.

--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -16,8 +16,10 @@
 	// unprovenWait is the time after the last end at which a request is tried that this VM does not know to have been answered
 	// before. Others are tried after jointTime.
 	unprovenWait = time.Minute
-	// trialInterval is the least time between two trials of a request, over all VMs. It doubles with each trial.
+	// trialInterval is the time from one VM's turn for a trial to the next one's, maxRound bounds that of a round of all VMs:
+	// in a large fleet few VMs may get the request. Each VM's pause between trials doubles from a round on.
 	trialInterval = 250 * time.Millisecond
+	maxRound      = 15 * time.Second
 	// maxTrialDoublings bounds that growth.
 	maxTrialDoublings = 8
 )
@@ -56,22 +58,22 @@
 
 // nextTrial returns when this VM may send a suspected request on trial.
 func (t *Table) nextTrial(r *Record, vms int) time.Time {
-	interval := trialInterval * time.Duration(max(vms, 1))
+	round := min(trialInterval*time.Duration(max(vms, 1)), maxRound)
 	if tried := t.trials[r.Key]; tried.count > 0 {
-		return tried.lastAt.Add(interval << min(tried.count, maxTrialDoublings))
+		return tried.lastAt.Add(round << min(tried.count, maxTrialDoublings))
 	}
 	wait := unprovenWait
 	if r.sound {
 		wait = jointTime
 	}
-	return r.lastEnd().Add(wait + t.turn(r.Key, interval))
+	return r.lastEnd().Add(wait + t.turn(r.Key, round))
 }
 
-// turn returns the time within an interval at which it is this VM's turn.
-func (t *Table) turn(q Key, interval time.Duration) time.Duration {
+// turn returns the time within a round at which it is this VM's turn.
+func (t *Table) turn(q Key, round time.Duration) time.Duration {
 	const mixer = 0x9e3779b97f4a7c15
 	mixed := (uint64(q) ^ t.vm) * mixer
-	return time.Duration(mixed>>1) % interval
+	return time.Duration(mixed>>1) % round
 }
 
 // TrySuspected reports whether a suspected request may be sent on trial now, and records that it is.
--- a/internal/quarantine/suspects_test.go
+++ b/internal/quarantine/suspects_test.go
@@ -83,6 +83,15 @@
 	require.Equal(t, vms, trials)
 }
 
+// Guards against a sound request that waits for minutes because the one VM that gets it has its turn late in a large fleet.
+func TestRoundOfALargeFleetIsBounded(t *testing.T) {
+	for i := range 40 {
+		left, suspected := suspect(fmt.Sprintf("vm-%d", i), true, at(0)).Suspected(1, 985, at(0))
+		require.True(t, suspected)
+		require.LessOrEqual(t, left, jointTime+maxRound)
+	}
+}
+
 // Guards against a request without an answer so far that is tried as soon as one that was answered.
 func TestUnprovenRequestIsTriedLater(t *testing.T) {
 	left, suspected := suspect("a", false, at(0)).Suspected(1, 1, at(0))
