--- a/internal/vm/stop_test.go
+++ b/internal/vm/stop_test.go
@@ -48,39 +48,65 @@
 	}
 }
 
-// Guards against a request that is passed on late in a stop and cut without an answer.
+// Guards against a request that is passed on late in a stop and cut without an answer, also beside new configurations.
 func TestRequestsThroughoutAStopAreAnsweredUnlessTheyDidNotRun(t *testing.T) {
-	clerk := standin.NewReplica("clerk-1", 0)
-	clerk.ServiceTime = 150 * time.Millisecond
-	c := newCluster(t, clerk)
-	v := c.start("a")
-	var ended atomic.Bool
-	var mu sync.Mutex
-	cut := make(map[string]bool)
-	answered := 0
-	var callers sync.WaitGroup
+	for _, reconfigured := range []bool{false, true} {
+		clerk := standin.NewReplica("clerk-1", 0)
+		clerk.ServiceTime = 150 * time.Millisecond
+		c := newCluster(t, clerk)
+		v := c.start("a")
+		callers := c.fileUntilStopped(v)
+		if reconfigured {
+			callers.group.Go(func() {
+				for !callers.stopped.Load() {
+					c.configure(nil)
+					time.Sleep(30 * time.Millisecond)
+				}
+			})
+		}
+		c.eventually(func() bool { return len(clerk.Runs()) > 30 })
+		v.stop()
+		callers.stopped.Store(true)
+		callers.group.Wait()
+		for _, run := range clerk.Runs() {
+			require.False(t, callers.cut[run.ID], "%s ran and got no answer", run.ID)
+		}
+		require.Greater(t, callers.answered, 30)
+	}
+}
+
+// filers are callers that send filings on kept connections until stopped is set.
+type filers struct {
+	group   sync.WaitGroup
+	stopped atomic.Bool
+
+	mu       sync.Mutex
+	answered int
+	// cut holds the IDs of the requests whose connections ended without an answer.
+	cut map[string]bool
+}
+
+func (c *cluster) fileUntilStopped(v *testVM) *filers {
+	f := &filers{cut: make(map[string]bool)}
 	for range 12 {
-		callers.Go(func() {
-			for !ended.Load() {
+		f.group.Go(func() {
+			for !f.stopped.Load() {
 				id := fmt.Sprintf("stop-%d", c.ids.Add(1))
 				got := c.send(v, call{method: "POST", path: "/file/" + id, body: id, header: map[string]string{"X-Chestnutarch-Attempt-Id": id}})
-				mu.Lock()
-				if got.err != nil {
-					cut[id] = true
-				} else {
-					answered++
-				}
-				mu.Unlock()
+				f.record(id, got)
 				time.Sleep(time.Millisecond)
 			}
 		})
 	}
-	c.eventually(func() bool { return len(clerk.Runs()) > 30 })
-	v.stop()
-	ended.Store(true)
-	callers.Wait()
-	for _, run := range clerk.Runs() {
-		require.False(t, cut[run.ID], "%s ran and got no answer", run.ID)
+	return f
+}
+
+func (f *filers) record(id string, got answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if got.err != nil {
+		f.cut[id] = true
+		return
 	}
-	require.Greater(t, answered, 30)
+	f.answered++
 }
