quarantine: what was answered is remembered for ten minutes, an unproven request is tried after five

Answers were remembered for 30 to 60 s, so that a service that stands still for longer before its upstreams crash makes its sound requests unproven; and an unproven request was tried a minute after its ends, which is one more end a minute if it is harmful.

Change: answers to requests are remembered for ten minutes, up to the same number. A request without one is tried five minutes after its ends. Parts of prompts are remembered as before.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -13,10 +13,8 @@
 	// maxSoundPartEnds is that number for a part with which answers have begun lately: it may have come to end upstreams only
 	// now, but rather stands beside the part that does.
 	maxSoundPartEnds = 2 * MaxPartEnds
-	// soundTime is how long parts are remembered with which answers have begun, and requests that were answered, at least;
-	// maxSound bounds the number of each.
+	// soundTime is how long parts are remembered with which answers have begun, at least.
 	soundTime = 30 * time.Second
-	maxSound  = 8192
 	// endDistance is the least time between two ends that count as distinct: upstreams that crash at the same moment do so
 	// for one reason, which need not be a part that requests to all of them share.
 	endDistance = 150 * time.Millisecond
@@ -37,15 +35,20 @@
 	Depth int
 }
 
-// recentKeys holds the requests or parts that were found to be sound lately.
+// maxRecentKeys bounds a generation of recentKeys.
+const maxRecentKeys = 8192
+
+// recentKeys holds the requests or parts that were found to be sound lately, in two generations.
 type recentKeys struct {
+	// lifetime is how long a key is remembered, at least, unless there are many.
+	lifetime          time.Duration
 	present, previous map[Key]struct{}
 	// since is when present began.
 	since time.Time
 }
 
 func (k *recentKeys) add(key Key, now time.Time) {
-	if k.present == nil || now.Sub(k.since) > soundTime || len(k.present) >= maxSound {
+	if k.present == nil || now.Sub(k.since) > k.lifetime || len(k.present) >= maxRecentKeys {
 		k.previous, k.present, k.since = k.present, make(map[Key]struct{}), now
 	}
 	k.present[key] = struct{}{}
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -7,7 +7,7 @@
 
 // This file decides about requests whose upstreams have ended at the same moment. A crash of a whole service takes each request
 // along that runs on all of its upstreams, as a harmful request does that several callers send at once. Where the request was
-// answered shortly before, or the upstreams ended under other requests, too, only what follows tells the two apart: one request
+// answered in the time before, or the upstreams ended under other requests, too, only what follows tells the two apart: one request
 // at a time is sent on trial. An answer clears the request; one more end, later than the others, quarantines it.
 
 const (
@@ -15,7 +15,10 @@
 	jointTime = 2 * time.Second
 	// unprovenWait is the time after the last end at which a request is tried that this VM does not know to have been answered
 	// before. Others are tried after jointTime.
-	unprovenWait = time.Minute
+	unprovenWait = Duration / 2
+	// servedTime is how long a request is remembered that was answered, at least: upstreams may stand still for minutes before they
+	// end.
+	servedTime = Duration
 	// trialInterval is the time from one VM's turn for a trial to the next one's, maxRound bounds that of a round of all VMs:
 	// in a large fleet few VMs may get the request. Each VM's pause between trials doubles from a round on.
 	trialInterval = 250 * time.Millisecond
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -38,7 +38,7 @@
 	Ends map[string]time.Time
 	// Answered is when an upstream last answered the request, zero if none has since the first end.
 	Answered time.Time
-	// sound is set if this VM knows that the request was answered shortly before the first end.
+	// sound is set if this VM knows that the request was answered in the time before the first end.
 	sound bool
 }
 
@@ -87,6 +87,7 @@
 	return &Table{
 		records: make(map[Key]*Record), broken: make(map[brokenExchange]time.Time),
 		gone: make(map[string]time.Time), alive: make(map[string]time.Time),
+		sound: recentKeys{lifetime: soundTime}, served: recentKeys{lifetime: servedTime},
 		endedUnder: make(map[string]int), trials: make(map[Key]trial), vm: xxhash.Sum64String(vm),
 	}
 }
