--- a/internal/transport/window_test.go
+++ b/internal/transport/window_test.go
@@ -87,6 +87,7 @@
 
 // Guards against a connection that ends because its peer, which is alive, reads nothing for a time.
 func TestPeerThatReadsLateGetsEverything(t *testing.T) {
+	t.Parallel()
 	p := newWatchedPair(t)
 	p.send(t, time.Now().Add(time.Hour))
 	time.Sleep(4 * testUserTimeout)
@@ -107,6 +108,7 @@
 
 // Guards against a connection that ends at the deadline of its first request while a later one has time left.
 func TestPeerIsWaitedForUntilTheLatestDeadline(t *testing.T) {
+	t.Parallel()
 	p := newWatchedPair(t)
 	p.send(t, time.Now().Add(3*testUserTimeout))
 	time.Sleep(testUserTimeout)
@@ -117,6 +119,7 @@
 
 // Guards against a peer that reads nothing and is waited for after its request's deadline.
 func TestPeerThatReadsNothingIsLeftAtItsDeadline(t *testing.T) {
+	t.Parallel()
 	p := newWatchedPair(t)
 	p.send(t, time.Now().Add(3*testUserTimeout))
 	require.Eventually(t, p.hasEnded, testWait, time.Millisecond)
@@ -124,6 +127,7 @@
 
 // Guards against a peer that is gone without a word and is waited for like one that reads late.
 func TestPeerThatIsGoneIsNoticedBeforeItsDeadline(t *testing.T) {
+	t.Parallel()
 	for _, closedBefore := range []bool{false, true} {
 		p := newWatchedPair(t)
 		if !closedBefore {
--- a/internal/vm/broken_answers_test.go
+++ b/internal/vm/broken_answers_test.go
@@ -35,6 +35,7 @@
 // Guards against a part of an answer without a length that a caller gets as a whole one, since the upstream reset the connection
 // while the request was still being written.
 func TestAnswerThatIsResetWhileItsRequestIsWrittenIsNotWhole(t *testing.T) {
+	t.Parallel()
 	const tries = 15
 	clerk, engine := standin.NewReplica("clerk-1", 0), standin.NewReplica("engine-1", 2, "m0")
 	c := newCluster(t, clerk, engine)
@@ -72,6 +73,7 @@
 
 // Guards against an invalid status of an upstream, which ends the caller's connection instead of its request.
 func TestInvalidStatusEndsNoConnection(t *testing.T) {
+	t.Parallel()
 	clerk, engine := standin.NewReplica("clerk-1", 0), standin.NewReplica("engine-1", 2, "m0")
 	c := newCluster(t, clerk, engine)
 	v := c.start("a")
--- a/internal/vm/incomplete_entry_test.go
+++ b/internal/vm/incomplete_entry_test.go
@@ -11,6 +11,7 @@
 
 // Guards against requests that run at another service, since another writer left an incomplete entry in the place of a replica.
 func TestIncompleteEntryMovesNoReplicaToAnotherService(t *testing.T) {
+	t.Parallel()
 	clerk, engine := standin.NewReplica("clerk-1", 0), standin.NewReplica("engine-1", 2, "m0")
 	c := newCluster(t, clerk, engine)
 	v := c.start("a")
--- a/internal/vm/joint_ends_test.go
+++ b/internal/vm/joint_ends_test.go
@@ -57,6 +57,7 @@
 
 // Guards against a lookup that is refused for minutes because it ran on all upstreams of its service as they crashed at once.
 func TestLookupIsServedAgainAfterAllUpstreamsCrashAtOnce(t *testing.T) {
+	t.Parallel()
 	lookup := call{method: "GET", path: "/look/today"}
 	c := newCluster(t)
 	c.add(standin.NewReplica("clerk-calm", 0))
@@ -95,6 +96,7 @@
 
 // Guards against a request that goes on ending upstreams because several callers send it at once.
 func TestRequestThatSeveralCallersSendAtOnceEndsThreeUpstreams(t *testing.T) {
+	t.Parallel()
 	c, e := newCluster(t), &endings{}
 	for i := range 10 {
 		c.addEnding(fmt.Sprintf("clerk-%d", i), e)
--- a/internal/vm/slow_readers_test.go
+++ b/internal/vm/slow_readers_test.go
@@ -55,6 +55,7 @@
 
 // Guards against an answer that is cut because its caller reads nothing for some seconds of its time.
 func TestAnswersReachCallersThatReadLate(t *testing.T) {
+	t.Parallel()
 	const small = 4800
 	c := newCluster(t)
 	c.configure(withSlowRoutes)
@@ -100,6 +101,7 @@
 
 // Guards against a request that is cut because its upstream pauses while it reads the body.
 func TestRequestsReachUpstreamsThatReadLate(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t)
 	c.configure(withSlowRoutes)
 	r := standin.NewReplica("clerk-1", 0)
@@ -119,6 +121,7 @@
 
 // Guards against an answer that is cut because its caller reads nothing as the VM stops.
 func TestAnswerReachesACallerThatReadsAfterTheStop(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t)
 	c.configure(withSlowRoutes)
 	r := standin.NewReplica("clerk-1", 0)
--- a/internal/vm/stop_test.go
+++ b/internal/vm/stop_test.go
@@ -15,6 +15,7 @@
 
 // Guards against requests that are cut without an answer because their upstreams take longer than a stopping VM may.
 func TestStopAnswersRequestsThatCannotEndInTime(t *testing.T) {
+	t.Parallel()
 	clerk, engine := standin.NewReplica("clerk-1", 0), standin.NewReplica("engine-1", 2, "m0")
 	for _, r := range []*standin.Replica{clerk, engine} {
 		r.Fail = func(_ http.ResponseWriter, q *http.Request) { <-q.Context().Done() }
@@ -50,6 +51,7 @@
 
 // Guards against a request that is passed on late in a stop and cut without an answer, also beside new configurations.
 func TestRequestsThroughoutAStopAreAnsweredUnlessTheyDidNotRun(t *testing.T) {
+	t.Parallel()
 	for _, reconfigured := range []bool{false, true} {
 		clerk := standin.NewReplica("clerk-1", 0)
 		clerk.ServiceTime = 150 * time.Millisecond
