quarantine: common causes are judged by the ends that counting returns

Change: it calls counting; whether ends are shared is a function of its own. Behaviour is the same.

Figures: none measured; the race tests of quarantine and traffic, and those of ends in internal/vm, pass.

--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // This file decides about requests whose upstreams have ended at the same moment. A crash of a whole service takes each request
 // along that runs on all of its upstreams, as a harmful request does that several callers send at once. Where the request was
@@ -29,18 +26,21 @@
 
 // mayHaveCommonCause reports whether the ends of a request may have one cause, which is not the request.
 func (t *Table) mayHaveCommonCause(r *Record) bool {
-	ends, shared := make([]time.Time, 0, len(r.Ends)), true
+	if !r.sound && !t.sharesEnds(r) {
+		return false
+	}
+	ends := t.counting(r, nil)
+	return ends[len(ends)-1].Sub(ends[0]) <= jointTime
+}
+
+// sharesEnds reports whether each upstream that ended under a request ended under others, too.
+func (t *Table) sharesEnds(r *Record) bool {
 	for incarnation, at := range r.Ends {
-		if t.counts(r, incarnation, at) {
-			ends = append(ends, at)
-			shared = shared && t.endedUnder[incarnation] > 1
+		if t.counts(r, incarnation, at) && t.endedUnder[incarnation] < 2 {
+			return false
 		}
 	}
-	if !r.sound && !shared {
-		return false
-	}
-	first, last := slices.MinFunc(ends, time.Time.Compare), slices.MaxFunc(ends, time.Time.Compare)
-	return last.Sub(first) <= jointTime
+	return true
 }
 
 // Suspected reports whether a request may only be sent on trial, and for how long this VM may send none. vms is the number of
