--- a/internal/transport/watched_conn.go
+++ b/internal/transport/watched_conn.go
@@ -12,9 +12,6 @@
 	"github.com/pkg/errors"
 )
 
-// maxUnread is how long a server that is alive may leave a request unread. The context of a request is mostly shorter.
-const maxUnread = time.Minute
-
 // watchedConn is a connection to a server that may read late, and that may reset the connection while it is written to. The
 // kernel reports a reset once: if a write gets it, the next read sees an ordinary end, which may be that of a response.
 type watchedConn struct {
@@ -28,9 +25,7 @@
 
 // Write implements net.Conn.
 func (c *watchedConn) Write(p []byte) (int, error) {
-	now := time.Now()
-	c.window.AllowUntil(now.Add(maxUnread))
-	c.window.Wrote(now)
+	c.window.WroteRequest(time.Now())
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
--- a/internal/transport/window.go
+++ b/internal/transport/window.go
@@ -94,6 +94,15 @@
 	w.timer.Reset(w.timeout / windowChecks)
 }
 
+// maxUnread is how long a server that is alive may leave a request unread. The context of a request is mostly shorter.
+const maxUnread = time.Minute
+
+// WroteRequest is Wrote for a request to a server.
+func (w *WindowWatch) WroteRequest(now time.Time) {
+	w.AllowUntil(now.Add(maxUnread))
+	w.Wrote(now)
+}
+
 // Close ends the watch. It must be called before the connection is closed, whose kernel goes on to send what is pending.
 func (w *WindowWatch) Close() {
 	if w == nil {
