vm, httpconn, transport: tests say in one line what they guard against

Change: one line each; the replica blocks until its requests end, and counts atomically. No assertion changes.

--- a/internal/httpconn/close_delimited_test.go
+++ b/internal/httpconn/close_delimited_test.go
@@ -16,8 +16,7 @@
 
 const partOfAnswer = "HTTP/1.1 200 OK\r\n\r\npart of the answer"
 
-// Guards against an answer without a length that looks whole although its connection was reset, which the write of the request
-// noticed first.
+// Guards against an answer that looks whole since the write of its request met the reset of the connection.
 func TestCloseDelimitedResponseIsCutByAResetWhileItsRequestIsWritten(t *testing.T) {
 	for _, delay := range []time.Duration{0, time.Millisecond} {
 		address, _ := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
--- a/internal/httpconn/sweep_test.go
+++ b/internal/httpconn/sweep_test.go
@@ -23,8 +23,7 @@
 	return n
 }
 
-// Guards against a process that runs out of descriptors because exchanges which end after their upstream has gone leave their
-// connections open for good.
+// Guards against connections that stay open for good because their exchanges ended after the upstream had gone.
 func TestConnectionsToUpstreamsThatHaveGoneAreClosed(t *testing.T) {
 	p := NewPool(transport.Limits{})
 	p.sweepInterval = 5 * time.Millisecond
--- a/internal/transport/reset_test.go
+++ b/internal/transport/reset_test.go
@@ -11,8 +11,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against an answer without a length that looks whole although its connection was reset, which the write of the request
-// noticed first.
+// Guards against an answer that looks whole since the write of its request met the reset of the connection.
 func TestCloseDelimitedResponseIsCutByAResetWhileItsRequestIsWritten(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/vm/broken_answers_test.go
+++ b/internal/vm/broken_answers_test.go
@@ -32,8 +32,7 @@
 	return answered
 }
 
-// Guards against a part of an answer without a length that a caller gets as a whole one, since the upstream reset the connection
-// while the request was still being written.
+// Guards against a part of an answer that looks whole since the write of its request met the reset of the connection.
 func TestAnswerThatIsResetWhileItsRequestIsWrittenIsNotWhole(t *testing.T) {
 	t.Parallel()
 	const tries = 15
--- a/internal/vm/forward_invalid_test.go
+++ b/internal/vm/forward_invalid_test.go
@@ -19,8 +19,7 @@
 func (s *recordingSink) WriteChunk([]byte) error                { s.parts++; return nil }
 func (s *recordingSink) Flush() error                           { return nil }
 
-// Guards against an invalid status from another VM, which ends the caller's connection, and against a response that is kept
-// without end.
+// Guards against an invalid status from another VM, and against a response from it that is kept without end.
 func TestInvalidPartsOfAResponseFromAnotherVMReachNoCaller(t *testing.T) {
 	for _, status := range []int32{-1, 0, 99, 600, 1 << 20} {
 		for _, in := range []*peerpb.ForwardResponse{
--- a/internal/vm/joint_ends_test.go
+++ b/internal/vm/joint_ends_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,33 +27,20 @@
 	return vms
 }
 
-// addBlocking adds a replica that runs requests for path until the returned function lets them go, and reports on running how
-// many it has begun.
-func (c *cluster) addBlocking(id, path string) (r *standin.Replica, running func() int, release func()) {
-	var mu sync.Mutex
-	begun, free := 0, make(chan struct{})
-	r = standin.NewReplica(id, 0)
+// addBlocking adds a replica that ends no request for path, and returns a counter of those that it has begun.
+func (c *cluster) addBlocking(id, path string) (*standin.Replica, *atomic.Int64) {
+	begun := new(atomic.Int64)
+	r := standin.NewReplica(id, 0)
 	r.Inspect = func(_ http.ResponseWriter, q *http.Request, _ string) bool {
 		if q.URL.Path != path {
 			return true
 		}
-		mu.Lock()
-		begun++
-		mu.Unlock()
-		select {
-		case <-free:
-			return true
-		case <-q.Context().Done():
-			return false
-		}
+		begun.Add(1)
+		<-q.Context().Done()
+		return false
 	}
 	c.add(r)
-	running = func() int {
-		mu.Lock()
-		defer mu.Unlock()
-		return begun
-	}
-	return r, running, sync.OnceFunc(func() { close(free) })
+	return r, begun
 }
 
 // Guards against a lookup that is refused for minutes because it ran on all upstreams of its service as they crashed at once.
@@ -67,9 +55,9 @@
 	}
 	c.setReplicaState("clerk-calm", "draining")
 	crashing := make([]*standin.Replica, 3)
-	counts := make([]func() int, len(crashing))
+	counts := make([]*atomic.Int64, len(crashing))
 	for i := range crashing {
-		crashing[i], counts[i], _ = c.addBlocking(fmt.Sprintf("clerk-%d", i), lookup.path)
+		crashing[i], counts[i] = c.addBlocking(fmt.Sprintf("clerk-%d", i), lookup.path)
 	}
 	for _, v := range vms {
 		c.eventually(func() bool { i := v.instance("clerk-2"); return i != nil && v.instance("clerk-calm").Draining })
@@ -78,7 +66,7 @@
 	for i := range 12 {
 		callers.Go(func() { c.send(vms[i%jointVMs], lookup) })
 	}
-	c.eventually(func() bool { return counts[0]() > 0 && counts[1]() > 0 && counts[2]() > 0 })
+	c.eventually(func() bool { return counts[0].Load() > 0 && counts[1].Load() > 0 && counts[2].Load() > 0 })
 	for _, r := range crashing {
 		c.end(r)
 	}
